--- /dev/null
+++ b/src/libs/asio/asio.cpp
@@ -0,0 +1,2 @@
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/src/libs/http/httpclient.cpp
@@ -0,0 +1,141 @@
+#include "httpclient.h"
+
+#include <utils/endpoint.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace Hyssop {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace Internal {
+
+constexpr std::size_t MaximumIdleConnections = 8; // per address
+constexpr std::uint64_t LargestResponse = 4 * 1024 * 1024;
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+
+using StreamPtr = std::unique_ptr<beast::tcp_stream>;
+
+class HttpConnectionPool
+{
+public:
+    explicit HttpConnectionPool(asio::any_io_executor executor)
+        : m_executor(std::move(executor))
+    {
+    }
+
+    /// Returns an idle connection that the peer has not closed, or a new unconnected one.
+    StreamPtr take(const std::string &address)
+    {
+        auto &idle = m_idle[address];
+        while (!idle.empty()) {
+            StreamPtr stream = std::move(idle.back());
+            idle.pop_back();
+            if (isUsable(*stream)) {
+                return stream;
+            }
+        }
+        return std::make_unique<beast::tcp_stream>(m_executor);
+    }
+
+    void putBack(const std::string &address, StreamPtr stream)
+    {
+        auto &idle = m_idle[address];
+        if (idle.size() < MaximumIdleConnections) {
+            stream->expires_never();
+            idle.push_back(std::move(stream));
+        }
+    }
+
+private:
+    static bool isUsable(beast::tcp_stream &stream)
+    {
+        // A closed or readable idle connection has no use: no response is outstanding on it.
+        boost::system::error_code error;
+        char byte = 0;
+        stream.socket().non_blocking(true, error);
+        stream.socket().receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    asio::any_io_executor m_executor;
+    std::map<std::string, std::vector<StreamPtr>> m_idle;
+};
+
+static Error transferError(const boost::system::error_code &error)
+{
+    return {error == beast::error::timeout ? ErrorCode::Timeout : ErrorCode::Closed, error.message()};
+}
+
+static asio::awaitable<Outcome<HttpResponse>> exchange(beast::tcp_stream &stream, const HttpRequest &request)
+{
+    const auto [writeError, writeSize] = co_await http::async_write(stream, request, AsTuple);
+    if (writeError) {
+        co_return transferError(writeError);
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(LargestResponse);
+    const auto [readError, readSize] = co_await http::async_read(stream, buffer, parser, AsTuple);
+    if (readError) {
+        co_return transferError(readError);
+    }
+    co_return parser.release();
+}
+
+} // namespace Internal
+
+HttpClient::HttpClient(asio::any_io_executor executor)
+    : m_pool(std::make_shared<Internal::HttpConnectionPool>(std::move(executor)))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<Outcome<HttpResponse>> HttpClient::send(std::string address, HttpRequest request, std::chrono::milliseconds timeout)
+{
+    const auto pool = m_pool;
+    auto endpoint = capture([&] { return parseEndpoint(address); });
+    if (const Error *error = errorOf(endpoint)) {
+        co_return *error;
+    }
+    request.set(http::field::host, address);
+    request.prepare_payload();
+    Internal::StreamPtr stream = pool->take(address);
+    stream->expires_after(timeout);
+    if (!stream->socket().is_open()) {
+        const auto [connectError] = co_await stream->async_connect(*valueOf(endpoint), Internal::AsTuple);
+        if (connectError) {
+            co_return Error{ErrorCode::Unavailable, "connection to " + address + ": " + connectError.message()};
+        }
+        boost::system::error_code ignored;
+        stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+    auto outcome = co_await Internal::exchange(*stream, request);
+    if (const HttpResponse *response = valueOf(outcome); response != nullptr && response->keep_alive()) {
+        pool->putBack(address, std::move(stream));
+    }
+    co_return outcome;
+}
+
+asio::awaitable<Outcome<HttpResponse>>
+HttpClient::send(std::string address, http::verb method, std::string path, std::string body, std::chrono::milliseconds timeout)
+{
+    HttpRequest request(method, path, 11);
+    request.body() = std::move(body);
+    co_return co_await send(std::move(address), std::move(request), timeout);
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/http/httpclient.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "httpserver.h"
+
+#include <utils/result.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace Hyssop {
+
+namespace Internal {
+class HttpConnectionPool;
+}
+
+/// HTTP/1.1 client for whole messages of at most 4 MiB with pooled connections. Use from one executor only.
+class HttpClient
+{
+public:
+    explicit HttpClient(boost::asio::any_io_executor executor);
+    ~HttpClient();
+
+    /// Sends @p request to @p address ("IP-ADDRESS:PORT") and waits for the whole response. ErrorCode::Unavailable
+    /// means that nothing was sent; after any other error the effect is unknown and the connection is closed.
+    boost::asio::awaitable<Outcome<HttpResponse>> send(std::string address, HttpRequest request, std::chrono::milliseconds timeout);
+
+    /// Builds and sends a request.
+    boost::asio::awaitable<Outcome<HttpResponse>>
+    send(std::string address, boost::beast::http::verb method, std::string path, std::string body, std::chrono::milliseconds timeout);
+
+private:
+    std::shared_ptr<Internal::HttpConnectionPool> m_pool;
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/http/httpserver.cpp
@@ -0,0 +1,152 @@
+#include "httpserver.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <list>
+#include <utility>
+
+namespace Hyssop {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace Internal {
+
+constexpr std::uint64_t LargestBody = 4 * 1024 * 1024;
+constexpr std::size_t MaximumConnections = 1024;
+constexpr std::chrono::seconds IdleTimeout{60};
+constexpr std::chrono::milliseconds AcceptRetryDelay{100};
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+
+struct HttpServerState
+{
+    HttpServerState(const asio::any_io_executor &executor, const asio::ip::tcp::endpoint &endpoint, HttpServer::Handler requestHandler)
+        : acceptor(executor, endpoint)
+        , handler(std::move(requestHandler))
+    {
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    HttpServer::Handler handler;
+    std::list<beast::tcp_stream> connections;
+    bool stopped = false;
+};
+
+using HttpServerStatePtr = std::shared_ptr<HttpServerState>;
+
+static asio::awaitable<void> answerBadRequest(beast::tcp_stream &stream, const boost::system::error_code &error)
+{
+    HttpResponse response(error == http::error::body_limit ? http::status::payload_too_large : http::status::bad_request, 11);
+    response.body() = error.message() + "\n";
+    response.keep_alive(false);
+    response.prepare_payload();
+    co_await http::async_write(stream, response, AsTuple);
+}
+
+static asio::awaitable<void> serveRequests(HttpServerStatePtr state, beast::tcp_stream &stream)
+{
+    beast::flat_buffer buffer;
+    while (!state->stopped) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(LargestBody);
+        stream.expires_after(IdleTimeout);
+        const auto [readError, readSize] = co_await http::async_read(stream, buffer, parser, AsTuple);
+        if (readError) {
+            if (readError.category() == http::make_error_code(http::error::end_of_stream).category() && readError != http::error::end_of_stream) {
+                co_await answerBadRequest(stream, readError);
+            }
+            co_return;
+        }
+        stream.expires_never();
+        HttpResponse response = co_await state->handler(parser.get());
+        response.keep_alive(parser.get().keep_alive() && response.keep_alive());
+        response.prepare_payload();
+        stream.expires_after(IdleTimeout);
+        const auto [writeError, writeSize] = co_await http::async_write(stream, response, AsTuple);
+        if (writeError || !response.keep_alive()) {
+            co_return;
+        }
+    }
+}
+
+static asio::awaitable<void> serveConnection(HttpServerStatePtr state, std::list<beast::tcp_stream>::iterator connection)
+{
+    boost::system::error_code ignored;
+    connection->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_await serveRequests(state, *connection);
+    connection->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    state->connections.erase(connection);
+}
+
+static asio::awaitable<void> acceptConnections(HttpServerStatePtr state)
+{
+    while (!state->stopped) {
+        auto [error, socket] = co_await state->acceptor.async_accept(AsTuple);
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error || state->connections.size() >= MaximumConnections) {
+            // Out of file descriptors or connections; accepting at once again would use a whole core.
+            asio::steady_timer timer(state->acceptor.get_executor(), AcceptRetryDelay);
+            co_await timer.async_wait(AsTuple);
+            continue;
+        }
+        state->connections.emplace_back(std::move(socket));
+        const auto connection = std::prev(state->connections.end());
+        asio::co_spawn(state->acceptor.get_executor(), serveConnection(state, connection), asio::detached);
+    }
+}
+
+} // namespace Internal
+
+HttpServer::HttpServer(asio::any_io_executor executor, const asio::ip::tcp::endpoint &endpoint, Handler handler)
+    : m_state(std::make_shared<Internal::HttpServerState>(executor, endpoint, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+void HttpServer::start()
+{
+    asio::co_spawn(m_state->acceptor.get_executor(), Internal::acceptConnections(m_state), asio::detached);
+}
+
+void HttpServer::stop()
+{
+    m_state->stopped = true;
+    boost::system::error_code ignored;
+    m_state->acceptor.close(ignored);
+    for (beast::tcp_stream &connection : m_state->connections) {
+        connection.socket().close(ignored);
+    }
+}
+
+asio::ip::tcp::endpoint HttpServer::localEndpoint() const
+{
+    return m_state->acceptor.local_endpoint();
+}
+
+HttpResponse makeResponse(const HttpRequest &request, http::status status, std::string body, std::string_view contentType)
+{
+    HttpResponse response(status, request.version());
+    response.set(http::field::content_type, beast::string_view(contentType.data(), contentType.size()));
+    response.keep_alive(request.keep_alive());
+    response.body() = std::move(body);
+    return response;
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/http/httpserver.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace Hyssop {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+namespace Internal {
+struct HttpServerState;
+}
+
+/// HTTP/1.1 server for whole messages of at most 4 MiB: administration endpoints and test stand-ins.
+class HttpServer
+{
+public:
+    using Handler = std::function<boost::asio::awaitable<HttpResponse>(const HttpRequest &)>;
+
+    /// Binds and listens at once. Throws boost::system::system_error if the address is in use.
+    HttpServer(boost::asio::any_io_executor executor, const boost::asio::ip::tcp::endpoint &endpoint, Handler handler);
+    ~HttpServer();
+
+    /// Starts to accept connections.
+    void start();
+
+    /// Stops accepting and closes every connection.
+    void stop();
+
+    boost::asio::ip::tcp::endpoint localEndpoint() const;
+
+private:
+    std::shared_ptr<Internal::HttpServerState> m_state;
+};
+
+/// Builds a response to @p request with the given status, content type and body.
+HttpResponse makeResponse(const HttpRequest &request, boost::beast::http::status status, std::string body, std::string_view contentType = "text/plain");
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/observability/logging.cpp
@@ -0,0 +1,206 @@
+#include "logging.h"
+
+#include <log4cplus/configurator.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <atomic>
+#include <cstdio>
+#include <memory>
+
+namespace Hyssop {
+
+namespace Internal {
+
+struct LoggingState
+{
+    log4cplus::Initializer initializer;
+    LogFormat format = LogFormat::KeyValue;
+    std::string instance;
+};
+
+static std::unique_ptr<LoggingState> &loggingState()
+{
+    static std::unique_ptr<LoggingState> state;
+    return state;
+}
+
+static log4cplus::LogLevel toLibraryLevel(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::Info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::Warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::Error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+}
+
+static const char *levelName(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warning:
+        return "warning";
+    case LogLevel::Error:
+        return "error";
+    }
+    return "info";
+}
+
+/// Quotes and escapes for both formats: the escapes of JSON are also valid in quoted key=value text.
+static std::string quoted(std::string_view text)
+{
+    std::string result = "\"";
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        constexpr unsigned char FirstPrintable = 0x20;
+        if (character == '"' || character == '\\') {
+            result += '\\';
+            result += character;
+        } else if (byte < FirstPrintable) {
+            char escape[7];
+            std::snprintf(escape, sizeof escape, "\\u%04x", byte);
+            result += escape;
+        } else {
+            result += character;
+        }
+    }
+    return result + "\"";
+}
+
+static bool needsQuotes(std::string_view text)
+{
+    return text.empty() || text.find_first_of(" =\"\\\t\r\n") != std::string_view::npos;
+}
+
+static void appendField(std::string &line, LogFormat format, const LogField &field)
+{
+    if (format == LogFormat::Json) {
+        line += ",";
+        line += quoted(field.key) + ":" + (field.isText ? quoted(field.value) : field.value);
+        return;
+    }
+    line += " " + field.key + "=" + (field.isText && needsQuotes(field.value) ? quoted(field.value) : field.value);
+}
+
+} // namespace Internal
+
+LogField::LogField(std::string_view fieldKey, std::string_view text)
+    : key(fieldKey)
+    , value(text)
+{
+}
+
+LogField::LogField(std::string_view fieldKey, const char *text)
+    : key(fieldKey)
+    , value(text)
+{
+}
+
+LogField::LogField(std::string_view fieldKey, const std::string &text)
+    : key(fieldKey)
+    , value(text)
+{
+}
+
+LogField::LogField(std::string_view fieldKey, long long number)
+    : key(fieldKey)
+    , value(std::to_string(number))
+    , isText(false)
+{
+}
+
+LogField::LogField(std::string_view fieldKey, long number)
+    : LogField(fieldKey, static_cast<long long>(number))
+{
+}
+
+LogField::LogField(std::string_view fieldKey, unsigned long number)
+    : key(fieldKey)
+    , value(std::to_string(number))
+    , isText(false)
+{
+}
+
+LogField::LogField(std::string_view fieldKey, int number)
+    : LogField(fieldKey, static_cast<long long>(number))
+{
+}
+
+LogField::LogField(std::string_view fieldKey, bool flag)
+    : key(fieldKey)
+    , value(flag ? "true" : "false")
+    , isText(false)
+{
+}
+
+void initializeLogging(LogLevel level, LogFormat format, const std::string &instance)
+{
+    auto &state = Internal::loggingState();
+    if (!state) {
+        state = std::make_unique<Internal::LoggingState>();
+    }
+    state->format = format;
+    state->instance = instance;
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    const char *pattern = format == LogFormat::Json ? "{\"time\":\"%D{%Y-%m-%dT%H:%M:%S.%qZ}\",%m}%n" : "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} %m%n";
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+    log4cplus::Logger root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(appender);
+    root.setLogLevel(Internal::toLibraryLevel(level));
+}
+
+LogLevel parseLogLevel(std::string_view name)
+{
+    for (const LogLevel level : {LogLevel::Debug, LogLevel::Warning, LogLevel::Error}) {
+        if (name == Internal::levelName(level)) {
+            return level;
+        }
+    }
+    return LogLevel::Info;
+}
+
+LogFormat parseLogFormat(std::string_view name)
+{
+    return name == "json" ? LogFormat::Json : LogFormat::KeyValue;
+}
+
+void logMessage(LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields)
+{
+    const auto &state = Internal::loggingState();
+    if (!state) {
+        return;
+    }
+    log4cplus::Logger root = log4cplus::Logger::getRoot();
+    const log4cplus::LogLevel libraryLevel = Internal::toLibraryLevel(level);
+    if (!root.isEnabledFor(libraryLevel)) {
+        return;
+    }
+    std::string line;
+    if (state->format == LogFormat::Json) {
+        line = "\"level\":\"" + std::string(Internal::levelName(level)) + "\"";
+    } else {
+        line = "level=" + std::string(Internal::levelName(level));
+    }
+    Internal::appendField(line, state->format, LogField("instance", state->instance));
+    Internal::appendField(line, state->format, LogField("component", component));
+    Internal::appendField(line, state->format, LogField("message", message));
+    for (const LogField &field : fields) {
+        Internal::appendField(line, state->format, field);
+    }
+    root.log(libraryLevel, line);
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/observability/logging.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace Hyssop {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+enum class LogFormat {
+    KeyValue,
+    Json,
+};
+
+/// One field of a log line. Common keys: request_id, job_id, epoch, revision, customer, worker, target, error.
+struct LogField
+{
+    LogField(std::string_view fieldKey, std::string_view text);
+    LogField(std::string_view fieldKey, const char *text);
+    LogField(std::string_view fieldKey, const std::string &text);
+    LogField(std::string_view fieldKey, long long number);
+    LogField(std::string_view fieldKey, long number);
+    LogField(std::string_view fieldKey, unsigned long number);
+    LogField(std::string_view fieldKey, int number);
+    LogField(std::string_view fieldKey, bool flag);
+
+    std::string key;
+    std::string value;
+    bool isText = true;
+};
+
+/// Sets up log4cplus to write to standard error. @p instance is added to every line.
+void initializeLogging(LogLevel level, LogFormat format, const std::string &instance);
+
+/// Parses "debug", "info", "warning" or "error"; any other text gives LogLevel::Info.
+LogLevel parseLogLevel(std::string_view name);
+
+/// Parses "json"; any other text gives LogFormat::KeyValue.
+LogFormat parseLogFormat(std::string_view name);
+
+/// Writes one structured line. @p component is the name of the library, for example "scheduler".
+void logMessage(LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields = {});
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/platform/logclient.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <utils/clock.h>
+#include <utils/result.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Hyssop {
+
+class HttpClient;
+
+/// The record is in the log at this offset.
+struct Appended
+{
+    std::int64_t offset = 0;
+};
+
+/// The record is certainly not in the log and will not appear there.
+struct AppendRefused
+{
+    std::string reason;
+};
+
+/// The record may be in the log, or may still appear there.
+struct AppendUnknown
+{
+    std::string reason;
+};
+
+using AppendOutcome = std::variant<Appended, AppendRefused, AppendUnknown>;
+
+struct LogRecord
+{
+    std::int64_t offset = 0;
+    WallTime time; // set by the log
+    std::string bytes;
+};
+
+struct ReadResult
+{
+    std::vector<LogRecord> records;
+    std::int64_t oldest = 0; // first offset that the log still has
+    std::int64_t head = -1; // last offset in the stream; -1 for an empty stream
+};
+
+/// Adapter for the platform's log service. The only place that knows its wire format.
+class LogClient
+{
+public:
+    /// @p address is "IP-ADDRESS:PORT" of the log service. @p http must outlive the client.
+    LogClient(HttpClient &http, std::string address);
+
+    /// Appends one record of at most 256 KiB.
+    boost::asio::awaitable<AppendOutcome> append(std::string stream, std::string bytes, std::chrono::milliseconds timeout);
+
+    /// Reads records from offset @p from on (inclusive), at most @p maximum. Waits up to @p wait for a first record.
+    boost::asio::awaitable<Outcome<ReadResult>> read(std::string stream, std::int64_t from, int maximum, std::chrono::milliseconds wait);
+
+private:
+    HttpClient &m_http;
+    std::string m_address;
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/platform/logtailer.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "logclient.h"
+
+#include "hyssop_types.h"
+
+#include <utils/clock.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Hyssop {
+
+class MetricsRegistry;
+
+/// Follows one stream from its oldest record and hands every batch over in offset order.
+class LogTailer
+{
+public:
+    /// Called once for each batch. A batch id that was seen before is dropped by the tailer. Batches that can't be
+    /// decoded or have an unknown format version are counted and skipped, but still reported with an empty record list.
+    using BatchHandler = std::function<void(std::int64_t offset, WallTime time, const Wire::RecordBatch &batch)>;
+    /// Called after each successful read, with the first available offset and the head.
+    using ReadHandler = std::function<void(std::int64_t oldest, std::int64_t head)>;
+
+    LogTailer(LogClient &client, std::string stream, MetricsRegistry &metrics);
+
+    void setBatchHandler(BatchHandler handler);
+    void setReadHandler(ReadHandler handler);
+
+    /// Reads until stop() is called. Retries with backoff while the log is unavailable.
+    boost::asio::awaitable<void> run();
+    void stop();
+
+    /// Last offset handed over; -1 before the first.
+    std::int64_t appliedUpTo() const;
+
+    /// Head at the last successful read; -1 for an empty stream.
+    std::int64_t head() const;
+
+    /// True once everything up to a head that was read after the start has been handed over.
+    bool caughtUp() const;
+
+    /// Time at which the last read that reached the head was sent. No value before the first.
+    std::optional<TimePoint> headSeenAt() const;
+
+private:
+    LogClient &m_client;
+    std::string m_stream;
+    MetricsRegistry &m_metrics;
+    BatchHandler m_batchHandler;
+    ReadHandler m_readHandler;
+    std::int64_t m_appliedUpTo = -1;
+    std::int64_t m_head = -1;
+    bool m_caughtUp = false;
+    bool m_stopped = false;
+    std::optional<TimePoint> m_headSeenAt;
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/utils/resources.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Hyssop {
+
+/// Amounts of what a worker has and a task needs.
+struct Resources
+{
+    std::int64_t milliCores = 0;
+    std::int64_t memoryBytes = 0;
+    std::int32_t accelerators = 0;
+    std::int32_t slots = 0;
+
+    /// Returns true if no amount is larger than the one in @p available.
+    bool fitsIn(const Resources &available) const;
+
+    Resources &operator+=(const Resources &other);
+    Resources &operator-=(const Resources &other);
+
+    friend Resources operator+(Resources left, const Resources &right) { return left += right; }
+    friend Resources operator-(Resources left, const Resources &right) { return left -= right; }
+    bool operator==(const Resources &other) const = default;
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/wire/codec.cpp
@@ -0,0 +1,74 @@
+#include "codec.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+
+namespace Hyssop {
+
+namespace Internal {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr int LargestNesting = 16;
+
+template<typename Value>
+static std::string encodeValue(const Value &value)
+{
+    auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    value.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+template<typename Value>
+static Result<Value> decodeValue(std::string_view bytes)
+{
+    if (bytes.size() > LargestWireMessage) {
+        return fail(ErrorCode::TooLarge, "message of " + std::to_string(bytes.size()) + " bytes");
+    }
+    try {
+        const auto configuration = std::make_shared<TConfiguration>(static_cast<int>(LargestWireMessage), static_cast<int>(LargestWireMessage), LargestNesting);
+        // TMemoryBuffer takes a mutable pointer but only reads under the OBSERVE policy.
+        auto *data = reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data()));
+        auto buffer = std::make_shared<TMemoryBuffer>(data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE, configuration);
+        TCompactProtocolT<TMemoryBuffer> protocol(buffer, static_cast<int>(LargestWireMessage), static_cast<int>(LargestWireMessage));
+        Value value;
+        value.read(&protocol);
+        if (buffer->available_read() != 0) {
+            return fail(ErrorCode::Malformed, std::to_string(buffer->available_read()) + " bytes after the message");
+        }
+        return value;
+    } catch (const apache::thrift::TException &error) {
+        return fail(ErrorCode::Malformed, error.what());
+    } catch (const std::bad_alloc &) {
+        return fail(ErrorCode::Malformed, "a length in the message is too large");
+    }
+}
+
+} // namespace Internal
+
+std::string encode(const Wire::Envelope &envelope)
+{
+    return Internal::encodeValue(envelope);
+}
+
+std::string encode(const Wire::RecordBatch &batch)
+{
+    return Internal::encodeValue(batch);
+}
+
+Result<Wire::Envelope> decodeEnvelope(std::string_view bytes)
+{
+    return Internal::decodeValue<Wire::Envelope>(bytes);
+}
+
+Result<Wire::RecordBatch> decodeRecordBatch(std::string_view bytes)
+{
+    return Internal::decodeValue<Wire::RecordBatch>(bytes);
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/wire/codec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "hyssop_types.h"
+
+#include <utils/result.h>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace Hyssop {
+
+/// Largest encoded message or record batch, in bytes.
+constexpr std::size_t LargestWireMessage = 1024 * 1024;
+
+/// Encodes with the Thrift compact protocol.
+std::string encode(const Wire::Envelope &envelope);
+std::string encode(const Wire::RecordBatch &batch);
+
+/// Decodes with the Thrift compact protocol. Fails with ErrorCode::TooLarge above LargestWireMessage and with
+/// ErrorCode::Malformed for anything that is not exactly one value of the type.
+Result<Wire::Envelope> decodeEnvelope(std::string_view bytes);
+Result<Wire::RecordBatch> decodeRecordBatch(std::string_view bytes);
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/wire/frame.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <utils/result.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <string>
+
+namespace Hyssop::Internal {
+
+/// Reads one frame: a 4-byte big-endian length and that many bytes. Fails with ErrorCode::TooLarge above
+/// LargestWireMessage, before any of the body is read, and with ErrorCode::Timeout when the stream's timer expires.
+boost::asio::awaitable<Outcome<std::string>> readFrame(boost::beast::tcp_stream &stream);
+
+/// Writes one frame and returns the number of bytes written in all.
+boost::asio::awaitable<Outcome<std::size_t>> writeFrame(boost::beast::tcp_stream &stream, const std::string &body);
+
+} // namespace Hyssop::Internal
--- /dev/null
+++ b/src/libs/wire/hyssop.thrift
@@ -0,0 +1,335 @@
+namespace cpp Hyssop.Wire
+
+/* Resource amounts: millicores, bytes, accelerators, task slots. */
+struct Resources {
+  1: i64 milliCores = 0,
+  2: i64 memoryBytes = 0,
+  3: i32 accelerators = 0,
+  4: i32 slots = 1,
+}
+
+enum TaskKind {
+  Batch = 1,
+  Service = 2,
+}
+
+/* ---- Records of the `config` stream ---- */
+
+/* A change that an operator asks for. Accepted if and only if baseRevision is the key's revision at its offset. */
+struct ConfigChange {
+  1: string changeId,
+  2: string key,              // "contract/<customer>" or "domain/<failure domain>"
+  3: i64 baseRevision = 0,    // 0: the key does not exist yet
+  4: string body,             // contract text, or "in" / "out"
+  5: string operatorName,
+  6: i64 submittedAtMs = 0,   // operator's wall clock, for the audit trail only
+  7: bool removed = false,    // withdraws the key; the revision still rises
+}
+
+/* Live state of one key, published again before retention removes the records it came from. */
+struct ConfigSnapshot {
+  1: string key,
+  2: i64 revision = 0,
+  3: string body,
+  4: string changeId,
+  5: string operatorName,
+  6: i64 acceptedAtMs = 0,
+  7: i64 readUpTo = -1,       // last offset that the writer had applied
+  8: bool removed = false,
+}
+
+/* ---- Records of the `jobs.<failure domain>` streams ---- */
+
+/* Claims ownership; the record's offset is the term. Always alone in its batch. */
+struct OwnershipClaim {
+  1: string instance,
+  2: i64 incarnation = 0,
+}
+
+struct JobSpec {
+  1: string jobId,
+  2: string customer,
+  3: string team,
+  4: string taskName,         // task kind for the interference model, for example "badge-print"
+  5: TaskKind kind = TaskKind.Batch,
+  6: Resources declared,
+  7: i64 declaredRunTimeMs = 0,
+  8: bool urgent = false,
+  9: i32 maximumFailures = 3, // failures on distinct workers before the job ends
+  10: string serviceName,         // service name, for service tasks
+  11: string command,         // opaque to the scheduler
+  12: bool acceptsCheckpoint = true,
+  13: bool stopsWithoutLease = true, // false only for services that may run in two places for a while
+}
+
+struct JobSubmitted {
+  1: JobSpec spec,
+  2: string checkpoint,       // resume point of a transferred job, else empty
+  3: string transferId,       // set when the job comes from another failure domain
+  4: i64 submittedAtMs = 0,
+  5: i32 attempts = 0,        // attempts already used in other failure domains
+}
+
+struct JobCancelled {
+  1: string jobId,
+  2: string operatorName,
+}
+
+/* Durable before the start command is sent. Void unless the job's previous attempt has ended. */
+struct AttemptIntent {
+  1: i64 term = 0,
+  2: string jobId,
+  3: i32 attempt = 0,         // 1, 2, 3, ...
+  4: string worker,
+  5: string checkpoint,
+}
+
+enum AttemptOutcome {
+  Finished = 1,
+  Failed = 2,       // the task ran and failed
+  Evicted = 3,      // stopped by the scheduler, resumes from the checkpoint
+  Lost = 4,         // the worker's lease lapsed
+  NotStarted = 5,   // certain not to have run
+  Cancelled = 6,
+}
+
+struct AttemptEnded {
+  1: i64 term = 0,
+  2: string jobId,
+  3: i32 attempt = 0,
+  4: AttemptOutcome outcome = AttemptOutcome.Finished,
+  5: string checkpoint,
+  6: string reason,
+}
+
+/* Ends a job without a further attempt (for example: it can never run). */
+struct JobEnded {
+  1: i64 term = 0,
+  2: string jobId,
+  3: AttemptOutcome outcome = AttemptOutcome.Failed,
+  4: string reason,
+}
+
+/* Gives the job up for another failure domain. */
+struct JobTransferred {
+  1: i64 term = 0,
+  2: string jobId,
+  3: string toDomain,
+  4: string transferId,
+}
+
+/* The target domain's stream holds the job; the transfer needs no repetition. */
+struct TransferConfirmed {
+  1: i64 term = 0,
+  2: string transferId,
+}
+
+/* Live state of one job, published again before retention removes its records. */
+struct JobSnapshot {
+  1: i64 term = 0,
+  2: JobSpec spec,
+  3: string state,            // ledger's state name
+  4: i32 attempt = 0,
+  5: string worker,
+  6: string checkpoint,
+  7: list<string> failedWorkers,
+  8: bool cancelRequested = false,
+  9: i64 readUpTo = -1,
+  10: i64 submittedAtMs = 0,
+  11: string transferId,
+  12: string toDomain,
+  13: string reason,
+}
+
+/* ---- Records of the `requests.<failure domain>` streams ---- */
+
+struct RequestIntent {
+  1: string customer,
+  2: string serviceName,
+  3: string key,
+  4: string requestId,
+  5: i64 bodyHash = 0,
+}
+
+struct RequestOutcome {
+  1: string customer,
+  2: string serviceName,
+  3: string key,
+  4: string requestId,
+  5: bool known = false,      // false: bytes were sent, the answer was not received
+  6: i32 status = 0,
+  7: string contentType,
+  8: binary body,             // at most 64 KiB; larger answers are recorded without body
+  9: bool truncated = false,
+  10: bool notRun = false,    // certainly not sent to a target; the key may be used again
+}
+
+union Record {
+  1: ConfigChange configChange,
+  2: ConfigSnapshot configSnapshot,
+  3: OwnershipClaim ownershipClaim,
+  4: JobSubmitted jobSubmitted,
+  5: JobCancelled jobCancelled,
+  6: AttemptIntent attemptIntent,
+  7: AttemptEnded attemptEnded,
+  8: JobEnded jobEnded,
+  9: JobTransferred jobTransferred,
+  10: TransferConfirmed transferConfirmed,
+  11: JobSnapshot jobSnapshot,
+  12: RequestIntent requestIntent,
+  13: RequestOutcome requestOutcome,
+}
+
+/* One platform log record. */
+struct RecordBatch {
+  1: i32 formatVersion = 1,
+  2: string batchId,
+  3: string writer,
+  4: list<Record> records,
+}
+
+/* ---- Messages between the system's own processes ---- */
+
+struct Heartbeat {
+  1: string instance,
+  2: i64 incarnation = 0,
+  3: string domain,
+  4: string role,             // "scheduler" or "gateway"
+  5: i64 configHead = -1,     // highest applied offset of the config stream
+  6: i64 configAgeMs = -1,    // time since the head was confirmed; -1: unknown
+  7: i64 configDigest = 0,    // hash over all (key, revision) pairs
+  8: i64 term = -1,           // highest term seen in the domain's job stream
+  9: bool owner = false,
+  10: string address,         // RPC address, host:port
+}
+
+struct Target {
+  1: string customer,
+  2: string serviceName,
+  3: string worker,
+  4: string address,          // host:port
+  5: string incarnation,      // job id and attempt; changes with each start
+  6: bool leaving = false,
+}
+
+struct TargetsRequest { 1: i64 knownVersion = -1 }
+struct TargetsReply {
+  1: i64 version = 0,
+  2: bool changed = false,
+  3: list<Target> targets,
+  4: string source,           // instance that published the list
+}
+
+struct ConfigEntry {
+  1: string key,
+  2: i64 revision = 0,
+  3: string body,
+  4: string changeId,
+  5: string operatorName,
+  6: i64 acceptedAtMs = 0,
+  7: bool removed = false,
+}
+struct ConfigStateRequest { 1: string key }   // empty: all keys
+struct ConfigStateReply {
+  1: list<ConfigEntry> entries,
+  2: i64 head = -1,
+  3: bool ready = false,
+  4: i64 ageMs = -1,
+}
+
+struct ConfigApplyRequest { 1: ConfigChange change }
+enum ChangeVerdict {
+  Accepted = 1,
+  Conflict = 2,     // another change was accepted on the same base
+  Refused = 3,      // invalid; nothing was written to the log
+  Unavailable = 4,  // certainly not written
+  Unknown = 5,      // written or not; ask again with the same change id
+}
+struct ConfigApplyReply {
+  1: ChangeVerdict verdict = ChangeVerdict.Unknown,
+  2: i64 revision = 0,
+  3: string message,
+  4: optional ConfigEntry current,  // the winning entry, on conflict
+}
+
+struct AuditRequest { 1: string keyPrefix, 2: i32 maximum = 100 }
+struct AuditEntry {
+  1: i64 offset = 0,
+  2: i64 timeMs = 0,
+  3: string operatorName,
+  4: string key,
+  5: i64 fromRevision = 0,
+  6: i64 toRevision = 0,
+  7: ChangeVerdict verdict = ChangeVerdict.Accepted,
+  8: string reason,
+  9: string changeId,
+  10: string body,
+}
+struct AuditReply { 1: list<AuditEntry> entries }
+
+enum SubmitVerdict {
+  Queued = 1,
+  NotRun = 2,       // refused; the job is certainly not recorded
+  Undetermined = 3, // ask again with the same job id
+}
+struct JobSubmitRequest { 1: JobSpec spec }
+struct JobSubmitReply { 1: SubmitVerdict verdict = SubmitVerdict.Undetermined, 2: string message }
+struct JobCancelRequest { 1: string jobId, 2: string operatorName }
+struct JobQuery { 1: string jobId, 2: string customer, 3: i32 maximum = 200 }
+struct JobStatus {
+  1: JobSpec spec,
+  2: string state,
+  3: i32 attempt = 0,
+  4: string worker,
+  5: string checkpoint,
+  6: string reason,
+}
+struct JobQueryReply { 1: list<JobStatus> jobs, 2: i64 term = -1 }
+
+struct StatusRequest {}
+struct StatusReply {
+  1: string instance,
+  2: string domain,
+  3: i64 incarnation = 0,
+  4: bool ready = false,
+  5: bool owner = false,
+  6: i64 term = -1,
+  7: i64 configHead = -1,
+  8: i64 configAgeMs = -1,
+  9: list<Heartbeat> peers,
+  10: i32 pendingJobs = 0,
+  11: i32 runningTasks = 0,
+  12: i32 workers = 0,
+  13: bool logReachable = false,
+}
+
+struct ErrorReply { 1: string code, 2: string message }
+struct Acknowledgement {}
+
+/* Every message between our processes. A reply carries the request's id. */
+union Message {
+  1: Heartbeat heartbeat,
+  2: Acknowledgement acknowledgement,
+  3: ErrorReply error,
+  4: TargetsRequest targetsRequest,
+  5: TargetsReply targetsReply,
+  6: ConfigStateRequest configStateRequest,
+  7: ConfigStateReply configStateReply,
+  8: ConfigApplyRequest configApplyRequest,
+  9: ConfigApplyReply configApplyReply,
+  10: AuditRequest auditRequest,
+  11: AuditReply auditReply,
+  12: JobSubmitRequest jobSubmitRequest,
+  13: JobSubmitReply jobSubmitReply,
+  14: JobCancelRequest jobCancelRequest,
+  15: JobQuery jobQuery,
+  16: JobQueryReply jobQueryReply,
+  17: StatusRequest statusRequest,
+  18: StatusReply statusReply,
+}
+
+struct Envelope {
+  1: i32 formatVersion = 1,
+  2: i64 id = 0,
+  3: Message message,
+}
