--- /dev/null
+++ b/src/libs/scheduler/schedulerservice.cpp
@@ -0,0 +1,525 @@
+#include "schedulerservice.h"
+
+#include "jobadmission.h"
+
+#include <instance/configservice.h>
+#include <instance/peerservice.h>
+#include <observability/logging.h>
+#include <observability/metricsregistry.h>
+#include <platform/logappender.h>
+#include <platform/logclient.h>
+#include <platform/logtailer.h>
+#include <platform/workerclient.h>
+#include <schedulercore/schedulercore.h>
+#include <utils/overloaded.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <map>
+#include <utility>
+
+namespace Hyssop {
+
+namespace asio = boost::asio;
+
+namespace Internal {
+
+constexpr std::chrono::milliseconds TickInterval{50};
+constexpr std::chrono::milliseconds WorkerTimeout{800};
+// The answer to an append is resolved by reading for as long as a log outage may last; later appends wait meanwhile,
+// so that the order of the owner's records is kept.
+constexpr std::chrono::hours ResolveTimeout{1};
+
+static std::string jobStream(const std::string &domain)
+{
+    return "jobs." + domain;
+}
+
+static TimePoint currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+static std::chrono::milliseconds wallClock()
+{
+    return sinceEpoch(std::chrono::system_clock::now());
+}
+
+static CommandOutcome toCommandOutcome(WorkerReply reply)
+{
+    switch (reply) {
+    case WorkerReply::Done:
+        return CommandOutcome::Done;
+    case WorkerReply::StaleEpoch:
+        return CommandOutcome::StaleEpoch;
+    case WorkerReply::Expired:
+        return CommandOutcome::Expired;
+    case WorkerReply::NoCapacity:
+        return CommandOutcome::NoCapacity;
+    case WorkerReply::UnknownTask:
+        return CommandOutcome::UnknownTask;
+    case WorkerReply::Unreachable:
+        return CommandOutcome::Unreachable;
+    case WorkerReply::Undetermined:
+        return CommandOutcome::Undetermined;
+    }
+    return CommandOutcome::Undetermined;
+}
+
+// GCC 12 can't compile initializer lists inside a coroutine, so these functions build them.
+static std::vector<Wire::Record> singleRecord(const Wire::Record &record)
+{
+    return {record};
+}
+
+static MetricLabels customerLabel(const std::string &customer)
+{
+    return {{"customer", customer}};
+}
+
+static void logStart(const StartTask &action, WorkerReply reply)
+{
+    logMessage(
+        LogLevel::Info,
+        "scheduler",
+        "sent start command",
+        {{"job_id", action.spec.jobId}, {"attempt", action.attempt}, {"worker", action.worker}, {"epoch", action.epoch}, {"done", reply == WorkerReply::Done}});
+}
+
+static void logRenewalFailure(const RenewLease &action, const Error &error)
+{
+    logMessage(LogLevel::Debug, "scheduler", "lease renewal failed", {{"worker", action.worker}, {"epoch", action.epoch}, {"error", error.message}});
+}
+
+static SchedulerCoreOptions coreOptions(const SchedulerServiceOptions &options)
+{
+    SchedulerCoreOptions core;
+    core.instance = options.instance;
+    core.incarnation = wallClock().count();
+    core.domain = options.domain;
+    core.leaseDuration = options.leaseDuration;
+    core.permitDuration = options.permitDuration;
+    core.seed = std::hash<std::string>()(options.instance);
+    return core;
+}
+
+struct SchedulerServiceState : std::enable_shared_from_this<SchedulerServiceState>
+{
+    SchedulerServiceState(const asio::any_io_executor &serviceExecutor, const SchedulerServiceParts &serviceParts, SchedulerServiceOptions serviceOptions)
+        : executor(serviceExecutor)
+        , parts(serviceParts)
+        , options(std::move(serviceOptions))
+        , coreSettings(coreOptions(options))
+        , core(coreSettings)
+        , workers(parts.http)
+        , tailer(parts.log, jobStream(options.domain), parts.metrics)
+        , timer(executor)
+    {
+    }
+
+    LogAppender &appender(const std::string &domain);
+    void applyBatch(std::int64_t offset, WallTime time, const Wire::RecordBatch &batch);
+    void takeConfiguration();
+    void noteHead();
+    void reportMetrics();
+    void publishTargets();
+
+    asio::awaitable<void> run();
+    asio::awaitable<void> execute(SchedulerAction action);
+    asio::awaitable<void> carryOut(const RenewLease &action);
+    asio::awaitable<void> carryOut(const StartTask &action);
+    asio::awaitable<void> carryOut(const StopTask &action);
+    asio::awaitable<void> carryOut(const RequestCheckpoint &action);
+    asio::awaitable<void> carryOut(const SetThrottle &action);
+    asio::awaitable<void> carryOut(const ForgetTask &action);
+    asio::awaitable<void> carryOut(const Propose &action);
+    asio::awaitable<void> carryOut(const ProposeClaim &action);
+    asio::awaitable<void> carryOut(const ProposeTransfer &action);
+    asio::awaitable<void> sendTaskCommand(SchedulerAction action, std::string verb, std::string worker, std::int64_t epoch, std::string jobId, int attempt);
+
+    asio::any_io_executor executor;
+    SchedulerServiceParts parts;
+    SchedulerServiceOptions options;
+    SchedulerCoreOptions coreSettings;
+    SchedulerCore core;
+    WorkerClient workers;
+    LogTailer tailer;
+    std::map<std::string, std::unique_ptr<LogAppender>> appenders;
+    asio::steady_timer timer;
+    std::uint64_t configGeneration = 0;
+    std::int64_t targetsVersion = 0;
+    std::vector<Wire::Target> publishedTargets;
+    bool wasOwner = false;
+    bool stopped = false;
+};
+
+LogAppender &SchedulerServiceState::appender(const std::string &domain)
+{
+    auto &appender = appenders[domain];
+    if (!appender) {
+        AppenderOptions appenderOptions;
+        appenderOptions.batchDelay = options.batchDelay;
+        appenderOptions.maximumAppendsPerSecond = options.maximumAppendsPerSecond;
+        appenderOptions.resolveTimeout = ResolveTimeout;
+        appender = std::make_unique<LogAppender>(executor, parts.log, jobStream(domain), options.instance, appenderOptions, parts.metrics);
+    }
+    return *appender;
+}
+
+void SchedulerServiceState::applyBatch(std::int64_t offset, WallTime time, const Wire::RecordBatch &batch)
+{
+    const TimePoint now = currentTime();
+    int index = 0;
+    for (const Wire::Record &record : batch.records) {
+        core.apply({offset, index}, time, record, now);
+        ++index;
+    }
+}
+
+void SchedulerServiceState::noteHead()
+{
+    if (tailer.caughtUp() && tailer.headSeenAt() && tailer.appliedUpTo() >= tailer.head()) {
+        core.jobStreamRead(tailer.head(), *tailer.headSeenAt(), currentTime());
+    }
+}
+
+void SchedulerServiceState::takeConfiguration()
+{
+    const TimePoint now = currentTime();
+    if (const auto age = parts.config.headAge(now)) {
+        core.setConfigProof(now - *age);
+    }
+    if (!parts.config.ready() || parts.config.generation() == configGeneration) {
+        return;
+    }
+    configGeneration = parts.config.generation();
+    std::vector<Contract> contracts;
+    for (const ContractInForce &inForce : parts.config.contracts()) {
+        contracts.push_back(inForce.contract);
+    }
+    core.setContracts(contracts, now);
+    std::vector<std::string> domainsIn;
+    for (const std::string &domain : options.domains) {
+        if (domain != options.domain && parts.config.domainIn(domain)) {
+            domainsIn.push_back(domain);
+        }
+    }
+    core.setDomainState(parts.config.domainIn(options.domain), domainsIn, now);
+}
+
+void SchedulerServiceState::reportMetrics()
+{
+    parts.metrics.set("hyssop_scheduler_owner", core.owner() ? 1 : 0);
+    parts.metrics.set("hyssop_scheduler_term", static_cast<double>(core.term()));
+    parts.metrics.set("hyssop_scheduler_pending_jobs", static_cast<double>(core.pendingCount()));
+    parts.metrics.set("hyssop_scheduler_running_tasks", static_cast<double>(core.runningCount()));
+    parts.metrics.set("hyssop_scheduler_workers", static_cast<double>(core.workerCount()));
+    if (core.owner() != wasOwner) {
+        wasOwner = core.owner();
+        logMessage(LogLevel::Info, "scheduler", wasOwner ? "became owner" : "no longer owner", {{"epoch", core.term()}, {"domain", options.domain}});
+    }
+}
+
+void SchedulerServiceState::publishTargets()
+{
+    std::vector<Wire::Target> targets = core.targets();
+    if (targets != publishedTargets) {
+        publishedTargets = std::move(targets);
+        ++targetsVersion;
+    }
+}
+
+asio::awaitable<void> SchedulerServiceState::run()
+{
+    const auto self = shared_from_this();
+    core.setWorkers(options.workers, currentTime());
+    while (!stopped) {
+        takeConfiguration();
+        noteHead();
+        if (parts.config.ready() && tailer.caughtUp()) {
+            for (SchedulerAction &action : core.tick(currentTime())) {
+                asio::co_spawn(executor, execute(std::move(action)), asio::detached);
+            }
+        }
+        publishTargets();
+        reportMetrics();
+        timer.expires_after(TickInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+asio::awaitable<void> SchedulerServiceState::execute(SchedulerAction action)
+{
+    const auto self = shared_from_this();
+    co_await std::visit([this](const auto &typed) { return carryOut(typed); }, action);
+}
+
+asio::awaitable<void> SchedulerServiceState::carryOut(const RenewLease &action)
+{
+    const TimePoint sentAt = currentTime();
+    const std::string holder = options.instance + "/" + std::to_string(coreSettings.incarnation);
+    auto reply = co_await workers.renewLease(action.worker, holder, action.epoch, action.duration, WorkerTimeout);
+    if (const Error *error = errorOf(reply)) {
+        logRenewalFailure(action, *error);
+        parts.metrics.add("hyssop_scheduler_lease_failures_total");
+        core.leaseFailed(action.worker, currentTime());
+        co_return;
+    }
+    WorkerLeaseReply &lease = *valueOf(reply);
+    lease.status.worker = action.worker;
+    core.leaseAnswered(action.worker, LeaseAnswer{lease.granted, lease.epoch, std::move(lease.status)}, sentAt, currentTime());
+}
+
+asio::awaitable<void> SchedulerServiceState::carryOut(const StartTask &action)
+{
+    WorkerTask task{action.spec, action.attempt, action.checkpoint, action.notAfter};
+    const WorkerReply reply = co_await workers.start(action.worker, action.epoch, std::move(task), WorkerTimeout);
+    parts.metrics.add("hyssop_scheduler_start_commands_total");
+    logStart(action, reply);
+    core.commandAnswered(action, toCommandOutcome(reply), currentTime());
+}
+
+asio::awaitable<void>
+SchedulerServiceState::sendTaskCommand(SchedulerAction action, std::string verb, std::string worker, std::int64_t epoch, std::string jobId, int attempt)
+{
+    const WorkerReply reply = co_await workers.command(std::move(worker), std::move(verb), epoch, std::move(jobId), attempt, WorkerTimeout);
+    core.commandAnswered(action, toCommandOutcome(reply), currentTime());
+}
+
+asio::awaitable<void> SchedulerServiceState::carryOut(const StopTask &action)
+{
+    return sendTaskCommand(action, "stop", action.worker, action.epoch, action.jobId, action.attempt);
+}
+
+asio::awaitable<void> SchedulerServiceState::carryOut(const RequestCheckpoint &action)
+{
+    return sendTaskCommand(action, "checkpoint", action.worker, action.epoch, action.jobId, action.attempt);
+}
+
+asio::awaitable<void> SchedulerServiceState::carryOut(const ForgetTask &action)
+{
+    return sendTaskCommand(action, "forget", action.worker, action.epoch, action.jobId, action.attempt);
+}
+
+asio::awaitable<void> SchedulerServiceState::carryOut(const SetThrottle &action)
+{
+    const WorkerReply reply = co_await workers.throttle(action.worker, action.epoch, action.jobId, action.attempt, action.level, WorkerTimeout);
+    core.commandAnswered(action, toCommandOutcome(reply), currentTime());
+}
+
+asio::awaitable<void> SchedulerServiceState::carryOut(const Propose &action)
+{
+    const AppendOutcome outcome = co_await appender(options.domain).append(singleRecord(action.record));
+    if (std::holds_alternative<AppendRefused>(outcome)) {
+        core.proposalFailed(action.id, currentTime());
+    }
+}
+
+asio::awaitable<void> SchedulerServiceState::carryOut(const ProposeClaim &action)
+{
+    Wire::Record record;
+    record.__set_ownershipClaim(action.claim);
+    const AppendOutcome outcome = co_await appender(options.domain).appendAlone(singleRecord(record));
+    if (std::holds_alternative<AppendRefused>(outcome)) {
+        core.proposalFailed(action.id, currentTime());
+    }
+}
+
+asio::awaitable<void> SchedulerServiceState::carryOut(const ProposeTransfer &action)
+{
+    Wire::Record record;
+    record.__set_jobSubmitted(action.submission);
+    const AppendOutcome outcome = co_await appender(action.toDomain).append(Internal::singleRecord(record));
+    if (std::holds_alternative<Appended>(outcome)) {
+        core.transferAppended(action.id, currentTime());
+        co_return;
+    }
+    // A submission with the same transfer id is accepted once, so it can be repeated safely.
+    core.proposalFailed(action.id, currentTime());
+}
+
+} // namespace Internal
+
+SchedulerService::SchedulerService(asio::any_io_executor executor, SchedulerServiceParts parts, SchedulerServiceOptions options)
+    : m_state(std::make_shared<Internal::SchedulerServiceState>(executor, parts, std::move(options)))
+{
+    Internal::SchedulerServiceState *state = m_state.get();
+    state->tailer.setBatchHandler([state](std::int64_t offset, WallTime time, const Wire::RecordBatch &batch) { state->applyBatch(offset, time, batch); });
+    state->tailer.setReadHandler([state](std::int64_t, std::int64_t) {
+        state->noteHead();
+        state->timer.cancel();
+    });
+}
+
+SchedulerService::~SchedulerService()
+{
+    stop();
+}
+
+void SchedulerService::start()
+{
+    const auto state = m_state;
+    asio::co_spawn(state->executor, state->run(), asio::detached);
+    asio::co_spawn(state->executor, state->tailer.run(), [state](const std::exception_ptr &) {});
+}
+
+void SchedulerService::stop()
+{
+    m_state->stopped = true;
+    m_state->tailer.stop();
+    m_state->timer.cancel();
+}
+
+bool SchedulerService::ready() const
+{
+    return !m_state->stopped && m_state->parts.config.ready() && m_state->tailer.caughtUp();
+}
+
+asio::awaitable<Wire::JobSubmitReply> SchedulerService::submit(Wire::JobSubmitRequest request)
+{
+    const auto state = m_state;
+    Wire::JobSubmitReply reply;
+    reply.verdict = Wire::SubmitVerdict::NotRun;
+    if (!ready()) {
+        reply.message = "this instance has not read the job stream yet";
+        co_return reply;
+    }
+    if (state->core.hasJob(request.spec.jobId)) {
+        reply.verdict = Wire::SubmitVerdict::Queued;
+        reply.message = "the job is known";
+        co_return reply;
+    }
+    const auto contract = state->parts.config.contract(request.spec.customer);
+    if (const auto refusal = checkJob(request.spec, contract ? &contract->contract : nullptr)) {
+        reply.message = *refusal;
+        co_return reply;
+    }
+    if (!state->parts.config.domainIn(state->options.domain)) {
+        reply.message = "the failure domain " + state->options.domain + " is out of service";
+        co_return reply;
+    }
+    Wire::JobSubmitted submitted;
+    submitted.spec = request.spec;
+    submitted.submittedAtMs = Internal::wallClock().count();
+    Wire::Record record;
+    record.__set_jobSubmitted(submitted);
+    const AppendOutcome outcome = co_await state->appender(state->options.domain).append(Internal::singleRecord(record));
+    std::visit(Overloaded{
+                   [&](const Appended &) { reply.verdict = Wire::SubmitVerdict::Queued; },
+                   [&](const AppendRefused &refused) { reply.message = "the platform log refused the job: " + refused.reason; },
+                   [&](const AppendUnknown &unknown) {
+                       reply.verdict = Wire::SubmitVerdict::Undetermined;
+                       reply.message = "the platform log did not answer: " + unknown.reason;
+                   },
+               },
+               outcome);
+    state->parts.metrics.add("hyssop_scheduler_submissions_total", Internal::customerLabel(request.spec.customer));
+    co_return reply;
+}
+
+asio::awaitable<Wire::JobSubmitReply> SchedulerService::cancel(Wire::JobCancelRequest request)
+{
+    const auto state = m_state;
+    Wire::JobSubmitReply reply;
+    reply.verdict = Wire::SubmitVerdict::NotRun;
+    if (!state->core.hasJob(request.jobId)) {
+        reply.message = "unknown job";
+        co_return reply;
+    }
+    Wire::JobCancelled cancelled;
+    cancelled.jobId = request.jobId;
+    cancelled.operatorName = request.operatorName;
+    Wire::Record record;
+    record.__set_jobCancelled(cancelled);
+    const AppendOutcome outcome = co_await state->appender(state->options.domain).append(Internal::singleRecord(record));
+    if (std::holds_alternative<Appended>(outcome)) {
+        reply.verdict = Wire::SubmitVerdict::Queued;
+    } else if (std::holds_alternative<AppendUnknown>(outcome)) {
+        reply.verdict = Wire::SubmitVerdict::Undetermined;
+        reply.message = "the platform log did not answer";
+    } else {
+        reply.message = "the platform log refused the cancellation";
+    }
+    co_return reply;
+}
+
+Wire::JobQueryReply SchedulerService::jobs(const Wire::JobQuery &query) const
+{
+    Wire::JobQueryReply reply;
+    reply.jobs = m_state->core.jobs(query);
+    reply.term = m_state->core.term();
+    return reply;
+}
+
+Wire::TargetsReply SchedulerService::targets(const Wire::TargetsRequest &request)
+{
+    Wire::TargetsReply reply;
+    // Only the owner hears from the workers, so a standby has nothing to publish.
+    if (!m_state->core.owner()) {
+        reply.version = request.knownVersion;
+        return reply;
+    }
+    reply.source = m_state->options.instance;
+    reply.version = m_state->targetsVersion;
+    reply.changed = request.knownVersion != reply.version;
+    if (reply.changed) {
+        reply.targets = m_state->publishedTargets;
+    }
+    return reply;
+}
+
+Wire::StatusReply SchedulerService::status() const
+{
+    Wire::StatusReply reply;
+    reply.instance = m_state->options.instance;
+    reply.domain = m_state->options.domain;
+    reply.incarnation = m_state->coreSettings.incarnation;
+    reply.ready = ready();
+    reply.owner = m_state->core.owner();
+    reply.term = m_state->core.term();
+    reply.configHead = m_state->parts.config.appliedUpTo();
+    const auto age = m_state->parts.config.headAge(Internal::currentTime());
+    reply.configAgeMs = age ? age->count() : -1;
+    reply.peers = m_state->parts.peers.peers();
+    reply.pendingJobs = static_cast<std::int32_t>(m_state->core.pendingCount());
+    reply.runningTasks = static_cast<std::int32_t>(m_state->core.runningCount());
+    reply.workers = static_cast<std::int32_t>(m_state->core.workerCount());
+    constexpr std::chrono::seconds LogReachableWithin{2};
+    const auto seen = m_state->tailer.headSeenAt();
+    reply.logReachable = seen && Internal::currentTime() - *seen < LogReachableWithin;
+    return reply;
+}
+
+Wire::Heartbeat SchedulerService::heartbeat() const
+{
+    Wire::Heartbeat heartbeat;
+    heartbeat.instance = m_state->options.instance;
+    heartbeat.incarnation = m_state->coreSettings.incarnation;
+    heartbeat.domain = m_state->options.domain;
+    heartbeat.role = "scheduler";
+    heartbeat.configHead = m_state->parts.config.appliedUpTo();
+    const auto age = m_state->parts.config.headAge(Internal::currentTime());
+    heartbeat.configAgeMs = age ? age->count() : -1;
+    heartbeat.configDigest = m_state->parts.config.digest();
+    heartbeat.term = m_state->core.term();
+    heartbeat.owner = m_state->core.owner();
+    heartbeat.address = m_state->options.rpcAddress;
+    return heartbeat;
+}
+
+void SchedulerService::handleHeartbeat(const Wire::Heartbeat &heartbeat)
+{
+    const TimePoint now = Internal::currentTime();
+    if (heartbeat.configAgeMs >= 0) {
+        m_state->parts.config.notePeerHead(heartbeat.configHead, std::chrono::milliseconds(heartbeat.configAgeMs), now);
+    }
+    if (heartbeat.owner && heartbeat.domain == m_state->options.domain && heartbeat.instance != m_state->options.instance) {
+        m_state->core.noteOwnerHeartbeat(heartbeat.term, now);
+    }
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/scheduler/schedulerservice.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "hyssop_types.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Hyssop {
+
+class ConfigService;
+class HttpClient;
+class LogClient;
+class MetricsRegistry;
+class PeerService;
+
+struct SchedulerServiceOptions
+{
+    std::string instance;
+    std::string domain;
+    std::vector<std::string> domains; // all failure domains, as destinations for transfers
+    std::vector<std::string> workers; // addresses of this failure domain's workers
+    std::string rpcAddress; // announced in heartbeats
+    std::chrono::milliseconds leaseDuration{10000};
+    std::chrono::milliseconds permitDuration{3000};
+    std::chrono::milliseconds batchDelay{20};
+    double maximumAppendsPerSecond = 25;
+};
+
+/// What the service uses; all of it must outlive the service.
+struct SchedulerServiceParts
+{
+    HttpClient &http;
+    LogClient &log;
+    ConfigService &config;
+    PeerService &peers;
+    MetricsRegistry &metrics;
+};
+
+namespace Internal {
+struct SchedulerServiceState;
+}
+
+/// Runs a SchedulerCore: reads and appends to the job stream, commands the workers, answers operators and gateways.
+class SchedulerService
+{
+public:
+    SchedulerService(boost::asio::any_io_executor executor, SchedulerServiceParts parts, SchedulerServiceOptions options);
+    ~SchedulerService();
+
+    void start();
+
+    /// Stops proposing and commanding. Running tasks go on under their leases; another scheduler takes over.
+    void stop();
+
+    /// True once configuration and job stream have been read.
+    bool ready() const;
+
+    boost::asio::awaitable<Wire::JobSubmitReply> submit(Wire::JobSubmitRequest request);
+    boost::asio::awaitable<Wire::JobSubmitReply> cancel(Wire::JobCancelRequest request);
+    Wire::JobQueryReply jobs(const Wire::JobQuery &query) const;
+    Wire::TargetsReply targets(const Wire::TargetsRequest &request);
+    Wire::StatusReply status() const;
+
+    /// Heartbeat of this instance.
+    Wire::Heartbeat heartbeat() const;
+    /// Takes over what a peer announced.
+    void handleHeartbeat(const Wire::Heartbeat &heartbeat);
+
+private:
+    std::shared_ptr<Internal::SchedulerServiceState> m_state;
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/tests/standins/worker/workermodel.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <utils/clock.h>
+#include <utils/resources.h>
+
+#include <boost/json/object.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Hyssop::StandIn {
+
+enum class Phase {
+    Running,
+    Throttled,
+    Checkpointed,
+    Stopped,
+    Finished,
+    Failed,
+};
+
+/// A task on the stand-in worker. The command "run MS" works for MS milliseconds, "fail MS" fails after MS
+/// milliseconds, "hang" never ends; services ignore the command.
+struct Task
+{
+    std::string jobId;
+    int attempt = 0;
+    bool service = false;
+    bool stopsWithoutLease = true;
+    bool acceptsCheckpoint = true;
+    Resources declared;
+    std::string command;
+    std::string checkpoint; // milliseconds of work done at the last checkpoint
+    std::string address; // of a service
+    std::string reason;
+    Phase phase = Phase::Running;
+    int level = 100;
+    std::chrono::duration<double, std::milli> done{0};
+    TimePoint startedAt;
+    TimePoint endedAt;
+};
+
+struct WorkerOptions
+{
+    std::string name;
+    std::string rack;
+    Resources capacity;
+};
+
+/// State machine of a platform worker: one lease with a rising epoch, tasks under it. The caller passes the time.
+class WorkerModel
+{
+public:
+    using TaskKey = std::pair<std::string, int>; // job id, attempt
+    using ServiceStarter = std::function<std::string(const Task &)>; // returns the address of the new service
+    using ServiceStopper = std::function<void(const Task &)>;
+
+    WorkerModel(WorkerOptions options, TimePoint now);
+
+    void setServiceHooks(ServiceStarter starter, ServiceStopper stopper);
+
+    /// Lets tasks progress and stops them if the lease has expired. Every request calls it first, so that a worker
+    /// which was frozen past its lease does no work on waking.
+    void advance(TimePoint now);
+
+    boost::json::object renewLease(const boost::json::object &request, TimePoint now);
+    boost::json::object start(const boost::json::object &request, TimePoint now);
+    boost::json::object command(const std::string &verb, const boost::json::object &request, TimePoint now);
+
+    /// Status as the platform reports it.
+    boost::json::object status(TimePoint now) const;
+
+    /// All attempts that ever ran, with start and end in microseconds of the system's monotonic clock.
+    boost::json::object history() const;
+
+    void setLeaving(bool leaving) { m_leaving = leaving; }
+    bool leaving() const { return m_leaving; }
+    void setFailEverything(bool failEverything) { m_failEverything = failEverything; }
+
+private:
+    Resources committed() const;
+    void end(Task &task, Phase phase, TimePoint now, const std::string &reason = {});
+    void progress(Task &task, TimePoint now);
+
+    WorkerOptions m_options;
+    ServiceStarter m_serviceStarter;
+    ServiceStopper m_serviceStopper;
+    TimePoint m_startedAt;
+    TimePoint m_advancedTo;
+    TimePoint m_leaseUntil;
+    std::string m_holder;
+    std::int64_t m_epoch = -1;
+    std::map<TaskKey, Task> m_tasks;
+    std::map<std::string, int> m_highestAttempts;
+    std::vector<Task> m_forgotten;
+    std::int64_t m_overcommits = 0; // starts that would not have fitted
+    bool m_leaving = false;
+    bool m_failEverything = false;
+};
+
+} // namespace Hyssop::StandIn
