--- a/src/libs/contract/contract.h
+++ b/src/libs/contract/contract.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -55,6 +56,7 @@
     double evictionBudget = 0; // evictions as a share of batch tasks started
     std::vector<ServiceContract> services;
     std::vector<TeamContract> teams;
+    std::map<std::string, int> keyLines; // line of each key that is set, by "SECTION.KEY"
 
     const ServiceContract *service(std::string_view name) const;
     const TeamContract *team(std::string_view name) const;
--- /dev/null
+++ b/tests/libs/contract/testcontract.cpp
@@ -0,0 +1,307 @@
+#include <contract/contract.h>
+
+#include <golden/goldenfile.h>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+using namespace Hyssop;
+using namespace std::chrono_literals;
+
+using Faults = std::vector<ContractFault>;
+using Section = std::map<std::string, std::string>;
+
+static const Section CustomerSection{{"customer", "acme"}, {"favor", "latency"}, {"batch_share", "50 %"}, {"eviction_budget", "1 %"}};
+static const Section ServiceSection{
+    {"latency_objective", "50 ms"},
+    {"timeout", "1 s"},
+    {"concurrency", "10"},
+    {"rate", "5 /s"},
+    {"replicas", "2"},
+    {"cores", "1"},
+    {"memory", "1 GB"},
+    {"accelerators", "0"},
+    {"command", "serve"},
+    {"retry_share", "10 %"},
+    {"maximum_attempts", "2"},
+    {"idempotency_window", "1 min"},
+    {"single_copy", "no"},
+    {"priority", "1"},
+};
+static const Section TeamSection{{"share", "1"}, {"cores", "8"}, {"memory", "8 GB"}, {"accelerators", "0"}, {"slots", "4"}, {"urgent", "no"}};
+
+static std::string sectionText(const std::string &name, const Section &section)
+{
+    std::string text = "[" + name + "]\n";
+    for (const auto &entry : section) {
+        text += entry.first + " = " + entry.second + "\n";
+    }
+    return text;
+}
+
+static std::string contractText(const Section &customer = CustomerSection, const Section &service = ServiceSection, const Section &team = TeamSection)
+{
+    return sectionText("contract", customer) + sectionText("service web", service) + sectionText("team print", team);
+}
+
+static Faults faultsOf(std::string_view text)
+{
+    auto parsed = parseContract(text);
+    const auto *faults = std::get_if<Faults>(&parsed);
+    return faults == nullptr ? Faults() : *faults;
+}
+
+static std::string toText(const Faults &faults)
+{
+    std::string text;
+    for (const ContractFault &fault : faults) {
+        text += std::to_string(fault.line) + ": " + fault.message + "\n";
+    }
+    return text;
+}
+
+static Section with(Section section, const std::string &key, const std::string &value)
+{
+    section[key] = value;
+    return section;
+}
+
+/// Checks that @p text has exactly one fault, on the line of @p key.
+static void checkOneFault(const std::string &text, const std::string &key, const std::string &value)
+{
+    const Faults faults = faultsOf(text);
+    cr_assert_eq(faults.size(), 1, "%s = %s gave %zu faults:\n%s", key.c_str(), value.c_str(), faults.size(), toText(faults).c_str());
+    cr_assert(faults[0].message.starts_with(key + ": "), "%s", faults[0].message.c_str());
+    const std::size_t position = text.find("\n" + key + " = " + value + "\n") + 1;
+    const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(position), '\n');
+    cr_assert_eq(faults[0].line, line);
+}
+
+// Guards against a valid contract that is refused and against values that land in the wrong member.
+Test(contract, readsEveryKey)
+{
+    const Section service = with(with(ServiceSection, "single_copy", "yes"), "accelerators", "2");
+    const Section team = with(with(with(TeamSection, "urgent", "yes"), "accelerators", "3"), "share", "2.5");
+    auto parsed = parseContract(contractText(CustomerSection, service, team));
+    const auto *contract = std::get_if<Contract>(&parsed);
+    cr_assert(contract != nullptr);
+    cr_assert(contract->customer == "acme" && contract->favor == Favor::Latency);
+    cr_assert_eq(contract->batchShare, 0.5);
+    cr_assert_eq(contract->evictionBudget, 0.01);
+    const ServiceContract *web = contract->service("web");
+    cr_assert(web != nullptr && contract->service("other") == nullptr);
+    cr_assert(web->latencyObjective == 50ms && web->timeout == 1s && web->idempotencyWindow == 1min);
+    cr_assert(web->concurrency == 10 && web->ratePerSecond == 5 && web->replicas == 2 && web->priority == 1);
+    cr_assert(web->task == (Resources{1000, 1'000'000'000, 2, 1}));
+    cr_assert(web->command == "serve" && web->retryShare == 0.1 && web->maximumAttempts == 2 && web->singleCopy);
+    const TeamContract *print = contract->team("print");
+    cr_assert(print != nullptr && contract->team("other") == nullptr);
+    cr_assert(print->quota == (Resources{8000, 8'000'000'000, 3, 4}));
+    cr_assert(print->share == 2.5 && print->urgent);
+}
+
+// Guards against defaults that differ from the documented ones.
+Test(contract, fillsDefaults)
+{
+    auto parsed = parseContract(
+        "[contract]\ncustomer = a\nfavor = throughput\n"
+        "[service s]\nlatency_objective = 1 ms\ntimeout = 1 ms\nconcurrency = 1\nrate = 1 /s\nreplicas = 1\ncores = 1\nmemory = 1 GB\ncommand = c\n"
+        "[team t]\ncores = 1\nmemory = 1 GB\nslots = 1\n");
+    const auto *contract = std::get_if<Contract>(&parsed);
+    cr_assert(contract != nullptr);
+    cr_assert(contract->favor == Favor::Throughput && contract->batchShare == 1 && contract->evictionBudget == 0);
+    const ServiceContract &service = contract->services.front();
+    cr_assert(service.idempotencyWindow == 10min && service.maximumAttempts == 1 && service.retryShare == 0);
+    cr_assert(!service.singleCopy && service.priority == 0 && service.task.accelerators == 0);
+    const TeamContract &team = contract->teams.front();
+    cr_assert(team.share == 1 && !team.urgent && team.quota.accelerators == 0);
+}
+
+// Guards against a key whose range or unit is not checked.
+Test(contract, refusesEachKeyOutOfRange)
+{
+    const std::string longName(41, 'a');
+    const std::vector<std::pair<std::string, std::string>> customer{
+        {"customer", "Acme"},
+        {"customer", "a_b"},
+        {"customer", longName},
+        {"favor", "both"},
+        {"batch_share", "101 %"},
+        {"batch_share", "0.5"},
+        {"eviction_budget", "100.1 %"},
+        {"eviction_budget", "-1 %"},
+    };
+    for (const auto &[key, value] : customer) {
+        checkOneFault(contractText(with(CustomerSection, key, value)), key, value);
+    }
+    const std::vector<std::pair<std::string, std::string>> service{
+        {"latency_objective", "99 us"},
+        {"latency_objective", "50"},
+        {"timeout", "999 us"},
+        {"timeout", "601 s"},
+        {"timeout", "1 m"},
+        {"concurrency", "0"},
+        {"concurrency", "100001"},
+        {"concurrency", "1.5"},
+        {"rate", "0.09 /s"},
+        {"rate", "1000001 /s"},
+        {"rate", "5"},
+        {"replicas", "-1"},
+        {"replicas", "10001"},
+        {"cores", "0.009"},
+        {"cores", "1025"},
+        {"cores", "1 cores"},
+        {"memory", "999 KB"},
+        {"memory", "16001 GB"},
+        {"memory", "1 TB"},
+        {"accelerators", "-1"},
+        {"accelerators", "65"},
+        {"retry_share", "50.1 %"},
+        {"retry_share", "0.1"},
+        {"maximum_attempts", "0"},
+        {"maximum_attempts", "11"},
+        {"idempotency_window", "999 ms"},
+        {"idempotency_window", "13 h"},
+        {"single_copy", "true"},
+        {"priority", "-1"},
+        {"priority", "10"},
+        {"command", std::string(1025, 'x')},
+        {"command", "a\tb"},
+    };
+    for (const auto &[key, value] : service) {
+        checkOneFault(contractText(CustomerSection, with(ServiceSection, key, value)), key, value);
+    }
+    const std::vector<std::pair<std::string, std::string>> team{
+        {"share", "0.009"},
+        {"share", "1001"},
+        {"share", "10 %"},
+        {"share", "nan"},
+        {"cores", "1000001"},
+        {"cores", "-1"},
+        {"memory", "9000001 GB"},
+        {"memory", "5"},
+        {"accelerators", "100001"},
+        {"slots", "1000001"},
+        {"slots", "-1"},
+        {"urgent", "1"},
+    };
+    for (const auto &[key, value] : team) {
+        checkOneFault(contractText(CustomerSection, ServiceSection, with(TeamSection, key, value)), key, value);
+    }
+}
+
+// Guards against a request that is ended before its objective is missed.
+Test(contract, refusesTimeoutBelowObjective)
+{
+    checkOneFault(contractText(CustomerSection, with(ServiceSection, "timeout", "49 ms")), "timeout", "49 ms");
+    cr_assert(faultsOf(contractText(CustomerSection, with(ServiceSection, "timeout", "50 ms"))).empty());
+}
+
+// Guards against a parser that stops at the first fault or reports a wrong line.
+Test(contract, listsEveryFaultWithItsLine)
+{
+    const std::string text = "stray = 1\n" // 1
+                             "[contract]\n"
+                             "customer = a\n"
+                             "customer = b\n" // 4
+                             "colour = red\n" // 5
+                             "no assignment\n" // 6
+                             "[service Web]\n" // 7: name, and seven missing keys
+                             "timeout = 1 s\n"
+                             "[team t]\n" // 9: slots missing
+                             "cores = 1\n"
+                             "memory = 1 GB\n"
+                             "[team t]\n" // 12
+                             "slots = 1\n"
+                             "[limits]\n" // 14
+                             "[broken\n" // 15
+                             "= 1\n"; // 16
+    const std::string difference = Test::differenceFromGolden("contract-faults", toText(faultsOf(text)));
+    cr_assert(difference.empty(), "%s", difference.c_str());
+}
+
+// Guards against an empty or oversized input that passes or stops the process.
+Test(contract, refusesEmptyAndOversizedText)
+{
+    cr_assert(!faultsOf("").empty());
+    cr_assert_eq(toText(faultsOf(std::string(70'000, '#'))), "0: the contract is larger than 64 KiB\n");
+}
+
+// Guards against example files that the programs refuse.
+Test(contract, acceptsTheExamples)
+{
+    for (const char *name : {"cascadia", "mtkvari"}) {
+        auto parsed = parseContract(Test::readTestFile("../examples/contracts/" + std::string(name) + ".ini"));
+        const auto *faults = std::get_if<Faults>(&parsed);
+        cr_assert(faults == nullptr, "%s", faults == nullptr ? "" : toText(*faults).c_str());
+        cr_assert_eq(std::get<Contract>(parsed).customer, name);
+    }
+}
+
+static void checkInvariants(const Contract &contract)
+{
+    for (const ServiceContract &service : contract.services) {
+        cr_assert(service.timeout >= service.latencyObjective && service.latencyObjective.count() > 0);
+        cr_assert(service.retryShare >= 0 && service.retryShare <= 0.5);
+        cr_assert(service.maximumAttempts >= 1 && service.concurrency >= 1 && service.ratePerSecond > 0);
+        cr_assert(service.task.milliCores > 0 && service.task.memoryBytes > 0);
+    }
+    for (const TeamContract &team : contract.teams) {
+        cr_assert(team.share > 0 && team.quota.milliCores >= 0 && team.quota.memoryBytes >= 0 && team.quota.slots >= 0);
+    }
+}
+
+static std::string mutated(std::string text, std::mt19937_64 &random)
+{
+    static const std::vector<std::string> pieces{
+        "\n", "=", "[", "]", "#", " %", "[team t]\n", "[contract]\n", "-1", "1e308", "nan", ".", std::string("\0x", 2), "\xff", "99999999999999999999"};
+    const auto below = [&](std::size_t bound) { return static_cast<std::size_t>(random() % bound); };
+    const std::size_t changes = 1 + below(6);
+    for (std::size_t change = 0; change < changes && !text.empty(); ++change) {
+        const std::size_t position = below(text.size());
+        switch (below(4)) {
+        case 0:
+            text[position] = static_cast<char>(below(256));
+            break;
+        case 1:
+            text.erase(position, 1 + below(40));
+            break;
+        case 2:
+            text.insert(position, pieces[below(pieces.size())]);
+            break;
+        default:
+            text.insert(position, text.substr(below(text.size()), below(80)));
+            break;
+        }
+    }
+    return text;
+}
+
+// Guards against input that stops the process, and against an accepted contract that breaks a rule.
+Test(contract, survivesFuzzedText)
+{
+    constexpr std::uint64_t Seed = 20261204;
+    constexpr int Rounds = 20'000;
+    std::mt19937_64 random(Seed);
+    const std::vector<std::string> seeds{
+        contractText(), Test::readTestFile("../examples/contracts/cascadia.ini"), Test::readTestFile("../examples/contracts/mtkvari.ini")};
+    int accepted = 0;
+    int refused = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        auto parsed = parseContract(mutated(seeds[static_cast<std::size_t>(round) % seeds.size()], random));
+        if (const auto *contract = std::get_if<Contract>(&parsed)) {
+            checkInvariants(*contract);
+            ++accepted;
+            continue;
+        }
+        const auto &faults = std::get<Faults>(parsed);
+        cr_assert(!faults.empty());
+        cr_assert(std::ranges::all_of(faults, [](const ContractFault &fault) { return !fault.message.empty() && fault.line >= 0; }));
+        ++refused;
+    }
+    // Both branches have to be reached for the test to mean anything.
+    cr_assert(accepted > 100 && refused > 100, "seed %llu: %d accepted, %d refused", static_cast<unsigned long long>(Seed), accepted, refused);
+}
