--- /dev/null
+++ b/src/libs/operators/requestcheck.cpp
@@ -0,0 +1,198 @@
+#include "requestcheck.h"
+
+#include <contract/contract.h>
+
+#include <algorithm>
+
+namespace Hyssop::Internal {
+
+constexpr std::size_t LongestName = 40;
+constexpr std::size_t LongestId = 64;
+constexpr std::size_t LongestOperatorName = 64;
+constexpr std::size_t LongestCommand = 1024;
+constexpr std::size_t LargestBody = 64 * 1024;
+constexpr std::int32_t MostAuditEntries = 1000;
+constexpr std::int32_t MostJobs = 1000;
+constexpr std::int64_t MostMilliCores = 1'024'000;
+constexpr std::int64_t LeastMemory = 1'000'000;
+constexpr std::int64_t MostMemory = 16'000'000'000'000;
+constexpr std::int32_t MostAccelerators = 64;
+constexpr std::int32_t MostSlots = 64;
+constexpr std::int64_t LongestRunTimeMs = 30LL * 24 * 3600 * 1000;
+constexpr std::int32_t MostFailures = 20;
+constexpr std::string_view ContractPrefix = "contract/";
+constexpr std::string_view DomainPrefix = "domain/";
+
+static bool isLowerOrDigit(char character)
+{
+    return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9');
+}
+
+static bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= LongestName && std::ranges::all_of(text, [](char c) { return isLowerOrDigit(c) || c == '-'; });
+}
+
+static bool isId(std::string_view text)
+{
+    const auto allowed = [](char c) { return isLowerOrDigit(c) || (c >= 'A' && c <= 'Z') || c == '-' || c == '_' || c == '.'; };
+    return !text.empty() && text.size() <= LongestId && std::ranges::all_of(text, allowed);
+}
+
+static bool isPrintable(std::string_view text, std::size_t longest)
+{
+    return !text.empty() && text.size() <= longest && std::ranges::all_of(text, [](char c) { return c >= ' ' && c <= '~'; });
+}
+
+static bool isConfigKey(std::string_view key)
+{
+    for (const std::string_view prefix : {ContractPrefix, DomainPrefix}) {
+        if (key.starts_with(prefix)) {
+            return isName(key.substr(prefix.size()));
+        }
+    }
+    return false;
+}
+
+static Error invalid(std::string message)
+{
+    return {ErrorCode::InvalidArgument, std::move(message)};
+}
+
+static std::optional<Error> checkId(const char *what, std::string_view id)
+{
+    if (isId(id)) {
+        return std::nullopt;
+    }
+    return invalid(std::string(what) + " is not 1 to 64 of the characters a-z, A-Z, 0-9, -, _ and .");
+}
+
+static std::optional<Error> checkName(const char *what, std::string_view name)
+{
+    if (isName(name)) {
+        return std::nullopt;
+    }
+    return invalid(std::string(what) + " is not 1 to 40 of the characters a-z, 0-9 and -");
+}
+
+static std::optional<Error> checkRange(const char *what, std::int64_t value, std::int64_t minimum, std::int64_t maximum)
+{
+    if (value >= minimum && value <= maximum) {
+        return std::nullopt;
+    }
+    return invalid(std::string(what) + " " + std::to_string(value) + " is not from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+}
+
+static std::optional<Error> checkOperator(std::string_view name)
+{
+    if (isPrintable(name, LongestOperatorName)) {
+        return std::nullopt;
+    }
+    return invalid("the operator name is not 1 to 64 printable ASCII characters");
+}
+
+static std::optional<Error> firstOf(std::initializer_list<std::optional<Error>> checks)
+{
+    const auto found = std::ranges::find_if(checks, [](const auto &check) { return check.has_value(); });
+    return found == checks.end() ? std::nullopt : *found;
+}
+
+static std::optional<Error> checkContractBody(const Wire::ConfigChange &change)
+{
+    auto parsed = parseContract(change.body);
+    if (const auto *faults = std::get_if<std::vector<ContractFault>>(&parsed)) {
+        std::string message = "the contract has " + std::to_string(faults->size()) + (faults->size() == 1 ? " fault" : " faults");
+        for (const ContractFault &fault : *faults) {
+            message += "\n" + std::to_string(fault.line) + ": " + fault.message;
+        }
+        return invalid(message);
+    }
+    const std::string &customer = std::get<Contract>(parsed).customer;
+    if (change.key.substr(ContractPrefix.size()) != customer) {
+        return invalid("the contract is of customer " + customer + ", but the key is " + change.key);
+    }
+    return std::nullopt;
+}
+
+static std::optional<Error> checkBody(const Wire::ConfigChange &change)
+{
+    if (change.removed) {
+        return change.body.empty() ? std::nullopt : std::optional(invalid("a removal must not have a body"));
+    }
+    if (change.key.starts_with(ContractPrefix)) {
+        return checkContractBody(change);
+    }
+    if (change.body != "in" && change.body != "out") {
+        return invalid("the state of a failure domain is neither \"in\" nor \"out\"");
+    }
+    return std::nullopt;
+}
+
+std::optional<Error> checkChange(const Wire::ConfigChange &change)
+{
+    if (change.body.size() > LargestBody) {
+        return Error{ErrorCode::TooLarge, "the body is larger than 64 KiB"};
+    }
+    if (!isConfigKey(change.key)) {
+        return invalid("the key is neither contract/NAME nor domain/NAME");
+    }
+    if (change.baseRevision < 0) {
+        return invalid("the base revision is negative");
+    }
+    return firstOf({checkId("the change id", change.changeId), checkOperator(change.operatorName), checkBody(change)});
+}
+
+std::optional<Error> checkJob(const Wire::JobSpec &spec)
+{
+    if (spec.kind != Wire::TaskKind::Batch || !spec.serviceName.empty()) {
+        return invalid("only batch jobs can be submitted; service tasks follow from the contract");
+    }
+    if (!isPrintable(spec.command, LongestCommand)) {
+        return invalid("the command is not 1 to 1024 printable ASCII characters");
+    }
+    return firstOf({
+        checkId("the job id", spec.jobId),
+        checkName("the customer", spec.customer),
+        checkName("the team", spec.team),
+        checkName("the task name", spec.taskName),
+        checkRange("millicores", spec.declared.milliCores, 1, MostMilliCores),
+        checkRange("memory in bytes", spec.declared.memoryBytes, LeastMemory, MostMemory),
+        checkRange("accelerators", spec.declared.accelerators, 0, MostAccelerators),
+        checkRange("slots", spec.declared.slots, 1, MostSlots),
+        checkRange("run time in ms", spec.declaredRunTimeMs, 0, LongestRunTimeMs),
+        checkRange("maximum failures", spec.maximumFailures, 1, MostFailures),
+    });
+}
+
+std::optional<Error> checkCancel(const Wire::JobCancelRequest &request)
+{
+    return firstOf({checkId("the job id", request.jobId), checkOperator(request.operatorName)});
+}
+
+std::optional<Error> checkQuery(const Wire::JobQuery &query)
+{
+    return firstOf({
+        query.jobId.empty() ? std::nullopt : checkId("the job id", query.jobId),
+        query.customer.empty() ? std::nullopt : checkName("the customer", query.customer),
+        checkRange("the maximum", query.maximum, 1, MostJobs),
+    });
+}
+
+std::optional<Error> checkAudit(const Wire::AuditRequest &request)
+{
+    constexpr std::size_t LongestPrefix = DomainPrefix.size() + ContractPrefix.size() + LongestName;
+    if (!request.keyPrefix.empty() && !isPrintable(request.keyPrefix, LongestPrefix)) {
+        return invalid("the key prefix is too long or not printable");
+    }
+    return checkRange("the maximum", request.maximum, 1, MostAuditEntries);
+}
+
+std::optional<Error> checkState(const Wire::ConfigStateRequest &request)
+{
+    if (request.key.empty() || isConfigKey(request.key)) {
+        return std::nullopt;
+    }
+    return invalid("the key is neither contract/NAME nor domain/NAME");
+}
+
+} // namespace Hyssop::Internal
--- /dev/null
+++ b/src/libs/operators/requestcheck.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "hyssop_types.h"
+
+#include <utils/result.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Hyssop::Internal {
+
+/// Each function returns the first rule that the message breaks, with ErrorCode::InvalidArgument or TooLarge, or no
+/// value. checkChange() also checks the contract and lists all of its faults.
+std::optional<Error> checkChange(const Wire::ConfigChange &change);
+std::optional<Error> checkJob(const Wire::JobSpec &spec);
+std::optional<Error> checkCancel(const Wire::JobCancelRequest &request);
+std::optional<Error> checkQuery(const Wire::JobQuery &query);
+std::optional<Error> checkAudit(const Wire::AuditRequest &request);
+std::optional<Error> checkState(const Wire::ConfigStateRequest &request);
+
+} // namespace Hyssop::Internal
