Add the placement engine

Cause: the scheduler core needs decisions on which task runs where; only the interface existed.

Ruled out: corrections below the declared size. Backfill by expected end: declared run times are too inaccurate to promise the head of the queue a start time, so its worker is held against everything that does not fit beside it.

--- a/src/libs/placement/placementengine.h
+++ b/src/libs/placement/placementengine.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "placementoptions.h"
+
 #include <contract/contract.h>
 #include <utils/clock.h>
 #include <utils/resources.h>
@@ -87,6 +89,7 @@
 {
 public:
     PlacementEngine();
+    explicit PlacementEngine(const PlacementOptions &options);
     ~PlacementEngine();
 
     /// Takes over quotas, shares and trade-offs; every limit follows from the contracts.
--- /dev/null
+++ b/src/libs/placement/placementstate.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "capacityledger.h"
+#include "evictionbudget.h"
+#include "evictionpolicy.h"
+#include "fairqueue.h"
+#include "interferencemodel.h"
+#include "nametable.h"
+#include "placementoptions.h"
+#include "sizeestimator.h"
+#include "tasktable.h"
+#include "workerhealth.h"
+#include "workerindex.h"
+#include "workerrecord.h"
+
+#include <contract/contract.h>
+#include <utils/clock.h>
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Hyssop::Internal {
+
+struct TeamInfo
+{
+    std::uint32_t customer = 0;
+    bool urgentAllowed = false;
+};
+
+struct CustomerInfo
+{
+    Favor favor = Favor::Latency;
+    double batchShare = 1;
+    Resources batchInUse;
+};
+
+struct ServiceInfo
+{
+    double objectiveUs = 0;
+    std::uint32_t customer = 0;
+};
+
+/// Resources of a worker that are held for a waiting task.
+struct Reservation
+{
+    std::uint32_t worker = None;
+    Resources amount;
+    TimePoint madeAt{};
+};
+
+/// Tables of the placement engine and the transitions that keep them consistent with each other.
+struct PlacementState
+{
+    explicit PlacementState(const PlacementOptions &options);
+
+    std::uint32_t customerId(const std::string &customer);
+    std::uint32_t teamId(const std::string &customer, const std::string &team);
+    std::uint32_t serviceId(const std::string &customer, const std::string &service);
+
+    /// Returns the number of the worker with that name; creates a record without capacity if there is none.
+    std::uint32_t workerId(const std::string &name);
+    /// Forgets a removed worker once its last task is released.
+    void dropIfUnused(std::uint32_t worker);
+    bool usable(std::uint32_t worker) const;
+
+    /// Returns what is free for new tasks; components are negative on an overcommitted worker.
+    Resources available(std::uint32_t worker) const;
+    /// Load of the worker's processors, 0 to 1 and above.
+    double load(std::uint32_t worker, std::int64_t addedMilliCores = 0) const;
+    void refreshIndex(std::uint32_t worker);
+
+    /// Returns the amount to commit for @p task.
+    Resources sizeOf(const TaskRecord &task) const;
+
+    /// Records that @p task runs on @p worker with @p committed, which the ledger already holds.
+    void startRunning(std::uint32_t task, std::uint32_t worker, const Resources &committed, TimePoint now);
+    /// Releases a running task and removes it.
+    void endRunning(std::uint32_t task, TimePoint now);
+    void applyUsage(std::uint32_t task, const Resources &usage);
+
+    void enqueue(std::uint32_t task);
+    void dequeue(std::uint32_t task);
+    void removeWaiting(std::uint32_t task);
+
+    void reserve(std::uint32_t task, std::uint32_t worker, const Resources &amount, TimePoint now);
+    void cancelReservation(std::uint32_t task);
+
+    std::uint32_t randomBelow(std::uint32_t bound) { return static_cast<std::uint32_t>(random() % bound); }
+    KindOnWorker *findKind(std::uint32_t worker, const TaskRecord &task);
+    int &replicasInRack(std::uint32_t service, std::uint32_t rack);
+
+    PlacementOptions options;
+    std::mt19937_64 random;
+
+    NameTable kinds{InterferenceModel::MaximumKinds};
+    NameTable teams;
+    NameTable customers;
+    NameTable services;
+    NameTable racks;
+    std::vector<TeamInfo> teamInfo;
+    std::vector<CustomerInfo> customerInfo;
+    std::vector<ServiceInfo> serviceInfo;
+
+    std::unordered_map<std::string, std::uint32_t> workerIds;
+    std::vector<WorkerRecord> workers;
+    std::vector<std::uint32_t> unusedWorkers;
+    std::unordered_map<std::uint64_t, int> replicas; // by service and rack
+
+    CapacityLedger ledger;
+    WorkerIndex freeIndex;
+    WorkerIndex capacityIndex;
+    SizeEstimator sizes;
+    InterferenceModel interference;
+    FairQueue queue;
+    WorkerHealth health;
+    EvictionPolicy eviction;
+    EvictionBudget budget;
+    TaskTable tasks;
+    std::size_t runningCount = 0;
+    TimePoint lastTime{}; // latest time passed by the caller; release() has none
+
+    std::unordered_map<std::uint32_t, Reservation> reservations; // by waiting task
+    std::uint32_t headTask = None; // batch task for which a worker is held
+    std::unordered_map<std::uint32_t, TimePoint> unplaceableSince; // tasks larger than any worker or their quota
+    std::unordered_map<std::string, std::int64_t> evictedKeys; // place in the queue of evicted jobs
+    std::map<std::uint32_t, EvictionPolicy::Action> dueActions; // by worker
+};
+
+} // namespace Hyssop::Internal
--- /dev/null
+++ b/src/libs/placement/preemptor.cpp
@@ -0,0 +1,135 @@
+#include "preemptor.h"
+
+#include <algorithm>
+
+namespace Hyssop::Internal {
+
+namespace {
+
+constexpr std::size_t SampledWorkers = 24;
+constexpr float NearEnd = 0.85F;
+constexpr float LittleProgress = 0.05F; // losing this much is acceptable without a checkpoint
+constexpr double VictimCost = 10; // seconds of work that a checkpoint and restart cost
+constexpr double ProtectedCost = 1e6;
+
+} // namespace
+
+std::optional<Preemption> Preemptor::choose(std::uint32_t task, const Resources &amount)
+{
+    const auto workerCount = static_cast<std::uint32_t>(m_state.workers.size());
+    if (workerCount == 0) {
+        return std::nullopt;
+    }
+    const bool urgent = m_state.tasks[task].queueClass == QueueClass::Urgent;
+    const auto *failed = m_state.health.failedWorkers(m_state.tasks[task].jobId);
+    std::optional<Preemption> best;
+    for (std::size_t i = 0; i < SampledWorkers; ++i) {
+        const auto worker = m_state.capacityIndex.find(amount, m_state.randomBelow(workerCount));
+        if (!worker) {
+            return std::nullopt;
+        }
+        if (!m_state.usable(*worker) || m_state.health.state(*worker) != WorkerHealth::State::Healthy) {
+            continue;
+        }
+        if (failed && std::find(failed->begin(), failed->end(), m_state.workers[*worker].name) != failed->end()) {
+            continue;
+        }
+        auto candidate = victimsOn(*worker, amount, urgent);
+        if (candidate && (!best || candidate->cost < best->cost)) {
+            best = std::move(candidate);
+        }
+    }
+    return best;
+}
+
+std::uint32_t Preemptor::mostHarmful(std::uint32_t worker) const
+{
+    std::uint32_t worst = None;
+    double worstHarm = -1;
+    for (const std::uint32_t task : m_state.workers[worker].tasks) {
+        const TaskRecord &record = m_state.tasks[task];
+        if (!record.batch() || record.running->evicting || record.queueClass == QueueClass::Urgent || isProtected(task)) {
+            continue;
+        }
+        const double taskHarm = harm(task);
+        if (taskHarm > worstHarm) {
+            worst = task;
+            worstHarm = taskHarm;
+        }
+    }
+    return worst;
+}
+
+double Preemptor::harm(std::uint32_t task) const
+{
+    const TaskRecord &record = m_state.tasks[task];
+    double total = 1e-6 * static_cast<double>(record.running->loadMilliCores);
+    for (const KindOnWorker &beside : m_state.workers[record.running->worker].kinds) {
+        if (beside.service != None) {
+            total += m_state.interference.effect(beside.kind, record.kind) * std::max(0.1F, beside.pressure);
+        }
+    }
+    return total;
+}
+
+bool Preemptor::isProtected(std::uint32_t task) const
+{
+    const RunningTask &running = *m_state.tasks[task].running;
+    return running.progress >= NearEnd || (!running.hasCheckpoint && running.progress > LittleProgress);
+}
+
+std::optional<Preemption> Preemptor::victimsOn(std::uint32_t worker, const Resources &amount, bool takeProtected) const
+{
+    Resources freed = m_state.available(worker);
+    std::vector<std::pair<double, std::uint32_t>> candidates;
+    for (const std::uint32_t task : m_state.workers[worker].tasks) {
+        const TaskRecord &record = m_state.tasks[task];
+        if (record.running->evicting) {
+            freed += record.running->charged;
+            continue;
+        }
+        if (!record.batch() || record.queueClass == QueueClass::Urgent) {
+            continue;
+        }
+        const bool spared = isProtected(task);
+        if (!spared || takeProtected) {
+            candidates.emplace_back(lostWork(task) + VictimCost + (spared ? ProtectedCost : 0), task);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    Preemption preemption;
+    preemption.worker = worker;
+    for (const auto &[cost, task] : candidates) {
+        if (amount.fitsIn(freed)) {
+            break;
+        }
+        freed += m_state.tasks[task].running->charged;
+        preemption.victims.push_back(task);
+        preemption.cost += cost;
+    }
+    if (!amount.fitsIn(freed)) {
+        return std::nullopt;
+    }
+    // A victim chosen early may be unnecessary after a larger one was added.
+    for (std::size_t i = 0; i < preemption.victims.size();) {
+        const std::uint32_t victim = preemption.victims[i];
+        const Resources without = freed - m_state.tasks[victim].running->charged;
+        if (!amount.fitsIn(without)) {
+            ++i;
+            continue;
+        }
+        freed = without;
+        preemption.cost -= lostWork(victim) + VictimCost + (isProtected(victim) ? ProtectedCost : 0);
+        preemption.victims.erase(preemption.victims.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    return preemption;
+}
+
+double Preemptor::lostWork(std::uint32_t task) const
+{
+    const TaskRecord &record = m_state.tasks[task];
+    const RunningTask &running = *record.running;
+    return running.hasCheckpoint ? 0 : static_cast<double>(running.progress) * record.declaredRunTimeMs / 1000.0;
+}
+
+} // namespace Hyssop::Internal
--- /dev/null
+++ b/src/libs/placement/taskrecord.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "fairqueue.h"
+
+#include <utils/clock.h>
+#include <utils/resources.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Hyssop::Internal {
+
+constexpr std::uint32_t None = UINT32_MAX;
+
+/// What is known about a task only while it runs.
+struct RunningTask
+{
+    std::uint32_t worker = None;
+    std::uint32_t position = 0; // in the worker's list of tasks
+    Resources committed;
+    Resources charged; // committed, raised to the measured use
+    std::int64_t loadMilliCores = 0; // measured, or expected before the first measurement
+    TimePoint startedAt{};
+    float progress = 0;
+    std::uint8_t level = 100; // percent of full speed
+    bool measured = false;
+    bool hasCheckpoint = false;
+    bool evicting = false;
+    bool adopted = false; // started before a change of owner, at an unknown time
+};
+
+/// A task that waits or runs.
+struct TaskRecord
+{
+    std::string jobId;
+    Resources declared;
+    std::uint32_t team = 0;
+    std::uint32_t customer = 0;
+    std::uint32_t kind = 0;
+    std::uint32_t service = None; // None for batch
+    std::uint32_t declaredRunTimeMs = 0;
+    QueueClass queueClass = QueueClass::Batch;
+    bool urgentRequested = false;
+    std::int64_t key = 0; // order in the queue
+    std::unique_ptr<RunningTask> running;
+
+    bool batch() const { return service == None; }
+};
+
+} // namespace Hyssop::Internal
--- /dev/null
+++ b/src/libs/placement/workerselector.cpp
@@ -0,0 +1,149 @@
+#include "workerselector.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+
+namespace Hyssop::Internal {
+
+namespace {
+
+constexpr std::size_t SampleSize = 12;
+constexpr std::size_t LongestSearch = 64; // for a worker on which the task has not failed
+constexpr std::uint32_t ExploringPlacements = 20; // one in so many
+constexpr double ExplorationBonus = 0.3;
+constexpr double ExplorationPressure = 0.6; // highest pressure at which an unknown pair is tried
+constexpr double LoadWeight = 0.5;
+constexpr double SameWorkerCost = 1;
+constexpr double SameRackCost = 0.1;
+constexpr double Forbidden = std::numeric_limits<double>::infinity();
+
+} // namespace
+
+Selection WorkerSelector::select(std::uint32_t task, const Resources &amount)
+{
+    const TaskRecord &record = m_state.tasks[task];
+    const auto workerCount = static_cast<std::uint32_t>(m_state.workers.size());
+    if (workerCount == 0) {
+        return {};
+    }
+    const bool explore = m_state.options.exploration && record.batch() && m_state.randomBelow(ExploringPlacements) == 0;
+    std::array<std::uint32_t, SampleSize> examined{};
+    std::size_t examinedCount = 0;
+    Selection best;
+    double bestCost = Forbidden;
+    for (std::size_t i = 0; i < SampleSize; ++i) {
+        const auto found = m_state.freeIndex.find(amount, m_state.randomBelow(workerCount));
+        if (!found) {
+            return {};
+        }
+        best.outcome = best.worker == None ? SelectionOutcome::Unsuitable : best.outcome;
+        const auto end = examined.begin() + static_cast<std::ptrdiff_t>(examinedCount);
+        if (std::find(examined.begin(), end, *found) != end) {
+            continue;
+        }
+        examined[examinedCount++] = *found;
+        const double candidateCost = permitted(record, *found) ? cost(record, *found, explore) : Forbidden;
+        if (candidateCost < bestCost) {
+            bestCost = candidateCost;
+            best = Selection{SelectionOutcome::Found, *found};
+        }
+    }
+    if (best.worker != None || record.queueClass == QueueClass::Batch) {
+        return best;
+    }
+    // Urgent and service tasks take any permitted worker.
+    std::uint32_t start = 0;
+    for (std::size_t i = 0; i < LongestSearch; ++i) {
+        const auto found = m_state.freeIndex.find(amount, start);
+        if (!found || *found < start) {
+            break;
+        }
+        if (permitted(record, *found)) {
+            return Selection{SelectionOutcome::Found, *found};
+        }
+        start = *found + 1;
+        if (start >= workerCount) {
+            break;
+        }
+    }
+    return best;
+}
+
+bool WorkerSelector::permitted(const TaskRecord &task, std::uint32_t worker) const
+{
+    if (!m_state.usable(worker)) {
+        return false;
+    }
+    const bool probing = m_state.options.quarantine && m_state.health.state(worker) != WorkerHealth::State::Healthy;
+    if (probing && task.queueClass != QueueClass::Batch) {
+        return false;
+    }
+    const auto *failed = m_state.health.failedWorkers(task.jobId);
+    if (!failed || failed->size() >= m_state.workerIds.size()) {
+        return true;
+    }
+    // A task with failures is no probe: its failure would say nothing about the worker.
+    return !probing && std::find(failed->begin(), failed->end(), m_state.workers[worker].name) == failed->end();
+}
+
+double WorkerSelector::cost(const TaskRecord &task, std::uint32_t worker, bool explore) const
+{
+    return task.batch() ? batchCost(task, worker, explore) : serviceCost(task, worker);
+}
+
+double WorkerSelector::batchCost(const TaskRecord &task, std::uint32_t worker, bool explore) const
+{
+    const WorkerRecord &host = m_state.workers[worker];
+    const double load = m_state.load(worker, m_state.sizes.expectedMilliCores(task.kind, task.declared));
+    double total = LoadWeight * load;
+    if (!m_state.options.interference) {
+        return total;
+    }
+    const bool bounded = task.queueClass == QueueClass::Batch;
+    if (bounded && host.throttledTasks > 0) {
+        return Forbidden;
+    }
+    for (const KindOnWorker &beside : host.kinds) {
+        if (beside.service == None) {
+            continue;
+        }
+        const double effect = m_state.interference.effect(beside.kind, task.kind) * load;
+        const Favor favor = m_state.customerInfo[m_state.serviceInfo[beside.service].customer].favor;
+        const double predicted = beside.pressure * std::exp(effect + beside.unseenEffect);
+        if (bounded && predicted > EvictionPolicy::placementLimit(favor)) {
+            return Forbidden;
+        }
+        total += effect * (favor == Favor::Latency ? 2 : 1) * std::max(0.25, predicted);
+        if (explore && predicted < ExplorationPressure && m_state.interference.unexplored(beside.kind, task.kind)) {
+            total -= ExplorationBonus;
+        }
+    }
+    return total;
+}
+
+double WorkerSelector::serviceCost(const TaskRecord &task, std::uint32_t worker) const
+{
+    const WorkerRecord &host = m_state.workers[worker];
+    const double load = m_state.load(worker, m_state.sizes.expectedMilliCores(task.kind, task.declared));
+    double total = LoadWeight * load;
+    for (const KindOnWorker &beside : host.kinds) {
+        if (m_state.options.rackSpread && beside.service == task.service) {
+            total += SameWorkerCost * beside.count;
+        }
+        if (!m_state.options.interference) {
+            continue;
+        }
+        total += m_state.interference.effect(task.kind, beside.kind) * load * beside.count;
+        if (beside.service != None) {
+            total += m_state.interference.effect(beside.kind, task.kind) * load;
+        }
+    }
+    if (m_state.options.rackSpread) {
+        total += SameRackCost * m_state.replicasInRack(task.service, host.rack);
+    }
+    return total;
+}
+
+} // namespace Hyssop::Internal
--- /dev/null
+++ b/src/libs/placement/workerselector.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "placementstate.h"
+
+namespace Hyssop::Internal {
+
+enum class SelectionOutcome : std::uint8_t {
+    Found,
+    NoRoom, // no worker has room
+    Unsuitable, // the examined workers with room would slow a service too much or failed the task before
+};
+
+struct Selection
+{
+    SelectionOutcome outcome = SelectionOutcome::NoRoom;
+    std::uint32_t worker = None;
+};
+
+/// Chooses the worker for a task among a bounded random sample of the workers with room for it.
+class WorkerSelector
+{
+public:
+    explicit WorkerSelector(PlacementState &state)
+        : m_state(state)
+    {
+    }
+
+    Selection select(std::uint32_t task, const Resources &amount);
+
+    /// Returns true if @p task may run on @p worker, room aside.
+    bool permitted(const TaskRecord &task, std::uint32_t worker) const;
+
+private:
+    /// Returns the cost of the worker, lower is better; infinite if it must not be used.
+    double cost(const TaskRecord &task, std::uint32_t worker, bool explore) const;
+    double batchCost(const TaskRecord &task, std::uint32_t worker, bool explore) const;
+    double serviceCost(const TaskRecord &task, std::uint32_t worker) const;
+
+    PlacementState &m_state;
+};
+
+} // namespace Hyssop::Internal
--- /dev/null
+++ b/tests/libs/placement/testeviction.cpp
@@ -0,0 +1,157 @@
+#include "placementfixture.h"
+
+#include <criterion/criterion.h>
+
+#include <deque>
+
+using namespace Hyssop;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One worker with a service and batch tasks. The latency follows from the levels of the batch tasks, 2 s late.
+struct SlowServiceRun
+{
+    explicit SlowServiceRun(double budget, int batchTasks = 4)
+    {
+        fixture.addWorkers(1, size(32, 125, 8));
+        Contract contract = contractOf({teamOf("badges")});
+        contract.evictionBudget = budget;
+        fixture.engine.setContracts({contract});
+        fixture.engine.addPending(serviceTask("service", size(4, 8)), fixture.now);
+        for (int i = 0; i < batchTasks; ++i) {
+            fixture.engine.addPending(batchTask("job-" + std::to_string(i), size(4, 8)), fixture.now);
+        }
+        fixture.decide();
+        cr_assert_eq(fixture.running.size(), static_cast<std::size_t>(batchTasks) + 1);
+    }
+
+    /// @p perTask: latency that one batch task at full speed adds, in ms.
+    void run(Duration time, double base, double perTask)
+    {
+        const TimePoint until = fixture.now + time;
+        while (fixture.now < until) {
+            fixture.advance(1s);
+            double latency = base;
+            for (const auto &entry : fixture.running) {
+                if (entry.first != "service") {
+                    latency += perTask * (fixture.levels.contains(entry.first) ? fixture.levels[entry.first] : 100) / 100.0;
+                }
+            }
+            measured.push_back(latency);
+            if (measured.size() > 2) {
+                measured.pop_front();
+            }
+            for (const auto &entry : fixture.running) {
+                const double reported = entry.first == "service" ? measured.front() * 1000 : 0;
+                fixture.engine.reportUsage(UsageSample{entry.first, size(4, 8), 1500ms, 0.3, true, reported}, fixture.now);
+            }
+            fixture.decide();
+            for (const auto &entry : fixture.evictions) {
+                if (fixture.running.contains(entry.first)) {
+                    fixture.end(entry.first);
+                }
+            }
+        }
+    }
+
+    PlacementFixture fixture;
+    std::deque<double> measured;
+};
+
+} // namespace
+
+// Guards against batch that keeps full speed beside a service near its objective, and that stays slow afterwards.
+Test(eviction, throttlesBeforeItEvictsAndRestores)
+{
+    SlowServiceRun run(1);
+    run.run(20s, 40, 14); // 96 ms at full speed, objective 100 ms
+    cr_assert_geq(run.fixture.throttleCount, 4);
+    cr_assert(run.fixture.evictions.empty());
+    run.run(2min, 20, 2);
+    for (const auto &entry : run.fixture.levels) {
+        cr_assert_eq(entry.second, 100, "%s stays at %d", entry.first.c_str(), entry.second);
+    }
+}
+
+// Guards against throttling that follows its own effect up and down.
+Test(eviction, doesNotOscillate)
+{
+    SlowServiceRun run(1);
+    run.run(30min, 40, 14); // full speed is too much, half speed is calm
+    // Without a growing delay there is a change every 15 s or so: 4 tasks * 120 = 480 commands.
+    cr_assert_leq(run.fixture.throttleCount, 120, "%d throttle commands", run.fixture.throttleCount);
+    cr_assert(run.fixture.evictions.empty());
+}
+
+// Guards against services over their objective that throttling does not help, and against evictions without bound.
+Test(eviction, evictsWithinTheBudget)
+{
+    SlowServiceRun none(0);
+    none.run(5min, 110, 10);
+    cr_assert(none.fixture.evictions.empty());
+    cr_assert_geq(none.fixture.throttleCount, 4);
+
+    SlowServiceRun half(0.5);
+    half.run(10min, 110, 10);
+    cr_assert_eq(half.fixture.evictions.size(), 2, "%zu evictions", half.fixture.evictions.size());
+}
+
+// Guards against new batch beside a service that is near its objective.
+Test(eviction, placesNoBatchBesideASlowService)
+{
+    SlowServiceRun run(0);
+    run.run(10s, 95, 0);
+    run.fixture.engine.addPending(batchTask("more", size(1, 1)), run.fixture.now);
+    run.fixture.decide();
+    cr_assert(!run.fixture.running.contains("more"));
+    run.run(3min, 20, 0);
+    cr_assert(run.fixture.running.contains("more"));
+}
+
+// Guards against a learned interference that does not change placement.
+Test(eviction, separatesKindsThatSlowEachOther)
+{
+    PlacementFixture fixture;
+    fixture.addWorkers(8, size(32, 125, 8));
+    fixture.engine.setContracts({contractOf({teamOf("badges")})});
+    for (int i = 0; i < 4; ++i) {
+        fixture.engine.addPending(serviceTask("service-" + std::to_string(i), size(4, 8)), fixture.now);
+    }
+    fixture.decide();
+    std::map<std::string, bool> hasService;
+    for (const auto &entry : fixture.running) {
+        hasService[entry.second] = true;
+    }
+    int next = 0;
+    int besideServices = 0;
+    int placed = 0;
+    for (int second = 0; second < 600; ++second) {
+        const bool learned = second >= 300;
+        PendingTask task = batchTask("job-" + std::to_string(next++), size(2, 4));
+        task.taskName = next % 2 == 0 ? "loud" : "quiet";
+        fixture.engine.addPending(task, fixture.now);
+        fixture.decide();
+        if (learned && next % 2 == 0 && fixture.running.contains(task.jobId)) {
+            ++placed;
+            besideServices += hasService[fixture.running.at(task.jobId)] ? 1 : 0;
+        }
+        fixture.advance(1s);
+        for (int i = 0; i < 4; ++i) {
+            const std::string service = "service-" + std::to_string(i);
+            double latency = 30;
+            for (const auto &entry : fixture.running) {
+                if (entry.second == fixture.running.at(service) && entry.first.starts_with("job-") && std::stoi(entry.first.substr(4)) % 2 == 1) {
+                    latency *= 1.25;
+                }
+            }
+            fixture.engine.reportUsage(UsageSample{service, size(4, 8), 0ms, 0, false, latency * 1000}, fixture.now);
+        }
+        const std::string ended = "job-" + std::to_string(next - 8);
+        if (fixture.running.contains(ended)) {
+            fixture.succeed(ended);
+        }
+    }
+    cr_assert_geq(placed, 100);
+    cr_assert_leq(besideServices * 5, placed, "%d of %d loud tasks beside services", besideServices, placed);
+}
