Leave contract checks of jobs to the operator handler

Cause: SchedulerService and OperatorHandler both checked a job against the contract. Change: the handler keeps the check, since it answers before any function with an effect is called; the service's copy is gone.

--- a/src/libs/scheduler/schedulerservice.cpp
+++ b/src/libs/scheduler/schedulerservice.cpp
@@ -1,7 +1,5 @@
 #include "schedulerservice.h"
 
-#include "jobadmission.h"
-
 #include <instance/configservice.h>
 #include <instance/peerservice.h>
 #include <observability/logging.h>
@@ -81,6 +79,25 @@
     return {{"customer", customer}};
 }
 
+static Wire::JobSubmitReply submitReply(Wire::SubmitVerdict::type verdict, const std::string &message)
+{
+    Wire::JobSubmitReply reply;
+    reply.verdict = verdict;
+    reply.message = message;
+    return reply;
+}
+
+static Wire::JobSubmitReply toSubmitReply(const AppendOutcome &outcome)
+{
+    return std::visit(
+        Overloaded{
+            [](const Appended &) { return submitReply(Wire::SubmitVerdict::Queued, ""); },
+            [](const AppendRefused &refused) { return submitReply(Wire::SubmitVerdict::NotRun, "the platform log refused the record: " + refused.reason); },
+            [](const AppendUnknown &unknown) { return submitReply(Wire::SubmitVerdict::Undetermined, "the platform log did not answer: " + unknown.reason); },
+        },
+        outcome);
+}
+
 static void logStart(const StartTask &action, WorkerReply reply)
 {
     logMessage(
@@ -379,72 +396,42 @@
     return !m_state->stopped && m_state->parts.config.ready() && m_state->tailer.caughtUp();
 }
 
-asio::awaitable<Wire::JobSubmitReply> SchedulerService::submit(Wire::JobSubmitRequest request)
+asio::awaitable<Outcome<Wire::JobSubmitReply>> SchedulerService::submit(Wire::JobSpec spec)
 {
     const auto state = m_state;
-    Wire::JobSubmitReply reply;
-    reply.verdict = Wire::SubmitVerdict::NotRun;
     if (!ready()) {
-        reply.message = "this instance has not read the job stream yet";
-        co_return reply;
-    }
-    if (state->core.hasJob(request.spec.jobId)) {
-        reply.verdict = Wire::SubmitVerdict::Queued;
-        reply.message = "the job is known";
-        co_return reply;
+        co_return Error{ErrorCode::Unavailable, "this instance has not read the job stream yet"};
     }
-    const auto contract = state->parts.config.contract(request.spec.customer);
-    if (const auto refusal = checkJob(request.spec, contract ? &contract->contract : nullptr)) {
-        reply.message = *refusal;
-        co_return reply;
+    if (state->core.hasJob(spec.jobId)) {
+        co_return Internal::submitReply(Wire::SubmitVerdict::Queued, "the job is known");
     }
     if (!state->parts.config.domainIn(state->options.domain)) {
-        reply.message = "the failure domain " + state->options.domain + " is out of service";
-        co_return reply;
+        co_return Error{ErrorCode::Refused, "the failure domain " + state->options.domain + " is out of service"};
     }
+    state->parts.metrics.add("hyssop_scheduler_submissions_total", Internal::customerLabel(spec.customer));
     Wire::JobSubmitted submitted;
-    submitted.spec = request.spec;
+    submitted.spec = spec;
     submitted.submittedAtMs = Internal::wallClock().count();
     Wire::Record record;
     record.__set_jobSubmitted(submitted);
-    const AppendOutcome outcome = co_await state->appender(state->options.domain).append(Internal::singleRecord(record));
-    std::visit(Overloaded{
-                   [&](const Appended &) { reply.verdict = Wire::SubmitVerdict::Queued; },
-                   [&](const AppendRefused &refused) { reply.message = "the platform log refused the job: " + refused.reason; },
-                   [&](const AppendUnknown &unknown) {
-                       reply.verdict = Wire::SubmitVerdict::Undetermined;
-                       reply.message = "the platform log did not answer: " + unknown.reason;
-                   },
-               },
-               outcome);
-    state->parts.metrics.add("hyssop_scheduler_submissions_total", Internal::customerLabel(request.spec.customer));
-    co_return reply;
-}
-
-asio::awaitable<Wire::JobSubmitReply> SchedulerService::cancel(Wire::JobCancelRequest request)
+    co_return Internal::toSubmitReply(co_await state->appender(state->options.domain).append(Internal::singleRecord(record)));
+}
+
+asio::awaitable<Outcome<Wire::JobSubmitReply>> SchedulerService::cancel(Wire::JobCancelRequest request)
 {
     const auto state = m_state;
-    Wire::JobSubmitReply reply;
-    reply.verdict = Wire::SubmitVerdict::NotRun;
+    if (!ready()) {
+        co_return Error{ErrorCode::Unavailable, "this instance has not read the job stream yet"};
+    }
     if (!state->core.hasJob(request.jobId)) {
-        reply.message = "unknown job";
-        co_return reply;
+        co_return Error{ErrorCode::NotFound, "unknown job " + request.jobId};
     }
     Wire::JobCancelled cancelled;
     cancelled.jobId = request.jobId;
     cancelled.operatorName = request.operatorName;
     Wire::Record record;
     record.__set_jobCancelled(cancelled);
-    const AppendOutcome outcome = co_await state->appender(state->options.domain).append(Internal::singleRecord(record));
-    if (std::holds_alternative<Appended>(outcome)) {
-        reply.verdict = Wire::SubmitVerdict::Queued;
-    } else if (std::holds_alternative<AppendUnknown>(outcome)) {
-        reply.verdict = Wire::SubmitVerdict::Undetermined;
-        reply.message = "the platform log did not answer";
-    } else {
-        reply.message = "the platform log refused the cancellation";
-    }
-    co_return reply;
+    co_return Internal::toSubmitReply(co_await state->appender(state->options.domain).append(Internal::singleRecord(record)));
 }
 
 Wire::JobQueryReply SchedulerService::jobs(const Wire::JobQuery &query) const
--- a/src/libs/scheduler/schedulerservice.h
+++ b/src/libs/scheduler/schedulerservice.h
@@ -2,6 +2,8 @@
 
 #include "hyssop_types.h"
 
+#include <utils/result.h>
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
@@ -60,8 +62,9 @@
     /// True once configuration and job stream have been read.
     bool ready() const;
 
-    boost::asio::awaitable<Wire::JobSubmitReply> submit(Wire::JobSubmitRequest request);
-    boost::asio::awaitable<Wire::JobSubmitReply> cancel(Wire::JobCancelRequest request);
+    /// Records a job. Submitting a known job id again has no effect and is answered as queued.
+    boost::asio::awaitable<Outcome<Wire::JobSubmitReply>> submit(Wire::JobSpec spec);
+    boost::asio::awaitable<Outcome<Wire::JobSubmitReply>> cancel(Wire::JobCancelRequest request);
     Wire::JobQueryReply jobs(const Wire::JobQuery &query) const;
     Wire::TargetsReply targets(const Wire::TargetsRequest &request);
     Wire::StatusReply status() const;
