--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -70,6 +70,9 @@
         }
         stream.expires_never();
         HttpResponse response = co_await state->handler(parser.get());
+        if (response.result_int() == 0) {
+            co_return;
+        }
         response.keep_alive(parser.get().keep_alive() && response.keep_alive());
         response.prepare_payload();
         stream.expires_after(IdleTimeout);
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -22,6 +22,8 @@
 class HttpServer
 {
 public:
+    /// Answers one request. A response with status 0 closes the connection without an answer (fault injection in
+    /// stand-ins).
     using Handler = std::function<boost::asio::awaitable<HttpResponse>(const HttpRequest &)>;
 
     /// Binds and listens at once. Throws boost::system::system_error if the address is in use.
--- /dev/null
+++ b/src/libs/platform/logappender.cpp
@@ -0,0 +1,389 @@
+#include "logappender.h"
+
+#include <observability/logging.h>
+#include <observability/metricsregistry.h>
+#include <utils/overloaded.h>
+#include <wire/codec.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <limits>
+#include <optional>
+#include <random>
+#include <utility>
+
+namespace Hyssop {
+
+namespace asio = boost::asio;
+
+namespace Internal {
+
+constexpr std::int64_t EmptyHead = 0; // offsets begin at 1
+constexpr int RecordsPerSearch = 256;
+constexpr std::int64_t BeyondEveryRecord = std::numeric_limits<std::int64_t>::max() / 2; // a read from here returns only the head
+// An old head makes the search for a lost append long and lets it run into records that have expired.
+constexpr std::chrono::seconds KnownHeadLifetime{5};
+constexpr double LowestAppendRate = 0.01; // a second
+constexpr std::chrono::milliseconds ShortestRetryDelay{20};
+constexpr std::chrono::milliseconds LongestRetryDelay{500};
+constexpr std::size_t BatchOverhead = 256; // format version, batch id, writer and list header, with a margin
+
+/// One call of append() or appendAlone() that waits for its outcome.
+struct AppendRequest
+{
+    AppendRequest(const asio::any_io_executor &executor, std::vector<Wire::Record> wireRecords, std::size_t encodedSize, bool isAlone)
+        : records(std::move(wireRecords))
+        , size(encodedSize)
+        , alone(isAlone)
+        , completion(executor, asio::steady_timer::time_point::max())
+    {
+    }
+
+    std::vector<Wire::Record> records;
+    std::size_t size;
+    bool alone;
+    TimePoint queuedAt = std::chrono::steady_clock::now();
+    std::optional<AppendOutcome> outcome;
+    asio::steady_timer completion; // cancelled when the outcome is set
+};
+
+using AppendRequestPtr = std::shared_ptr<AppendRequest>;
+
+struct AppenderState
+{
+    AppenderState(asio::any_io_executor ioExecutor, LogClient &logClient, MetricsRegistry &metricsRegistry)
+        : executor(std::move(ioExecutor))
+        , client(logClient)
+        , metrics(metricsRegistry)
+        , batchTimer(executor)
+    {
+    }
+
+    asio::any_io_executor executor;
+    LogClient &client;
+    MetricsRegistry &metrics;
+    std::string stream;
+    std::string writer;
+    std::string batchIdPrefix;
+    AppenderOptions options;
+    std::deque<AppendRequestPtr> queue;
+    asio::steady_timer batchTimer; // cancelled when a full batch is queued
+    std::optional<std::int64_t> knownHead; // a batch that is sent now can only get a higher offset
+    TimePoint knownHeadAt;
+    std::optional<TimePoint> lastAppend;
+    std::uint64_t batches = 0;
+    bool running = false;
+    bool stopped = false;
+};
+
+using AppenderStatePtr = std::shared_ptr<AppenderState>;
+
+static std::string makeBatchIdPrefix(const std::string &writer)
+{
+    std::random_device device;
+    const std::uint64_t incarnation = (static_cast<std::uint64_t>(device()) << 32U) | device();
+    return writer + "-" + std::to_string(incarnation) + "-";
+}
+
+static std::size_t encodedSize(const std::vector<Wire::Record> &records)
+{
+    Wire::RecordBatch batch;
+    batch.records = records;
+    return encode(batch).size();
+}
+
+static std::size_t batchBytes(const AppenderState &state)
+{
+    return std::min(state.options.maximumBatchBytes, LargestLogRecord) - std::min(state.options.maximumBatchBytes, BatchOverhead + state.writer.size() * 2);
+}
+
+/// Returns how many queued requests the next batch takes.
+static std::size_t nextBatchSize(const AppenderState &state)
+{
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    for (const AppendRequestPtr &request : state.queue) {
+        bytes += request->size;
+        if (count > 0 && (request->alone || bytes > batchBytes(state))) {
+            break;
+        }
+        ++count;
+        if (request->alone) {
+            break;
+        }
+    }
+    return count;
+}
+
+/// True if waiting can't add a request to the next batch.
+static bool isNextBatchClosed(const AppenderState &state)
+{
+    return !state.queue.empty() && (state.queue.front()->alone || nextBatchSize(state) < state.queue.size());
+}
+
+static asio::awaitable<void> sleepUntil(AppenderStatePtr state, TimePoint time)
+{
+    asio::steady_timer timer(state->executor, time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+/// Waits until the budget permits one more append.
+static asio::awaitable<void> waitForBudget(AppenderStatePtr state)
+{
+    if (state->lastAppend) {
+        const std::chrono::duration<double> interval(1 / std::max(state->options.maximumAppendsPerSecond, LowestAppendRate));
+        co_await sleepUntil(state, *state->lastAppend + std::chrono::duration_cast<Duration>(interval));
+    }
+}
+
+static asio::awaitable<AppendOutcome> appendOnce(AppenderStatePtr state, std::string bytes)
+{
+    co_await waitForBudget(state);
+    const TimePoint sentAt = std::chrono::steady_clock::now();
+    state->lastAppend = sentAt;
+    AppendOutcome outcome = co_await state->client.append(state->stream, std::move(bytes), state->options.appendTimeout);
+    state->metrics.observe("log_append_seconds", std::chrono::steady_clock::now() - sentAt, {{"stream", state->stream}});
+    const char *result = std::visit(Overloaded{
+                                        [](const Appended &) { return "appended"; },
+                                        [](const AppendRefused &) { return "refused"; },
+                                        [](const AppendUnknown &) { return "unknown"; },
+                                    },
+                                    outcome);
+    state->metrics.add("log_appends_total", {{"stream", state->stream}, {"result", result}});
+    co_return outcome;
+}
+
+/// Result of one pass over the stream.
+struct SearchResult
+{
+    std::optional<std::int64_t> found; // lowest offset that holds the batch
+    std::int64_t searchedUpTo = EmptyHead;
+    bool truncated = false; // records that the search had to see are gone
+};
+
+static std::optional<std::int64_t> findBatch(const std::vector<LogRecord> &records, const std::string &batchId)
+{
+    for (const LogRecord &record : records) {
+        auto batch = capture([&] { return decodeRecordBatch(record.bytes); });
+        if (valueOf(batch) != nullptr && valueOf(batch)->batchId == batchId) {
+            return record.offset;
+        }
+    }
+    return std::nullopt;
+}
+
+/// Searches the stream above offset @p after for the batch, up to a head that is read during the search.
+static asio::awaitable<Outcome<SearchResult>> search(AppenderStatePtr state, std::string batchId, std::int64_t after)
+{
+    SearchResult result;
+    result.searchedUpTo = after;
+    while (true) {
+        auto outcome = co_await state->client.read(state->stream, result.searchedUpTo + 1, RecordsPerSearch, std::chrono::milliseconds::zero());
+        if (const Error *error = errorOf(outcome)) {
+            co_return *error;
+        }
+        const ReadResult &read = *valueOf(outcome);
+        result.truncated = result.truncated || read.oldest > result.searchedUpTo + 1;
+        result.found = findBatch(read.records, batchId);
+        if (read.records.empty()) {
+            result.searchedUpTo = std::max(result.searchedUpTo, read.head);
+            co_return result;
+        }
+        result.searchedUpTo = read.records.back().offset;
+        if (result.found || result.searchedUpTo >= read.head) {
+            co_return result;
+        }
+    }
+}
+
+static void noteHead(AppenderState &state, std::int64_t head, TimePoint time)
+{
+    state.knownHead = std::max(state.knownHead.value_or(EmptyHead), head);
+    state.knownHeadAt = time;
+}
+
+/// Makes sure that a recent head of the stream is known, as the point from which a lost append is searched.
+static asio::awaitable<std::optional<Error>> refreshKnownHead(AppenderStatePtr state)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (state->knownHead && now - state->knownHeadAt < KnownHeadLifetime) {
+        co_return std::nullopt;
+    }
+    auto outcome = co_await state->client.read(state->stream, BeyondEveryRecord, 1, std::chrono::milliseconds::zero());
+    if (const Error *error = errorOf(outcome)) {
+        co_return *error;
+    }
+    noteHead(*state, valueOf(outcome)->head, now);
+    co_return std::nullopt;
+}
+
+/// Finds out what became of a batch whose append got no valid response, and appends it again where needed.
+static asio::awaitable<AppendOutcome> resolve(AppenderStatePtr state, std::string batchId, std::string bytes, std::string reason)
+{
+    const TimePoint deadline = std::chrono::steady_clock::now() + state->options.resolveTimeout;
+    std::int64_t searchedUpTo = *state->knownHead;
+    std::chrono::milliseconds delay = ShortestRetryDelay;
+    bool repeated = false; // a second copy may exist
+    bool appendedAgain = false;
+    while (true) {
+        auto searched = co_await search(state, batchId, searchedUpTo);
+        if (const SearchResult *result = valueOf(searched)) {
+            // With two copies an expired record may have been the first one, which readers use.
+            const bool certain = !result->truncated || !repeated;
+            if (result->found && certain) {
+                state->metrics.add("log_lost_responses_resolved_total", {{"stream", state->stream}, {"repeated", repeated ? "yes" : "no"}});
+                co_return Appended{*result->found};
+            }
+            if (result->truncated || appendedAgain) {
+                co_return AppendUnknown{"the part of the stream that may hold the batch is gone"};
+            }
+            searchedUpTo = result->searchedUpTo;
+            const AppendOutcome again = co_await appendOnce(state, bytes);
+            repeated = repeated || !std::holds_alternative<AppendRefused>(again);
+            appendedAgain = std::holds_alternative<Appended>(again);
+            if (appendedAgain) {
+                // The first copy can have taken effect in the meantime. Readers use the first copy, so the offset comes
+                // from another search and not from this response.
+                continue;
+            }
+        }
+        if (std::chrono::steady_clock::now() + delay >= deadline) {
+            co_return AppendUnknown{reason};
+        }
+        co_await sleepUntil(state, std::chrono::steady_clock::now() + delay);
+        delay = std::min(delay * 2, LongestRetryDelay);
+    }
+}
+
+static asio::awaitable<AppendOutcome> appendBatch(AppenderStatePtr state, std::vector<Wire::Record> records)
+{
+    if (const auto error = co_await refreshKnownHead(state)) {
+        co_return AppendRefused{"the head of the stream is unknown: " + error->message};
+    }
+    Wire::RecordBatch batch;
+    batch.batchId = state->batchIdPrefix + std::to_string(++state->batches);
+    batch.writer = state->writer;
+    batch.records = std::move(records);
+    const std::string bytes = encode(batch);
+    const TimePoint startedAt = std::chrono::steady_clock::now();
+    AppendOutcome outcome = co_await appendOnce(state, bytes);
+    if (const auto *unknown = std::get_if<AppendUnknown>(&outcome)) {
+        const std::string reason = unknown->reason;
+        logMessage(LogLevel::Warning, "platform", "the response to an append was lost; searching the stream", {{"stream", state->stream}, {"error", reason}});
+        outcome = co_await resolve(state, batch.batchId, bytes, reason);
+    }
+    if (const auto *appended = std::get_if<Appended>(&outcome)) {
+        noteHead(*state, appended->offset, startedAt);
+        state->metrics.add("log_appended_records_total", {{"stream", state->stream}}, static_cast<double>(batch.records.size()));
+    }
+    co_return outcome;
+}
+
+static std::vector<AppendRequestPtr> takeBatch(AppenderState &state)
+{
+    const auto end = state.queue.begin() + static_cast<std::ptrdiff_t>(nextBatchSize(state));
+    std::vector<AppendRequestPtr> batch(state.queue.begin(), end);
+    state.queue.erase(state.queue.begin(), end);
+    return batch;
+}
+
+static void complete(AppendRequest &request, const AppendOutcome &outcome)
+{
+    request.outcome = outcome;
+    request.completion.cancel();
+}
+
+/// Waits for further records of the next batch, at most the delay bound.
+static asio::awaitable<void> collectBatch(AppenderStatePtr state)
+{
+    if (!isNextBatchClosed(*state)) {
+        state->batchTimer.expires_at(state->queue.front()->queuedAt + state->options.batchDelay);
+        co_await state->batchTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    // Records that arrive while the budget delays the append join the same batch.
+    co_await waitForBudget(state);
+}
+
+static asio::awaitable<void> appendQueued(AppenderStatePtr state)
+{
+    while (!state->queue.empty() && !state->stopped) {
+        co_await collectBatch(state);
+        if (state->stopped) {
+            break;
+        }
+        const std::vector<AppendRequestPtr> requests = takeBatch(*state);
+        std::vector<Wire::Record> records;
+        for (const AppendRequestPtr &request : requests) {
+            records.insert(records.end(), request->records.begin(), request->records.end());
+        }
+        const AppendOutcome outcome = co_await appendBatch(state, std::move(records));
+        for (const AppendRequestPtr &request : requests) {
+            complete(*request, outcome);
+        }
+    }
+    state->running = false;
+}
+
+static asio::awaitable<AppendOutcome> enqueue(AppenderStatePtr state, std::vector<Wire::Record> records, bool alone)
+{
+    if (records.empty()) {
+        co_return AppendRefused{"there are no records to append"};
+    }
+    const std::size_t size = encodedSize(records);
+    if (size > batchBytes(*state)) {
+        co_return AppendRefused{"the records have " + std::to_string(size) + " bytes; the limit is " + std::to_string(batchBytes(*state))};
+    }
+    const auto request = std::make_shared<AppendRequest>(state->executor, std::move(records), size, alone);
+    state->queue.push_back(request);
+    if (isNextBatchClosed(*state)) {
+        state->batchTimer.cancel();
+    }
+    if (!state->running) {
+        state->running = true;
+        asio::co_spawn(state->executor, appendQueued(state), asio::detached);
+    }
+    if (!request->outcome) {
+        co_await request->completion.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return request->outcome.value_or(AppendRefused{"the appender was stopped"});
+}
+
+} // namespace Internal
+
+LogAppender::LogAppender(
+    asio::any_io_executor executor, LogClient &client, std::string stream, std::string writer, AppenderOptions options, MetricsRegistry &metrics)
+    : m_state(std::make_shared<Internal::AppenderState>(std::move(executor), client, metrics))
+{
+    m_state->stream = std::move(stream);
+    m_state->batchIdPrefix = Internal::makeBatchIdPrefix(writer);
+    m_state->writer = std::move(writer);
+    m_state->options = options;
+}
+
+LogAppender::~LogAppender()
+{
+    m_state->stopped = true;
+    m_state->batchTimer.cancel();
+    for (const Internal::AppendRequestPtr &request : m_state->queue) {
+        Internal::complete(*request, AppendRefused{"the appender was stopped"});
+    }
+    m_state->queue.clear();
+}
+
+asio::awaitable<AppendOutcome> LogAppender::append(std::vector<Wire::Record> records)
+{
+    return Internal::enqueue(m_state, std::move(records), false);
+}
+
+asio::awaitable<AppendOutcome> LogAppender::appendAlone(std::vector<Wire::Record> records)
+{
+    return Internal::enqueue(m_state, std::move(records), true);
+}
+
+} // namespace Hyssop
--- a/src/libs/platform/logclient.h
+++ b/src/libs/platform/logclient.h
@@ -50,6 +50,9 @@
     std::int64_t head = -1; // last offset in the stream; -1 for an empty stream
 };
 
+/// Largest record of the platform log, in bytes.
+constexpr std::size_t LargestLogRecord = 256 * 1024;
+
 /// Adapter for the platform's log service. The only place that knows its wire format.
 class LogClient
 {
@@ -63,9 +66,13 @@
     /// Reads records from offset @p from on (inclusive), at most @p maximum. Waits up to @p wait for a first record.
     boost::asio::awaitable<Outcome<ReadResult>> read(std::string stream, std::int64_t from, int maximum, std::chrono::milliseconds wait);
 
+    /// Responses of the log that broke its wire format since the start.
+    std::uint64_t malformedResponses() const;
+
 private:
     HttpClient &m_http;
     std::string m_address;
+    std::uint64_t m_malformedResponses = 0;
 };
 
 } // namespace Hyssop
--- /dev/null
+++ b/src/libs/platform/logtailer.cpp
@@ -0,0 +1,179 @@
+#include "logtailer.h"
+
+#include <observability/logging.h>
+#include <observability/metricsregistry.h>
+#include <wire/codec.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace Hyssop {
+
+namespace asio = boost::asio;
+
+constexpr std::int64_t FirstOffset = 1;
+constexpr std::int32_t KnownFormatVersion = 1;
+constexpr int MostRecordsARead = 256;
+// A response proves the head only as of the time at which the read was sent, so a longer wait would age the proof.
+constexpr std::chrono::milliseconds LongestWait{500};
+constexpr std::chrono::milliseconds ShortestBackoff{50};
+// The polling delay must stay below 1 s after an outage.
+constexpr std::chrono::milliseconds LongestBackoff{500};
+
+static std::chrono::milliseconds jittered(std::chrono::milliseconds delay)
+{
+    thread_local std::minstd_rand random{std::random_device{}()};
+    std::uniform_int_distribution<std::int64_t> distribution(delay.count() / 2, delay.count());
+    return std::chrono::milliseconds(distribution(random));
+}
+
+LogTailer::LogTailer(LogClient &client, std::string stream, MetricsRegistry &metrics)
+    : m_client(client)
+    , m_stream(std::move(stream))
+    , m_metrics(metrics)
+    , m_recordsPerRead(MostRecordsARead)
+{
+}
+
+void LogTailer::setBatchHandler(BatchHandler handler)
+{
+    m_batchHandler = std::move(handler);
+}
+
+void LogTailer::setReadHandler(ReadHandler handler)
+{
+    m_readHandler = std::move(handler);
+}
+
+asio::awaitable<void> LogTailer::run()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!m_stopped) {
+        // Without a wait the first read of an empty stream returns at once.
+        const auto wait = m_caughtUp ? LongestWait : std::chrono::milliseconds::zero();
+        const TimePoint sentAt = std::chrono::steady_clock::now();
+        auto outcome = co_await m_client.read(m_stream, std::max(m_appliedUpTo + 1, FirstOffset), m_recordsPerRead, wait);
+        if (m_stopped) {
+            co_return;
+        }
+        std::chrono::milliseconds delay{0};
+        if (const Error *error = errorOf(outcome)) {
+            delay = noteFailure(*error);
+        } else if (!handOver(*valueOf(outcome), sentAt)) {
+            delay = noteFailure({ErrorCode::Malformed, "the head of the stream is below an offset that was read before"});
+        }
+        if (delay > std::chrono::milliseconds::zero()) {
+            timer.expires_after(delay);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+}
+
+void LogTailer::stop()
+{
+    m_stopped = true;
+}
+
+std::int64_t LogTailer::appliedUpTo() const
+{
+    return m_appliedUpTo;
+}
+
+std::int64_t LogTailer::oldest() const
+{
+    return m_oldest;
+}
+
+std::int64_t LogTailer::head() const
+{
+    return m_head;
+}
+
+bool LogTailer::caughtUp() const
+{
+    return m_caughtUp;
+}
+
+std::optional<TimePoint> LogTailer::headSeenAt() const
+{
+    return m_headSeenAt;
+}
+
+bool LogTailer::handOver(const ReadResult &result, TimePoint sentAt)
+{
+    if (result.head < m_appliedUpTo) {
+        return false;
+    }
+    if (m_failuresInARow > 0) {
+        logMessage(LogLevel::Info, "platform", "the log is available again", {{"stream", m_stream}});
+    }
+    m_failuresInARow = 0;
+    m_recordsPerRead = std::min(m_recordsPerRead * 2, MostRecordsARead);
+    m_oldest = result.oldest;
+    m_head = result.head;
+    for (const LogRecord &record : result.records) {
+        handOverRecord(record);
+        if (m_stopped) {
+            return true;
+        }
+    }
+    // Everything below the oldest offset is gone, so a stream whose records have all expired counts as read.
+    if (m_appliedUpTo >= m_head || m_oldest > m_head) {
+        m_caughtUp = true;
+        m_headSeenAt = sentAt;
+    }
+    if (m_readHandler) {
+        m_readHandler(m_oldest, m_head);
+    }
+    return true;
+}
+
+void LogTailer::handOverRecord(const LogRecord &record)
+{
+    auto decoded = capture([&] { return decodeRecordBatch(record.bytes); });
+    Wire::RecordBatch empty;
+    const Wire::RecordBatch *batch = valueOf(decoded);
+    if (batch == nullptr) {
+        count("log_undecodable_batches_total");
+        batch = &empty;
+    } else if (batch->formatVersion != KnownFormatVersion) {
+        count("log_unknown_format_batches_total");
+        batch = &empty;
+    } else if (!m_seenIds.insert(batch->batchId)) {
+        count("log_repeated_batches_total");
+        m_appliedUpTo = record.offset;
+        return;
+    }
+    if (m_batchHandler) {
+        m_batchHandler(record.offset, record.time, *batch);
+    }
+    m_appliedUpTo = record.offset;
+}
+
+std::chrono::milliseconds LogTailer::noteFailure(const Error &error)
+{
+    m_metrics.add("log_read_failures_total", {{"stream", m_stream}, {"code", errorCodeName(error.code)}});
+    if (m_failuresInARow == 0) {
+        logMessage(LogLevel::Warning, "platform", "reading the log failed; retrying", {{"stream", m_stream}, {"error", error.message}});
+    }
+    // A response above the size limit of the HTTP client ends as a closed connection; fewer records make it fit.
+    if (error.code != ErrorCode::Unavailable) {
+        m_recordsPerRead = std::max(m_recordsPerRead / 4, 1);
+    }
+    constexpr int MostDoublings = 8;
+    const auto delay = ShortestBackoff * (1 << std::min(m_failuresInARow++, MostDoublings));
+    return jittered(std::min(delay, LongestBackoff));
+}
+
+void LogTailer::count(const std::string &metric)
+{
+    m_metrics.add(metric, {{"stream", m_stream}});
+}
+
+} // namespace Hyssop
--- a/src/libs/platform/logtailer.h
+++ b/src/libs/platform/logtailer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "logclient.h"
+#include "seenbatchids.h"
 
 #include "hyssop_types.h"
 
@@ -25,7 +26,8 @@
     /// Called once for each batch. A batch id that was seen before is dropped by the tailer. Batches that can't be
     /// decoded or have an unknown format version are counted and skipped, but still reported with an empty record list.
     using BatchHandler = std::function<void(std::int64_t offset, WallTime time, const Wire::RecordBatch &batch)>;
-    /// Called after each successful read, with the first available offset and the head.
+    /// Called after each successful read, when its batches have been handed over, with the first available offset and
+    /// the head.
     using ReadHandler = std::function<void(std::int64_t oldest, std::int64_t head)>;
 
     LogTailer(LogClient &client, std::string stream, MetricsRegistry &metrics);
@@ -33,13 +35,18 @@
     void setBatchHandler(BatchHandler handler);
     void setReadHandler(ReadHandler handler);
 
-    /// Reads until stop() is called. Retries with backoff while the log is unavailable.
+    /// Reads until stop() is called. Retries with backoff while the log is unavailable. The tailer must outlive the
+    /// coroutine, which ends at the latest when the read in progress has ended.
     boost::asio::awaitable<void> run();
     void stop();
 
     /// Last offset handed over; -1 before the first.
     std::int64_t appliedUpTo() const;
 
+    /// First available offset at the last successful read; -1 before the first. Already set when the batches of that
+    /// read are handed over: records between appliedUpTo() and this offset are lost to this reader.
+    std::int64_t oldest() const;
+
     /// Head at the last successful read; -1 for an empty stream.
     std::int64_t head() const;
 
@@ -50,13 +57,22 @@
     std::optional<TimePoint> headSeenAt() const;
 
 private:
+    bool handOver(const ReadResult &result, TimePoint sentAt);
+    void handOverRecord(const LogRecord &record);
+    std::chrono::milliseconds noteFailure(const Error &error);
+    void count(const std::string &metric);
+
     LogClient &m_client;
     std::string m_stream;
     MetricsRegistry &m_metrics;
     BatchHandler m_batchHandler;
     ReadHandler m_readHandler;
+    Internal::SeenBatchIds m_seenIds;
     std::int64_t m_appliedUpTo = -1;
+    std::int64_t m_oldest = -1;
     std::int64_t m_head = -1;
+    int m_recordsPerRead;
+    int m_failuresInARow = 0;
     bool m_caughtUp = false;
     bool m_stopped = false;
     std::optional<TimePoint> m_headSeenAt;
