Add the gateway's HTTP side and the routing library

Cause: callers had no way to a target. The gateway is the only process that they talk to.

Ruled out: beast::tcp_stream for the relay (its timers can't be moved while a read and a write are pending, and a streamed request needs both); a fixed thread pool (one thread serves all connections).

--- /dev/null
+++ b/src/libs/gateway/clientsession.cpp
@@ -0,0 +1,367 @@
+#include "clientsession.h"
+
+#include "exchange.h"
+
+#include <observability/logging.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Hyssop::Internal {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t FirstReadSize = 4 * 1024;
+constexpr std::uint64_t SmallBody = 16 * 1024; // bodies up to this size are read before a target is chosen
+constexpr std::size_t BodyStep = 16 * 1024;
+constexpr std::uint64_t LargestDiscardedBody = 64 * 1024;
+constexpr std::size_t LargestIdleBuffer = 8 * 1024;
+constexpr std::chrono::milliseconds LingerTime{1000};
+
+ClientSession::ClientSession(GatewayStatePtr state, asio::ip::tcp::socket socket)
+    : m_state(std::move(state))
+    , m_socket(std::move(socket))
+    , m_readWatchdog(m_state->executor, [this] { cancelTransfers(); })
+    , m_writeWatchdog(m_state->executor, [this] { cancelTransfers(); })
+{
+    boost::system::error_code error;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), error);
+    m_socket.non_blocking(true, error);
+    const auto endpoint = m_socket.remote_endpoint(error);
+    m_callerAddress = error ? "unknown" : endpoint.address().to_string();
+    m_state->sessions.insert(this);
+}
+
+ClientSession::~ClientSession()
+{
+    m_state->sessions.erase(this);
+}
+
+asio::awaitable<void> ClientSession::run()
+{
+    const auto self = shared_from_this();
+    while (!m_closing && !m_state->stopped) {
+        const bool hasRequest = co_await readHeader();
+        if (!hasRequest) {
+            break;
+        }
+        ++m_state->requestsInFlight;
+        co_await serveRequest();
+        --m_state->requestsInFlight;
+        m_parser.reset();
+        m_body.clear();
+        m_body.shrink_to_fit();
+        if (m_buffer.size() == 0 && m_buffer.capacity() > LargestIdleBuffer) {
+            m_buffer = boost::beast::flat_buffer();
+        }
+    }
+    co_await lingerAndClose();
+}
+
+void ClientSession::cancelTransfers()
+{
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+}
+
+void ClientSession::closeIfIdle()
+{
+    boost::system::error_code ignored;
+    if (m_idle && m_socket.available(ignored) == 0) {
+        m_closing = true;
+        m_socket.cancel(ignored);
+    }
+}
+
+void ClientSession::close()
+{
+    boost::system::error_code ignored;
+    m_closing = true;
+    m_socket.close(ignored);
+}
+
+asio::awaitable<bool> ClientSession::readHeader()
+{
+    const TimePoint waitStart = std::chrono::steady_clock::now();
+    m_idle = m_buffer.size() == 0;
+    if (m_idle) {
+        m_readWatchdog.arm(waitStart + m_state->options.idleTimeout);
+        const auto [error, size] = co_await m_socket.async_read_some(m_buffer.prepare(FirstReadSize), AsTuple);
+        m_idle = false;
+        if (error) {
+            m_closing = true;
+            co_return false;
+        }
+        m_buffer.commit(size);
+    }
+    m_startedAt = std::chrono::steady_clock::now();
+    m_readWatchdog.arm(m_startedAt + m_state->options.headerTimeout);
+    m_parser.emplace();
+    m_parser->header_limit(m_state->options.maximumHeaderBytes);
+    m_parser->body_limit(m_state->options.maximumBodyBytes);
+    m_requestId = m_state->nextRequestId();
+    m_customerLabel = "unknown";
+    m_serviceLabel = "unknown";
+    m_isHead = false;
+    m_expectsContinue = false;
+    m_requestKeepsAlive = false;
+    m_version = 11;
+    m_bodyComplete = false;
+    const auto [error, size] = co_await http::async_read_header(m_socket, m_buffer, *m_parser, AsTuple);
+    m_readWatchdog.disarm();
+    if (!error) {
+        co_return true;
+    }
+    if (m_readWatchdog.expired()) {
+        m_state->metrics.add("hyssop_gateway_bad_requests_total", {{"reason", "header-timeout"}});
+        co_await answer(http::status::request_timeout, RequestOutcome::NotRun, "the request header did not arrive in time");
+    } else if (const auto fault = faultOf(error)) {
+        m_state->metrics.add("hyssop_gateway_bad_requests_total", {{"reason", fault->counter}});
+        co_await answer(fault->status, RequestOutcome::NotRun, fault->message);
+    }
+    m_closing = true;
+    co_return false;
+}
+
+asio::awaitable<void> ClientSession::serveRequest()
+{
+    const auto &header = m_parser->get();
+    m_version = header.version();
+    m_requestKeepsAlive = m_parser->keep_alive();
+    m_bodyComplete = m_parser->is_done();
+    m_isHead = header.method() == http::verb::head;
+    m_expectsContinue = boost::beast::iequals(header[http::field::expect], "100-continue");
+    if (const auto fault = checkRequest(header)) {
+        m_state->metrics.add("hyssop_gateway_bad_requests_total", {{"reason", fault->counter}});
+        m_closing = true;
+        co_await answer(fault->status, RequestOutcome::NotRun, fault->message);
+        co_return;
+    }
+    const auto route = parseRoute(std::string_view(header.target().data(), header.target().size()));
+    if (!route) {
+        co_await answer(http::status::not_found, RequestOutcome::NotRun, "the path must begin with /<customer>/<service>");
+        co_return;
+    }
+    co_await serveRoute(*route);
+}
+
+asio::awaitable<void> ClientSession::serveRoute(Route route)
+{
+    const ServiceStatePtr service = m_state->service(route.customer, route.service);
+    if (!service) {
+        const bool isKnown = m_state->contractsKnown;
+        const auto status = isKnown ? http::status::not_found : http::status::service_unavailable;
+        co_await answer(status, RequestOutcome::NotRun, isKnown ? "no such customer or service" : "the contracts are not known yet");
+        co_return;
+    }
+    m_customerLabel = route.customer;
+    m_serviceLabel = route.service;
+    const double admitted = service->ramp.admittedShare(m_startedAt);
+    const char *limited = nullptr;
+    if (!service->rate.tryTake(m_startedAt, admitted)) {
+        limited = "rate";
+    } else if (!service->concurrency.tryAcquire(admitted)) {
+        limited = "concurrency";
+    }
+    if (limited != nullptr) {
+        m_state->metrics.add("hyssop_gateway_limited_total", {{"customer", m_customerLabel}, {"service", m_serviceLabel}, {"limit", limited}});
+        co_await answer(http::status::too_many_requests, RequestOutcome::NotRun, std::string("the service's ") + limited + " limit is reached");
+        co_return;
+    }
+    co_await forward(service, std::move(route));
+}
+
+asio::awaitable<void> ClientSession::forward(ServiceStatePtr service, Route route)
+{
+    Exchange exchange(shared_from_this(), std::move(service), std::move(route));
+    co_await exchange.run();
+}
+
+asio::awaitable<bool> ClientSession::continueBody()
+{
+    if (!m_expectsContinue || m_bodyComplete) {
+        co_return true;
+    }
+    m_expectsContinue = false;
+    static const std::string continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+    armStall(m_writeWatchdog);
+    const auto [error, size] = co_await asio::async_write(m_socket, asio::buffer(continueLine), AsTuple);
+    m_writeWatchdog.disarm();
+    co_return !error;
+}
+
+asio::awaitable<bool> ClientSession::readWholeBody(std::uint64_t limit)
+{
+    const auto length = m_parser->content_length();
+    if (length && *length > limit) {
+        co_await answer(http::status::payload_too_large, RequestOutcome::NotRun, "the request body is too large");
+        co_return false;
+    }
+    const bool continued = co_await continueBody();
+    if (!continued) {
+        m_closing = true;
+        co_return false;
+    }
+    std::size_t filled = 0;
+    while (!m_parser->is_done()) {
+        if (filled > limit) {
+            co_await answer(http::status::payload_too_large, RequestOutcome::NotRun, "the request body is too large");
+            co_return false;
+        }
+        m_body.resize(filled + (length ? static_cast<std::size_t>(*length) - filled : BodyStep));
+        auto &body = m_parser->get().body();
+        body.data = m_body.data() + filled;
+        body.size = m_body.size() - filled;
+        armStall(m_readWatchdog);
+        const auto [error, size] = co_await http::async_read_some(m_socket, m_buffer, *m_parser, AsTuple);
+        m_readWatchdog.disarm();
+        filled = m_body.size() - body.size;
+        if (error && error != http::error::need_buffer) {
+            co_await answerBodyFault(error, RequestOutcome::NotRun);
+            co_return false;
+        }
+    }
+    m_body.resize(filled);
+    m_bodyComplete = true;
+    co_return true;
+}
+
+asio::awaitable<void> ClientSession::answerBodyFault(boost::system::error_code error, RequestOutcome outcome)
+{
+    m_closing = true;
+    // The transfer is cancelled by the stall timeout or by the service's timeout.
+    if (error == asio::error::operation_aborted) {
+        m_state->metrics.add("hyssop_gateway_bad_requests_total", {{"reason", "body-timeout"}});
+        co_await answer(http::status::request_timeout, outcome, "the request body did not arrive in time");
+        co_return;
+    }
+    const auto fault = faultOf(error);
+    m_state->metrics.add("hyssop_gateway_bad_requests_total", {{"reason", fault ? fault->counter : "incomplete"}});
+    co_await answer(fault ? fault->status : http::status::bad_request, outcome, fault ? fault->message : "the request body is incomplete");
+}
+
+asio::awaitable<void> ClientSession::answer(http::status status, RequestOutcome outcome, std::string message)
+{
+    co_await discardBody();
+    http::response<http::string_body> response(status, m_version);
+    const auto name = outcomeName(outcome);
+    response.set(OutcomeHeader, boost::beast::string_view(name.data(), name.size()));
+    response.set(http::field::content_type, "text/plain");
+    if (status == http::status::too_many_requests || status == http::status::service_unavailable) {
+        response.set(http::field::retry_after, "1");
+    }
+    response.body() = std::move(message) + "\n";
+    co_await writeAnswer(std::move(response));
+}
+
+asio::awaitable<void> ClientSession::answerReplay(Wire::RequestOutcome outcome)
+{
+    if (!outcome.known) {
+        co_await answer(http::status::bad_gateway, RequestOutcome::Unknown, "the first request with this key has no known outcome");
+        co_return;
+    }
+    if (outcome.truncated) {
+        const std::string status = std::to_string(outcome.status);
+        co_await answer(http::status::conflict,
+                        RequestOutcome::Known,
+                        "the first request with this key was answered with status " + status + "; its answer is no longer available");
+        co_return;
+    }
+    http::response<http::string_body> response(static_cast<http::status>(outcome.status), m_version);
+    response.set(OutcomeHeader, "known");
+    response.set(ReplayedHeader, "true");
+    if (!outcome.contentType.empty()) {
+        response.set(http::field::content_type, outcome.contentType);
+    }
+    response.body() = outcome.body;
+    co_await writeAnswer(std::move(response));
+}
+
+asio::awaitable<void> ClientSession::writeAnswer(http::response<http::string_body> response)
+{
+    countAnswer(response.result_int());
+    response.set(RequestIdHeader, m_requestId);
+    response.prepare_payload();
+    if (m_isHead) {
+        response.body().clear();
+    }
+    const bool keepAlive = keepsAlive();
+    response.keep_alive(keepAlive);
+    armStall(m_writeWatchdog);
+    const auto [error, size] = co_await http::async_write(m_socket, response, AsTuple);
+    m_writeWatchdog.disarm();
+    m_closing = m_closing || error || !keepAlive;
+}
+
+asio::awaitable<void> ClientSession::discardBody()
+{
+    // A caller that waits for "100 Continue" sends no body.
+    if (m_bodyComplete || m_closing || m_expectsContinue || !m_parser || !m_parser->is_header_done()) {
+        co_return;
+    }
+    const auto length = m_parser->content_length();
+    std::array<char, 4096> scratch{};
+    std::uint64_t discarded = 0;
+    armStall(m_readWatchdog);
+    while (!m_parser->is_done()) {
+        if ((length && *length > LargestDiscardedBody) || discarded > LargestDiscardedBody) {
+            break;
+        }
+        auto &body = m_parser->get().body();
+        body.data = scratch.data();
+        body.size = scratch.size();
+        const auto [error, size] = co_await http::async_read_some(m_socket, m_buffer, *m_parser, AsTuple);
+        if (error && error != http::error::need_buffer) {
+            break;
+        }
+        discarded += scratch.size() - body.size;
+    }
+    m_readWatchdog.disarm();
+    m_bodyComplete = m_parser->is_done();
+}
+
+asio::awaitable<void> ClientSession::lingerAndClose()
+{
+    // Closing a socket with unread bytes resets the connection, and the caller may lose the answer.
+    boost::system::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    std::array<char, 4096> scratch{};
+    m_readWatchdog.arm(std::chrono::steady_clock::now() + LingerTime);
+    while (!ignored && !m_readWatchdog.expired()) {
+        const auto [error, size] = co_await m_socket.async_read_some(asio::buffer(scratch), AsTuple);
+        if (error) {
+            break;
+        }
+    }
+    m_socket.close(ignored);
+}
+
+bool ClientSession::keepsAlive() const
+{
+    return m_requestKeepsAlive && m_bodyComplete && !m_closing && !m_state->draining;
+}
+
+void ClientSession::armStall(Watchdog &watchdog)
+{
+    watchdog.arm(std::chrono::steady_clock::now() + m_state->options.stallTimeout);
+}
+
+void ClientSession::countAnswer(unsigned status)
+{
+    const MetricLabels service{{"customer", m_customerLabel}, {"service", m_serviceLabel}};
+    m_state->metrics.add("hyssop_gateway_requests_total", {service[0], service[1], {"status", std::to_string(status)}});
+    m_state->metrics.observe("hyssop_gateway_request_seconds", std::chrono::steady_clock::now() - m_startedAt, service);
+}
+
+} // namespace Hyssop::Internal
--- /dev/null
+++ b/src/libs/gateway/exchange.cpp
@@ -0,0 +1,564 @@
+#include "exchange.h"
+
+#include <observability/logging.h>
+#include <utils/endpoint.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace Hyssop::Internal {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t RelayBuffer = 16 * 1024; // bytes in memory for each direction of a streamed message
+constexpr std::uint64_t SmallBody = RelayBuffer; // bodies up to this size are passed on in one piece
+constexpr std::uint32_t LargestAnswerHeader = 16 * 1024;
+constexpr std::size_t LargestRecordedBody = 64 * 1024;
+constexpr std::chrono::seconds DefaultTimeout{30}; // for a contract without a timeout
+
+Exchange::Exchange(std::shared_ptr<ClientSession> session, ServiceStatePtr service, Route route)
+    : m_state(session->m_state)
+    , m_session(std::move(session))
+    , m_service(std::move(service))
+    , m_route(std::move(route))
+    , m_watchdog(m_state->executor, [this] {
+        // The connection is in doubt from here on; a late answer must not meet the next request.
+        boost::system::error_code ignored;
+        if (m_upstream) {
+            m_upstream->socket.close(ignored);
+        }
+        m_session->m_socket.cancel(ignored);
+    })
+{
+    const auto timeout = m_service->contract.timeout.count() > 0 ? m_service->contract.timeout : std::chrono::microseconds(DefaultTimeout);
+    m_deadline = m_session->m_startedAt + timeout;
+}
+
+Exchange::~Exchange()
+{
+    if (m_hasPlace) {
+        m_service->concurrency.release();
+    }
+}
+
+asio::awaitable<void> Exchange::run()
+{
+    auto &message = m_session->m_parser->get();
+    m_idempotent = isIdempotentMethod(std::string_view(message.method_string().data(), message.method_string().size()));
+    m_watchdog.arm(m_deadline);
+    const auto key = message.find(IdempotencyKeyHeader);
+    if (key != message.end() && !m_idempotent) {
+        m_idempotencyKey = std::string(key->value());
+        if (!isValidIdempotencyKey(m_idempotencyKey)) {
+            co_await m_session->answer(http::status::bad_request, RequestOutcome::NotRun, "Idempotency-Key must be 1 to 255 visible ASCII characters");
+            co_return;
+        }
+    }
+    const auto length = m_session->m_parser->content_length();
+    m_wholeBody = m_session->m_bodyComplete || !m_idempotencyKey.empty() || (length && *length <= SmallBody);
+    if (m_wholeBody && !m_session->m_bodyComplete) {
+        const std::uint64_t limit = m_idempotencyKey.empty() ? SmallBody : m_state->options.maximumKeyedBodyBytes;
+        const bool isRead = co_await m_session->readWholeBody(limit);
+        if (!isRead) {
+            co_return;
+        }
+        if (!length) {
+            message.chunked(false);
+            message.content_length(m_session->m_body.size());
+        }
+    }
+    if (!m_idempotencyKey.empty()) {
+        const bool isClaimed = co_await claimKey();
+        if (!isClaimed) {
+            co_return;
+        }
+    }
+    prepareRequest(message, m_route.rest, m_session->m_callerAddress, m_session->m_requestId);
+    co_await sendWithRetries();
+}
+
+asio::awaitable<bool> Exchange::claimKey()
+{
+    if (!m_state->journal) {
+        co_await m_session->answer(http::status::service_unavailable, RequestOutcome::NotRun, "keyed requests need the platform log");
+        co_return false;
+    }
+    const auto &message = m_session->m_parser->get();
+    std::string hashed(message.method_string());
+    hashed += ' ' + m_route.rest + '\n' + m_session->m_body;
+    Wire::RequestIntent intent;
+    intent.customer = m_route.customer;
+    intent.serviceName = m_route.service;
+    intent.key = m_idempotencyKey;
+    intent.requestId = m_session->m_requestId;
+    intent.bodyHash = static_cast<std::int64_t>(XXH3_64bits(hashed.data(), hashed.size()));
+    // The caller's socket must stay usable for the answer.
+    m_watchdog.disarm();
+    KeyClaim claim = co_await m_state->journal->claim(std::move(intent), m_deadline);
+    m_keyClaimed = std::holds_alternative<KeyGranted>(claim);
+    if (m_keyClaimed) {
+        m_watchdog.arm(m_deadline);
+        co_return true;
+    }
+    m_state->metrics.add("hyssop_gateway_key_claims_rejected_total", labels());
+    if (const auto *refused = std::get_if<KeyRefused>(&claim)) {
+        std::string reason = refused->reason;
+        co_await m_session->answer(http::status::service_unavailable, RequestOutcome::NotRun, std::move(reason));
+    } else if (std::holds_alternative<KeyMismatch>(claim)) {
+        co_await m_session->answer(http::status::unprocessable_entity, RequestOutcome::NotRun, "another request with this key has a different body");
+    } else if (std::holds_alternative<KeyTaken>(claim)) {
+        co_await m_session->answer(http::status::bad_gateway, RequestOutcome::Unknown, "a request with this key was accepted; its outcome is not known");
+    } else {
+        Wire::RequestOutcome outcome = std::get<Wire::RequestOutcome>(claim);
+        co_await m_session->answerReplay(std::move(outcome));
+    }
+    co_return false;
+}
+
+asio::awaitable<void> Exchange::sendWithRetries()
+{
+    End end = End::ConnectFailed;
+    for (int attemptNumber = 1;; ++attemptNumber) {
+        const TimePoint now = std::chrono::steady_clock::now();
+        const auto target = m_state->targets.choose(m_route.customer, m_route.service, m_failedTargets, now);
+        m_mayHaveRun = m_mayHaveRun || m_progress.bytesWritten > 0;
+        m_progress = AttemptProgress();
+        if (!target || now >= m_deadline) {
+            end = target ? End::TimedOut : End::ConnectFailed;
+            break;
+        }
+        const std::string address = target->address;
+        end = co_await attempt(address);
+        finishAttempt(address, end);
+        if (!prepareRetry(end, attemptNumber)) {
+            break;
+        }
+        asio::steady_timer delay(m_state->executor, fullJitterDelay(attemptNumber, m_state->random));
+        co_await delay.async_wait(AsTuple);
+    }
+    if (m_keyClaimed) {
+        recordOutcome(end == End::Delivered);
+    }
+    if (end == End::Aborted) {
+        m_state->metrics.add("hyssop_gateway_answers_cut_total", labels());
+        m_session->m_closing = true;
+    } else if (end != End::Delivered) {
+        co_await answerFailure(end);
+    }
+}
+
+bool Exchange::prepareRetry(End end, int attempt)
+{
+    if (end == End::Delivered || end == End::Aborted || end == End::CallerFailed) {
+        return false;
+    }
+    const bool isReplayable = m_wholeBody || m_progress.bytesWritten == 0;
+    const bool isAllowed = mayRetry(outcomeOf(m_progress), m_idempotent, isReplayable);
+    if (!isAllowed || attempt >= m_service->contract.maximumAttempts || std::chrono::steady_clock::now() >= m_deadline) {
+        return false;
+    }
+    if (!m_service->retries.tryTake()) {
+        m_state->metrics.add("hyssop_gateway_retries_refused_total", labels());
+        return false;
+    }
+    m_state->metrics.add("hyssop_gateway_retries_total", labels());
+    return true;
+}
+
+RequestOutcome Exchange::outcome() const
+{
+    const RequestOutcome ofAttempt = outcomeOf(m_progress);
+    return ofAttempt == RequestOutcome::NotRun && m_mayHaveRun ? RequestOutcome::Unknown : ofAttempt;
+}
+
+void Exchange::finishAttempt(const std::string &address, End end)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    m_state->targets.noteFinished(address);
+    if (end == End::Delivered) {
+        m_state->targets.noteAnswer(address, !m_targetKeepsAlive);
+        m_service->retries.noteSuccess();
+        m_hasPlace = false;
+        if (m_targetOverloaded) {
+            m_service->concurrency.releaseAfterOverload(now);
+        } else {
+            m_service->concurrency.releaseAfterAnswer(std::chrono::duration_cast<std::chrono::microseconds>(*m_answeredAt - m_session->m_startedAt), now);
+        }
+        return;
+    }
+    // The caller's own failure says nothing about the target.
+    if (end == End::CallerFailed || (end == End::Aborted && !m_targetOverloaded)) {
+        return;
+    }
+    m_failedTargets.insert(address);
+    m_state->targets.noteFailure(address, now);
+    m_state->metrics.add("hyssop_gateway_target_failures_total", labels());
+    if (end == End::TimedOut && m_hasPlace) {
+        m_hasPlace = false;
+        m_service->concurrency.releaseAfterOverload(now);
+    }
+}
+
+asio::awaitable<Exchange::End> Exchange::attempt(std::string address)
+{
+    m_state->targets.noteStarted(address);
+    m_upload.reset();
+    m_parser.reset();
+    m_capturedBody.clear();
+    m_captureTruncated = false;
+    m_targetOverloaded = false;
+    m_upstream = m_state->pool.takeIdle(address, std::chrono::steady_clock::now());
+    if (!m_upstream) {
+        const bool isConnected = co_await connect(address);
+        if (!isConnected) {
+            m_upstream.reset();
+            co_return std::chrono::steady_clock::now() >= m_deadline ? End::TimedOut : End::ConnectFailed;
+        }
+    }
+    const bool isSent = co_await sendRequest();
+    End end = End::Lost;
+    if (isSent) {
+        end = co_await receiveAnswer();
+    } else {
+        end = endOfFailure();
+    }
+    co_await stopUpload();
+    if (m_upload && m_upload->callerError && end == End::Lost) {
+        end = End::CallerFailed;
+    }
+    const bool isReusable = end == End::Delivered && m_targetKeepsAlive && m_parser->is_done() && m_session->m_bodyComplete;
+    if (isReusable && m_upstream->socket.is_open()) {
+        m_state->pool.putBack(address, std::move(m_upstream), std::chrono::steady_clock::now());
+    }
+    m_upstream.reset();
+    co_return end;
+}
+
+asio::awaitable<bool> Exchange::connect(std::string address)
+{
+    auto endpoint = capture([&] { return parseEndpoint(address); });
+    if (valueOf(endpoint) == nullptr) {
+        co_return false;
+    }
+    m_upstream = std::make_shared<UpstreamConnection>(m_state->executor);
+    m_watchdog.arm(std::min(m_deadline, std::chrono::steady_clock::now() + m_state->options.connectTimeout));
+    const auto [error] = co_await m_upstream->socket.async_connect(*valueOf(endpoint), AsTuple);
+    const bool isExpired = m_watchdog.expired();
+    m_watchdog.arm(m_deadline);
+    if (error || isExpired) {
+        co_return false;
+    }
+    boost::system::error_code ignored;
+    m_upstream->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    // The pool's check of idle connections must not block.
+    m_upstream->socket.non_blocking(true, ignored);
+    co_return true;
+}
+
+asio::awaitable<bool> Exchange::sendRequest()
+{
+    auto &message = m_session->m_parser->get();
+    m_serializer.emplace(message);
+    auto &body = message.body();
+    if (m_wholeBody) {
+        body.data = m_session->m_body.empty() ? nullptr : m_session->m_body.data();
+        body.size = m_session->m_body.size();
+        body.more = false;
+        const auto [error, size] = co_await http::async_write(m_upstream->socket, *m_serializer, AsTuple);
+        m_progress.bytesWritten += size;
+        co_return !error;
+    }
+    body.data = nullptr;
+    body.size = 0;
+    body.more = true;
+    m_serializer->split(true);
+    const auto [error, size] = co_await http::async_write_header(m_upstream->socket, *m_serializer, AsTuple);
+    m_progress.bytesWritten += size;
+    if (error) {
+        co_return false;
+    }
+    m_serializer->split(false);
+    m_upload = std::make_shared<Upload>(m_state->executor);
+    const bool continued = co_await m_session->continueBody();
+    if (!continued) {
+        m_upload->callerError = asio::error::eof;
+        co_return false;
+    }
+    m_upload->running = true;
+    asio::co_spawn(m_state->executor, sendBody(m_session, m_upload, m_upstream), asio::detached);
+    co_return true;
+}
+
+asio::awaitable<void> Exchange::sendBody(std::shared_ptr<ClientSession> session, std::shared_ptr<Upload> upload, UpstreamConnectionPtr upstream)
+{
+    std::vector<char> buffer(RelayBuffer);
+    auto &parser = *session->m_parser;
+    auto &body = parser.get().body();
+    bool isFinished = false;
+    while (!isFinished) {
+        std::size_t filled = 0;
+        if (!parser.is_done()) {
+            body.data = buffer.data();
+            body.size = buffer.size();
+            session->armStall(session->m_readWatchdog);
+            const auto [error, size] = co_await http::async_read_some(session->m_socket, session->m_buffer, parser, AsTuple);
+            session->m_readWatchdog.disarm();
+            filled = buffer.size() - body.size;
+            if (error && error != http::error::need_buffer) {
+                upload->callerError = error;
+                break;
+            }
+        }
+        isFinished = parser.is_done();
+        if (filled == 0 && !isFinished) {
+            continue;
+        }
+        body.data = filled == 0 ? nullptr : buffer.data();
+        body.size = filled;
+        body.more = !isFinished;
+        const auto [error, size] = co_await http::async_write(upstream->socket, *m_serializer, AsTuple);
+        if (error && error != http::error::need_buffer) {
+            break;
+        }
+    }
+    session->m_bodyComplete = isFinished;
+    if (upload->callerError) {
+        // Without the rest of the body no answer will come.
+        boost::system::error_code ignored;
+        upstream->socket.close(ignored);
+    }
+    upload->running = false;
+    upload->changed.cancel();
+}
+
+asio::awaitable<void> Exchange::stopUpload()
+{
+    if (!m_upload || !m_upload->running) {
+        co_return;
+    }
+    // The target answered before it had the whole request.
+    boost::system::error_code ignored;
+    m_upstream->socket.close(ignored);
+    m_session->m_socket.cancel(ignored);
+    m_session->m_closing = true;
+    while (m_upload->running) {
+        m_upload->changed.expires_after(std::chrono::seconds(1));
+        co_await m_upload->changed.async_wait(AsTuple);
+    }
+    m_upload->callerError.clear();
+}
+
+Exchange::End Exchange::endOfFailure() const
+{
+    if (m_watchdog.expired()) {
+        return End::TimedOut;
+    }
+    return m_upload && m_upload->callerError ? End::CallerFailed : End::Lost;
+}
+
+asio::awaitable<Exchange::End> Exchange::receiveAnswer()
+{
+    unsigned status = 0;
+    do {
+        m_parser.emplace();
+        m_parser->header_limit(LargestAnswerHeader);
+        m_parser->body_limit(boost::none);
+        m_parser->skip(m_session->m_isHead);
+        const auto [error, size] = co_await http::async_read_header(m_upstream->socket, m_upstream->buffer, *m_parser, AsTuple);
+        if (error) {
+            const bool isMalformed = faultOf(error).has_value();
+            co_return isMalformed ? End::BadAnswer : endOfFailure();
+        }
+        status = m_parser->get().result_int();
+    } while (status >= 100 && status < 200 && status != 101);
+    if (status == 101) {
+        co_return End::BadAnswer;
+    }
+    m_answeredAt = std::chrono::steady_clock::now();
+    m_status = status;
+    m_contentType = std::string(m_parser->get()[http::field::content_type]);
+    m_targetKeepsAlive = m_parser->keep_alive();
+    m_targetOverloaded = status == 503;
+    const auto length = m_parser->content_length();
+    const bool isSmall = m_parser->is_done() || (length && *length <= SmallBody);
+    if (isSmall) {
+        co_return co_await passOnSmallAnswer();
+    }
+    co_return co_await passOnAnswer();
+}
+
+void Exchange::prepareAnswer(bool &keepAlive)
+{
+    auto &message = m_parser->get();
+    const bool needsEnd = m_parser->need_eof() || message.chunked();
+    removeHopByHopFields(message);
+    message.version(m_session->m_version);
+    keepAlive = m_session->keepsAlive();
+    if (needsEnd && !m_parser->is_done()) {
+        // A caller with HTTP/1.0 knows the end of the answer only by the end of the connection.
+        const bool canChunk = m_session->m_version >= 11;
+        message.chunked(canChunk);
+        keepAlive = keepAlive && canChunk;
+    }
+    message.keep_alive(keepAlive);
+    message.set(OutcomeHeader, "known");
+    message.set(RequestIdHeader, m_session->m_requestId);
+    m_progress.answered = true;
+}
+
+asio::awaitable<Exchange::End> Exchange::passOnSmallAnswer()
+{
+    // Nothing is passed on before the answer is complete: if it breaks off, the caller gets a clear status.
+    std::string content(m_parser->is_done() ? 0 : static_cast<std::size_t>(*m_parser->content_length()), '\0');
+    auto &body = m_parser->get().body();
+    const bool hasBody = !m_parser->is_done();
+    body.data = content.data();
+    body.size = content.size();
+    if (hasBody) {
+        const auto [error, size] = co_await http::async_read(m_upstream->socket, m_upstream->buffer, *m_parser, AsTuple);
+        if (error) {
+            co_return endOfFailure();
+        }
+        captureBody(content.data(), content.size());
+    }
+    bool keepAlive = false;
+    prepareAnswer(keepAlive);
+    body.data = hasBody ? content.data() : nullptr;
+    body.size = content.size();
+    body.more = false;
+    http::response_serializer<http::buffer_body> serializer(m_parser->get());
+    m_session->countAnswer(m_status);
+    m_watchdog.disarm();
+    m_session->armStall(m_session->m_writeWatchdog);
+    boost::system::error_code writeError;
+    if (hasBody) {
+        const auto [error, size] = co_await http::async_write(m_session->m_socket, serializer, AsTuple);
+        writeError = error;
+    } else {
+        serializer.split(true);
+        const auto [error, size] = co_await http::async_write_header(m_session->m_socket, serializer, AsTuple);
+        writeError = error;
+    }
+    m_session->m_writeWatchdog.disarm();
+    m_session->m_closing = m_session->m_closing || writeError || !keepAlive;
+    co_return End::Delivered;
+}
+
+asio::awaitable<Exchange::End> Exchange::passOnAnswer()
+{
+    bool keepAlive = false;
+    prepareAnswer(keepAlive);
+    auto &body = m_parser->get().body();
+    body.data = nullptr;
+    body.size = 0;
+    body.more = true;
+    m_session->countAnswer(m_status);
+    m_upstream->buffer.reserve(RelayBuffer);
+    std::vector<char> buffer(RelayBuffer);
+    http::response_serializer<http::buffer_body> serializer(m_parser->get());
+    bool isFinished = false;
+    while (!isFinished) {
+        body.data = buffer.data();
+        body.size = buffer.size();
+        std::size_t filled = 0;
+        if (!m_parser->is_done()) {
+            const auto [error, size] = co_await http::async_read_some(m_upstream->socket, m_upstream->buffer, *m_parser, AsTuple);
+            filled = buffer.size() - body.size;
+            if (error && error != http::error::need_buffer) {
+                m_targetOverloaded = true;
+                co_return End::Aborted;
+            }
+        }
+        isFinished = m_parser->is_done();
+        if (filled == 0 && !isFinished) {
+            continue;
+        }
+        captureBody(buffer.data(), filled);
+        body.data = filled == 0 ? nullptr : buffer.data();
+        body.size = filled;
+        body.more = !isFinished;
+        m_session->armStall(m_session->m_writeWatchdog);
+        const auto [error, size] = co_await http::async_write(m_session->m_socket, serializer, AsTuple);
+        m_session->m_writeWatchdog.disarm();
+        if (error && error != http::error::need_buffer) {
+            co_return End::Aborted;
+        }
+    }
+    m_session->m_closing = m_session->m_closing || !keepAlive;
+    co_return End::Delivered;
+}
+
+void Exchange::captureBody(const char *data, std::size_t size)
+{
+    if (!m_keyClaimed || m_captureTruncated) {
+        return;
+    }
+    if (m_capturedBody.size() + size > LargestRecordedBody) {
+        m_captureTruncated = true;
+        m_capturedBody.clear();
+        return;
+    }
+    m_capturedBody.append(data, size);
+}
+
+void Exchange::recordOutcome(bool known)
+{
+    Wire::RequestOutcome outcome;
+    outcome.customer = m_route.customer;
+    outcome.serviceName = m_route.service;
+    outcome.key = m_idempotencyKey;
+    outcome.requestId = m_session->m_requestId;
+    outcome.known = known;
+    outcome.notRun = !known && this->outcome() == RequestOutcome::NotRun;
+    if (known) {
+        outcome.status = static_cast<std::int32_t>(m_status);
+        outcome.contentType = m_contentType;
+        outcome.body = std::move(m_capturedBody);
+        outcome.truncated = m_captureTruncated;
+    }
+    m_state->journal->record(std::move(outcome));
+}
+
+asio::awaitable<void> Exchange::answerFailure(End end)
+{
+    const RequestOutcome result = outcome();
+    m_watchdog.disarm();
+    if (end == End::CallerFailed) {
+        co_await m_session->answerBodyFault(m_upload->callerError, result);
+        co_return;
+    }
+    if (m_upload) {
+        // A part of the body has been read; the rest can't be told from the next request.
+        m_session->m_closing = true;
+    }
+    logMessage(LogLevel::Warning,
+               "gateway",
+               "request failed",
+               {{"request_id", m_session->m_requestId}, {"customer", m_route.customer}, {"service", m_route.service}, {"outcome", outcomeName(result)}});
+    if (result == RequestOutcome::NotRun) {
+        co_await m_session->answer(http::status::service_unavailable, result, "no target could be reached");
+    } else if (end == End::TimedOut) {
+        co_await m_session->answer(http::status::gateway_timeout, result, "the target did not answer in time");
+    } else {
+        co_await m_session->answer(http::status::bad_gateway, result, "the connection to the target was lost before its answer was complete");
+    }
+}
+
+MetricLabels Exchange::labels() const
+{
+    return {{"customer", m_route.customer}, {"service", m_route.service}};
+}
+
+} // namespace Hyssop::Internal
--- /dev/null
+++ b/src/libs/gateway/requestjournal.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "hyssop_types.h"
+
+#include <routing/idempotencytable.h>
+#include <utils/clock.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace Hyssop {
+
+class MetricsRegistry;
+class RequestLog;
+
+/// The request holds its key and may be sent to a target.
+struct KeyGranted
+{
+};
+
+/// The request was not sent and the key is not taken by it.
+struct KeyRefused
+{
+    std::string reason;
+};
+
+/// Another request holds the key; no outcome is recorded for it.
+struct KeyTaken
+{
+};
+
+/// Another request with another body holds the key.
+struct KeyMismatch
+{
+};
+
+using KeyClaim = std::variant<KeyGranted, KeyRefused, KeyTaken, KeyMismatch, Wire::RequestOutcome>;
+
+namespace Internal {
+struct JournalState;
+}
+
+/// Claims idempotency keys in the request stream and records what became of the requests.
+class RequestJournal
+{
+public:
+    using WindowSource = std::function<std::chrono::microseconds(const std::string &customer, const std::string &service)>;
+
+    /// @p log must outlive the journal. @p windows returns the window of a service's contract.
+    RequestJournal(boost::asio::any_io_executor executor, RequestLog &log, MetricsRegistry &metrics, WindowSource windows);
+    ~RequestJournal();
+
+    /// Appends @p intent, reads it back and returns who holds the key. Returns KeyRefused at @p deadline at the latest.
+    boost::asio::awaitable<KeyClaim> claim(Wire::RequestIntent intent, TimePoint deadline);
+
+    /// Appends @p outcome in the background.
+    void record(Wire::RequestOutcome outcome);
+
+    const IdempotencyTable &table() const;
+
+private:
+    std::shared_ptr<Internal::JournalState> m_state;
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/tests/libs/gateway/faketarget.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <http/httpserver.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Hyssop::Testing {
+
+/// Target that does what the request's path says: /echo, /delay/MS, /huge/BYTES, /chunked/BYTES, /truncate/BYTES (sends
+/// less than announced), /truncate-chunked, /close (no answer), /reset, /blackhole, /close-after (answers and closes
+/// without saying so), /close-announced, /garbage, /early (answers before the body), /unsized (end of connection ends
+/// the body), /extra (an answer that nobody asked for). Counts the requests that it executes by their X-Id header.
+class FakeTarget
+{
+public:
+    explicit FakeTarget(boost::asio::any_io_executor executor);
+    ~FakeTarget();
+
+    void start();
+
+    /// Closes the listener and every connection.
+    void stop();
+
+    std::string address() const;
+
+    int executions(const std::string &id) const;
+    int totalExecutions() const;
+    int connections() const;
+    std::string lastHeader() const;
+
+    /// Status of the answers to GET /healthz; 0 closes the connection.
+    int healthStatus = 200;
+
+private:
+    struct State;
+    static boost::asio::awaitable<void> accept(std::shared_ptr<State> state, FakeTarget *target);
+    static boost::asio::awaitable<void> serve(std::shared_ptr<State> state, FakeTarget *target, std::shared_ptr<boost::asio::ip::tcp::socket> socket);
+    static boost::asio::awaitable<bool> answer(std::shared_ptr<State> state, std::shared_ptr<boost::asio::ip::tcp::socket> socket, HttpRequest request);
+
+    std::shared_ptr<State> m_state;
+};
+
+/// Body that depends on its size only, so that a missing or foreign part shows.
+std::string patternBody(std::size_t size);
+
+} // namespace Hyssop::Testing
