Add the job ledger, the worker lease table and SchedulerCore

Cause: the network side of the scheduler needs something to run against: ownership, job state, leases and starts without I/O.

Ruled out: counting the loss of a worker from its last answered renewal while later renewals ask for the full lease time. A renewal whose answer is lost may still reach the worker, which would then keep its tasks for longer than the owner expects. Each renewal now asks only for the time up to the loss time of the last answered one, which keeps the rule of design 7.1 as it is.

LogPosition moves to src/libs/jobs/logposition.h.

--- /dev/null
+++ b/src/libs/jobs/ownershippolicy.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <utils/clock.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <random>
+
+namespace Hyssop {
+
+struct OwnershipOptions
+{
+    std::chrono::milliseconds ownerSilence{2000};
+    std::chrono::milliseconds claimJitter{500};
+    std::uint64_t seed = 1;
+};
+
+/// Decides when a standby claims the job stream. Only liveness depends on it: any claim at any time is safe.
+class OwnershipPolicy
+{
+public:
+    explicit OwnershipPolicy(OwnershipOptions options);
+
+    /// A live owner was heard, or a claim was read.
+    void noteOwner(TimePoint heardAt);
+    /// A read that was sent at @p sentAt reached the head of the job stream.
+    void noteLogRead(TimePoint sentAt);
+    void noteClaimProposed(TimePoint now);
+
+    /// Returns true if the owner has been silent for long enough and the log is reachable.
+    bool shouldClaim(TimePoint now);
+
+private:
+    void drawJitter();
+
+    OwnershipOptions m_options;
+    std::mt19937_64 m_random;
+    std::chrono::milliseconds m_jitter{0};
+    std::optional<TimePoint> m_heardAt;
+    std::optional<TimePoint> m_logReadAt;
+    std::optional<TimePoint> m_claimProposedAt;
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/schedulercore/attempts.cpp
@@ -0,0 +1,427 @@
+#include "schedulercorestate.h"
+
+#include <utils/overloaded.h>
+
+#include <algorithm>
+
+namespace Hyssop::Internal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds RepeatInterval{1000}; // between two sendings of a stop or throttle command
+constexpr milliseconds StartRepeatInterval{500};
+// A permit that ends sooner would reach the worker too late.
+constexpr milliseconds ShortestPermit{300};
+// An attempt whose start can't be sent for this long ends, so that the job can run elsewhere.
+constexpr milliseconds StartLimit{5000};
+constexpr milliseconds RefusedDelay{3000}; // before the next placement on a worker that refused a start
+// Longest delay of a command that was sent to a worker before it restarted.
+constexpr milliseconds LateCommandLimit{5000};
+
+bool hasEnded(TaskState state)
+{
+    return state == TaskState::Stopped || state == TaskState::Finished || state == TaskState::Failed;
+}
+
+} // namespace
+
+void SchedulerCoreState::openAttempt(const std::string &jobId, const JobEntry &entry, StartState start, TimePoint now)
+{
+    OpenAttempt attempt;
+    attempt.worker = entry.worker;
+    attempt.number = entry.attempt;
+    attempt.service = entry.spec.kind == Wire::TaskKind::Service;
+    attempt.stopsWithoutLease = entry.spec.stopsWithoutLease;
+    attempt.start = start;
+    attempt.openedAt = now;
+    attempt.nextStartAt = now;
+    leases.add(entry.worker, now);
+    attemptsOn[entry.worker].insert(jobId);
+    attempts.insert_or_assign(jobId, std::move(attempt));
+}
+
+void SchedulerCoreState::leaseAnswered(const std::string &worker, const LeaseAnswer &answer, TimePoint sentAt, TimePoint now)
+{
+    if (!active()) {
+        return;
+    }
+    if (!answer.granted || answer.status.leaseEpoch != ledger.term()) {
+        // A higher epoch at a worker proves a later claim, which this owner has not read yet.
+        peerTerm = std::max(peerTerm, answer.holderEpoch);
+        leases.refused(worker, now);
+        offerWorker(worker, now);
+        return;
+    }
+    const WorkerStatus *previous = leases.status(worker);
+    const bool restarted = previous && answer.status.clock < previous->clock;
+    if (!leases.granted(worker, answer.status, sentAt, now)) {
+        return;
+    }
+    if (restarted) {
+        noteRestart(answer.status);
+    }
+    std::map<std::pair<std::string, int>, const TaskStatus *> reported;
+    for (const TaskStatus &task : answer.status.tasks) {
+        reported[{task.jobId, task.attempt}] = &task;
+    }
+    for (const std::string &jobId : attemptsOn[worker]) {
+        OpenAttempt &attempt = attempts.at(jobId);
+        const auto found = reported.find({jobId, attempt.number});
+        if (found != reported.end()) {
+            observe(jobId, attempt, *found->second, answer.status, now);
+        } else {
+            observeAbsence(jobId, attempt, answer.status, sentAt);
+        }
+    }
+    if (cleanUp(answer.status)) {
+        strayWorkers.insert(worker);
+    } else {
+        strayWorkers.erase(worker);
+    }
+    offerWorker(worker, now);
+}
+
+// A restarted worker counts its clock anew, so bounds in the old clock mean nothing to it.
+void SchedulerCoreState::noteRestart(const WorkerStatus &status)
+{
+    for (const std::string &jobId : attemptsOn[status.worker]) {
+        OpenAttempt &attempt = attempts.at(jobId);
+        if (attempt.notAfter) {
+            attempt.notAfter = status.clock + LateCommandLimit;
+        }
+    }
+}
+
+void SchedulerCoreState::observe(const std::string &jobId, OpenAttempt &attempt, const TaskStatus &task, const WorkerStatus &status, TimePoint now)
+{
+    attempt.seen = true;
+    attempt.task = task;
+    if (attempt.start != StartState::Confirmed) {
+        attempt.start = StartState::Confirmed;
+        attempt.confirmedAt = now;
+        // A former owner may have throttled the task.
+        attempt.confirmedLevel = task.state == TaskState::Throttled ? 0 : attempt.throttleLevel;
+    }
+    if (attempt.eviction) {
+        attempt.eviction->observe(task, now);
+    }
+    if (hasEnded(task.state)) {
+        const JobEntry &entry = *ledger.job(jobId);
+        if (task.state == TaskState::Finished) {
+            finish(jobId, attempt, Wire::AttemptOutcome::Finished, task.reason);
+        } else if (task.state == TaskState::Failed) {
+            finish(jobId, attempt, Wire::AttemptOutcome::Failed, task.reason.empty() ? "the task failed" : task.reason);
+        } else if (entry.cancelRequested) {
+            finish(jobId, attempt, Wire::AttemptOutcome::Cancelled, "cancelled");
+        } else {
+            finish(jobId, attempt, Wire::AttemptOutcome::Evicted, attempt.eviction ? "evicted" : "stopped by the worker");
+        }
+        return;
+    }
+    if (attempt.end && !proposals.has(jobId)) {
+        // The worker came back before its loss was recorded, with a task that runs on without a lease.
+        attempt.end.reset();
+    }
+    UsageSample sample;
+    sample.jobId = jobId;
+    sample.usage = task.usage;
+    sample.age = status.usageAge;
+    sample.progress = task.progress;
+    sample.hasCheckpoint = !task.checkpoint.empty();
+    sample.serviceLatencyP99Us = task.serviceLatencyP99Us;
+    engine->reportUsage(sample, now);
+}
+
+void SchedulerCoreState::observeAbsence(const std::string &jobId, OpenAttempt &attempt, const WorkerStatus &status, TimePoint sentAt)
+{
+    switch (attempt.start) {
+    case StartState::NotSent:
+        return;
+    case StartState::Adopted:
+        // The worker now rejects commands of former owners, and it keeps ended tasks until their end is durable.
+        finish(jobId, attempt, Wire::AttemptOutcome::NotStarted, "the worker does not have the task");
+        return;
+    case StartState::Sent:
+    case StartState::Undetermined:
+        if (attempt.notAfter && status.clock > *attempt.notAfter) {
+            finish(jobId, attempt, Wire::AttemptOutcome::NotStarted, "the start command did not arrive in time");
+        }
+        return;
+    case StartState::Confirmed:
+        if (attempt.seen || sentAt > attempt.confirmedAt) {
+            finish(jobId, attempt, Wire::AttemptOutcome::Lost, "the worker no longer has the task");
+        }
+        return;
+    }
+}
+
+// Stops and forgets tasks without an open attempt. Returns true if one of them still runs.
+bool SchedulerCoreState::cleanUp(const WorkerStatus &status)
+{
+    bool runs = false;
+    for (const TaskStatus &task : status.tasks) {
+        const JobEntry *entry = ledger.job(task.jobId);
+        const bool undecided = entry ? entry->provisional : ledger.awaitsSnapshot(task.jobId);
+        const bool open = entry && entry->state == JobState::Running && entry->attempt == task.attempt && entry->worker == status.worker;
+        if (undecided || open) {
+            continue;
+        }
+        if (hasEnded(task.state)) {
+            actions.emplace_back(ForgetTask{status.worker, ledger.term(), task.jobId, task.attempt});
+            continue;
+        }
+        runs = true;
+        actions.emplace_back(StopTask{status.worker, ledger.term(), task.jobId, task.attempt});
+    }
+    return runs;
+}
+
+OpenAttempt *SchedulerCoreState::findAttempt(const std::string &jobId, int number)
+{
+    const auto found = attempts.find(jobId);
+    return found != attempts.end() && found->second.number == number ? &found->second : nullptr;
+}
+
+void SchedulerCoreState::commandAnswered(const SchedulerAction &command, CommandOutcome outcome, TimePoint now)
+{
+    const auto onStart = [&](const StartTask &start) {
+        if (start.epoch == ledger.term()) {
+            startAnswered(start, outcome, now);
+        }
+    };
+    const auto onThrottle = [&](const SetThrottle &throttle) {
+        OpenAttempt *attempt = throttle.epoch == ledger.term() ? findAttempt(throttle.jobId, throttle.attempt) : nullptr;
+        if (!attempt || outcome != CommandOutcome::Done) {
+            return;
+        }
+        attempt->confirmedLevel = throttle.level;
+        if (attempt->eviction) {
+            attempt->eviction->throttleConfirmed(now);
+        }
+    };
+    // The other commands are repeated until the worker's status shows their effect.
+    std::visit(Overloaded{onStart, onThrottle, [](const auto &) {}}, command);
+}
+
+void SchedulerCoreState::startAnswered(const StartTask &command, CommandOutcome outcome, TimePoint now)
+{
+    OpenAttempt *attempt = findAttempt(command.spec.jobId, command.attempt);
+    if (!attempt || attempt->start == StartState::Confirmed) {
+        return;
+    }
+    attempt->nextStartAt = now + StartRepeatInterval;
+    switch (outcome) {
+    case CommandOutcome::Done:
+        attempt->start = StartState::Confirmed;
+        attempt->confirmedAt = now;
+        return;
+    case CommandOutcome::Expired:
+    case CommandOutcome::NoCapacity:
+        refusedUntil[attempt->worker] = now + RefusedDelay;
+        if (attempt->mayHaveArrived) {
+            // This command did not run, but an earlier one may still be under way.
+            attempt->start = StartState::Undetermined;
+            return;
+        }
+        finish(command.spec.jobId, *attempt, Wire::AttemptOutcome::NotStarted, "the worker refused the start");
+        return;
+    case CommandOutcome::Unreachable:
+        attempt->start = attempt->mayHaveArrived ? StartState::Undetermined : StartState::NotSent;
+        return;
+    case CommandOutcome::StaleEpoch:
+        leases.refused(attempt->worker, now);
+        attempt->start = StartState::Undetermined;
+        return;
+    case CommandOutcome::UnknownTask:
+    case CommandOutcome::Undetermined:
+        attempt->mayHaveArrived = true;
+        attempt->start = StartState::Undetermined;
+        return;
+    }
+}
+
+void SchedulerCoreState::finish(const std::string &jobId, OpenAttempt &attempt, Wire::AttemptOutcome::type outcome, const std::string &reason)
+{
+    // A proposed end stays as it is; one that still waits for the log is replaced by what the worker reports.
+    if (attempt.end && (proposals.has(jobId) || attempt.end->outcome != Wire::AttemptOutcome::Lost)) {
+        return;
+    }
+    Wire::AttemptEnded end;
+    end.term = ledger.term();
+    end.jobId = jobId;
+    end.attempt = attempt.number;
+    end.outcome = outcome;
+    end.checkpoint = attempt.seen ? attempt.task.checkpoint : std::string();
+    end.reason = reason;
+    attempt.end = std::move(end);
+}
+
+void SchedulerCoreState::attemptEnded(const Wire::AttemptEnded &end, TimePoint now)
+{
+    const auto found = attempts.find(end.jobId);
+    if (found == attempts.end()) {
+        return;
+    }
+    OpenAttempt &attempt = found->second;
+    if (attempt.eviction) {
+        attempt.eviction->endRecorded(now);
+    }
+    if (end.outcome == Wire::AttemptOutcome::Finished) {
+        engine->reportSuccess(end.jobId, attempt.worker, now);
+    } else if (end.outcome == Wire::AttemptOutcome::Failed) {
+        engine->reportFailure(end.jobId, attempt.worker, now);
+    }
+    if (attempt.seen && hasEnded(attempt.task.state) && leases.held(attempt.worker, now)) {
+        actions.emplace_back(ForgetTask{attempt.worker, ledger.term(), end.jobId, end.attempt});
+    }
+    attemptsOn[attempt.worker].erase(end.jobId);
+    attempts.erase(found);
+}
+
+void SchedulerCoreState::sendRenewals(TimePoint now)
+{
+    for (const LeaseRenewal &renewal : leases.dueRenewals(now)) {
+        actions.emplace_back(RenewLease{renewal.worker, ledger.term(), renewal.duration});
+    }
+}
+
+void SchedulerCoreState::declareLost(TimePoint now)
+{
+    for (const std::string &worker : leases.takeLost(now)) {
+        for (const std::string &jobId : attemptsOn[worker]) {
+            OpenAttempt &attempt = attempts.at(jobId);
+            const bool neverSent = attempt.start == StartState::NotSent;
+            finish(jobId, attempt, neverSent ? Wire::AttemptOutcome::NotStarted : Wire::AttemptOutcome::Lost, "the worker's lease lapsed");
+        }
+    }
+}
+
+bool SchedulerCoreState::mustLeave(const OpenAttempt &attempt, TimePoint now) const
+{
+    if (attempt.service) {
+        return false;
+    }
+    const WorkerStatus *status = leases.status(attempt.worker);
+    return !domainIn || draining(now) || (status && status->leaving);
+}
+
+void SchedulerCoreState::driveAttempts(TimePoint now)
+{
+    for (auto &[jobId, attempt] : attempts) {
+        const JobEntry &entry = *ledger.job(jobId);
+        if (attempt.end) {
+            proposeEnd(jobId, attempt, now);
+            continue;
+        }
+        if (attempt.start != StartState::Confirmed) {
+            driveStart(jobId, attempt, entry, now);
+        }
+        if (!leases.held(attempt.worker, now) || attempt.start != StartState::Confirmed) {
+            continue;
+        }
+        if (entry.cancelRequested) {
+            driveStop(jobId, attempt, now);
+            continue;
+        }
+        if (!attempt.eviction && mustLeave(attempt, now)) {
+            attempt.eviction.emplace(EvictionOptions(), entry.spec.acceptsCheckpoint, now);
+        }
+        if (attempt.eviction) {
+            driveEviction(jobId, attempt, now);
+        } else {
+            driveThrottle(jobId, attempt, now);
+        }
+    }
+}
+
+void SchedulerCoreState::driveStart(const std::string &jobId, OpenAttempt &attempt, const JobEntry &entry, TimePoint now)
+{
+    const bool sendable = attempt.start == StartState::NotSent || attempt.start == StartState::Undetermined;
+    if (!sendable) {
+        return;
+    }
+    if (attempt.start == StartState::NotSent) {
+        if (entry.cancelRequested) {
+            finish(jobId, attempt, Wire::AttemptOutcome::Cancelled, "cancelled");
+            return;
+        }
+        if (!domainIn || draining(now) || leases.lost(attempt.worker) || now - attempt.openedAt > StartLimit) {
+            finish(jobId, attempt, Wire::AttemptOutcome::NotStarted, "the start was not possible in time");
+            return;
+        }
+    }
+    if (now < attempt.nextStartAt || !leases.held(attempt.worker, now) || !permitValid(now)) {
+        return;
+    }
+    if (entry.cancelRequested || !domainIn) {
+        return;
+    }
+    const TimePoint permitEnd = *configProvenAt + options.permitDuration;
+    if (!attempt.mayHaveArrived) {
+        const auto bound = leases.clockNoLaterThan(attempt.worker, permitEnd);
+        if (!bound || permitEnd - now < ShortestPermit) {
+            return;
+        }
+        attempt.notAfter = bound;
+    }
+    attempt.start = StartState::Sent;
+    StartTask command;
+    command.worker = attempt.worker;
+    command.epoch = ledger.term();
+    command.spec = entry.spec;
+    command.attempt = attempt.number;
+    command.checkpoint = entry.checkpoint;
+    command.notAfter = *attempt.notAfter;
+    actions.emplace_back(std::move(command));
+}
+
+void SchedulerCoreState::driveStop(const std::string &jobId, OpenAttempt &attempt, TimePoint now)
+{
+    if (attempt.stopSentAt && now - *attempt.stopSentAt < RepeatInterval) {
+        return;
+    }
+    attempt.stopSentAt = now;
+    actions.emplace_back(StopTask{attempt.worker, ledger.term(), jobId, attempt.number});
+}
+
+void SchedulerCoreState::driveEviction(const std::string &jobId, OpenAttempt &attempt, TimePoint now)
+{
+    constexpr int EvictionLevel = 50; // percent; leaves the task enough to write its checkpoint
+    const std::optional<EvictionStep> command = attempt.eviction->dueCommand(now);
+    if (!command) {
+        return;
+    }
+    if (*command == EvictionStep::Throttle) {
+        actions.emplace_back(SetThrottle{attempt.worker, ledger.term(), jobId, attempt.number, EvictionLevel});
+    } else if (*command == EvictionStep::Checkpoint) {
+        actions.emplace_back(RequestCheckpoint{attempt.worker, ledger.term(), jobId, attempt.number});
+    } else {
+        actions.emplace_back(StopTask{attempt.worker, ledger.term(), jobId, attempt.number});
+    }
+}
+
+void SchedulerCoreState::driveThrottle(const std::string &jobId, OpenAttempt &attempt, TimePoint now)
+{
+    if (attempt.throttleLevel == attempt.confirmedLevel) {
+        return;
+    }
+    if (attempt.throttleSentAt && now - *attempt.throttleSentAt < RepeatInterval) {
+        return;
+    }
+    attempt.throttleSentAt = now;
+    actions.emplace_back(SetThrottle{attempt.worker, ledger.term(), jobId, attempt.number, attempt.throttleLevel});
+}
+
+void SchedulerCoreState::proposeEnd(const std::string &jobId, const OpenAttempt &attempt, TimePoint now)
+{
+    if (!logReachable(now) || !proposals.mayPropose(jobId, now)) {
+        return;
+    }
+    Wire::Record record;
+    record.__set_attemptEnded(*attempt.end);
+    propose(jobId, std::move(record), now);
+}
+
+} // namespace Hyssop::Internal
--- /dev/null
+++ b/src/libs/schedulercore/replicaplanner.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "hyssop_types.h"
+
+#include <contract/contract.h>
+#include <jobs/jobledger.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Hyssop::Internal {
+
+/// Changes that bring the service tasks of the ledger in line with the contracts.
+struct ReplicaChanges
+{
+    std::vector<Wire::JobSpec> submissions;
+    std::vector<std::string> cancellations; // job ids
+};
+
+/// Derives the service tasks of a failure domain from the contracts.
+class ReplicaPlanner
+{
+public:
+    void setContracts(const std::vector<Contract> &contracts);
+
+    /// False before the contracts are known; nothing is cancelled before that.
+    bool ready() const { return m_ready; }
+    /// Priority in the contract of the service that @p spec belongs to.
+    int priority(const Wire::JobSpec &spec) const;
+
+    ReplicaChanges plan(const JobLedger &ledger) const;
+
+private:
+    bool othersRun(const JobLedger &ledger, const Wire::JobSpec &replaced) const;
+
+    bool m_ready = false;
+    std::map<std::string, Wire::JobSpec> m_wanted; // by job id
+    std::map<std::pair<std::string, std::string>, int> m_priorities; // by customer and service
+};
+
+} // namespace Hyssop::Internal
--- a/src/libs/schedulercore/schedulercore.h
+++ b/src/libs/schedulercore/schedulercore.h
@@ -3,6 +3,7 @@
 #include "hyssop_types.h"
 
 #include <contract/contract.h>
+#include <jobs/logposition.h>
 #include <utils/clock.h>
 #include <workers/workerstatus.h>
 
@@ -17,15 +18,6 @@
 
 namespace Hyssop {
 
-/// Position of a record in a stream.
-struct LogPosition
-{
-    std::int64_t offset = -1;
-    int index = 0; // in the batch
-
-    auto operator<=>(const LogPosition &other) const = default;
-};
-
 /// Ask a worker for its lease, or renew it, and read its status.
 struct RenewLease
 {
@@ -130,6 +122,7 @@
     std::chrono::milliseconds renewInterval{1000};
     std::chrono::milliseconds permitDuration{3000};
     std::chrono::milliseconds logOutageGrace{15 * 60 * 1000};
+    std::chrono::milliseconds logRetention{24 * 60 * 60 * 1000}; // shortest time for which the log keeps records
     std::chrono::milliseconds ownerSilence{2000};
     std::chrono::milliseconds claimJitter{500};
     std::uint64_t seed = 1; // of the claim jitter
--- /dev/null
+++ b/src/libs/schedulercore/schedulercorestate.cpp
@@ -0,0 +1,236 @@
+#include "schedulercorestate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Hyssop::Internal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The stream is polled at least once a second. Nothing is proposed to a log that has not answered for longer.
+constexpr milliseconds LogReadLimit{3000};
+constexpr milliseconds RetryDelay{500}; // after a proposal that was not written
+// A record that was neither refused nor read back for this long may still appear. A new claim makes it void.
+constexpr milliseconds ProposalLimit{30000};
+constexpr milliseconds ReclaimDelay{10000}; // between two claims of the owner
+// Time to checkpoint batch before an owner without log contact stops renewing its leases.
+constexpr milliseconds DrainLead{60000};
+
+} // namespace
+
+SchedulerCoreState::SchedulerCoreState(SchedulerCoreOptions coreOptions)
+    : options(std::move(coreOptions))
+    , ledger(options.logRetention)
+    , policy({options.ownerSilence, options.claimJitter, options.seed})
+    , leases({options.leaseDuration, options.leaseMargin, options.renewInterval, options.logOutageGrace})
+    , engine(std::make_unique<PlacementEngine>())
+{
+}
+
+void SchedulerCoreState::apply(LogPosition position, WallTime time, const Wire::Record &record, TimePoint now)
+{
+    const LedgerVerdict verdict = ledger.apply(position, time, record);
+    lastAppliedAt = now;
+    if (record.__isset.ownershipClaim) {
+        applyClaim(now);
+        return;
+    }
+    if (!isOwner) {
+        return;
+    }
+    resolveProposal(record);
+    std::string jobId;
+    if (record.__isset.jobSubmitted) {
+        jobId = record.jobSubmitted.spec.jobId;
+    } else if (record.__isset.jobCancelled) {
+        jobId = record.jobCancelled.jobId;
+    } else if (record.__isset.attemptIntent) {
+        jobId = record.attemptIntent.jobId;
+        if (verdict == LedgerVerdict::Accepted) {
+            openAttempt(jobId, *ledger.job(jobId), StartState::NotSent, now);
+        }
+    } else if (record.__isset.attemptEnded) {
+        jobId = record.attemptEnded.jobId;
+        if (verdict == LedgerVerdict::Accepted) {
+            attemptEnded(record.attemptEnded, now);
+        }
+    } else if (record.__isset.jobEnded) {
+        jobId = record.jobEnded.jobId;
+    } else if (record.__isset.jobTransferred) {
+        jobId = record.jobTransferred.jobId;
+    } else if (record.__isset.jobSnapshot) {
+        jobId = record.jobSnapshot.spec.jobId;
+    }
+    if (!jobId.empty()) {
+        syncPlacement(jobId, now);
+    }
+}
+
+void SchedulerCoreState::resolveProposal(const Wire::Record &record)
+{
+    const std::int64_t term = ledger.term();
+    if (record.__isset.jobSubmitted) {
+        proposals.resolve("replica/" + record.jobSubmitted.spec.jobId);
+    } else if (record.__isset.jobCancelled) {
+        proposals.resolve("replica/" + record.jobCancelled.jobId);
+    } else if (record.__isset.attemptIntent && record.attemptIntent.term == term) {
+        proposals.resolve(record.attemptIntent.jobId);
+    } else if (record.__isset.attemptEnded && record.attemptEnded.term == term) {
+        proposals.resolve(record.attemptEnded.jobId);
+    } else if (record.__isset.jobEnded && record.jobEnded.term == term) {
+        proposals.resolve(record.jobEnded.jobId);
+    } else if (record.__isset.jobTransferred && record.jobTransferred.term == term) {
+        proposals.resolve(record.jobTransferred.jobId);
+    } else if (record.__isset.transferConfirmed && record.transferConfirmed.term == term) {
+        transfers.erase(record.transferConfirmed.transferId);
+        proposals.resolve("confirm/" + record.transferConfirmed.transferId);
+    } else if (record.__isset.jobSnapshot && record.jobSnapshot.term == term) {
+        proposals.resolve("snapshot/" + record.jobSnapshot.spec.jobId);
+    }
+}
+
+void SchedulerCoreState::applyClaim(TimePoint now)
+{
+    const Wire::OwnershipClaim &claim = ledger.claim();
+    policy.noteOwner(now);
+    claimAppliedAt = now;
+    if (claim.instance == options.instance && claim.incarnation == options.incarnation) {
+        becomeOwner(now);
+    } else {
+        resign();
+    }
+}
+
+void SchedulerCoreState::becomeOwner(TimePoint now)
+{
+    resign();
+    isOwner = true;
+    leases.begin(now);
+    for (const std::string &worker : listedWorkers) {
+        leases.add(worker, now);
+    }
+    rebuildPlacement(now);
+    for (const std::string &jobId : ledger.openJobs()) {
+        const JobEntry &entry = *ledger.job(jobId);
+        if (entry.state == JobState::Running && !entry.provisional) {
+            openAttempt(jobId, entry, StartState::Adopted, now);
+        }
+        syncPlacement(jobId, now);
+    }
+}
+
+void SchedulerCoreState::resign()
+{
+    isOwner = false;
+    proposals.clear();
+    attempts.clear();
+    attemptsOn.clear();
+    transfers.clear();
+    transferIds.clear();
+    strayWorkers.clear();
+    refusedUntil.clear();
+    actions.clear();
+}
+
+void SchedulerCoreState::proposalFailed(std::int64_t id, TimePoint now)
+{
+    const auto transfer = transferIds.find(id);
+    if (transfer != transferIds.end()) {
+        transfers[transfer->second].outstanding = 0;
+        transferIds.erase(transfer);
+        return;
+    }
+    const auto key = proposals.fail(id, now + RetryDelay);
+    if (key) {
+        syncPlacement(*key, now);
+    }
+}
+
+bool SchedulerCoreState::active() const
+{
+    return isOwner && !isolated && peerTerm <= ledger.term();
+}
+
+bool SchedulerCoreState::logReachable(TimePoint now) const
+{
+    return logReadAt && now - *logReadAt <= LogReadLimit;
+}
+
+bool SchedulerCoreState::draining(TimePoint now) const
+{
+    const milliseconds lead = std::min(DrainLead, options.logOutageGrace / 2);
+    return isOwner && (!logReadAt || now - *logReadAt >= options.logOutageGrace - lead);
+}
+
+void SchedulerCoreState::updateIsolation(TimePoint now)
+{
+    isolated = isOwner && (!logReadAt || now - *logReadAt >= options.logOutageGrace);
+}
+
+std::vector<SchedulerAction> SchedulerCoreState::tick(TimePoint now)
+{
+    lastTickAt = now;
+    updateIsolation(now);
+    if (active()) {
+        policy.noteOwner(now);
+        tickOwner(now);
+    } else {
+        actions.clear();
+    }
+    if (!isOwner && policy.shouldClaim(now)) {
+        policy.noteClaimProposed(now);
+        ProposeClaim claim;
+        claim.id = proposals.add("claim", now);
+        claim.claim.instance = options.instance;
+        claim.claim.incarnation = options.incarnation;
+        actions.emplace_back(std::move(claim));
+    }
+    return std::exchange(actions, {});
+}
+
+void SchedulerCoreState::tickOwner(TimePoint now)
+{
+    sendRenewals(now);
+    declareLost(now);
+    driveAttempts(now);
+    offerWorkers(now);
+    decide(now);
+    if (!logReachable(now)) {
+        return;
+    }
+    transferPending(now);
+    driveTransfers(now);
+    syncReplicas(now);
+    publishSnapshots(now);
+    reclaim(now);
+}
+
+void SchedulerCoreState::reclaim(TimePoint now)
+{
+    const std::optional<TimePoint> oldest = proposals.oldest();
+    const bool stuck = oldest && now - *oldest > ProposalLimit;
+    // A reader of a truncated log needs a claim to judge the terms of later records.
+    const bool old = claimAppliedAt && now - *claimAppliedAt > options.logRetention / 2;
+    const bool recent = reclaimedAt && now - *reclaimedAt < ReclaimDelay;
+    if ((!stuck && !old) || recent) {
+        return;
+    }
+    reclaimedAt = now;
+    ProposeClaim claim;
+    claim.id = proposals.add("claim", now);
+    claim.claim.instance = options.instance;
+    claim.claim.incarnation = options.incarnation;
+    actions.emplace_back(std::move(claim));
+}
+
+void SchedulerCoreState::propose(const std::string &key, Wire::Record record, TimePoint now)
+{
+    Propose proposal;
+    proposal.id = proposals.add(key, now);
+    proposal.record = std::move(record);
+    actions.emplace_back(std::move(proposal));
+}
+
+} // namespace Hyssop::Internal
--- a/src/libs/wire/hyssop.thrift
+++ b/src/libs/wire/hyssop.thrift
@@ -68,6 +68,7 @@
   3: string transferId,       // set when the job comes from another failure domain
   4: i64 submittedAtMs = 0,
   5: i32 attempts = 0,        // attempts already used in other failure domains
+  6: bool cancelRequested = false, // cancelled before the other failure domain confirmed the transfer
 }
 
 struct JobCancelled {
@@ -139,6 +140,8 @@
   11: string transferId,
   12: string toDomain,
   13: string reason,
+  14: list<string> acceptedTransfers, // transfers into this domain that the job has gone through
+  15: i64 changedAtMs = 0,    // log time of the last record about the job
 }
 
 /* ---- Records of the `requests.<failure domain>` streams ---- */
--- /dev/null
+++ b/src/libs/workers/evictionmachine.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "workerstatus.h"
+
+#include <utils/clock.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+
+namespace Hyssop {
+
+enum class EvictionStep {
+    Throttle, // slow the task down
+    Checkpoint, // ask for a checkpoint and wait until it is durable
+    Stop, // stop the task and wait until the worker reports that it no longer runs
+    Record, // wait until the end of the attempt is durable
+    Release, // done; the resources are free
+};
+
+struct EvictionOptions
+{
+    std::chrono::milliseconds throttleLimit{2000}; // an unconfirmed throttle does not hold up the eviction
+    std::chrono::milliseconds checkpointLimit{30000}; // after that the task stops with its previous checkpoint
+    std::chrono::milliseconds repeatInterval{1000}; // between two sendings of a command
+};
+
+namespace Internal {
+class EvictionFlow;
+}
+
+/// Takes one task through throttle, checkpoint, stop, record and release. Holds no durable state: a new owner finds the
+/// attempt open and either adopts the task or records its end.
+class EvictionMachine
+{
+public:
+    EvictionMachine(EvictionOptions options, bool acceptsCheckpoint, TimePoint now);
+    EvictionMachine(EvictionMachine &&other) noexcept;
+    EvictionMachine &operator=(EvictionMachine &&other) noexcept;
+    ~EvictionMachine();
+
+    EvictionStep step() const;
+
+    /// Takes over the worker's view of the task.
+    void observe(const TaskStatus &task, TimePoint now);
+    /// The end of the attempt was applied from the job stream.
+    void endRecorded(TimePoint now);
+    /// The worker confirmed the throttle command.
+    void throttleConfirmed(TimePoint now);
+
+    /// Returns the step whose command is to be sent now: Throttle, Checkpoint or Stop.
+    std::optional<EvictionStep> dueCommand(TimePoint now);
+
+private:
+    void enter(EvictionStep before, TimePoint now);
+
+    EvictionOptions m_options;
+    std::unique_ptr<Internal::EvictionFlow> m_flow;
+    TimePoint m_enteredAt;
+    std::optional<TimePoint> m_sentAt;
+    bool m_checkpointBegan = false; // the worker reported that it was writing the checkpoint
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/workers/workerleasetable.cpp
@@ -0,0 +1,208 @@
+#include "workerleasetable.h"
+
+#include <algorithm>
+
+namespace Hyssop {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The clocks of two machines differ by at most 1 % in rate.
+constexpr int RateErrorDivisor = 100;
+// The service reports a failed renewal earlier; this only covers an answer that was never reported.
+constexpr milliseconds AnswerLimit{5000};
+// A shorter lease would expire before its first renewal.
+constexpr milliseconds ShortestRenewal{1000};
+
+} // namespace
+
+WorkerLeaseTable::WorkerLeaseTable(WorkerLeaseOptions options)
+    : m_options(options)
+{
+}
+
+void WorkerLeaseTable::begin(TimePoint now)
+{
+    m_beganAt = now;
+    std::vector<std::string> names = workers();
+    m_leases.clear();
+    for (const std::string &worker : names) {
+        add(worker, now);
+    }
+}
+
+void WorkerLeaseTable::add(const std::string &worker, TimePoint now)
+{
+    if (m_leases.contains(worker)) {
+        return;
+    }
+    Lease lease;
+    // A former owner that lost only the log may still renew the leases of workers that this owner can't reach.
+    lease.lostAt = m_beganAt + withMargin(m_options.formerOwnerGrace + m_options.duration);
+    lease.nextRenewalAt = now;
+    m_leases.emplace(worker, std::move(lease));
+}
+
+void WorkerLeaseTable::remove(const std::string &worker)
+{
+    m_leases.erase(worker);
+}
+
+std::vector<LeaseRenewal> WorkerLeaseTable::dueRenewals(TimePoint now)
+{
+    std::vector<LeaseRenewal> due;
+    for (auto &[worker, lease] : m_leases) {
+        const bool waits = lease.outstandingSince && now - *lease.outstandingSince < AnswerLimit;
+        if (waits || now < lease.nextRenewalAt) {
+            continue;
+        }
+        const milliseconds duration = renewalDuration(lease, now);
+        if (duration < ShortestRenewal) {
+            continue;
+        }
+        lease.outstandingSince = now;
+        lease.outstandingDuration = duration;
+        lease.nextRenewalAt = now + m_options.renewInterval;
+        due.push_back({worker, duration});
+    }
+    return due;
+}
+
+// A renewal whose answer is lost may still have reached the worker. Its duration therefore ends where the loss time of
+// the last answered renewal allows, so that unanswered renewals never postpone the loss.
+milliseconds WorkerLeaseTable::renewalDuration(const Lease &lease, TimePoint now) const
+{
+    if (lease.lost) {
+        return m_options.duration;
+    }
+    const Duration rate = Duration(m_options.duration) / RateErrorDivisor;
+    const Duration left = lease.lostAt - m_options.margin - rate - now;
+    return std::min(m_options.duration, std::chrono::floor<milliseconds>(left));
+}
+
+bool WorkerLeaseTable::granted(const std::string &worker, const WorkerStatus &status, TimePoint sentAt, TimePoint now)
+{
+    const auto found = m_leases.find(worker);
+    if (found == m_leases.end()) {
+        return false;
+    }
+    Lease &lease = found->second;
+    if (lease.grantSentAt && sentAt < *lease.grantSentAt) {
+        return false;
+    }
+    const milliseconds duration = lease.outstandingSince == sentAt ? lease.outstandingDuration : m_options.duration;
+    const TimePoint regular = sentAt + withMargin(m_options.duration);
+    // An answer that took longer than the margin leaves open when the worker received the request.
+    const TimePoint afterSlowAnswer = now + duration + Duration(duration) / RateErrorDivisor;
+    lease.lostAt = std::max(regular, afterSlowAnswer);
+    lease.grantSentAt = sentAt;
+    lease.answeredAt = now;
+    lease.status = status;
+    lease.outstandingSince.reset();
+    lease.lost = false;
+    lease.holds = true;
+    return true;
+}
+
+void WorkerLeaseTable::refused(const std::string &worker, TimePoint now)
+{
+    const auto found = m_leases.find(worker);
+    if (found == m_leases.end()) {
+        return;
+    }
+    found->second.outstandingSince.reset();
+    found->second.nextRenewalAt = now + m_options.renewInterval;
+    found->second.holds = false;
+}
+
+void WorkerLeaseTable::failed(const std::string &worker, TimePoint now)
+{
+    const auto found = m_leases.find(worker);
+    if (found == m_leases.end()) {
+        return;
+    }
+    found->second.outstandingSince.reset();
+    found->second.nextRenewalAt = now + m_options.renewInterval;
+}
+
+std::vector<std::string> WorkerLeaseTable::takeLost(TimePoint now)
+{
+    std::vector<std::string> lost;
+    for (auto &[worker, lease] : m_leases) {
+        if (lease.lost || now < lease.lostAt) {
+            continue;
+        }
+        lease.lost = true;
+        lease.holds = false;
+        lost.push_back(worker);
+    }
+    return lost;
+}
+
+bool WorkerLeaseTable::held(const std::string &worker, TimePoint now) const
+{
+    const Lease *lease = find(worker);
+    if (!lease || !lease->holds || lease->lost) {
+        return false;
+    }
+    return now < *lease->grantSentAt + m_options.duration - Duration(m_options.duration) / RateErrorDivisor;
+}
+
+bool WorkerLeaseTable::reached(const std::string &worker) const
+{
+    const Lease *lease = find(worker);
+    return lease && lease->grantSentAt.has_value();
+}
+
+bool WorkerLeaseTable::lost(const std::string &worker) const
+{
+    const Lease *lease = find(worker);
+    return lease && lease->lost;
+}
+
+const WorkerStatus *WorkerLeaseTable::status(const std::string &worker) const
+{
+    const Lease *lease = find(worker);
+    return lease && lease->grantSentAt ? &lease->status : nullptr;
+}
+
+std::vector<std::string> WorkerLeaseTable::workers() const
+{
+    std::vector<std::string> names;
+    names.reserve(m_leases.size());
+    for (const auto &[worker, lease] : m_leases) {
+        names.push_back(worker);
+    }
+    return names;
+}
+
+std::size_t WorkerLeaseTable::heldCount(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_leases.begin(), m_leases.end(), [&](const auto &entry) { return held(entry.first, now); }));
+}
+
+std::optional<milliseconds> WorkerLeaseTable::clockNoLaterThan(const std::string &worker, TimePoint bound) const
+{
+    const Lease *lease = find(worker);
+    if (!lease || !lease->grantSentAt) {
+        return std::nullopt;
+    }
+    // The worker read its clock at some time before the answer arrived. Taking the arrival gives the earliest bound.
+    const Duration ahead = bound - lease->answeredAt;
+    const Duration rate = (ahead < Duration::zero() ? -ahead : ahead) / RateErrorDivisor;
+    return lease->status.clock + std::chrono::floor<milliseconds>(ahead - rate);
+}
+
+Duration WorkerLeaseTable::withMargin(Duration interval) const
+{
+    return interval + m_options.margin + interval / RateErrorDivisor;
+}
+
+const WorkerLeaseTable::Lease *WorkerLeaseTable::find(const std::string &worker) const
+{
+    const auto found = m_leases.find(worker);
+    return found == m_leases.end() ? nullptr : &found->second;
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/tests/libs/schedulercore/testschedulercore.cpp
@@ -0,0 +1,73 @@
+#include "world.h"
+
+#include <criterion/criterion.h>
+
+using namespace Hyssop;
+using namespace Hyssop::Testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static Wire::JobSpec batchJob(const std::string &jobId, milliseconds runTime)
+{
+    Wire::JobSpec spec;
+    spec.jobId = jobId;
+    spec.customer = "cascadia";
+    spec.team = "badges";
+    spec.taskName = "badge-print";
+    spec.declared.milliCores = 2000;
+    spec.declared.memoryBytes = 1'000'000'000;
+    spec.declaredRunTimeMs = runTime.count();
+    return spec;
+}
+
+static void assertClean(const World &world)
+{
+    if (!world.violations().empty()) {
+        for (const std::string &line : world.trace()) {
+            cr_log_error("%s", line.c_str());
+        }
+    }
+    cr_assert(world.violations().empty(), "%s", world.violations().front().c_str());
+}
+
+// Guards against a scheduler that does not get from a submission to an end.
+Test(schedulercore, runsJobsToTheirEnd)
+{
+    World world({});
+    for (int number = 0; number < 20; ++number) {
+        world.submit("east", batchJob("job" + std::to_string(number), seconds(5)));
+    }
+    world.advance(seconds(40));
+    assertClean(world);
+    for (int number = 0; number < 20; ++number) {
+        const JobEntry *entry = world.ledger("east").job("job" + std::to_string(number));
+        cr_assert(entry->state == JobState::Ended && entry->outcome == Wire::AttemptOutcome::Finished, "job%d is %s", number, jobStateName(*entry));
+        cr_assert_eq(entry->attempt, 1);
+    }
+    cr_assert_eq(world.liveTasks(), 0);
+}
+
+// Guards against a takeover that loses running tasks, starts them twice or takes longer than the design allows.
+Test(schedulercore, takesOverFromKilledOwner)
+{
+    World world({});
+    world.submit("east", batchJob("long", seconds(30)));
+    world.advance(seconds(8));
+    const std::string owner = world.ownerOf("east");
+    cr_assert(!owner.empty());
+    cr_assert_eq(world.starts("long"), 1);
+    world.kill(owner);
+    world.submit("east", batchJob("waiting", seconds(1)));
+    const milliseconds killedAt = world.time();
+    while (world.starts("waiting") == 0 && world.time() - killedAt < seconds(20)) {
+        world.advance(World::Step);
+    }
+    const milliseconds takeover = world.time() - killedAt;
+    cr_log_warn("kill of the owner to the first start by the next: %ld ms of virtual time", static_cast<long>(takeover.count()));
+    cr_assert_leq(takeover.count(), 4000);
+    world.advance(seconds(30));
+    assertClean(world);
+    cr_assert_eq(world.starts("long"), 1);
+    cr_assert(world.ledger("east").job("long")->outcome == Wire::AttemptOutcome::Finished);
+    cr_assert(world.ledger("east").job("long")->state == JobState::Ended);
+}
--- /dev/null
+++ b/tests/libs/schedulercore/world.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "fakelog.h"
+#include "fakeworker.h"
+
+#include <contract/contract.h>
+#include <jobs/jobledger.h>
+#include <schedulercore/schedulercore.h>
+#include <utils/clock.h>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Hyssop::Testing {
+
+struct WorldOptions
+{
+    std::uint64_t seed = 1;
+    int schedulers = 2; // in each failure domain
+    int workers = 3; // in each failure domain
+    std::vector<std::string> domains{"east", "west"};
+    std::chrono::milliseconds longestDelay{20}; // of one message
+    double lossRate = 0; // share of messages that are lost
+    double lateRate = 0; // share of commands that arrive seconds later, after the sender gave up
+    double slowAppendRate = 0; // share of appends that take several seconds
+};
+
+/// Several failure domains in one process under virtual time: fake log, fake workers, SchedulerCore instances. The
+/// links between them can be cut, schedulers can freeze, die and start, the log can go away.
+class World
+{
+public:
+    explicit World(WorldOptions options);
+    ~World();
+
+    static constexpr std::chrono::milliseconds Step{50};
+
+    /// Moves the time forward and checks the invariants after every step.
+    void advance(std::chrono::milliseconds duration);
+
+    // Users and operators.
+    void submit(const std::string &domain, const Wire::JobSpec &spec);
+    void cancel(const std::string &domain, const std::string &jobId);
+    void setDomain(const std::string &domain, bool in);
+    void setContract(const Contract &contract);
+
+    // Faults. Names: schedulers "east.1", workers "east.w1", and "log".
+    void kill(const std::string &scheduler);
+    void start(const std::string &scheduler);
+    void freeze(const std::string &scheduler);
+    void thaw(const std::string &scheduler);
+    void cut(const std::string &first, const std::string &second);
+    void heal(const std::string &first, const std::string &second);
+    void healAll();
+    void setLogUp(bool up);
+    void setLoss(double lossRate, double lateRate, double slowAppendRate);
+    FakeWorker &worker(const std::string &name);
+
+    // State.
+    std::chrono::milliseconds time() const { return m_time; }
+    std::string ownerOf(const std::string &domain) const; // empty if there is none
+    const JobLedger &ledger(const std::string &domain) const;
+    bool alive(const std::string &scheduler) const;
+    bool frozen(const std::string &scheduler) const;
+    std::vector<std::string> schedulerNames() const;
+    std::vector<std::string> workerNames() const;
+    int starts(const std::string &jobId) const;
+    std::vector<Wire::Target> targets(const std::string &domain) const;
+    std::size_t liveTasks() const;
+    /// The domain and entry that hold the job now.
+    const JobEntry *findJob(const std::string &jobId) const;
+
+    const std::vector<std::string> &trace() const { return m_trace; }
+    /// Violations of P1 to P4 that were seen, one a line.
+    const std::vector<std::string> &violations() const { return m_violations; }
+    void note(const std::string &line);
+
+private:
+    struct Scheduler
+    {
+        std::string name;
+        std::string domain;
+        std::unique_ptr<SchedulerCore> core;
+        std::int64_t incarnation = 0;
+        bool isFrozen = false;
+        bool wasOwner = false;
+        std::size_t position = 0; // next offset to read
+        std::chrono::milliseconds nextRead{0};
+        std::chrono::milliseconds lastAppendAt{0};
+        std::deque<std::function<void()>> frozenInput;
+    };
+    struct Domain
+    {
+        std::vector<FakeRecord> stream;
+        std::unique_ptr<JobLedger> ledger; // of an observer that sees every record at once
+        bool in = true;
+        std::chrono::milliseconds changedAt{0};
+        std::vector<std::string> workers;
+    };
+
+    TimePoint now() const { return TimePoint(m_time); }
+    void at(std::chrono::milliseconds time, std::function<void()> event);
+    void deliver(const std::string &scheduler, std::int64_t incarnation, std::function<void(SchedulerCore &)> input);
+    std::chrono::milliseconds delay();
+    bool chance(double share);
+    bool linked(const std::string &first, const std::string &second) const;
+    void append(const std::string &domain, const Wire::Record &record);
+    void step();
+    void tick(Scheduler &scheduler);
+    void read(Scheduler &scheduler);
+    void sendHeartbeats(Scheduler &scheduler);
+    void perform(Scheduler &scheduler, const SchedulerAction &action);
+    void sendRenewal(Scheduler &scheduler, const RenewLease &command);
+    void sendCommand(Scheduler &scheduler, const std::string &workerName, const SchedulerAction &command);
+    void sendAppend(Scheduler &scheduler, const std::string &domain, const Wire::Record &record, std::function<void(SchedulerCore &, bool written)> answer);
+    void noteStart(const std::string &workerName, const std::string &jobId, int attempt, const std::string &checkpoint);
+    void check();
+    void violate(const std::string &line);
+
+    WorldOptions m_options;
+    std::mt19937_64 m_random;
+    std::chrono::milliseconds m_time{1000};
+    std::multimap<std::chrono::milliseconds, std::function<void()>> m_events;
+    std::map<std::string, Scheduler> m_schedulers;
+    std::map<std::string, std::unique_ptr<FakeWorker>> m_workers;
+    std::map<std::string, Domain> m_domains;
+    std::map<std::string, Contract> m_contracts;
+    std::set<std::pair<std::string, std::string>> m_cuts;
+    bool m_logUp = true;
+    std::map<std::pair<std::string, int>, int> m_startCounts; // by job and attempt
+    std::vector<std::string> m_trace;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace Hyssop::Testing
--- /dev/null
+++ b/tests/libs/workers/testworkerleasetable.cpp
@@ -0,0 +1,102 @@
+#include <workers/workerleasetable.h>
+
+#include <criterion/criterion.h>
+
+using namespace Hyssop;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+static WorkerStatus statusAt(milliseconds clock)
+{
+    WorkerStatus status;
+    status.worker = "w";
+    status.clock = clock;
+    return status;
+}
+
+static WorkerLeaseTable tableWithWorker(TimePoint start)
+{
+    WorkerLeaseTable table({});
+    table.begin(start);
+    table.add("w", start);
+    return table;
+}
+
+// Guards against a worker that is declared lost while its lease may still be valid (design 7.1): before the lease time
+// plus 1 s plus 1 % since the last answered renewal was sent.
+Test(workerleasetable, losesWorkerAfterLeaseAndMargin)
+{
+    const TimePoint start;
+    WorkerLeaseTable table = tableWithWorker(start);
+    cr_assert_eq(table.dueRenewals(start).size(), 1);
+    cr_assert(table.granted("w", statusAt(seconds(5)), start, start + milliseconds(20)));
+    cr_assert(table.held("w", start + seconds(9)));
+    cr_assert(!table.held("w", start + seconds(10)));
+    cr_assert(table.takeLost(start + milliseconds(11099)).empty());
+    cr_assert_eq(table.takeLost(start + milliseconds(11100)).size(), 1);
+    cr_assert(table.takeLost(start + seconds(20)).empty());
+    cr_assert(table.lost("w"));
+}
+
+// Guards against renewals that reach the worker although their answers are lost: each would prolong the lease beyond
+// the time at which the worker counts as lost.
+Test(workerleasetable, unansweredRenewalsEndBeforeLoss)
+{
+    const TimePoint start;
+    WorkerLeaseTable table = tableWithWorker(start);
+    table.dueRenewals(start);
+    table.granted("w", statusAt(seconds(5)), start, start + milliseconds(20));
+    for (TimePoint now = start; now < start + milliseconds(11100); now += milliseconds(100)) {
+        for (const LeaseRenewal &renewal : table.dueRenewals(now)) {
+            constexpr milliseconds LongestDelay{1000};
+            cr_assert(now + LongestDelay + renewal.duration <= start + milliseconds(11100));
+            table.failed("w", now);
+        }
+    }
+    cr_assert_eq(table.takeLost(start + milliseconds(11100)).size(), 1);
+    cr_assert_eq(table.dueRenewals(start + seconds(13)).front().duration.count(), 10000);
+}
+
+// Guards against a renewal whose answer took longer than the margin: the worker may have received it just before.
+Test(workerleasetable, slowAnswerPostponesLoss)
+{
+    const TimePoint start;
+    WorkerLeaseTable table = tableWithWorker(start);
+    table.dueRenewals(start);
+    table.granted("w", statusAt(seconds(5)), start, start + seconds(3));
+    cr_assert(table.takeLost(start + seconds(13)).empty());
+    cr_assert_eq(table.takeLost(start + milliseconds(13100)).size(), 1);
+}
+
+// Guards against a takeover that declares a worker lost while a former owner without log contact may still renew its
+// lease (design 7.2): 15 min plus lease time and margin after the claim.
+Test(workerleasetable, waitsForFormerOwner)
+{
+    const TimePoint start;
+    WorkerLeaseTable table = tableWithWorker(start);
+    cr_assert(table.takeLost(start + minutes(15) + seconds(11)).empty());
+    cr_assert(table.takeLost(start + minutes(15) + milliseconds(20099)).empty());
+    cr_assert_eq(table.takeLost(start + minutes(15) + milliseconds(20100)).size(), 1);
+}
+
+// Guards against a not-after bound that lies after the end of the permit. The worker may have read its clock at any time
+// between request and answer, and its clock may be 1 % fast or slow.
+Test(workerleasetable, boundIsNotAfterPermitWhateverTheDelay)
+{
+    const TimePoint start;
+    const TimePoint permitEnd = start + seconds(3);
+    for (const milliseconds readAt : {milliseconds(0), milliseconds(700), milliseconds(1500)}) {
+        for (const double rate : {0.99, 1.0, 1.01}) {
+            WorkerLeaseTable table = tableWithWorker(start);
+            table.dueRenewals(start);
+            constexpr milliseconds Clock{77000};
+            table.granted("w", statusAt(Clock), start, start + milliseconds(1500));
+            const auto bound = table.clockNoLaterThan("w", permitEnd);
+            cr_assert(bound.has_value());
+            const double reachedAfter = static_cast<double>((*bound - Clock).count()) / rate;
+            cr_assert_leq(static_cast<double>(readAt.count()) + reachedAfter, 3000.0);
+        }
+    }
+    cr_assert(!tableWithWorker(start).clockNoLaterThan("w", permitEnd).has_value());
+}
