Add the policy bench and a limit on the learned effect of a placement

On full workers the choice is between tasks, not workers, so costs alone did not separate pairs.

Conclusion: builds and runs; the policy is not tuned yet.

--- /dev/null
+++ b/bench/policy/clustermodel.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "placer.h"
+#include "workload.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Hyssop::Bench {
+
+/// Results of one run.
+struct RunResult
+{
+    double p50 = 0; // latency relative to the objective, over all services
+    double p99 = 0;
+    double p999 = 0;
+    double completed = 0; // batch tasks
+    double work = 0; // core hours of batch that were kept
+    double lostToEvictions = 0; // share of batch work
+    double wasted = 0; // share of batch work lost for any reason, evictions included
+    double evictions = 0;
+    double utilization = 0; // cores in use
+    double workWhileDomainOut = 0; // core hours from its leaving to 10 min after its return
+    double urgentWorst = 0; // seconds until an urgent task started
+    double rejectedWrongly = 0; // jobs that could run
+    double replicasMissing = 0; // mean share of service replicas not running
+};
+
+/// Runs a workload on model workers under a policy, in steps of one second of the test clock.
+class ClusterModel
+{
+public:
+    ClusterModel(const Workload &workload, Placer &placer, std::uint64_t seed);
+
+    RunResult run();
+
+private:
+    struct Task
+    {
+        std::string id;
+        bool service = false;
+        std::size_t kind = 0; // of services or of batch kinds
+        std::size_t job = 0;
+        std::size_t worker = 0;
+        double startedAt = 0;
+        double done = 0; // seconds of work
+        double saved = 0; // part of it that a checkpoint holds
+        double level = 1;
+        double failsAt = -1;
+        double evictedAt = -1;
+        double latencyP99Us = 0;
+    };
+
+    struct Worker
+    {
+        std::string name;
+        std::string rack;
+        bool accepting = true;
+        std::vector<std::string> tasks;
+        double usedCores = 0;
+        double usedMemory = 0;
+    };
+
+    void addServiceReplicas();
+    void arrivals();
+    void domainChanges();
+    void decide();
+    void start(const std::string &jobId, const std::string &worker);
+    void progress();
+    void progressWorker(std::size_t worker);
+    void serveRequests(std::size_t worker);
+    void killOverMemory(std::size_t worker);
+    void endTasks();
+    void report();
+    void end(const std::string &taskId, bool failed, bool finished, bool requeue);
+    PendingTask pendingOf(const std::string &taskId, bool service, std::size_t kind, std::size_t job) const;
+    double serviceDemand(std::size_t service) const;
+    Resources usageOf(const Task &task) const;
+    double coresOf(std::size_t job) const;
+    double quantile(double share) const;
+
+    const Workload &m_workload;
+    Placer &m_placer;
+    std::mt19937_64 m_random;
+    double m_second = 0;
+    TimePoint m_start{};
+    TimePoint m_now{};
+    std::vector<Worker> m_workers;
+    std::map<std::string, std::size_t> m_workerIndex;
+    std::map<std::string, Task> m_tasks;
+    std::map<std::string, std::size_t> m_jobOf; // waiting and running batch
+    std::map<std::string, std::pair<std::size_t, bool>> m_waitingServices;
+    std::vector<double> m_savedWork; // by job, seconds
+    std::vector<double> m_urgentDelay;
+    std::vector<std::vector<std::string>> m_failedOn;
+    std::size_t m_nextJob = 0;
+    std::deque<std::vector<UsageSample>> m_lagging;
+    std::vector<std::uint64_t> m_latencies; // histogram of the logarithm of latency over objective
+    std::uint64_t m_requests = 0;
+    double m_workDone = 0;
+    double m_workLost = 0;
+    double m_lostToEvictions = 0;
+    double m_domainWork = 0;
+    double m_usedCoreSeconds = 0;
+    double m_missing = 0;
+    RunResult m_result;
+};
+
+} // namespace Hyssop::Bench
--- /dev/null
+++ b/bench/policy/workload.cpp
@@ -0,0 +1,159 @@
+#include "workload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace Hyssop::Bench {
+
+namespace {
+
+constexpr double RunSeconds = 7200;
+constexpr double ServiceShare = 0.21; // 7,700 of 36,700 running tasks at the design scale
+constexpr int SlotsPerWorker = 8;
+constexpr int ServiceKinds = 6;
+constexpr int BatchKinds = 10;
+constexpr int Teams = 12;
+constexpr double OfferedLoad = 1.6; // batch work that arrives, relative to what fits beside the services
+constexpr double LoudPairs = 0.25;
+constexpr double ObjectiveToMedian = 4; // alone, the 99th percentile is 2.3 times the median
+constexpr std::int64_t Gigabyte = 1'000'000'000;
+
+using Random = std::mt19937_64;
+
+double between(Random &random, double low, double high)
+{
+    return std::uniform_real_distribution<double>(low, high)(random);
+}
+
+bool chance(Random &random, double share)
+{
+    return between(random, 0, 1) < share;
+}
+
+std::vector<std::vector<double>> effects(Random &random, int columns, double low, double high)
+{
+    std::vector<std::vector<double>> matrix(ServiceKinds, std::vector<double>(static_cast<std::size_t>(columns)));
+    for (auto &row : matrix) {
+        for (double &effect : row) {
+            effect = chance(random, LoudPairs) ? between(random, low, high) : between(random, 0, 0.02);
+        }
+    }
+    return matrix;
+}
+
+void addServices(Workload &workload, Random &random)
+{
+    const int replicas = static_cast<int>(ServiceShare * SlotsPerWorker * workload.workers) / ServiceKinds;
+    for (int i = 0; i < ServiceKinds; ++i) {
+        ServiceModel service;
+        service.name = "service-" + std::to_string(i);
+        service.declared = Resources{workload.capacity.milliCores / SlotsPerWorker, workload.capacity.memoryBytes / 10, 0, 1};
+        service.replicas = replicas;
+        service.medianMs = between(random, 5, 20);
+        service.objectiveMs = service.medianMs * ObjectiveToMedian;
+        service.coreRatio = between(random, 0.6, 1.0);
+        workload.services.push_back(service);
+        ServiceContract contract;
+        contract.name = service.name;
+        contract.latencyObjective = std::chrono::microseconds(std::llround(service.objectiveMs * 1000));
+        contract.replicas = replicas;
+        contract.task = service.declared;
+        workload.contract.services.push_back(contract);
+    }
+    // Enough for all replicas while one rack is out of service.
+    workload.serviceWorkers = (replicas * ServiceKinds + SlotsPerWorker - 1) / SlotsPerWorker + workload.workersPerRack;
+}
+
+void addKinds(Workload &workload, Random &random)
+{
+    for (int i = 0; i < BatchKinds; ++i) {
+        KindModel kind;
+        kind.name = "kind-" + std::to_string(i);
+        const double part = between(random, 0.5, 1.2) / SlotsPerWorker;
+        kind.declared.milliCores = std::llround(static_cast<double>(workload.capacity.milliCores) * part);
+        kind.declared.memoryBytes = std::llround(static_cast<double>(workload.capacity.memoryBytes) * between(random, 0.4, 1.1) / SlotsPerWorker);
+        kind.declared.slots = 1;
+        kind.declaredSeconds = between(random, 120, 600);
+        kind.coreRatio = between(random, 0.4, 1.3);
+        kind.memoryRatio = between(random, 0.4, 1.3);
+        kind.timeRatio = between(random, 0.5, 2);
+        kind.checkpoints = i % 5 != 0;
+        workload.kinds.push_back(kind);
+    }
+}
+
+void addJobs(Workload &workload, Random &random)
+{
+    double secondsPerJob = 0;
+    for (const KindModel &kind : workload.kinds) {
+        secondsPerJob += kind.declaredSeconds * kind.timeRatio / BatchKinds;
+    }
+    const double slots = (1 - ServiceShare) * SlotsPerWorker * workload.workers;
+    const double rate = OfferedLoad * slots / secondsPerJob;
+    std::lognormal_distribution<double> spread(-0.125, 0.5); // mean 1
+    for (int second = 0; second < static_cast<int>(workload.seconds); ++second) {
+        const double wave = 1 + 0.8 * std::sin(second / 900.0 * 2 * M_PI);
+        std::poisson_distribution<int> arrivals(rate * wave);
+        const int count = arrivals(random);
+        for (int i = 0; i < count; ++i) {
+            JobModel job;
+            job.arrival = second;
+            job.kind = random() % BatchKinds;
+            job.team = "team-" + std::to_string(std::min(random() % Teams, random() % Teams)); // teams differ in size
+            job.workSeconds = std::max(5.0, workload.kinds[job.kind].declaredSeconds * workload.kinds[job.kind].timeRatio * spread(random));
+            job.tooLarge = chance(random, 0.003);
+            job.broken = chance(random, 0.005);
+            job.urgent = job.team == "team-0" && chance(random, 0.03);
+            // Every 20 min a third of what waits is cancelled at once.
+            if (chance(random, 0.33)) {
+                job.cancelledAt = (std::floor(second / 1200.0) + 1) * 1200;
+            }
+            workload.jobs.push_back(job);
+        }
+    }
+}
+
+Workload workload(std::string name, int workers, std::int64_t cores, std::int64_t gigabytes, Favor favor, double budget, std::uint64_t seed)
+{
+    Random random(seed);
+    Workload result;
+    result.name = std::move(name);
+    result.workers = workers;
+    result.capacity = Resources{cores * 1000, gigabytes * Gigabyte, 0, SlotsPerWorker};
+    result.seconds = RunSeconds;
+    result.contract.customer = result.name;
+    result.contract.favor = favor;
+    result.contract.evictionBudget = budget;
+    for (int i = 0; i < Teams; ++i) {
+        TeamContract team;
+        team.name = "team-" + std::to_string(i);
+        team.share = 1 + i % 3;
+        team.urgent = i == 0;
+        result.contract.teams.push_back(team);
+    }
+    addServices(result, random);
+    addKinds(result, random);
+    result.effect[0] = effects(random, BatchKinds, 0.2, 0.5);
+    result.effect[1] = effects(random, BatchKinds, 0.2, 0.5);
+    result.serviceEffect = effects(random, ServiceKinds, 0.05, 0.15);
+    result.failingWorkers = {static_cast<int>(random() % static_cast<unsigned>(workers)), static_cast<int>(random() % static_cast<unsigned>(workers))};
+    result.failing = Period{1800, 3000};
+    result.domainOut = Period{4500, 5400};
+    addJobs(result, random);
+    return result;
+}
+
+} // namespace
+
+Workload cascadia(std::uint64_t seed)
+{
+    return workload("cascadia", 50, 64, 250, Favor::Throughput, 0.02, seed);
+}
+
+Workload mtkvari(std::uint64_t seed)
+{
+    return workload("mtkvari", 65, 32, 125, Favor::Latency, 0.05, seed);
+}
+
+} // namespace Hyssop::Bench
--- a/src/libs/placement/taskdispatcher.cpp
+++ b/src/libs/placement/taskdispatcher.cpp
@@ -152,7 +152,7 @@
     if (knownNotToFit(amount)) {
         return Attempt::NoRoom;
     }
-    const Selection selection = m_selector.select(task, amount);
+    const Selection selection = m_selector.select(task, amount, m_now);
     if (selection.outcome == SelectionOutcome::Found && place(task, selection.worker, amount)) {
         return Attempt::Placed;
     }
--- a/src/libs/placement/workerselector.cpp
+++ b/src/libs/placement/workerselector.cpp
@@ -18,16 +18,27 @@
 constexpr double SameWorkerCost = 1;
 constexpr double SameRackCost = 0.1;
 constexpr double Forbidden = std::numeric_limits<double>::infinity();
+// On full workers the choice is between tasks, not between workers; without a limit every pair would meet.
+constexpr double LargestEffectLatency = 0.04;
+constexpr double LargestEffectThroughput = 0.15;
+constexpr double PatienceSeconds = 600; // a wait of this length doubles the permitted effect
+
+double largestEffect(Favor favor)
+{
+    return favor == Favor::Latency ? LargestEffectLatency : LargestEffectThroughput;
+}
 
 } // namespace
 
-Selection WorkerSelector::select(std::uint32_t task, const Resources &amount)
+Selection WorkerSelector::select(std::uint32_t task, const Resources &amount, TimePoint now)
 {
     const TaskRecord &record = m_state.tasks[task];
     const auto workerCount = static_cast<std::uint32_t>(m_state.workers.size());
     if (workerCount == 0) {
         return {};
     }
+    const double waited = std::max(0.0, static_cast<double>(now.time_since_epoch().count() - record.key) / 1e9);
+    const double patience = 1 + waited / PatienceSeconds;
     const bool explore = m_state.options.exploration && record.batch() && m_state.randomBelow(ExploringPlacements) == 0;
     std::array<std::uint32_t, SampleSize> examined{};
     std::size_t examinedCount = 0;
@@ -44,7 +55,7 @@
             continue;
         }
         examined[examinedCount++] = *found;
-        const double candidateCost = permitted(record, *found) ? cost(record, *found, explore) : Forbidden;
+        const double candidateCost = permitted(record, *found) ? cost(record, *found, explore, patience) : Forbidden;
         if (candidateCost < bestCost) {
             bestCost = candidateCost;
             best = Selection{SelectionOutcome::Found, *found};
@@ -88,12 +99,12 @@
     return !probing && std::find(failed->begin(), failed->end(), m_state.workers[worker].name) == failed->end();
 }
 
-double WorkerSelector::cost(const TaskRecord &task, std::uint32_t worker, bool explore) const
+double WorkerSelector::cost(const TaskRecord &task, std::uint32_t worker, bool explore, double patience) const
 {
-    return task.batch() ? batchCost(task, worker, explore) : serviceCost(task, worker);
+    return task.batch() ? batchCost(task, worker, explore, patience) : serviceCost(task, worker);
 }
 
-double WorkerSelector::batchCost(const TaskRecord &task, std::uint32_t worker, bool explore) const
+double WorkerSelector::batchCost(const TaskRecord &task, std::uint32_t worker, bool explore, double patience) const
 {
     const WorkerRecord &host = m_state.workers[worker];
     const double load = m_state.load(worker, m_state.sizes.expectedMilliCores(task.kind, task.declared));
@@ -112,7 +123,7 @@
         const double effect = m_state.interference.effect(beside.kind, task.kind) * load;
         const Favor favor = m_state.customerInfo[m_state.serviceInfo[beside.service].customer].favor;
         const double predicted = beside.pressure * std::exp(effect + beside.unseenEffect);
-        if (bounded && predicted > EvictionPolicy::placementLimit(favor)) {
+        if (bounded && (predicted > EvictionPolicy::placementLimit(favor) || effect > largestEffect(favor) * patience)) {
             return Forbidden;
         }
         total += effect * (favor == Favor::Latency ? 2 : 1) * std::max(0.25, predicted);
--- a/src/libs/placement/workerselector.h
+++ b/src/libs/placement/workerselector.h
@@ -25,15 +25,15 @@
     {
     }
 
-    Selection select(std::uint32_t task, const Resources &amount);
+    Selection select(std::uint32_t task, const Resources &amount, TimePoint now);
 
     /// Returns true if @p task may run on @p worker, room aside.
     bool permitted(const TaskRecord &task, std::uint32_t worker) const;
 
 private:
     /// Returns the cost of the worker, lower is better; infinite if it must not be used.
-    double cost(const TaskRecord &task, std::uint32_t worker, bool explore) const;
-    double batchCost(const TaskRecord &task, std::uint32_t worker, bool explore) const;
+    double cost(const TaskRecord &task, std::uint32_t worker, bool explore, double patience) const;
+    double batchCost(const TaskRecord &task, std::uint32_t worker, bool explore, double patience) const;
     double serviceCost(const TaskRecord &task, std::uint32_t worker) const;
 
     PlacementState &m_state;
