--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -150,9 +150,10 @@
     int seeds = 10;
     std::size_t parallel = 4;
     std::string output;
+    std::string only;
     description.add_options()("help", "print this text")("seeds", po::value(&seeds)->default_value(seeds), "runs of each policy")(
         "parallel", po::value(&parallel)->default_value(parallel), "runs at the same time")("ablation", "switch off each feature of the engine alone")(
-        "output", po::value(&output), "CSV file; default is standard output");
+        "only", po::value(&only), "run this policy alone")("output", po::value(&output), "CSV file; default is standard output");
     po::variables_map options;
     po::store(po::parse_command_line(argc, argv, description), options);
     po::notify(options);
@@ -168,6 +169,9 @@
     out << "workload,policy,metric,mean,deviation,lowest,highest\n";
     for (const auto &[name, workloadOf] : {std::pair<std::string, WorkloadOf>("cascadia", cascadia), std::pair<std::string, WorkloadOf>("mtkvari", mtkvari)}) {
         for (const Policy &policy : options.count("ablation") > 0 ? ablation() : comparison()) {
+            if (!only.empty() && only != policy.name) {
+                continue;
+            }
             writeRows(out, name, policy.name, runSeeds(policy, workloadOf, seeds, parallel));
         }
     }
--- a/src/libs/placement/evictionpolicy.cpp
+++ b/src/libs/placement/evictionpolicy.cpp
@@ -9,8 +9,9 @@
 using namespace std::chrono_literals;
 
 constexpr double HighPressureLatency = 0.85;
-constexpr double HighPressureThroughput = 0.95;
-constexpr double LowPressure = 0.7;
+constexpr double HighPressureThroughput = 1;
+constexpr double LowPressureLatency = 0.75;
+constexpr double LowPressureThroughput = 0.85;
 constexpr int HighMeasurements = 2;
 constexpr Duration EvictAfter = 5s;
 constexpr Duration ShortestRaiseDelay = 10s;
@@ -52,7 +53,7 @@
         record.overSince = now;
     }
     record.over = over;
-    const bool calm = pressure <= LowPressure;
+    const bool calm = pressure <= (favor == Favor::Latency ? LowPressureLatency : LowPressureThroughput);
     if (calm && !record.calm) {
         record.calmSince = now;
     }
--- a/src/libs/placement/workerselector.cpp
+++ b/src/libs/placement/workerselector.cpp
@@ -21,7 +21,7 @@
 // On full workers the choice is between tasks, not between workers; without a limit every pair would meet.
 constexpr double LargestEffectLatency = 0.04;
 constexpr double LargestEffectThroughput = 0.15;
-constexpr double PatienceSeconds = 600; // a wait of this length doubles the permitted effect
+constexpr double PatienceSeconds = 3600; // the permitted effect doubles after twice this wait, so that no kind starves
 
 double largestEffect(Favor favor)
 {
@@ -38,7 +38,7 @@
         return {};
     }
     const double waited = std::max(0.0, static_cast<double>(now.time_since_epoch().count() - record.key) / 1e9);
-    const double patience = 1 + waited / PatienceSeconds;
+    const double patience = 1 + std::max(0.0, waited - PatienceSeconds) / PatienceSeconds;
     const bool explore = m_state.options.exploration && record.batch() && m_state.randomBelow(ExploringPlacements) == 0;
     std::array<std::uint32_t, SampleSize> examined{};
     std::size_t examinedCount = 0;
@@ -113,9 +113,6 @@
         return total;
     }
     const bool bounded = task.queueClass == QueueClass::Batch;
-    if (bounded && host.throttledTasks > 0) {
-        return Forbidden;
-    }
     for (const KindOnWorker &beside : host.kinds) {
         if (beside.service == None) {
             continue;
@@ -123,7 +120,8 @@
         const double effect = m_state.interference.effect(beside.kind, task.kind) * load;
         const Favor favor = m_state.customerInfo[m_state.serviceInfo[beside.service].customer].favor;
         const double predicted = beside.pressure * std::exp(effect + beside.unseenEffect);
-        if (bounded && (predicted > EvictionPolicy::placementLimit(favor) || effect > largestEffect(favor) * patience)) {
+        const bool relieved = favor == Favor::Latency && host.throttledTasks > 0;
+        if (bounded && (relieved || predicted > EvictionPolicy::placementLimit(favor) || effect > largestEffect(favor) * patience)) {
             return Forbidden;
         }
         total += effect * (favor == Favor::Latency ? 2 : 1) * std::max(0.25, predicted);
