--- a/tests/libs/schedulercore/testrandom.cpp
+++ b/tests/libs/schedulercore/testrandom.cpp
@@ -209,7 +209,10 @@
         service.replicas = number(3);
         contract.services.push_back(service);
         m_world.setContract(contract);
-        m_replicas = static_cast<std::size_t>(contract.services[0].replicas + contract.services[1].replicas);
+        m_replicas = 0;
+        for (const ServiceContract &wanted : contract.services) {
+            m_replicas += static_cast<std::size_t>(wanted.replicas);
+        }
     }
 
     // Describes work that is lost, orphaned or not finished yet; empty if everything has ended.
