Add ConfigService, PeerService, AdminServer, common settings and membership

Cause: both daemons need the configuration, heartbeats, administration endpoints and the same basic settings.

Ruled out: the age in a heartbeat request as proof of the configuration head (how long the request was on its way is unknown; only replies are proofs, with the round trip added); no heartbeats to dead peers (after a partition both sides would wait for each other); linking the contract parser into these tests (they bring their own through ConfigServiceOptions::contractParser).

Change: ConfigService follows the stream, submits changes and returns the verdict that was read back, takes the state from ready peers when the log is unavailable or gives no exact base, and republishes. MembershipTable, PeerService, AdminServer and commonSettings().

--- a/src/libs/config/configledger.cpp
+++ b/src/libs/config/configledger.cpp
@@ -197,6 +197,11 @@
     return m_appliedUpTo;
 }
 
+std::int64_t ConfigLedger::knownUpTo() const
+{
+    return m_knownUpTo;
+}
+
 std::optional<Wire::ConfigEntry> ConfigLedger::entry(const std::string &key) const
 {
     const auto state = m_keys.find(key);
--- a/src/libs/config/configledger.h
+++ b/src/libs/config/configledger.h
@@ -94,6 +94,9 @@
     /// Last offset that is part of the state; -1 before the first.
     std::int64_t appliedUpTo() const;
 
+    /// Offset as of which a complete state holds; above appliedUpTo() after the state of a peer was taken.
+    std::int64_t knownUpTo() const;
+
     std::optional<Wire::ConfigEntry> entry(const std::string &key) const;
     /// All keys in order, removed ones included.
     std::vector<Wire::ConfigEntry> entries() const;
--- /dev/null
+++ b/src/libs/instance/adminserver.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <http/httpserver.h>
+
+#include <functional>
+
+namespace Hyssop {
+
+class MetricsRegistry;
+
+/// Administration endpoints of a daemon: `/metrics` (Prometheus text), `/healthz` (200 while the process serves) and
+/// `/readyz` (200 if the daemon is ready, else 503).
+class AdminServer
+{
+public:
+    /// Binds and listens at once. Throws boost::system::system_error if the address is in use. @p metrics must outlive
+    /// the server.
+    AdminServer(boost::asio::any_io_executor executor,
+                const boost::asio::ip::tcp::endpoint &endpoint,
+                const MetricsRegistry &metrics,
+                std::function<bool()> ready,
+                bool servesMetrics = true);
+
+    void start();
+    void stop();
+
+    boost::asio::ip::tcp::endpoint localEndpoint() const;
+
+private:
+    HttpServer m_server;
+};
+
+} // namespace Hyssop
--- a/src/libs/instance/configservice.h
+++ b/src/libs/instance/configservice.h
@@ -14,6 +14,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <variant>
 #include <vector>
 
 namespace Hyssop {
@@ -34,6 +36,11 @@
     std::string instance;
     std::vector<std::string> peers; // RPC addresses, asked for the state when the log is unavailable at the start
     std::chrono::milliseconds retention{std::chrono::hours(24)};
+    std::chrono::milliseconds verdictTimeout{10000}; // longest wait until a change is read back from the log
+    /// Without a ready peer, keys without an exact base are decided on the newest revision known after this time.
+    std::chrono::milliseconds provisionalTimeout{15000};
+    /// Reads contracts; parseContract() if empty.
+    std::function<std::variant<Contract, std::vector<ContractFault>>(std::string_view text)> contractParser;
 };
 
 namespace Internal {
@@ -41,6 +48,7 @@
 }
 
 /// Keeps the configuration of this instance: follows the `config` stream, decides verdicts, republishes old state.
+/// The log client, the RPC client and the metrics must outlive the work on the executor.
 class ConfigService
 {
 public:
@@ -70,7 +78,8 @@
     /// before the first proof.
     std::optional<std::chrono::milliseconds> headAge(TimePoint now) const;
 
-    /// Takes a peer's heartbeat as a proof: the peer had applied @p head with age @p age when it sent the message.
+    /// Takes a peer's heartbeat as a proof: the peer had applied @p head with age @p age when it sent the message. A
+    /// negative age is no proof.
     void notePeerHead(std::int64_t head, std::chrono::milliseconds age, TimePoint receivedAt);
 
     std::int64_t appliedUpTo() const;
--- /dev/null
+++ b/src/libs/instance/peerservice.cpp
@@ -0,0 +1,209 @@
+#include "peerservice.h"
+
+#include <membership/membershiptable.h>
+#include <observability/metricsregistry.h>
+#include <wire/rpcclient.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace Hyssop {
+
+namespace asio = boost::asio;
+
+namespace Internal {
+
+constexpr std::chrono::milliseconds DomainInterval{500};
+constexpr std::chrono::milliseconds RemoteInterval{1000};
+constexpr std::chrono::milliseconds HeartbeatTimeout{1000};
+
+struct PeerServiceState
+{
+    PeerServiceState(asio::any_io_executor ioExecutor, RpcClient &rpc, MetricsRegistry &registry, PeerServiceOptions serviceOptions)
+        : executor(std::move(ioExecutor))
+        , client(rpc)
+        , metrics(registry)
+        , options(std::move(serviceOptions))
+    {
+    }
+
+    asio::any_io_executor executor;
+    RpcClient &client;
+    MetricsRegistry &metrics;
+    PeerServiceOptions options;
+    PeerService::HeartbeatSource source;
+    PeerService::HeartbeatHandler handler;
+    MembershipTable members;
+    std::map<std::string, std::string> remoteDomains; // by address; from the last reply, absent after a failure
+    std::list<asio::steady_timer *> timers;
+    bool stopped = false;
+};
+
+using PeerServiceStatePtr = std::shared_ptr<PeerServiceState>;
+
+static void handleHeartbeat(PeerServiceState &state, const Wire::Heartbeat &heartbeat)
+{
+    // The address of this instance may be listed among its peers.
+    const bool isOwn = heartbeat.instance == state.options.instance;
+    if (isOwn || !state.members.noteHeartbeat(heartbeat, std::chrono::steady_clock::now())) {
+        state.metrics.add("peer_heartbeats_ignored_total");
+        return;
+    }
+    state.metrics.add("peer_heartbeats_received_total");
+    if (state.handler) {
+        state.handler(heartbeat);
+    }
+}
+
+static asio::awaitable<void> sleepFor(PeerServiceStatePtr state, std::chrono::milliseconds delay)
+{
+    asio::steady_timer timer(state->executor, delay);
+    const auto position = state->timers.insert(state->timers.end(), &timer);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    state->timers.erase(position);
+}
+
+/// Sends one heartbeat and handles the reply. Returns the peer's failure domain; empty after a failure.
+static asio::awaitable<std::string> exchangeHeartbeat(PeerServiceStatePtr state, std::string address)
+{
+    Wire::Message message;
+    message.__set_heartbeat(state->source());
+    const TimePoint sentAt = std::chrono::steady_clock::now();
+    auto outcome = co_await state->client.call(address, message, HeartbeatTimeout);
+    const Wire::Message *reply = valueOf(outcome);
+    if (state->stopped) {
+        co_return std::string();
+    }
+    if (reply == nullptr || !reply->__isset.heartbeat) {
+        state->metrics.add("peer_heartbeat_failures_total", {{"peer", address}});
+        co_return std::string();
+    }
+    Wire::Heartbeat heartbeat = reply->heartbeat;
+    if (heartbeat.configAgeMs >= 0) {
+        // The reply may have been on its way for the whole round trip; an age must never look younger than it is.
+        heartbeat.configAgeMs += std::chrono::ceil<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sentAt).count();
+    }
+    handleHeartbeat(*state, heartbeat);
+    co_return heartbeat.domain;
+}
+
+static asio::awaitable<void> followDomainPeer(PeerServiceStatePtr state, std::string address)
+{
+    // Dead peers get heartbeats too: after a partition both sides would otherwise wait for each other.
+    while (!state->stopped) {
+        const TimePoint next = std::chrono::steady_clock::now() + DomainInterval;
+        co_await exchangeHeartbeat(state, address);
+        const auto delay = std::chrono::ceil<std::chrono::milliseconds>(next - std::chrono::steady_clock::now());
+        co_await sleepFor(state, std::max(delay, std::chrono::milliseconds(1)));
+    }
+}
+
+static asio::awaitable<void> contactRemotePeer(PeerServiceStatePtr state, std::string address)
+{
+    const std::string domain = co_await exchangeHeartbeat(state, address);
+    if (domain.empty()) {
+        state->remoteDomains.erase(address);
+    } else {
+        state->remoteDomains[address] = domain;
+    }
+}
+
+/// One instance of the failure domain speaks to other domains: the first by name of those that are alive.
+static bool isSpeaker(const PeerServiceState &state)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    const std::string role = state.source().role;
+    return std::ranges::none_of(state.members.heartbeats(now), [&](const Wire::Heartbeat &peer) {
+        const bool precedes = peer.domain == state.options.domain && peer.role == role && peer.instance < state.options.instance;
+        return precedes && state.members.state(peer.instance, peer.role, now) == MemberState::Alive;
+    });
+}
+
+/// Returns one responsive address for each remote failure domain and every address whose domain is not known.
+static std::vector<std::string> remoteAddresses(const PeerServiceState &state)
+{
+    std::vector<std::string> addresses;
+    std::set<std::string> domains;
+    for (const std::string &address : state.options.remotePeers) {
+        const auto domain = state.remoteDomains.find(address);
+        if (domain == state.remoteDomains.end() || domains.insert(domain->second).second) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
+static asio::awaitable<void> followRemotePeers(PeerServiceStatePtr state)
+{
+    while (!state->stopped) {
+        if (isSpeaker(*state)) {
+            for (const std::string &address : remoteAddresses(*state)) {
+                asio::co_spawn(state->executor, contactRemotePeer(state, address), asio::detached);
+            }
+        }
+        co_await sleepFor(state, RemoteInterval);
+    }
+}
+
+} // namespace Internal
+
+PeerService::PeerService(asio::any_io_executor executor, RpcClient &client, MetricsRegistry &metrics, PeerServiceOptions options)
+    : m_state(std::make_shared<Internal::PeerServiceState>(std::move(executor), client, metrics, std::move(options)))
+{
+}
+
+PeerService::~PeerService()
+{
+    stop();
+}
+
+void PeerService::start(HeartbeatSource source, HeartbeatHandler handler)
+{
+    m_state->source = std::move(source);
+    m_state->handler = std::move(handler);
+    for (const std::string &address : m_state->options.domainPeers) {
+        asio::co_spawn(m_state->executor, Internal::followDomainPeer(m_state, address), asio::detached);
+    }
+    if (!m_state->options.remotePeers.empty()) {
+        asio::co_spawn(m_state->executor, Internal::followRemotePeers(m_state), asio::detached);
+    }
+}
+
+void PeerService::stop()
+{
+    m_state->stopped = true;
+    m_state->handler = nullptr;
+    for (asio::steady_timer *timer : m_state->timers) {
+        timer->cancel();
+    }
+}
+
+Wire::Heartbeat PeerService::receive(const Wire::Heartbeat &heartbeat)
+{
+    Wire::Heartbeat untimed = heartbeat;
+    // How long the message was on its way is unknown, so its age is no proof.
+    untimed.configAgeMs = -1;
+    Internal::handleHeartbeat(*m_state, untimed);
+    return m_state->source ? m_state->source() : Wire::Heartbeat();
+}
+
+std::vector<Wire::Heartbeat> PeerService::peers() const
+{
+    return m_state->members.heartbeats(std::chrono::steady_clock::now());
+}
+
+std::optional<std::chrono::milliseconds> PeerService::ownerSilence() const
+{
+    return m_state->members.ownerSilence(m_state->options.domain, std::chrono::steady_clock::now());
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/tests/libs/membership/testmembershiptable.cpp
@@ -0,0 +1,71 @@
+#include <membership/membershiptable.h>
+
+#include <criterion/criterion.h>
+
+using namespace Hyssop;
+using namespace std::chrono_literals;
+
+static Wire::Heartbeat heartbeat(const std::string &instance, std::int64_t incarnation = 1, std::int64_t term = -1, bool owner = false)
+{
+    Wire::Heartbeat heartbeat;
+    heartbeat.instance = instance;
+    heartbeat.incarnation = incarnation;
+    heartbeat.domain = "east-a";
+    heartbeat.role = "scheduler";
+    heartbeat.term = term;
+    heartbeat.owner = owner;
+    return heartbeat;
+}
+
+static const TimePoint Start{1h};
+
+// Guards against wrong limits: takeover waits for them.
+Test(membershiptable, silentMembersBecomeSuspectAndDead)
+{
+    MembershipTable table;
+    cr_assert(table.state("a", "scheduler", Start) == MemberState::Unknown);
+    table.noteHeartbeat(heartbeat("a"), Start);
+    cr_assert(table.state("a", "scheduler", Start + 1999ms) == MemberState::Alive);
+    cr_assert(table.state("a", "scheduler", Start + 2s) == MemberState::Suspect);
+    cr_assert_eq(table.heartbeats(Start + 4999ms).size(), 1);
+    cr_assert(table.state("a", "scheduler", Start + 5s) == MemberState::Dead);
+    cr_assert(table.heartbeats(Start + 5s).empty());
+    cr_assert(table.state("a", "gateway", Start) == MemberState::Unknown);
+    table.noteHeartbeat(heartbeat("a"), Start + 6s);
+    cr_assert(table.state("a", "scheduler", Start + 6s) == MemberState::Alive);
+}
+
+// Guards against a late message of a process that was replaced.
+Test(membershiptable, ignoresOlderIncarnations)
+{
+    MembershipTable table;
+    cr_assert(table.noteHeartbeat(heartbeat("a", 5), Start));
+    cr_assert_not(table.noteHeartbeat(heartbeat("a", 4, 9, true), Start + 3s));
+    cr_assert(table.state("a", "scheduler", Start + 3s) == MemberState::Suspect);
+    cr_assert_not(table.ownerSilence("east-a", Start + 3s));
+    cr_assert(table.noteHeartbeat(heartbeat("a", 6), Start + 3s));
+}
+
+// Guards against a former owner that hides the silence of the present one.
+Test(membershiptable, ownerSilenceFollowsTheHighestTerm)
+{
+    MembershipTable table;
+    cr_assert_not(table.ownerSilence("east-a", Start));
+    table.noteHeartbeat(heartbeat("a", 1, 7, true), Start);
+    table.noteHeartbeat(heartbeat("b", 1, 9, true), Start + 1s);
+    table.noteHeartbeat(heartbeat("a", 1, 7, true), Start + 2s);
+    table.noteHeartbeat(heartbeat("c", 1, 9, false), Start + 2s);
+    cr_assert(table.ownerSilence("east-a", Start + 3s) == 2s);
+    cr_assert_not(table.ownerSilence("east-b", Start));
+    table.noteHeartbeat(heartbeat("b", 1, 9, true), Start + 4s);
+    cr_assert(table.ownerSilence("east-a", Start + 4s) == 0s);
+}
+
+// Guards against memory that grows with every replaced instance.
+Test(membershiptable, forgetsMembersThatStayDead)
+{
+    MembershipTable table;
+    table.noteHeartbeat(heartbeat("a", 5), Start);
+    table.noteHeartbeat(heartbeat("b"), Start + 11min);
+    cr_assert(table.state("a", "scheduler", Start + 11min) == MemberState::Unknown);
+}
