--- a/src/libs/gateway/clientsession.cpp
+++ b/src/libs/gateway/clientsession.cpp
@@ -162,7 +162,8 @@
     if (!service) {
         const bool isKnown = m_state->contractsKnown;
         const auto status = isKnown ? http::status::not_found : http::status::service_unavailable;
-        co_await answer(status, RequestOutcome::NotRun, isKnown ? "no such customer or service" : "the contracts are not known yet");
+        std::string message = isKnown ? "no such customer or service" : "the contracts are not known yet";
+        co_await answer(status, RequestOutcome::NotRun, std::move(message));
         co_return;
     }
     m_customerLabel = route.customer;
@@ -246,9 +247,12 @@
         co_await answer(http::status::request_timeout, outcome, "the request body did not arrive in time");
         co_return;
     }
-    const auto fault = faultOf(error);
-    m_state->metrics.add("hyssop_gateway_bad_requests_total", {{"reason", fault ? fault->counter : "incomplete"}});
-    co_await answer(fault ? fault->status : http::status::bad_request, outcome, fault ? fault->message : "the request body is incomplete");
+    RequestFault fault{http::status::bad_request, "the request body is incomplete", "incomplete"};
+    if (const auto known = faultOf(error)) {
+        fault = *known;
+    }
+    m_state->metrics.add("hyssop_gateway_bad_requests_total", {{"reason", fault.counter}});
+    co_await answer(fault.status, outcome, fault.message);
 }
 
 asio::awaitable<void> ClientSession::answer(http::status status, RequestOutcome outcome, std::string message)
--- a/tests/libs/gateway/faketarget.cpp
+++ b/tests/libs/gateway/faketarget.cpp
@@ -30,10 +30,12 @@
 {
     explicit State(const asio::any_io_executor &executor)
         : acceptor(executor, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , address(formatEndpoint(acceptor.local_endpoint()))
     {
     }
 
     tcp::acceptor acceptor;
+    std::string address;
     std::set<std::shared_ptr<tcp::socket>> sockets;
     std::map<std::string, int> executions;
     int total = 0;
@@ -69,7 +71,7 @@
 
 std::string FakeTarget::address() const
 {
-    return formatEndpoint(m_state->acceptor.local_endpoint());
+    return m_state->address;
 }
 
 int FakeTarget::executions(const std::string &id) const
