--- /dev/null
+++ b/src/libs/gateway/gatewaydaemon.cpp
@@ -0,0 +1,268 @@
+#include "gatewaydaemon.h"
+
+#include "gatewayserver.h"
+#include "gatewaysettings.h"
+#include "instancepoller.h"
+#include "platformrequestlog.h"
+#include "targetpoller.h"
+
+#include <http/httpclient.h>
+#include <http/httpserver.h>
+#include <instance/configservice.h>
+#include <instance/peerservice.h>
+#include <observability/logging.h>
+#include <observability/metricsregistry.h>
+#include <platform/logclient.h>
+#include <utils/endpoint.h>
+#include <wire/rpcclient.h>
+#include <wire/rpcserver.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+
+namespace Hyssop {
+
+namespace asio = boost::asio;
+namespace beasthttp = boost::beast::http;
+
+namespace Internal {
+
+constexpr std::chrono::milliseconds TargetPollInterval{250};
+constexpr std::chrono::milliseconds InstancePollInterval{1000};
+
+struct GatewayDaemonState : std::enable_shared_from_this<GatewayDaemonState>
+{
+    GatewayDaemonState(asio::io_context &ioContext, const Settings &daemonSettings);
+
+    void start();
+    void stop();
+    bool ready() const;
+    void takeContracts();
+    Wire::Heartbeat heartbeat() const;
+    Wire::StatusReply status() const;
+    Wire::Message reply(const Wire::Message &request);
+    HttpResponse administer(const HttpRequest &request) const;
+
+    asio::io_context &context;
+    Settings settings;
+    std::int64_t incarnation = sinceEpoch(std::chrono::system_clock::now()).count();
+    MetricsRegistry metrics;
+    HttpClient http;
+    RpcClient rpc;
+    LogClient log;
+    ConfigService config;
+    PeerService peers;
+    PlatformRequestLog requestLog;
+    GatewayServer gateway;
+    TargetPoller targetPoller;
+    InstancePoller instancePoller;
+    RpcServer rpcServer;
+    HttpServer administration;
+    asio::signal_set signals;
+};
+
+using GatewayDaemonStatePtr = std::shared_ptr<GatewayDaemonState>;
+
+static asio::ip::tcp::endpoint endpointOf(const Settings &settings, const std::string &key)
+{
+    auto endpoint = capture([&] { return parseEndpoint(settings.text(key)); });
+    return *valueOf(endpoint);
+}
+
+static ConfigServiceOptions configOptions(const Settings &settings)
+{
+    ConfigServiceOptions options;
+    options.instance = settings.text("instance.name");
+    options.peers = settings.list("instance.peers");
+    options.retention = std::chrono::duration_cast<std::chrono::milliseconds>(settings.duration("platform.retention"));
+    return options;
+}
+
+static PeerServiceOptions peerOptions(const Settings &settings)
+{
+    return {settings.text("instance.name"), settings.text("instance.domain"), settings.list("instance.peers"), settings.list("instance.remote_peers")};
+}
+
+static asio::awaitable<Wire::Message> answerRpc(GatewayDaemonState &state, const Wire::Message &request)
+{
+    co_return state.reply(request);
+}
+
+static asio::awaitable<HttpResponse> answerAdministration(const GatewayDaemonState &state, const HttpRequest &request)
+{
+    co_return state.administer(request);
+}
+
+GatewayDaemonState::GatewayDaemonState(asio::io_context &ioContext, const Settings &daemonSettings)
+    : context(ioContext)
+    , settings(daemonSettings)
+    , http(context.get_executor())
+    , rpc(context.get_executor())
+    , log(http, settings.text("platform.log"))
+    , config(context.get_executor(), log, rpc, metrics, configOptions(settings))
+    , peers(context.get_executor(), rpc, metrics, peerOptions(settings))
+    , requestLog(context.get_executor(), log, settings.text("instance.domain"), settings.text("instance.name"), metrics)
+    , gateway(context.get_executor(), gatewayOptions(settings), metrics, &requestLog)
+    , targetPoller(context.get_executor(), rpc, metrics, settings.list("gateway.schedulers"))
+    , instancePoller(context.get_executor(), http, metrics, settings.text("platform.instances"))
+    , rpcServer(context.get_executor(), endpointOf(settings, "instance.rpc"), [this](const Wire::Message &request) { return answerRpc(*this, request); })
+    , administration(
+          context.get_executor(), endpointOf(settings, "instance.admin"), [this](const HttpRequest &request) { return answerAdministration(*this, request); })
+    , signals(context, SIGTERM, SIGINT)
+{
+}
+
+static asio::awaitable<void> drainAndStop(GatewayDaemonStatePtr state)
+{
+    const auto acceptTime = std::chrono::duration_cast<std::chrono::milliseconds>(state->settings.duration("gateway.drain_accept"));
+    const auto finishTime = std::chrono::duration_cast<std::chrono::milliseconds>(state->settings.duration("gateway.drain_finish"));
+    const int left = co_await state->gateway.drain(acceptTime, finishTime);
+    logMessage(LogLevel::Info, "gateway", "drain finished", {{"requests_left", left}});
+    state->stop();
+    state->context.stop();
+}
+
+void GatewayDaemonState::start()
+{
+    config.setChangeHandler([this] { takeContracts(); });
+    config.start();
+    requestLog.start();
+    peers.start([this] { return heartbeat(); },
+                [this](const Wire::Heartbeat &peer) {
+                    config.notePeerHead(peer.configHead, std::chrono::milliseconds(peer.configAgeMs), std::chrono::steady_clock::now());
+                });
+    targetPoller.start(TargetPollInterval, [this](const std::vector<Wire::Target> &targets) { gateway.applyPublication(targets); });
+    instancePoller.start(InstancePollInterval, [this](const std::vector<InstanceState> &instances) {
+        std::vector<ListedInstance> listed;
+        listed.reserve(instances.size());
+        for (const InstanceState &instance : instances) {
+            listed.push_back({instance.id, instance.address, instance.leaving});
+        }
+        gateway.applyInstances(listed);
+    });
+    gateway.start();
+    rpcServer.start();
+    administration.start();
+    signals.async_wait([self = shared_from_this()](const boost::system::error_code &error, int signal) {
+        if (!error) {
+            logMessage(LogLevel::Info, "gateway", "drain started", {{"signal", signal}});
+            asio::co_spawn(self->context, drainAndStop(self), asio::detached);
+        }
+    });
+    logMessage(LogLevel::Info, "gateway", "started", {{"listen", formatEndpoint(gateway.localEndpoint())}});
+}
+
+void GatewayDaemonState::stop()
+{
+    targetPoller.stop();
+    instancePoller.stop();
+    peers.stop();
+    config.stop();
+    requestLog.stop();
+    gateway.stop();
+    rpcServer.stop();
+    administration.stop();
+}
+
+bool GatewayDaemonState::ready() const
+{
+    return config.ready() && !gateway.draining() && targetPoller.lastAnswer() != TimePoint();
+}
+
+void GatewayDaemonState::takeContracts()
+{
+    if (!config.ready()) {
+        return;
+    }
+    std::vector<Contract> contracts;
+    for (const ContractInForce &entry : config.contracts()) {
+        contracts.push_back(entry.contract);
+    }
+    gateway.setContracts(contracts);
+}
+
+Wire::Heartbeat GatewayDaemonState::heartbeat() const
+{
+    const auto age = config.headAge(std::chrono::steady_clock::now());
+    Wire::Heartbeat result;
+    result.instance = settings.text("instance.name");
+    result.incarnation = incarnation;
+    result.domain = settings.text("instance.domain");
+    result.role = "gateway";
+    result.configHead = config.appliedUpTo();
+    result.configAgeMs = age ? age->count() : -1;
+    result.configDigest = config.digest();
+    result.address = settings.text("instance.rpc");
+    return result;
+}
+
+Wire::StatusReply GatewayDaemonState::status() const
+{
+    const Wire::Heartbeat own = heartbeat();
+    Wire::StatusReply result;
+    result.instance = own.instance;
+    result.domain = own.domain;
+    result.incarnation = own.incarnation;
+    result.ready = ready();
+    result.configHead = own.configHead;
+    result.configAgeMs = own.configAgeMs;
+    result.peers = peers.peers();
+    result.runningTasks = gateway.requestsInFlight();
+    result.logReachable = requestLog.caughtUp();
+    return result;
+}
+
+Wire::Message GatewayDaemonState::reply(const Wire::Message &request)
+{
+    Wire::Message message;
+    if (request.__isset.heartbeat) {
+        message.__set_heartbeat(peers.receive(request.heartbeat));
+    } else if (request.__isset.statusRequest) {
+        message.__set_statusReply(status());
+    } else if (request.__isset.configStateRequest) {
+        message.__set_configStateReply(config.state(request.configStateRequest));
+    } else {
+        Wire::ErrorReply error;
+        error.code = errorCodeName(ErrorCode::InvalidArgument);
+        error.message = "a gateway does not answer this message";
+        message.__set_error(error);
+    }
+    return message;
+}
+
+HttpResponse GatewayDaemonState::administer(const HttpRequest &request) const
+{
+    if (request.target() == "/metrics") {
+        return makeResponse(request, beasthttp::status::ok, metrics.toPrometheusText(), "text/plain; version=0.0.4");
+    }
+    if (request.target() == "/healthz") {
+        return makeResponse(request, beasthttp::status::ok, "ok\n");
+    }
+    if (request.target() == "/readyz") {
+        const bool isReady = ready();
+        return makeResponse(request, isReady ? beasthttp::status::ok : beasthttp::status::service_unavailable, isReady ? "ready\n" : "not ready\n");
+    }
+    return makeResponse(request, beasthttp::status::not_found, "not found\n");
+}
+
+} // namespace Internal
+
+GatewayDaemon::GatewayDaemon(asio::io_context &context, const Settings &settings)
+    : m_state(std::make_shared<Internal::GatewayDaemonState>(context, settings))
+{
+}
+
+GatewayDaemon::~GatewayDaemon()
+{
+    m_state->stop();
+}
+
+void GatewayDaemon::start()
+{
+    m_state->start();
+}
+
+} // namespace Hyssop
--- a/src/libs/gateway/requestjournal.cpp
+++ b/src/libs/gateway/requestjournal.cpp
@@ -58,6 +58,7 @@
     IdempotencyTable table;
     std::map<std::string, PendingClaimPtr> pending; // by request id
     int pendingOutcomes = 0;
+    bool stopped = false; // the log may be gone
 };
 
 using JournalStatePtr = std::shared_ptr<JournalState>;
@@ -128,6 +129,9 @@
         asio::steady_timer timer(state->executor, delay);
         co_await timer.async_wait(AsTuple);
         delay *= 2;
+        if (state->stopped) {
+            co_return;
+        }
     }
     --state->pendingOutcomes;
     state->metrics.add("hyssop_gateway_outcomes_lost_total");
@@ -193,7 +197,10 @@
     log.setBatchHandler([state = m_state](WallTime time, const Wire::RecordBatch &batch) { Internal::applyBatch(*state, time, batch); });
 }
 
-RequestJournal::~RequestJournal() = default;
+RequestJournal::~RequestJournal()
+{
+    m_state->stopped = true;
+}
 
 asio::awaitable<KeyClaim> RequestJournal::claim(Wire::RequestIntent intent, TimePoint deadline)
 {
--- a/tests/libs/gateway/testgatewayproperties.cpp
+++ b/tests/libs/gateway/testgatewayproperties.cpp
@@ -23,7 +23,13 @@
     int brokenAnswers = 0;
     int known = 0;
     std::vector<std::string> notRun;
-    std::vector<std::string> unknown;
+};
+
+/// Callers that go on until they are told to stop.
+struct LoadRun
+{
+    bool running = true;
+    int finished = 0;
 };
 
 } // namespace
@@ -222,14 +228,14 @@
     fixture.run(checkLaterAttempt(fixture));
 }
 
-static asio::awaitable<void> callWhile(GatewayFixture &fixture, const bool &running, int &finished)
+static asio::awaitable<void> callWhile(GatewayFixture &fixture, LoadRun &load)
 {
     Caller caller(fixture.endpoint());
-    while (running) {
+    while (load.running) {
         const CallerAnswer answer = co_await caller.send("POST", "/cascadia/sales/delay/5", "load");
         cr_assert_eq(answer.response.result_int(), 200);
     }
-    ++finished;
+    ++load.finished;
 }
 
 enum class LeavingSignal { Publication, InstanceList, Probe };
@@ -237,11 +243,10 @@
 static asio::awaitable<void> checkLeaving(GatewayFixture &fixture, LeavingSignal signal)
 {
     constexpr int CallerCount = 10;
-    bool running = true;
-    int finished = 0;
+    LoadRun load;
     const auto executor = co_await asio::this_coro::executor;
     for (int i = 0; i < CallerCount; ++i) {
-        asio::co_spawn(executor, callWhile(fixture, running, finished), asio::detached);
+        asio::co_spawn(executor, callWhile(fixture, load), asio::detached);
     }
     co_await pauseFor(milliseconds(100));
     auto targets = fixture.publication();
@@ -274,8 +279,8 @@
     cr_log_info("last new request %.3f s after the signal", seconds);
     cr_assert_lt(seconds, 2.0);
     cr_assert_gt(fixture.targets[1]->totalExecutions(), 100);
-    running = false;
-    while (finished < CallerCount) {
+    load.running = false;
+    while (load.finished < CallerCount) {
         co_await pauseFor(milliseconds(10));
     }
 }
--- a/tests/libs/gateway/testgatewaysession.cpp
+++ b/tests/libs/gateway/testgatewaysession.cpp
@@ -166,20 +166,29 @@
     fixture.run(checkRetries(fixture));
 }
 
-static asio::awaitable<void> holdRequest(GatewayFixture &fixture, std::string path, int &finished)
+namespace {
+
+struct HeldRequests
+{
+    int finished = 0;
+};
+
+} // namespace
+
+static asio::awaitable<void> holdRequest(GatewayFixture &fixture, std::string path, HeldRequests &held)
 {
     Caller caller(fixture.endpoint());
     co_await caller.send("GET", path, "held");
-    ++finished;
+    ++held.finished;
 }
 
 static asio::awaitable<void> checkSeparateLimits(GatewayFixture &fixture)
 {
     constexpr int NoisyRequests = 50;
-    int finished = 0;
+    HeldRequests held;
     const auto executor = co_await asio::this_coro::executor;
     for (int i = 0; i < NoisyRequests; ++i) {
-        asio::co_spawn(executor, holdRequest(fixture, "/noisy/sales/delay/200", finished), asio::detached);
+        asio::co_spawn(executor, holdRequest(fixture, "/noisy/sales/delay/200", held), asio::detached);
     }
     co_await pauseFor(std::chrono::milliseconds(50));
     Caller caller(fixture.endpoint());
@@ -192,7 +201,7 @@
     cr_assert_str_eq(limited.outcome().c_str(), "not-run");
     cr_assert(limited.keepAlive);
     cr_assert_eq(fixture.targets[0]->executions("limited") + fixture.targets[1]->executions("limited"), 0);
-    while (finished < NoisyRequests) {
+    while (held.finished < NoisyRequests) {
         co_await pauseFor(std::chrono::milliseconds(10));
     }
     const double rejected = fixture.metrics.value("hyssop_gateway_limited_total", {{"customer", "noisy"}, {"service", "sales"}, {"limit", "concurrency"}});
