--- a/src/libs/placement/taskdispatcher.cpp
+++ b/src/libs/placement/taskdispatcher.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t BackfillDepth = 8; // tasks of a team that are tried in one round
+constexpr std::size_t BackfillDepth = 32; // tasks of a team that are tried in one round
 constexpr std::size_t UrgentDepth = 64;
 constexpr std::size_t MostPreemptions = 64; // in one round; bounds its cost
 constexpr std::size_t NotFittingKept = 16;
--- a/src/libs/placement/workerselector.cpp
+++ b/src/libs/placement/workerselector.cpp
@@ -19,8 +19,8 @@
 constexpr double SameRackCost = 0.1;
 constexpr double Forbidden = std::numeric_limits<double>::infinity();
 // On full workers the choice is between tasks, not between workers; without a limit every pair would meet.
-constexpr double LargestEffectLatency = 0.04;
-constexpr double LargestEffectThroughput = 0.15;
+constexpr double LargestEffectLatency = 0.015;
+constexpr double LargestEffectThroughput = 0.04;
 constexpr double PatienceSeconds = 3600; // the permitted effect doubles after twice this wait, so that no kind starves
 
 double largestEffect(Favor favor)
