Let a task with failures probe a worker after 30 s

Ruled out: size correction, throttling and eviction (the job waits with each of them off); quarantine off lets it end.

Change: such a task may probe once it has waited for 30 s. The gateway uses the common settings, program options and administration endpoints.

--- a/src/libs/gateway/gatewaydaemon.cpp
+++ b/src/libs/gateway/gatewaydaemon.cpp
@@ -7,7 +7,7 @@
 #include "targetpoller.h"
 
 #include <http/httpclient.h>
-#include <http/httpserver.h>
+#include <instance/adminserver.h>
 #include <instance/configservice.h>
 #include <instance/peerservice.h>
 #include <observability/logging.h>
@@ -26,7 +26,6 @@
 namespace Hyssop {
 
 namespace asio = boost::asio;
-namespace beasthttp = boost::beast::http;
 
 namespace Internal {
 
@@ -44,7 +43,6 @@
     Wire::Heartbeat heartbeat() const;
     Wire::StatusReply status() const;
     Wire::Message reply(const Wire::Message &request);
-    HttpResponse administer(const HttpRequest &request) const;
 
     asio::io_context &context;
     Settings settings;
@@ -60,7 +58,7 @@
     TargetPoller targetPoller;
     InstancePoller instancePoller;
     RpcServer rpcServer;
-    HttpServer administration;
+    AdminServer administration;
     asio::signal_set signals;
 };
 
@@ -77,13 +75,13 @@
     ConfigServiceOptions options;
     options.instance = settings.text("instance.name");
     options.peers = settings.list("instance.peers");
-    options.retention = std::chrono::duration_cast<std::chrono::milliseconds>(settings.duration("platform.retention"));
+    options.retention = std::chrono::duration_cast<std::chrono::milliseconds>(settings.duration("log.retention"));
     return options;
 }
 
 static PeerServiceOptions peerOptions(const Settings &settings)
 {
-    return {settings.text("instance.name"), settings.text("instance.domain"), settings.list("instance.peers"), settings.list("instance.remote_peers")};
+    return {settings.text("instance.name"), settings.text("instance.failure_domain"), settings.list("instance.peers"), settings.list("instance.remote_peers")};
 }
 
 static asio::awaitable<Wire::Message> answerRpc(GatewayDaemonState &state, const Wire::Message &request)
@@ -91,26 +89,21 @@
     co_return state.reply(request);
 }
 
-static asio::awaitable<HttpResponse> answerAdministration(const GatewayDaemonState &state, const HttpRequest &request)
-{
-    co_return state.administer(request);
-}
-
 GatewayDaemonState::GatewayDaemonState(asio::io_context &ioContext, const Settings &daemonSettings)
     : context(ioContext)
     , settings(daemonSettings)
     , http(context.get_executor())
     , rpc(context.get_executor())
-    , log(http, settings.text("platform.log"))
+    , log(http, settings.text("log.address"))
     , config(context.get_executor(), log, rpc, metrics, configOptions(settings))
     , peers(context.get_executor(), rpc, metrics, peerOptions(settings))
-    , requestLog(context.get_executor(), log, settings.text("instance.domain"), settings.text("instance.name"), metrics)
+    , requestLog(context.get_executor(), log, settings.text("instance.failure_domain"), settings.text("instance.name"), metrics)
     , gateway(context.get_executor(), gatewayOptions(settings), metrics, &requestLog)
     , targetPoller(context.get_executor(), rpc, metrics, settings.list("gateway.schedulers"))
-    , instancePoller(context.get_executor(), http, metrics, settings.text("platform.instances"))
+    , instancePoller(context.get_executor(), http, metrics, settings.text("gateway.instance_list"))
     , rpcServer(context.get_executor(), endpointOf(settings, "instance.rpc"), [this](const Wire::Message &request) { return answerRpc(*this, request); })
     , administration(
-          context.get_executor(), endpointOf(settings, "instance.admin"), [this](const HttpRequest &request) { return answerAdministration(*this, request); })
+          context.get_executor(), endpointOf(settings, "instance.admin"), metrics, [this] { return ready(); }, settings.text("metrics.enabled") == "yes")
     , signals(context, SIGTERM, SIGINT)
 {
 }
@@ -190,7 +183,7 @@
     Wire::Heartbeat result;
     result.instance = settings.text("instance.name");
     result.incarnation = incarnation;
-    result.domain = settings.text("instance.domain");
+    result.domain = settings.text("instance.failure_domain");
     result.role = "gateway";
     result.configHead = config.appliedUpTo();
     result.configAgeMs = age ? age->count() : -1;
@@ -233,21 +226,6 @@
     return message;
 }
 
-HttpResponse GatewayDaemonState::administer(const HttpRequest &request) const
-{
-    if (request.target() == "/metrics") {
-        return makeResponse(request, beasthttp::status::ok, metrics.toPrometheusText(), "text/plain; version=0.0.4");
-    }
-    if (request.target() == "/healthz") {
-        return makeResponse(request, beasthttp::status::ok, "ok\n");
-    }
-    if (request.target() == "/readyz") {
-        const bool isReady = ready();
-        return makeResponse(request, isReady ? beasthttp::status::ok : beasthttp::status::service_unavailable, isReady ? "ready\n" : "not ready\n");
-    }
-    return makeResponse(request, beasthttp::status::not_found, "not found\n");
-}
-
 } // namespace Internal
 
 GatewayDaemon::GatewayDaemon(asio::io_context &context, const Settings &settings)
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -18,20 +18,9 @@
     using std::chrono::hours;
     using std::chrono::milliseconds;
     using std::chrono::minutes;
-    using std::chrono::seconds;
     return {
-        {"instance.name", TextSetting{}, "Name of this instance; unique in the installation.", "", true},
-        {"instance.domain", TextSetting{}, "Failure domain of this instance.", "", true},
-        {"instance.rpc", AddressSetting{}, "Address for other instances.", "127.0.0.1:7101", false},
-        {"instance.admin", AddressSetting{}, "Address of /metrics, /healthz and /readyz.", "127.0.0.1:7102", false},
-        {"instance.peers", AddressListSetting{}, "RPC addresses of the other instances of the failure domain.", "", false},
-        {"instance.remote_peers", AddressListSetting{}, "RPC addresses of instances in other failure domains.", "", false},
-        {"log.level", ChoiceSetting{{"debug", "info", "warning", "error"}}, "Lowest level that is logged.", "info", false},
-        {"log.format", ChoiceSetting{{"keyvalue", "json"}}, "Format of log lines.", "keyvalue", false},
-        {"platform.log", AddressSetting{}, "Address of the platform log.", "", true},
-        {"platform.retention", DurationSetting{minutes(1), hours(8760)}, "Time for which the platform log keeps records.", "24 h", false},
-        {"platform.instances", AddressSetting{}, "Address of the platform's instance list.", "", true},
         {"gateway.listen", AddressSetting{}, "Address for callers.", "", true},
+        {"gateway.instance_list", AddressSetting{}, "Address of the platform's instance list.", "", true},
         {"gateway.schedulers", AddressListSetting{}, "RPC addresses of the schedulers of the failure domain.", "", true},
         {"gateway.domain_gateways", IntegerSetting{1, 100}, "Gateways in the failure domain; each enforces its part of a contract's limits.", "2", false},
         {"gateway.maximum_connections", IntegerSetting{1, 60000}, "Connections from callers.", "4096", false},
--- a/src/libs/placement/workerselector.cpp
+++ b/src/libs/placement/workerselector.cpp
@@ -28,6 +28,8 @@
     return favor == Favor::Latency ? LargestEffectLatency : LargestEffectThroughput;
 }
 
+constexpr std::chrono::nanoseconds ProbePatience = std::chrono::seconds(30);
+
 } // namespace
 
 Selection WorkerSelector::select(std::uint32_t task, const Resources &amount, TimePoint now)
@@ -95,8 +97,10 @@
     if (!failed || failed->size() >= m_state.workerIds.size()) {
         return true;
     }
-    // A task with failures is no probe: its failure would say nothing about the worker.
-    return !probing && std::find(failed->begin(), failed->end(), m_state.workers[worker].name) == failed->end();
+    // A task with failures is a poor probe, since its failure says little about the worker. But if nothing else is
+    // queued, it would wait without end for another task to probe the last workers on which it has not failed.
+    const bool probes = !probing || m_state.lastTime.time_since_epoch().count() - task.key >= ProbePatience.count();
+    return probes && std::find(failed->begin(), failed->end(), m_state.workers[worker].name) == failed->end();
 }
 
 double WorkerSelector::cost(const TaskRecord &task, std::uint32_t worker, bool explore, double patience) const
