Test operator client against internal errors and its own change

Cause: two faults put into OperatorClient made no test fail: an internal error taken as "not done" and a change that conflicts with itself.

Change: two faults in the fake scheduler and one test for each.

--- a/tests/libs/operators/fakescheduler.h
+++ b/tests/libs/operators/fakescheduler.h
@@ -92,6 +92,8 @@
     Unavailable, // certainly no effect
     UnknownVerdict, // the effect happens, the scheduler does not know
     Refused, // refused without effect
+    InternalError, // the effect happens, the scheduler answers with an internal error
+    ConflictWithItself, // the effect happens, the scheduler names the change as the one in its way
 };
 
 /// A scheduler on a loopback port. Faults apply to requests with an effect, one each.
@@ -167,6 +169,10 @@
             reply.verdict = Wire::ChangeVerdict::Unknown;
             reply.message = "the append was not confirmed";
         }
+        if (fault == Fault::ConflictWithItself) {
+            reply.verdict = Wire::ChangeVerdict::Conflict;
+            reply.__set_current(m_store.entries[change.key]);
+        }
         co_return reply;
     }
 
@@ -186,6 +192,9 @@
         if (fault == Fault::LostAnswer) {
             co_await delayAnswer();
         }
+        if (fault == Fault::InternalError) {
+            co_return Error{ErrorCode::Internal, "internal fault"};
+        }
         reply.verdict = fault == Fault::UnknownVerdict ? Wire::SubmitVerdict::Undetermined : Wire::SubmitVerdict::Queued;
         reply.message.clear();
         co_return reply;
--- a/tests/libs/operators/testoperatorclient.cpp
+++ b/tests/libs/operators/testoperatorclient.cpp
@@ -99,6 +99,14 @@
     cr_assert_eq(schedulers.second.effects(), 1);
 }
 
+// Guards against a conflict of a change with itself after an attempt whose answer was lost.
+Test(operatorclient, recognizesItsOwnChangeInAConflict)
+{
+    Schedulers schedulers;
+    schedulers.first.addFault(Fault::ConflictWithItself);
+    runToEnd(schedulers.context, checkVerdict(schedulers, Wire::ChangeVerdict::Accepted));
+}
+
 // Guards against an unknown verdict that is given up although the same id can be sent again.
 Test(operatorclient, repeatsAnUnknownVerdict)
 {
@@ -181,6 +189,21 @@
     cr_assert(schedulers.store.jobs["west-a"].empty());
 }
 
+// Guards against "not run" after a scheduler's internal error, whose effect is unknown (P6).
+Test(operatorclient, staysUndeterminedAfterAnInternalError)
+{
+    Schedulers schedulers;
+    schedulers.store.apply(change("c1"));
+    // The configuration change of the check takes the first entry.
+    schedulers.first.addFault(Fault::Unavailable);
+    schedulers.first.addFault(Fault::InternalError);
+    schedulers.first.addFault(Fault::Refused);
+    schedulers.second.addFault(Fault::Unavailable);
+    schedulers.second.addFault(Fault::Refused);
+    runToEnd(schedulers.context, checkSubmit(schedulers, Wire::SubmitVerdict::Undetermined));
+    cr_assert_eq(schedulers.store.jobs["east-a"].size(), 1);
+}
+
 // Guards against a job that is recorded twice after a lost answer.
 Test(operatorclient, resendsAJobUnderTheSameId)
 {
