--- /dev/null
+++ b/src/tools/hyssopctl/contractcommands.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "command.h"
+
+#include <vector>
+
+namespace Hyssop {
+
+/// contract apply, get, list, diff and history.
+std::vector<Command> contractCommands();
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/tools/hyssopctl/domaincommands.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "command.h"
+
+#include <vector>
+
+namespace Hyssop {
+
+/// domain out, in and status.
+std::vector<Command> domainCommands();
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/tools/hyssopctl/jobcommands.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "command.h"
+
+#include <vector>
+
+namespace Hyssop {
+
+/// job submit, status, cancel and list.
+std::vector<Command> jobCommands();
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/tools/hyssopctl/targetcommands.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "command.h"
+
+#include <vector>
+
+namespace Hyssop {
+
+/// target list.
+std::vector<Command> targetCommands();
+
+} // namespace Hyssop
