Document configuration, glossary and operation; refuse early queries

Cause: operators had no page on the contract format, the terms and the daily work. A scheduler that has not read its state answered "not found" for contracts and jobs that exist. The test of the line diff's memory bound passed without the bound.

Change: docs/configuration.md, docs/glossary.md, docs/operations.md; the operator handler answers "unavailable" until the scheduler is ready, so that the client asks the next one; the diff test limits the resident memory.

--- a/src/libs/contract/contract.cpp
+++ b/src/libs/contract/contract.cpp
@@ -25,6 +25,10 @@
 constexpr std::int64_t Gigabyte = 1000 * Megabyte;
 // The default of the design page, section 7.6.
 constexpr std::chrono::microseconds DefaultIdempotencyWindow = 10min;
+// Half of the log's default retention: an outcome that the log no longer holds can't answer a request.
+constexpr std::chrono::microseconds LongestIdempotencyWindow = 12h;
+// More retries than this prolong an overload.
+constexpr double LargestRetryShare = 0.5;
 
 /// One key of a section of type @p Target.
 template<typename Target>
@@ -149,12 +153,15 @@
          [](S &s, const std::string &v) { return assignRange(v, parseBytes, Megabyte, 16'000 * Gigabyte, s.task.memoryBytes); }},
         {"accelerators", false, "an integer from 0 to 64", [](S &s, const std::string &v) { return assignInteger(v, 0, 64, s.task.accelerators); }},
         {"command", true, "1 to 1024 printable ASCII characters", [](S &s, const std::string &v) { return assignCommand(v, s.command); }},
-        {"retry_share", false, "a share from 0 % to 50 %", [](S &s, const std::string &v) { return assignRange(v, parseShare, 0.0, 0.5, s.retryShare); }},
+        {"retry_share",
+         false,
+         "a share from 0 % to 50 %",
+         [](S &s, const std::string &v) { return assignRange(v, parseShare, 0.0, LargestRetryShare, s.retryShare); }},
         {"maximum_attempts", false, "an integer from 1 to 10", [](S &s, const std::string &v) { return assignInteger(v, 1, 10, s.maximumAttempts); }},
         {"idempotency_window",
          false,
          "a duration with unit (us, ms, s, min, h) from 1 s to 12 h",
-         [](S &s, const std::string &v) { return assignDuration(v, 1s, 12h, s.idempotencyWindow); }},
+         [](S &s, const std::string &v) { return assignDuration(v, 1s, LongestIdempotencyWindow, s.idempotencyWindow); }},
         {"single_copy", false, "yes or no", [](S &s, const std::string &v) { return assignYesNo(v, s.singleCopy); }},
         {"priority", false, "an integer from 0 to 9", [](S &s, const std::string &v) { return assignInteger(v, 0, 9, s.priority); }},
     };
--- a/src/libs/operators/operatorhandler.cpp
+++ b/src/libs/operators/operatorhandler.cpp
@@ -109,6 +109,9 @@
     if (const auto fault = Internal::checkJob(spec)) {
         co_return Internal::errorMessage(*fault);
     }
+    if (const auto fault = readinessFault()) {
+        co_return Internal::errorMessage(*fault);
+    }
     Wire::JobQuery query;
     query.jobId = spec.jobId;
     // A resend of a recorded job must not be refused because the contract has changed since.
@@ -126,6 +129,9 @@
     if (const auto fault = Internal::checkCancel(request)) {
         co_return Internal::errorMessage(*fault);
     }
+    if (const auto fault = readinessFault()) {
+        co_return Internal::errorMessage(*fault);
+    }
     auto outcome = co_await m_functions.cancelJob(std::move(request));
     co_return Internal::submitMessage(outcome);
 }
@@ -141,6 +147,9 @@
         }
     } else if (request.__isset.jobQuery) {
         fault = Internal::checkQuery(request.jobQuery);
+        if (!fault) {
+            fault = readinessFault();
+        }
         if (!fault) {
             reply.__set_jobQueryReply(m_functions.queryJobs(request.jobQuery));
         }
@@ -161,6 +170,9 @@
     if (const auto fault = Internal::checkAudit(request)) {
         return Internal::errorMessage(*fault);
     }
+    if (const auto fault = readinessFault()) {
+        return Internal::errorMessage(*fault);
+    }
     Wire::Message reply;
     reply.__set_auditReply(m_functions.audit(request));
     if (!Internal::fitsInFrame(reply)) {
@@ -172,6 +184,14 @@
     return reply;
 }
 
+std::optional<Error> OperatorHandler::readinessFault() const
+{
+    if (m_functions.status().ready) {
+        return std::nullopt;
+    }
+    return Error{ErrorCode::Unavailable, "the scheduler has not read its state yet"};
+}
+
 std::optional<Error> OperatorHandler::contractFault(const Wire::JobSpec &spec) const
 {
     const auto contract = m_functions.contract(spec.customer);
--- a/src/libs/operators/operatorhandler.h
+++ b/src/libs/operators/operatorhandler.h
@@ -51,6 +51,8 @@
     boost::asio::awaitable<Wire::Message> cancelJob(Wire::JobCancelRequest request);
     Wire::Message answerQuery(const Wire::Message &request) const;
     Wire::Message audit(const Wire::AuditRequest &request) const;
+    /// A scheduler that has not read its state would take a contract or job for missing.
+    std::optional<Error> readinessFault() const;
     std::optional<Error> contractFault(const Wire::JobSpec &spec) const;
 
     OperatorFunctions m_functions;
--- a/tests/libs/contract/testcontract.cpp
+++ b/tests/libs/contract/testcontract.cpp
@@ -241,6 +241,17 @@
     }
 }
 
+// Guards against a key that operators can't look up.
+Test(contract, documentsEveryKey)
+{
+    const std::string document = Test::readTestFile("../docs/configuration.md");
+    for (const Section &section : {CustomerSection, ServiceSection, TeamSection}) {
+        for (const auto &entry : section) {
+            cr_assert(document.find("| `" + entry.first + "` |") != std::string::npos, "docs/configuration.md lacks %s", entry.first.c_str());
+        }
+    }
+}
+
 static void checkInvariants(const Contract &contract)
 {
     for (const ServiceContract &service : contract.services) {
--- a/tests/libs/operators/testoperatorhandler.cpp
+++ b/tests/libs/operators/testoperatorhandler.cpp
@@ -193,6 +193,27 @@
     cr_assert_eq(fixture.store.jobs["east-a"].size(), 1);
 }
 
+// Guards against "not found" from a scheduler that has not read its state yet.
+Test(operatorhandler, isUnavailableUntilItIsReady)
+{
+    HandlerFixture fixture;
+    fixture.scheduler.setReady(false);
+    cr_assert_eq(fixture.submit(validJob()).error.code, "unavailable");
+    Wire::JobCancelRequest cancelRequest;
+    cancelRequest.jobId = "job-1";
+    cancelRequest.operatorName = "nino";
+    Wire::Message cancel;
+    cancel.__set_jobCancelRequest(cancelRequest);
+    cr_assert_eq(fixture.send(cancel).error.code, "unavailable");
+    Wire::Message jobs;
+    jobs.__set_jobQuery({});
+    cr_assert_eq(fixture.send(jobs).error.code, "unavailable");
+    Wire::Message audit;
+    audit.__set_auditRequest({});
+    cr_assert_eq(fixture.send(audit).error.code, "unavailable");
+    cr_assert_eq(fixture.scheduler.effects(), 0);
+}
+
 // Guards against replies that the client's frame limit rejects.
 Test(operatorhandler, keepsRepliesWithinAFrame)
 {
--- a/tests/tools/hyssopctl/testdocuments.cpp
+++ b/tests/tools/hyssopctl/testdocuments.cpp
@@ -2,6 +2,8 @@
 
 #include <hyssopctl/linediff.h>
 
+#include <sys/resource.h>
+
 using namespace Hyssop;
 using namespace Hyssop::Test;
 
@@ -51,4 +53,8 @@
         after += "b\n";
     }
     cr_assert_eq(lineDiff(before, after).size(), 40'000);
+    constexpr long MostKilobytes = 512 * 1024; // a full table of these texts takes 1.6 GB
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    cr_assert(usage.ru_maxrss < MostKilobytes, "%ld KB", usage.ru_maxrss);
 }
