--- a/tests/processes/testfailures.cpp
+++ b/tests/processes/testfailures.cpp
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <iostream>
@@ -239,11 +240,10 @@
     Cluster cluster({});
     startServing(cluster, "puget-a");
     const std::string file = cluster.directory() + "/contract.ini";
-    int codes[2] = {-1, -1};
-    std::thread first([&] { codes[0] = cluster.control("puget-a", {"contract", "apply", file, "--base", "1"}).exitCode; });
-    std::thread second([&] { codes[1] = cluster.control("puget-a", {"contract", "apply", file, "--base", "1"}).exitCode; });
-    first.join();
-    second.join();
+    // Both start before either has ended.
+    ChildProcess first = cluster.startControl("puget-a", {"contract", "apply", file, "--base", "1"});
+    ChildProcess second = cluster.startControl("puget-a", {"contract", "apply", file, "--base", "1"});
+    std::array codes{first.waitForExit(std::chrono::seconds(20)), second.waitForExit(std::chrono::seconds(20))};
     std::ranges::sort(codes);
     cr_assert_eq(codes[0], 0);
     cr_assert_eq(codes[1], 4);
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <iterator>
+#include <thread>
 
 namespace Hyssop::Testing {
 
@@ -15,6 +16,21 @@
     return std::string(HYSSOP_BUILD_DIR) + (standIn ? "/tests/" : "/src/") + program;
 }
 
+// child::wait_for() of Boost 1.81 forks a helper process and must not run in two threads; polling has neither problem.
+static bool waitForEnd(bp::child &child, std::chrono::milliseconds timeout)
+{
+    constexpr std::chrono::milliseconds PollInterval{5};
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    std::error_code ignored;
+    while (child.running(ignored)) {
+        if (std::chrono::steady_clock::now() >= deadline) {
+            return false;
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+    return true;
+}
+
 struct ChildProcess::Private
 {
     bp::ipstream output;
@@ -73,8 +89,7 @@
 
 int ChildProcess::waitForExit(std::chrono::milliseconds timeout)
 {
-    std::error_code ignored;
-    if (!m_private->child.wait_for(timeout, ignored)) {
+    if (!waitForEnd(m_private->child, timeout)) {
         return -1;
     }
     return m_private->child.exit_code();
@@ -87,8 +102,8 @@
     bp::child child(bp::exe = programPath(program), bp::args = arguments, bp::std_out > output, bp::std_err > errors, bp::std_in < bp::null);
     ProgramResult result;
     // The programs write little, so the pipes can't fill up before the end.
-    std::error_code ignored;
-    if (!child.wait_for(timeout, ignored)) {
+    if (!waitForEnd(child, timeout)) {
+        std::error_code ignored;
         child.terminate(ignored);
         return result;
     }
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -150,6 +150,12 @@
     return runProgram("hyssopctl", arguments);
 }
 
+ChildProcess Cluster::startControl(const std::string &domain, std::vector<std::string> arguments) const
+{
+    arguments.insert(arguments.end(), {"--address", boost::algorithm::join(addressesOf("scheduler-", domain, {}), ",")});
+    return {"hyssopctl", arguments, m_directory + "/hyssopctl.log"};
+}
+
 int Cluster::applyContract(const std::string &domain, const std::string &text) const
 {
     const std::string file = m_directory + "/contract.ini";
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -43,6 +43,9 @@
     /// Runs hyssopctl with the addresses of @p domain's schedulers.
     ProgramResult control(const std::string &domain, std::vector<std::string> arguments) const;
 
+    /// Like control(), but does not wait for the end.
+    ChildProcess startControl(const std::string &domain, std::vector<std::string> arguments) const;
+
     /// Applies the contract text of a customer and returns the exit code of hyssopctl.
     int applyContract(const std::string &domain, const std::string &text) const;
 
