Republish by the log's clock

Cause: the age of a record was its log time compared with this machine's wall clock.

Change: ConfigService learns the offset between the log's clock and the steady clock from records that arrive while it follows the head, and writes a key at most once in a pass. The log stand-in can shift its clock.

Mechanisms broken once, and what failed. This commit: wall clock instead of the log's clock (republicationToleratesASlowClock, republicationToleratesAFastClock).

--- a/src/libs/instance/configservice.cpp
+++ b/src/libs/instance/configservice.cpp
@@ -18,6 +18,7 @@
 #include <list>
 #include <map>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace Hyssop {
@@ -75,6 +76,7 @@
     ConfigLedgerCounters reportedCounters;
     TimePoint startedAt;
     std::optional<TimePoint> lastReadAt;
+    std::optional<Duration> logClockOffset; // of the log's clock to the steady clock
     std::optional<TimePoint> peerProofAt; // at this time a peer's head was not above knownUpTo()
     std::optional<std::pair<std::int64_t, TimePoint>> laterProof; // head that is still to be read
     bool adopted = false;
@@ -193,9 +195,32 @@
     wakeWaiting(state);
 }
 
+/// Learns the log's clock from records that arrive soon after they were written. This machine's wall clock may be wrong.
+static void noteLogTime(ConfigServiceState &state, WallTime time)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    const bool isNew = state.tailer.caughtUp() && state.lastReadAt && now - *state.lastReadAt < LogSilence;
+    if (!isNew) {
+        return;
+    }
+    // A delay on the way makes the offset smaller, so the largest one is the best estimate.
+    const Duration offset = time.time_since_epoch() - now.time_since_epoch();
+    state.logClockOffset = std::max(state.logClockOffset.value_or(offset), offset);
+}
+
+/// Returns the time of the log's clock, which stamps the records. Before it is known, the wall clock has to do.
+static WallTime logTime(const ConfigServiceState &state)
+{
+    if (!state.logClockOffset) {
+        return std::chrono::system_clock::now();
+    }
+    return WallTime(std::chrono::steady_clock::now().time_since_epoch() + *state.logClockOffset);
+}
+
 static void applyBatch(ConfigServiceState &state, std::int64_t offset, WallTime time, const Wire::RecordBatch &batch)
 {
     state.ledger.noteOldest(state.tailer.oldest());
+    noteLogTime(state, time);
     for (const Wire::Record &record : batch.records) {
         state.ledger.apply(offset, time, record);
     }
@@ -280,17 +305,22 @@
     }
 }
 
-static std::vector<Wire::Record> nextSnapshots(const ConfigServiceState &state, std::chrono::milliseconds age)
+/// Takes due keys that are not among @p written, and adds them to it.
+static std::vector<Wire::Record> nextSnapshots(const ConfigServiceState &state, std::chrono::milliseconds age, std::set<std::string> &written)
 {
     std::vector<Wire::Record> records;
     std::size_t bytes = 0;
-    for (const std::string &key : state.ledger.dueKeys(std::chrono::system_clock::now(), age)) {
+    for (const std::string &key : state.ledger.dueKeys(logTime(state), age)) {
+        if (written.contains(key)) {
+            continue;
+        }
         Wire::Record record = state.ledger.snapshot(key);
         bytes += record.configSnapshot.body.size() + SnapshotOverhead;
         if (!records.empty() && bytes > SnapshotBytesPerAppend) {
             break;
         }
         records.push_back(std::move(record));
+        written.insert(key);
     }
     return records;
 }
@@ -306,9 +336,11 @@
 
 static asio::awaitable<void> republishDueKeys(ConfigServiceStatePtr state, std::chrono::milliseconds age)
 {
+    // With a wrong clock a key may be due again at once; it must not be written without end.
+    std::set<std::string> written;
     while (!state->stopped && state->isReady() && state->tailer.caughtUp()) {
         // What another instance has republished in the meantime is no longer due.
-        std::vector<Wire::Record> records = nextSnapshots(*state, age);
+        std::vector<Wire::Record> records = nextSnapshots(*state, age, written);
         if (records.empty()) {
             co_return;
         }
--- a/tests/libs/instance/testconfigservice.cpp
+++ b/tests/libs/instance/testconfigservice.cpp
@@ -273,8 +273,9 @@
     runToEnd(fixture.context, checkStartWithoutLog(fixture));
 }
 
-static asio::awaitable<void> checkRepublication(Fixture &fixture)
+static asio::awaitable<void> checkRepublication(Fixture &fixture, std::chrono::milliseconds clockOffset)
 {
+    fixture.log.faults().clockOffset = clockOffset;
     ConfigServiceOptions options = optionsFor("a");
     options.retention = 1s;
     Instance &first = fixture.add(options);
@@ -293,7 +294,7 @@
         const auto &records = fixture.log.store().streams().at("config").records;
         std::int64_t oldest = 1;
         for (const LogRecord &record : records) {
-            oldest = std::chrono::system_clock::now() - record.time > 1s ? record.offset + 1 : oldest;
+            oldest = std::chrono::system_clock::now() + clockOffset - record.time > 1s ? record.offset + 1 : oldest;
         }
         fixture.log.store().truncate("config", oldest);
     }
@@ -314,7 +315,21 @@
 Test(configservice, republicationKeepsTheStateAlive)
 {
     Fixture fixture;
-    runToEnd(fixture.context, checkRepublication(fixture));
+    runToEnd(fixture.context, checkRepublication(fixture, 0ms));
+}
+
+// Guards against an instance with a slow clock that lets the state expire.
+Test(configservice, republicationToleratesASlowClock)
+{
+    Fixture fixture;
+    runToEnd(fixture.context, checkRepublication(fixture, 1h));
+}
+
+// Guards against an instance with a fast clock that writes snapshots without end.
+Test(configservice, republicationToleratesAFastClock)
+{
+    Fixture fixture;
+    runToEnd(fixture.context, checkRepublication(fixture, -1h));
 }
 
 static Wire::Record snapshot(std::int64_t revision, std::int64_t readUpTo)
--- a/tests/standins/log/logservice.cpp
+++ b/tests/standins/log/logservice.cpp
@@ -251,7 +251,7 @@
     if (faults.appendDelay > std::chrono::milliseconds::zero()) {
         co_await sleepFor(state->executor, faults.appendDelay);
     }
-    const std::int64_t offset = state->store.append(stream, request.body(), std::chrono::system_clock::now());
+    const std::int64_t offset = state->store.append(stream, request.body(), std::chrono::system_clock::now() + faults.clockOffset);
     for (asio::steady_timer *timer : state->waitingReads) {
         timer->cancel();
     }
--- a/tests/standins/log/logservice.h
+++ b/tests/standins/log/logservice.h
@@ -23,6 +23,7 @@
     std::chrono::milliseconds readDelay{0};
     int loseAnswers = 0; // next appends that are applied but not answered
     int dropAppends = 0; // next appends that are neither applied nor answered
+    std::chrono::milliseconds clockOffset{0}; // of the log's clock to this machine's
     std::optional<int> maximumAppendsPerSecond; // above it appends are answered with 503
 };
 
