--- a/tests/libs/gateway/testgatewayproperties.cpp
+++ b/tests/libs/gateway/testgatewayproperties.cpp
@@ -186,11 +186,11 @@
     fixture.targets[0]->stop();
     const CallerAnswer refused = co_await caller.send("POST", "/cascadia/sales/delay/0", "1", "body");
     cr_assert_eq(refused.response.result_int(), 503);
-    cr_assert_str_eq(refused.outcome().c_str(), "not-run");
+    cr_assert_eq(refused.outcome(), "not-run");
     fixture.gateway->applyPublication({});
     const CallerAnswer none = co_await caller.send("POST", "/cascadia/sales/delay/0", "2", "body");
     cr_assert_eq(none.response.result_int(), 503);
-    cr_assert_str_eq(none.outcome().c_str(), "not-run");
+    cr_assert_eq(none.outcome(), "not-run");
     cr_assert_eq(fixture.targets[0]->totalExecutions(), 0);
 }
 
@@ -217,7 +217,7 @@
     asio::co_spawn(co_await asio::this_coro::executor, stopAfterFirstRequest(fixture), asio::detached);
     const CallerAnswer answer = co_await caller.send("GET", "/cascadia/sales/blackhole", "1");
     cr_assert_eq(fixture.targets[0]->executions("1"), 1);
-    cr_assert_str_eq(answer.outcome().c_str(), "unknown");
+    cr_assert_eq(answer.outcome(), "unknown");
     cr_assert_neq(answer.response.result_int(), 503);
 }
 
--- a/tests/libs/gateway/testgatewaysession.cpp
+++ b/tests/libs/gateway/testgatewaysession.cpp
@@ -21,7 +21,7 @@
         cr_assert_eq(answer.response.result_int(), 200);
         const std::string expected = "id=" + id + " path=/echo/x?y=1 body=body " + id;
         cr_assert_str_eq(answer.response.body().c_str(), expected.c_str());
-        cr_assert_str_eq(answer.outcome().c_str(), "known");
+        cr_assert_eq(answer.outcome(), "known");
         cr_assert(!answer.response["Hyssop-Request-Id"].empty());
         cr_assert(answer.keepAlive);
     }
@@ -114,7 +114,7 @@
     } else {
         cr_assert(!answer.error, "%s: %s", failure.path.c_str(), answer.error.message().c_str());
         cr_assert_eq(answer.response.result_int(), failure.status, "%s: %u", failure.path.c_str(), answer.response.result_int());
-        cr_assert_str_eq(answer.outcome().c_str(), failure.outcome.c_str(), "%s", failure.path.c_str());
+        cr_assert_eq(answer.outcome(), failure.outcome, "%s", failure.path.c_str());
     }
     // The next request on this connection or another must get its own answer.
     const CallerAnswer next = co_await caller.send("POST", "/cascadia/sales/delay/0", "next");
@@ -198,7 +198,7 @@
     cr_assert(std::chrono::steady_clock::now() - start < std::chrono::milliseconds(100));
     const CallerAnswer limited = co_await caller.send("POST", "/noisy/sales/delay/0", "limited", "body");
     cr_assert_eq(limited.response.result_int(), 429);
-    cr_assert_str_eq(limited.outcome().c_str(), "not-run");
+    cr_assert_eq(limited.outcome(), "not-run");
     cr_assert(limited.keepAlive);
     cr_assert_eq(fixture.targets[0]->executions("limited") + fixture.targets[1]->executions("limited"), 0);
     while (held.finished < NoisyRequests) {
@@ -237,7 +237,7 @@
     const CallerAnswer answer = co_await caller.receive();
     cr_assert(!answer.error, "%s: %s", input.bytes.substr(0, 200).c_str(), answer.error.message().c_str());
     cr_assert_eq(answer.response.result_int(), input.status, "%s: %u", input.bytes.substr(0, 200).c_str(), answer.response.result_int());
-    cr_assert_str_eq(answer.outcome().c_str(), "not-run");
+    cr_assert_eq(answer.outcome(), "not-run");
     cr_assert_eq(fixture.targets[0]->totalExecutions(), 0);
 }
 
--- /dev/null
+++ b/tests/libs/gateway/testgatewaysettings.cpp
@@ -0,0 +1,41 @@
+#include <gateway/gatewaysettings.h>
+
+#include <utils/endpoint.h>
+
+#include <criterion/criterion.h>
+
+using namespace Hyssop;
+
+static std::variant<Settings, std::vector<SettingFault>> parseGateway(const std::string &gateway)
+{
+    const std::string text = "[instance]\nname = gateway-a\ndomain = puget-a\n[platform]\nlog = 127.0.0.1:1\ninstances = 127.0.0.1:2\n[gateway]\n";
+    return Settings::parse(text + gateway, "gateway.ini", gatewaySettings());
+}
+
+// Guards against settings that are read but not used, and against defaults that the daemon refuses.
+Test(gatewaysettings, fillTheOptions)
+{
+    auto parsed = parseGateway("listen = 127.0.0.1:8080\nschedulers = 127.0.0.1:3, 127.0.0.1:4\nheader_timeout = 2 s\ndomain_gateways = 3\n");
+    const auto *settings = std::get_if<Settings>(&parsed);
+    cr_assert(settings != nullptr);
+    const GatewayOptions options = gatewayOptions(*settings);
+    cr_assert_eq(formatEndpoint(options.listen), "127.0.0.1:8080");
+    cr_assert(options.headerTimeout == std::chrono::seconds(2));
+    cr_assert(options.idleTimeout == std::chrono::seconds(60));
+    cr_assert_eq(options.domainGateways, 3);
+    cr_assert_eq(options.maximumBodyBytes, std::uint64_t(1) << 30);
+    cr_assert_eq(settings->list("gateway.schedulers").size(), 2);
+}
+
+// Guards against a gateway that starts without schedulers or with impossible values.
+Test(gatewaysettings, reportFaults)
+{
+    auto parsed = parseGateway("listen = localhost:8080\ndomain_gateways = 0\nretries = 3\n");
+    const auto *faults = std::get_if<std::vector<SettingFault>>(&parsed);
+    cr_assert(faults != nullptr);
+    cr_assert_eq(faults->size(), 4);
+    cr_assert_eq((*faults)[0].line, 8);
+    cr_assert_eq((*faults)[1].line, 9);
+    cr_assert_eq((*faults)[2].toString(), "gateway.ini:10: gateway.retries: unknown key");
+    cr_assert_str_eq((*faults)[3].key.c_str(), "gateway.schedulers");
+}
--- a/tests/libs/gateway/testkeyedrequests.cpp
+++ b/tests/libs/gateway/testkeyedrequests.cpp
@@ -65,10 +65,10 @@
         const CallerAnswer again = co_await buy(pair, gateway, "k1", "pass");
         cr_assert_eq(again.response.result_int(), 200);
         cr_assert_str_eq(again.response.body().c_str(), "id=k1");
-        cr_assert_str_eq(std::string(again.response["Hyssop-Replayed"]).c_str(), "true");
+        cr_assert_eq(std::string(again.response["Hyssop-Replayed"]), "true");
         const CallerAnswer other = co_await buy(pair, gateway, "k1", "another body");
         cr_assert_eq(other.response.result_int(), 422);
-        cr_assert_str_eq(other.outcome().c_str(), "not-run");
+        cr_assert_eq(other.outcome(), "not-run");
     }
     cr_assert_eq(pair.target().executions("k1"), 1);
     const CallerAnswer large = co_await buy(pair, 0, "k2", "pass", "/huge/100000");
@@ -76,7 +76,7 @@
     co_await pauseFor(milliseconds(20));
     const CallerAnswer dropped = co_await buy(pair, 1, "k2", "pass", "/huge/100000");
     cr_assert_eq(dropped.response.result_int(), 409);
-    cr_assert_str_eq(dropped.outcome().c_str(), "known");
+    cr_assert_eq(dropped.outcome(), "known");
     cr_assert_eq(pair.target().executions("k2"), 1);
 }
 
@@ -139,7 +139,7 @@
         pair.firstLog.fault = fault;
         const CallerAnswer failed = co_await buy(pair, 0, key, "pass");
         cr_assert_eq(failed.response.result_int(), 503, "fault %d: %u", static_cast<int>(fault), failed.response.result_int());
-        cr_assert_str_eq(failed.outcome().c_str(), "not-run");
+        cr_assert_eq(failed.outcome(), "not-run");
         cr_assert_eq(pair.target().executions(key), 0);
         pair.firstLog.fault = AppendFault::None;
         pair.firstLog.deliver();
@@ -153,7 +153,7 @@
     pair.firstLog.reachable = false;
     const CallerAnswer refused = co_await buy(pair, 0, "outage", "pass");
     cr_assert_eq(refused.response.result_int(), 503);
-    cr_assert_str_eq(refused.outcome().c_str(), "not-run");
+    cr_assert_eq(refused.outcome(), "not-run");
     cr_assert_eq(pair.target().executions("outage"), 0);
 }
 
@@ -169,17 +169,17 @@
 {
     const CallerAnswer lost = co_await buy(pair, 0, "lost", "pass", "/close");
     cr_assert_eq(lost.response.result_int(), 502);
-    cr_assert_str_eq(lost.outcome().c_str(), "unknown");
+    cr_assert_eq(lost.outcome(), "unknown");
     co_await pauseFor(milliseconds(20));
     for (int gateway : {0, 1}) {
         const CallerAnswer again = co_await buy(pair, gateway, "lost", "pass", "/close");
-        cr_assert_str_eq(again.outcome().c_str(), "unknown");
+        cr_assert_eq(again.outcome(), "unknown");
     }
     cr_assert_eq(pair.target().executions("lost"), 1);
     // A target that can't be reached frees the key.
     pair.target().stop();
     const CallerAnswer unreachable = co_await buy(pair, 0, "later", "pass");
-    cr_assert_str_eq(unreachable.outcome().c_str(), "not-run");
+    cr_assert_eq(unreachable.outcome(), "not-run");
     co_await pauseFor(milliseconds(20));
     pair.fixture.targets.push_back(std::make_unique<FakeTarget>(pair.fixture.context.get_executor()));
     pair.fixture.targets.back()->start();
