Test operator messages against damaged input and silent schedulers

Cause: no test sent damaged requests through the handler or checked that a command ends at its timeout.

Change: 5,000 mutated requests with a fixed seed; an operation against two schedulers that stay silent.

With a body check removed the fuzz test fails; with attempts that take more than their share of the time the timeout test fails.

Conclusion: the decoder and the handler hold for these inputs.

--- a/tests/libs/operators/testoperatorclient.cpp
+++ b/tests/libs/operators/testoperatorclient.cpp
@@ -90,6 +90,20 @@
     }
 }
 
+// Guards against a command that outlasts its timeout while schedulers are silent.
+Test(operatorclient, endsAtItsTimeout)
+{
+    Schedulers schedulers;
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        schedulers.first.addFault(Fault::LostAnswer);
+        schedulers.second.addFault(Fault::LostAnswer);
+    }
+    const auto start = std::chrono::steady_clock::now();
+    runToEnd(schedulers.context, checkVerdict(schedulers, Wire::ChangeVerdict::Unknown));
+    constexpr std::chrono::milliseconds Slack{500};
+    cr_assert(std::chrono::steady_clock::now() - start < ShortTimeout + Slack);
+}
+
 // Guards against giving up although another scheduler can write.
 Test(operatorclient, triesTheNextSchedulerWhenNothingWasWritten)
 {
--- a/tests/libs/operators/testoperatorhandler.cpp
+++ b/tests/libs/operators/testoperatorhandler.cpp
@@ -2,7 +2,10 @@
 
 #include <golden/goldenfile.h>
 
+#include <wire/codec.h>
+
 #include <functional>
+#include <random>
 
 using namespace Hyssop;
 using namespace Hyssop::Test;
@@ -260,3 +263,62 @@
     cr_assert(!OperatorHandler::handles(heartbeat) && OperatorHandler::handles(state));
     cr_assert_eq(fixture.send(heartbeat).error.code, "invalid-argument");
 }
+
+/// Valid requests of every kind, as the bytes of a frame.
+static std::vector<std::string> encodedRequests()
+{
+    std::vector<Wire::Message> messages(6);
+    Wire::ConfigApplyRequest apply;
+    apply.change = validChange();
+    messages[0].__set_configApplyRequest(apply);
+    Wire::JobSubmitRequest submit;
+    submit.spec = validJob();
+    messages[1].__set_jobSubmitRequest(submit);
+    Wire::JobCancelRequest cancel;
+    cancel.jobId = "job-1";
+    cancel.operatorName = "nino";
+    messages[2].__set_jobCancelRequest(cancel);
+    messages[3].__set_jobQuery({});
+    messages[4].__set_auditRequest({});
+    messages[5].__set_configStateRequest({});
+    std::vector<std::string> encoded;
+    for (const Wire::Message &message : messages) {
+        Wire::Envelope envelope;
+        envelope.message = message;
+        encoded.push_back(encode(envelope));
+    }
+    return encoded;
+}
+
+// Guards against a damaged request that stops the scheduler or that puts an invalid state in force.
+Test(operatorhandler, survivesFuzzedRequests)
+{
+    constexpr std::uint64_t Seed = 20261204;
+    constexpr int Rounds = 5'000;
+    std::mt19937_64 random(Seed);
+    HandlerFixture fixture;
+    fixture.apply(validChange());
+    const auto requests = encodedRequests();
+    int handled = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        std::string bytes = requests[static_cast<std::size_t>(round) % requests.size()];
+        for (std::uint64_t change = random() % 4 + 1; change > 0; --change) {
+            bytes[random() % bytes.size()] = static_cast<char>(random() % 256);
+        }
+        auto envelope = capture([&] { return decodeEnvelope(bytes); });
+        if (valueOf(envelope) != nullptr) {
+            fixture.send(valueOf(envelope)->message);
+            ++handled;
+        }
+    }
+    cr_assert(handled > 1000, "seed %llu: %d requests handled", static_cast<unsigned long long>(Seed), handled);
+    for (const auto &entry : fixture.store.entries) {
+        const bool isContract = entry.first.starts_with("contract/");
+        const bool valid =
+            isContract ? std::holds_alternative<Contract>(parseContract(entry.second.body)) : entry.second.body == "in" || entry.second.body == "out";
+        cr_assert(valid || entry.second.removed, "%s", entry.first.c_str());
+    }
+    for (const Wire::JobStatus &job : fixture.store.jobs["east-a"]) {
+        cr_assert(!job.spec.command.empty() && job.spec.declared.milliCores > 0 && job.spec.customer == "mtkvari");
+    }
+}
