Close four gaps in the placement tests

Cause: each mechanism was broken once (35 single faults, each built and run against the tests). Four faults were not noticed: jobs blamed for quarantined workers, failed workers not avoided, pressure ignored by placement, nothing learned by the interference model.

Change: two new tests; two tests rearranged so that load alone no longer leads to the expected placement.

--- a/bench/decisioncost/main.cpp
+++ b/bench/decisioncost/main.cpp
@@ -134,6 +134,7 @@
     }
     std::map<std::string, PendingTask> waiting;
     std::vector<PendingTask> queued;
+    queued.reserve(Queue);
     for (int i = 0; i < Queue; ++i) {
         queued.push_back(taskOf("queued", i, random));
     }
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -115,6 +115,7 @@
 {
     for (const Metric &metric : Metrics) {
         std::vector<double> values;
+        values.reserve(results.size());
         for (const RunResult &result : results) {
             values.push_back(result.*metric.value);
         }
--- a/tests/libs/placement/testeviction.cpp
+++ b/tests/libs/placement/testeviction.cpp
@@ -100,7 +100,7 @@
 // Guards against new batch beside a service that is near its objective.
 Test(eviction, placesNoBatchBesideASlowService)
 {
-    SlowServiceRun run(0);
+    SlowServiceRun run(0, 0);
     run.run(10s, 95, 0);
     run.fixture.engine.addPending(batchTask("more", size(1, 1)), run.fixture.now);
     run.fixture.decide();
@@ -123,9 +123,17 @@
     for (const auto &entry : fixture.running) {
         hasService[entry.second] = true;
     }
+    // The workers without services are the more loaded ones; only the learned effect speaks for them.
+    for (int i = 0; i < 8; ++i) {
+        const std::string worker = "w" + std::to_string(i);
+        if (!hasService[worker]) {
+            fixture.engine.adoptRunning(batchTask("filler-" + worker, size(16, 8)), worker, fixture.now);
+        }
+    }
     int next = 0;
     int besideServices = 0;
     int placed = 0;
+    int quietBesideServices = 0;
     for (int second = 0; second < 600; ++second) {
         const bool learned = second >= 300;
         PendingTask task = batchTask("job-" + std::to_string(next++), size(2, 4));
@@ -136,6 +144,9 @@
             ++placed;
             besideServices += hasService[fixture.running.at(task.jobId)] ? 1 : 0;
         }
+        if (learned && next % 2 == 1 && fixture.running.contains(task.jobId)) {
+            quietBesideServices += hasService[fixture.running.at(task.jobId)] ? 1 : 0;
+        }
         fixture.advance(1s);
         for (int i = 0; i < 4; ++i) {
             const std::string service = "service-" + std::to_string(i);
@@ -153,5 +164,6 @@
         }
     }
     cr_assert_geq(placed, 100);
+    cr_assert_geq(quietBesideServices, 75, "%d quiet tasks beside services", quietBesideServices);
     cr_assert_leq(besideServices * 5, placed, "%d of %d loud tasks beside services", besideServices, placed);
 }
--- a/tests/libs/placement/testhealth.cpp
+++ b/tests/libs/placement/testhealth.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace Hyssop;
 using namespace std::chrono_literals;
 
@@ -53,6 +55,49 @@
     cr_assert_geq(afterRepair, 100, "the repaired worker is not used again");
 }
 
+// Guards against ending a job for failures that its workers caused.
+Test(health, doesNotBlameAJobForQuarantinedWorkers)
+{
+    PlacementFixture fixture;
+    fixture.addWorkers(15, size(8, 32, 8));
+    fixture.engine.setContracts({contractOf({teamOf("badges")})});
+    const std::vector<std::string> bad = {"w0", "w1", "w2"};
+    for (int i = 0; i < 60; ++i) {
+        fixture.engine.addPending(batchTask("job-" + std::to_string(i), size(2, 8)), fixture.now);
+    }
+    fixture.decide();
+    const std::map<std::string, std::string> current = fixture.running;
+    for (const auto &entry : current) {
+        if (std::find(bad.begin(), bad.end(), entry.second) != bad.end()) {
+            fixture.fail(entry.first);
+        } else {
+            fixture.succeed(entry.first);
+        }
+    }
+    PendingTask unlucky = batchTask("unlucky", size(2, 8));
+    unlucky.avoidedWorkers = bad;
+    fixture.engine.addPending(unlucky, fixture.now);
+    fixture.decide();
+    cr_assert(fixture.rejections.empty());
+    cr_assert(fixture.running.contains("unlucky"));
+}
+
+// Guards against a task that goes back to the worker on which it failed.
+Test(health, placesAFailedTaskOnAnotherWorker)
+{
+    PlacementFixture fixture;
+    fixture.addWorkers(2, size(8, 32, 8));
+    fixture.engine.setContracts({contractOf({teamOf("badges")})});
+    fixture.engine.adoptRunning(batchTask("other", size(6, 8)), "w1", fixture.now); // makes w0 the better choice
+    fixture.engine.addPending(batchTask("job", size(2, 8)), fixture.now);
+    fixture.decide();
+    cr_assert_eq(fixture.running.at("job"), std::string("w0"));
+    fixture.fail("job");
+    fixture.engine.addPending(batchTask("job", size(2, 8)), fixture.now);
+    fixture.decide();
+    cr_assert_eq(fixture.running.at("job"), std::string("w1"));
+}
+
 // Guards against a job that fails everywhere and is started for ever, and against blaming the workers for it.
 Test(health, rejectsAJobThatFailsOnDistinctWorkers)
 {
