--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <random>
 #include <set>
 #include <thread>
 
@@ -15,17 +16,24 @@
 
 constexpr std::chrono::seconds StartTimeout{30};
 
-/// Returns a free loopback port. Another process could take it before the daemon binds it; daemons then fail to start
-/// and the test reports that.
+/// Returns a loopback address with a free port below the range that the system gives to outgoing connections. Another
+/// process could take it before the daemon binds it; the daemon then fails to start and the test reports that.
 static std::string freeAddress()
 {
-    static std::set<unsigned short> used;
+    constexpr int FirstPort = 20000;
+    constexpr int LastPort = 31999;
+    static std::set<int> used;
+    static std::mt19937 random(std::random_device{}());
     boost::asio::io_context context;
     while (true) {
-        const boost::asio::ip::tcp::endpoint anyPort(boost::asio::ip::address_v4::loopback(), 0);
-        boost::asio::ip::tcp::acceptor acceptor(context, anyPort);
-        const unsigned short port = acceptor.local_endpoint().port();
-        if (used.insert(port).second) {
+        const int port = std::uniform_int_distribution(FirstPort, LastPort)(random);
+        if (!used.insert(port).second) {
+            continue;
+        }
+        boost::asio::ip::tcp::acceptor acceptor(context, boost::asio::ip::tcp::v4());
+        boost::system::error_code error;
+        acceptor.bind({boost::asio::ip::address_v4::loopback(), static_cast<unsigned short>(port)}, error);
+        if (!error) {
             return "127.0.0.1:" + std::to_string(port);
         }
     }
