--- a/src/libs/jobs/ownershippolicy.cpp
+++ b/src/libs/jobs/ownershippolicy.cpp
@@ -1,5 +1,7 @@
 #include "ownershippolicy.h"
 
+#include <algorithm>
+
 namespace Hyssop {
 
 namespace {
@@ -8,6 +10,7 @@
 constexpr std::chrono::milliseconds LogReadLimit{2000};
 // A claim whose answer was lost either shows up in the stream within this time or is repeated. Extra claims are harmless.
 constexpr std::chrono::milliseconds ClaimRepeatDelay{5000};
+constexpr int LargestSilenceFactor = 16;
 
 } // namespace
 
@@ -27,6 +30,17 @@
     m_claimProposedAt.reset();
 }
 
+void OwnershipPolicy::noteHeartbeat(TimePoint heardAt)
+{
+    m_silenceFactor = 1;
+    noteOwner(heardAt);
+}
+
+void OwnershipPolicy::noteDisplaced()
+{
+    m_silenceFactor = std::min(m_silenceFactor * 2, LargestSilenceFactor);
+}
+
 void OwnershipPolicy::noteLogRead(TimePoint sentAt)
 {
     m_logReadAt = sentAt;
@@ -50,7 +64,7 @@
     if (m_claimProposedAt && now - *m_claimProposedAt < ClaimRepeatDelay) {
         return false;
     }
-    return now - *m_heardAt >= m_options.ownerSilence + m_jitter;
+    return now - *m_heardAt >= m_options.ownerSilence * m_silenceFactor + m_jitter;
 }
 
 void OwnershipPolicy::drawJitter()
--- a/src/libs/jobs/ownershippolicy.h
+++ b/src/libs/jobs/ownershippolicy.h
@@ -24,6 +24,10 @@
 
     /// A live owner was heard, or a claim was read.
     void noteOwner(TimePoint heardAt);
+    /// A peer's heartbeat named a live owner.
+    void noteHeartbeat(TimePoint heardAt);
+    /// Another instance took ownership from this one while this one was alive.
+    void noteDisplaced();
     /// A read that was sent at @p sentAt reached the head of the job stream.
     void noteLogRead(TimePoint sentAt);
     void noteClaimProposed(TimePoint now);
@@ -37,6 +41,7 @@
     OwnershipOptions m_options;
     std::mt19937_64 m_random;
     std::chrono::milliseconds m_jitter{0};
+    int m_silenceFactor = 1; // grows while two live schedulers that don't hear each other take turns
     std::optional<TimePoint> m_heardAt;
     std::optional<TimePoint> m_logReadAt;
     std::optional<TimePoint> m_claimProposedAt;
--- a/src/libs/schedulercore/schedulercore.cpp
+++ b/src/libs/schedulercore/schedulercore.cpp
@@ -83,7 +83,7 @@
 {
     m_state->peerTerm = std::max(m_state->peerTerm, term);
     if (term >= m_state->ledger.term()) {
-        m_state->policy.noteOwner(heardAt);
+        m_state->policy.noteHeartbeat(heardAt);
     }
 }
 
--- a/src/libs/schedulercore/schedulercorestate.cpp
+++ b/src/libs/schedulercore/schedulercorestate.cpp
@@ -98,9 +98,12 @@
     claimAppliedAt = now;
     if (claim.instance == options.instance && claim.incarnation == options.incarnation) {
         becomeOwner(now);
-    } else {
-        resign();
+        return;
     }
+    if (isOwner) {
+        policy.noteDisplaced();
+    }
+    resign();
 }
 
 void SchedulerCoreState::becomeOwner(TimePoint now)
--- a/tests/libs/schedulercore/testrandom.cpp
+++ b/tests/libs/schedulercore/testrandom.cpp
@@ -24,13 +24,14 @@
     explicit Chaos(std::uint64_t seed)
         : m_random(seed)
         , m_world(options(seed))
+        , m_lateRate(seed % 5 < 2 ? 0.25 : 0.03)
     {
     }
 
     /// Returns the first fault, or an empty string.
     std::string run()
     {
-        m_world.setLoss(0.02, 0.03, 0.01);
+        m_world.setLoss(0.02, m_lateRate, 0.01);
         for (int round = 0; round < Rounds; ++round) {
             act();
             m_world.advance(milliseconds(200 + number(1200)));
@@ -185,9 +186,9 @@
             m_cuts.erase(m_cuts.begin() + static_cast<std::ptrdiff_t>(index));
             return;
         }
-        const int kind = number(3);
+        const int kind = number(4);
         const std::string first = scheduler();
-        const std::string second = kind == 0 ? "log" : kind == 1 ? workerName() : scheduler();
+        const std::string second = kind == 0 ? "log" : kind == 1 ? workerName() : kind == 2 ? "config" : scheduler();
         if (first != second) {
             m_world.cut(first, second);
             m_cuts.emplace_back(first, second);
@@ -238,6 +239,7 @@
 
     std::mt19937_64 m_random;
     World m_world;
+    double m_lateRate;
     int m_jobs = 0;
     std::size_t m_replicas = 0;
     bool m_logUp = true;
--- a/tests/libs/schedulercore/testschedulercore.cpp
+++ b/tests/libs/schedulercore/testschedulercore.cpp
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <vector>
+
 using namespace Hyssop;
 using namespace Hyssop::Testing;
 using std::chrono::milliseconds;
@@ -47,10 +50,12 @@
     cr_assert_eq(world.liveTasks(), 0);
 }
 
-// Guards against a takeover that loses running tasks, starts them twice or takes longer than the design allows.
-Test(schedulercore, takesOverFromKilledOwner)
+// Kills the owner while a task runs and returns the time to the first start by the next owner.
+static milliseconds takeoverTime(std::uint64_t seed)
 {
-    World world({});
+    WorldOptions options;
+    options.seed = seed;
+    World world(options);
     world.submit("east", batchJob("long", seconds(30)));
     world.advance(seconds(8));
     const std::string owner = world.ownerOf("east");
@@ -63,11 +68,26 @@
         world.advance(World::Step);
     }
     const milliseconds takeover = world.time() - killedAt;
-    cr_log_warn("kill of the owner to the first start by the next: %ld ms of virtual time", static_cast<long>(takeover.count()));
-    cr_assert_leq(takeover.count(), 4000);
     world.advance(seconds(30));
     assertClean(world);
     cr_assert_eq(world.starts("long"), 1);
     cr_assert(world.ledger("east").job("long")->outcome == Wire::AttemptOutcome::Finished);
     cr_assert(world.ledger("east").job("long")->state == JobState::Ended);
+    return takeover;
+}
+
+// Guards against a takeover that loses running tasks, starts them twice or takes longer than the design allows.
+Test(schedulercore, takesOverFromKilledOwner)
+{
+    constexpr int Seeds = 20;
+    std::vector<milliseconds> takeovers;
+    for (int seed = 1; seed <= Seeds; ++seed) {
+        takeovers.push_back(takeoverTime(static_cast<std::uint64_t>(seed)));
+    }
+    std::sort(takeovers.begin(), takeovers.end());
+    cr_log_warn("kill of the owner to the first start by the next, virtual time, %d runs: %ld ms median, %ld ms longest",
+                Seeds,
+                static_cast<long>(takeovers[Seeds / 2].count()),
+                static_cast<long>(takeovers.back().count()));
+    cr_assert_leq(takeovers.back().count(), 4000);
 }
--- a/tests/libs/schedulercore/world.cpp
+++ b/tests/libs/schedulercore/world.cpp
@@ -197,10 +197,12 @@
                     const FakeRecord &record = stream[reader.position];
                     core.apply({static_cast<std::int64_t>(reader.position), 0}, record.time, record.record, now());
                 }
-                core.setContracts(contracts, now());
-                core.setDomainState(in, others, now());
                 core.jobStreamRead(static_cast<std::int64_t>(head) - 1, TimePoint(sentAt), now());
-                core.setConfigProof(TimePoint(sentAt));
+                if (linked(name, "config")) {
+                    core.setContracts(contracts, now());
+                    core.setDomainState(in, others, now());
+                    core.setConfigProof(TimePoint(sentAt));
+                }
             });
         });
     });
@@ -320,10 +322,12 @@
         at(m_time + delay(), [answer] { answer(CommandOutcome::Unreachable); });
         return;
     }
-    if (chance(m_options.lateRate)) {
+    const auto fixed = std::holds_alternative<StartTask>(command) ? m_startDelays.find(workerName) : m_startDelays.end();
+    if (fixed != m_startDelays.end() || chance(m_options.lateRate)) {
         std::uniform_int_distribution<std::int64_t> late(AnswerTimeout.count(), LatestCommand.count());
+        const milliseconds way = fixed != m_startDelays.end() ? fixed->second : milliseconds(late(m_random));
         // The connection that carries the command does not outlive the worker's process.
-        at(m_time + milliseconds(late(m_random)), [this, workerName, command, restarts = m_workers.at(workerName)->restarts()] {
+        at(m_time + way, [this, workerName, command, restarts = m_workers.at(workerName)->restarts()] {
             if (m_workers.at(workerName)->restarts() == restarts) {
                 m_workers.at(workerName)->execute(command);
             }
@@ -465,6 +469,15 @@
     note(up ? "log is up" : "log is down");
 }
 
+void World::delayStarts(const std::string &workerName, milliseconds delay)
+{
+    if (delay == milliseconds(0)) {
+        m_startDelays.erase(workerName);
+    } else {
+        m_startDelays[workerName] = delay;
+    }
+}
+
 void World::setLoss(double lossRate, double lateRate, double slowAppendRate)
 {
     m_options.lossRate = lossRate;
--- a/tests/libs/schedulercore/world.h
+++ b/tests/libs/schedulercore/world.h
@@ -54,7 +54,8 @@
     void setDomain(const std::string &domain, bool in);
     void setContract(const Contract &contract);
 
-    // Faults. Names: schedulers "east.1", workers "east.w1", and "log".
+    // Faults. Names: schedulers "east.1", workers "east.w1", "log" (all streams) and
+    // "config" (the configuration stream alone).
     void kill(const std::string &scheduler);
     void start(const std::string &scheduler);
     void freeze(const std::string &scheduler);
@@ -63,6 +64,8 @@
     void heal(const std::string &first, const std::string &second);
     void healAll();
     void setLogUp(bool up);
+    /// Start commands to @p worker take @p delay from now on; the sender gives up earlier. Zero ends the fault.
+    void delayStarts(const std::string &worker, std::chrono::milliseconds delay);
     void setLoss(double lossRate, double lateRate, double slowAppendRate);
     FakeWorker &worker(const std::string &name);
 
@@ -137,6 +140,7 @@
     std::map<std::string, Contract> m_contracts;
     std::set<std::pair<std::string, std::string>> m_cuts;
     bool m_logUp = true;
+    std::map<std::string, std::chrono::milliseconds> m_startDelays; // by worker
     std::map<std::pair<std::string, int>, std::pair<int, int>> m_startCounts; // by job and attempt: starts, worker restarts
     std::vector<std::string> m_trace;
     std::vector<std::string> m_violations;
