--- a/src/libs/schedulercore/attempts.cpp
+++ b/src/libs/schedulercore/attempts.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds StartLimit{5000};
 constexpr milliseconds RefusedDelay{3000}; // before the next placement on a worker that refused a start
 // Longest delay of a command that was sent to a worker before it restarted.
-constexpr milliseconds LateCommandLimit{5000};
+constexpr milliseconds LateCommandLimit{10000};
 
 bool hasEnded(TaskState state)
 {
@@ -366,7 +366,7 @@
             return;
         }
     }
-    if (now < attempt.nextStartAt || !leases.held(attempt.worker, now) || !permitValid(now)) {
+    if (now < attempt.nextStartAt || !leases.responsive(attempt.worker, now) || !permitValid(now)) {
         return;
     }
     if (entry.cancelRequested || !domainIn || (attempt.start == StartState::Undetermined && !attempt.mayRepeat)) {
--- a/src/libs/schedulercore/placements.cpp
+++ b/src/libs/schedulercore/placements.cpp
@@ -88,7 +88,7 @@
     if (status) {
         offer.rack = status->rack;
         offer.capacity = status->capacity;
-        offer.accepting = leases.held(worker, now) && !status->leaving && !strayWorkers.contains(worker) && !cooling && listedWorkers.contains(worker);
+        offer.accepting = leases.responsive(worker, now) && !status->leaving && !strayWorkers.contains(worker) && !cooling && listedWorkers.contains(worker);
     } else {
         offer.accepting = false;
     }
--- a/src/libs/schedulercore/upkeep.cpp
+++ b/src/libs/schedulercore/upkeep.cpp
@@ -9,6 +9,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds TransferRepeatInterval{2000};
+constexpr milliseconds TransferAnswerLimit{15000}; // an append without answer is repeated; the target knows its id
 constexpr milliseconds ReplicaInterval{500};
 constexpr milliseconds SnapshotInterval{1000};
 constexpr std::size_t SnapshotsPerInterval = 64;
@@ -67,10 +68,11 @@
         propose(key, std::move(record), now);
         return;
     }
-    const bool sent = transfer.sentAt != TimePoint() && now - transfer.sentAt < TransferRepeatInterval;
-    if (transfer.outstanding != 0 || sent) {
+    const milliseconds pause = transfer.outstanding != 0 ? TransferAnswerLimit : TransferRepeatInterval;
+    if (transfer.sentAt != TimePoint() && now - transfer.sentAt < pause) {
         return;
     }
+    transferIds.erase(transfer.outstanding);
     transfer.outstanding = nextTransfer--;
     transfer.sentAt = now;
     transfer.withCancellation = entry.cancelRequested;
--- a/src/libs/workers/workerleasetable.cpp
+++ b/src/libs/workers/workerleasetable.cpp
@@ -12,6 +12,7 @@
 constexpr int RateErrorDivisor = 100;
 // The service reports a failed renewal earlier; this only covers an answer that was never reported.
 constexpr milliseconds AnswerLimit{5000};
+constexpr int LongestSilence = 3; // renewal intervals without an answer
 // A shorter lease would expire before its first renewal.
 constexpr milliseconds ShortestRenewal{1000};
 
@@ -149,6 +150,11 @@
     return now < *lease->grantSentAt + m_options.duration - Duration(m_options.duration) / RateErrorDivisor;
 }
 
+bool WorkerLeaseTable::responsive(const std::string &worker, TimePoint now) const
+{
+    return held(worker, now) && now - find(worker)->answeredAt <= m_options.renewInterval * LongestSilence;
+}
+
 bool WorkerLeaseTable::reached(const std::string &worker) const
 {
     const Lease *lease = find(worker);
--- a/src/libs/workers/workerleasetable.h
+++ b/src/libs/workers/workerleasetable.h
@@ -51,6 +51,9 @@
 
     /// True if this owner's epoch holds the lease and commands may be sent.
     bool held(const std::string &worker, TimePoint now) const;
+    /// True if the lease is held and one of the last renewals was answered. Starts need this: after a longer silence the
+    /// worker may have restarted, and then bounds in its old clock mean nothing.
+    bool responsive(const std::string &worker, TimePoint now) const;
     /// True if the worker has answered under this owner's epoch.
     bool reached(const std::string &worker) const;
     bool lost(const std::string &worker) const;
--- a/tests/libs/schedulercore/scenario.cpp
+++ b/tests/libs/schedulercore/scenario.cpp
@@ -209,6 +209,7 @@
         {"thaw", {1, [this](const Words &words) { m_world->thaw(words[1]); }}},
         {"cut", {2, [this](const Words &words) { m_world->cut(words[1], words[2]); }}},
         {"heal", {2, [this](const Words &words) { m_world->heal(words[1], words[2]); }}},
+        {"mute", {2, [this](const Words &words) { m_world->mute(words[1], words[2]); }}},
         {"log", {1, [this](const Words &words) { m_world->setLogUp(words[1] == "up"); }}},
         {"late", {2, [this](const Words &words) { m_world->delayStarts(words[1], secondsOf(words[2])); }}},
         {"restart", {1, [this](const Words &words) { m_world->worker(words[1]).restart(); }}},
--- a/tests/libs/schedulercore/scenario.h
+++ b/tests/libs/schedulercore/scenario.h
@@ -22,6 +22,7 @@
 ///     domain DOMAIN in|out
 ///     kill|start|freeze|thaw SCHEDULER
 ///     cut|heal FIRST SECOND       schedulers, workers, "log", "config"
+///     mute WORKER SCHEDULER       loses the worker's answers; heal ends it
 ///     log up|down
 ///     late WORKER SECONDS         start commands to the worker take that long; 0 ends the fault
 ///     restart|leaving|failing WORKER
--- a/tests/libs/schedulercore/testrandom.cpp
+++ b/tests/libs/schedulercore/testrandom.cpp
@@ -31,7 +31,7 @@
     /// Returns the first fault, or an empty string.
     std::string run()
     {
-        m_world.setLoss(0.02, m_lateRate, 0.01);
+        m_world.setLoss(0.02, m_lateRate, 0.01, 0.002);
         for (int round = 0; round < Rounds; ++round) {
             act();
             m_world.advance(milliseconds(200 + number(1200)));
@@ -186,8 +186,14 @@
             m_cuts.erase(m_cuts.begin() + static_cast<std::ptrdiff_t>(index));
             return;
         }
-        const int kind = number(4);
+        const int kind = number(5);
         const std::string first = scheduler();
+        if (kind == 4) {
+            const std::string worker = workerName();
+            m_world.mute(worker, first);
+            m_cuts.emplace_back(worker, first);
+            return;
+        }
         const std::string second = kind == 0 ? "log" : kind == 1 ? workerName() : kind == 2 ? "config" : scheduler();
         if (first != second) {
             m_world.cut(first, second);
--- a/tests/libs/schedulercore/world.cpp
+++ b/tests/libs/schedulercore/world.cpp
@@ -259,6 +259,9 @@
 {
     std::uniform_int_distribution<std::int64_t> slow(1000, SlowestAppend.count());
     const milliseconds way = chance(m_options.slowAppendRate) ? milliseconds(slow(m_random)) : delay();
+    if (chance(m_options.vanishRate)) {
+        return;
+    }
     // Appends of one writer arrive in order.
     scheduler.lastAppendAt = std::max(scheduler.lastAppendAt, m_time + way);
     at(scheduler.lastAppendAt, [this, name = scheduler.name, incarnation = scheduler.incarnation, domain, record, answer = std::move(answer)] {
@@ -300,7 +303,7 @@
         }
         const LeaseAnswer answer = m_workers.at(command.worker)->renew(command);
         at(m_time + delay(), [this, name, incarnation, command, sentAt, answer, answerLost, fail] {
-            if (answerLost || !linked(name, command.worker)) {
+            if (answerLost || !linked(name, command.worker) || m_muted.contains(linkOf(name, command.worker))) {
                 at(sentAt + AnswerTimeout, fail);
                 return;
             }
@@ -344,7 +347,7 @@
             return;
         }
         const CommandOutcome outcome = m_workers.at(workerName)->execute(command);
-        if (answerLost) {
+        if (answerLost || m_muted.contains(linkOf(name, workerName))) {
             at(timeout, [answer] { answer(CommandOutcome::Undetermined); });
             return;
         }
@@ -441,15 +444,23 @@
     note("cut " + first + " " + second);
 }
 
+void World::mute(const std::string &workerName, const std::string &scheduler)
+{
+    m_muted.insert(linkOf(workerName, scheduler));
+    note("mute " + workerName + " " + scheduler);
+}
+
 void World::heal(const std::string &first, const std::string &second)
 {
     m_cuts.erase(linkOf(first, second));
+    m_muted.erase(linkOf(first, second));
     note("heal " + first + " " + second);
 }
 
 void World::healAll()
 {
     m_cuts.clear();
+    m_muted.clear();
     m_logUp = true;
     for (auto &[name, scheduler] : m_schedulers) {
         thaw(name);
@@ -478,11 +489,12 @@
     }
 }
 
-void World::setLoss(double lossRate, double lateRate, double slowAppendRate)
+void World::setLoss(double lossRate, double lateRate, double slowAppendRate, double vanishRate)
 {
     m_options.lossRate = lossRate;
     m_options.lateRate = lateRate;
     m_options.slowAppendRate = slowAppendRate;
+    m_options.vanishRate = vanishRate;
 }
 
 FakeWorker &World::worker(const std::string &name)
--- a/tests/libs/schedulercore/world.h
+++ b/tests/libs/schedulercore/world.h
@@ -32,6 +32,7 @@
     double lossRate = 0; // share of messages that are lost
     double lateRate = 0; // share of commands that arrive seconds later, after the sender gave up
     double slowAppendRate = 0; // share of appends that take several seconds
+    double vanishRate = 0; // share of appends that are neither written nor answered
     std::chrono::milliseconds logOutageGrace{15 * 60 * 1000};
 };
 
@@ -62,11 +63,13 @@
     void thaw(const std::string &scheduler);
     void cut(const std::string &first, const std::string &second);
     void heal(const std::string &first, const std::string &second);
+    /// Loses the worker's answers to the scheduler, while requests arrive. heal() ends the fault.
+    void mute(const std::string &worker, const std::string &scheduler);
     void healAll();
     void setLogUp(bool up);
     /// Start commands to @p worker take @p delay from now on; the sender gives up earlier. Zero ends the fault.
     void delayStarts(const std::string &worker, std::chrono::milliseconds delay);
-    void setLoss(double lossRate, double lateRate, double slowAppendRate);
+    void setLoss(double lossRate, double lateRate, double slowAppendRate, double vanishRate = 0);
     FakeWorker &worker(const std::string &name);
 
     // State.
@@ -139,6 +142,7 @@
     std::map<std::string, Domain> m_domains;
     std::map<std::string, Contract> m_contracts;
     std::set<std::pair<std::string, std::string>> m_cuts;
+    std::set<std::pair<std::string, std::string>> m_muted;
     bool m_logUp = true;
     std::map<std::string, std::chrono::milliseconds> m_startDelays; // by worker
     std::map<std::pair<std::string, int>, std::pair<int, int>> m_startCounts; // by job and attempt: starts, worker restarts
--- a/tests/libs/workers/testworkerleasetable.cpp
+++ b/tests/libs/workers/testworkerleasetable.cpp
@@ -69,6 +69,19 @@
     cr_assert_eq(table.takeLost(start + milliseconds(13100)).size(), 1);
 }
 
+// Guards against starts on a worker that has been silent for so long that it may have restarted with a new clock.
+Test(workerleasetable, silentWorkerIsNotResponsive)
+{
+    const TimePoint start;
+    WorkerLeaseTable table = tableWithWorker(start);
+    cr_assert(!table.responsive("w", start));
+    table.dueRenewals(start);
+    table.granted("w", statusAt(seconds(5)), start, start);
+    cr_assert(table.responsive("w", start + seconds(3)));
+    cr_assert(!table.responsive("w", start + milliseconds(3001)));
+    cr_assert(table.held("w", start + milliseconds(3001)));
+}
+
 // Guards against a takeover that declares a worker lost while a former owner without log contact may still renew its
 // lease (design 7.2): 15 min plus lease time and margin after the claim.
 Test(workerleasetable, waitsForFormerOwner)
