Check that every transfer is confirmed at the end of the random test

Cause: a scheduler that never confirms a transfer passed the random test; only the golden trace of domainout noticed it.

Change: at the end no batch job may be open in any failure domain, which includes transfers without confirmation.

--- a/tests/libs/schedulercore/testrandom.cpp
+++ b/tests/libs/schedulercore/testrandom.cpp
@@ -232,6 +232,13 @@
                 return jobId + " has not ended: " + (entry ? jobStateName(*entry) : "unknown");
             }
         }
+        for (const char *name : {"east", "west"}) {
+            for (const std::string &jobId : m_world.ledger(name).openJobs()) {
+                if (!jobId.starts_with("service/")) {
+                    return jobId + " is still open in " + name;
+                }
+            }
+        }
         const std::size_t expected = 2 * m_replicas;
         if (m_world.liveTasks() != expected) {
             return std::to_string(m_world.liveTasks()) + " tasks run instead of " + std::to_string(expected);
