Print seeds and takeover times without a Criterion warning

Cause: Criterion exits with 1 when a test logs a warning, although every test passed. scripts/run-tests counts that as a failure.

Change: the tests print seeds and times to standard error.

--- a/tests/libs/schedulercore/testrandom.cpp
+++ b/tests/libs/schedulercore/testrandom.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <cstdlib>
 
 using namespace Hyssop;
@@ -271,7 +272,7 @@
     const char *count = std::getenv("HYSSOP_SEEDS");
     const std::uint64_t first = single ? std::strtoull(single, nullptr, 10) : FirstSeed;
     const int seeds = single ? 1 : count ? std::atoi(count) : Seeds;
-    cr_log_warn("seeds %lu to %lu", static_cast<unsigned long>(first), static_cast<unsigned long>(first) + static_cast<unsigned long>(seeds) - 1);
+    std::fprintf(stderr, "seeds %lu to %lu\n", static_cast<unsigned long>(first), static_cast<unsigned long>(first) + static_cast<unsigned long>(seeds) - 1);
     // What the run must contain to prove anything.
     std::map<std::string, std::size_t> coverage;
     for (const char *text : {"finished", "failed", "evicted", "lost", "not-started", "cancelled", "(void)", "transferred", "restarts", "without lease"}) {
--- a/tests/libs/schedulercore/testschedulercore.cpp
+++ b/tests/libs/schedulercore/testschedulercore.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <vector>
 
 using namespace Hyssop;
@@ -85,9 +86,10 @@
         takeovers.push_back(takeoverTime(static_cast<std::uint64_t>(seed)));
     }
     std::sort(takeovers.begin(), takeovers.end());
-    cr_log_warn("kill of the owner to the first start by the next, virtual time, %d runs: %ld ms median, %ld ms longest",
-                Seeds,
-                static_cast<long>(takeovers[Seeds / 2].count()),
-                static_cast<long>(takeovers.back().count()));
+    std::fprintf(stderr,
+                 "kill of the owner to the first start by the next, virtual time, %d runs: %ld ms median, %ld ms longest\n",
+                 Seeds,
+                 static_cast<long>(takeovers[Seeds / 2].count()),
+                 static_cast<long>(takeovers.back().count()));
     cr_assert_leq(takeovers.back().count(), 4000);
 }
