--- a/src/libs/schedulercore/upkeep.cpp
+++ b/src/libs/schedulercore/upkeep.cpp
@@ -9,6 +9,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds TransferRepeatInterval{2000};
+constexpr milliseconds TransferAnswerLimit{15000}; // an append without answer is repeated; the target knows its id
 constexpr milliseconds ReplicaInterval{500};
 constexpr milliseconds SnapshotInterval{1000};
 constexpr std::size_t SnapshotsPerInterval = 64;
@@ -42,10 +43,10 @@
 
 void SchedulerCoreState::driveTransfers(TimePoint now)
 {
-    for (const std::string &jobId : ledger.openJobs()) {
-        const JobEntry &entry = *ledger.job(jobId);
-        if (entry.state == JobState::Transferred && !entry.provisional) {
-            driveTransfer(entry, now);
+    for (const auto &[transferId, jobId] : ledger.unconfirmedTransfers()) {
+        const JobEntry *entry = ledger.job(jobId);
+        if (entry && entry->state == JobState::Transferred && entry->transferId == transferId && !entry->provisional) {
+            driveTransfer(*entry, now);
         }
     }
 }
@@ -62,15 +63,17 @@
         Wire::TransferConfirmed confirmation;
         confirmation.term = ledger.term();
         confirmation.transferId = entry.transferId;
+        confirmation.cancelRequested = transfer.withCancellation;
         Wire::Record record;
         record.__set_transferConfirmed(confirmation);
         propose(key, std::move(record), now);
         return;
     }
-    const bool sent = transfer.sentAt != TimePoint() && now - transfer.sentAt < TransferRepeatInterval;
-    if (transfer.outstanding != 0 || sent) {
+    const milliseconds pause = transfer.outstanding != 0 ? TransferAnswerLimit : TransferRepeatInterval;
+    if (transfer.sentAt != TimePoint() && now - transfer.sentAt < pause) {
         return;
     }
+    transferIds.erase(transfer.outstanding);
     transfer.outstanding = nextTransfer--;
     transfer.sentAt = now;
     transfer.withCancellation = entry.cancelRequested;
--- a/tests/libs/schedulercore/world.cpp
+++ b/tests/libs/schedulercore/world.cpp
@@ -197,10 +197,12 @@
                     const FakeRecord &record = stream[reader.position];
                     core.apply({static_cast<std::int64_t>(reader.position), 0}, record.time, record.record, now());
                 }
-                core.setContracts(contracts, now());
-                core.setDomainState(in, others, now());
                 core.jobStreamRead(static_cast<std::int64_t>(head) - 1, TimePoint(sentAt), now());
-                core.setConfigProof(TimePoint(sentAt));
+                if (linked(name, "config")) {
+                    core.setContracts(contracts, now());
+                    core.setDomainState(in, others, now());
+                    core.setConfigProof(TimePoint(sentAt));
+                }
             });
         });
     });
@@ -257,6 +259,9 @@
 {
     std::uniform_int_distribution<std::int64_t> slow(1000, SlowestAppend.count());
     const milliseconds way = chance(m_options.slowAppendRate) ? milliseconds(slow(m_random)) : delay();
+    if (chance(m_options.vanishRate)) {
+        return;
+    }
     // Appends of one writer arrive in order.
     scheduler.lastAppendAt = std::max(scheduler.lastAppendAt, m_time + way);
     at(scheduler.lastAppendAt, [this, name = scheduler.name, incarnation = scheduler.incarnation, domain, record, answer = std::move(answer)] {
@@ -298,7 +303,7 @@
         }
         const LeaseAnswer answer = m_workers.at(command.worker)->renew(command);
         at(m_time + delay(), [this, name, incarnation, command, sentAt, answer, answerLost, fail] {
-            if (answerLost || !linked(name, command.worker)) {
+            if (answerLost || !linked(name, command.worker) || m_muted.contains(linkOf(name, command.worker))) {
                 at(sentAt + AnswerTimeout, fail);
                 return;
             }
@@ -320,10 +325,12 @@
         at(m_time + delay(), [answer] { answer(CommandOutcome::Unreachable); });
         return;
     }
-    if (chance(m_options.lateRate)) {
+    const auto fixed = std::holds_alternative<StartTask>(command) ? m_startDelays.find(workerName) : m_startDelays.end();
+    if (fixed != m_startDelays.end() || chance(m_options.lateRate)) {
         std::uniform_int_distribution<std::int64_t> late(AnswerTimeout.count(), LatestCommand.count());
+        const milliseconds way = fixed != m_startDelays.end() ? fixed->second : milliseconds(late(m_random));
         // The connection that carries the command does not outlive the worker's process.
-        at(m_time + milliseconds(late(m_random)), [this, workerName, command, restarts = m_workers.at(workerName)->restarts()] {
+        at(m_time + way, [this, workerName, command, restarts = m_workers.at(workerName)->restarts()] {
             if (m_workers.at(workerName)->restarts() == restarts) {
                 m_workers.at(workerName)->execute(command);
             }
@@ -340,7 +347,7 @@
             return;
         }
         const CommandOutcome outcome = m_workers.at(workerName)->execute(command);
-        if (answerLost) {
+        if (answerLost || m_muted.contains(linkOf(name, workerName))) {
             at(timeout, [answer] { answer(CommandOutcome::Undetermined); });
             return;
         }
@@ -437,15 +444,23 @@
     note("cut " + first + " " + second);
 }
 
+void World::mute(const std::string &workerName, const std::string &scheduler)
+{
+    m_muted.insert(linkOf(workerName, scheduler));
+    note("mute " + workerName + " " + scheduler);
+}
+
 void World::heal(const std::string &first, const std::string &second)
 {
     m_cuts.erase(linkOf(first, second));
+    m_muted.erase(linkOf(first, second));
     note("heal " + first + " " + second);
 }
 
 void World::healAll()
 {
     m_cuts.clear();
+    m_muted.clear();
     m_logUp = true;
     for (auto &[name, scheduler] : m_schedulers) {
         thaw(name);
@@ -465,11 +480,21 @@
     note(up ? "log is up" : "log is down");
 }
 
-void World::setLoss(double lossRate, double lateRate, double slowAppendRate)
+void World::delayStarts(const std::string &workerName, milliseconds delay)
+{
+    if (delay == milliseconds(0)) {
+        m_startDelays.erase(workerName);
+    } else {
+        m_startDelays[workerName] = delay;
+    }
+}
+
+void World::setLoss(double lossRate, double lateRate, double slowAppendRate, double vanishRate)
 {
     m_options.lossRate = lossRate;
     m_options.lateRate = lateRate;
     m_options.slowAppendRate = slowAppendRate;
+    m_options.vanishRate = vanishRate;
 }
 
 FakeWorker &World::worker(const std::string &name)
--- a/tests/libs/schedulercore/world.h
+++ b/tests/libs/schedulercore/world.h
@@ -32,6 +32,7 @@
     double lossRate = 0; // share of messages that are lost
     double lateRate = 0; // share of commands that arrive seconds later, after the sender gave up
     double slowAppendRate = 0; // share of appends that take several seconds
+    double vanishRate = 0; // share of appends that are neither written nor answered
     std::chrono::milliseconds logOutageGrace{15 * 60 * 1000};
 };
 
@@ -54,16 +55,21 @@
     void setDomain(const std::string &domain, bool in);
     void setContract(const Contract &contract);
 
-    // Faults. Names: schedulers "east.1", workers "east.w1", and "log".
+    // Faults. Names: schedulers "east.1", workers "east.w1", "log" (all streams) and
+    // "config" (the configuration stream alone).
     void kill(const std::string &scheduler);
     void start(const std::string &scheduler);
     void freeze(const std::string &scheduler);
     void thaw(const std::string &scheduler);
     void cut(const std::string &first, const std::string &second);
     void heal(const std::string &first, const std::string &second);
+    /// Loses the worker's answers to the scheduler, while requests arrive. heal() ends the fault.
+    void mute(const std::string &worker, const std::string &scheduler);
     void healAll();
     void setLogUp(bool up);
-    void setLoss(double lossRate, double lateRate, double slowAppendRate);
+    /// Start commands to @p worker take @p delay from now on; the sender gives up earlier. Zero ends the fault.
+    void delayStarts(const std::string &worker, std::chrono::milliseconds delay);
+    void setLoss(double lossRate, double lateRate, double slowAppendRate, double vanishRate = 0);
     FakeWorker &worker(const std::string &name);
 
     // State.
@@ -136,7 +142,9 @@
     std::map<std::string, Domain> m_domains;
     std::map<std::string, Contract> m_contracts;
     std::set<std::pair<std::string, std::string>> m_cuts;
+    std::set<std::pair<std::string, std::string>> m_muted;
     bool m_logUp = true;
+    std::map<std::string, std::chrono::milliseconds> m_startDelays; // by worker
     std::map<std::pair<std::string, int>, std::pair<int, int>> m_startCounts; // by job and attempt: starts, worker restarts
     std::vector<std::string> m_trace;
     std::vector<std::string> m_violations;
