Keep idempotency keys at least as long as their request may run

Cause: a contract's window shorter than twice its timeout lets a key expire while the first request is still running, and a copy runs again.

Ruled out: refusing such contracts here (the contract parser decides that).

Change: the window is at least twice the service's timeout. An attempt checks the deadline again after its connection is ready, because a frozen process may see the connection before its watchdog.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -224,6 +224,11 @@
             co_return std::chrono::steady_clock::now() >= m_deadline ? End::TimedOut : End::ConnectFailed;
         }
     }
+    // After a freeze of the process the connection may be ready before the watchdog has run.
+    if (std::chrono::steady_clock::now() >= m_deadline) {
+        m_upstream.reset();
+        co_return End::TimedOut;
+    }
     const bool isSent = co_await sendRequest();
     End end = End::Lost;
     if (isSent) {
--- a/src/libs/gateway/gatewaystate.cpp
+++ b/src/libs/gateway/gatewaystate.cpp
@@ -53,8 +53,11 @@
 std::chrono::microseconds GatewayState::idempotencyWindow(const std::string &customer, const std::string &name) const
 {
     const ServiceStatePtr state = service(customer, name);
-    const bool hasWindow = state && state->contract.idempotencyWindow.count() > 0;
-    return hasWindow ? state->contract.idempotencyWindow : std::chrono::microseconds(DefaultIdempotencyWindow);
+    if (!state || state->contract.idempotencyWindow.count() <= 0) {
+        return DefaultIdempotencyWindow;
+    }
+    // A key must not expire while its request may still be running.
+    return std::max(state->contract.idempotencyWindow, 2 * state->contract.timeout);
 }
 
 ServiceStatePtr GatewayState::service(const std::string &customer, const std::string &name) const
--- a/tests/libs/gateway/testkeyedrequests.cpp
+++ b/tests/libs/gateway/testkeyedrequests.cpp
@@ -205,6 +205,31 @@
     pair.fixture.run(checkForeignRecords(pair));
 }
 
+static asio::awaitable<void> checkShortWindow(TwoGateways &pair)
+{
+    Copies copies;
+    asio::co_spawn(co_await asio::this_coro::executor, buyAndCount(pair, 0, "short", copies), asio::detached);
+    co_await pauseFor(milliseconds(10));
+    pair.stream.time += milliseconds(100);
+    const CallerAnswer copy = co_await buy(pair, 1, "short", "pass", "/delay/20");
+    cr_assert_eq(copy.outcome(), "unknown");
+    co_await pauseFor(milliseconds(100));
+    cr_assert_eq(copies.known, 1);
+    cr_assert_eq(pair.target().executions("short"), 1);
+}
+
+// Guards P7 against a window in the contract that is shorter than a request may take.
+Test(keyedrequests, keepsKeysOfRunningRequests)
+{
+    TwoGateways pair;
+    Contract contract = GatewayFixture::defaultContract();
+    contract.services[0].idempotencyWindow = milliseconds(1);
+    for (const auto &gateway : pair.gateways) {
+        gateway->setContracts({contract});
+    }
+    pair.fixture.run(checkShortWindow(pair));
+}
+
 static asio::awaitable<void> checkUnknownOutcome(TwoGateways &pair)
 {
     const CallerAnswer lost = co_await buy(pair, 0, "lost", "pass", "/close");
