Make the drain and failure tests catch two mutants

Cause: two mutants survived. Closing busy connections during a drain went unnoticed because no request waited for its caller's bytes; a place in the concurrency limit that a failed request keeps went unnoticed because the limit was wide.

Ruled out: counting places through the gauge (it is published once a second).

Change: a slow upload spans the drain; the failure cases run with room for two requests.

Conclusion: with "close any connection without unread bytes" drainCutsNothing fails, with a place that is never given back mapsTargetFailures fails. 28 gateway tests pass.

--- a/tests/libs/gateway/testgatewayproperties.cpp
+++ b/tests/libs/gateway/testgatewayproperties.cpp
@@ -326,6 +326,23 @@
     ++tally.finished;
 }
 
+static asio::awaitable<void> uploadThroughDrain(GatewayFixture &fixture, Tally &tally)
+{
+    // Waits for the caller's bytes when the gateway begins to close idle connections.
+    constexpr int PartCount = 10;
+    const std::string part = patternBody(4000);
+    Caller caller(fixture.endpoint());
+    co_await caller.sendBytes("POST /cascadia/sales/echo HTTP/1.1\r\nHost: a\r\nX-Id: u\r\nContent-Length: 40000\r\n\r\n");
+    for (int i = 0; i < PartCount; ++i) {
+        co_await pauseFor(milliseconds(100));
+        co_await caller.sendBytes(part);
+    }
+    const CallerAnswer answer = co_await caller.receive();
+    const bool isWhole = !answer.error && answer.response.result_int() == 200 && answer.response.body().ends_with(part);
+    tally.brokenAnswers += isWhole ? 0 : 1;
+    ++tally.finished;
+}
+
 static asio::awaitable<void> arriveDuringDrain(GatewayFixture &fixture, Tally &tally)
 {
     // The load balancer goes on for a while after readiness has fallen.
@@ -348,13 +365,14 @@
     for (int number = 0; number < CallerCount; ++number) {
         asio::co_spawn(executor, callThroughDrain(fixture, number, tally), asio::detached);
     }
+    asio::co_spawn(executor, uploadThroughDrain(fixture, tally), asio::detached);
     co_await pauseFor(milliseconds(300));
     cr_assert_eq(tally.finished, 0);
     asio::co_spawn(executor, arriveDuringDrain(fixture, tally), asio::detached);
     const int left = co_await fixture.gateway->drain(milliseconds(400), milliseconds(10000));
     cr_assert_eq(left, 0);
     co_await pauseFor(milliseconds(50));
-    cr_assert_eq(tally.finished, CallerCount + 1);
+    cr_assert_eq(tally.finished, CallerCount + 2);
     cr_assert_eq(tally.brokenAnswers, 0, "%d answers cut of %d", tally.brokenAnswers, tally.known);
 }
 
--- a/tests/libs/gateway/testgatewaysession.cpp
+++ b/tests/libs/gateway/testgatewaysession.cpp
@@ -240,6 +240,10 @@
         {"HEAD", "/huge/100000", 200, "known"},
     };
     GatewayFixture fixture;
+    Contract contract = GatewayFixture::defaultContract();
+    // A failure that does not give its place in the limit back shows as 429.
+    contract.services[0].concurrency = 2;
+    fixture.gateway->setContracts({contract});
     for (const FailureCase &failure : cases) {
         fixture.run(checkFailure(fixture, failure));
     }
