--- a/tests/libs/gateway/testkeyedrequests.cpp
+++ b/tests/libs/gateway/testkeyedrequests.cpp
@@ -1,6 +1,8 @@
 #include "fakerequestlog.h"
 #include "gatewayfixture.h"
 
+#include <gateway/requestjournal.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -165,6 +167,69 @@
     pair.fixture.run(checkLogFaults(pair));
 }
 
+static asio::awaitable<void> checkForeignRecords(TwoGateways &pair)
+{
+    Wire::RequestIntent intent;
+    intent.customer = "cascadia";
+    intent.serviceName = "sales";
+    intent.key = "foreign";
+    intent.requestId = "other";
+    Wire::RequestOutcome outcome;
+    outcome.customer = intent.customer;
+    outcome.serviceName = intent.serviceName;
+    outcome.key = intent.key;
+    outcome.requestId = intent.requestId;
+    outcome.known = true;
+    outcome.status = 7;
+    // The hash is that of the request below, so that the outcome is replayed.
+    intent.bodyHash = requestHash("POST", "/delay/0", "pass");
+    Wire::Record intentRecord;
+    intentRecord.__set_requestIntent(intent);
+    Wire::Record outcomeRecord;
+    outcomeRecord.__set_requestOutcome(outcome);
+    Wire::Record foreignRecord;
+    foreignRecord.__set_ownershipClaim({});
+    std::vector<Wire::Record> records{intentRecord, foreignRecord, outcomeRecord};
+    co_await pair.firstLog.append(std::move(records));
+    const CallerAnswer answer = co_await buy(pair, 0, "foreign", "pass");
+    cr_assert_eq(answer.response.result_int(), 502);
+    cr_assert_eq(answer.outcome(), "unknown");
+    const CallerAnswer next = co_await buy(pair, 0, "next", "pass");
+    cr_assert_eq(next.response.result_int(), 200);
+}
+
+// Guards against records of the stream that stop a gateway: an impossible status, a record of another kind.
+Test(keyedrequests, survivesForeignRecords)
+{
+    TwoGateways pair;
+    pair.fixture.run(checkForeignRecords(pair));
+}
+
+static asio::awaitable<void> checkShortWindow(TwoGateways &pair)
+{
+    Copies copies;
+    asio::co_spawn(co_await asio::this_coro::executor, buyAndCount(pair, 0, "short", copies), asio::detached);
+    co_await pauseFor(milliseconds(10));
+    pair.stream.time += milliseconds(100);
+    const CallerAnswer copy = co_await buy(pair, 1, "short", "pass", "/delay/20");
+    cr_assert_eq(copy.outcome(), "unknown");
+    co_await pauseFor(milliseconds(100));
+    cr_assert_eq(copies.known, 1);
+    cr_assert_eq(pair.target().executions("short"), 1);
+}
+
+// Guards P7 against a window in the contract that is shorter than a request may take.
+Test(keyedrequests, keepsKeysOfRunningRequests)
+{
+    TwoGateways pair;
+    Contract contract = GatewayFixture::defaultContract();
+    contract.services[0].idempotencyWindow = milliseconds(1);
+    for (const auto &gateway : pair.gateways) {
+        gateway->setContracts({contract});
+    }
+    pair.fixture.run(checkShortWindow(pair));
+}
+
 static asio::awaitable<void> checkUnknownOutcome(TwoGateways &pair)
 {
     const CallerAnswer lost = co_await buy(pair, 0, "lost", "pass", "/close");
