Let decided evictions expire and bound what is kept about failed jobs

Cause: read through the engine for state that survives its reason. A task whose eviction was decided but not carried out was never chosen again, a task that had been too large once was rejected without grace the second time, a team that left the contract kept its permission for urgent work, and failures of jobs that ended without a report were kept for ever.

The new test fails if evictions never expire.

--- a/src/libs/placement/placementengine.cpp
+++ b/src/libs/placement/placementengine.cpp
@@ -50,16 +50,20 @@
     }
 }
 
-void setTeam(PlacementState &state, const std::string &customer, const TeamContract &team)
+void setUrgentAllowed(PlacementState &state, std::uint32_t team, bool allowed)
 {
-    const std::uint32_t id = state.teamId(customer, team.name);
-    state.queue.setTeam(id, team.share, team.quota);
-    if (state.teamInfo[id].urgentAllowed != team.urgent) {
-        state.teamInfo[id].urgentAllowed = team.urgent;
-        reclassify(state, id);
+    if (state.teamInfo[team].urgentAllowed != allowed) {
+        state.teamInfo[team].urgentAllowed = allowed;
+        reclassify(state, team);
     }
 }
 
+void setTeam(PlacementState &state, std::uint32_t id, const TeamContract &team)
+{
+    state.queue.setTeam(id, team.share, team.quota);
+    setUrgentAllowed(state, id, team.urgent);
+}
+
 /// Returns the tasks that ran beside the service when the measurement was taken, as loads by kind.
 KindLoads besideAt(const PlacementState &state, const RunningTask &service, TimePoint measuredAt)
 {
@@ -142,6 +146,7 @@
 
 void PlacementEngine::setContracts(const std::vector<Contract> &contracts)
 {
+    std::vector<char> named(m_state->teamInfo.size(), 0);
     for (const Contract &contract : contracts) {
         const std::uint32_t customer = m_state->customerId(contract.customer);
         CustomerInfo &info = m_state->customerInfo[customer];
@@ -153,7 +158,15 @@
             m_state->serviceInfo[id].objectiveUs = static_cast<double>(service.latencyObjective.count());
         }
         for (const TeamContract &team : contract.teams) {
-            setTeam(*m_state, contract.customer, team);
+            const std::uint32_t id = m_state->teamId(contract.customer, team.name);
+            named.resize(m_state->teamInfo.size(), 0);
+            named[id] = 1;
+            setTeam(*m_state, id, team);
+        }
+    }
+    for (std::uint32_t team = 0; team < named.size(); ++team) {
+        if (!named[team]) {
+            setUrgentAllowed(*m_state, team, false);
         }
     }
 }
--- a/src/libs/placement/placementstate.cpp
+++ b/src/libs/placement/placementstate.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t DepartedTasksKept = 16;
+constexpr std::chrono::seconds EvictionTimeout{30};
 
 Resources largerOf(const Resources &left, const Resources &right)
 {
@@ -206,6 +207,11 @@
     dropIfUnused(worker);
 }
 
+bool PlacementState::beingEvicted(const RunningTask &task) const
+{
+    return task.evictedAt != TimePoint() && lastTime - task.evictedAt < EvictionTimeout;
+}
+
 void PlacementState::applyUsage(std::uint32_t task, const Resources &usage)
 {
     RunningTask &running = *tasks[task].running;
--- a/src/libs/placement/placementstate.h
+++ b/src/libs/placement/placementstate.h
@@ -80,6 +80,8 @@
     void startRunning(std::uint32_t task, std::uint32_t worker, const Resources &committed, TimePoint now);
     /// Releases a running task and removes it.
     void endRunning(std::uint32_t task, TimePoint now);
+    /// Returns true while a decided eviction is expected to take effect. One that was not carried out expires.
+    bool beingEvicted(const RunningTask &task) const;
     void applyUsage(std::uint32_t task, const Resources &usage);
 
     void enqueue(std::uint32_t task);
--- a/src/libs/placement/preemptor.cpp
+++ b/src/libs/placement/preemptor.cpp
@@ -48,7 +48,7 @@
     double worstHarm = -1;
     for (const std::uint32_t task : m_state.workers[worker].tasks) {
         const TaskRecord &record = m_state.tasks[task];
-        if (!record.batch() || record.running->evicting || record.queueClass == QueueClass::Urgent || isProtected(task)) {
+        if (!record.batch() || m_state.beingEvicted(*record.running) || record.queueClass == QueueClass::Urgent || isProtected(task)) {
             continue;
         }
         const double taskHarm = harm(task);
@@ -84,7 +84,7 @@
     std::vector<std::pair<double, std::uint32_t>> candidates;
     for (const std::uint32_t task : m_state.workers[worker].tasks) {
         const TaskRecord &record = m_state.tasks[task];
-        if (record.running->evicting) {
+        if (m_state.beingEvicted(*record.running)) {
             freed += record.running->charged;
             continue;
         }
--- a/src/libs/placement/taskdispatcher.cpp
+++ b/src/libs/placement/taskdispatcher.cpp
@@ -133,9 +133,9 @@
     if (!m_state.capacityIndex.find(record.declared, 0)) {
         return waitUnplaceable(task, "needs " + describe(record.declared) + ", more than any worker has");
     }
+    m_state.unplaceableSince.erase(task);
     const Resources amount = m_state.sizeOf(record);
-    const bool withinQuota = m_state.queue.withinQuota(record.team, record.declared);
-    if (!withinQuota) {
+    if (!m_state.queue.withinQuota(record.team, record.declared)) {
         return Attempt::OverQuota;
     }
     if (record.queueClass == QueueClass::Batch && overBatchShare(record, amount)) {
@@ -322,7 +322,7 @@
 void TaskDispatcher::evict(std::uint32_t task, std::string reason)
 {
     TaskRecord &record = m_state.tasks[task];
-    record.running->evicting = true;
+    record.running->evictedAt = m_now;
     m_state.budget.countEviction(record.customer);
     if (m_state.evictedKeys.size() >= MaximumEvictedKeys) {
         m_state.evictedKeys.clear(); // jobs that ended instead of coming back
--- a/src/libs/placement/taskrecord.h
+++ b/src/libs/placement/taskrecord.h
@@ -23,11 +23,11 @@
     Resources charged; // committed, raised to the measured use
     std::int64_t loadMilliCores = 0; // measured, or expected before the first measurement
     TimePoint startedAt{};
+    TimePoint evictedAt{}; // when its eviction was last decided
     float progress = 0;
     std::uint8_t level = 100; // percent of full speed
     bool measured = false;
     bool hasCheckpoint = false;
-    bool evicting = false;
     bool adopted = false; // started before a change of owner, at an unknown time
 };
 
--- a/src/libs/placement/workerhealth.cpp
+++ b/src/libs/placement/workerhealth.cpp
@@ -8,6 +8,7 @@
 
 constexpr int FailuresUntilQuarantine = 3;
 constexpr std::chrono::seconds FirstQuarantine{30};
+constexpr std::size_t MaximumFailedJobs = 10000;
 constexpr int MostDoublings = 5; // 16 min
 constexpr std::size_t QuarantinedShare = 5; // one in five
 
@@ -15,6 +16,9 @@
 
 void WorkerHealth::reportFailure(const std::string &jobId, std::uint32_t worker, const std::string &workerName, std::size_t workerCount, TimePoint now)
 {
+    if (m_failedWorkers.size() >= MaximumFailedJobs && !m_failedWorkers.contains(jobId)) {
+        m_failedWorkers.erase(m_failedWorkers.begin()); // of a job that ended without a report
+    }
     std::vector<std::string> &failed = m_failedWorkers[jobId];
     const bool failedElsewhere = std::any_of(failed.begin(), failed.end(), [&](const std::string &name) { return name != workerName; });
     if (std::find(failed.begin(), failed.end(), workerName) == failed.end()) {
--- a/tests/libs/placement/testpreemption.cpp
+++ b/tests/libs/placement/testpreemption.cpp
@@ -122,6 +122,22 @@
     cr_assert(fixture.evictions.contains("job-2"));
 }
 
+// Guards against urgent work that waits for an eviction that is never carried out.
+Test(preemption, decidesAgainWhenAnEvictionHasNoEffect)
+{
+    PlacementFixture fixture;
+    fill(fixture, 1, 4);
+    fixture.engine.addPending(urgentTask("urgent", size(2, 8)), fixture.now);
+    fixture.decide();
+    cr_assert_eq(fixture.evictions.size(), 1);
+    fixture.evictions.clear(); // the decision gets lost
+    for (int i = 0; i < 40 && fixture.evictions.empty(); ++i) {
+        fixture.advance(1s);
+        fixture.decide();
+    }
+    cr_assert_eq(fixture.evictions.size(), 1);
+}
+
 // Guards against an evicted task that goes to the end of the queue and starves.
 Test(preemption, keepsThePlaceOfEvictedTasks)
 {
