--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -1,5 +1,6 @@
 #include "gatewaysettings.h"
 
+#include <instance/commonsettings.h>
 #include <utils/endpoint.h>
 
 namespace Hyssop {
@@ -18,7 +19,8 @@
     using std::chrono::hours;
     using std::chrono::milliseconds;
     using std::chrono::minutes;
-    return {
+    std::vector<SettingSpec> specs = commonSettings();
+    const std::vector<SettingSpec> own{
         {"gateway.listen", AddressSetting{}, "Address for callers.", "", true},
         {"gateway.instance_list", AddressSetting{}, "Address of the platform's instance list.", "", true},
         {"gateway.schedulers", AddressListSetting{}, "RPC addresses of the schedulers of the failure domain.", "", true},
@@ -34,6 +36,8 @@
         {"gateway.drain_accept", DurationSetting{milliseconds(0), minutes(5)}, "Time from readiness falling to the end of accepting.", "5 s", false},
         {"gateway.drain_finish", DurationSetting{milliseconds(0), hours(1)}, "Longest wait for requests in flight at the end.", "60 s", false},
     };
+    specs.insert(specs.end(), own.begin(), own.end());
+    return specs;
 }
 
 GatewayOptions gatewayOptions(const Settings &settings)
--- a/src/libs/scheduler/schedulersettings.cpp
+++ b/src/libs/scheduler/schedulersettings.cpp
@@ -1,12 +1,15 @@
 #include "schedulersettings.h"
 
+#include <instance/commonsettings.h>
+
 namespace Hyssop {
 
 std::vector<SettingSpec> schedulerSettings()
 {
     using std::chrono::milliseconds;
     using std::chrono::seconds;
-    return {
+    std::vector<SettingSpec> specs = commonSettings();
+    const std::vector<SettingSpec> own{
         {"scheduler.workers", AddressListSetting{}, "Workers of this failure domain.", "", true},
         {"scheduler.failure_domains", TextSetting{}, "Names of all failure domains, separated by commas; jobs move to them when this one is out.", "", true},
         {"scheduler.lease",
@@ -21,6 +24,8 @@
          false},
         {"scheduler.batch_delay", DurationSetting{milliseconds(1), milliseconds(200)}, "Longest wait for more records before an append.", "20 ms", false},
     };
+    specs.insert(specs.end(), own.begin(), own.end());
+    return specs;
 }
 
 } // namespace Hyssop
--- a/src/libs/scheduler/schedulersettings.h
+++ b/src/libs/scheduler/schedulersettings.h
@@ -6,7 +6,7 @@
 
 namespace Hyssop {
 
-/// Settings of hyssop-scheduler besides the common ones.
+/// Settings of hyssop-scheduler, the common ones included.
 std::vector<SettingSpec> schedulerSettings();
 
 } // namespace Hyssop
--- a/src/tools/hyssop-gateway/main.cpp
+++ b/src/tools/hyssop-gateway/main.cpp
@@ -1,6 +1,5 @@
 #include <gateway/gatewaydaemon.h>
 #include <gateway/gatewaysettings.h>
-#include <instance/commonsettings.h>
 #include <instance/programoptions.h>
 #include <observability/logging.h>
 
@@ -10,15 +9,6 @@
 
 using namespace Hyssop;
 
-static std::vector<SettingSpec> allSettings()
-{
-    std::vector<SettingSpec> specs = commonSettings();
-    for (const SettingSpec &spec : gatewaySettings()) {
-        specs.push_back(spec);
-    }
-    return specs;
-}
-
 static int runDaemon(const Settings &settings)
 {
     initializeLogging(parseLogLevel(settings.text("logging.level")), parseLogFormat(settings.text("logging.format")), settings.text("instance.name"));
@@ -31,7 +21,7 @@
 
 int main(int argc, char **argv)
 {
-    const auto parsed = parseProgramOptions(argc, argv, "hyssop-gateway", allSettings());
+    const auto parsed = parseProgramOptions(argc, argv, "hyssop-gateway", gatewaySettings());
     if (const auto *code = std::get_if<ExitCode>(&parsed)) {
         return code->value;
     }
--- a/src/tools/hyssop-scheduler/main.cpp
+++ b/src/tools/hyssop-scheduler/main.cpp
@@ -1,4 +1,3 @@
-#include <instance/commonsettings.h>
 #include <instance/programoptions.h>
 #include <observability/logging.h>
 #include <scheduler/schedulerdaemon.h>
@@ -10,15 +9,6 @@
 
 using namespace Hyssop;
 
-static std::vector<SettingSpec> allSettings()
-{
-    std::vector<SettingSpec> specs = commonSettings();
-    for (const SettingSpec &spec : schedulerSettings()) {
-        specs.push_back(spec);
-    }
-    return specs;
-}
-
 static int runDaemon(const Settings &settings)
 {
     initializeLogging(parseLogLevel(settings.text("logging.level")), parseLogFormat(settings.text("logging.format")), settings.text("instance.name"));
@@ -31,7 +21,7 @@
 
 int main(int argc, char **argv)
 {
-    const auto parsed = parseProgramOptions(argc, argv, "hyssop-scheduler", allSettings());
+    const auto parsed = parseProgramOptions(argc, argv, "hyssop-scheduler", schedulerSettings());
     if (const auto *code = std::get_if<ExitCode>(&parsed)) {
         return code->value;
     }
--- a/tests/libs/placement/testpreemption.cpp
+++ b/tests/libs/placement/testpreemption.cpp
@@ -122,6 +122,25 @@
     cr_assert(fixture.evictions.contains("job-2"));
 }
 
+// Guards against urgent work that waits for an eviction that is never carried out.
+Test(preemption, decidesAgainWhenAnEvictionHasNoEffect)
+{
+    PlacementFixture fixture;
+    fixture.addWorkers(1, size(8, 32, 8));
+    fixture.engine.setContracts({contractOf({teamOf("badges"), teamOf("rescue", 1, {}, true)})});
+    fixture.engine.addPending(batchTask("only", size(8, 32)), fixture.now);
+    fixture.decide();
+    fixture.engine.addPending(urgentTask("urgent", size(2, 8)), fixture.now);
+    fixture.decide();
+    cr_assert(fixture.evictions.contains("only"));
+    fixture.evictions.clear(); // the decision gets lost
+    for (int i = 0; i < 60 && fixture.evictions.empty(); ++i) {
+        fixture.advance(1s);
+        fixture.decide();
+    }
+    cr_assert(fixture.evictions.contains("only"));
+}
+
 // Guards against an evicted task that goes to the end of the queue and starves.
 Test(preemption, keepsThePlaceOfEvictedTasks)
 {
