--- a/src/libs/gateway/gatewaydaemon.cpp
+++ b/src/libs/gateway/gatewaydaemon.cpp
@@ -75,6 +75,7 @@
     ConfigServiceOptions options;
     options.instance = settings.text("instance.name");
     options.peers = settings.list("instance.peers");
+    options.maximumAppendsPerSecond = static_cast<double>(settings.integer("log.maximum_appends"));
     options.retention = std::chrono::duration_cast<std::chrono::milliseconds>(settings.duration("log.retention"));
     return options;
 }
@@ -97,7 +98,12 @@
     , log(http, settings.text("log.address"))
     , config(context.get_executor(), log, rpc, metrics, configOptions(settings))
     , peers(context.get_executor(), rpc, metrics, peerOptions(settings))
-    , requestLog(context.get_executor(), log, settings.text("instance.failure_domain"), settings.text("instance.name"), metrics)
+    , requestLog(context.get_executor(),
+                 log,
+                 settings.text("instance.failure_domain"),
+                 settings.text("instance.name"),
+                 static_cast<double>(settings.integer("log.maximum_appends")),
+                 metrics)
     , gateway(context.get_executor(), gatewayOptions(settings), metrics, &requestLog)
     , targetPoller(context.get_executor(), rpc, metrics, settings.list("gateway.schedulers"))
     , instancePoller(context.get_executor(), http, metrics, settings.text("gateway.instance_list"))
--- a/src/libs/gateway/platformrequestlog.cpp
+++ b/src/libs/gateway/platformrequestlog.cpp
@@ -19,13 +19,25 @@
     co_await tailer->run();
 }
 
+static AppenderOptions appenderOptions(double maximumAppendsPerSecond)
+{
+    AppenderOptions options;
+    options.maximumAppendsPerSecond = maximumAppendsPerSecond;
+    return options;
+}
+
 } // namespace Internal
 
-PlatformRequestLog::PlatformRequestLog(
-    asio::any_io_executor executor, LogClient &client, const std::string &domain, std::string instance, MetricsRegistry &metrics)
+PlatformRequestLog::PlatformRequestLog(asio::any_io_executor executor,
+                                       LogClient &client,
+                                       const std::string &domain,
+                                       std::string instance,
+                                       double maximumAppendsPerSecond,
+                                       MetricsRegistry &metrics)
     : m_executor(std::move(executor))
     , m_tailer(std::make_shared<LogTailer>(client, "requests." + domain, metrics))
-    , m_appender(std::make_shared<LogAppender>(m_executor, client, "requests." + domain, std::move(instance), AppenderOptions(), metrics))
+    , m_appender(std::make_shared<LogAppender>(
+          m_executor, client, "requests." + domain, std::move(instance), Internal::appenderOptions(maximumAppendsPerSecond), metrics))
 {
 }
 
--- a/src/libs/gateway/platformrequestlog.h
+++ b/src/libs/gateway/platformrequestlog.h
@@ -18,7 +18,12 @@
 {
 public:
     /// @p client must outlive the log.
-    PlatformRequestLog(boost::asio::any_io_executor executor, LogClient &client, const std::string &domain, std::string instance, MetricsRegistry &metrics);
+    PlatformRequestLog(boost::asio::any_io_executor executor,
+                       LogClient &client,
+                       const std::string &domain,
+                       std::string instance,
+                       double maximumAppendsPerSecond,
+                       MetricsRegistry &metrics);
     ~PlatformRequestLog() override;
 
     /// Begins to read the stream.
--- a/src/libs/instance/configservice.cpp
+++ b/src/libs/instance/configservice.cpp
@@ -40,6 +40,13 @@
 constexpr std::size_t LargestReply = 768 * 1024; // stays below the limit of a message
 constexpr std::int32_t MostAuditEntries = 1000;
 
+static AppenderOptions appenderOptions(const ConfigServiceOptions &options)
+{
+    AppenderOptions result;
+    result.maximumAppendsPerSecond = options.maximumAppendsPerSecond;
+    return result;
+}
+
 struct ConfigServiceState
 {
     ConfigServiceState(asio::any_io_executor ioExecutor, LogClient &log, RpcClient &rpc, MetricsRegistry &registry, ConfigServiceOptions serviceOptions)
@@ -49,7 +56,7 @@
         , options(std::move(serviceOptions))
         , ledger([this](const std::string &key, const std::string &body) { return faultOfBody(key, body); })
         , tailer(log, "config", registry)
-        , appender(executor, log, "config", options.instance, {}, registry)
+        , appender(executor, log, "config", options.instance, appenderOptions(options), registry)
         , random(std::random_device{}())
     {
     }
@@ -166,14 +173,14 @@
     const auto publish = [&](const char *name, std::uint64_t ConfigLedgerCounters::*counter) {
         state.metrics.add(name, {}, static_cast<double>(now.*counter - before.*counter));
     };
-    publish("config_changes_accepted_total", &ConfigLedgerCounters::accepted);
-    publish("config_changes_conflicting_total", &ConfigLedgerCounters::conflicts);
-    publish("config_unusable_bodies_total", &ConfigLedgerCounters::unusableBodies);
-    publish("config_invalid_records_total", &ConfigLedgerCounters::invalidRecords);
-    publish("config_contradictions_total", &ConfigLedgerCounters::contradictions);
-    publish("config_gaps_total", &ConfigLedgerCounters::gaps);
+    publish("hyssop_config_changes_accepted_total", &ConfigLedgerCounters::accepted);
+    publish("hyssop_config_changes_conflicting_total", &ConfigLedgerCounters::conflicts);
+    publish("hyssop_config_unusable_bodies_total", &ConfigLedgerCounters::unusableBodies);
+    publish("hyssop_config_invalid_records_total", &ConfigLedgerCounters::invalidRecords);
+    publish("hyssop_config_contradictions_total", &ConfigLedgerCounters::contradictions);
+    publish("hyssop_config_gaps_total", &ConfigLedgerCounters::gaps);
     before = now;
-    state.metrics.set("config_applied_offset", static_cast<double>(state.ledger.appliedUpTo()));
+    state.metrics.set("hyssop_config_applied_offset", static_cast<double>(state.ledger.appliedUpTo()));
     state.metrics.set("config_ready", state.isReady() ? 1 : 0);
 }
 
@@ -297,7 +304,7 @@
         }
         if (!state->isReady() && provisionalSince && std::chrono::steady_clock::now() - *provisionalSince >= state->options.provisionalTimeout) {
             logMessage(LogLevel::Warning, "instance", "no peer has a complete configuration; using the newest revisions in the log");
-            state->metrics.add("config_provisional_decisions_total");
+            state->metrics.add("hyssop_config_provisional_decisions_total");
             state->ledger.settleProvisional();
             noteLedgerChange(*state);
         }
@@ -350,7 +357,7 @@
         if (appended == nullptr) {
             co_return;
         }
-        state->metrics.add("config_snapshots_written_total", {}, count);
+        state->metrics.add("hyssop_config_snapshots_written_total", {}, count);
         const bool readBack = co_await waitUntilRead(state, appended->offset, ReadBackTimeout);
         if (!readBack) {
             co_return;
@@ -570,7 +577,7 @@
         if (bytes > Internal::LargestReply) {
             // A part must not be taken for the whole state.
             reply.ready = false;
-            m_state->metrics.add("config_state_replies_truncated_total");
+            m_state->metrics.add("hyssop_config_state_replies_truncated_total");
             break;
         }
         reply.entries.push_back(entry);
--- a/src/libs/instance/configservice.h
+++ b/src/libs/instance/configservice.h
@@ -36,6 +36,7 @@
     std::string instance;
     std::vector<std::string> peers; // RPC addresses, asked for the state when the log is unavailable at the start
     std::chrono::milliseconds retention{std::chrono::hours(24)};
+    double maximumAppendsPerSecond = 25;
     std::chrono::milliseconds verdictTimeout{10000}; // longest wait until a change is read back from the log
     /// Without a ready peer, keys without an exact base are decided on the newest revision known after this time.
     std::chrono::milliseconds provisionalTimeout{15000};
--- a/src/libs/instance/peerservice.cpp
+++ b/src/libs/instance/peerservice.cpp
@@ -55,10 +55,10 @@
     // The address of this instance may be listed among its peers.
     const bool isOwn = heartbeat.instance == state.options.instance;
     if (isOwn || !state.members.noteHeartbeat(heartbeat, std::chrono::steady_clock::now())) {
-        state.metrics.add("peer_heartbeats_ignored_total");
+        state.metrics.add("hyssop_peer_heartbeats_ignored_total");
         return;
     }
-    state.metrics.add("peer_heartbeats_received_total");
+    state.metrics.add("hyssop_peer_heartbeats_received_total");
     if (state.handler) {
         state.handler(heartbeat);
     }
@@ -84,7 +84,7 @@
         co_return std::string();
     }
     if (reply == nullptr || !reply->__isset.heartbeat) {
-        state->metrics.add("peer_heartbeat_failures_total", {{"peer", address}});
+        state->metrics.add("hyssop_peer_heartbeat_failures_total", {{"peer", address}});
         co_return std::string();
     }
     Wire::Heartbeat heartbeat = reply->heartbeat;
--- a/src/libs/platform/logappender.cpp
+++ b/src/libs/platform/logappender.cpp
@@ -148,14 +148,14 @@
     const TimePoint sentAt = std::chrono::steady_clock::now();
     state->lastAppend = sentAt;
     AppendOutcome outcome = co_await state->client.append(state->stream, std::move(bytes), state->options.appendTimeout);
-    state->metrics.observe("log_append_seconds", std::chrono::steady_clock::now() - sentAt, {{"stream", state->stream}});
+    state->metrics.observe("hyssop_log_append_seconds", std::chrono::steady_clock::now() - sentAt, {{"stream", state->stream}});
     const char *result = std::visit(Overloaded{
                                         [](const Appended &) { return "appended"; },
                                         [](const AppendRefused &) { return "refused"; },
                                         [](const AppendUnknown &) { return "unknown"; },
                                     },
                                     outcome);
-    state->metrics.add("log_appends_total", {{"stream", state->stream}, {"result", result}});
+    state->metrics.add("hyssop_log_appends_total", {{"stream", state->stream}, {"result", result}});
     co_return outcome;
 }
 
@@ -237,7 +237,7 @@
             // With two copies an expired record may have been the first one, which readers use.
             const bool certain = !result->truncated || !repeated;
             if (result->found && certain) {
-                state->metrics.add("log_lost_responses_resolved_total", {{"stream", state->stream}, {"repeated", repeated ? "yes" : "no"}});
+                state->metrics.add("hyssop_log_lost_responses_resolved_total", {{"stream", state->stream}, {"repeated", repeated ? "yes" : "no"}});
                 co_return Appended{*result->found};
             }
             if (result->truncated || appendedAgain) {
@@ -280,7 +280,7 @@
     }
     if (const auto *appended = std::get_if<Appended>(&outcome)) {
         noteHead(*state, appended->offset, startedAt);
-        state->metrics.add("log_appended_records_total", {{"stream", state->stream}}, static_cast<double>(batch.records.size()));
+        state->metrics.add("hyssop_log_appended_records_total", {{"stream", state->stream}}, static_cast<double>(batch.records.size()));
     }
     co_return outcome;
 }
--- a/src/libs/platform/logtailer.cpp
+++ b/src/libs/platform/logtailer.cpp
@@ -140,13 +140,13 @@
     Wire::RecordBatch empty;
     const Wire::RecordBatch *batch = valueOf(decoded);
     if (batch == nullptr) {
-        count("log_undecodable_batches_total");
+        count("hyssop_log_undecodable_batches_total");
         batch = &empty;
     } else if (batch->formatVersion != KnownFormatVersion) {
-        count("log_unknown_format_batches_total");
+        count("hyssop_log_unknown_format_batches_total");
         batch = &empty;
     } else if (!m_seenIds.insert(batch->batchId)) {
-        count("log_repeated_batches_total");
+        count("hyssop_log_repeated_batches_total");
         m_appliedUpTo = record.offset;
         return;
     }
@@ -158,7 +158,7 @@
 
 std::chrono::milliseconds LogTailer::noteFailure(const Error &error)
 {
-    m_metrics.add("log_read_failures_total", {{"stream", m_stream}, {"code", errorCodeName(error.code)}});
+    m_metrics.add("hyssop_log_read_failures_total", {{"stream", m_stream}, {"code", errorCodeName(error.code)}});
     if (m_failuresInARow == 0) {
         logMessage(LogLevel::Warning, "platform", "reading the log failed; retrying", {{"stream", m_stream}, {"error", error.message}});
     }
--- a/src/libs/scheduler/schedulerdaemon.cpp
+++ b/src/libs/scheduler/schedulerdaemon.cpp
@@ -73,6 +73,7 @@
     ConfigServiceOptions options;
     options.instance = settings.text("instance.name");
     options.peers = settings.list("instance.peers");
+    options.maximumAppendsPerSecond = static_cast<double>(settings.integer("log.maximum_appends"));
     options.retention = millisecondsOf(settings, "log.retention");
     return options;
 }
--- a/src/libs/scheduler/schedulerservice.cpp
+++ b/src/libs/scheduler/schedulerservice.cpp
@@ -504,7 +504,9 @@
     if (heartbeat.configAgeMs >= 0) {
         m_state->parts.config.notePeerHead(heartbeat.configHead, std::chrono::milliseconds(heartbeat.configAgeMs), now);
     }
-    if (heartbeat.owner && heartbeat.domain == m_state->options.domain && heartbeat.instance != m_state->options.instance) {
+    const bool fromDomain = heartbeat.domain == m_state->options.domain && heartbeat.instance != m_state->options.instance;
+    // A standby that has read a newer claim also ends the ownership of an owner that can't read the stream.
+    if (fromDomain && (heartbeat.owner || heartbeat.term > m_state->core.term())) {
         m_state->core.noteOwnerHeartbeat(heartbeat.term, now);
     }
 }
--- a/tests/libs/instance/testconfigservice.cpp
+++ b/tests/libs/instance/testconfigservice.cpp
@@ -230,7 +230,7 @@
     cr_assert_eq(service.contracts().size(), 1);
     Wire::ConfigStateRequest request;
     cr_assert_eq(service.state(request).entries.at(0).revision, 2);
-    cr_assert_eq(fixture.instances[0]->metrics.value("config_unusable_bodies_total"), 1);
+    cr_assert_eq(fixture.instances[0]->metrics.value("hyssop_config_unusable_bodies_total"), 1);
     cr_assert_eq(changes, 2);
 }
 
@@ -298,7 +298,7 @@
         }
         fixture.log.store().truncate("config", oldest);
     }
-    const auto written = first.metrics.value("config_snapshots_written_total") + second.metrics.value("config_snapshots_written_total");
+    const auto written = first.metrics.value("hyssop_config_snapshots_written_total") + second.metrics.value("hyssop_config_snapshots_written_total");
     std::fprintf(stderr, "%.0f snapshots of 2 keys by 2 instances in 4 retention times\n", written);
     // One round takes half to six tenths of the retention; both instances together rarely write one twice.
     cr_assert(written >= 10 && written <= 32);
@@ -358,7 +358,7 @@
     cr_assert_not(instance.service.ready());
     co_await waitUntil([&] { return instance.service.ready(); });
     cr_assert_eq(instance.service.contract("mtkvari")->revision, 4);
-    cr_assert_eq(instance.metrics.value("config_provisional_decisions_total"), 1);
+    cr_assert_eq(instance.metrics.value("hyssop_config_provisional_decisions_total"), 1);
     // The decision is published soon, so that later readers have an exact base.
     co_await waitUntil([&] { return fixture.log.store().streams().at("config").head > 6; });
 }
--- a/tests/libs/platform/testlogappender.cpp
+++ b/tests/libs/platform/testlogappender.cpp
@@ -242,8 +242,8 @@
             cr_assert(found.empty(), "%s was refused but is in the log", jobId.c_str());
         }
     }
-    const double resolved = fixture.metrics.value("log_lost_responses_resolved_total", {{"stream", "jobs.east-a"}, {"repeated", "no"}});
-    const double repeated = fixture.metrics.value("log_lost_responses_resolved_total", {{"stream", "jobs.east-a"}, {"repeated", "yes"}});
+    const double resolved = fixture.metrics.value("hyssop_log_lost_responses_resolved_total", {{"stream", "jobs.east-a"}, {"repeated", "no"}});
+    const double repeated = fixture.metrics.value("hyssop_log_lost_responses_resolved_total", {{"stream", "jobs.east-a"}, {"repeated", "yes"}});
     std::fprintf(stderr, "%d appended, %d refused, lost responses: %.0f found, %.0f repeated\n", appendedCount, refusedCount, resolved, repeated);
     // The run means something only if it met each case.
     cr_assert(appendedCount > 100 && refusedCount > 0 && resolved > 0 && repeated > 0);
--- a/tests/libs/platform/testlogtailer.cpp
+++ b/tests/libs/platform/testlogtailer.cpp
@@ -70,9 +70,9 @@
     runToEnd(fixture.context, followUntilHead(fixture, 5));
     const std::vector<std::pair<std::int64_t, std::size_t>> expected{{1, 1}, {2, 0}, {4, 0}, {5, 1}};
     cr_assert(fixture.seen == expected);
-    cr_assert_eq(fixture.counter("log_undecodable_batches_total"), 1);
-    cr_assert_eq(fixture.counter("log_unknown_format_batches_total"), 1);
-    cr_assert_eq(fixture.counter("log_repeated_batches_total"), 1);
+    cr_assert_eq(fixture.counter("hyssop_log_undecodable_batches_total"), 1);
+    cr_assert_eq(fixture.counter("hyssop_log_unknown_format_batches_total"), 1);
+    cr_assert_eq(fixture.counter("hyssop_log_repeated_batches_total"), 1);
 }
 
 // Guards against a reader that handles fewer records than a read or a response can carry.
@@ -122,7 +122,7 @@
 {
     Fixture fixture;
     runToEnd(fixture.context, checkHeadProof(fixture));
-    cr_assert_gt(fixture.metrics.value("log_read_failures_total", {{"stream", "config"}, {"code", "refused"}}), 0);
+    cr_assert_gt(fixture.metrics.value("hyssop_log_read_failures_total", {{"stream", "config"}, {"code", "refused"}}), 0);
 }
 
 // Guards against memory that grows with the length of the stream.
