--- a/src/libs/jobs/jobledger.cpp
+++ b/src/libs/jobs/jobledger.cpp
@@ -349,7 +349,7 @@
         return LedgerVerdict::Void;
     }
     // The writer had read everything before this reader's first record only if its read offset is not older.
-    const bool complete = snapshot.readUpTo >= m_firstOffset;
+    const bool complete = snapshot.readUpTo >= m_firstOffset - 1;
     if (known && !complete) {
         return LedgerVerdict::Void;
     }
--- a/src/libs/jobs/jobledger.h
+++ b/src/libs/jobs/jobledger.h
@@ -78,7 +78,7 @@
     void dropOldDeferred(WallTime now);
     JobEntry *find(const std::string &jobId);
     bool termIsValid(std::int64_t term);
-    bool truncated() const { return m_firstOffset > 0; }
+    bool truncated() const { return m_firstOffset > FirstLogOffset; }
     void touch(const std::string &jobId, WallTime time);
     void forgetEndedJobs(WallTime now);
 
--- a/src/libs/jobs/logposition.h
+++ b/src/libs/jobs/logposition.h
@@ -5,6 +5,9 @@
 
 namespace Hyssop {
 
+/// Offset of the first record that is ever written to a stream.
+constexpr std::int64_t FirstLogOffset = 1;
+
 /// Position of a record in a stream.
 struct LogPosition
 {
