--- a/tests/processes/testfailures.cpp
+++ b/tests/processes/testfailures.cpp
@@ -38,6 +38,12 @@
 cores = 12
 memory = 24 GB
 slots = 12
+
+[team checks]
+share = 1
+cores = 8
+memory = 16 GB
+slots = 8
 urgent = yes
 )";
 
@@ -95,10 +101,18 @@
 }
 
 /// Submits a job and returns hyssopctl's exit code. Without @p jobId hyssopctl makes up an id.
-static int submitJob(const Cluster &cluster, const std::string &domain, const std::string &jobId, const std::string &command)
+static int submitJob(const Cluster &cluster,
+                     const std::string &domain,
+                     const std::string &jobId,
+                     const std::string &command,
+                     const std::string &cores = "0.5",
+                     bool urgent = false)
 {
-    std::vector<std::string> arguments{"job", "submit", "--domain", domain, "--customer", "cascadia", "--team", "prints", "--task", "badge-print"};
-    arguments.insert(arguments.end(), {"--cores", "0.5", "--memory", "100 MB", command});
+    std::vector<std::string> arguments{"job", "submit", "--domain", domain, "--customer", "cascadia", "--team", urgent ? "checks" : "prints"};
+    arguments.insert(arguments.end(), {"--task", "badge-print", "--cores", cores, "--memory", "100 MB", command});
+    if (urgent) {
+        arguments.emplace_back("--urgent");
+    }
     if (!jobId.empty()) {
         arguments.insert(arguments.end(), {"--job-id", jobId});
     }
@@ -109,6 +123,19 @@
     return result.exitCode;
 }
 
+/// Executions of each purchase, counted at the targets.
+static std::map<std::string, std::int64_t> countEffects(const Cluster &cluster, const std::string &domain, std::size_t workers)
+{
+    std::map<std::string, std::int64_t> effects;
+    for (std::size_t i = 0; i < workers; ++i) {
+        const json::value history = json::parse(cluster.worker(domain, i, "GET", "/history").body);
+        for (const auto &entry : history.at("effects").as_object()) {
+            effects[std::string(entry.key())] += entry.value().as_int64();
+        }
+    }
+    return effects;
+}
+
 static HttpAnswer requestPass(const Cluster &cluster, const std::string &gateway, const std::string &method = "GET", const std::string &effect = {})
 {
     std::map<std::string, std::string> headers;
@@ -334,11 +361,73 @@
     }
     cluster.process("puget-a-worker-0").sendSignal(SIGCONT);
     std::this_thread::sleep_for(std::chrono::seconds(1));
-    for (std::size_t worker = 0; worker < 2; ++worker) {
-        const json::value history = json::parse(cluster.worker("puget-a", worker, "GET", "/history").body);
-        for (const auto &entry : history.at("effects").as_object()) {
-            cr_assert(entry.value().as_int64() == 1, "a purchase ran twice");
-        }
+    for (const auto &[purchase, count] : countEffects(cluster, "puget-a", 2)) {
+        cr_assert_eq(count, 1, "%s ran %ld times", purchase.c_str(), static_cast<long>(count));
     }
     cr_assert(unknown <= 3, "the frozen target was tried %d times", unknown);
 }
+
+// Guards against urgent work that waits behind batch, and against evicted work that is lost or resumed twice. Bound: 6.5 s.
+Test(processes, startsUrgentWorkInTime, .timeout = 120)
+{
+    Cluster cluster({});
+    startServing(cluster, "puget-a");
+    cr_assert_eq(submitJob(cluster, "puget-a", "batch-0", "run 15000", "6"), 0);
+    cr_assert_eq(submitJob(cluster, "puget-a", "batch-1", "run 15000", "6"), 0);
+    cr_assert(waitFor(std::chrono::seconds(10), [&] { return batchAttempts(cluster, "puget-a", 2).size() == 2; }));
+    const auto submittedAt = std::chrono::steady_clock::now().time_since_epoch();
+    cr_assert_eq(submitJob(cluster, "puget-a", "urgent", "run 500", "6", true), 0);
+    cr_assert(waitFor(std::chrono::seconds(60), [&] { return finishedJobs(batchAttempts(cluster, "puget-a", 2)) == 3; }));
+    const auto attempts = batchAttempts(cluster, "puget-a", 2);
+    checkSingleRuns(attempts);
+    cr_assert_eq(attempts.size(), 4, "%zu attempts instead of the urgent one, two of batch and one resumed", attempts.size());
+    const auto urgent = std::ranges::find(attempts, std::string("urgent"), &Attempt::jobId);
+    const auto delay = std::chrono::microseconds(urgent->startedUs) - std::chrono::duration_cast<std::chrono::microseconds>(submittedAt);
+    std::cerr << "urgent work started " << delay.count() / 1000 << " ms after its submission\n";
+    cr_assert(delay < std::chrono::milliseconds(6500));
+}
+
+// Guards against a purchase that runs twice when it is sent again with its key through another gateway (P7).
+Test(processes, runsKeyedPurchaseOnce, .timeout = 120)
+{
+    Cluster cluster({});
+    startServing(cluster, "puget-a");
+    const auto gateways = cluster.gateways("puget-a");
+    for (int i = 0; i < 20; ++i) {
+        const std::string key = "purchase-" + std::to_string(i);
+        const std::map<std::string, std::string> headers{{"Idempotency-Key", key}, {"X-Effect", key}, {"X-Delay-Ms", "100"}};
+        std::vector<HttpAnswer> answers(2);
+        std::thread first([&] { answers[0] = httpCall(cluster.daemon(gateways[0]).http, "POST", "/cascadia/passes/buy", "x", headers); });
+        std::thread second([&] { answers[1] = httpCall(cluster.daemon(gateways[1]).http, "POST", "/cascadia/passes/buy", "x", headers); });
+        first.join();
+        second.join();
+        const auto served = std::ranges::count(answers, 200, &HttpAnswer::status);
+        cr_assert(served >= 1, "statuses %d and %d", answers[0].status, answers[1].status);
+        // Once the outcome is recorded, every gateway answers with it.
+        cr_assert(waitFor(std::chrono::seconds(5),
+                          [&] { return httpCall(cluster.daemon(gateways[1]).http, "POST", "/cascadia/passes/buy", "x", headers).status == 200; }));
+    }
+    const auto effects = countEffects(cluster, "puget-a", 2);
+    cr_assert_eq(effects.size(), 20);
+    for (const auto &[key, count] : effects) {
+        cr_assert_eq(count, 1, "%s ran %ld times", key.c_str(), static_cast<long>(count));
+    }
+}
+
+// Guards against new requests at a target long after its worker has begun to leave (P8).
+Test(processes, stopsSendingToLeavingWorker, .timeout = 90)
+{
+    Cluster cluster({});
+    startServing(cluster, "puget-a");
+    cluster.worker("puget-a", 0, "POST", "/faults", R"({"leaving": true})");
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    // The requests below are counted under this name only; the first worker's count must not rise.
+    const auto total = [&] { return countEffects(cluster, "puget-a", 1)["late"]; };
+    const std::int64_t atFirst = total();
+    for (int i = 0; i < 60; ++i) {
+        for (const std::string &gateway : cluster.gateways("puget-a")) {
+            cr_assert_eq(requestPass(cluster, gateway, "POST", "late").status, 200);
+        }
+    }
+    cr_assert_eq(total(), atFirst, "a leaving target got new requests");
+}
