Check that jobs leave a failure domain that is out

Cause: in a trial with the failure domain's state ignored the process test still passed, because its jobs were short enough to end where they ran. Change: nine jobs of which three wait; all nine must finish in the other failure domain.

--- a/tests/processes/testfailures.cpp
+++ b/tests/processes/testfailures.cpp
@@ -284,14 +284,16 @@
     layout.domains = {"puget-a", "puget-b"};
     Cluster cluster(layout);
     startServing(cluster, "puget-a");
-    for (int i = 0; i < 6; ++i) {
-        cr_assert_eq(submitJob(cluster, "puget-a", "job-" + std::to_string(i), "run 6000"), 0);
+    // Six jobs fit; three wait and would start in the failure domain once the first ones end.
+    for (int i = 0; i < 9; ++i) {
+        cr_assert_eq(submitJob(cluster, "puget-a", "job-" + std::to_string(i), "run 6000", "2"), 0);
     }
     cr_assert(waitFor(std::chrono::seconds(10), [&] { return batchAttempts(cluster, "puget-a", 2).size() == 6; }));
     cr_assert_eq(cluster.control("puget-a", {"domain", "out", "puget-a"}).exitCode, 0);
     const auto outAt = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch());
     const auto finished = [&] { return finishedJobs(batchAttempts(cluster, "puget-a", 2)) + finishedJobs(batchAttempts(cluster, "puget-b", 2)); };
-    cr_assert(waitFor(std::chrono::seconds(40), [&] { return finished() == 6; }), "%ld of 6 jobs finished", static_cast<long>(finished()));
+    cr_assert(waitFor(std::chrono::seconds(60), [&] { return finished() == 9; }), "%ld of 9 jobs finished", static_cast<long>(finished()));
+    cr_assert_eq(finishedJobs(batchAttempts(cluster, "puget-b", 2)), 9, "jobs stayed in a failure domain that was out");
     auto attempts = batchAttempts(cluster, "puget-a", 2);
     constexpr std::chrono::microseconds Few = std::chrono::seconds(4);
     for (const Attempt &attempt : attempts) {
@@ -304,7 +306,7 @@
     checkSingleRuns(attempts);
     cr_assert_eq(cluster.control("puget-a", {"domain", "in", "puget-a"}).exitCode, 0);
     cr_assert_eq(submitJob(cluster, "puget-a", "back", "run 100"), 0);
-    cr_assert(waitFor(std::chrono::seconds(20), [&] { return finished() == 7; }));
+    cr_assert(waitFor(std::chrono::seconds(20), [&] { return finished() == 10; }));
 }
 
 // Guards against requests that a planned stop cuts off (P9).
