Bound late lease renewals; share what the daemons have in common

Cause: a renewal that a worker processes late, for example on waking from a freeze, prolonged its lease after the owner had counted the worker as lost. The scheduler daemon also took the age in a received heartbeat as a proof for start permits, although the time on the way is unknown.

Ruled out: aborting the connection on timeout (the bytes wait in the frozen worker's socket buffer); a shorter lease (moves the bound, does not close it).

Change: renewals carry a not-after bound in the worker's clock once it is known. Heartbeats reach the configuration only through PeerService, which drops the age of requests. InstanceParts holds what both daemons repeated; CommandOutcome and LeaseAnswer exist once.

--- a/src/libs/gateway/gatewaydaemon.cpp
+++ b/src/libs/gateway/gatewaydaemon.cpp
@@ -6,15 +6,10 @@
 #include "platformrequestlog.h"
 #include "targetpoller.h"
 
-#include <http/httpclient.h>
 #include <instance/adminserver.h>
-#include <instance/configservice.h>
-#include <instance/peerservice.h>
+#include <instance/instanceparts.h>
 #include <observability/logging.h>
-#include <observability/metricsregistry.h>
-#include <platform/logclient.h>
 #include <utils/endpoint.h>
-#include <wire/rpcclient.h>
 #include <wire/rpcserver.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -46,13 +41,7 @@
 
     asio::io_context &context;
     Settings settings;
-    std::int64_t incarnation = sinceEpoch(std::chrono::system_clock::now()).count();
-    MetricsRegistry metrics;
-    HttpClient http;
-    RpcClient rpc;
-    LogClient log;
-    ConfigService config;
-    PeerService peers;
+    InstanceParts parts;
     PlatformRequestLog requestLog;
     GatewayServer gateway;
     TargetPoller targetPoller;
@@ -64,27 +53,6 @@
 
 using GatewayDaemonStatePtr = std::shared_ptr<GatewayDaemonState>;
 
-static asio::ip::tcp::endpoint endpointOf(const Settings &settings, const std::string &key)
-{
-    auto endpoint = capture([&] { return parseEndpoint(settings.text(key)); });
-    return *valueOf(endpoint);
-}
-
-static ConfigServiceOptions configOptions(const Settings &settings)
-{
-    ConfigServiceOptions options;
-    options.instance = settings.text("instance.name");
-    options.peers = settings.list("instance.peers");
-    options.maximumAppendsPerSecond = static_cast<double>(settings.integer("log.maximum_appends"));
-    options.retention = std::chrono::duration_cast<std::chrono::milliseconds>(settings.duration("log.retention"));
-    return options;
-}
-
-static PeerServiceOptions peerOptions(const Settings &settings)
-{
-    return {settings.text("instance.name"), settings.text("instance.failure_domain"), settings.list("instance.peers"), settings.list("instance.remote_peers")};
-}
-
 static asio::awaitable<Wire::Message> answerRpc(GatewayDaemonState &state, const Wire::Message &request)
 {
     co_return state.reply(request);
@@ -93,31 +61,26 @@
 GatewayDaemonState::GatewayDaemonState(asio::io_context &ioContext, const Settings &daemonSettings)
     : context(ioContext)
     , settings(daemonSettings)
-    , http(context.get_executor())
-    , rpc(context.get_executor())
-    , log(http, settings.text("log.address"))
-    , config(context.get_executor(), log, rpc, metrics, configOptions(settings))
-    , peers(context.get_executor(), rpc, metrics, peerOptions(settings))
-    , requestLog(context.get_executor(),
-                 log,
-                 settings.text("instance.failure_domain"),
-                 settings.text("instance.name"),
-                 static_cast<double>(settings.integer("log.maximum_appends")),
-                 metrics)
-    , gateway(context.get_executor(), gatewayOptions(settings), metrics, &requestLog)
-    , targetPoller(context.get_executor(), rpc, metrics, settings.list("gateway.schedulers"))
-    , instancePoller(context.get_executor(), http, metrics, settings.text("gateway.instance_list"))
-    , rpcServer(context.get_executor(), endpointOf(settings, "instance.rpc"), [this](const Wire::Message &request) { return answerRpc(*this, request); })
+    , parts(context, settings)
+    , requestLog(context.get_executor(), parts.log, parts.domain, parts.name, static_cast<double>(settings.integer("log.maximum_appends")), parts.metrics)
+    , gateway(context.get_executor(), gatewayOptions(settings), parts.metrics, &requestLog)
+    , targetPoller(context.get_executor(), parts.rpc, parts.metrics, settings.list("gateway.schedulers"))
+    , instancePoller(context.get_executor(), parts.http, parts.metrics, settings.text("gateway.instance_list"))
+    , rpcServer(context.get_executor(), endpointSetting(settings, "instance.rpc"), [this](const Wire::Message &request) { return answerRpc(*this, request); })
     , administration(
-          context.get_executor(), endpointOf(settings, "instance.admin"), metrics, [this] { return ready(); }, settings.text("metrics.enabled") == "yes")
+          context.get_executor(),
+          endpointSetting(settings, "instance.admin"),
+          parts.metrics,
+          [this] { return ready(); },
+          settings.text("metrics.enabled") == "yes")
     , signals(context, SIGTERM, SIGINT)
 {
 }
 
 static asio::awaitable<void> drainAndStop(GatewayDaemonStatePtr state)
 {
-    const auto acceptTime = std::chrono::duration_cast<std::chrono::milliseconds>(state->settings.duration("gateway.drain_accept"));
-    const auto finishTime = std::chrono::duration_cast<std::chrono::milliseconds>(state->settings.duration("gateway.drain_finish"));
+    const auto acceptTime = millisecondsSetting(state->settings, "gateway.drain_accept");
+    const auto finishTime = millisecondsSetting(state->settings, "gateway.drain_finish");
     const int left = co_await state->gateway.drain(acceptTime, finishTime);
     logMessage(LogLevel::Info, "gateway", "drain finished", {{"requests_left", left}});
     state->stop();
@@ -126,13 +89,13 @@
 
 void GatewayDaemonState::start()
 {
-    config.setChangeHandler([this] { takeContracts(); });
-    config.start();
+    parts.config.setChangeHandler([this] { takeContracts(); });
+    parts.config.start();
     requestLog.start();
-    peers.start([this] { return heartbeat(); },
-                [this](const Wire::Heartbeat &peer) {
-                    config.notePeerHead(peer.configHead, std::chrono::milliseconds(peer.configAgeMs), std::chrono::steady_clock::now());
-                });
+    parts.peers.start([this] { return heartbeat(); },
+                      [this](const Wire::Heartbeat &peer) {
+                          parts.config.notePeerHead(peer.configHead, std::chrono::milliseconds(peer.configAgeMs), std::chrono::steady_clock::now());
+                      });
     targetPoller.start(TargetPollInterval, [this](const std::vector<Wire::Target> &targets) { gateway.applyPublication(targets); });
     instancePoller.start(InstancePollInterval, [this](const std::vector<InstanceState> &instances) {
         std::vector<ListedInstance> listed;
@@ -158,8 +121,8 @@
 {
     targetPoller.stop();
     instancePoller.stop();
-    peers.stop();
-    config.stop();
+    parts.peers.stop();
+    parts.config.stop();
     requestLog.stop();
     gateway.stop();
     rpcServer.stop();
@@ -168,16 +131,16 @@
 
 bool GatewayDaemonState::ready() const
 {
-    return config.ready() && !gateway.draining() && targetPoller.lastAnswer() != TimePoint();
+    return parts.config.ready() && !gateway.draining() && targetPoller.lastAnswer() != TimePoint();
 }
 
 void GatewayDaemonState::takeContracts()
 {
-    if (!config.ready()) {
+    if (!parts.config.ready()) {
         return;
     }
     std::vector<Contract> contracts;
-    for (const ContractInForce &entry : config.contracts()) {
+    for (const ContractInForce &entry : parts.config.contracts()) {
         contracts.push_back(entry.contract);
     }
     gateway.setContracts(contracts);
@@ -185,16 +148,8 @@
 
 Wire::Heartbeat GatewayDaemonState::heartbeat() const
 {
-    const auto age = config.headAge(std::chrono::steady_clock::now());
-    Wire::Heartbeat result;
-    result.instance = settings.text("instance.name");
-    result.incarnation = incarnation;
-    result.domain = settings.text("instance.failure_domain");
+    Wire::Heartbeat result = parts.heartbeat();
     result.role = "gateway";
-    result.configHead = config.appliedUpTo();
-    result.configAgeMs = age ? age->count() : -1;
-    result.configDigest = config.digest();
-    result.address = settings.text("instance.rpc");
     return result;
 }
 
@@ -208,7 +163,7 @@
     result.ready = ready();
     result.configHead = own.configHead;
     result.configAgeMs = own.configAgeMs;
-    result.peers = peers.peers();
+    result.peers = parts.peers.peers();
     result.runningTasks = gateway.requestsInFlight();
     result.logReachable = requestLog.caughtUp();
     return result;
@@ -218,11 +173,11 @@
 {
     Wire::Message message;
     if (request.__isset.heartbeat) {
-        message.__set_heartbeat(peers.receive(request.heartbeat));
+        message.__set_heartbeat(parts.peers.receive(request.heartbeat));
     } else if (request.__isset.statusRequest) {
         message.__set_statusReply(status());
     } else if (request.__isset.configStateRequest) {
-        message.__set_configStateReply(config.state(request.configStateRequest));
+        message.__set_configStateReply(parts.config.state(request.configStateRequest));
     } else {
         Wire::ErrorReply error;
         error.code = errorCodeName(ErrorCode::InvalidArgument);
--- a/src/libs/platform/workerclient.cpp
+++ b/src/libs/platform/workerclient.cpp
@@ -18,15 +18,15 @@
 struct ReplyName
 {
     std::string_view name;
-    WorkerReply reply;
+    CommandOutcome reply;
 };
 
 constexpr std::array ReplyNames{
-    ReplyName{"done", WorkerReply::Done},
-    ReplyName{"stale-epoch", WorkerReply::StaleEpoch},
-    ReplyName{"expired", WorkerReply::Expired},
-    ReplyName{"no-capacity", WorkerReply::NoCapacity},
-    ReplyName{"unknown-task", WorkerReply::UnknownTask},
+    ReplyName{"done", CommandOutcome::Done},
+    ReplyName{"stale-epoch", CommandOutcome::StaleEpoch},
+    ReplyName{"expired", CommandOutcome::Expired},
+    ReplyName{"no-capacity", CommandOutcome::NoCapacity},
+    ReplyName{"unknown-task", CommandOutcome::UnknownTask},
 };
 
 struct StateName
@@ -136,7 +136,7 @@
     return status;
 }
 
-static Result<WorkerLeaseReply> parseLeaseReply(const std::string &body)
+static Result<LeaseAnswer> parseLeaseReply(const std::string &body)
 {
     boost::system::error_code error;
     const json::value value = json::parse(body, error);
@@ -144,9 +144,9 @@
         return fail(ErrorCode::Malformed, "the lease answer is not a JSON object");
     }
     const json::object &object = value.get_object();
-    WorkerLeaseReply reply;
+    LeaseAnswer reply;
     reply.granted = flagOf(object, "granted");
-    reply.epoch = integerOf(object, "epoch", -1);
+    reply.holderEpoch = integerOf(object, "epoch", -1);
     if (!reply.granted) {
         return reply;
     }
@@ -158,16 +158,16 @@
     return reply;
 }
 
-static WorkerReply parseCommandReply(const std::string &body)
+static CommandOutcome parseCommandReply(const std::string &body)
 {
     boost::system::error_code error;
     const json::value value = json::parse(body, error);
     if (error || !value.is_object()) {
-        return WorkerReply::Undetermined;
+        return CommandOutcome::Undetermined;
     }
     const std::string outcome = textOf(value.get_object(), "outcome");
     const auto *known = std::ranges::find(ReplyNames, outcome, &ReplyName::name);
-    return known == ReplyNames.end() ? WorkerReply::Undetermined : known->reply;
+    return known == ReplyNames.end() ? CommandOutcome::Undetermined : known->reply;
 }
 
 static json::object toJson(const Wire::Resources &resources)
@@ -182,10 +182,17 @@
 {
 }
 
-asio::awaitable<Outcome<WorkerLeaseReply>>
-WorkerClient::renewLease(std::string address, std::string holder, std::int64_t epoch, std::chrono::milliseconds duration, std::chrono::milliseconds timeout)
+asio::awaitable<Outcome<LeaseAnswer>> WorkerClient::renewLease(std::string address,
+                                                               std::string holder,
+                                                               std::int64_t epoch,
+                                                               std::chrono::milliseconds duration,
+                                                               std::optional<std::chrono::milliseconds> notAfter,
+                                                               std::chrono::milliseconds timeout)
 {
-    const json::object request{{"holder", holder}, {"epoch", epoch}, {"durationMs", duration.count()}};
+    json::object request{{"holder", holder}, {"epoch", epoch}, {"durationMs", duration.count()}};
+    if (notAfter) {
+        request["notAfterMs"] = notAfter->count();
+    }
     auto response = co_await m_http.send(std::move(address), http::verb::put, "/lease", json::serialize(request), timeout);
     if (const Error *error = errorOf(response)) {
         co_return *error;
@@ -193,7 +200,7 @@
     co_return capture([&] { return Internal::parseLeaseReply(valueOf(response)->body()); });
 }
 
-asio::awaitable<WorkerReply> WorkerClient::start(std::string address, std::int64_t epoch, WorkerTask task, std::chrono::milliseconds timeout)
+asio::awaitable<CommandOutcome> WorkerClient::start(std::string address, std::int64_t epoch, WorkerTask task, std::chrono::milliseconds timeout)
 {
     const json::object request{
         {"epoch", epoch},
@@ -211,25 +218,25 @@
     co_return co_await post(std::move(address), "/tasks/start", json::serialize(request), timeout);
 }
 
-asio::awaitable<WorkerReply>
+asio::awaitable<CommandOutcome>
 WorkerClient::command(std::string address, std::string verb, std::int64_t epoch, std::string jobId, int attempt, std::chrono::milliseconds timeout)
 {
     const json::object request{{"epoch", epoch}, {"jobId", jobId}, {"attempt", attempt}};
     co_return co_await post(std::move(address), "/tasks/" + verb, json::serialize(request), timeout);
 }
 
-asio::awaitable<WorkerReply>
+asio::awaitable<CommandOutcome>
 WorkerClient::throttle(std::string address, std::int64_t epoch, std::string jobId, int attempt, int level, std::chrono::milliseconds timeout)
 {
     const json::object request{{"epoch", epoch}, {"jobId", jobId}, {"attempt", attempt}, {"level", level}};
     co_return co_await post(std::move(address), "/tasks/throttle", json::serialize(request), timeout);
 }
 
-asio::awaitable<WorkerReply> WorkerClient::post(std::string address, std::string path, std::string body, std::chrono::milliseconds timeout)
+asio::awaitable<CommandOutcome> WorkerClient::post(std::string address, std::string path, std::string body, std::chrono::milliseconds timeout)
 {
     auto response = co_await m_http.send(std::move(address), http::verb::post, std::move(path), std::move(body), timeout);
     if (const Error *error = errorOf(response)) {
-        co_return error->code == ErrorCode::Unavailable ? WorkerReply::Unreachable : WorkerReply::Undetermined;
+        co_return error->code == ErrorCode::Unavailable ? CommandOutcome::Unreachable : CommandOutcome::Undetermined;
     }
     co_return Internal::parseCommandReply(valueOf(response)->body());
 }
--- a/src/libs/scheduler/schedulerdaemon.cpp
+++ b/src/libs/scheduler/schedulerdaemon.cpp
@@ -2,16 +2,11 @@
 
 #include "schedulerservice.h"
 
-#include <http/httpclient.h>
 #include <instance/adminserver.h>
-#include <instance/configservice.h>
-#include <instance/peerservice.h>
+#include <instance/instanceparts.h>
 #include <observability/logging.h>
-#include <observability/metricsregistry.h>
 #include <operators/operatorhandler.h>
-#include <platform/logclient.h>
 #include <utils/endpoint.h>
-#include <wire/rpcclient.h>
 #include <wire/rpcserver.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -37,18 +32,14 @@
 
     void start();
     void stop();
+    Wire::Heartbeat heartbeat() const;
     asio::awaitable<void> drainAndStop();
     asio::awaitable<Wire::Message> answer(const Wire::Message &request);
     OperatorFunctions operatorFunctions();
 
     asio::io_context &context;
     Settings settings;
-    MetricsRegistry metrics;
-    HttpClient http;
-    RpcClient rpc;
-    LogClient log;
-    ConfigService config;
-    PeerService peers;
+    InstanceParts parts;
     SchedulerService scheduler;
     OperatorHandler operators;
     RpcServer rpcServer;
@@ -57,43 +48,17 @@
     bool draining = false;
 };
 
-static asio::ip::tcp::endpoint endpointOf(const Settings &settings, const std::string &key)
-{
-    auto endpoint = capture([&] { return parseEndpoint(settings.text(key)); });
-    return *valueOf(endpoint);
-}
-
-static std::chrono::milliseconds millisecondsOf(const Settings &settings, const std::string &key)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(settings.duration(key));
-}
-
-static ConfigServiceOptions configOptions(const Settings &settings)
-{
-    ConfigServiceOptions options;
-    options.instance = settings.text("instance.name");
-    options.peers = settings.list("instance.peers");
-    options.maximumAppendsPerSecond = static_cast<double>(settings.integer("log.maximum_appends"));
-    options.retention = millisecondsOf(settings, "log.retention");
-    return options;
-}
-
-static PeerServiceOptions peerOptions(const Settings &settings)
-{
-    return {settings.text("instance.name"), settings.text("instance.failure_domain"), settings.list("instance.peers"), settings.list("instance.remote_peers")};
-}
-
-static SchedulerServiceOptions serviceOptions(const Settings &settings)
+static SchedulerServiceOptions serviceOptions(const Settings &settings, const InstanceParts &parts)
 {
     SchedulerServiceOptions options;
-    options.instance = settings.text("instance.name");
-    options.domain = settings.text("instance.failure_domain");
+    options.instance = parts.name;
+    options.domain = parts.domain;
+    options.incarnation = parts.incarnation;
     options.domains = settings.list("scheduler.failure_domains");
     options.workers = settings.list("scheduler.workers");
-    options.rpcAddress = settings.text("instance.rpc");
-    options.leaseDuration = millisecondsOf(settings, "scheduler.lease");
-    options.permitDuration = millisecondsOf(settings, "scheduler.permit");
-    options.batchDelay = millisecondsOf(settings, "scheduler.batch_delay");
+    options.leaseDuration = millisecondsSetting(settings, "scheduler.lease");
+    options.permitDuration = millisecondsSetting(settings, "scheduler.permit");
+    options.batchDelay = millisecondsSetting(settings, "scheduler.batch_delay");
     options.maximumAppendsPerSecond = static_cast<double>(settings.integer("log.maximum_appends"));
     return options;
 }
@@ -101,18 +66,14 @@
 SchedulerDaemonState::SchedulerDaemonState(asio::io_context &ioContext, const Settings &daemonSettings)
     : context(ioContext)
     , settings(daemonSettings)
-    , http(context.get_executor())
-    , rpc(context.get_executor())
-    , log(http, settings.text("log.address"))
-    , config(context.get_executor(), log, rpc, metrics, configOptions(settings))
-    , peers(context.get_executor(), rpc, metrics, peerOptions(settings))
-    , scheduler(context.get_executor(), {http, log, config, peers, metrics}, serviceOptions(settings))
+    , parts(context, settings)
+    , scheduler(context.get_executor(), {parts.http, parts.log, parts.config, parts.peers, parts.metrics}, serviceOptions(settings, parts))
     , operators(operatorFunctions())
-    , rpcServer(context.get_executor(), endpointOf(settings, "instance.rpc"), [this](const Wire::Message &request) { return answer(request); })
+    , rpcServer(context.get_executor(), endpointSetting(settings, "instance.rpc"), [this](const Wire::Message &request) { return answer(request); })
     , administration(
           context.get_executor(),
-          endpointOf(settings, "instance.admin"),
-          metrics,
+          endpointSetting(settings, "instance.admin"),
+          parts.metrics,
           [this] { return !draining && scheduler.ready(); },
           settings.text("metrics.enabled") == "yes")
     , signals(context, SIGTERM, SIGINT)
@@ -122,11 +83,11 @@
 OperatorFunctions SchedulerDaemonState::operatorFunctions()
 {
     OperatorFunctions functions;
-    functions.applyChange = [this](Wire::ConfigChange change) { return config.apply(std::move(change)); };
-    functions.configState = [this](const Wire::ConfigStateRequest &request) { return config.state(request); };
-    functions.audit = [this](const Wire::AuditRequest &request) { return config.audit(request); };
+    functions.applyChange = [this](Wire::ConfigChange change) { return parts.config.apply(std::move(change)); };
+    functions.configState = [this](const Wire::ConfigStateRequest &request) { return parts.config.state(request); };
+    functions.audit = [this](const Wire::AuditRequest &request) { return parts.config.audit(request); };
     functions.contract = [this](const std::string &customer) -> std::optional<Contract> {
-        const auto inForce = config.contract(customer);
+        const auto inForce = parts.config.contract(customer);
         return inForce ? std::optional(inForce->contract) : std::nullopt;
     };
     functions.submitJob = [this](Wire::JobSpec spec) { return scheduler.submit(std::move(spec)); };
@@ -144,8 +105,7 @@
     }
     Wire::Message message;
     if (request.__isset.heartbeat) {
-        scheduler.handleHeartbeat(request.heartbeat);
-        message.__set_heartbeat(peers.receive(request.heartbeat));
+        message.__set_heartbeat(parts.peers.receive(request.heartbeat));
         co_return message;
     }
     Wire::ErrorReply error;
@@ -157,8 +117,8 @@
 
 void SchedulerDaemonState::start()
 {
-    config.start();
-    peers.start([this] { return scheduler.heartbeat(); }, [this](const Wire::Heartbeat &heartbeat) { scheduler.handleHeartbeat(heartbeat); });
+    parts.config.start();
+    parts.peers.start([this] { return heartbeat(); }, [this](const Wire::Heartbeat &heartbeat) { scheduler.handleHeartbeat(heartbeat); });
     scheduler.start();
     rpcServer.start();
     administration.start();
@@ -171,6 +131,13 @@
     logMessage(LogLevel::Info, "scheduler", "started", {{"rpc", settings.text("instance.rpc")}, {"domain", settings.text("instance.failure_domain")}});
 }
 
+Wire::Heartbeat SchedulerDaemonState::heartbeat() const
+{
+    Wire::Heartbeat result = parts.heartbeat();
+    scheduler.fillHeartbeat(result);
+    return result;
+}
+
 asio::awaitable<void> SchedulerDaemonState::drainAndStop()
 {
     const auto self = shared_from_this();
@@ -184,8 +151,8 @@
 void SchedulerDaemonState::stop()
 {
     scheduler.stop();
-    peers.stop();
-    config.stop();
+    parts.peers.stop();
+    parts.config.stop();
     rpcServer.stop();
     administration.stop();
 }
--- a/src/libs/scheduler/schedulerservice.cpp
+++ b/src/libs/scheduler/schedulerservice.cpp
@@ -47,27 +47,6 @@
     return sinceEpoch(std::chrono::system_clock::now());
 }
 
-static CommandOutcome toCommandOutcome(WorkerReply reply)
-{
-    switch (reply) {
-    case WorkerReply::Done:
-        return CommandOutcome::Done;
-    case WorkerReply::StaleEpoch:
-        return CommandOutcome::StaleEpoch;
-    case WorkerReply::Expired:
-        return CommandOutcome::Expired;
-    case WorkerReply::NoCapacity:
-        return CommandOutcome::NoCapacity;
-    case WorkerReply::UnknownTask:
-        return CommandOutcome::UnknownTask;
-    case WorkerReply::Unreachable:
-        return CommandOutcome::Unreachable;
-    case WorkerReply::Undetermined:
-        return CommandOutcome::Undetermined;
-    }
-    return CommandOutcome::Undetermined;
-}
-
 // GCC 12 can't compile initializer lists inside a coroutine, so these functions build them.
 static std::vector<Wire::Record> singleRecord(const Wire::Record &record)
 {
@@ -98,13 +77,16 @@
         outcome);
 }
 
-static void logStart(const StartTask &action, WorkerReply reply)
+static void logStart(const StartTask &action, CommandOutcome reply)
 {
-    logMessage(
-        LogLevel::Info,
-        "scheduler",
-        "sent start command",
-        {{"job_id", action.spec.jobId}, {"attempt", action.attempt}, {"worker", action.worker}, {"epoch", action.epoch}, {"done", reply == WorkerReply::Done}});
+    logMessage(LogLevel::Info,
+               "scheduler",
+               "sent start command",
+               {{"job_id", action.spec.jobId},
+                {"attempt", action.attempt},
+                {"worker", action.worker},
+                {"epoch", action.epoch},
+                {"done", reply == CommandOutcome::Done}});
 }
 
 static void logRenewalFailure(const RenewLease &action, const Error &error)
@@ -116,7 +98,7 @@
 {
     SchedulerCoreOptions core;
     core.instance = options.instance;
-    core.incarnation = wallClock().count();
+    core.incarnation = options.incarnation;
     core.domain = options.domain;
     core.leaseDuration = options.leaseDuration;
     core.permitDuration = options.permitDuration;
@@ -130,8 +112,7 @@
         : executor(serviceExecutor)
         , parts(serviceParts)
         , options(std::move(serviceOptions))
-        , coreSettings(coreOptions(options))
-        , core(coreSettings)
+        , core(coreOptions(options))
         , workers(parts.http)
         , tailer(parts.log, jobStream(options.domain), parts.metrics)
         , timer(executor)
@@ -161,7 +142,6 @@
     asio::any_io_executor executor;
     SchedulerServiceParts parts;
     SchedulerServiceOptions options;
-    SchedulerCoreOptions coreSettings;
     SchedulerCore core;
     WorkerClient workers;
     LogTailer tailer;
@@ -278,33 +258,33 @@
 asio::awaitable<void> SchedulerServiceState::carryOut(const RenewLease &action)
 {
     const TimePoint sentAt = currentTime();
-    const std::string holder = options.instance + "/" + std::to_string(coreSettings.incarnation);
-    auto reply = co_await workers.renewLease(action.worker, holder, action.epoch, action.duration, WorkerTimeout);
+    const std::string holder = options.instance + "/" + std::to_string(options.incarnation);
+    auto reply = co_await workers.renewLease(action.worker, holder, action.epoch, action.duration, action.notAfter, WorkerTimeout);
     if (const Error *error = errorOf(reply)) {
         logRenewalFailure(action, *error);
         parts.metrics.add("hyssop_scheduler_lease_failures_total");
         core.leaseFailed(action.worker, currentTime());
         co_return;
     }
-    WorkerLeaseReply &lease = *valueOf(reply);
+    LeaseAnswer &lease = *valueOf(reply);
     lease.status.worker = action.worker;
-    core.leaseAnswered(action.worker, LeaseAnswer{lease.granted, lease.epoch, std::move(lease.status)}, sentAt, currentTime());
+    core.leaseAnswered(action.worker, lease, sentAt, currentTime());
 }
 
 asio::awaitable<void> SchedulerServiceState::carryOut(const StartTask &action)
 {
     WorkerTask task{action.spec, action.attempt, action.checkpoint, action.notAfter};
-    const WorkerReply reply = co_await workers.start(action.worker, action.epoch, std::move(task), WorkerTimeout);
+    const CommandOutcome reply = co_await workers.start(action.worker, action.epoch, std::move(task), WorkerTimeout);
     parts.metrics.add("hyssop_scheduler_start_commands_total");
     logStart(action, reply);
-    core.commandAnswered(action, toCommandOutcome(reply), currentTime());
+    core.commandAnswered(action, reply, currentTime());
 }
 
 asio::awaitable<void>
 SchedulerServiceState::sendTaskCommand(SchedulerAction action, std::string verb, std::string worker, std::int64_t epoch, std::string jobId, int attempt)
 {
-    const WorkerReply reply = co_await workers.command(std::move(worker), std::move(verb), epoch, std::move(jobId), attempt, WorkerTimeout);
-    core.commandAnswered(action, toCommandOutcome(reply), currentTime());
+    const CommandOutcome reply = co_await workers.command(std::move(worker), std::move(verb), epoch, std::move(jobId), attempt, WorkerTimeout);
+    core.commandAnswered(action, reply, currentTime());
 }
 
 asio::awaitable<void> SchedulerServiceState::carryOut(const StopTask &action)
@@ -324,8 +304,8 @@
 
 asio::awaitable<void> SchedulerServiceState::carryOut(const SetThrottle &action)
 {
-    const WorkerReply reply = co_await workers.throttle(action.worker, action.epoch, action.jobId, action.attempt, action.level, WorkerTimeout);
-    core.commandAnswered(action, toCommandOutcome(reply), currentTime());
+    const CommandOutcome reply = co_await workers.throttle(action.worker, action.epoch, action.jobId, action.attempt, action.level, WorkerTimeout);
+    core.commandAnswered(action, reply, currentTime());
 }
 
 asio::awaitable<void> SchedulerServiceState::carryOut(const Propose &action)
@@ -464,7 +444,7 @@
     Wire::StatusReply reply;
     reply.instance = m_state->options.instance;
     reply.domain = m_state->options.domain;
-    reply.incarnation = m_state->coreSettings.incarnation;
+    reply.incarnation = m_state->options.incarnation;
     reply.ready = ready();
     reply.owner = m_state->core.owner();
     reply.term = m_state->core.term();
@@ -481,21 +461,11 @@
     return reply;
 }
 
-Wire::Heartbeat SchedulerService::heartbeat() const
+void SchedulerService::fillHeartbeat(Wire::Heartbeat &heartbeat) const
 {
-    Wire::Heartbeat heartbeat;
-    heartbeat.instance = m_state->options.instance;
-    heartbeat.incarnation = m_state->coreSettings.incarnation;
-    heartbeat.domain = m_state->options.domain;
     heartbeat.role = "scheduler";
-    heartbeat.configHead = m_state->parts.config.appliedUpTo();
-    const auto age = m_state->parts.config.headAge(Internal::currentTime());
-    heartbeat.configAgeMs = age ? age->count() : -1;
-    heartbeat.configDigest = m_state->parts.config.digest();
     heartbeat.term = m_state->core.term();
     heartbeat.owner = m_state->core.owner();
-    heartbeat.address = m_state->options.rpcAddress;
-    return heartbeat;
 }
 
 void SchedulerService::handleHeartbeat(const Wire::Heartbeat &heartbeat)
--- a/src/libs/scheduler/schedulerservice.h
+++ b/src/libs/scheduler/schedulerservice.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,7 +27,7 @@
     std::string domain;
     std::vector<std::string> domains; // all failure domains, as destinations for transfers
     std::vector<std::string> workers; // addresses of this failure domain's workers
-    std::string rpcAddress; // announced in heartbeats
+    std::int64_t incarnation = 0;
     std::chrono::milliseconds leaseDuration{10000};
     std::chrono::milliseconds permitDuration{3000};
     std::chrono::milliseconds batchDelay{20};
@@ -69,8 +70,8 @@
     Wire::TargetsReply targets(const Wire::TargetsRequest &request);
     Wire::StatusReply status() const;
 
-    /// Heartbeat of this instance.
-    Wire::Heartbeat heartbeat() const;
+    /// Sets the fields of a heartbeat that belong to the scheduler.
+    void fillHeartbeat(Wire::Heartbeat &heartbeat) const;
     /// Takes over what a peer announced.
     void handleHeartbeat(const Wire::Heartbeat &heartbeat);
 
--- a/src/libs/schedulercore/attempts.cpp
+++ b/src/libs/schedulercore/attempts.cpp
@@ -306,7 +306,7 @@
 void SchedulerCoreState::sendRenewals(TimePoint now)
 {
     for (const LeaseRenewal &renewal : leases.dueRenewals(now)) {
-        actions.emplace_back(RenewLease{renewal.worker, ledger.term(), renewal.duration});
+        actions.emplace_back(RenewLease{renewal.worker, ledger.term(), renewal.duration, renewal.notAfter});
     }
 }
 
--- a/src/libs/schedulercore/schedulercore.h
+++ b/src/libs/schedulercore/schedulercore.h
@@ -5,7 +5,8 @@
 #include <contract/contract.h>
 #include <jobs/logposition.h>
 #include <utils/clock.h>
-#include <workers/workerstatus.h>
+#include <workers/commandoutcome.h>
+#include <workers/leaseanswer.h>
 
 #include <chrono>
 #include <cstddef>
@@ -24,6 +25,7 @@
     std::string worker;
     std::int64_t epoch = 0;
     std::chrono::milliseconds duration{0};
+    std::optional<std::chrono::milliseconds> notAfter; // in the worker's clock; no effect if processed later
 };
 
 struct StartTask
@@ -94,24 +96,6 @@
 
 using SchedulerAction = std::variant<RenewLease, StartTask, StopTask, RequestCheckpoint, SetThrottle, ForgetTask, Propose, ProposeClaim, ProposeTransfer>;
 
-enum class CommandOutcome {
-    Done, // took effect, or had taken effect before
-    StaleEpoch, // the worker has seen a higher epoch
-    Expired, // the not-after bound had passed; certainly not run
-    NoCapacity, // certainly not run
-    UnknownTask, // the worker does not have the task
-    Unreachable, // certainly not received
-    Undetermined, // no answer; the effect is unknown
-};
-
-/// Answer of a worker to RenewLease.
-struct LeaseAnswer
-{
-    bool granted = false;
-    std::int64_t holderEpoch = -1; // epoch that the worker has seen, also when it refuses
-    WorkerStatus status; // valid if granted
-};
-
 struct SchedulerCoreOptions
 {
     std::string instance;
--- a/src/libs/workers/workerleasetable.cpp
+++ b/src/libs/workers/workerleasetable.cpp
@@ -65,7 +65,8 @@
         lease.outstandingSince = now;
         lease.outstandingDuration = duration;
         lease.nextRenewalAt = now + m_options.renewInterval;
-        due.push_back({worker, duration});
+        const auto notAfter = lease.clockKnown ? clockNoLaterThan(worker, now + m_options.margin) : std::nullopt;
+        due.push_back({worker, duration, notAfter});
     }
     return due;
 }
@@ -103,6 +104,7 @@
     lease.outstandingSince.reset();
     lease.lost = false;
     lease.holds = true;
+    lease.clockKnown = true;
     return true;
 }
 
@@ -115,6 +117,8 @@
     found->second.outstandingSince.reset();
     found->second.nextRenewalAt = now + m_options.renewInterval;
     found->second.holds = false;
+    // The worker may have restarted with a new clock, in which every bound would be in the past.
+    found->second.clockKnown = false;
 }
 
 void WorkerLeaseTable::failed(const std::string &worker, TimePoint now)
--- a/src/libs/workers/workerleasetable.h
+++ b/src/libs/workers/workerleasetable.h
@@ -25,6 +25,9 @@
 {
     std::string worker;
     std::chrono::milliseconds duration{0};
+    /// In the worker's clock. A request that is processed later, for example after the worker was frozen, must have no
+    /// effect, because the owner may count the worker as lost by then. No value before the worker's clock is known.
+    std::optional<std::chrono::milliseconds> notAfter;
 };
 
 /// Leases of one owner on its workers: when to renew, when a worker counts as lost, and what its clock shows.
@@ -78,6 +81,7 @@
         WorkerStatus status;
         bool lost = false;
         bool holds = false;
+        bool clockKnown = false; // status.clock can be compared with the worker's present clock
     };
 
     Duration withMargin(Duration interval) const;
--- a/tests/libs/schedulercore/fakeworker.cpp
+++ b/tests/libs/schedulercore/fakeworker.cpp
@@ -132,6 +132,9 @@
     if (command.epoch < m_epoch && !ignoresEpoch) {
         return answer;
     }
+    if (command.notAfter && clock() > *command.notAfter && !ignoresRenewalBound) {
+        return answer;
+    }
     if (command.epoch != m_epoch) {
         m_onEvent(m_name + " leased to epoch " + std::to_string(command.epoch));
     }
--- a/tests/libs/schedulercore/fakeworker.h
+++ b/tests/libs/schedulercore/fakeworker.h
@@ -56,6 +56,7 @@
     int restarts() const { return m_restarts; }
 
     bool ignoresEpoch = false; // breaks the fencing, to see that the checks notice
+    bool ignoresRenewalBound = false; // breaks the bound of late renewals, for the same reason
 
 private:
     CommandOutcome start(const StartTask &command);
--- a/tests/libs/schedulercore/testrandom.cpp
+++ b/tests/libs/schedulercore/testrandom.cpp
@@ -70,6 +70,7 @@
         WorldOptions options;
         options.seed = seed;
         options.schedulers = 2 + static_cast<int>(seed % 2);
+        options.lateRenewalRate = 0.05;
         options.longestDelay = milliseconds(seed % 3 == 0 ? 400 : 40);
         // Short enough that owners without log contact reach it during a run.
         options.logOutageGrace = seed % 4 == 0 ? milliseconds(seconds(25)) : milliseconds(minutes(15));
--- a/tests/libs/schedulercore/testschedulercore.cpp
+++ b/tests/libs/schedulercore/testschedulercore.cpp
@@ -93,3 +93,26 @@
                  static_cast<long>(takeovers.back().count()));
     cr_assert_leq(takeovers.back().count(), 4000);
 }
+
+// Guards against a lease that a worker prolongs by a renewal which it processes late, for example on waking from a freeze:
+// its task would run on after the owner has started it elsewhere.
+Test(schedulercore, lateRenewalsDoNotProlongLeases)
+{
+    constexpr int Seeds = 20;
+    for (int seed = 1; seed <= Seeds; ++seed) {
+        WorldOptions options;
+        options.seed = static_cast<std::uint64_t>(seed);
+        options.lateRenewalRate = 0.5;
+        World world(options);
+        world.submit("east", batchJob("long", seconds(60)));
+        world.advance(seconds(10));
+        const std::string worker = world.ledger("east").job("long")->worker;
+        for (const std::string &scheduler : world.schedulerNames()) {
+            world.cut(scheduler, worker);
+        }
+        world.advance(seconds(40));
+        assertClean(world);
+        // More than two, if other workers lose their leases as well; half of their renewals are late.
+        cr_assert_geq(world.starts("long"), 2, "the task was not started elsewhere with seed %d", seed);
+    }
+}
--- a/tests/libs/schedulercore/world.cpp
+++ b/tests/libs/schedulercore/world.cpp
@@ -296,6 +296,12 @@
     const auto fail = [this, name, incarnation, worker = command.worker] {
         deliver(name, incarnation, [this, worker](SchedulerCore &core) { core.leaseFailed(worker, now()); });
     };
+    if (m_options.lateRenewalRate > 0 && chance(m_options.lateRenewalRate)) {
+        const milliseconds lateness(std::uniform_int_distribution<int>(1500, 9000)(m_random));
+        at(m_time + lateness, [this, command] { m_workers.at(command.worker)->renew(command); });
+        at(sentAt + AnswerTimeout, fail);
+        return;
+    }
     at(m_time + delay(), [this, name, incarnation, command, sentAt, lost, answerLost, fail] {
         if (lost || !linked(name, command.worker)) {
             at(sentAt + AnswerTimeout, fail);
--- a/tests/libs/schedulercore/world.h
+++ b/tests/libs/schedulercore/world.h
@@ -29,6 +29,7 @@
     int workers = 3; // in each failure domain
     std::vector<std::string> domains{"east", "west"};
     std::chrono::milliseconds longestDelay{20}; // of one message
+    double lateRenewalRate = 0; // share of renewals that the worker processes seconds after the sender gave up
     double lossRate = 0; // share of messages that are lost
     double lateRate = 0; // share of commands that arrive seconds later, after the sender gave up
     double slowAppendRate = 0; // share of appends that take several seconds
--- a/tests/libs/workers/testworkerleasetable.cpp
+++ b/tests/libs/workers/testworkerleasetable.cpp
@@ -58,6 +58,22 @@
     cr_assert_eq(table.dueRenewals(start + seconds(13)).front().duration.count(), 10000);
 }
 
+// Guards against a renewal that a frozen worker processes on waking, after the owner has counted it as lost.
+Test(workerleasetable, renewalsCarryTheirLatestTime)
+{
+    const TimePoint start;
+    WorkerLeaseTable table = tableWithWorker(start);
+    cr_assert(!table.dueRenewals(start).front().notAfter.has_value(), "the worker's clock is not known yet");
+    table.granted("w", statusAt(seconds(5)), start, start + milliseconds(20));
+    // One second on the way is allowed; 1 % covers the difference of the clocks' rates.
+    const auto renewal = table.dueRenewals(start + seconds(1)).front();
+    cr_assert(renewal.notAfter.has_value());
+    cr_assert(*renewal.notAfter <= seconds(5) + milliseconds(1980));
+    cr_assert(*renewal.notAfter >= seconds(5) + milliseconds(1900));
+    table.refused("w", start + milliseconds(1100));
+    cr_assert(!table.dueRenewals(start + milliseconds(2200)).front().notAfter.has_value(), "the worker may have a new clock");
+}
+
 // Guards against a renewal whose answer took longer than the margin: the worker may have received it just before.
 Test(workerleasetable, slowAnswerPostponesLoss)
 {
--- a/tests/standins/worker/workermodel.cpp
+++ b/tests/standins/worker/workermodel.cpp
@@ -130,6 +130,11 @@
     if (epoch < m_epoch || (epoch == m_epoch && !sameHolder)) {
         return {{"granted", false}, {"epoch", m_epoch}};
     }
+    const auto clock = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_startedAt);
+    const json::value *notAfter = request.if_contains("notAfterMs");
+    if (notAfter != nullptr && clock.count() > notAfter->to_number<std::int64_t>()) {
+        return {{"granted", false}, {"epoch", m_epoch}};
+    }
     m_epoch = epoch;
     m_holder = holder;
     m_leaseUntil = now + std::chrono::milliseconds(request.at("durationMs").to_number<std::int64_t>());
