Test changes in force everywhere and a replacement during a log outage

Cause: neither had been run with real processes; the time until a change is in force was not measured. Change: two process tests; hyssopctl formats std::chrono times instead of bare numbers.

--- a/src/tools/hyssopctl/configchange.cpp
+++ b/src/tools/hyssopctl/configchange.cpp
@@ -17,7 +17,8 @@
 
 static std::string describe(const Wire::ConfigEntry &entry)
 {
-    return "revision " + std::to_string(entry.revision) + ", accepted from " + entry.operatorName + " at " + formatTime(entry.acceptedAtMs);
+    return "revision " + std::to_string(entry.revision) + ", accepted from " + entry.operatorName + " at "
+        + formatTime(std::chrono::milliseconds(entry.acceptedAtMs));
 }
 
 static ExitCode exitCodeOf(Wire::ChangeVerdict::type verdict)
--- a/src/tools/hyssopctl/contractcommands.cpp
+++ b/src/tools/hyssopctl/contractcommands.cpp
@@ -92,7 +92,10 @@
         if (!entry.key.starts_with(ContractPrefix) || entry.removed) {
             continue;
         }
-        table.rows.push_back({entry.key.substr(ContractPrefix.size()), std::to_string(entry.revision), entry.operatorName, formatTime(entry.acceptedAtMs)});
+        table.rows.push_back({entry.key.substr(ContractPrefix.size()),
+                              std::to_string(entry.revision),
+                              entry.operatorName,
+                              formatTime(std::chrono::milliseconds(entry.acceptedAtMs))});
         json::object item = toJson(entry);
         item.erase("body");
         list.emplace_back(item);
@@ -143,7 +146,7 @@
         if (entry.key != key) {
             continue;
         }
-        table.rows.push_back({formatTime(entry.timeMs),
+        table.rows.push_back({formatTime(std::chrono::milliseconds(entry.timeMs)),
                               entry.operatorName,
                               std::to_string(entry.fromRevision),
                               std::to_string(entry.toRevision),
--- a/src/tools/hyssopctl/domaincommands.cpp
+++ b/src/tools/hyssopctl/domaincommands.cpp
@@ -48,12 +48,13 @@
         const std::string name = entry.key.substr(DomainPrefix.size());
         // A domain whose key was removed is in, like one without a key.
         const std::string domainState = entry.removed ? "in" : entry.body;
-        table.rows.push_back({name, domainState, std::to_string(entry.revision), entry.operatorName, formatTime(entry.acceptedAtMs)});
+        table.rows.push_back(
+            {name, domainState, std::to_string(entry.revision), entry.operatorName, formatTime(std::chrono::milliseconds(entry.acceptedAtMs))});
         list.emplace_back(json::object{{"domain", name},
                                        {"state", domainState},
                                        {"revision", entry.revision},
                                        {"operator", entry.operatorName},
-                                       {"since", formatTime(entry.acceptedAtMs)}});
+                                       {"since", formatTime(std::chrono::milliseconds(entry.acceptedAtMs))}});
     }
     print(context, table, list);
     co_return ExitCode::Done;
--- a/src/tools/hyssopctl/output.cpp
+++ b/src/tools/hyssopctl/output.cpp
@@ -91,14 +91,13 @@
     context.environment.out << (context.json ? boost::json::serialize(json) : text) << '\n';
 }
 
-std::string formatTime(std::int64_t sinceEpochMs)
+std::string formatTime(std::chrono::milliseconds sinceEpoch)
 {
-    if (sinceEpochMs <= 0) {
+    if (sinceEpoch.count() <= 0) {
         return "-";
     }
-    constexpr std::int64_t MillisecondsPerSecond = 1000;
     constexpr std::size_t TextSize = 64;
-    const auto seconds = static_cast<std::time_t>(sinceEpochMs / MillisecondsPerSecond);
+    const auto seconds = static_cast<std::time_t>(std::chrono::floor<std::chrono::seconds>(sinceEpoch).count());
     std::tm parts{};
     char text[TextSize];
     gmtime_r(&seconds, &parts);
@@ -134,7 +133,7 @@
         {"key", entry.key},
         {"revision", entry.revision},
         {"operator", entry.operatorName},
-        {"acceptedAt", formatTime(entry.acceptedAtMs)},
+        {"acceptedAt", formatTime(std::chrono::milliseconds(entry.acceptedAtMs))},
         {"changeId", entry.changeId},
         {"removed", entry.removed},
         {"body", entry.body},
@@ -145,7 +144,7 @@
 {
     return {
         {"offset", entry.offset},
-        {"time", formatTime(entry.timeMs)},
+        {"time", formatTime(std::chrono::milliseconds(entry.timeMs))},
         {"operator", entry.operatorName},
         {"key", entry.key},
         {"fromRevision", entry.fromRevision},
--- a/src/tools/hyssopctl/output.h
+++ b/src/tools/hyssopctl/output.h
@@ -7,7 +7,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 
-#include <cstdint>
+#include <chrono>
 #include <iosfwd>
 #include <string>
 #include <vector>
@@ -27,8 +27,8 @@
 /// Prints one line of text, or @p json as one line if the user asked for JSON.
 void print(const CommandContext &context, const std::string &text, const boost::json::value &json);
 
-/// Formats milliseconds since the Unix epoch as "2026-12-04 10:00:00 UTC"; "-" for zero.
-std::string formatTime(std::int64_t sinceEpochMs);
+/// Formats a time since the Unix epoch as "2026-12-04 10:00:00 UTC"; "-" for zero.
+std::string formatTime(std::chrono::milliseconds sinceEpoch);
 
 const char *verdictName(Wire::ChangeVerdict::type verdict);
 
--- a/src/tools/hyssopctl/statuscommands.cpp
+++ b/src/tools/hyssopctl/statuscommands.cpp
@@ -81,7 +81,7 @@
     json::array list;
     for (const Wire::AuditEntry &entry : valueOf(reply)->entries) {
         table.rows.push_back({std::to_string(entry.offset),
-                              formatTime(entry.timeMs),
+                              formatTime(std::chrono::milliseconds(entry.timeMs)),
                               entry.operatorName,
                               entry.key,
                               std::to_string(entry.fromRevision),
@@ -100,9 +100,9 @@
     return value ? "yes" : "no";
 }
 
-static std::string formatAge(std::int64_t ageMs)
+static std::string formatAge(std::chrono::milliseconds age)
 {
-    return ageMs < 0 ? "unknown" : std::to_string(ageMs) + " ms";
+    return age.count() < 0 ? "unknown" : std::to_string(age.count()) + " ms";
 }
 
 static std::vector<std::string> statusRow(const std::string &address, const Wire::StatusReply &status)
@@ -114,7 +114,7 @@
             yesNo(status.owner),
             std::to_string(status.term),
             std::to_string(status.configHead),
-            formatAge(status.configAgeMs),
+            formatAge(std::chrono::milliseconds(status.configAgeMs)),
             yesNo(status.logReachable),
             std::to_string(status.workers),
             std::to_string(status.pendingJobs),
--- a/tests/processes/testfailures.cpp
+++ b/tests/processes/testfailures.cpp
@@ -433,3 +433,51 @@
     }
     cr_assert_eq(total(), atFirst, "a leaving target got new requests");
 }
+
+/// Last configuration offset that a daemon has applied; -1 without an answer.
+static double appliedOffset(const Cluster &cluster, const std::string &daemon)
+{
+    const std::string name = "\nhyssop_config_applied_offset ";
+    const std::string metrics = httpCall(cluster.daemon(daemon).admin, "GET", "/metrics").body;
+    const std::size_t at = metrics.find(name);
+    return at == std::string::npos ? -1 : std::stod(metrics.substr(at + name.size()));
+}
+
+// Guards against a change that reaches some instances late or never. Bound: 17 s.
+Test(processes, putsChangesInForceEverywhere, .timeout = 90)
+{
+    Cluster::Layout layout;
+    layout.domains = {"puget-a", "puget-b"};
+    Cluster cluster(layout);
+    cr_assert(cluster.start());
+    std::vector<std::string> daemons;
+    for (const std::string &domain : layout.domains) {
+        for (const auto &names : {cluster.schedulers(domain), cluster.gateways(domain)}) {
+            daemons.insert(daemons.end(), names.begin(), names.end());
+        }
+    }
+    for (int change = 1; change <= 5; ++change) {
+        const auto begin = std::chrono::steady_clock::now();
+        cr_assert_eq(cluster.applyContract("puget-a", Contract), 0);
+        const auto everywhere = [&] { return std::ranges::all_of(daemons, [&](const auto &daemon) { return appliedOffset(cluster, daemon) >= change; }); };
+        cr_assert(waitFor(std::chrono::seconds(17), everywhere));
+        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begin);
+        std::cerr << "change " << change << " in force at " << daemons.size() << " daemons after " << elapsed.count() << " ms\n";
+    }
+}
+
+// Guards against an instance that is replaced during a log outage and can't serve, or serves an older configuration.
+Test(processes, replacedGatewayServesDuringLogOutage, .timeout = 90)
+{
+    Cluster cluster({});
+    startServing(cluster, "puget-a");
+    cr_assert_eq(cluster.applyContract("puget-a", Contract), 0);
+    cr_assert(waitFor(std::chrono::seconds(17), [&] { return appliedOffset(cluster, "gateway-puget-a-1") >= 2; }));
+    cluster.log("POST", "/faults", R"({"available": false})");
+    cluster.process("gateway-puget-a-0").kill();
+    cluster.restart("gateway-puget-a-0");
+    cr_assert(waitFor(std::chrono::seconds(20), [&] { return httpCall(cluster.daemon("gateway-puget-a-0").admin, "GET", "/readyz").status == 200; }));
+    cr_assert(waitFor(std::chrono::seconds(5), [&] { return requestPass(cluster, "gateway-puget-a-0", "POST").status == 200; }));
+    cluster.log("POST", "/faults", R"({"available": true})");
+    cr_assert(waitFor(std::chrono::seconds(17), [&] { return appliedOffset(cluster, "gateway-puget-a-0") >= 2; }));
+}
