End the daemons of a failed process test

Cause: a failed Criterion assertion ends the test without destructors; the stand-ins and daemons of failed trials were still running. Change: children of the harness get SIGKILL when the test's process ends.

--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -1,6 +1,9 @@
 #include "childprocess.h"
 
 #include <boost/process.hpp>
+#include <boost/process/extend.hpp>
+
+#include <sys/prctl.h>
 
 #include <csignal>
 #include <iterator>
@@ -16,6 +19,12 @@
     return std::string(HYSSOP_BUILD_DIR) + (standIn ? "/tests/" : "/src/") + program;
 }
 
+// A failed Criterion assertion ends the test's process without running destructors.
+static void endWithTest()
+{
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 // child::wait_for() of Boost 1.81 forks a helper process and must not run in two threads; polling has neither problem.
 static bool waitForEnd(bp::child &child, std::chrono::milliseconds timeout)
 {
@@ -40,8 +49,12 @@
 ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile)
     : m_private(std::make_unique<Private>())
 {
-    m_private->child =
-        bp::child(bp::exe = programPath(program), bp::args = arguments, bp::std_out > m_private->output, bp::std_err > logFile, bp::std_in < bp::null);
+    m_private->child = bp::child(bp::exe = programPath(program),
+                                 bp::args = arguments,
+                                 bp::std_out > m_private->output,
+                                 bp::std_err > logFile,
+                                 bp::std_in < bp::null,
+                                 bp::extend::on_exec_setup([](auto &) { endWithTest(); }));
 }
 
 ChildProcess::ChildProcess(ChildProcess &&other) noexcept = default;
