Build error replies in one place

Cause: the read-through found the same function in the RPC server and the operator handler, and its body again in both daemons. Ruled out: keeping it in codec.h (it neither encodes nor decodes). Change: errorMessage() in src/libs/wire serves all four. Behaviour is unchanged.

--- a/src/libs/gateway/gatewaydaemon.cpp
+++ b/src/libs/gateway/gatewaydaemon.cpp
@@ -10,6 +10,7 @@
 #include <instance/instanceparts.h>
 #include <observability/logging.h>
 #include <utils/endpoint.h>
+#include <wire/errormessage.h>
 #include <wire/rpcserver.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -179,10 +180,7 @@
     } else if (request.__isset.configStateRequest) {
         message.__set_configStateReply(parts.config.state(request.configStateRequest));
     } else {
-        Wire::ErrorReply error;
-        error.code = errorCodeName(ErrorCode::InvalidArgument);
-        error.message = "a gateway does not answer this message";
-        message.__set_error(error);
+        message = errorMessage({ErrorCode::InvalidArgument, "a gateway does not answer this message"});
     }
     return message;
 }
--- a/src/libs/operators/operatorhandler.cpp
+++ b/src/libs/operators/operatorhandler.cpp
@@ -3,6 +3,7 @@
 #include "requestcheck.h"
 
 #include <wire/codec.h>
+#include <wire/errormessage.h>
 
 #include <utility>
 
@@ -15,16 +16,6 @@
 // Room for the envelope around the message.
 constexpr std::size_t LargestReply = LargestWireMessage - 1024;
 
-static Wire::Message errorMessage(const Error &error)
-{
-    Wire::ErrorReply reply;
-    reply.code = errorCodeName(error.code);
-    reply.message = error.message;
-    Wire::Message message;
-    message.__set_error(reply);
-    return message;
-}
-
 static Wire::Message submitMessage(const Outcome<Wire::JobSubmitReply> &outcome)
 {
     if (const Error *error = errorOf(outcome)) {
@@ -107,10 +98,10 @@
 asio::awaitable<Wire::Message> OperatorHandler::submitJob(Wire::JobSpec spec)
 {
     if (const auto fault = Internal::checkJob(spec)) {
-        co_return Internal::errorMessage(*fault);
+        co_return errorMessage(*fault);
     }
     if (const auto fault = readinessFault()) {
-        co_return Internal::errorMessage(*fault);
+        co_return errorMessage(*fault);
     }
     Wire::JobQuery query;
     query.jobId = spec.jobId;
@@ -118,7 +109,7 @@
     const bool recorded = !m_functions.queryJobs(query).jobs.empty();
     const auto fault = recorded ? std::nullopt : contractFault(spec);
     if (fault) {
-        co_return Internal::errorMessage(*fault);
+        co_return errorMessage(*fault);
     }
     auto outcome = co_await m_functions.submitJob(std::move(spec));
     co_return Internal::submitMessage(outcome);
@@ -127,10 +118,10 @@
 asio::awaitable<Wire::Message> OperatorHandler::cancelJob(Wire::JobCancelRequest request)
 {
     if (const auto fault = Internal::checkCancel(request)) {
-        co_return Internal::errorMessage(*fault);
+        co_return errorMessage(*fault);
     }
     if (const auto fault = readinessFault()) {
-        co_return Internal::errorMessage(*fault);
+        co_return errorMessage(*fault);
     }
     auto outcome = co_await m_functions.cancelJob(std::move(request));
     co_return Internal::submitMessage(outcome);
@@ -162,16 +153,16 @@
     } else {
         fault = Error{ErrorCode::InvalidArgument, "the message is not for schedulers"};
     }
-    return fault ? Internal::errorMessage(*fault) : reply;
+    return fault ? errorMessage(*fault) : reply;
 }
 
 Wire::Message OperatorHandler::audit(const Wire::AuditRequest &request) const
 {
     if (const auto fault = Internal::checkAudit(request)) {
-        return Internal::errorMessage(*fault);
+        return errorMessage(*fault);
     }
     if (const auto fault = readinessFault()) {
-        return Internal::errorMessage(*fault);
+        return errorMessage(*fault);
     }
     Wire::Message reply;
     reply.__set_auditReply(m_functions.audit(request));
--- a/src/libs/scheduler/schedulerdaemon.cpp
+++ b/src/libs/scheduler/schedulerdaemon.cpp
@@ -7,6 +7,7 @@
 #include <observability/logging.h>
 #include <operators/operatorhandler.h>
 #include <utils/endpoint.h>
+#include <wire/errormessage.h>
 #include <wire/rpcserver.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -108,11 +109,8 @@
         message.__set_heartbeat(parts.peers.receive(request.heartbeat));
         co_return message;
     }
-    Wire::ErrorReply error;
-    error.code = errorCodeName(ErrorCode::InvalidArgument);
-    error.message = "a scheduler does not answer this message";
-    message.__set_error(error);
-    co_return message;
+    const Error error{ErrorCode::InvalidArgument, "a scheduler does not answer this message"};
+    co_return errorMessage(error);
 }
 
 void SchedulerDaemonState::start()
--- a/src/libs/wire/rpcserver.cpp
+++ b/src/libs/wire/rpcserver.cpp
@@ -1,6 +1,7 @@
 #include "rpcserver.h"
 
 #include "codec.h"
+#include "errormessage.h"
 #include "frame.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -40,16 +41,6 @@
 
 using RpcServerStatePtr = std::shared_ptr<RpcServerState>;
 
-static Wire::Message errorMessage(const Error &error)
-{
-    Wire::ErrorReply reply;
-    reply.code = errorCodeName(error.code);
-    reply.message = error.message;
-    Wire::Message message;
-    message.__set_error(reply);
-    return message;
-}
-
 static asio::awaitable<void> serveFrames(RpcServerStatePtr state, boost::beast::tcp_stream &stream)
 {
     while (!state->stopped) {
