--- /dev/null
+++ b/src/libs/dispatch/dispatcher.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "dispatchactions.h"
+#include "dispatchlimits.h"
+#include "jobbook.h"
+#include "leaserule.h"
+#include "ticketbook.h"
+#include "workerview.h"
+
+#include <ports/clusterconfig.h>
+#include <ports/orderanswers.h>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Hyssop {
+
+class JobTable;
+class WorkerChoice;
+struct PlacementWish;
+
+/// Decides everything that the owner of the job topic orders: answers and time go in, actions come out.
+///
+/// A run goes through these phases: its intent becomes durable, the start is ordered, the worker lists it as running and
+/// then as ended, and the end becomes durable before the worker may forget it. A new owner knows all intents of the earlier
+/// ones; what became of them it learns from the workers, or from the time by which their leases have ended.
+class Dispatcher
+{
+public:
+    explicit Dispatcher(const DispatchLimits &limits);
+
+    /// Begins a term. @p term is the fencing token of all orders; @p claimedAt is when the answer to the claim arrived.
+    void begin(std::int64_t term, const JobTable &table, TimePoint claimedAt);
+
+    void applyConfiguration(const ClusterConfig &config, const std::set<std::string> &evacuatedDomains);
+    void updateWorker(const WorkerInfo &info);
+    void removeWorker(const std::string &id);
+
+    /// A record about a job was read from the topic.
+    void jobChanged(const std::string &jobId, const JobEntry *entry, TimePoint now, WallTime wall);
+
+    /// A call that was sent at @p sentAt proved that no later claim existed.
+    void confirmOwnership(TimePoint sentAt);
+
+    void startAnswered(const StartOrder &order, const OrderAnswer &answer, TimePoint now);
+    void stopAnswered(const StopOrder &order, const OrderAnswer &answer, TimePoint now);
+    void paceAnswered(const PaceOrder &order, const OrderAnswer &answer);
+    void pollAnswered(const PollOrder &order, const PollAnswer &answer, TimePoint sentAt, TimePoint now);
+    void adviceAnswered(const AskAdvice &question, const AdviceAnswer &answer, TimePoint sentAt, TimePoint now);
+
+    /// The records of the last StoreRecords action are durable.
+    void recordsStored(TimePoint now);
+
+    /// Lets time pass and returns what is to be done now.
+    std::vector<DispatchAction> advance(TimePoint now, WallTime wall);
+
+    std::size_t openRuns() const;
+    std::size_t waitingTasks();
+
+private:
+    using Intents = std::vector<std::pair<TaskId, int>>; // with the number of the run
+
+    /// Newest end of a worker that a batch makes durable.
+    struct StoredEnd
+    {
+        std::chrono::milliseconds bornAt{0}; // ends are numbered anew in each life of the worker
+        std::int64_t number = 0;
+    };
+
+    struct OpenBatch
+    {
+        Intents intents;
+        std::map<std::string, StoredEnd> ends; // by worker
+    };
+
+    WorkerView &viewOf(const std::string &worker);
+    WorkerView *findWorker(const std::string &worker);
+    WorkerAddress addressOf(const WorkerView &worker) const;
+
+    void adoptOpenRuns(JobRun &job);
+    void startDueOccurrences(JobRun &job, WallTime wall);
+
+    void dropIdleViews();
+    void expireLeases(TimePoint now);
+    void pollWorkers(TimePoint now);
+    void moveRunsOffLeavingWorkers(TimePoint now);
+
+    void applyListing(WorkerView &worker, const WorkerListing &listing, TimePoint sentAt, TimePoint now);
+    void noteRebirth(WorkerView &worker, TimePoint now);
+    void applyEnd(WorkerView &worker, const ListedEnd &end, TimePoint now);
+    void applyRun(WorkerView &worker, const ListedRun &run, TimePoint now);
+    void noteProgress(WorkerView &worker, const ListedRun &run, TaskRun &task, TimePoint now);
+    void findMissingRuns(WorkerView &worker, const WorkerListing &listing, TimePoint sentAt, TimePoint now);
+    void stopStray(WorkerView &worker, const ListedRun &run, TimePoint now);
+    void adjustPace(WorkerView &worker, const WorkerListing &listing, TimePoint now);
+
+    void sendStart(const TaskId &id, TaskRun &task, TimePoint now);
+    void refused(const TaskId &id, TaskRun &task, const OrderRefused &answer, TimePoint now);
+    void beginStop(const TaskId &id, TaskRun &task, TimePoint now);
+    void sendStop(const TaskId &id, const TaskRun &task);
+    void requeue(const TaskId &id, TaskRun &task, TimePoint now);
+    void endRun(const TaskId &id, TaskRun &task, RunEnding ending, const std::string &checkpoint, TimePoint now);
+    void noteDone(const TaskId &id, TaskRun &task);
+    void finishOccurrences(JobRun &job);
+    void noteFailedRun(const TaskId &id, TaskRun &task, TimePoint now);
+    void endJob(JobRun &job, TimePoint now);
+    bool mayStartOn(const WorkerView &worker, TimePoint now) const;
+
+    void placeWaiting(TimePoint now, WallTime wall);
+    void placeStep(JobRun &job, int occurrence, int step, const WorkerChoice &choice, const QueueInfo &queue, TimePoint now);
+    void placeGang(JobRun &job, int occurrence, int step, const WorkerChoice &choice, PlacementWish &wish, TimePoint now);
+    bool needsAdvice(const TaskId &step, const QueueInfo &queue, PlacementWish &wish, TimePoint now);
+    void intend(JobRun &job, const TaskId &id, TaskRun &task, WorkerView &worker, int run, TimePoint now);
+
+    void composeBatch(TimePoint now, WallTime wall);
+    void forgetEndedJobs(std::vector<KeyedRecord> &records, WallTime wall);
+
+    DispatchLimits m_limits;
+    LeaseRule m_leases;
+    std::int64_t m_term = 0;
+    TimePoint m_confirmedAt{};
+    TimePoint m_earlierLeasesEnd{};
+    std::int64_t m_wallMs = 0; // of the newest advance(), Unix time
+    JobBook m_jobs;
+    std::map<std::string, WorkerView> m_workers;
+    ClusterConfig m_config;
+    std::set<std::string> m_evacuated;
+    TicketBook m_tickets;
+    std::vector<DispatchAction> m_actions;
+    Intents m_newIntents; // not yet in a batch
+    OpenBatch m_batch; // on its way to the store
+    bool m_batchOpen = false;
+    TimePoint m_batchAt{};
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/dispatch/dispatchlimits.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <chrono>
+
+namespace Hyssop {
+
+/// Time limits of the dispatcher that follow from the platform's settings.
+struct DispatchLimits
+{
+    std::chrono::milliseconds longestLease{6000}; // the platform shortens longer leases
+    std::chrono::milliseconds statusRetention{120000}; // how long callers may ask for the state of an ended job
+    std::chrono::milliseconds stopGrace{900}; // longest time from a stop order to the run's end
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -0,0 +1,267 @@
+#include "dispatcher.h"
+
+#include <jobtopic/jobtable.h>
+#include <utils/overloaded.h>
+
+#include <algorithm>
+
+namespace Hyssop {
+
+namespace Internal {
+
+// The same start order is sent up to this often before the run is given up.
+constexpr int StartSends = 3;
+constexpr std::chrono::milliseconds RetryPause{100};
+constexpr std::chrono::milliseconds InvalidOrderPause{2000};
+constexpr std::chrono::milliseconds FailurePause{100};
+
+} // namespace Internal
+
+bool Dispatcher::mayStartOn(const WorkerView &worker, TimePoint now) const
+{
+    const bool takesWork = worker.listed && !worker.info.draining && worker.clock && worker.failedPolls == 0;
+    return takesWork && !m_evacuated.contains(worker.info.failureDomain) && m_leases.mayStart(now, m_confirmedAt);
+}
+
+void Dispatcher::sendStart(const TaskId &id, TaskRun &task, TimePoint now)
+{
+    const JobRun *job = m_jobs.find(id.job);
+    WorkerView *worker = findWorker(task.worker);
+    if (job == nullptr || worker == nullptr || job->isEnded() || !mayStartOn(*worker, now)) {
+        requeue(id, task, now);
+        return;
+    }
+    StartOrder order;
+    order.worker = addressOf(*worker);
+    order.task = id;
+    order.run = task.run;
+    order.payload = job->job.payload;
+    order.checkpoint = task.checkpoint;
+    if (const auto *tickets = m_tickets.tickets(id, now)) {
+        const auto ticket = tickets->find(task.worker);
+        order.ticket = ticket != tickets->end() ? ticket->second : std::string();
+    }
+    order.fencingToken = m_term;
+    order.leaseEnd = worker->clock->readingAt(m_leases.grantUntil(now, m_confirmedAt));
+    worker->leaseEnd = std::max(worker->leaseEnd, worker->clock->surelyReached(order.leaseEnd));
+    task.phase = TaskPhase::Ordered;
+    task.phaseSince = now;
+    ++task.sends;
+    m_actions.emplace_back(std::move(order));
+}
+
+void Dispatcher::startAnswered(const StartOrder &order, const OrderAnswer &answer, TimePoint now)
+{
+    TaskRun *task = m_jobs.task(order.task);
+    const bool isCurrent = task != nullptr && task->run == order.run && task->worker == order.worker.id;
+    if (order.fencingToken != m_term || !isCurrent || task->phase != TaskPhase::Ordered) {
+        return;
+    }
+    std::visit(Overloaded{
+                   [&](const OrderDone &) {
+                       task->phase = TaskPhase::Running;
+                       task->phaseSince = now;
+                       task->confirmedAt = now;
+                       task->percentSince = now;
+                   },
+                   [&](const OrderRefused &refusal) { refused(order.task, *task, refusal, now); },
+                   [&](const OrderUnsent &) {
+                       if (WorkerView *worker = findWorker(task->worker)) {
+                           worker->trust.noteRefusal(now);
+                       }
+                       if (task->sends > 1) {
+                           beginStop(order.task, *task, now); // an earlier copy may have arrived
+                       } else {
+                           requeue(order.task, *task, now);
+                       }
+                   },
+                   [&](const OrderUnknown &) {
+                       if (task->sends < Internal::StartSends) {
+                           StartOrder again = order;
+                           ++task->sends;
+                           m_actions.emplace_back(std::move(again));
+                       } else {
+                           beginStop(order.task, *task, now);
+                       }
+                   },
+               },
+               answer);
+}
+
+void Dispatcher::refused(const TaskId &id, TaskRun &task, const OrderRefused &answer, TimePoint now)
+{
+    WorkerView *worker = findWorker(task.worker);
+    switch (answer.reason) {
+    case OrderRefusal::Fenced:
+        m_actions.emplace_back(GiveUpOwnership{});
+        return;
+    case OrderRefusal::Superseded:
+        // The run was there and has ended; the next listing says how.
+        task.phase = TaskPhase::Running;
+        task.phaseSince = now;
+        task.confirmedAt = now;
+        return;
+    case OrderRefusal::NoTicket:
+        m_tickets.drop(id, task.worker);
+        break;
+    case OrderRefusal::OtherWorker:
+        if (worker != nullptr) {
+            worker->leaseEnd = TimePoint();
+        }
+        break;
+    case OrderRefusal::Invalid:
+        task.notBefore = now + Internal::InvalidOrderPause;
+        break;
+    case OrderRefusal::NoRoom:
+    case OrderRefusal::Unhealthy:
+        if (worker != nullptr) {
+            worker->trust.noteRefusal(now);
+        }
+        break;
+    case OrderRefusal::Expired:
+        break;
+    }
+    if (task.sends > 1) {
+        beginStop(id, task, now); // an earlier copy of the order may still be carried out
+    } else {
+        requeue(id, task, now);
+    }
+}
+
+void Dispatcher::beginStop(const TaskId &id, TaskRun &task, TimePoint now)
+{
+    task.phase = TaskPhase::Stopping;
+    task.phaseSince = now;
+    task.stopConfirmed = false;
+    sendStop(id, task);
+}
+
+void Dispatcher::sendStop(const TaskId &id, const TaskRun &task)
+{
+    const WorkerView *worker = findWorker(task.worker);
+    if (worker != nullptr && !worker->info.address.empty()) {
+        m_actions.emplace_back(StopOrder{addressOf(*worker), id, task.run, m_term});
+    }
+}
+
+void Dispatcher::stopAnswered(const StopOrder &order, const OrderAnswer &answer, TimePoint now)
+{
+    if (const auto *refusal = std::get_if<OrderRefused>(&answer); refusal != nullptr && refusal->reason == OrderRefusal::Fenced) {
+        m_actions.emplace_back(GiveUpOwnership{});
+        return;
+    }
+    TaskRun *task = m_jobs.task(order.task);
+    const bool isCurrent = task != nullptr && task->run == order.run && task->worker == order.worker.id;
+    if (order.fencingToken != m_term || !isCurrent || task->phase != TaskPhase::Stopping) {
+        return;
+    }
+    if (std::holds_alternative<OrderDone>(answer)) {
+        task->stopConfirmed = true;
+        task->confirmedAt = now;
+        if (WorkerView *worker = findWorker(task->worker)) {
+            worker->nextPoll = std::min(worker->nextPoll, now);
+        }
+    }
+}
+
+void Dispatcher::paceAnswered(const PaceOrder &order, const OrderAnswer &answer)
+{
+    TaskRun *task = m_jobs.task(order.task);
+    if (task != nullptr && task->run == order.run && task->isOpen() && std::holds_alternative<OrderDone>(answer)) {
+        task->pacePercent = order.percent;
+    }
+}
+
+void Dispatcher::requeue(const TaskId &id, TaskRun &task, TimePoint now)
+{
+    if (WorkerView *worker = findWorker(task.worker)) {
+        worker->removeRun(id);
+    }
+    task.phase = TaskPhase::Waiting;
+    task.phaseSince = now;
+    task.worker.clear();
+    task.percent = -1;
+    task.pacePercent = 100;
+    task.notBefore = std::max(task.notBefore, now);
+    if (JobRun *job = m_jobs.find(id.job)) {
+        m_jobs.markChanged(*job);
+    }
+}
+
+void Dispatcher::endRun(const TaskId &id, TaskRun &task, RunEnding ending, const std::string &checkpoint, TimePoint now)
+{
+    JobRun *job = m_jobs.find(id.job);
+    const bool isLasting = job->step(id.step).longRunning;
+    if (!checkpoint.empty()) {
+        task.checkpoint = checkpoint;
+    }
+    if (WorkerView *worker = findWorker(task.worker); worker != nullptr && ending == RunEnding::Done) {
+        worker->trust.noteSuccess();
+    }
+    if (ending == RunEnding::Done && !isLasting) {
+        noteDone(id, task);
+        return;
+    }
+    if (ending == RunEnding::Failed) {
+        noteFailedRun(id, task, now);
+    }
+    requeue(id, task, now);
+    const QueueInfo *queue = m_config.queues.contains(job->job.queue) ? &m_config.queues.at(job->job.queue) : nullptr;
+    const bool exhausted = queue != nullptr && !isLasting && task.failures >= queue->maximumFailures;
+    if (exhausted && !job->isEnded()) {
+        job->failed = true;
+        endJob(*job, now);
+    }
+}
+
+void Dispatcher::noteFailedRun(const TaskId &id, TaskRun &task, TimePoint now)
+{
+    ++task.failures;
+    task.notBefore = now + Internal::FailurePause;
+    if (WorkerView *worker = findWorker(task.worker)) {
+        worker->trust.noteFailure(id.job, now);
+    }
+}
+
+void Dispatcher::noteDone(const TaskId &id, TaskRun &task)
+{
+    JobRun *job = m_jobs.find(id.job);
+    StepRun *step = m_jobs.stepOf(id);
+    const auto finish = [&](const TaskId &taskId, TaskRun &finished) {
+        if (WorkerView *worker = findWorker(finished.worker)) {
+            worker->removeRun(taskId);
+        }
+        finished.phase = TaskPhase::Done;
+        finished.worker.clear();
+        ++step->done;
+    };
+    finish(id, task);
+    if (job->step(id.step).gang) {
+        // The tasks of a gang end together; the end of one stands for all.
+        for (std::size_t index = 0; index < step->tasks.size(); ++index) {
+            if (step->tasks[index].phase != TaskPhase::Done) {
+                finish({id.job, id.occurrence, id.step, static_cast<int>(index)}, step->tasks[index]);
+            }
+        }
+    }
+    m_jobs.markChanged(*job);
+    finishOccurrences(*job);
+}
+
+void Dispatcher::finishOccurrences(JobRun &job)
+{
+    const auto isDone = [](const StepRun &step) { return step.isDone(); };
+    auto first = job.occurrences.find(job.finishedOccurrences);
+    while (first != job.occurrences.end() && std::ranges::all_of(first->second, isDone)) {
+        job.occurrences.erase(first);
+        ++job.finishedOccurrences;
+        first = job.occurrences.find(job.finishedOccurrences);
+    }
+    if (job.finishedOccurrences >= job.occurrenceCount() && !job.isEnded()) {
+        job.completed = true;
+        job.endedAtMs = m_wallMs;
+        m_tickets.forgetJob(job.id);
+    }
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -0,0 +1,89 @@
+#include "dispatcher.h"
+
+#include "jobprogress.h"
+
+#include <jobtopic/jobkeys.h>
+#include <wire/codec.h>
+
+#include <utility>
+
+namespace Hyssop {
+
+namespace Internal {
+
+constexpr std::chrono::milliseconds BatchInterval{25};
+// Clocks of instances differ, and callers ask late.
+constexpr std::chrono::milliseconds RetentionMargin{60000};
+// Bytes of records in one append.
+constexpr std::size_t LargestBatch = 512 * 1024;
+
+} // namespace Internal
+
+void Dispatcher::composeBatch(TimePoint now, WallTime wall)
+{
+    if (m_batchOpen || now - m_batchAt < Internal::BatchInterval) {
+        return;
+    }
+    StoreRecords store;
+    std::size_t size = 0;
+    for (JobRun *job : m_jobs.takeChanged()) {
+        KeyedRecord record{0, progressKey(job->id), encode(progressOf(*job))};
+        size += record.value->size();
+        store.records.push_back(std::move(record));
+    }
+    if (size < Internal::LargestBatch) {
+        forgetEndedJobs(store.records, wall);
+    }
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.seenEnd > worker.durableEnd) {
+            m_batch.ends[id] = {worker.bornAt, worker.seenEnd};
+        }
+    }
+    m_batch.intents = std::exchange(m_newIntents, {});
+    if (store.records.empty()) {
+        if (!m_batch.ends.empty()) {
+            recordsStored(now); // ends that change nothing
+        }
+        return;
+    }
+    m_batchOpen = true;
+    m_batchAt = now;
+    m_actions.emplace_back(std::move(store));
+}
+
+void Dispatcher::recordsStored(TimePoint now)
+{
+    m_batchOpen = false;
+    const OpenBatch stored = std::exchange(m_batch, OpenBatch());
+    for (const auto &[id, end] : stored.ends) {
+        WorkerView *worker = findWorker(id);
+        if (worker != nullptr && worker->bornAt == end.bornAt) {
+            worker->durableEnd = end.number;
+        }
+    }
+    for (const auto &[id, run] : stored.intents) {
+        TaskRun *task = m_jobs.task(id);
+        if (task != nullptr && task->phase == TaskPhase::Intended && task->run == run) {
+            sendStart(id, *task, now);
+        }
+    }
+}
+
+void Dispatcher::forgetEndedJobs(std::vector<KeyedRecord> &records, WallTime wall)
+{
+    const std::int64_t endedBefore = sinceEpoch(wall - m_limits.statusRetention - Internal::RetentionMargin).count();
+    std::vector<std::string> forgotten;
+    for (const auto &[id, job] : m_jobs.jobs()) {
+        if (job.isEnded() && job.endedAtMs > 0 && job.endedAtMs < endedBefore) {
+            forgotten.push_back(id);
+        }
+    }
+    for (const std::string &id : forgotten) {
+        records.push_back({0, submissionKey(id), std::nullopt});
+        records.push_back({0, cancellationKey(id), std::nullopt});
+        records.push_back({0, progressKey(id), std::nullopt});
+        m_jobs.remove(id);
+    }
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -0,0 +1,286 @@
+#include "dispatcher.h"
+
+#include "pacerule.h"
+
+#include <utils/overloaded.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Hyssop {
+
+namespace Internal {
+
+constexpr std::chrono::milliseconds PollWait{1000};
+constexpr std::chrono::milliseconds IdlePollInterval{1000};
+constexpr std::chrono::milliseconds FailedPollPause{200};
+// Ends are listed again until they are durable; asking again sooner has no use.
+constexpr std::chrono::milliseconds EndsPendingPause{80};
+constexpr std::chrono::milliseconds StopRepeatInterval{400};
+constexpr std::chrono::milliseconds LongestStall{4000};
+constexpr std::chrono::milliseconds StrayStopInterval{500};
+// A worker lists at most this many ends in one answer.
+constexpr std::size_t ListedEndsLimit = 500;
+
+} // namespace Internal
+
+void Dispatcher::dropIdleViews()
+{
+    std::erase_if(m_workers, [](const auto &item) { return !item.second.listed && item.second.runs.empty() && !item.second.pollOpen; });
+}
+
+void Dispatcher::expireLeases(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        if (now <= worker.leaseEnd) {
+            continue;
+        }
+        const auto runs = worker.runs; // requeue() changes the original
+        for (const auto &[task, use] : runs) {
+            TaskRun *run = m_jobs.task(task);
+            if (run == nullptr) {
+                worker.removeRun(task);
+            } else if (run->phase != TaskPhase::Intended) {
+                endRun(task, *run, RunEnding::LeaseLapsed, {}, now);
+            }
+        }
+    }
+}
+
+void Dispatcher::pollWorkers(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        if (worker.pollOpen || now < worker.nextPoll || worker.info.address.empty()) {
+            continue;
+        }
+        PollOrder poll;
+        poll.worker = addressOf(worker);
+        poll.fencingToken = m_term;
+        poll.acknowledgedEnd = worker.durableEnd;
+        if (worker.clock) {
+            const WorkerTime leaseEnd = worker.clock->readingAt(m_leases.grantUntil(now, m_confirmedAt));
+            poll.leaseEnd = leaseEnd;
+            worker.leaseEnd = std::max(worker.leaseEnd, worker.clock->surelyReached(leaseEnd));
+            const bool waits = worker.reached && !worker.runs.empty() && worker.seenEnd == worker.durableEnd;
+            poll.wait = waits ? Internal::PollWait : std::chrono::milliseconds(0);
+        }
+        worker.pollOpen = true;
+        m_actions.emplace_back(std::move(poll));
+    }
+}
+
+void Dispatcher::pollAnswered(const PollOrder &order, const PollAnswer &answer, TimePoint sentAt, TimePoint now)
+{
+    WorkerView *worker = findWorker(order.worker.id);
+    if (worker == nullptr || order.fencingToken != m_term) {
+        return;
+    }
+    worker->pollOpen = false;
+    const auto failed = [&] {
+        ++worker->failedPolls;
+        worker->nextPoll = now + Internal::FailedPollPause;
+    };
+    std::visit(Overloaded{
+                   [&](const WorkerListing &listing) { applyListing(*worker, listing, sentAt, now); },
+                   [&](const OrderRefused &refusal) {
+                       if (refusal.reason == OrderRefusal::Fenced) {
+                           m_actions.emplace_back(GiveUpOwnership{});
+                       } else if (refusal.reason == OrderRefusal::OtherWorker) {
+                           worker->leaseEnd = TimePoint(); // the worker's address serves another one: it is gone
+                       }
+                       failed();
+                   },
+                   [&](const auto &) { failed(); },
+               },
+               answer);
+}
+
+void Dispatcher::applyListing(WorkerView &worker, const WorkerListing &listing, TimePoint sentAt, TimePoint now)
+{
+    worker.failedPolls = 0;
+    worker.lastContact = now;
+    if (listing.bornAt != worker.bornAt && worker.bornAt.count() != 0 && listing.bornAt.count() != 0) {
+        noteRebirth(worker, now);
+    }
+    worker.bornAt = listing.bornAt;
+    worker.clock = WorkerClock{listing.clock, now};
+    for (const ListedEnd &end : listing.ends) {
+        applyEnd(worker, end, now);
+    }
+    for (const ListedRun &run : listing.runs) {
+        applyRun(worker, run, now);
+    }
+    if (listing.ends.size() < Internal::ListedEndsLimit) {
+        findMissingRuns(worker, listing, sentAt, now);
+    }
+    adjustPace(worker, listing, now);
+    worker.nextPoll = now;
+    if (!worker.reached) {
+        worker.reached = true;
+    } else if (worker.seenEnd != worker.durableEnd) {
+        worker.nextPoll = now + Internal::EndsPendingPause;
+    } else if (worker.runs.empty()) {
+        worker.nextPoll = now + Internal::IdlePollInterval;
+    }
+}
+
+void Dispatcher::noteRebirth(WorkerView &worker, TimePoint now)
+{
+    worker.seenEnd = 0;
+    worker.durableEnd = 0;
+    const auto runs = worker.runs;
+    for (const auto &[id, use] : runs) {
+        TaskRun *task = m_jobs.task(id);
+        if (task == nullptr) {
+            worker.removeRun(id);
+        } else if (task->phase == TaskPhase::Running) {
+            endRun(id, *task, RunEnding::LeaseLapsed, {}, now);
+        } else if (task->phase != TaskPhase::Intended) {
+            beginStop(id, *task, now); // the order may still reach the new life
+        }
+    }
+}
+
+void Dispatcher::applyEnd(WorkerView &worker, const ListedEnd &end, TimePoint now)
+{
+    if (end.number <= worker.seenEnd) {
+        return;
+    }
+    worker.seenEnd = end.number;
+    TaskRun *task = m_jobs.task(end.task);
+    if (task != nullptr && task->isOpen() && task->worker == worker.info.id && task->run == end.run) {
+        endRun(end.task, *task, end.ending, end.checkpoint, now);
+    }
+}
+
+void Dispatcher::applyRun(WorkerView &worker, const ListedRun &run, TimePoint now)
+{
+    TaskRun *task = m_jobs.task(run.task);
+    const bool isOurs = task != nullptr && task->isOpen() && task->worker == worker.info.id && task->run == run.run;
+    if (!isOurs) {
+        stopStray(worker, run, now);
+        return;
+    }
+    if (!run.checkpoint.empty()) {
+        task->checkpoint = run.checkpoint;
+    }
+    if (task->phase == TaskPhase::Ordered) {
+        task->phase = TaskPhase::Running;
+        task->phaseSince = now;
+        task->confirmedAt = now;
+    }
+    if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
+        task->phaseSince = now;
+        sendStop(run.task, *task);
+    }
+    noteProgress(worker, run, *task, now);
+}
+
+void Dispatcher::noteProgress(WorkerView &worker, const ListedRun &run, TaskRun &task, TimePoint now)
+{
+    task.load = run.load;
+    if (run.percent != task.percent) {
+        task.percent = run.percent;
+        task.percentSince = now;
+        return;
+    }
+    const JobRun *job = m_jobs.find(run.task.job);
+    const bool atWork = job->step(run.task.step).longRunning && run.percent >= 100;
+    const bool slowedByUs = task.pacePercent < 100;
+    if (atWork || slowedByUs || task.phase != TaskPhase::Running || now - task.percentSince < Internal::LongestStall) {
+        return;
+    }
+    worker.trust.noteStall(now);
+    beginStop(run.task, task, now);
+}
+
+void Dispatcher::findMissingRuns(WorkerView &worker, const WorkerListing &listing, TimePoint sentAt, TimePoint now)
+{
+    std::set<TaskId> present;
+    for (const ListedRun &run : listing.runs) {
+        present.insert(run.task);
+    }
+    const auto runs = worker.runs;
+    for (const auto &[id, use] : runs) {
+        TaskRun *task = m_jobs.task(id);
+        if (task == nullptr) {
+            worker.removeRun(id);
+            continue;
+        }
+        if (present.contains(id)) {
+            continue;
+        }
+        const bool adopted = task->phase == TaskPhase::Ordered && task->sends == 0;
+        const bool ran = task->phase == TaskPhase::Running && task->confirmedAt <= sentAt;
+        const bool stopped = task->phase == TaskPhase::Stopping && task->stopConfirmed && task->confirmedAt <= sentAt;
+        if (adopted || ran || stopped) {
+            endRun(id, *task, RunEnding::LeaseLapsed, {}, now);
+        } else if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
+            task->phaseSince = now;
+            sendStop(id, *task);
+        }
+    }
+}
+
+void Dispatcher::stopStray(WorkerView &worker, const ListedRun &run, TimePoint now)
+{
+    TimePoint &lastStop = worker.strayStops[run.task];
+    if (now - lastStop < Internal::StrayStopInterval) {
+        return;
+    }
+    lastStop = now;
+    m_actions.emplace_back(StopOrder{addressOf(worker), run.task, run.run, m_term});
+}
+
+void Dispatcher::adjustPace(WorkerView &worker, const WorkerListing &listing, TimePoint now)
+{
+    double worstRatio = 0;
+    std::vector<const ListedRun *> fillers;
+    for (const ListedRun &run : listing.runs) {
+        const JobRun *job = m_jobs.find(run.task.job);
+        if (job == nullptr || run.task.step >= static_cast<int>(job->job.steps.size())) {
+            continue;
+        }
+        const Wire::TaskStep &step = job->step(run.task.step);
+        if (step.tailTargetMs > 0 && run.percent >= 100) {
+            worstRatio = std::max(worstRatio, run.load / static_cast<double>(step.tailTargetMs));
+        } else if (step.fillsIdle) {
+            fillers.push_back(&run);
+        }
+    }
+    if (const auto pace = nextFillPace(worker, worstRatio, now)) {
+        worker.fillPercent = *pace;
+        worker.paceChangedAt = now;
+    }
+    for (const ListedRun *run : fillers) {
+        const TaskRun *task = m_jobs.task(run->task);
+        if (task != nullptr && task->phase == TaskPhase::Running && task->pacePercent != worker.fillPercent) {
+            m_actions.emplace_back(PaceOrder{addressOf(worker), run->task, run->run, worker.fillPercent, m_term});
+        }
+    }
+}
+
+void Dispatcher::moveRunsOffLeavingWorkers(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        if (!worker.info.draining || !worker.reached) {
+            continue;
+        }
+        const auto runs = worker.runs;
+        for (const auto &[taskId, use] : runs) {
+            const JobRun *job = m_jobs.find(taskId.job);
+            TaskRun *task = m_jobs.task(taskId);
+            if (job == nullptr || task == nullptr || task->phase != TaskPhase::Running) {
+                continue;
+            }
+            const Wire::TaskStep &step = job->step(taskId.step);
+            const std::int64_t leftMs = step.estimateMs * (100 - std::clamp(task->percent, 0, 100)) / 100;
+            const bool endsInTime = worker.info.remaining && leftMs < worker.info.remaining->count();
+            if (step.longRunning || (step.checkpointable && !endsInTime)) {
+                beginStop(taskId, *task, now);
+            }
+        }
+    }
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/dispatch/jobprogress.cpp
@@ -0,0 +1,162 @@
+#include "jobprogress.h"
+
+#include "jobrun.h"
+
+#include <jobtopic/jobtable.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Hyssop {
+
+namespace Internal {
+
+constexpr std::size_t BitsPerByte = 8;
+
+static bool hasBit(const std::string &mask, std::size_t index)
+{
+    const std::size_t byte = index / BitsPerByte;
+    return byte < mask.size() && (static_cast<unsigned char>(mask[byte]) >> (index % BitsPerByte) & 1U) != 0;
+}
+
+static std::string doneMask(const StepRun &step)
+{
+    std::string mask((step.tasks.size() + BitsPerByte - 1) / BitsPerByte, '\0');
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        if (step.tasks[index].phase == TaskPhase::Done) {
+            mask[index / BitsPerByte] = static_cast<char>(static_cast<unsigned char>(mask[index / BitsPerByte]) | 1U << (index % BitsPerByte));
+        }
+    }
+    return mask;
+}
+
+static void restoreTask(TaskRun &task, const Wire::TaskMark &mark)
+{
+    task.run = mark.run;
+    task.failures = mark.failures;
+    task.checkpoint = mark.checkpoint;
+    task.worker = mark.worker;
+    if (!mark.worker.empty() && task.phase != TaskPhase::Done) {
+        task.phase = TaskPhase::Ordered;
+    }
+}
+
+static void restoreStep(StepRun &step, const Wire::StepMarks &marks)
+{
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        if (hasBit(marks.doneMask, index)) {
+            step.tasks[index].phase = TaskPhase::Done;
+            ++step.done;
+        }
+    }
+    for (const Wire::TaskMark &mark : marks.marks) {
+        if (mark.index >= 0 && mark.index < static_cast<int>(step.tasks.size())) {
+            restoreTask(step.tasks[static_cast<std::size_t>(mark.index)], mark);
+        }
+    }
+}
+
+static void restoreOccurrence(JobRun &job, const Wire::StepMarks &marks)
+{
+    const bool known = marks.step >= 0 && marks.step < static_cast<int>(job.job.steps.size());
+    if (!known || marks.occurrence < job.finishedOccurrences) {
+        return;
+    }
+    if (!job.occurrences.contains(marks.occurrence)) {
+        addOccurrence(job, marks.occurrence);
+    }
+    restoreStep(job.occurrences[marks.occurrence][static_cast<std::size_t>(marks.step)], marks);
+}
+
+static bool hasMark(const TaskRun &task)
+{
+    return task.phase != TaskPhase::Done && (task.run > 0 || task.failures > 0);
+}
+
+static Wire::StepMarks marksOf(const StepRun &step, int occurrence, int index)
+{
+    Wire::StepMarks marks;
+    marks.occurrence = occurrence;
+    marks.step = index;
+    marks.doneMask = doneMask(step);
+    for (std::size_t position = 0; position < step.tasks.size(); ++position) {
+        const TaskRun &task = step.tasks[position];
+        if (!hasMark(task)) {
+            continue;
+        }
+        Wire::TaskMark mark;
+        mark.index = static_cast<int>(position);
+        mark.run = task.run;
+        mark.failures = task.failures;
+        mark.checkpoint = task.checkpoint;
+        mark.worker = task.isOpen() ? task.worker : std::string();
+        marks.marks.push_back(std::move(mark));
+    }
+    return marks;
+}
+
+static bool isTouched(const StepRun &step)
+{
+    return step.done > 0 || std::ranges::any_of(step.tasks, hasMark);
+}
+
+static Wire::JobPhase::type phaseOf(const JobRun &job)
+{
+    if (job.completed) {
+        return Wire::JobPhase::Completed;
+    }
+    if (job.failed) {
+        return Wire::JobPhase::Failed;
+    }
+    if (job.cancelled) {
+        return Wire::JobPhase::Cancelled;
+    }
+    return job.hasStarted ? Wire::JobPhase::Running : Wire::JobPhase::Pending;
+}
+
+} // namespace Internal
+
+void addOccurrence(JobRun &job, int occurrence)
+{
+    std::vector<StepRun> steps(job.job.steps.size());
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        steps[index].tasks.resize(static_cast<std::size_t>(std::max(job.job.steps[index].taskCount, 0)));
+    }
+    job.occurrences[occurrence] = std::move(steps);
+}
+
+JobRun restoreJob(const std::string &jobId, const JobEntry &entry)
+{
+    JobRun job;
+    job.id = jobId;
+    job.job = *entry.job;
+    job.acceptedAt = WallTime(std::chrono::milliseconds(job.job.acceptedAtMs));
+    job.finishedOccurrences = entry.progress.finishedOccurrences;
+    job.completed = entry.progress.phase == Wire::JobPhase::Completed;
+    job.failed = entry.progress.phase == Wire::JobPhase::Failed;
+    job.cancelled = entry.cancelled && !job.completed && !job.failed;
+    job.hasStarted = entry.progress.phase != Wire::JobPhase::Pending;
+    job.endedAtMs = entry.progress.endedAtMs;
+    for (const Wire::StepMarks &marks : entry.progress.steps) {
+        Internal::restoreOccurrence(job, marks);
+    }
+    return job;
+}
+
+Wire::JobProgress progressOf(const JobRun &job)
+{
+    Wire::JobProgress progress;
+    progress.phase = Internal::phaseOf(job);
+    progress.endedAtMs = job.endedAtMs;
+    progress.finishedOccurrences = job.finishedOccurrences;
+    for (const auto &[occurrence, steps] : job.occurrences) {
+        for (std::size_t index = 0; index < steps.size(); ++index) {
+            if (Internal::isTouched(steps[index])) {
+                progress.steps.push_back(Internal::marksOf(steps[index], occurrence, static_cast<int>(index)));
+            }
+        }
+    }
+    return progress;
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/dispatch/jobrun.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "steprun.h"
+
+#include "hyssop_types.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Hyssop {
+
+/// The owner's view of one job.
+struct JobRun
+{
+    std::string id;
+    Wire::StepJob job;
+    WallTime acceptedAt{};
+    std::map<int, std::vector<StepRun>> occurrences; // steps of the due occurrences from finishedOccurrences on
+    int finishedOccurrences = 0; // all occurrences below this number are done
+    bool cancelled = false;
+    bool failed = false;
+    bool completed = false;
+    bool hasStarted = false;
+    bool changed = false; // the durable progress is behind
+    std::int64_t endedAtMs = 0; // Unix time; 0: not ended
+
+    bool isEnded() const { return cancelled || failed || completed; }
+    int occurrenceCount() const { return job.repeatCount > 0 ? job.repeatCount : 1; }
+    const Wire::TaskStep &step(int index) const { return job.steps[static_cast<std::size_t>(index)]; }
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/dispatch/leaserule.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <utils/clock.h>
+
+#include <chrono>
+
+namespace Hyssop {
+
+/// Decides how long the owner may extend the leases of its workers. A lease ends a bounded time after the owner last had
+/// proof of its ownership, so that a new owner knows when work on a worker that it can't reach has ended.
+class LeaseRule
+{
+public:
+    explicit LeaseRule(std::chrono::milliseconds longestLease);
+
+    /// Returns the time until which a lease may be granted at @p now. @p confirmedAt is when the call was sent whose
+    /// answer proved the ownership.
+    TimePoint grantUntil(TimePoint now, TimePoint confirmedAt) const;
+
+    /// Returns true if the proof is recent enough to start work.
+    bool mayStart(TimePoint now, TimePoint confirmedAt) const;
+
+    /// Returns the time at which every lease of earlier owners has ended. @p claimedAt is when the answer to the claim
+    /// arrived.
+    TimePoint earlierLeasesEnd(TimePoint claimedAt) const;
+
+private:
+    std::chrono::milliseconds m_lease;
+};
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -0,0 +1,130 @@
+#include "workerchoice.h"
+
+#include "workerview.h"
+
+#include <algorithm>
+
+namespace Hyssop {
+
+namespace Internal {
+
+// A worker without an answered call for this long gets no work.
+constexpr std::chrono::milliseconds LongestSilence{2500};
+constexpr std::int64_t BytesPerMegabyte = 1'000'000;
+// A filling task starts where at least this share of its processor time is expected to be idle.
+constexpr int LeastIdlePercent = 80;
+// Preference for the rack of the data, in thousandths of a core of free capacity.
+constexpr std::int64_t DataRackBonus = 1'000'000;
+
+static bool mayGetWork(const WorkerView &worker, const std::set<std::string> &evacuatedDomains, TimePoint now)
+{
+    if (!worker.listed || worker.info.draining || !worker.clock || worker.failedPolls > 0) {
+        return false;
+    }
+    if (now - worker.lastContact > LongestSilence || evacuatedDomains.contains(worker.info.failureDomain)) {
+        return false;
+    }
+    return worker.trust.accepts(now, worker.runs.size());
+}
+
+static bool hasLabel(const WorkerView &worker, const std::string &label)
+{
+    return label.empty() || std::ranges::find(worker.info.labels, label) != worker.info.labels.end();
+}
+
+static bool hasIdleTime(const WorkerView &worker, const Wire::TaskStep &step)
+{
+    return worker.fillPercent == 100 && worker.expectedIdle() * 100 >= step.milliCores * LeastIdlePercent;
+}
+
+static int openTasks(const PlacementWish &wish, const std::string &worker)
+{
+    if (wish.tasksOfStep == nullptr) {
+        return 0;
+    }
+    const auto count = wish.tasksOfStep->find(worker);
+    return count != wish.tasksOfStep->end() ? count->second : 0;
+}
+
+static std::int64_t score(const WorkerView &worker, const Wire::TaskStep &step)
+{
+    const std::int64_t room = step.fillsIdle ? worker.expectedIdle() : worker.freeCapacity().milliCores;
+    return room + (!step.dataRack.empty() && worker.info.rack == step.dataRack ? DataRackBonus : 0);
+}
+
+} // namespace Internal
+
+RunUse useOf(const Wire::TaskStep &step, int run)
+{
+    RunUse use;
+    use.run = run;
+    use.counted.milliCores = step.fillsIdle ? 0 : step.milliCores;
+    use.counted.memoryBytes = step.memoryMb * Internal::BytesPerMegabyte;
+    use.counted.accelerators = step.accelerators;
+    use.idleMilliCores = step.fillsIdle ? step.milliCores : 0;
+    use.servingMilliCores = step.longRunning && !step.fillsIdle ? step.milliCores : 0;
+    return use;
+}
+
+WorkerChoice::WorkerChoice(std::vector<WorkerView *> workers, const std::set<std::string> &evacuatedDomains, TimePoint now)
+    : m_workers(std::move(workers))
+    , m_now(now)
+{
+    std::erase_if(m_workers, [&](const WorkerView *worker) { return !Internal::mayGetWork(*worker, evacuatedDomains, now); });
+}
+
+WorkerView *WorkerChoice::choose(const PlacementWish &wish) const
+{
+    WorkerView *best = nullptr;
+    std::int64_t bestScore = 0;
+    for (WorkerView *worker : m_workers) {
+        if (!fits(*worker, wish)) {
+            continue;
+        }
+        const std::int64_t score = Internal::score(*worker, *wish.step);
+        if (best == nullptr || score > bestScore) {
+            best = worker;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+std::vector<std::string> WorkerChoice::racksByRoom(const std::string &service) const
+{
+    std::map<std::string, std::int64_t> room;
+    for (const WorkerView *worker : m_workers) {
+        if (worker->info.service == service) {
+            room[worker->info.rack] += worker->freeCapacity().milliCores;
+        }
+    }
+    std::vector<std::string> racks;
+    for (const auto &[rack, free] : room) {
+        racks.push_back(rack);
+    }
+    std::ranges::sort(racks, [&](const std::string &left, const std::string &right) { return room[left] > room[right]; });
+    return racks;
+}
+
+bool WorkerChoice::fits(const WorkerView &worker, const PlacementWish &wish) const
+{
+    const Wire::TaskStep &step = *wish.step;
+    if (worker.info.service != wish.service || !worker.trust.accepts(m_now, worker.runs.size())) {
+        return false;
+    }
+    if ((!wish.rack.empty() && worker.info.rack != wish.rack) || !Internal::hasLabel(worker, step.label)) {
+        return false;
+    }
+    if (step.perWorker > 0 && Internal::openTasks(wish, worker.info.id) >= step.perWorker) {
+        return false;
+    }
+    if (wish.tickets != nullptr && !wish.tickets->contains(worker.info.id)) {
+        return false;
+    }
+    if (step.fillsIdle && !Internal::hasIdleTime(worker, step)) {
+        return false;
+    }
+    return useOf(step, 0).counted.fitsIn(worker.freeCapacity());
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/dispatch/workerview.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "workerclock.h"
+#include "workertrust.h"
+
+#include <ports/taskid.h>
+#include <ports/workerinfo.h>
+#include <utils/clock.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace Hyssop {
+
+/// What a run on a worker uses.
+struct RunUse
+{
+    int run = 0;
+    Resources counted; // against the worker's capacity
+    std::int64_t idleMilliCores = 0; // of what other tasks leave idle
+    std::int64_t servingMilliCores = 0; // part of counted that a serving task rarely uses in full
+};
+
+/// The owner's view of one worker.
+struct WorkerView
+{
+    WorkerInfo info;
+    bool listed = false; // registered with the platform at present
+    std::optional<WorkerClock> clock;
+    std::chrono::milliseconds bornAt{0}; // 0: not known
+    WorkerTrust trust;
+
+    bool pollOpen = false;
+    TimePoint nextPoll{};
+    TimePoint lastContact{}; // when the newest answered call was sent
+    bool reached = false; // has answered a poll of this owner
+    int failedPolls = 0; // in a row
+    TimePoint leaseEnd{}; // all runs have ended by then unless the lease is renewed
+
+    std::int64_t seenEnd = 0; // number of the newest end that was processed
+    std::int64_t durableEnd = 0; // all ends up to this number are durable
+
+    std::map<TaskId, RunUse> runs; // open runs
+    Resources committed; // counted resources of the open runs
+    std::int64_t idleCommitted = 0;
+    std::int64_t servingCommitted = 0;
+    std::map<TaskId, TimePoint> strayStops; // when a run that is not ours was last told to stop
+
+    int fillPercent = 100; // pace of the tasks that fill idle time here
+    TimePoint paceChangedAt{};
+
+    /// Commits and releases what a run uses.
+    void addRun(const TaskId &task, const RunUse &use);
+    void removeRun(const TaskId &task);
+
+    /// Capacity that no open run counts against.
+    Resources freeCapacity() const { return info.capacity - committed; }
+
+    /// Thousandths of a core that the counted and the filling tasks are expected to leave idle; may be negative.
+    std::int64_t expectedIdle() const;
+};
+
+} // namespace Hyssop
--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -23,9 +23,6 @@
 
 namespace Internal {
 
-constexpr std::uint64_t LargestBody = 4 * 1024 * 1024;
-constexpr std::size_t MaximumConnections = 1024;
-constexpr std::chrono::seconds IdleTimeout{60};
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
@@ -40,6 +37,9 @@
     asio::ip::tcp::acceptor acceptor;
     HttpServer::Handler handler;
     std::list<beast::tcp_stream> connections;
+    HttpServerLimits limits;
+    std::size_t openRequests = 0;
+    bool draining = false;
     bool stopped = false;
 };
 
@@ -59,8 +59,9 @@
     beast::flat_buffer buffer;
     while (!state->stopped) {
         http::request_parser<http::string_body> parser;
-        parser.body_limit(LargestBody);
-        stream.expires_after(IdleTimeout);
+        parser.header_limit(state->limits.headerBytes);
+        parser.body_limit(state->limits.bodyBytes);
+        stream.expires_after(state->limits.idleTimeout);
         const auto [readError, readSize] = co_await http::async_read(stream, buffer, parser, AsTuple);
         if (readError) {
             if (readError.category() == http::make_error_code(http::error::end_of_stream).category() && readError != http::error::end_of_stream) {
@@ -69,14 +70,17 @@
             co_return;
         }
         stream.expires_never();
+        ++state->openRequests;
         HttpResponse response = co_await state->handler(parser.get());
         if (response.result_int() == 0) {
+            --state->openRequests;
             co_return;
         }
-        response.keep_alive(parser.get().keep_alive() && response.keep_alive());
+        response.keep_alive(parser.get().keep_alive() && response.keep_alive() && !state->draining);
         response.prepare_payload();
-        stream.expires_after(IdleTimeout);
+        stream.expires_after(state->limits.idleTimeout);
         const auto [writeError, writeSize] = co_await http::async_write(stream, response, AsTuple);
+        --state->openRequests;
         if (writeError || !response.keep_alive()) {
             co_return;
         }
@@ -99,7 +103,7 @@
         if (error == asio::error::operation_aborted) {
             co_return;
         }
-        if (error || state->connections.size() >= MaximumConnections) {
+        if (error || state->connections.size() >= state->limits.connections) {
             // Out of file descriptors or connections; accepting at once again would use a whole core.
             asio::steady_timer timer(state->acceptor.get_executor(), AcceptRetryDelay);
             co_await timer.async_wait(AsTuple);
@@ -128,6 +132,21 @@
     asio::co_spawn(m_state->acceptor.get_executor(), Internal::acceptConnections(m_state), asio::detached);
 }
 
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    m_state->limits = limits;
+}
+
+void HttpServer::beginDrain()
+{
+    m_state->draining = true;
+}
+
+std::size_t HttpServer::openRequests() const
+{
+    return m_state->openRequests;
+}
+
 void HttpServer::stop()
 {
     m_state->stopped = true;
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -6,6 +6,9 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -18,7 +21,16 @@
 struct HttpServerState;
 }
 
-/// HTTP/1.1 server for whole messages of at most 4 MiB: administration endpoints and test stand-ins.
+/// Limits of a server.
+struct HttpServerLimits
+{
+    std::uint32_t headerBytes = 16 * 1024;
+    std::uint64_t bodyBytes = 4 * 1024 * 1024;
+    std::size_t connections = 1024;
+    std::chrono::milliseconds idleTimeout{60000};
+};
+
+/// HTTP/1.1 server for whole messages.
 class HttpServer
 {
 public:
@@ -33,6 +45,15 @@
     /// Starts to accept connections.
     void start();
 
+    /// Sets the limits of requests that begin from now on.
+    void setLimits(const HttpServerLimits &limits);
+
+    /// Goes on serving, but ends each connection with its next response.
+    void beginDrain();
+
+    /// Number of requests that are being answered.
+    std::size_t openRequests() const;
+
     /// Stops accepting and closes every connection.
     void stop();
 
--- /dev/null
+++ b/src/libs/jobtopic/jobkeys.cpp
@@ -0,0 +1,58 @@
+#include "jobkeys.h"
+
+namespace Hyssop {
+
+namespace Internal {
+
+constexpr std::string_view SubmissionPrefix = "s/";
+constexpr std::string_view CancellationPrefix = "c/";
+constexpr std::string_view ProgressPrefix = "p/";
+constexpr std::string_view Claim = "owner";
+
+static std::string joined(std::string_view prefix, std::string_view jobId)
+{
+    return std::string(prefix).append(jobId);
+}
+
+} // namespace Internal
+
+std::string submissionKey(std::string_view jobId)
+{
+    return Internal::joined(Internal::SubmissionPrefix, jobId);
+}
+
+std::string cancellationKey(std::string_view jobId)
+{
+    return Internal::joined(Internal::CancellationPrefix, jobId);
+}
+
+std::string progressKey(std::string_view jobId)
+{
+    return Internal::joined(Internal::ProgressPrefix, jobId);
+}
+
+std::string claimKey()
+{
+    return std::string(Internal::Claim);
+}
+
+JobKey parseJobKey(std::string_view key)
+{
+    if (key == Internal::Claim) {
+        return {JobKeyKind::Claim, {}};
+    }
+    const std::string_view prefix = key.substr(0, Internal::SubmissionPrefix.size());
+    const std::string jobId(key.substr(prefix.size()));
+    if (prefix == Internal::SubmissionPrefix) {
+        return {JobKeyKind::Submission, jobId};
+    }
+    if (prefix == Internal::CancellationPrefix) {
+        return {JobKeyKind::Cancellation, jobId};
+    }
+    if (prefix == Internal::ProgressPrefix) {
+        return {JobKeyKind::Progress, jobId};
+    }
+    return {};
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/jobtopic/jobkeys.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace Hyssop {
+
+/// Kind of a record of the job topic.
+enum class JobKeyKind {
+    Submission, // Wire::StepJob, written by the accepting instance
+    Cancellation, // empty, written by the accepting instance
+    Progress, // Wire::JobProgress, written by the owner
+    Claim, // Wire::TopicClaim, written by the owner
+    Unknown,
+};
+
+/// Decoded key of a record of the job topic.
+struct JobKey
+{
+    JobKeyKind kind = JobKeyKind::Unknown;
+    std::string jobId;
+};
+
+std::string submissionKey(std::string_view jobId);
+std::string cancellationKey(std::string_view jobId);
+std::string progressKey(std::string_view jobId);
+std::string claimKey();
+
+JobKey parseJobKey(std::string_view key);
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/jobtopic/jobtable.cpp
@@ -0,0 +1,121 @@
+#include "jobtable.h"
+
+#include <ports/keyedrecord.h>
+#include <utils/result.h>
+#include <wire/codec.h>
+
+#include <algorithm>
+
+namespace Hyssop {
+
+Wire::JobPhase::type JobEntry::phase() const
+{
+    if (progress.phase == Wire::JobPhase::Completed || progress.phase == Wire::JobPhase::Failed) {
+        return progress.phase;
+    }
+    return cancelled ? Wire::JobPhase::Cancelled : progress.phase;
+}
+
+bool JobEntry::isEnded() const
+{
+    const Wire::JobPhase::type shown = phase();
+    return shown != Wire::JobPhase::Pending && shown != Wire::JobPhase::Running;
+}
+
+JobKey JobTable::apply(const KeyedRecord &record)
+{
+    const JobKey key = parseJobKey(record.key);
+    switch (key.kind) {
+    case JobKeyKind::Submission:
+        applySubmission(key, record);
+        break;
+    case JobKeyKind::Cancellation:
+        applyCancellation(key, record);
+        break;
+    case JobKeyKind::Progress:
+        applyProgress(key, record);
+        break;
+    case JobKeyKind::Claim:
+        applyClaim(record);
+        break;
+    case JobKeyKind::Unknown:
+        ++m_malformed;
+        break;
+    }
+    return key;
+}
+
+const JobEntry *JobTable::find(const std::string &jobId) const
+{
+    const auto entry = m_jobs.find(jobId);
+    return entry != m_jobs.end() && entry->second.job ? &entry->second : nullptr;
+}
+
+std::size_t JobTable::waitingJobs(const std::string &queue) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_jobs, [&](const auto &item) {
+        const JobEntry &entry = item.second;
+        return entry.job && entry.job->queue == queue && entry.job->repeatCount == 0 && entry.phase() == Wire::JobPhase::Pending;
+    }));
+}
+
+void JobTable::applySubmission(const JobKey &key, const KeyedRecord &record)
+{
+    if (!record.value) {
+        m_jobs.erase(key.jobId);
+        return;
+    }
+    JobEntry &entry = m_jobs[key.jobId];
+    if (entry.job) {
+        return; // a resend of the same submission
+    }
+    auto decoded = capture([&] { return decodeStepJob(*record.value); });
+    if (auto *job = valueOf(decoded)) {
+        entry.job = std::move(*job);
+    } else {
+        ++m_malformed;
+    }
+}
+
+void JobTable::applyCancellation(const JobKey &key, const KeyedRecord &record)
+{
+    if (record.value) {
+        m_jobs[key.jobId].cancelled = true;
+    } else if (const auto entry = m_jobs.find(key.jobId); entry != m_jobs.end() && !entry->second.job) {
+        m_jobs.erase(entry);
+    }
+}
+
+void JobTable::applyProgress(const JobKey &key, const KeyedRecord &record)
+{
+    if (!record.value) {
+        return; // removed together with its submission
+    }
+    JobEntry &entry = m_jobs[key.jobId];
+    if (record.offset <= entry.progressOffset) {
+        return;
+    }
+    auto decoded = capture([&] { return decodeJobProgress(*record.value); });
+    if (auto *progress = valueOf(decoded)) {
+        entry.progress = std::move(*progress);
+        entry.progressOffset = record.offset;
+    } else {
+        ++m_malformed;
+    }
+}
+
+void JobTable::applyClaim(const KeyedRecord &record)
+{
+    if (!record.value || record.offset <= m_claimOffset) {
+        return;
+    }
+    auto decoded = capture([&] { return decodeTopicClaim(*record.value); });
+    if (auto *claim = valueOf(decoded)) {
+        m_claim = std::move(*claim);
+        m_claimOffset = record.offset;
+    } else {
+        ++m_malformed;
+    }
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/node/nodedaemon.cpp
@@ -0,0 +1,181 @@
+#include "nodedaemon.h"
+
+#include <instance/instanceparts.h>
+#include <observability/logging.h>
+#include <utils/endpoint.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+
+namespace Hyssop {
+
+namespace asio = boost::asio;
+
+namespace Internal {
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr FollowPace OwnerJobsPace{std::chrono::milliseconds(30), std::chrono::milliseconds(500)};
+constexpr FollowPace StandbyJobsPace{std::chrono::milliseconds(250), std::chrono::milliseconds(500)};
+constexpr FollowPace OperatorsPace{std::chrono::milliseconds(50), std::chrono::milliseconds(1000)};
+constexpr FollowPace OwnerWorkersPace{std::chrono::milliseconds(400), std::chrono::milliseconds(500)};
+constexpr FollowPace StandbyWorkersPace{std::chrono::milliseconds(1500), std::chrono::milliseconds(500)};
+// The balancer notices within two seconds that an instance is not ready.
+constexpr std::chrono::milliseconds LeastDrain{2500};
+constexpr std::chrono::milliseconds QuietBeforeExit{300};
+constexpr std::chrono::milliseconds DrainMargin{900};
+constexpr std::chrono::milliseconds DrainCheckInterval{50};
+constexpr std::size_t MostCallers = 2000; // connections
+
+static DispatchLimits dispatchLimits(const Settings &settings)
+{
+    DispatchLimits limits;
+    limits.longestLease = millisecondsSetting(settings, "workers.longest_lease");
+    limits.stopGrace = millisecondsSetting(settings, "workers.stop_grace");
+    limits.statusRetention = millisecondsSetting(settings, "jobs.status_retention");
+    return limits;
+}
+
+} // namespace Internal
+
+NodeDaemon::NodeDaemon(asio::io_context &context, const Settings &settings, OwnerPorts ports, const PlatformDecoder &decoder, MetricsRegistry &metrics, Reload reload)
+    : m_context(context)
+    , m_metrics(metrics)
+    , m_reload(std::move(reload))
+    , m_grace(millisecondsSetting(settings, "shutdown.grace"))
+    , m_callersAddress(settings.text("instance.callers"))
+    , m_readyAddress(settings.text("instance.ready"))
+    , m_cluster(decoder, metrics)
+    , m_jobs(context.get_executor(), m_clock, ports.store, Topic::Jobs)
+    , m_operators(context.get_executor(), m_clock, ports.store, Topic::Operators)
+    , m_workers(context.get_executor(), m_clock, ports.store, Topic::Workers)
+    , m_intake(context.get_executor(), m_clock, ports.store, m_table, m_jobs, metrics)
+    , m_owner(context.get_executor(), m_clock, ports, m_table, m_jobs, metrics, Internal::dispatchLimits(settings), settings.text("instance.name"))
+    , m_admin(context.get_executor(), endpointSetting(settings, "instance.admin"), metrics, [this] { return isReady(); })
+    , m_callers(nullptr)
+    , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+{
+}
+
+void NodeDaemon::start(HttpServer::Handler callers, HttpServer::Handler platform)
+{
+    const auto executor = m_context.get_executor();
+    auto callersEndpoint = capture([&] { return parseEndpoint(m_callersAddress); });
+    auto readyEndpoint = capture([&] { return parseEndpoint(m_readyAddress); });
+    m_callers = std::make_unique<HttpServer>(executor, *valueOf(callersEndpoint), std::move(callers));
+    m_platform = std::make_unique<HttpServer>(executor, *valueOf(readyEndpoint), std::move(platform));
+    applyLimits();
+    m_callers->start();
+    m_platform->start();
+    m_admin.start();
+    followJobs();
+    followOperators();
+    followWorkers();
+    asio::co_spawn(executor, m_intake.run(), asio::detached);
+    asio::co_spawn(executor, m_owner.run(), asio::detached);
+    waitForSignal();
+    logMessage(LogLevel::Info, "node", "started", {{"callers", m_callersAddress}});
+}
+
+bool NodeDaemon::isReady() const
+{
+    return !m_draining && m_cluster.config().has_value() && m_jobs.isLoaded();
+}
+
+void NodeDaemon::followJobs()
+{
+    m_jobs.setPace(Internal::StandbyJobsPace);
+    m_jobs.setHandlers([this](const KeyedRecord &record) { m_owner.jobRecordApplied(m_table.apply(record)); },
+                       [this](TimePoint sentAt) {
+                           m_owner.jobsRead(sentAt);
+                           m_jobs.setPace(m_owner.isOwner() ? Internal::OwnerJobsPace : Internal::StandbyJobsPace);
+                           m_workers.setPace(m_owner.isOwner() ? Internal::OwnerWorkersPace : Internal::StandbyWorkersPace);
+                       });
+    asio::co_spawn(m_context, m_jobs.run(), asio::detached);
+}
+
+void NodeDaemon::followOperators()
+{
+    m_operators.setPace(Internal::OperatorsPace);
+    m_operators.setHandlers(
+        [this](const KeyedRecord &record) {
+            if (m_cluster.applyOperatorRecord(record) && m_cluster.config()) {
+                m_owner.applyConfiguration(*m_cluster.config(), m_cluster.evacuatedDomains());
+                applyLimits();
+            }
+        },
+        [](TimePoint) {});
+    asio::co_spawn(m_context, m_operators.run(), asio::detached);
+}
+
+void NodeDaemon::followWorkers()
+{
+    m_workers.setPace(Internal::StandbyWorkersPace);
+    m_workers.setHandlers(
+        [this](const KeyedRecord &record) {
+            if (const auto worker = m_cluster.applyWorkerRecord(record)) {
+                m_owner.updateWorker(*worker);
+            } else {
+                m_owner.removeWorker(record.key);
+            }
+        },
+        [](TimePoint) {});
+    asio::co_spawn(m_context, m_workers.run(), asio::detached);
+}
+
+void NodeDaemon::applyLimits()
+{
+    if (!m_callers || !m_cluster.config()) {
+        return;
+    }
+    const RequestLimits &limits = m_cluster.config()->limits;
+    HttpServerLimits server;
+    server.headerBytes = static_cast<std::uint32_t>(limits.headerBytes);
+    server.bodyBytes = limits.bodyBytes;
+    server.idleTimeout = limits.idleTimeout;
+    server.connections = Internal::MostCallers;
+    m_callers->setLimits(server);
+}
+
+void NodeDaemon::waitForSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            m_reload();
+        } else if (!m_draining) {
+            m_draining = true;
+            asio::co_spawn(m_context, shutDown(), asio::detached);
+        }
+        waitForSignal();
+    });
+}
+
+asio::awaitable<void> NodeDaemon::shutDown()
+{
+    logMessage(LogLevel::Info, "node", "shutting down", {{"open_requests", m_callers->openRequests()}, {"owner", m_owner.isOwner()}});
+    m_callers->beginDrain();
+    const TimePoint begin = m_clock.now();
+    co_await m_owner.release();
+    asio::steady_timer timer(m_context);
+    TimePoint busyAt = begin;
+    while (m_clock.now() - begin < m_grace - Internal::DrainMargin) {
+        const TimePoint now = m_clock.now();
+        busyAt = m_callers->openRequests() > 0 ? now : busyAt;
+        if (now - begin >= Internal::LeastDrain && now - busyAt >= Internal::QuietBeforeExit) {
+            break;
+        }
+        timer.expires_after(Internal::DrainCheckInterval);
+        co_await timer.async_wait(Internal::AsTuple);
+    }
+    logMessage(LogLevel::Info, "node", "stopped", {{"open_requests", m_callers->openRequests()}});
+    m_context.stop();
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/node/nodesettings.cpp
@@ -0,0 +1,26 @@
+#include "nodesettings.h"
+
+namespace Hyssop {
+
+std::vector<SettingSpec> nodeSettings()
+{
+    using namespace std::chrono_literals;
+    return {
+        {"instance.name", TextSetting{}, "Name of this instance, unique in the system.", "", true},
+        {"instance.failure_domain", TextSetting{}, "Failure domain of this instance.", "", true},
+        {"instance.callers", AddressSetting{}, "Address for callers.", "", true},
+        {"instance.ready", AddressSetting{}, "Address on which the platform asks whether callers may be sent here.", "", true},
+        {"instance.admin", AddressSetting{}, "Address of /metrics, /healthz and /readyz.", "", true},
+        {"store.address", AddressSetting{}, "Address of the platform's metadata store.", "", true},
+        {"advice.address", AddressListSetting{}, "Address of the advice service; may be empty.", "", false},
+        {"workers.longest_lease", DurationSetting{2s, 60s}, "Longest lease that workers grant.", "6 s", false},
+        {"workers.stop_grace", DurationSetting{0s, 60s}, "Longest time that a worker takes to stop a run.", "1 s", false},
+        {"jobs.status_retention", DurationSetting{1s, 24h}, "How long callers may ask for the state of an ended job.", "120 s", false},
+        {"shutdown.grace", DurationSetting{1s, 60s}, "Time from SIGTERM until the process is killed.", "6 s", false},
+        {"logging.level", ChoiceSetting{{"debug", "info", "warning", "error"}}, "Lowest level that is written.", "info", false},
+        {"logging.format", ChoiceSetting{{"keyvalue", "json"}}, "Format of a log line.", "keyvalue", false},
+        {"logging.lines", IntegerSetting{1, 100000}, "Most log lines a second; more are counted and dropped.", "400", false},
+    };
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/node/topicfollower.cpp
@@ -0,0 +1,177 @@
+#include "topicfollower.h"
+
+#include <observability/logging.h>
+#include <ports/metadatastore.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace Hyssop {
+
+namespace asio = boost::asio;
+
+namespace Internal {
+
+constexpr std::chrono::milliseconds FailurePause{250};
+
+static const char *topicName(Topic topic)
+{
+    switch (topic) {
+    case Topic::Jobs:
+        return "jobs";
+    case Topic::Operators:
+        return "operators";
+    case Topic::Workers:
+        return "workers";
+    case Topic::Status:
+        return "status";
+    }
+    return "unknown";
+}
+
+} // namespace Internal
+
+TopicFollower::TopicFollower(asio::any_io_executor executor, const Clock &clock, MetadataStore &store, Topic topic)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+    , m_store(store)
+    , m_topic(topic)
+{
+}
+
+void TopicFollower::setHandlers(Apply apply, Answered answered)
+{
+    m_apply = std::move(apply);
+    m_answered = std::move(answered);
+}
+
+asio::awaitable<void> TopicFollower::run()
+{
+    m_stopped = false;
+    while (!m_stopped) {
+        if (!m_loaded) {
+            m_loaded = co_await load();
+            if (!m_loaded) {
+                co_await sleep(Internal::FailurePause);
+            }
+            continue;
+        }
+        co_await readNext();
+    }
+}
+
+Duration TopicFollower::age() const
+{
+    return m_clock.now() - m_confirmedAt;
+}
+
+asio::awaitable<bool> TopicFollower::load()
+{
+    std::set<std::string> present;
+    std::string after;
+    std::int64_t firstEnd = -1;
+    const TimePoint sentAt = m_clock.now();
+    while (true) {
+        NewestAnswer answer = co_await m_store.newest(m_topic, after);
+        const auto *page = std::get_if<NewestPage>(&answer);
+        if (page == nullptr) {
+            noteFailure(std::get<Error>(answer).message);
+            co_return false;
+        }
+        firstEnd = firstEnd < 0 ? page->end : firstEnd;
+        for (const KeyedRecord &record : page->records) {
+            present.insert(record.key);
+            applyRecord(record);
+            after = record.key;
+        }
+        if (!page->more || page->records.empty()) {
+            break;
+        }
+    }
+    removeMissing(present, firstEnd);
+    m_next = firstEnd;
+    logMessage(LogLevel::Info,
+               "follower",
+               "topic loaded",
+               {{"topic", Internal::topicName(m_topic)}, {"keys", present.size()}, {"offset", static_cast<long long>(m_next)}});
+    noteAnswer(sentAt);
+    co_return true;
+}
+
+asio::awaitable<void> TopicFollower::readNext()
+{
+    const TimePoint sentAt = m_clock.now();
+    const ReadAnswer answer = co_await m_store.read(m_topic, m_next, m_pace.wait);
+    if (m_stopped) {
+        co_return;
+    }
+    if (const auto *error = std::get_if<Error>(&answer)) {
+        noteFailure(error->message);
+        co_await sleep(Internal::FailurePause);
+        co_return;
+    }
+    if (std::holds_alternative<RecordsExpired>(answer)) {
+        m_loaded = false;
+        co_return;
+    }
+    for (const KeyedRecord &record : std::get<RecordPage>(answer).records) {
+        applyRecord(record);
+        m_next = record.offset + 1;
+    }
+    noteAnswer(sentAt);
+    co_await sleep(m_pace.pause);
+}
+
+void TopicFollower::removeMissing(const std::set<std::string> &present, std::int64_t offset)
+{
+    std::vector<std::string> missing;
+    for (const std::string &key : m_keys) {
+        if (!present.contains(key)) {
+            missing.push_back(key);
+        }
+    }
+    for (const std::string &key : missing) {
+        applyRecord({offset, key, std::nullopt});
+    }
+}
+
+void TopicFollower::applyRecord(const KeyedRecord &record)
+{
+    if (record.value) {
+        m_keys.insert(record.key);
+    } else {
+        m_keys.erase(record.key);
+    }
+    m_apply(record);
+}
+
+void TopicFollower::noteAnswer(TimePoint sentAt)
+{
+    if (m_failing) {
+        m_failing = false;
+        logMessage(LogLevel::Info, "follower", "store reachable again", {{"topic", Internal::topicName(m_topic)}});
+    }
+    m_confirmedAt = sentAt;
+    m_answered(sentAt);
+}
+
+void TopicFollower::noteFailure(const std::string &reason)
+{
+    if (!m_failing) {
+        m_failing = true;
+        logMessage(LogLevel::Warning, "follower", "store not reachable", {{"topic", Internal::topicName(m_topic)}, {"error", reason}});
+    }
+}
+
+asio::awaitable<void> TopicFollower::sleep(std::chrono::milliseconds time) const
+{
+    if (time.count() > 0) {
+        asio::steady_timer timer(m_executor, time);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/node/topicowner.cpp
@@ -0,0 +1,408 @@
+#include "topicowner.h"
+
+#include "topicfollower.h"
+
+#include <jobtopic/jobtable.h>
+#include <observability/logging.h>
+#include <observability/metricsregistry.h>
+#include <ports/adviceservice.h>
+#include <ports/metadatastore.h>
+#include <ports/workerfleet.h>
+#include <utils/overloaded.h>
+#include <wire/codec.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <random>
+
+namespace Hyssop {
+
+namespace asio = boost::asio;
+
+namespace Internal {
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds TickInterval{20};
+constexpr std::chrono::milliseconds StandbyInterval{200};
+constexpr std::chrono::milliseconds RenewalInterval{500};
+constexpr std::chrono::milliseconds AppendTimeout{1500};
+constexpr std::chrono::milliseconds AppendPause{60};
+constexpr std::chrono::milliseconds ReleaseTimeout{1000};
+constexpr int LongestClaimJitterMs = 250;
+constexpr const char *ProducerName = "owner";
+
+static std::int64_t randomNumber(std::int64_t maximum)
+{
+    std::random_device device;
+    std::mt19937_64 generator(device());
+    return std::uniform_int_distribution<std::int64_t>(1, maximum)(generator);
+}
+
+static const char *answerName(const OrderAnswer &answer)
+{
+    return std::visit(Overloaded{
+                          [](const OrderDone &) { return "done"; },
+                          [](const OrderRefused &) { return "refused"; },
+                          [](const OrderUnsent &) { return "unsent"; },
+                          [](const OrderUnknown &) { return "unknown"; },
+                      },
+                      answer);
+}
+
+static std::string answerDetail(const OrderAnswer &answer)
+{
+    return std::visit(Overloaded{
+                          [](const OrderDone &) { return std::string(); },
+                          [](const OrderRefused &refusal) { return refusal.detail; },
+                          [](const auto &failure) { return failure.reason; },
+                      },
+                      answer);
+}
+
+} // namespace Internal
+
+TopicOwner::TopicOwner(asio::any_io_executor executor,
+                       const Clock &clock,
+                       OwnerPorts ports,
+                       const JobTable &table,
+                       const TopicFollower &jobs,
+                       MetricsRegistry &metrics,
+                       const DispatchLimits &limits,
+                       std::string instance)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+    , m_ports(ports)
+    , m_table(table)
+    , m_jobs(jobs)
+    , m_metrics(metrics)
+    , m_instance(std::move(instance))
+    , m_incarnation(Internal::randomNumber(std::numeric_limits<std::int64_t>::max()))
+    , m_claimRule(std::chrono::milliseconds(Internal::randomNumber(Internal::LongestClaimJitterMs)))
+    , m_dispatcher(limits)
+{
+}
+
+void TopicOwner::jobRecordApplied(const JobKey &key)
+{
+    if (key.kind == JobKeyKind::Progress || key.kind == JobKeyKind::Claim) {
+        m_evidence.lastRecordAt = m_clock.now();
+    } else if (m_term && key.kind != JobKeyKind::Unknown) {
+        m_dispatcher.jobChanged(key.jobId, m_table.find(key.jobId), m_clock.now(), std::chrono::system_clock::now());
+    }
+}
+
+void TopicOwner::jobsRead(TimePoint sentAt)
+{
+    const TimePoint now = m_clock.now();
+    if (m_evidence.loadedAt == TimePoint()) {
+        m_evidence.loadedAt = now;
+    }
+    m_evidence.hasClaim = m_table.claim().has_value();
+    m_evidence.released = m_evidence.hasClaim && m_table.claim()->released;
+    if (m_term) {
+        if (ownsNewestClaim() && m_table.claim()->term == *m_term) {
+            m_dispatcher.confirmOwnership(sentAt);
+        } else {
+            stepDown("a later claim");
+        }
+        return;
+    }
+    if (m_releasing) {
+        return;
+    }
+    if (ownsNewestClaim()) {
+        becomeOwner();
+    } else if (!m_claiming && m_claimRule.shouldClaim(m_evidence, now)) {
+        m_claiming = true;
+        asio::co_spawn(m_executor, claim(), asio::detached);
+    }
+}
+
+void TopicOwner::applyConfiguration(const ClusterConfig &config, const std::set<std::string> &evacuatedDomains)
+{
+    m_config = config;
+    m_evacuated = evacuatedDomains;
+    m_dispatcher.applyConfiguration(config, evacuatedDomains);
+}
+
+void TopicOwner::updateWorker(const WorkerInfo &info)
+{
+    m_workers[info.id] = info;
+    if (m_term) {
+        m_dispatcher.updateWorker(info);
+    }
+}
+
+void TopicOwner::removeWorker(const std::string &id)
+{
+    m_workers.erase(id);
+    if (m_term) {
+        m_dispatcher.removeWorker(id);
+    }
+}
+
+asio::awaitable<void> TopicOwner::run()
+{
+    asio::steady_timer timer(m_executor);
+    while (true) {
+        timer.expires_after(m_term ? Internal::TickInterval : Internal::StandbyInterval);
+        co_await timer.async_wait(Internal::AsTuple);
+        if (!m_term || m_releasing) {
+            continue;
+        }
+        const TimePoint now = m_clock.now();
+        for (DispatchAction &action : m_dispatcher.advance(now, std::chrono::system_clock::now())) {
+            perform(std::move(action));
+        }
+        if (m_term && !m_appending && now - m_lastAppend >= Internal::RenewalInterval) {
+            beginAppend({claimRecord(false)}, false);
+        }
+    }
+}
+
+asio::awaitable<void> TopicOwner::release()
+{
+    m_releasing = true;
+    if (!m_term) {
+        co_return;
+    }
+    const TimePoint until = m_clock.now() + Internal::ReleaseTimeout;
+    asio::steady_timer timer(m_executor);
+    while (m_appending && m_clock.now() < until) {
+        timer.expires_after(Internal::TickInterval);
+        co_await timer.async_wait(Internal::AsTuple);
+    }
+    if (!m_term || m_appending) {
+        stepDown("shutdown while the store does not answer");
+        co_return;
+    }
+    TopicAppend append{Topic::Jobs, {claimRecord(true)}, std::nullopt, ProducerPosition{Internal::ProducerName, *m_term, m_sequence}};
+    stepDown("released");
+    const TopicAppendAnswer answer = co_await m_ports.store.append(std::move(append), Internal::ReleaseTimeout);
+    logMessage(LogLevel::Info, "owner", "ownership released", {{"durable", std::holds_alternative<TopicAppended>(answer)}});
+}
+
+bool TopicOwner::ownsNewestClaim() const
+{
+    const auto &claim = m_table.claim();
+    return claim && claim->instance == m_instance && claim->incarnation == m_incarnation && !claim->released && claim->term >= m_lowestTerm;
+}
+
+void TopicOwner::becomeOwner()
+{
+    const TimePoint now = m_clock.now();
+    m_term = m_table.claim()->term;
+    m_sequence = m_table.claim()->sequence + 1;
+    m_lastAppend = now;
+    m_appending = false;
+    m_dispatcher.begin(*m_term, m_table, now);
+    m_dispatcher.applyConfiguration(m_config, m_evacuated);
+    for (const auto &[id, info] : m_workers) {
+        m_dispatcher.updateWorker(info);
+    }
+    m_metrics.add("hyssop_ownerships_total");
+    logMessage(LogLevel::Info,
+               "owner",
+               "ownership gained",
+               {{"epoch", static_cast<long long>(*m_term)}, {"jobs", m_table.jobs().size()}, {"open_runs", m_dispatcher.openRuns()}, {"workers", m_workers.size()}});
+}
+
+void TopicOwner::stepDown(const std::string &reason)
+{
+    if (m_term) {
+        logMessage(LogLevel::Warning, "owner", "ownership given up", {{"epoch", static_cast<long long>(*m_term)}, {"reason", reason}});
+    }
+    if (m_term) {
+        m_lowestTerm = *m_term + 1;
+    }
+    m_term.reset();
+    m_evidence.lastRecordAt = m_clock.now();
+}
+
+asio::awaitable<void> TopicOwner::claim()
+{
+    Wire::TopicClaim claim;
+    claim.instance = m_instance;
+    claim.incarnation = m_incarnation;
+    claim.term = (m_table.claim() ? m_table.claim()->term : 0) + 1;
+    claim.sequence = 0;
+    TopicAppend append{Topic::Jobs, {{0, claimKey(), encode(claim)}}, m_jobs.end(), ProducerPosition{Internal::ProducerName, claim.term, claim.sequence}};
+    const TimePoint sentAt = m_clock.now();
+    const TopicAppendAnswer answer = co_await m_ports.store.append(std::move(append), Internal::AppendTimeout);
+    m_claimRule.noteStoreLatency(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - sentAt));
+    logMessage(LogLevel::Info,
+               "owner",
+               "claim sent",
+               {{"epoch", static_cast<long long>(claim.term)},
+                {"expected_end", static_cast<long long>(m_jobs.end())},
+                {"appended", std::holds_alternative<TopicAppended>(answer)}});
+    m_claiming = false; // reading the topic shows whether the claim succeeded
+}
+
+void TopicOwner::perform(DispatchAction action)
+{
+    std::visit(Overloaded{
+                   [&](StartOrder &order) { asio::co_spawn(m_executor, sendStart(std::move(order)), asio::detached); },
+                   [&](StopOrder &order) { asio::co_spawn(m_executor, sendStop(std::move(order)), asio::detached); },
+                   [&](PaceOrder &order) { asio::co_spawn(m_executor, sendPace(std::move(order)), asio::detached); },
+                   [&](PollOrder &order) { asio::co_spawn(m_executor, sendPoll(std::move(order)), asio::detached); },
+                   [&](AskAdvice &question) { asio::co_spawn(m_executor, sendAdvice(std::move(question)), asio::detached); },
+                   [&](StoreRecords &store) { beginAppend(std::move(store.records), true); },
+                   [&](const GiveUpOwnership &) { stepDown("a worker has seen a later owner"); },
+               },
+               action);
+}
+
+void TopicOwner::beginAppend(std::vector<KeyedRecord> records, bool isBatch)
+{
+    if (!m_term) {
+        return;
+    }
+    asio::co_spawn(m_executor, appendUntilKnown(std::move(records), isBatch, *m_term), asio::detached);
+}
+
+asio::awaitable<void> TopicOwner::appendUntilKnown(std::vector<KeyedRecord> records, bool isBatch, std::int64_t term)
+{
+    asio::steady_timer timer(m_executor);
+    while (m_appending && m_term == term) { // the sequence allows one append at a time
+        timer.expires_after(Internal::TickInterval);
+        co_await timer.async_wait(Internal::AsTuple);
+    }
+    if (m_term != term) {
+        co_return;
+    }
+    m_appending = true;
+    while (m_term == term) {
+        const TimePoint sentAt = m_clock.now();
+        TopicAppend append{Topic::Jobs, records, std::nullopt, ProducerPosition{Internal::ProducerName, term, m_sequence}};
+        const TopicAppendAnswer answer = co_await m_ports.store.append(std::move(append), Internal::AppendTimeout);
+        m_metrics.observe("hyssop_owner_append_seconds", m_clock.now() - sentAt);
+        if (m_term != term) {
+            co_return;
+        }
+        const bool undecided = std::holds_alternative<TopicAppendRefused>(answer) || std::holds_alternative<TopicAppendUnknown>(answer);
+        if (!undecided) {
+            m_appending = false;
+            appendAnswered(answer, isBatch, sentAt);
+            co_return;
+        }
+        m_metrics.add("hyssop_owner_append_retries_total");
+        timer.expires_after(Internal::AppendPause);
+        co_await timer.async_wait(Internal::AsTuple);
+    }
+}
+
+void TopicOwner::appendAnswered(const TopicAppendAnswer &answer, bool isBatch, TimePoint sentAt)
+{
+    if (!std::holds_alternative<TopicAppended>(answer)) {
+        const auto *fenced = std::get_if<ProducerFenced>(&answer);
+        stepDown("the store refused an append: " + (fenced != nullptr ? fenced->reason : std::string("end moved")));
+        return;
+    }
+    ++m_sequence;
+    m_lastAppend = m_clock.now();
+    m_dispatcher.confirmOwnership(sentAt);
+    if (isBatch) {
+        m_dispatcher.recordsStored(m_lastAppend);
+    }
+    updateGauges();
+}
+
+KeyedRecord TopicOwner::claimRecord(bool released) const
+{
+    Wire::TopicClaim claim;
+    claim.instance = m_instance;
+    claim.incarnation = m_incarnation;
+    claim.term = *m_term;
+    claim.sequence = m_sequence;
+    claim.released = released;
+    return {0, claimKey(), encode(claim)};
+}
+
+void TopicOwner::updateGauges()
+{
+    m_metrics.set("hyssop_open_runs", static_cast<double>(m_dispatcher.openRuns()));
+    m_metrics.set("hyssop_term", static_cast<double>(term()));
+}
+
+asio::awaitable<void> TopicOwner::sendStart(StartOrder order)
+{
+    const TimePoint sentAt = m_clock.now();
+    const OrderAnswer answer = co_await m_ports.fleet.start(order);
+    logMessage(LogLevel::Info,
+               "owner",
+               "start ordered",
+               {{"job_id", order.task.job},
+                {"task", order.task.toString()},
+                {"run", order.run},
+                {"worker", order.worker.id},
+                {"epoch", static_cast<long long>(order.fencingToken)},
+                {"outcome", Internal::answerName(answer)},
+                {"detail", Internal::answerDetail(answer)}});
+    m_metrics.observe("hyssop_start_seconds", m_clock.now() - sentAt);
+    m_metrics.add("hyssop_starts_total", {{"outcome", Internal::answerName(answer)}});
+    if (m_term) {
+        m_dispatcher.startAnswered(order, answer, m_clock.now());
+    }
+}
+
+asio::awaitable<void> TopicOwner::sendStop(StopOrder order)
+{
+    const OrderAnswer answer = co_await m_ports.fleet.stop(order);
+    logMessage(LogLevel::Info,
+               "owner",
+               "stop ordered",
+               {{"job_id", order.task.job},
+                {"task", order.task.toString()},
+                {"run", order.run},
+                {"worker", order.worker.id},
+                {"outcome", Internal::answerName(answer)},
+                {"detail", Internal::answerDetail(answer)}});
+    m_metrics.add("hyssop_stops_total", {{"outcome", Internal::answerName(answer)}});
+    if (m_term) {
+        m_dispatcher.stopAnswered(order, answer, m_clock.now());
+    }
+}
+
+asio::awaitable<void> TopicOwner::sendPace(PaceOrder order)
+{
+    const OrderAnswer answer = co_await m_ports.fleet.pace(order);
+    logMessage(LogLevel::Debug,
+               "owner",
+               "pace ordered",
+               {{"task", order.task.toString()}, {"worker", order.worker.id}, {"percent", order.percent}, {"outcome", Internal::answerName(answer)}});
+    m_metrics.add("hyssop_paces_total", {{"outcome", Internal::answerName(answer)}});
+    if (m_term) {
+        m_dispatcher.paceAnswered(order, answer);
+    }
+}
+
+asio::awaitable<void> TopicOwner::sendPoll(PollOrder order)
+{
+    const TimePoint sentAt = m_clock.now();
+    const PollAnswer answer = co_await m_ports.fleet.poll(order);
+    m_metrics.add("hyssop_polls_total", {{"outcome", std::holds_alternative<WorkerListing>(answer) ? "listed" : "failed"}});
+    if (m_term) {
+        m_dispatcher.pollAnswered(order, answer, sentAt, m_clock.now());
+    }
+}
+
+asio::awaitable<void> TopicOwner::sendAdvice(AskAdvice question)
+{
+    const TimePoint sentAt = m_clock.now();
+    const AdviceAnswer answer = co_await m_ports.advice.ask(question.step, question.workers);
+    const auto *given = std::get_if<AdviceGiven>(&answer);
+    logMessage(LogLevel::Info,
+               "owner",
+               "advice asked",
+               {{"job_id", question.step.job}, {"step", question.step.step}, {"workers", question.workers.size()}, {"allowed", given != nullptr ? given->tickets.size() : 0}});
+    if (m_term) {
+        m_dispatcher.adviceAnswered(question, answer, sentAt, m_clock.now());
+    }
+}
+
+} // namespace Hyssop
--- a/src/libs/observability/logging.cpp
+++ b/src/libs/observability/logging.cpp
@@ -7,7 +7,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
-#include <atomic>
+#include <chrono>
 #include <cstdio>
 #include <memory>
 
@@ -20,6 +20,10 @@
     log4cplus::Initializer initializer;
     LogFormat format = LogFormat::KeyValue;
     std::string instance;
+    int linesPerSecond = 0; // 0: no limit
+    int linesLeft = 0;
+    long droppedLines = 0;
+    std::chrono::steady_clock::time_point secondBegan{};
 };
 
 static std::unique_ptr<LoggingState> &loggingState()
@@ -79,6 +83,25 @@
     return result + "\"";
 }
 
+/// Takes one line from the budget of the current second.
+static bool takeLine(LoggingState &state)
+{
+    if (state.linesPerSecond == 0) {
+        return true;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (now - state.secondBegan >= std::chrono::seconds(1)) {
+        state.secondBegan = now;
+        state.linesLeft = state.linesPerSecond;
+    }
+    if (state.linesLeft <= 0) {
+        ++state.droppedLines;
+        return false;
+    }
+    --state.linesLeft;
+    return true;
+}
+
 static bool needsQuotes(std::string_view text)
 {
     return text.empty() || text.find_first_of(" =\"\\\t\r\n") != std::string_view::npos;
@@ -153,7 +176,7 @@
     }
     state->format = format;
     state->instance = instance;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
     const char *pattern = format == LogFormat::Json ? "{\"time\":\"%D{%Y-%m-%dT%H:%M:%S.%qZ}\",%m}%n" : "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} %m%n";
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
@@ -162,6 +185,13 @@
     root.setLogLevel(Internal::toLibraryLevel(level));
 }
 
+void setLogLineLimit(int linesPerSecond)
+{
+    if (auto &state = Internal::loggingState()) {
+        state->linesPerSecond = linesPerSecond;
+    }
+}
+
 LogLevel parseLogLevel(std::string_view name)
 {
     for (const LogLevel level : {LogLevel::Debug, LogLevel::Warning, LogLevel::Error}) {
@@ -185,7 +215,7 @@
     }
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     const log4cplus::LogLevel libraryLevel = Internal::toLibraryLevel(level);
-    if (!root.isEnabledFor(libraryLevel)) {
+    if (!root.isEnabledFor(libraryLevel) || !Internal::takeLine(*state)) {
         return;
     }
     std::string line;
@@ -200,6 +230,10 @@
     for (const LogField &field : fields) {
         Internal::appendField(line, state->format, field);
     }
+    if (state->droppedLines > 0) {
+        Internal::appendField(line, state->format, LogField("dropped_lines", state->droppedLines));
+        state->droppedLines = 0;
+    }
     root.log(libraryLevel, line);
 }
 
--- a/src/libs/observability/logging.h
+++ b/src/libs/observability/logging.h
@@ -36,9 +36,12 @@
     bool isText = true;
 };
 
-/// Sets up log4cplus to write to standard error. @p instance is added to every line.
+/// Sets up log4cplus to write to standard output. @p instance is added to every line.
 void initializeLogging(LogLevel level, LogFormat format, const std::string &instance);
 
+/// Limits the lines written in one second. Lines above the limit are dropped; the next line says how many.
+void setLogLineLimit(int linesPerSecond);
+
 /// Parses "debug", "info", "warning" or "error"; any other text gives LogLevel::Info.
 LogLevel parseLogLevel(std::string_view name);
 
--- /dev/null
+++ b/src/libs/ports/platformdecoder.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "clusterconfig.h"
+#include "workerinfo.h"
+
+#include <utils/result.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Hyssop {
+
+/// Meaning of a key of the operators' topic.
+struct OperatorKey
+{
+    enum class Kind { Configuration, Evacuation, Upkeep, Other } kind = Kind::Other;
+    std::string name; // failure domain or number of the upkeep wave
+};
+
+/// Decodes what operators and workers write to the store.
+class PlatformDecoder
+{
+public:
+    virtual ~PlatformDecoder() = default;
+
+    virtual OperatorKey operatorKey(std::string_view key) const = 0;
+    virtual Result<ClusterConfig> configuration(std::string_view bytes) const = 0;
+
+    /// Fails for a record that names no usable worker.
+    virtual Result<WorkerInfo> worker(std::string_view id, std::string_view bytes) const = 0;
+};
+
+} // namespace Hyssop
--- a/src/libs/utils/clock.cpp
+++ b/src/libs/utils/clock.cpp
@@ -1,13 +1,20 @@
 #include "clock.h"
 
+#include <ctime>
+
 namespace Hyssop {
 
+Clock::Clock(SuspendTime suspendTime)
+    : m_suspendTime(suspendTime)
+{
+}
+
 TimePoint Clock::now() const
 {
     if (m_pausedAt) {
         return *m_pausedAt;
     }
-    return std::chrono::steady_clock::now() + m_offset;
+    return source() + m_offset;
 }
 
 void Clock::pause()
@@ -27,10 +34,19 @@
     if (!m_pausedAt) {
         return;
     }
-    m_offset = *m_pausedAt - std::chrono::steady_clock::now();
+    m_offset = *m_pausedAt - source();
     m_pausedAt.reset();
 }
 
+TimePoint Clock::source() const
+{
+    timespec time{};
+    if (m_suspendTime == SuspendTime::Ignored || clock_gettime(CLOCK_BOOTTIME, &time) != 0) {
+        return std::chrono::steady_clock::now();
+    }
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 std::chrono::milliseconds sinceEpoch(WallTime time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch());
--- a/src/libs/utils/clock.h
+++ b/src/libs/utils/clock.h
@@ -9,10 +9,18 @@
 using Duration = std::chrono::steady_clock::duration;
 using WallTime = std::chrono::system_clock::time_point;
 
+/// What a clock counts while the machine is suspended.
+enum class SuspendTime {
+    Ignored, // as std::chrono::steady_clock
+    Counted,
+};
+
 /// Source of monotonic time. Tests pause it and advance it by hand.
 class Clock
 {
 public:
+    explicit Clock(SuspendTime suspendTime = SuspendTime::Ignored);
+
     /// Returns the current time; constant while the clock is paused.
     TimePoint now() const;
 
@@ -26,6 +34,9 @@
     void resume();
 
 private:
+    TimePoint source() const;
+
+    SuspendTime m_suspendTime;
     std::optional<TimePoint> m_pausedAt;
     Duration m_offset = Duration::zero();
 };
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -61,6 +61,21 @@
     return Internal::encodeValue(batch);
 }
 
+std::string encode(const Wire::StepJob &job)
+{
+    return Internal::encodeValue(job);
+}
+
+std::string encode(const Wire::JobProgress &progress)
+{
+    return Internal::encodeValue(progress);
+}
+
+std::string encode(const Wire::TopicClaim &claim)
+{
+    return Internal::encodeValue(claim);
+}
+
 Result<Wire::Envelope> decodeEnvelope(std::string_view bytes)
 {
     return Internal::decodeValue<Wire::Envelope>(bytes);
@@ -71,4 +86,19 @@
     return Internal::decodeValue<Wire::RecordBatch>(bytes);
 }
 
+Result<Wire::StepJob> decodeStepJob(std::string_view bytes)
+{
+    return Internal::decodeValue<Wire::StepJob>(bytes);
+}
+
+Result<Wire::JobProgress> decodeJobProgress(std::string_view bytes)
+{
+    return Internal::decodeValue<Wire::JobProgress>(bytes);
+}
+
+Result<Wire::TopicClaim> decodeTopicClaim(std::string_view bytes)
+{
+    return Internal::decodeValue<Wire::TopicClaim>(bytes);
+}
+
 } // namespace Hyssop
--- a/src/libs/wire/codec.h
+++ b/src/libs/wire/codec.h
@@ -16,10 +16,16 @@
 /// Encodes with the Thrift compact protocol.
 std::string encode(const Wire::Envelope &envelope);
 std::string encode(const Wire::RecordBatch &batch);
+std::string encode(const Wire::StepJob &job);
+std::string encode(const Wire::JobProgress &progress);
+std::string encode(const Wire::TopicClaim &claim);
 
 /// Decodes with the Thrift compact protocol. Fails with ErrorCode::TooLarge above LargestWireMessage and with
 /// ErrorCode::Malformed for anything that is not exactly one value of the type.
 Result<Wire::Envelope> decodeEnvelope(std::string_view bytes);
 Result<Wire::RecordBatch> decodeRecordBatch(std::string_view bytes);
+Result<Wire::StepJob> decodeStepJob(std::string_view bytes);
+Result<Wire::JobProgress> decodeJobProgress(std::string_view bytes);
+Result<Wire::TopicClaim> decodeTopicClaim(std::string_view bytes);
 
 } // namespace Hyssop
--- a/src/libs/wire/hyssop.thrift
+++ b/src/libs/wire/hyssop.thrift
@@ -168,6 +168,75 @@
   10: bool notRun = false,    // certainly not sent to a target; the key may be used again
 }
 
+/* ---- Records of the keyed job topic (docs/platform.md) ---- */
+
+/* Tasks of one step: all alike but for their index. */
+struct TaskStep {
+  1: i32 taskCount = 1,
+  2: i64 milliCores = 0,
+  3: i64 memoryMb = 0,
+  4: i32 accelerators = 0,
+  5: i64 estimateMs = 0,
+  6: list<i32> after,            // steps that end before this one begins
+  7: bool checkpointable = false,
+  8: bool gang = false,          // tasks run together or not at all
+  9: bool sameRack = false,
+  10: string label,              // worker label that the step needs; empty: none
+  11: string dataRack,           // rack with the step's data; empty: none
+  12: i32 perWorker = 0,         // most tasks of the step on one worker; 0: any number
+  13: bool speculative = false,  // copies of a task may run in parallel
+  14: bool longRunning = false,  // serves until the job is cancelled
+  15: string image,
+  16: i64 tailTargetMs = 0,      // target of the response time tail of a serving task; 0: none
+  17: bool fillsIdle = false,    // runs on processor time that other tasks leave idle
+  18: i32 mayMiss = 0,           // tasks that may be away at once by our own doing
+}
+
+struct StepJob {
+  1: string queue,
+  2: string payload,
+  3: list<TaskStep> steps,
+  4: i64 acceptedAtMs = 0,       // wall clock of the accepting instance
+  5: i32 repeatCount = 0,        // 0: runs once, at once
+  6: i64 startAtMs = 0,
+  7: i64 intervalMs = 0,
+}
+
+enum JobPhase { Pending = 1, Running = 2, Completed = 3, Failed = 4, Cancelled = 5 }
+
+/* A task with something to remember; all others are untouched or done. */
+struct TaskMark {
+  1: i32 index = 0,
+  2: i32 run = 0,                // number of the newest run
+  3: i32 failures = 0,
+  4: string worker,              // worker of an open run; empty: none
+  5: string checkpoint,
+}
+
+struct StepMarks {
+  1: i32 occurrence = 0,
+  2: i32 step = 0,
+  3: binary doneMask,            // bit i: task i is done
+  4: list<TaskMark> marks,
+}
+
+/* Whole progress of one job, written by the owner. */
+struct JobProgress {
+  1: JobPhase phase = JobPhase.Pending,
+  2: list<StepMarks> steps,
+  3: i64 endedAtMs = 0,          // owner's wall clock; 0: not ended
+  4: i32 finishedOccurrences = 0, // occurrences below this number are done
+}
+
+/* Claims the job topic. The store accepts it only at the log end that the claimant has read. */
+struct TopicClaim {
+  1: string instance,
+  2: i64 incarnation = 0,
+  3: i64 term = 0,               // fencing token of everything the owner orders
+  4: bool released = false,      // the owner stops on purpose; others may claim at once
+  5: i64 sequence = 0,           // renewal counter
+}
+
 union Record {
   1: ConfigChange configChange,
   2: ConfigSnapshot configSnapshot,
--- /dev/null
+++ b/src/tools/hyssop-node/main.cpp
@@ -0,0 +1,94 @@
+#include <adviceclient.h>
+#include <jobendpoint.h>
+#include <recorddecoder.h>
+#include <storeclient.h>
+#include <wirenames.h>
+#include <workerclient.h>
+
+#include <http/httpclient.h>
+#include <instance/programoptions.h>
+#include <node/nodedaemon.h>
+#include <node/nodesettings.h>
+#include <observability/logging.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+using namespace Hyssop;
+
+namespace {
+
+/// Adds the settings file that the platform names in the environment, if the command line names none.
+std::vector<std::string> completeArguments(int argc, char **argv)
+{
+    std::vector<std::string> arguments(argv, argv + argc);
+    const char *file = std::getenv(Platform::SettingsVariable.data());
+    if (arguments.size() == 1 && file != nullptr) {
+        arguments.emplace_back("--config");
+        arguments.emplace_back(file);
+    }
+    return arguments;
+}
+
+void setUpLogging(const Settings &settings)
+{
+    initializeLogging(parseLogLevel(settings.text("logging.level")), parseLogFormat(settings.text("logging.format")), settings.text("instance.name"));
+    setLogLineLimit(static_cast<int>(settings.integer("logging.lines")));
+}
+
+void reloadSettings(const std::string &file)
+{
+    auto loaded = Settings::load(file, nodeSettings());
+    if (const auto *faults = std::get_if<std::vector<SettingFault>>(&loaded)) {
+        for (const SettingFault &fault : *faults) {
+            logMessage(LogLevel::Error, "node", "settings refused, the old ones stay", {{"error", fault.toString()}});
+        }
+        return;
+    }
+    setUpLogging(std::get<Settings>(loaded));
+    logMessage(LogLevel::Info, "node", "settings reloaded", {{"file", file}});
+}
+
+int runDaemon(const Settings &settings, const std::string &file)
+{
+    setUpLogging(settings);
+    boost::asio::io_context context(1);
+    MetricsRegistry metrics;
+    HttpClient http(context.get_executor());
+    Platform::StoreClient store(http, settings.text("store.address"));
+    Platform::WorkerClient workers(http, metrics);
+    const auto adviceAddresses = settings.list("advice.address");
+    Platform::AdviceClient advice(http, adviceAddresses.empty() ? std::string() : adviceAddresses.front());
+    Platform::RecordDecoder decoder;
+    NodeDaemon daemon(context, settings, {store, workers, advice}, decoder, metrics, [file] { reloadSettings(file); });
+    Platform::JobEndpoint endpoint(daemon.intake(), daemon.table(), daemon.cluster());
+    daemon.start([&](const HttpRequest &request) { return endpoint.answer(request); },
+                 [&](const HttpRequest &request) { return Platform::answerReadiness(request, daemon.isReady()); });
+    context.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::vector<std::string> arguments = completeArguments(argc, argv);
+    std::vector<char *> pointers;
+    for (std::string &argument : arguments) {
+        pointers.push_back(argument.data());
+    }
+    const auto parsed = parseProgramOptions(static_cast<int>(pointers.size()), pointers.data(), "hyssop-node", nodeSettings());
+    if (const auto *code = std::get_if<ExitCode>(&parsed)) {
+        return code->value;
+    }
+    try {
+        return runDaemon(std::get<Settings>(parsed), arguments.back());
+    } catch (const std::exception &error) {
+        std::cerr << "hyssop-node: " << error.what() << "\n";
+        return 1;
+    }
+}
