Learn the effect of each pair of images and place and pace filling work by it

Cause: one pace for all filling tasks of a worker halted harmless ones, and heavy pairs were placed together again. Ruled out: processor time of the owner (2.5 % of a core used).

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -58,7 +58,7 @@
         if (!task.isOpen()) {
             return;
         }
-        viewOf(task.worker).addRun(id, useOf(job.step(id.step), task.run));
+        viewOf(task.worker).addRun(id, describeUse(job.step(id.step), task.run));
         if (job.isEnded()) {
             task.phase = TaskPhase::Stopping;
         }
@@ -137,6 +137,13 @@
     return count;
 }
 
+RunUse Dispatcher::describeUse(const Wire::TaskStep &step, int run)
+{
+    RunUse use = useOf(step, run);
+    m_sharing.describe(step.image, step.tailTargetMs, step.fillsIdle, use);
+    return use;
+}
+
 WorkerView &Dispatcher::viewOf(const std::string &worker)
 {
     const auto [entry, isNew] = m_workers.try_emplace(worker);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "dispatchlimits.h"
 #include "jobbook.h"
 #include "leaserule.h"
+#include "sharingrule.h"
 #include "ticketbook.h"
 #include "workerview.h"
 
@@ -76,6 +77,7 @@
         std::map<std::string, StoredEnd> ends; // by worker
     };
 
+    RunUse describeUse(const Wire::TaskStep &step, int run);
     WorkerView &viewOf(const std::string &worker);
     WorkerView *findWorker(const std::string &worker);
     WorkerAddress addressOf(const WorkerView &worker) const;
@@ -129,6 +131,7 @@
     ClusterConfig m_config;
     std::set<std::string> m_evacuated;
     TicketBook m_tickets;
+    SharingRule m_sharing;
     std::vector<DispatchAction> m_actions;
     Intents m_newIntents; // not yet in a batch
     OpenBatch m_batch; // on its way to the store
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -91,7 +91,7 @@
     for (auto &[id, worker] : m_workers) {
         workers.push_back(&worker);
     }
-    const WorkerChoice choice(std::move(workers), m_evacuated, now);
+    const WorkerChoice choice(std::move(workers), m_evacuated, m_sharing, now);
     std::ranges::sort(waiting, {}, &Internal::WaitingStep::urgency);
     for (const Internal::WaitingStep &item : waiting) {
         placeStep(*item.job, item.occurrence, item.step, choice, m_config.queues.at(item.job->job.queue), now);
@@ -105,6 +105,8 @@
     PlacementWish wish;
     wish.step = &job.step(step);
     wish.service = queue.service;
+    const RunUse use = describeUse(*wish.step, 0);
+    wish.use = &use;
     wish.tasksOfStep = &perWorker;
     if (needsAdvice({job.id, occurrence, step, 0}, queue, wish, now)) {
         return;
@@ -160,7 +162,7 @@
                 break;
             }
             const TaskId id{job.id, occurrence, step, static_cast<int>(index)};
-            worker->addRun(id, useOf(*wish.step, run));
+            worker->addRun(id, *wish.use);
             ++perWorker[worker->info.id];
             placed.emplace_back(id, worker);
         }
@@ -223,7 +225,7 @@
     task.percent = -1;
     task.percentSince = now;
     task.pacePercent = 100;
-    worker.addRun(id, useOf(job.step(id.step), run));
+    worker.addRun(id, describeUse(job.step(id.step), run));
     job.hasStarted = true;
     m_jobs.markChanged(job);
     m_newIntents.emplace_back(id, run);
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -1,7 +1,5 @@
 #include "dispatcher.h"
 
-#include "pacerule.h"
-
 #include <utils/overloaded.h>
 
 #include <algorithm>
@@ -19,6 +17,10 @@
 constexpr std::chrono::milliseconds StopRepeatInterval{400};
 constexpr std::chrono::milliseconds LongestStall{4000};
 constexpr std::chrono::milliseconds StrayStopInterval{500};
+// Tails are reported over half a second, so the effect of a change shows only after that time.
+constexpr std::chrono::milliseconds PaceInterval{600};
+// No filling task is placed while a tail is above this share of its target.
+constexpr double TightRatio = 0.85;
 // A worker lists at most this many ends in one answer.
 constexpr std::size_t ListedEndsLimit = 500;
 
@@ -234,28 +236,30 @@
 
 void Dispatcher::adjustPace(WorkerView &worker, const WorkerListing &listing, TimePoint now)
 {
+    std::vector<SharedRun> runs;
+    std::vector<const ListedRun *> listed;
     double worstRatio = 0;
-    std::vector<const ListedRun *> fillers;
     for (const ListedRun &run : listing.runs) {
-        const JobRun *job = m_jobs.find(run.task.job);
-        if (job == nullptr || run.task.step >= static_cast<int>(job->job.steps.size())) {
+        const auto use = worker.runs.find(run.task);
+        const TaskRun *task = m_jobs.task(run.task);
+        const bool isServing = use != worker.runs.end() && use->second.tailTargetMs > 0;
+        if (use == worker.runs.end() || task == nullptr || task->phase != TaskPhase::Running || (isServing && run.percent < 100)) {
             continue;
         }
-        const Wire::TaskStep &step = job->step(run.task.step);
-        if (step.tailTargetMs > 0 && run.percent >= 100) {
-            worstRatio = std::max(worstRatio, run.load / static_cast<double>(step.tailTargetMs));
-        } else if (step.fillsIdle) {
-            fillers.push_back(&run);
-        }
+        runs.push_back({&use->second, run.load, task->pacePercent});
+        listed.push_back(&run);
+        worstRatio = isServing ? std::max(worstRatio, run.load / static_cast<double>(use->second.tailTargetMs)) : worstRatio;
     }
-    if (const auto pace = nextFillPace(worker, worstRatio, now)) {
-        worker.fillPercent = *pace;
-        worker.paceChangedAt = now;
+    m_sharing.observe(runs);
+    worker.isTight = worstRatio > Internal::TightRatio;
+    if (now - worker.paceChangedAt < Internal::PaceInterval) {
+        return;
     }
-    for (const ListedRun *run : fillers) {
-        const TaskRun *task = m_jobs.task(run->task);
-        if (task != nullptr && task->phase == TaskPhase::Running && task->pacePercent != worker.fillPercent) {
-            m_actions.emplace_back(PaceOrder{addressOf(worker), run->task, run->run, worker.fillPercent, m_term});
+    const std::vector<int> paces = m_sharing.paces(runs);
+    for (std::size_t index = 0; index < runs.size(); ++index) {
+        if (runs[index].use->fillsIdle && paces[index] != runs[index].pacePercent) {
+            worker.paceChangedAt = now;
+            m_actions.emplace_back(PaceOrder{addressOf(worker), listed[index]->task, listed[index]->run, paces[index], m_term});
         }
     }
 }
--- /dev/null
+++ b/src/libs/dispatch/sharingrule.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <placement/interferencemodel.h>
+#include <placement/nametable.h>
+#include <utils/clock.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Hyssop {
+
+struct RunUse;
+struct WorkerView;
+
+/// One run on a worker as the sharing rule sees it.
+struct SharedRun
+{
+    const RunUse *use = nullptr;
+    double load = 0; // tail in ms of a serving run; thousandths of a core in use of others
+    int pacePercent = 100; // of a filling run, as last confirmed by the worker
+};
+
+/// Decides which filling tasks may run beside which serving tasks, and at which pace.
+///
+/// Load pattern: filling tasks slow serving tasks on the same worker, by amounts that differ between the two images and
+/// change within seconds; most pairs are harmless and some raise the tail tenfold. The effect of each pair is learned from
+/// the reported tails. A filling task is placed only where no serving task is expected to come near its target, and when a
+/// tail is over its target, the filling run with the largest learned share in it is slowed first.
+class SharingRule
+{
+public:
+    /// Notes the image of a run in @p use.
+    void describe(const std::string &image, std::int64_t tailTargetMs, bool fillsIdle, RunUse &use);
+
+    /// Learns from what a worker lists.
+    void observe(const std::vector<SharedRun> &runs);
+
+    /// Returns the highest expected ratio of tail and target on @p worker with @p candidate added; 0 without serving runs.
+    double expectedRatio(const WorkerView &worker, const RunUse &candidate) const;
+
+    /// Returns true if the image of @p filler disturbs serving tasks on average.
+    bool isDisturbing(const RunUse &filler) const;
+
+    /// Returns the pace in percent for each of @p runs (of filling runs; others get 100).
+    std::vector<int> paces(const std::vector<SharedRun> &runs) const;
+
+private:
+    double effect(const RunUse &serving, const RunUse &filler) const;
+    std::size_t worstFiller(const std::vector<SharedRun> &runs, const SharedRun &serving) const;
+    void raiseOne(const std::vector<SharedRun> &runs, std::vector<int> &paces) const;
+
+    Internal::InterferenceModel m_model;
+    Internal::NameTable m_images{Internal::InterferenceModel::MaximumKinds};
+};
+
+} // namespace Hyssop
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -1,5 +1,6 @@
 #include "workerchoice.h"
 
+#include "sharingrule.h"
 #include "workerview.h"
 
 #include <algorithm>
@@ -15,6 +16,12 @@
 constexpr int LeastIdlePercent = 80;
 // Preference for the rack of the data, in thousandths of a core of free capacity.
 constexpr std::int64_t DataRackBonus = 1'000'000;
+// A filling task is placed only where the tails of serving tasks are expected below this share of their targets.
+constexpr double HighestExpectedRatio = 0.8;
+// Preference of disturbing filling tasks for workers without serving tasks, and the reverse, in thousandths of a core.
+constexpr std::int64_t SeparationBonus = 40'000;
+// Weight of an expected tail at its target, in thousandths of a core.
+constexpr double TailWeight = 30'000;
 
 static bool mayGetWork(const WorkerView &worker, const std::set<std::string> &evacuatedDomains, TimePoint now)
 {
@@ -34,7 +41,7 @@
 
 static bool hasIdleTime(const WorkerView &worker, const Wire::TaskStep &step)
 {
-    return worker.fillPercent == 100 && worker.expectedIdle() * 100 >= step.milliCores * LeastIdlePercent;
+    return !worker.isTight && worker.expectedIdle() * 100 >= step.milliCores * LeastIdlePercent;
 }
 
 static int openTasks(const PlacementWish &wish, const std::string &worker)
@@ -46,12 +53,6 @@
     return count != wish.tasksOfStep->end() ? count->second : 0;
 }
 
-static std::int64_t score(const WorkerView &worker, const Wire::TaskStep &step)
-{
-    const std::int64_t room = step.fillsIdle ? worker.expectedIdle() : worker.freeCapacity().milliCores;
-    return room + (!step.dataRack.empty() && worker.info.rack == step.dataRack ? DataRackBonus : 0);
-}
-
 } // namespace Internal
 
 RunUse useOf(const Wire::TaskStep &step, int run)
@@ -66,8 +67,9 @@
     return use;
 }
 
-WorkerChoice::WorkerChoice(std::vector<WorkerView *> workers, const std::set<std::string> &evacuatedDomains, TimePoint now)
+WorkerChoice::WorkerChoice(std::vector<WorkerView *> workers, const std::set<std::string> &evacuatedDomains, const SharingRule &sharing, TimePoint now)
     : m_workers(std::move(workers))
+    , m_sharing(sharing)
     , m_now(now)
 {
     std::erase_if(m_workers, [&](const WorkerView *worker) { return !Internal::mayGetWork(*worker, evacuatedDomains, now); });
@@ -81,10 +83,10 @@
         if (!fits(*worker, wish)) {
             continue;
         }
-        const std::int64_t score = Internal::score(*worker, *wish.step);
-        if (best == nullptr || score > bestScore) {
+        const std::int64_t workerScore = score(*worker, wish);
+        if (best == nullptr || workerScore > bestScore) {
             best = worker;
-            bestScore = score;
+            bestScore = workerScore;
         }
     }
     return best;
@@ -106,6 +108,25 @@
     return racks;
 }
 
+std::int64_t WorkerChoice::score(const WorkerView &worker, const PlacementWish &wish) const
+{
+    const Wire::TaskStep &step = *wish.step;
+    const std::int64_t bonus = !step.dataRack.empty() && worker.info.rack == step.dataRack ? Internal::DataRackBonus : 0;
+    if (step.fillsIdle) {
+        return bonus + fillingScore(worker, wish);
+    }
+    const std::int64_t free = worker.freeCapacity().milliCores;
+    return bonus + (step.longRunning ? -free : free);
+}
+
+std::int64_t WorkerChoice::fillingScore(const WorkerView &worker, const PlacementWish &wish) const
+{
+    const bool besideServing = worker.servingCommitted > 0;
+    const std::int64_t separation = m_sharing.isDisturbing(*wish.use) == besideServing ? 0 : Internal::SeparationBonus;
+    const auto tail = static_cast<std::int64_t>(m_sharing.expectedRatio(worker, *wish.use) * Internal::TailWeight);
+    return worker.expectedIdle() + separation - tail;
+}
+
 bool WorkerChoice::fits(const WorkerView &worker, const PlacementWish &wish) const
 {
     const Wire::TaskStep &step = *wish.step;
@@ -121,10 +142,10 @@
     if (wish.tickets != nullptr && !wish.tickets->contains(worker.info.id)) {
         return false;
     }
-    if (step.fillsIdle && !Internal::hasIdleTime(worker, step)) {
+    if (!wish.use->counted.fitsIn(worker.freeCapacity())) {
         return false;
     }
-    return useOf(step, 0).counted.fitsIn(worker.freeCapacity());
+    return !step.fillsIdle || (Internal::hasIdleTime(worker, step) && m_sharing.expectedRatio(worker, *wish.use) < Internal::HighestExpectedRatio);
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerchoice.h
+++ b/src/libs/dispatch/workerchoice.h
@@ -11,6 +11,7 @@
 
 namespace Hyssop {
 
+class SharingRule;
 struct RunUse;
 struct WorkerView;
 
@@ -21,6 +22,7 @@
     std::string service;
     std::string rack; // only this rack; empty: any
     const std::map<std::string, std::string> *tickets = nullptr; // only these workers, by id; null: any
+    const RunUse *use = nullptr; // what the task uses
     const std::map<std::string, int> *tasksOfStep = nullptr; // open tasks of the same step by worker
 };
 
@@ -30,13 +32,13 @@
 /// Decides where a task runs.
 ///
 /// Load pattern: serving tasks hold most of the counted capacity while filling tasks want what these leave idle. Counted
-/// tasks go where most capacity is free. Filling tasks go where most processor time is idle, and not where the serving
-/// tasks are already slow.
+/// tasks go where most capacity is free; serving tasks are packed on few workers, which leaves others to the filling tasks
+/// that disturb them. Filling tasks go where most processor time is idle and no serving task comes near its target.
 class WorkerChoice
 {
 public:
-    /// Takes a snapshot of the workers that may get work at @p now. The views must outlive this object.
-    WorkerChoice(std::vector<WorkerView *> workers, const std::set<std::string> &evacuatedDomains, TimePoint now);
+    /// Takes a snapshot of the workers that may get work at @p now. The views and @p sharing must outlive this object.
+    WorkerChoice(std::vector<WorkerView *> workers, const std::set<std::string> &evacuatedDomains, const SharingRule &sharing, TimePoint now);
 
     /// Returns the best worker, or a null pointer if none fits now.
     WorkerView *choose(const PlacementWish &wish) const;
@@ -47,7 +49,11 @@
 private:
     bool fits(const WorkerView &worker, const PlacementWish &wish) const;
 
+    std::int64_t score(const WorkerView &worker, const PlacementWish &wish) const;
+    std::int64_t fillingScore(const WorkerView &worker, const PlacementWish &wish) const;
+
     std::vector<WorkerView *> m_workers;
+    const SharingRule &m_sharing;
     TimePoint m_now;
 };
 
--- a/src/libs/dispatch/workerview.h
+++ b/src/libs/dispatch/workerview.h
@@ -20,6 +20,9 @@
     Resources counted; // against the worker's capacity
     std::int64_t idleMilliCores = 0; // of what other tasks leave idle
     std::int64_t servingMilliCores = 0; // part of counted that a serving task rarely uses in full
+    std::uint32_t image = 0; // number of the image in the sharing rule
+    std::int64_t tailTargetMs = 0; // target of a serving task's tail; 0: none
+    bool fillsIdle = false;
 };
 
 /// The owner's view of one worker.
@@ -47,8 +50,8 @@
     std::int64_t servingCommitted = 0;
     std::map<TaskId, TimePoint> strayStops; // when a run that is not ours was last told to stop
 
-    int fillPercent = 100; // pace of the tasks that fill idle time here
-    TimePoint paceChangedAt{};
+    TimePoint paceChangedAt{}; // when the pace of a filling run here was last changed
+    bool isTight = false; // a serving task is near its target
 
     /// Commits and releases what a run uses.
     void addRun(const TaskId &task, const RunUse &use);
