Model tails by utilization and group serving tasks by image

Cause: a mixed worker suits hardly any filling image; the log-linear model took minutes to separate pairs.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <ports/keyedrecord.h>
-#include <ports/orders.h>
+#include <ports/orderanswers.h>
 
 #include <string>
 #include <variant>
@@ -27,6 +27,24 @@
 {
 };
 
-using DispatchAction = std::variant<StartOrder, StopOrder, PaceOrder, PollOrder, StoreRecords, AskAdvice, GiveUpOwnership>;
+/// For the log: a run has ended.
+struct RunEnded
+{
+    TaskId task;
+    int run = 0;
+    std::string worker;
+    RunEnding ending = RunEnding::Failed;
+    int failures = 0; // of the task so far
+};
+
+/// For the log: a job has ended.
+struct JobEnded
+{
+    std::string jobId;
+    std::string phase;
+    std::chrono::milliseconds sinceAccepted{0};
+};
+
+using DispatchAction = std::variant<StartOrder, StopOrder, PaceOrder, PollOrder, StoreRecords, AskAdvice, GiveUpOwnership, RunEnded, JobEnded>;
 
 } // namespace Hyssop
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -179,11 +179,18 @@
     }
 }
 
+void Dispatcher::reportEnd(const JobRun &job)
+{
+    const char *phase = job.completed ? "completed" : job.failed ? "failed" : "cancelled";
+    m_actions.emplace_back(JobEnded{job.id, phase, std::chrono::milliseconds(job.endedAtMs - job.job.acceptedAtMs)});
+}
+
 void Dispatcher::endJob(JobRun &job, TimePoint now)
 {
     job.endedAtMs = m_wallMs;
     m_jobs.markChanged(job);
     m_tickets.forgetJob(job.id);
+    reportEnd(job);
     Internal::forEachTask(job, [&](const TaskId &id, TaskRun &task) {
         if (task.phase == TaskPhase::Intended) {
             requeue(id, task, now);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -97,6 +97,8 @@
     void noteProgress(WorkerView &worker, const ListedRun &run, TaskRun &task, TimePoint now);
     void findMissingRuns(WorkerView &worker, const WorkerListing &listing, TimePoint sentAt, TimePoint now);
     void stopStray(WorkerView &worker, const ListedRun &run, TimePoint now);
+    std::vector<NeighbourLoad> endedLoads(WorkerView &worker, TimePoint now);
+    void noteEndedFiller(const TaskId &id, const TaskRun &task, TimePoint now);
     void adjustPace(WorkerView &worker, const WorkerListing &listing, TimePoint now);
 
     void sendStart(const TaskId &id, TaskRun &task, TimePoint now);
@@ -108,6 +110,7 @@
     void noteDone(const TaskId &id, TaskRun &task);
     void finishOccurrences(JobRun &job);
     void noteFailedRun(const TaskId &id, TaskRun &task, TimePoint now);
+    void reportEnd(const JobRun &job);
     void endJob(JobRun &job, TimePoint now);
     bool mayStartOn(const WorkerView &worker, TimePoint now) const;
 
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -198,13 +198,15 @@
     if (WorkerView *worker = findWorker(task.worker); worker != nullptr && ending == RunEnding::Done) {
         worker->trust.noteSuccess();
     }
+    if (ending == RunEnding::Failed) {
+        noteFailedRun(id, task, now);
+    }
+    noteEndedFiller(id, task, now);
+    m_actions.emplace_back(RunEnded{id, task.run, task.worker, ending, task.failures});
     if (ending == RunEnding::Done && !isLasting) {
         noteDone(id, task);
         return;
     }
-    if (ending == RunEnding::Failed) {
-        noteFailedRun(id, task, now);
-    }
     requeue(id, task, now);
     const QueueInfo *queue = m_config.queues.contains(job->job.queue) ? &m_config.queues.at(job->job.queue) : nullptr;
     const bool exhausted = queue != nullptr && !isLasting && task.failures >= queue->maximumFailures;
@@ -214,6 +216,18 @@
     }
 }
 
+void Dispatcher::noteEndedFiller(const TaskId &id, const TaskRun &task, TimePoint now)
+{
+    WorkerView *worker = findWorker(task.worker);
+    if (worker == nullptr || task.load <= 0) {
+        return;
+    }
+    const auto use = worker->runs.find(id);
+    if (use != worker->runs.end() && use->second.fillsIdle) {
+        worker->endedFillers.push_back({use->second, task.load, now});
+    }
+}
+
 void Dispatcher::noteFailedRun(const TaskId &id, TaskRun &task, TimePoint now)
 {
     ++task.failures;
@@ -261,6 +275,7 @@
         job.completed = true;
         job.endedAtMs = m_wallMs;
         m_tickets.forgetJob(job.id);
+        reportEnd(job);
     }
 }
 
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -18,9 +18,10 @@
 constexpr std::chrono::milliseconds LongestStall{4000};
 constexpr std::chrono::milliseconds StrayStopInterval{500};
 // Tails are reported over half a second, so the effect of a change shows only after that time.
-constexpr std::chrono::milliseconds PaceInterval{600};
+constexpr std::chrono::milliseconds TailReportTime{500};
+constexpr std::chrono::milliseconds PaceInterval{400};
 // No filling task is placed while a tail is above this share of its target.
-constexpr double TightRatio = 0.85;
+constexpr double TightRatio = 0.6;
 // A worker lists at most this many ends in one answer.
 constexpr std::size_t ListedEndsLimit = 500;
 
@@ -234,6 +235,17 @@
     m_actions.emplace_back(StopOrder{addressOf(worker), run.task, run.run, m_term});
 }
 
+std::vector<NeighbourLoad> Dispatcher::endedLoads(WorkerView &worker, TimePoint now)
+{
+    std::erase_if(worker.endedFillers, [&](const WorkerView::EndedFiller &filler) { return now - filler.endedAt >= Internal::TailReportTime; });
+    std::vector<NeighbourLoad> loads;
+    for (const WorkerView::EndedFiller &filler : worker.endedFillers) {
+        const double share = 1 - std::chrono::duration<double>(now - filler.endedAt) / Internal::TailReportTime;
+        loads.push_back(SharingRule::loadOf(filler.use, filler.load * share));
+    }
+    return loads;
+}
+
 void Dispatcher::adjustPace(WorkerView &worker, const WorkerListing &listing, TimePoint now)
 {
     std::vector<SharedRun> runs;
@@ -250,7 +262,7 @@
         listed.push_back(&run);
         worstRatio = isServing ? std::max(worstRatio, run.load / static_cast<double>(use->second.tailTargetMs)) : worstRatio;
     }
-    m_sharing.observe(runs);
+    m_sharing.observe(runs, endedLoads(worker, now));
     worker.isTight = worstRatio > Internal::TightRatio;
     if (now - worker.paceChangedAt < Internal::PaceInterval) {
         return;
--- a/src/libs/dispatch/sharingrule.cpp
+++ b/src/libs/dispatch/sharingrule.cpp
@@ -9,23 +9,13 @@
 
 namespace Internal {
 
-// Effects are learned for this much processor time in use.
 constexpr double LoadUnitMilliCores = 8000;
-// Expected effect of a pair that was not seen yet.
-constexpr double UnknownEffect = 0.15;
-// Average effect from which on an image counts as disturbing.
-constexpr double DisturbingEffect = 0.25;
-constexpr double SlowDownRatio = 0.95;
-constexpr double HaltRatio = 1.5;
-constexpr double SpeedUpRatio = 0.7;
+constexpr double SlowDownRatio = 0.75;
+constexpr double HaltRatio = 1.0;
+constexpr double SpeedUpRatio = 0.5;
 constexpr int SlowPace = 40; // percent
 constexpr int PaceStep = 40; // percent
 
-static double loadOf(const SharedRun &filler)
-{
-    return filler.load / LoadUnitMilliCores;
-}
-
 static double ratioOf(const SharedRun &serving)
 {
     return serving.load / static_cast<double>(serving.use->tailTargetMs);
@@ -40,41 +30,50 @@
     use.fillsIdle = fillsIdle;
 }
 
-void SharingRule::observe(const std::vector<SharedRun> &runs)
+void SharingRule::observe(const std::vector<SharedRun> &runs, const std::vector<NeighbourLoad> &ended)
 {
-    Internal::KindLoads beside;
+    std::vector<NeighbourLoad> beside = ended;
     for (const SharedRun &run : runs) {
         if (run.use->fillsIdle && run.load > 0) {
-            beside.emplace_back(run.use->image, Internal::loadOf(run));
+            beside.push_back(loadOf(*run.use, run.load));
         }
     }
     for (const SharedRun &run : runs) {
-        if (run.use->tailTargetMs > 0 && run.load > 0) {
-            m_model.observe(run.use->image, run.load, beside);
+        if (run.use->tailTargetMs > 0) {
+            m_models[run.use->image].observe(run.load, beside);
         }
     }
 }
 
-double SharingRule::expectedRatio(const WorkerView &worker, const RunUse &candidate) const
+NeighbourLoad SharingRule::loadOf(const RunUse &filler, double milliCores)
 {
-    double worst = 0;
+    return {filler.image, milliCores / Internal::LoadUnitMilliCores};
+}
+
+double SharingRule::headroom(const WorkerView &worker, const RunUse &candidate) const
+{
+    double least = 1;
     for (const auto &[servingId, serving] : worker.runs) {
-        if (serving.tailTargetMs == 0) {
+        const auto model = m_models.find(serving.image);
+        if (serving.tailTargetMs == 0 || model == m_models.end()) {
             continue;
         }
-        double exponent = effect(serving, candidate);
+        double utilization = model->second.ownUtilization() + added(serving, candidate);
         for (const auto &[fillerId, filler] : worker.runs) {
-            exponent += filler.fillsIdle ? effect(serving, filler) : 0;
+            utilization += filler.fillsIdle ? added(serving, filler) : 0;
         }
-        const double tail = m_model.latencyAlone(serving.image) * std::exp(exponent);
-        worst = std::max(worst, tail / static_cast<double>(serving.tailTargetMs));
+        least = std::min(least, model->second.allowedUtilization(static_cast<double>(serving.tailTargetMs)) - utilization);
     }
-    return worst;
+    return least;
 }
 
-bool SharingRule::isDisturbing(const RunUse &filler) const
+double SharingRule::disturbance(const WorkerView &worker, const RunUse &candidate) const
 {
-    return m_model.meanEffect(filler.image) > Internal::DisturbingEffect;
+    double most = 0;
+    for (const auto &[servingId, serving] : worker.runs) {
+        most = serving.tailTargetMs > 0 ? std::max(most, added(serving, candidate)) : most;
+    }
+    return most;
 }
 
 std::vector<int> SharingRule::paces(const std::vector<SharedRun> &runs) const
@@ -101,11 +100,10 @@
     return paces;
 }
 
-double SharingRule::effect(const RunUse &serving, const RunUse &filler) const
+double SharingRule::added(const RunUse &serving, const RunUse &filler) const
 {
-    const double load = static_cast<double>(filler.idleMilliCores) / Internal::LoadUnitMilliCores;
-    const bool unknown = m_model.unexplored(serving.image, filler.image);
-    return load * (unknown ? std::max(Internal::UnknownEffect, m_model.effect(serving.image, filler.image)) : m_model.effect(serving.image, filler.image));
+    const auto model = m_models.find(serving.image);
+    return model != m_models.end() ? model->second.added(loadOf(filler, static_cast<double>(filler.idleMilliCores))) : 0;
 }
 
 std::size_t SharingRule::worstFiller(const std::vector<SharedRun> &runs, const SharedRun &serving) const
@@ -117,7 +115,7 @@
         if (!run.use->fillsIdle || run.pacePercent == 0) {
             continue;
         }
-        const double share = effect(*serving.use, *run.use) * run.pacePercent;
+        const double share = added(*serving.use, *run.use) * run.pacePercent;
         if (share > worstShare) {
             worst = index;
             worstShare = share;
@@ -129,20 +127,20 @@
 void SharingRule::raiseOne(const std::vector<SharedRun> &runs, std::vector<int> &paces) const
 {
     std::size_t best = runs.size();
-    double bestEffect = 0;
+    double leastAdded = 0;
     for (std::size_t index = 0; index < runs.size(); ++index) {
         if (!runs[index].use->fillsIdle || paces[index] >= 100) {
             continue;
         }
-        double worstEffect = 0;
+        double mostAdded = 0;
         for (const SharedRun &serving : runs) {
             if (serving.use->tailTargetMs > 0) {
-                worstEffect = std::max(worstEffect, effect(*serving.use, *runs[index].use));
+                mostAdded = std::max(mostAdded, added(*serving.use, *runs[index].use));
             }
         }
-        if (best == runs.size() || worstEffect < bestEffect) {
+        if (best == runs.size() || mostAdded < leastAdded) {
             best = index;
-            bestEffect = worstEffect;
+            leastAdded = mostAdded;
         }
     }
     if (best < runs.size()) {
--- a/src/libs/dispatch/sharingrule.h
+++ b/src/libs/dispatch/sharingrule.h
@@ -1,10 +1,12 @@
 #pragma once
 
-#include <placement/interferencemodel.h>
+#include "tailmodel.h"
+
 #include <placement/nametable.h>
 #include <utils/clock.h>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -30,28 +32,34 @@
 class SharingRule
 {
 public:
+    static constexpr std::uint32_t MostImages = 1024; // further images count as one
+
     /// Notes the image of a run in @p use.
     void describe(const std::string &image, std::int64_t tailTargetMs, bool fillsIdle, RunUse &use);
 
-    /// Learns from what a worker lists.
-    void observe(const std::vector<SharedRun> &runs);
+    /// Learns from what a worker lists. @p ended is what filling runs used that ended in the time of the reported tails.
+    void observe(const std::vector<SharedRun> &runs, const std::vector<NeighbourLoad> &ended);
+
+    /// Returns the load of a filling run that uses @p milliCores.
+    static NeighbourLoad loadOf(const RunUse &filler, double milliCores);
 
-    /// Returns the highest expected ratio of tail and target on @p worker with @p candidate added; 0 without serving runs.
-    double expectedRatio(const WorkerView &worker, const RunUse &candidate) const;
+    /// Returns by how much the utilization of the worst-off serving run on @p worker is expected to stay below the highest
+    /// one that its target allows, with @p candidate added; 1 without serving runs.
+    double headroom(const WorkerView &worker, const RunUse &candidate) const;
 
-    /// Returns true if the image of @p filler disturbs serving tasks on average.
-    bool isDisturbing(const RunUse &filler) const;
+    /// Returns the utilization that @p candidate adds to the serving run on @p worker that it disturbs most.
+    double disturbance(const WorkerView &worker, const RunUse &candidate) const;
 
     /// Returns the pace in percent for each of @p runs (of filling runs; others get 100).
     std::vector<int> paces(const std::vector<SharedRun> &runs) const;
 
 private:
-    double effect(const RunUse &serving, const RunUse &filler) const;
+    double added(const RunUse &serving, const RunUse &filler) const;
     std::size_t worstFiller(const std::vector<SharedRun> &runs, const SharedRun &serving) const;
     void raiseOne(const std::vector<SharedRun> &runs, std::vector<int> &paces) const;
 
-    Internal::InterferenceModel m_model;
-    Internal::NameTable m_images{Internal::InterferenceModel::MaximumKinds};
+    std::map<std::uint32_t, TailModel> m_models; // by serving image
+    Internal::NameTable m_images{MostImages};
 };
 
 } // namespace Hyssop
--- /dev/null
+++ b/src/libs/dispatch/tailmodel.cpp
@@ -0,0 +1,113 @@
+#include "tailmodel.h"
+
+#include <algorithm>
+
+namespace Hyssop {
+
+namespace Internal {
+
+// Images beyond this number share one coefficient, which bounds the cost of an observation.
+constexpr std::size_t MostCoefficients = 40;
+constexpr double FirstOwnUtilization = 0.4;
+constexpr double FirstCoefficient = 0.08;
+constexpr double FirstVariance = 0.09;
+// Variance of the own load, which swings.
+constexpr double NoiseVariance = 0.025;
+// Old observations lose weight, because effects change.
+constexpr double Forgetting = 0.9995;
+constexpr double LargestVariance = 0.2;
+constexpr double PeakRise = 0.1;
+constexpr double PeakFall = 0.02;
+constexpr double LargestUtilization = 0.995;
+
+} // namespace Internal
+
+void TailModel::observe(double tailMs, const std::vector<NeighbourLoad> &beside)
+{
+    if (tailMs <= 0) {
+        return;
+    }
+    if (m_coefficients.empty()) {
+        m_coefficients.push_back(Internal::FirstOwnUtilization);
+        m_covariance.push_back({Internal::FirstVariance});
+    }
+    m_baseMs = m_baseMs == 0 ? tailMs : std::min(m_baseMs, tailMs);
+    const double utilization = std::min(1 - m_baseMs / tailMs, Internal::LargestUtilization);
+    std::vector<std::size_t> slots{0};
+    std::vector<double> loads{1};
+    for (const NeighbourLoad &neighbour : beside) {
+        slots.push_back(slotOf(neighbour.image));
+        loads.push_back(neighbour.load);
+    }
+    const std::size_t size = m_coefficients.size();
+    std::vector<double> gain(size, 0);
+    double error = utilization;
+    double variance = Internal::NoiseVariance;
+    for (std::size_t row = 0; row < size; ++row) {
+        for (std::size_t entry = 0; entry < slots.size(); ++entry) {
+            gain[row] += m_covariance[row][slots[entry]] * loads[entry];
+        }
+    }
+    for (std::size_t entry = 0; entry < slots.size(); ++entry) {
+        error -= m_coefficients[slots[entry]] * loads[entry];
+        variance += gain[slots[entry]] * loads[entry];
+    }
+    for (std::size_t row = 0; row < size; ++row) {
+        m_coefficients[row] += gain[row] / variance * error;
+        for (std::size_t column = 0; column < size; ++column) {
+            m_covariance[row][column] -= gain[row] * gain[column] / variance;
+        }
+    }
+    for (std::size_t row = 0; row < size; ++row) {
+        m_covariance[row][row] = std::min(m_covariance[row][row] / Internal::Forgetting, Internal::LargestVariance);
+    }
+    double own = utilization;
+    for (const NeighbourLoad &neighbour : beside) {
+        own -= added(neighbour);
+    }
+    updateOwnPeak(own);
+}
+
+double TailModel::allowedUtilization(double targetMs) const
+{
+    return m_baseMs == 0 ? 1 : 1 - m_baseMs / targetMs;
+}
+
+double TailModel::ownUtilization() const
+{
+    return m_ownPeak;
+}
+
+double TailModel::added(const NeighbourLoad &neighbour) const
+{
+    const auto slot = m_slots.find(neighbour.image);
+    const double coefficient = slot != m_slots.end() ? m_coefficients[slot->second] : Internal::FirstCoefficient;
+    return std::max(coefficient, 0.0) * neighbour.load;
+}
+
+std::size_t TailModel::slotOf(std::uint32_t image)
+{
+    const auto known = m_slots.find(image);
+    if (known != m_slots.end()) {
+        return known->second;
+    }
+    const std::size_t slot = std::min(m_coefficients.size(), Internal::MostCoefficients - 1);
+    m_slots[image] = slot;
+    if (slot == m_coefficients.size()) {
+        m_coefficients.push_back(Internal::FirstCoefficient);
+        for (std::vector<double> &row : m_covariance) {
+            row.push_back(0);
+        }
+        m_covariance.emplace_back(m_coefficients.size(), 0.0);
+        m_covariance.back().back() = Internal::FirstVariance;
+    }
+    return slot;
+}
+
+void TailModel::updateOwnPeak(double own)
+{
+    // Moves to a high quantile: rises fast, falls slowly.
+    m_ownPeak += (own - m_ownPeak) * (own > m_ownPeak ? Internal::PeakRise : Internal::PeakFall);
+}
+
+} // namespace Hyssop
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -16,12 +16,13 @@
 constexpr int LeastIdlePercent = 80;
 // Preference for the rack of the data, in thousandths of a core of free capacity.
 constexpr std::int64_t DataRackBonus = 1'000'000;
-// A filling task is placed only where the tails of serving tasks are expected below this share of their targets.
-constexpr double HighestExpectedRatio = 0.8;
-// Preference of disturbing filling tasks for workers without serving tasks, and the reverse, in thousandths of a core.
-constexpr std::int64_t SeparationBonus = 40'000;
-// Weight of an expected tail at its target, in thousandths of a core.
-constexpr double TailWeight = 30'000;
+// A filling task that adds less utilization than this to any serving task is harmless.
+constexpr double HarmlessUtilization = 0.03;
+// Weight of added utilization, in thousandths of a core.
+constexpr double DisturbanceWeight = 200'000;
+// Preference of serving tasks for workers that serve with the same image only, in thousandths of a core; a worker that
+// serves with another image is avoided by as much.
+constexpr std::int64_t SameImageBonus = 1'000'000;
 
 static bool mayGetWork(const WorkerView &worker, const std::set<std::string> &evacuatedDomains, TimePoint now)
 {
@@ -116,15 +117,26 @@
         return bonus + fillingScore(worker, wish);
     }
     const std::int64_t free = worker.freeCapacity().milliCores;
-    return bonus + (step.longRunning ? -free : free);
+    return bonus + (step.longRunning ? servingScore(worker, wish) : free);
+}
+
+std::int64_t WorkerChoice::servingScore(const WorkerView &worker, const PlacementWish &wish) const
+{
+    std::int64_t images = 0;
+    for (const auto &[id, run] : worker.runs) {
+        if (run.tailTargetMs > 0) {
+            images = run.image == wish.use->image ? std::max<std::int64_t>(images, 1) : -1;
+            if (images < 0) {
+                break;
+            }
+        }
+    }
+    return images * Internal::SameImageBonus - worker.freeCapacity().milliCores;
 }
 
 std::int64_t WorkerChoice::fillingScore(const WorkerView &worker, const PlacementWish &wish) const
 {
-    const bool besideServing = worker.servingCommitted > 0;
-    const std::int64_t separation = m_sharing.isDisturbing(*wish.use) == besideServing ? 0 : Internal::SeparationBonus;
-    const auto tail = static_cast<std::int64_t>(m_sharing.expectedRatio(worker, *wish.use) * Internal::TailWeight);
-    return worker.expectedIdle() + separation - tail;
+    return worker.expectedIdle() - static_cast<std::int64_t>(m_sharing.disturbance(worker, *wish.use) * Internal::DisturbanceWeight);
 }
 
 bool WorkerChoice::fits(const WorkerView &worker, const PlacementWish &wish) const
@@ -145,7 +157,11 @@
     if (!wish.use->counted.fitsIn(worker.freeCapacity())) {
         return false;
     }
-    return !step.fillsIdle || (Internal::hasIdleTime(worker, step) && m_sharing.expectedRatio(worker, *wish.use) < Internal::HighestExpectedRatio);
+    if (!step.fillsIdle) {
+        return true;
+    }
+    const bool harmless = m_sharing.disturbance(worker, *wish.use) < Internal::HarmlessUtilization;
+    return Internal::hasIdleTime(worker, step) && (harmless || m_sharing.headroom(worker, *wish.use) > 0);
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerchoice.h
+++ b/src/libs/dispatch/workerchoice.h
@@ -50,6 +50,7 @@
     bool fits(const WorkerView &worker, const PlacementWish &wish) const;
 
     std::int64_t score(const WorkerView &worker, const PlacementWish &wish) const;
+    std::int64_t servingScore(const WorkerView &worker, const PlacementWish &wish) const;
     std::int64_t fillingScore(const WorkerView &worker, const PlacementWish &wish) const;
 
     std::vector<WorkerView *> m_workers;
--- a/src/libs/dispatch/workerview.h
+++ b/src/libs/dispatch/workerview.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace Hyssop {
 
@@ -50,6 +51,14 @@
     std::int64_t servingCommitted = 0;
     std::map<TaskId, TimePoint> strayStops; // when a run that is not ours was last told to stop
 
+    struct EndedFiller
+    {
+        RunUse use;
+        double load = 0; // thousandths of a core
+        TimePoint endedAt{};
+    };
+    std::vector<EndedFiller> endedFillers; // that ended within the time of reported tails
+
     TimePoint paceChangedAt{}; // when the pace of a filling run here was last changed
     bool isTight = false; // a serving task is near its target
 
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -63,6 +63,43 @@
                       answer);
 }
 
+static const char *endingName(RunEnding ending)
+{
+    switch (ending) {
+    case RunEnding::Done:
+        return "done";
+    case RunEnding::Failed:
+        return "failed";
+    case RunEnding::Stopped:
+        return "stopped";
+    case RunEnding::LeaseLapsed:
+        return "lapsed";
+    case RunEnding::PeerEnded:
+        return "peer ended";
+    case RunEnding::PeersMissing:
+        return "peers missing";
+    }
+    return "unknown";
+}
+
+static void logEnd(const RunEnded &end)
+{
+    logMessage(LogLevel::Info,
+               "owner",
+               "run ended",
+               {{"job_id", end.task.job},
+                {"task", end.task.toString()},
+                {"run", end.run},
+                {"worker", end.worker},
+                {"ending", endingName(end.ending)},
+                {"failures", end.failures}});
+}
+
+static void logEnd(const JobEnded &end)
+{
+    logMessage(LogLevel::Info, "owner", "job ended", {{"job_id", end.jobId}, {"outcome", end.phase}, {"after_ms", end.sinceAccepted.count()}});
+}
+
 } // namespace Internal
 
 TopicOwner::TopicOwner(asio::any_io_executor executor,
@@ -252,6 +289,8 @@
                    [&](PollOrder &order) { asio::co_spawn(m_executor, sendPoll(std::move(order)), asio::detached); },
                    [&](AskAdvice &question) { asio::co_spawn(m_executor, sendAdvice(std::move(question)), asio::detached); },
                    [&](StoreRecords &store) { beginAppend(std::move(store.records), true); },
+                   [&](const RunEnded &end) { Internal::logEnd(end); },
+                   [&](const JobEnded &end) { Internal::logEnd(end); },
                    [&](const GiveUpOwnership &) { stepDown("a worker has seen a later owner"); },
                },
                action);
--- a/src/libs/placement/interferencemodel.cpp
+++ b/src/libs/placement/interferencemodel.cpp
@@ -15,13 +15,13 @@
 
 } // namespace
 
-void InterferenceModel::observe(std::uint32_t service, double latency, const KindLoads &beside)
+void InterferenceModel::observe(std::uint32_t service, double latencyUs, const KindLoads &beside)
 {
-    if (latency <= 0) {
+    if (latencyUs <= 0) {
         return;
     }
     Row &row = rowOf(service);
-    const double measured = std::log(latency);
+    const double measured = std::log(latencyUs);
     if (!row.known) {
         row.known = true;
         row.constant = measured;
@@ -52,24 +52,6 @@
     return m_rows[service].pairs[kind].effect;
 }
 
-double InterferenceModel::latencyAlone(std::uint32_t service) const
-{
-    return service < m_rows.size() && m_rows[service].known ? std::exp(m_rows[service].constant) : 0;
-}
-
-double InterferenceModel::meanEffect(std::uint32_t kind) const
-{
-    double sum = 0;
-    int count = 0;
-    for (const Row &row : m_rows) {
-        if (kind < row.pairs.size() && row.pairs[kind].samples > 0) {
-            sum += row.pairs[kind].effect;
-            ++count;
-        }
-    }
-    return count > 0 ? sum / count : 0;
-}
-
 bool InterferenceModel::unexplored(std::uint32_t service, std::uint32_t kind) const
 {
     if (service >= m_rows.size() || kind >= m_rows[service].pairs.size()) {
--- a/src/libs/placement/interferencemodel.h
+++ b/src/libs/placement/interferencemodel.h
@@ -16,23 +16,17 @@
 /// The logarithm of a service's latency is modelled as a constant of the service plus one effect for each kind beside
 /// it, times the number of its tasks and the load of the worker. Effects are fitted by normalized least mean squares
 /// and decay with a half-life of 30 min, because interference shifts with load. The caller compensates for the lag of
-/// measurements: it passes the tasks that ran when the measurement was taken. Latencies may be in any unit, always the same.
+/// measurements: it passes the tasks that ran when the measurement was taken.
 class InterferenceModel
 {
 public:
     static constexpr std::uint32_t MaximumKinds = 256;
 
-    void observe(std::uint32_t service, double latency, const KindLoads &beside);
+    void observe(std::uint32_t service, double latencyUs, const KindLoads &beside);
 
     /// Returns the increase of the logarithm of @p service's latency by one task of @p kind at full load; never negative.
     double effect(std::uint32_t service, std::uint32_t kind) const;
 
-    /// Returns the latency of @p service without neighbours, as far as known; 0 if it was never observed.
-    double latencyAlone(std::uint32_t service) const;
-
-    /// Returns the average effect of @p kind on the services that it was seen beside; 0 if it was not.
-    double meanEffect(std::uint32_t kind) const;
-
     /// Returns true while too few measurements of the pair exist.
     bool unexplored(std::uint32_t service, std::uint32_t kind) const;
 
