--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -128,13 +128,28 @@
     return count;
 }
 
-std::size_t Dispatcher::waitingTasks()
+DispatchSummary Dispatcher::summary(TimePoint now)
 {
-    std::size_t count = 0;
+    DispatchSummary summary;
+    summary.openRuns = openRuns();
+    for (const auto &[id, worker] : m_workers) {
+        if (!mayStartOn(worker, now)) {
+            continue;
+        }
+        ++summary.workers;
+        summary.milliCores += worker.info.capacity.milliCores;
+        summary.freeMilliCores += worker.freeCapacity().milliCores;
+        summary.idleMilliCores += worker.expectedIdle();
+        summary.tightWorkers += worker.isTight ? 1 : 0;
+    }
     for (JobRun *job : m_jobs.activeJobs()) {
-        Internal::forEachTask(*job, [&](const TaskId &, const TaskRun &task) { count += task.phase == TaskPhase::Waiting ? 1 : 0; });
+        Internal::forEachTask(*job, [&](const TaskId &id, const TaskRun &task) {
+            const Wire::TaskStep &step = job->step(id.step);
+            std::size_t &count = step.longRunning ? summary.waitingServing : step.fillsIdle ? summary.waitingFilling : summary.waitingCounted;
+            count += task.phase == TaskPhase::Waiting ? 1 : 0;
+        });
     }
-    return count;
+    return summary;
 }
 
 RunUse Dispatcher::describeUse(const Wire::TaskStep &step, int run)
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "dispatchactions.h"
 #include "dispatchlimits.h"
+#include "dispatchsummary.h"
 #include "jobbook.h"
 #include "leaserule.h"
 #include "sharingrule.h"
@@ -59,7 +60,7 @@
     std::vector<DispatchAction> advance(TimePoint now, WallTime wall);
 
     std::size_t openRuns() const;
-    std::size_t waitingTasks();
+    DispatchSummary summary(TimePoint now);
 
 private:
     using Intents = std::vector<std::pair<TaskId, int>>; // with the number of the run
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -42,7 +42,7 @@
 
 static bool hasIdleTime(const WorkerView &worker, const Wire::TaskStep &step)
 {
-    return !worker.isTight && worker.expectedIdle() * 100 >= step.milliCores * LeastIdlePercent;
+    return worker.expectedIdle() * 100 >= step.milliCores * LeastIdlePercent;
 }
 
 static int openTasks(const PlacementWish &wish, const std::string &worker)
@@ -161,7 +161,7 @@
         return true;
     }
     const bool harmless = m_sharing.disturbance(worker, *wish.use) < Internal::HarmlessUtilization;
-    return Internal::hasIdleTime(worker, step) && (harmless || m_sharing.headroom(worker, *wish.use) > 0);
+    return Internal::hasIdleTime(worker, step) && (harmless || (!worker.isTight && m_sharing.headroom(worker, *wish.use) > 0));
 }
 
 } // namespace Hyssop
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -29,6 +29,7 @@
 constexpr std::chrono::milliseconds TickInterval{20};
 constexpr std::chrono::milliseconds StandbyInterval{200};
 constexpr std::chrono::milliseconds RenewalInterval{500};
+constexpr std::chrono::milliseconds ReportInterval{2000};
 constexpr std::chrono::milliseconds AppendTimeout{1500};
 constexpr std::chrono::milliseconds AppendPause{60};
 constexpr std::chrono::milliseconds ReleaseTimeout{1000};
@@ -195,6 +196,7 @@
         for (DispatchAction &action : m_dispatcher.advance(now, std::chrono::system_clock::now())) {
             perform(std::move(action));
         }
+        reportLoad(now);
         if (m_term && !m_appending && now - m_lastAppend >= Internal::RenewalInterval) {
             beginAppend({claimRecord(false)}, false);
         }
@@ -348,7 +350,6 @@
     if (isBatch) {
         m_dispatcher.recordsStored(m_lastAppend);
     }
-    updateGauges();
 }
 
 KeyedRecord TopicOwner::claimRecord(bool released) const
@@ -362,9 +363,29 @@
     return {0, claimKey(), encode(claim)};
 }
 
-void TopicOwner::updateGauges()
+void TopicOwner::reportLoad(TimePoint now)
 {
-    m_metrics.set("hyssop_open_runs", static_cast<double>(m_dispatcher.openRuns()));
+    if (now - m_lastReport < Internal::ReportInterval) {
+        return;
+    }
+    m_lastReport = now;
+    const DispatchSummary load = m_dispatcher.summary(now);
+    logMessage(LogLevel::Info,
+               "owner",
+               "load",
+               {{"epoch", static_cast<long long>(term())},
+                {"workers", load.workers},
+                {"open_runs", load.openRuns},
+                {"waiting_counted", load.waitingCounted},
+                {"waiting_filling", load.waitingFilling},
+                {"waiting_serving", load.waitingServing},
+                {"millicores", static_cast<long long>(load.milliCores)},
+                {"free_millicores", static_cast<long long>(load.freeMilliCores)},
+                {"idle_millicores", static_cast<long long>(load.idleMilliCores)},
+                {"tight_workers", load.tightWorkers}});
+    m_metrics.set("hyssop_open_runs", static_cast<double>(load.openRuns));
+    m_metrics.set("hyssop_waiting_tasks", static_cast<double>(load.waitingCounted + load.waitingFilling + load.waitingServing));
+    m_metrics.set("hyssop_free_millicores", static_cast<double>(load.freeMilliCores));
     m_metrics.set("hyssop_term", static_cast<double>(term()));
 }
 
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -75,7 +75,7 @@
     boost::asio::awaitable<void> appendUntilKnown(std::vector<KeyedRecord> records, bool isBatch, std::int64_t term);
     void appendAnswered(const TopicAppendAnswer &answer, bool isBatch, TimePoint sentAt);
     KeyedRecord claimRecord(bool released) const;
-    void updateGauges();
+    void reportLoad(TimePoint now);
     boost::asio::awaitable<void> sendStart(StartOrder order);
     boost::asio::awaitable<void> sendStop(StopOrder order);
     boost::asio::awaitable<void> sendPace(PaceOrder order);
@@ -100,6 +100,7 @@
     std::int64_t m_lowestTerm = 0; // a term that was given up is not resumed
     std::int64_t m_sequence = 0; // of the next append
     TimePoint m_lastAppend{};
+    TimePoint m_lastReport{};
     bool m_appending = false;
     bool m_claiming = false;
     bool m_releasing = false;
