Slow only filling runs that disturb, raise them by the model, move halted ones

Cause: single runs of a job were paced down or halted for many seconds (longest run 16 s beside a median of 2.4 s) though they hardly disturbed.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -49,7 +49,7 @@
 
     void startAnswered(const StartOrder &order, const OrderAnswer &answer, TimePoint now);
     void stopAnswered(const StopOrder &order, const OrderAnswer &answer, TimePoint now);
-    void paceAnswered(const PaceOrder &order, const OrderAnswer &answer);
+    void paceAnswered(const PaceOrder &order, const OrderAnswer &answer, TimePoint now);
     void pollAnswered(const PollOrder &order, const PollAnswer &answer, TimePoint sentAt, TimePoint now);
     void adviceAnswered(const AskAdvice &question, const AdviceAnswer &answer, TimePoint sentAt, TimePoint now);
 
@@ -100,6 +100,7 @@
     void stopStray(WorkerView &worker, const ListedRun &run, TimePoint now);
     std::vector<NeighbourLoad> endedLoads(WorkerView &worker, TimePoint now);
     void noteEndedFiller(const TaskId &id, const TaskRun &task, TimePoint now);
+    bool moveHalted(const TaskId &id, TimePoint now);
     void adjustPace(WorkerView &worker, const WorkerListing &listing, TimePoint now);
 
     void sendStart(const TaskId &id, TaskRun &task, TimePoint now);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -164,11 +164,12 @@
     }
 }
 
-void Dispatcher::paceAnswered(const PaceOrder &order, const OrderAnswer &answer)
+void Dispatcher::paceAnswered(const PaceOrder &order, const OrderAnswer &answer, TimePoint now)
 {
     TaskRun *task = m_jobs.task(order.task);
     if (task != nullptr && task->run == order.run && task->isOpen() && std::holds_alternative<OrderDone>(answer)) {
         task->pacePercent = order.percent;
+        task->paceSince = now;
     }
 }
 
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds PaceInterval{400};
 // No filling task is placed while a tail is above this share of its target.
 constexpr double TightRatio = 0.6;
+// A halted run that can resume elsewhere is moved after this time.
+constexpr std::chrono::milliseconds LongestHalt{700};
 // A worker lists at most this many ends in one answer.
 constexpr std::size_t ListedEndsLimit = 500;
 
@@ -269,6 +271,9 @@
     }
     const std::vector<int> paces = m_sharing.paces(runs);
     for (std::size_t index = 0; index < runs.size(); ++index) {
+        if (paces[index] == 0 && moveHalted(listed[index]->task, now)) {
+            continue;
+        }
         if (runs[index].use->fillsIdle && paces[index] != runs[index].pacePercent) {
             worker.paceChangedAt = now;
             m_actions.emplace_back(PaceOrder{addressOf(worker), listed[index]->task, listed[index]->run, paces[index], m_term});
@@ -276,6 +281,18 @@
     }
 }
 
+bool Dispatcher::moveHalted(const TaskId &id, TimePoint now)
+{
+    const JobRun *job = m_jobs.find(id.job);
+    TaskRun *task = m_jobs.task(id);
+    const bool halted = task->pacePercent == 0 && now - task->paceSince >= Internal::LongestHalt;
+    if (!halted || !job->step(id.step).checkpointable) {
+        return false;
+    }
+    beginStop(id, *task, now);
+    return true;
+}
+
 void Dispatcher::moveRunsOffLeavingWorkers(TimePoint now)
 {
     for (auto &[id, worker] : m_workers) {
--- a/src/libs/dispatch/sharingrule.cpp
+++ b/src/libs/dispatch/sharingrule.cpp
@@ -12,9 +12,9 @@
 constexpr double LoadUnitMilliCores = 8000;
 constexpr double SlowDownRatio = 0.75;
 constexpr double HaltRatio = 1.0;
-constexpr double SpeedUpRatio = 0.5;
 constexpr int SlowPace = 40; // percent
-constexpr int PaceStep = 40; // percent
+// Utilization left free for the swings of the serving runs' own load.
+constexpr double RaiseMargin = 0.05;
 
 static double ratioOf(const SharedRun &serving)
 {
@@ -79,11 +79,10 @@
 std::vector<int> SharingRule::paces(const std::vector<SharedRun> &runs) const
 {
     std::vector<int> paces;
-    double worst = 0;
     for (const SharedRun &run : runs) {
         paces.push_back(run.use->fillsIdle ? run.pacePercent : 100);
-        worst = run.use->tailTargetMs > 0 ? std::max(worst, Internal::ratioOf(run)) : worst;
     }
+    bool slowed = false;
     for (const SharedRun &run : runs) {
         if (run.use->tailTargetMs == 0 || Internal::ratioOf(run) <= Internal::SlowDownRatio) {
             continue;
@@ -92,10 +91,14 @@
         if (filler < runs.size()) {
             const bool halt = Internal::ratioOf(run) > Internal::HaltRatio || paces[filler] <= Internal::SlowPace;
             paces[filler] = halt ? 0 : Internal::SlowPace;
+            slowed = true;
         }
     }
-    if (worst < Internal::SpeedUpRatio) {
-        raiseOne(runs, paces);
+    for (std::size_t index = 0; index < runs.size() && !slowed; ++index) {
+        if (paces[index] < 100 && mayRaise(runs, runs[index])) {
+            paces[index] = 100;
+            break; // the effect shows before the next one is raised
+        }
     }
     return paces;
 }
@@ -109,13 +112,13 @@
 std::size_t SharingRule::worstFiller(const std::vector<SharedRun> &runs, const SharedRun &serving) const
 {
     std::size_t worst = runs.size();
-    double worstShare = 0;
+    double worstShare = HarmlessUtilization;
     for (std::size_t index = 0; index < runs.size(); ++index) {
         const SharedRun &run = runs[index];
         if (!run.use->fillsIdle || run.pacePercent == 0) {
             continue;
         }
-        const double share = added(*serving.use, *run.use) * run.pacePercent;
+        const double share = added(*serving.use, *run.use) * run.pacePercent / 100;
         if (share > worstShare) {
             worst = index;
             worstShare = share;
@@ -124,28 +127,17 @@
     return worst;
 }
 
-void SharingRule::raiseOne(const std::vector<SharedRun> &runs, std::vector<int> &paces) const
+bool SharingRule::mayRaise(const std::vector<SharedRun> &runs, const SharedRun &filler) const
 {
-    std::size_t best = runs.size();
-    double leastAdded = 0;
-    for (std::size_t index = 0; index < runs.size(); ++index) {
-        if (!runs[index].use->fillsIdle || paces[index] >= 100) {
-            continue;
-        }
-        double mostAdded = 0;
-        for (const SharedRun &serving : runs) {
-            if (serving.use->tailTargetMs > 0) {
-                mostAdded = std::max(mostAdded, added(*serving.use, *runs[index].use));
-            }
+    const double share = 1 - filler.pacePercent / 100.0;
+    return std::ranges::all_of(runs, [&](const SharedRun &serving) {
+        const auto model = m_models.find(serving.use->image);
+        if (serving.use->tailTargetMs == 0 || model == m_models.end()) {
+            return true;
         }
-        if (best == runs.size() || mostAdded < leastAdded) {
-            best = index;
-            leastAdded = mostAdded;
-        }
-    }
-    if (best < runs.size()) {
-        paces[best] = std::min(100, paces[best] + Internal::PaceStep);
-    }
+        const double expected = model->second.utilizationOf(serving.load) + added(*serving.use, *filler.use) * share;
+        return expected < model->second.allowedUtilization(static_cast<double>(serving.use->tailTargetMs)) - Internal::RaiseMargin;
+    });
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/sharingrule.h
+++ b/src/libs/dispatch/sharingrule.h
@@ -32,6 +32,7 @@
 class SharingRule
 {
 public:
+    static constexpr double HarmlessUtilization = 0.03; // a filling run that adds less is harmless
     static constexpr std::uint32_t MostImages = 1024; // further images count as one
 
     /// Notes the image of a run in @p use.
@@ -56,7 +57,7 @@
 private:
     double added(const RunUse &serving, const RunUse &filler) const;
     std::size_t worstFiller(const std::vector<SharedRun> &runs, const SharedRun &serving) const;
-    void raiseOne(const std::vector<SharedRun> &runs, std::vector<int> &paces) const;
+    bool mayRaise(const std::vector<SharedRun> &runs, const SharedRun &filler) const;
 
     std::map<std::uint32_t, TailModel> m_models; // by serving image
     Internal::NameTable m_images{MostImages};
--- a/src/libs/dispatch/tailmodel.cpp
+++ b/src/libs/dispatch/tailmodel.cpp
@@ -32,7 +32,7 @@
         m_covariance.push_back({Internal::FirstVariance});
     }
     m_baseMs = m_baseMs == 0 ? tailMs : std::min(m_baseMs, tailMs);
-    const double utilization = std::min(1 - m_baseMs / tailMs, Internal::LargestUtilization);
+    const double utilization = utilizationOf(tailMs);
     std::vector<std::size_t> slots{0};
     std::vector<double> loads{1};
     for (const NeighbourLoad &neighbour : beside) {
@@ -73,6 +73,11 @@
     return m_baseMs == 0 ? 1 : 1 - m_baseMs / targetMs;
 }
 
+double TailModel::utilizationOf(double tailMs) const
+{
+    return tailMs <= 0 ? 0 : std::clamp(1 - m_baseMs / tailMs, 0.0, Internal::LargestUtilization);
+}
+
 double TailModel::ownUtilization() const
 {
     return m_ownPeak;
--- a/src/libs/dispatch/tailmodel.h
+++ b/src/libs/dispatch/tailmodel.h
@@ -27,6 +27,9 @@
     /// Returns the highest utilization at which the tail stays below @p targetMs; 1 if the base is not known.
     double allowedUtilization(double targetMs) const;
 
+    /// Returns the utilization that a tail shows.
+    double utilizationOf(double tailMs) const;
+
     /// Returns the utilization without neighbours that is rarely exceeded.
     double ownUtilization() const;
 
--- a/src/libs/dispatch/taskrun.h
+++ b/src/libs/dispatch/taskrun.h
@@ -31,6 +31,7 @@
     TimePoint percentSince{};
     double load = 0; // as listed by the worker
     int pacePercent = 100;
+    TimePoint paceSince{};
     TimePoint notBefore{}; // the next run waits until then
 
     /// A run may exist on a worker, or is about to.
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -16,8 +16,6 @@
 constexpr int LeastIdlePercent = 80;
 // Preference for the rack of the data, in thousandths of a core of free capacity.
 constexpr std::int64_t DataRackBonus = 1'000'000;
-// A filling task that adds less utilization than this to any serving task is harmless.
-constexpr double HarmlessUtilization = 0.03;
 // Weight of added utilization, in thousandths of a core.
 constexpr double DisturbanceWeight = 200'000;
 // Preference of serving tasks for workers that serve with the same image only, in thousandths of a core; a worker that
@@ -160,7 +158,7 @@
     if (!step.fillsIdle) {
         return true;
     }
-    const bool harmless = m_sharing.disturbance(worker, *wish.use) < Internal::HarmlessUtilization;
+    const bool harmless = m_sharing.disturbance(worker, *wish.use) < SharingRule::HarmlessUtilization;
     return Internal::hasIdleTime(worker, step) && (harmless || (!worker.isTight && m_sharing.headroom(worker, *wish.use) > 0));
 }
 
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -437,7 +437,7 @@
                {{"task", order.task.toString()}, {"worker", order.worker.id}, {"percent", order.percent}, {"outcome", Internal::answerName(answer)}});
     m_metrics.add("hyssop_paces_total", {{"outcome", Internal::answerName(answer)}});
     if (m_term) {
-        m_dispatcher.paceAnswered(order, answer);
+        m_dispatcher.paceAnswered(order, answer, m_clock.now());
     }
 }
 
