--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -140,7 +140,6 @@
         summary.milliCores += worker.info.capacity.milliCores;
         summary.freeMilliCores += worker.freeCapacity().milliCores;
         summary.idleMilliCores += worker.expectedIdle();
-        summary.tightWorkers += worker.isTight ? 1 : 0;
     }
     for (JobRun *job : m_jobs.activeJobs()) {
         Internal::forEachTask(*job, [&](const TaskId &id, const TaskRun &task) {
--- a/src/libs/dispatch/dispatchsummary.h
+++ b/src/libs/dispatch/dispatchsummary.h
@@ -16,7 +16,6 @@
     std::int64_t milliCores = 0; // capacity of these workers
     std::int64_t freeMilliCores = 0;
     std::int64_t idleMilliCores = 0; // expected idle time
-    std::size_t tightWorkers = 0; // with a serving task near its target
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -20,8 +20,6 @@
 // Tails are reported over half a second, so the effect of a change shows only after that time.
 constexpr std::chrono::milliseconds TailReportTime{500};
 constexpr std::chrono::milliseconds PaceInterval{400};
-// No filling task is placed while a tail is above this share of its target.
-constexpr double TightRatio = 0.6;
 // A halted run that can resume elsewhere is moved after this time.
 constexpr std::chrono::milliseconds LongestHalt{700};
 // A worker lists at most this many ends in one answer.
@@ -252,7 +250,6 @@
 {
     std::vector<SharedRun> runs;
     std::vector<const ListedRun *> listed;
-    double worstRatio = 0;
     for (const ListedRun &run : listing.runs) {
         const auto use = worker.runs.find(run.task);
         const TaskRun *task = m_jobs.task(run.task);
@@ -262,10 +259,9 @@
         }
         runs.push_back({&use->second, run.load, task->pacePercent});
         listed.push_back(&run);
-        worstRatio = isServing ? std::max(worstRatio, run.load / static_cast<double>(use->second.tailTargetMs)) : worstRatio;
+        use->second.tailMs = isServing ? run.load : 0;
     }
     m_sharing.observe(runs, endedLoads(worker, now));
-    worker.isTight = worstRatio > Internal::TightRatio;
     if (now - worker.paceChangedAt < Internal::PaceInterval) {
         return;
     }
--- a/src/libs/dispatch/sharingrule.cpp
+++ b/src/libs/dispatch/sharingrule.cpp
@@ -15,6 +15,7 @@
 constexpr int SlowPace = 40; // percent
 // Utilization left free for the swings of the serving runs' own load.
 constexpr double RaiseMargin = 0.05;
+constexpr double PlacementMargin = 0.05;
 
 static double ratioOf(const SharedRun &serving)
 {
@@ -62,7 +63,9 @@
         for (const auto &[fillerId, filler] : worker.runs) {
             utilization += filler.fillsIdle ? added(serving, filler) : 0;
         }
-        least = std::min(least, model->second.allowedUtilization(static_cast<double>(serving.tailTargetMs)) - utilization);
+        const double allowed = model->second.allowedUtilization(static_cast<double>(serving.tailTargetMs));
+        const double present = model->second.utilizationOf(serving.tailMs) + added(serving, candidate);
+        least = std::min(least, allowed - std::max(utilization, present + Internal::PlacementMargin));
     }
     return least;
 }
--- a/src/libs/dispatch/tailmodel.cpp
+++ b/src/libs/dispatch/tailmodel.cpp
@@ -16,8 +16,8 @@
 // Old observations lose weight, because effects change.
 constexpr double Forgetting = 0.9995;
 constexpr double LargestVariance = 0.2;
-constexpr double PeakRise = 0.1;
-constexpr double PeakFall = 0.02;
+constexpr double PeakRise = 0.05;
+constexpr double PeakFall = 0.03;
 constexpr double LargestUtilization = 0.995;
 
 } // namespace Internal
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -159,7 +159,7 @@
         return true;
     }
     const bool harmless = m_sharing.disturbance(worker, *wish.use) < SharingRule::HarmlessUtilization;
-    return Internal::hasIdleTime(worker, step) && (harmless || (!worker.isTight && m_sharing.headroom(worker, *wish.use) > 0));
+    return Internal::hasIdleTime(worker, step) && (harmless || m_sharing.headroom(worker, *wish.use) > 0);
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerview.h
+++ b/src/libs/dispatch/workerview.h
@@ -23,6 +23,7 @@
     std::int64_t servingMilliCores = 0; // part of counted that a serving task rarely uses in full
     std::uint32_t image = 0; // number of the image in the sharing rule
     std::int64_t tailTargetMs = 0; // target of a serving task's tail; 0: none
+    double tailMs = 0; // of a serving task, as last listed
     bool fillsIdle = false;
 };
 
@@ -60,7 +61,6 @@
     std::vector<EndedFiller> endedFillers; // that ended within the time of reported tails
 
     TimePoint paceChangedAt{}; // when the pace of a filling run here was last changed
-    bool isTight = false; // a serving task is near its target
 
     /// Commits and releases what a run uses.
     void addRun(const TaskId &task, const RunUse &use);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -381,8 +381,7 @@
                 {"waiting_serving", load.waitingServing},
                 {"millicores", static_cast<long long>(load.milliCores)},
                 {"free_millicores", static_cast<long long>(load.freeMilliCores)},
-                {"idle_millicores", static_cast<long long>(load.idleMilliCores)},
-                {"tight_workers", load.tightWorkers}});
+                {"idle_millicores", static_cast<long long>(load.idleMilliCores)}});
     m_metrics.set("hyssop_open_runs", static_cast<double>(load.openRuns));
     m_metrics.set("hyssop_waiting_tasks", static_cast<double>(load.waitingCounted + load.waitingFilling + load.waitingServing));
     m_metrics.set("hyssop_free_millicores", static_cast<double>(load.freeMilliCores));
