--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -41,6 +41,8 @@
     m_jobs.clear();
     m_workers.clear();
     m_tickets = TicketBook();
+    m_sharing.restore(table.tails());
+    m_tailsAt = claimedAt;
     m_actions.clear();
     m_newIntents.clear();
     m_batch = OpenBatch();
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -123,6 +123,7 @@
     void intend(JobRun &job, const TaskId &id, TaskRun &task, WorkerView &worker, int run, TimePoint now);
 
     void composeBatch(TimePoint now, WallTime wall);
+    void storeTails(std::vector<KeyedRecord> &records, TimePoint now);
     void forgetEndedJobs(std::vector<KeyedRecord> &records, WallTime wall);
 
     DispatchLimits m_limits;
@@ -142,6 +143,7 @@
     OpenBatch m_batch; // on its way to the store
     bool m_batchOpen = false;
     TimePoint m_batchAt{};
+    TimePoint m_tailsAt{}; // when learned tails were last stored
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -12,6 +12,7 @@
 namespace Internal {
 
 constexpr std::chrono::milliseconds BatchInterval{25};
+constexpr std::chrono::milliseconds TailsInterval{3000};
 // Clocks of instances differ, and callers ask late.
 constexpr std::chrono::milliseconds RetentionMargin{60000};
 // Bytes of records in one append.
@@ -34,6 +35,9 @@
     if (size < Internal::LargestBatch) {
         forgetEndedJobs(store.records, wall);
     }
+    if (!store.records.empty()) {
+        storeTails(store.records, now);
+    }
     for (const auto &[id, worker] : m_workers) {
         if (worker.seenEnd > worker.durableEnd) {
             m_batch.ends[id] = {worker.bornAt, worker.seenEnd};
@@ -69,6 +73,15 @@
     }
 }
 
+void Dispatcher::storeTails(std::vector<KeyedRecord> &records, TimePoint now)
+{
+    if (now - m_tailsAt < Internal::TailsInterval) {
+        return;
+    }
+    m_tailsAt = now;
+    records.push_back({0, tailsKey(), encode(m_sharing.learned())});
+}
+
 void Dispatcher::forgetEndedJobs(std::vector<KeyedRecord> &records, WallTime wall)
 {
     const std::int64_t endedBefore = sinceEpoch(wall - m_limits.statusRetention - Internal::RetentionMargin).count();
--- a/src/libs/dispatch/sharingrule.cpp
+++ b/src/libs/dispatch/sharingrule.cpp
@@ -106,6 +106,42 @@
     return paces;
 }
 
+Wire::LearnedTails SharingRule::learned() const
+{
+    std::map<std::uint32_t, std::string> names;
+    for (const auto &[name, image] : m_images.names()) {
+        names[image] = name;
+    }
+    Wire::LearnedTails learned;
+    for (const auto &[image, model] : m_models) {
+        Wire::ServingTail tail;
+        tail.image = names[image];
+        tail.baseMs = model.baseMs();
+        tail.ownUtilization = model.ownUtilization();
+        for (const auto &[neighbour, effect] : model.neighbours()) {
+            Wire::NeighbourEffect entry;
+            entry.image = names[neighbour];
+            entry.coefficient = effect.coefficient;
+            entry.variance = effect.variance;
+            tail.neighbours.push_back(std::move(entry));
+        }
+        learned.tails.push_back(std::move(tail));
+    }
+    return learned;
+}
+
+void SharingRule::restore(const Wire::LearnedTails &learned)
+{
+    m_models.clear();
+    for (const Wire::ServingTail &tail : learned.tails) {
+        std::map<std::uint32_t, TailModel::Learned> neighbours;
+        for (const Wire::NeighbourEffect &effect : tail.neighbours) {
+            neighbours[m_images.idOf(effect.image)] = {effect.coefficient, effect.variance};
+        }
+        m_models[m_images.idOf(tail.image)].restore(tail.baseMs, tail.ownUtilization, neighbours);
+    }
+}
+
 double SharingRule::added(const RunUse &serving, const RunUse &filler) const
 {
     const auto model = m_models.find(serving.image);
--- a/src/libs/dispatch/sharingrule.h
+++ b/src/libs/dispatch/sharingrule.h
@@ -2,6 +2,8 @@
 
 #include "tailmodel.h"
 
+#include "hyssop_types.h"
+
 #include <placement/nametable.h>
 #include <utils/clock.h>
 
@@ -54,6 +56,10 @@
     /// Returns the pace in percent for each of @p runs (of filling runs; others get 100).
     std::vector<int> paces(const std::vector<SharedRun> &runs) const;
 
+    /// What the rule has learned, by image names, and a start with what an earlier one has learned.
+    Wire::LearnedTails learned() const;
+    void restore(const Wire::LearnedTails &learned);
+
 private:
     double added(const RunUse &serving, const RunUse &filler) const;
     std::size_t worstFiller(const std::vector<SharedRun> &runs, const SharedRun &serving) const;
--- a/src/libs/dispatch/tailmodel.cpp
+++ b/src/libs/dispatch/tailmodel.cpp
@@ -27,10 +27,7 @@
     if (tailMs <= 0) {
         return;
     }
-    if (m_coefficients.empty()) {
-        m_coefficients.push_back(Internal::FirstOwnUtilization);
-        m_covariance.push_back({Internal::FirstVariance});
-    }
+    begin();
     m_baseMs = m_baseMs == 0 ? tailMs : std::min(m_baseMs, tailMs);
     const double utilization = utilizationOf(tailMs);
     std::vector<std::size_t> slots{0};
@@ -90,6 +87,36 @@
     return std::max(coefficient, 0.0) * neighbour.load;
 }
 
+std::map<std::uint32_t, TailModel::Learned> TailModel::neighbours() const
+{
+    std::map<std::uint32_t, Learned> neighbours;
+    for (const auto &[image, slot] : m_slots) {
+        neighbours[image] = {m_coefficients[slot], m_covariance[slot][slot]};
+    }
+    return neighbours;
+}
+
+void TailModel::restore(double baseMs, double ownUtilization, const std::map<std::uint32_t, Learned> &neighbours)
+{
+    begin();
+    m_baseMs = baseMs;
+    m_ownPeak = ownUtilization;
+    m_coefficients.front() = ownUtilization;
+    for (const auto &[image, learned] : neighbours) {
+        const std::size_t slot = slotOf(image);
+        m_coefficients[slot] = learned.coefficient;
+        m_covariance[slot][slot] = std::clamp(learned.variance, 0.0, Internal::LargestVariance);
+    }
+}
+
+void TailModel::begin()
+{
+    if (m_coefficients.empty()) {
+        m_coefficients.push_back(Internal::FirstOwnUtilization);
+        m_covariance.push_back({Internal::FirstVariance});
+    }
+}
+
 std::size_t TailModel::slotOf(std::uint32_t image)
 {
     const auto known = m_slots.find(image);
--- a/src/libs/dispatch/tailmodel.h
+++ b/src/libs/dispatch/tailmodel.h
@@ -36,7 +36,20 @@
     /// Returns the utilization that a neighbour adds; never negative.
     double added(const NeighbourLoad &neighbour) const;
 
+    /// What the model has learned about a neighbour.
+    struct Learned
+    {
+        double coefficient = 0;
+        double variance = 0;
+    };
+    std::map<std::uint32_t, Learned> neighbours() const;
+    double baseMs() const { return m_baseMs; }
+
+    /// Begins with what an earlier model has learned.
+    void restore(double baseMs, double ownUtilization, const std::map<std::uint32_t, Learned> &neighbours);
+
 private:
+    void begin();
     std::size_t slotOf(std::uint32_t image);
     void updateOwnPeak(double own);
 
--- a/src/libs/jobtopic/jobkeys.cpp
+++ b/src/libs/jobtopic/jobkeys.cpp
@@ -8,6 +8,7 @@
 constexpr std::string_view CancellationPrefix = "c/";
 constexpr std::string_view ProgressPrefix = "p/";
 constexpr std::string_view Claim = "owner";
+constexpr std::string_view Tails = "tails";
 
 static std::string joined(std::string_view prefix, std::string_view jobId)
 {
@@ -36,8 +37,16 @@
     return std::string(Internal::Claim);
 }
 
+std::string tailsKey()
+{
+    return std::string(Internal::Tails);
+}
+
 JobKey parseJobKey(std::string_view key)
 {
+    if (key == Internal::Tails) {
+        return {JobKeyKind::Tails, {}};
+    }
     if (key == Internal::Claim) {
         return {JobKeyKind::Claim, {}};
     }
--- a/src/libs/jobtopic/jobtable.cpp
+++ b/src/libs/jobtopic/jobtable.cpp
@@ -38,6 +38,9 @@
     case JobKeyKind::Claim:
         applyClaim(record);
         break;
+    case JobKeyKind::Tails:
+        applyTails(record);
+        break;
     case JobKeyKind::Unknown:
         ++m_malformed;
         break;
@@ -104,6 +107,19 @@
     }
 }
 
+void JobTable::applyTails(const KeyedRecord &record)
+{
+    if (!record.value) {
+        return;
+    }
+    auto decoded = capture([&] { return decodeLearnedTails(*record.value); });
+    if (auto *tails = valueOf(decoded)) {
+        m_tails = std::move(*tails);
+    } else {
+        ++m_malformed;
+    }
+}
+
 void JobTable::applyClaim(const KeyedRecord &record)
 {
     if (!record.value || record.offset <= m_claimOffset) {
--- a/src/libs/jobtopic/jobtable.h
+++ b/src/libs/jobtopic/jobtable.h
@@ -40,6 +40,9 @@
     /// The newest claim of the topic.
     const std::optional<Wire::TopicClaim> &claim() const { return m_claim; }
 
+    /// What earlier owners have learned about tails.
+    const Wire::LearnedTails &tails() const { return m_tails; }
+
     /// Number of accepted jobs of @p queue without a start time for which no task has started.
     std::size_t waitingJobs(const std::string &queue) const;
 
@@ -50,10 +53,12 @@
     void applyCancellation(const JobKey &key, const KeyedRecord &record);
     void applyProgress(const JobKey &key, const KeyedRecord &record);
     void applyClaim(const KeyedRecord &record);
+    void applyTails(const KeyedRecord &record);
 
     std::map<std::string, JobEntry> m_jobs;
     std::optional<Wire::TopicClaim> m_claim;
     std::int64_t m_claimOffset = -1;
+    Wire::LearnedTails m_tails;
     std::uint64_t m_malformed = 0;
 };
 
--- a/src/libs/placement/nametable.h
+++ b/src/libs/placement/nametable.h
@@ -29,6 +29,9 @@
         return next;
     }
 
+    /// Returns all names with their numbers.
+    const std::unordered_map<std::string, std::uint32_t> &names() const { return m_ids; }
+
     std::uint32_t size() const { return static_cast<std::uint32_t>(m_ids.size()); }
 
 private:
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -76,6 +76,11 @@
     return Internal::encodeValue(claim);
 }
 
+std::string encode(const Wire::LearnedTails &tails)
+{
+    return Internal::encodeValue(tails);
+}
+
 Result<Wire::Envelope> decodeEnvelope(std::string_view bytes)
 {
     return Internal::decodeValue<Wire::Envelope>(bytes);
@@ -101,4 +106,9 @@
     return Internal::decodeValue<Wire::TopicClaim>(bytes);
 }
 
+Result<Wire::LearnedTails> decodeLearnedTails(std::string_view bytes)
+{
+    return Internal::decodeValue<Wire::LearnedTails>(bytes);
+}
+
 } // namespace Hyssop
--- a/src/libs/wire/codec.h
+++ b/src/libs/wire/codec.h
@@ -19,6 +19,7 @@
 std::string encode(const Wire::StepJob &job);
 std::string encode(const Wire::JobProgress &progress);
 std::string encode(const Wire::TopicClaim &claim);
+std::string encode(const Wire::LearnedTails &tails);
 
 /// Decodes with the Thrift compact protocol. Fails with ErrorCode::TooLarge above LargestWireMessage and with
 /// ErrorCode::Malformed for anything that is not exactly one value of the type.
@@ -27,5 +28,6 @@
 Result<Wire::StepJob> decodeStepJob(std::string_view bytes);
 Result<Wire::JobProgress> decodeJobProgress(std::string_view bytes);
 Result<Wire::TopicClaim> decodeTopicClaim(std::string_view bytes);
+Result<Wire::LearnedTails> decodeLearnedTails(std::string_view bytes);
 
 } // namespace Hyssop
--- a/src/libs/wire/hyssop.thrift
+++ b/src/libs/wire/hyssop.thrift
@@ -228,6 +228,25 @@
   4: i32 finishedOccurrences = 0, // occurrences below this number are done
 }
 
+/* Utilization that one image adds to a serving image, for each unit of load. */
+struct NeighbourEffect {
+  1: string image,
+  2: double coefficient = 0,
+  3: double variance = 0,        // uncertainty of the coefficient
+}
+
+struct ServingTail {
+  1: string image,
+  2: double baseMs = 0,          // lowest tail seen
+  3: double ownUtilization = 0,
+  4: list<NeighbourEffect> neighbours,
+}
+
+/* What the owner has learned about tails; saved for its successors. */
+struct LearnedTails {
+  1: list<ServingTail> tails,
+}
+
 /* Claims the job topic. The store accepts it only at the log end that the claimant has read. */
 struct TopicClaim {
   1: string instance,
