--- a/src/libs/dispatch/sharingrule.cpp
+++ b/src/libs/dispatch/sharingrule.cpp
@@ -15,7 +15,7 @@
 constexpr int SlowPace = 40; // percent
 // Utilization left free for the swings of the serving runs' own load.
 constexpr double RaiseMargin = 0.05;
-constexpr double PlacementMargin = 0.05;
+constexpr double PlacementMargin = 0.12;
 
 static double ratioOf(const SharedRun &serving)
 {
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -92,7 +92,7 @@
     m_jobs.setHandlers([this](const KeyedRecord &record) { m_owner.jobRecordApplied(m_table.apply(record)); },
                        [this](TimePoint sentAt) {
                            m_owner.jobsRead(sentAt);
-                           m_jobs.setPace(m_owner.isOwner() ? Internal::OwnerJobsPace : Internal::StandbyJobsPace);
+                           m_jobs.setPace(m_owner.isOwner() || m_owner.isClaiming() ? Internal::OwnerJobsPace : Internal::StandbyJobsPace);
                            m_workers.setPace(m_owner.isOwner() ? Internal::OwnerWorkersPace : Internal::StandbyWorkersPace);
                        });
     asio::co_spawn(m_context, m_jobs.run(), asio::detached);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -33,6 +33,7 @@
 constexpr std::chrono::milliseconds AppendTimeout{1500};
 constexpr std::chrono::milliseconds AppendPause{60};
 constexpr std::chrono::milliseconds ReleaseTimeout{1000};
+constexpr std::chrono::milliseconds ClaimVisibleTime{1000};
 constexpr int LongestClaimJitterMs = 250;
 constexpr const char *ProducerName = "owner";
 
@@ -156,10 +157,16 @@
         becomeOwner();
     } else if (!m_claiming && m_claimRule.shouldClaim(m_evidence, now)) {
         m_claiming = true;
+        m_claimedAt = now;
         asio::co_spawn(m_executor, claim(), asio::detached);
     }
 }
 
+bool TopicOwner::isClaiming() const
+{
+    return m_claimedAt != TimePoint() && m_clock.now() - m_claimedAt < Internal::ClaimVisibleTime;
+}
+
 void TopicOwner::applyConfiguration(const ClusterConfig &config, const std::set<std::string> &evacuatedDomains)
 {
     m_config = config;
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -63,6 +63,8 @@
     boost::asio::awaitable<void> release();
 
     bool isOwner() const { return m_term.has_value(); }
+    /// Returns true while a claim may show up in the topic.
+    bool isClaiming() const;
     std::int64_t term() const { return m_term.value_or(-1); }
 
 private:
@@ -103,6 +105,7 @@
     TimePoint m_lastReport{};
     bool m_appending = false;
     bool m_claiming = false;
+    TimePoint m_claimedAt{};
     bool m_releasing = false;
 };
 
