Leave a share of the capacity to short tasks when serving tasks begin

Load pattern: serving jobs fill the counted capacity, short jobs wait for room beyond their objective.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -124,6 +124,9 @@
         if (task.phase != TaskPhase::Waiting || task.notBefore > now) {
             continue;
         }
+        if (wish.step->longRunning && task.run == 0 && !choice.hasRoomForServing(queue.service, use)) {
+            return;
+        }
         WorkerView *worker = choice.choose(wish);
         if (worker == nullptr) {
             return;
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -9,6 +9,8 @@
 
 namespace Internal {
 
+// Share of the capacity that new serving tasks leave to short tasks.
+constexpr int ShortTaskPercent = 10;
 // A worker without an answered call for this long gets no work.
 constexpr std::chrono::milliseconds LongestSilence{2500};
 constexpr std::int64_t BytesPerMegabyte = 1'000'000;
@@ -91,6 +93,19 @@
     return best;
 }
 
+bool WorkerChoice::hasRoomForServing(const std::string &service, const RunUse &use) const
+{
+    std::int64_t capacity = 0;
+    std::int64_t free = -use.counted.milliCores;
+    for (const WorkerView *worker : m_workers) {
+        if (worker->info.service == service) {
+            capacity += worker->info.capacity.milliCores;
+            free += worker->info.capacity.milliCores - worker->servingCommitted;
+        }
+    }
+    return free * 100 >= capacity * Internal::ShortTaskPercent;
+}
+
 std::vector<std::string> WorkerChoice::racksByRoom(const std::string &service) const
 {
     std::map<std::string, std::int64_t> room;
--- a/src/libs/dispatch/workerchoice.h
+++ b/src/libs/dispatch/workerchoice.h
@@ -43,6 +43,9 @@
     /// Returns the best worker, or a null pointer if none fits now.
     WorkerView *choose(const PlacementWish &wish) const;
 
+    /// Returns true if enough capacity stays free for short tasks after a serving task has begun to use @p use.
+    bool hasRoomForServing(const std::string &service, const RunUse &use) const;
+
     /// Returns racks in the order of their free processor capacity, most first.
     std::vector<std::string> racksByRoom(const std::string &service) const;
 
