--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -13,6 +13,8 @@
 
 namespace Internal {
 
+constexpr int TokensInTerm = 1000;
+
 template<typename Function>
 static void forEachTask(JobRun &job, Function function)
 {
@@ -181,6 +183,16 @@
     return {worker.info.id, worker.info.address};
 }
 
+std::int64_t Dispatcher::tokenFor(const WorkerView &worker) const
+{
+    return m_term * Internal::TokensInTerm + std::min(worker.suspectedLives, Internal::TokensInTerm - 1);
+}
+
+bool Dispatcher::isOfThisTerm(std::int64_t fencingToken) const
+{
+    return fencingToken / Internal::TokensInTerm == m_term;
+}
+
 void Dispatcher::startDueOccurrences(JobRun &job, WallTime wall)
 {
     const std::int64_t wallMs = sinceEpoch(wall).count();
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -83,6 +83,11 @@
     WorkerView *findWorker(const std::string &worker);
     WorkerAddress addressOf(const WorkerView &worker) const;
 
+    /// Rises with each term, and with each new life of the worker: a call to an earlier life that is carried out late is
+    /// refused.
+    std::int64_t tokenFor(const WorkerView &worker) const;
+    bool isOfThisTerm(std::int64_t fencingToken) const;
+
     void adoptOpenRuns(JobRun &job);
     void startDueOccurrences(JobRun &job, WallTime wall);
 
@@ -104,9 +109,12 @@
     void adjustPace(WorkerView &worker, const WorkerListing &listing, TimePoint now);
 
     void sendStart(const TaskId &id, TaskRun &task, TimePoint now);
+    void checkClock(const std::string &workerId, WorkerTime reading, TimePoint now);
+    void noteFence(const std::string &workerId, std::int64_t fencingToken, const OrderRefused &refusal);
     void refused(const TaskId &id, TaskRun &task, const OrderRefused &answer, TimePoint now);
     void beginStop(const TaskId &id, TaskRun &task, TimePoint now);
     void sendStop(const TaskId &id, const TaskRun &task);
+    void giveUpRun(const TaskId &id, TaskRun &task, TimePoint now);
     void requeue(const TaskId &id, TaskRun &task, TimePoint now);
     void endRun(const TaskId &id, TaskRun &task, RunEnding ending, const std::string &checkpoint, TimePoint now);
     void noteDone(const TaskId &id, TaskRun &task);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds RetryPause{100};
 constexpr std::chrono::milliseconds InvalidOrderPause{2000};
 constexpr std::chrono::milliseconds FailurePause{100};
+// Answers overtake one another by less than this.
+constexpr std::chrono::milliseconds ClockSlack{1000};
 
 } // namespace Internal
 
@@ -28,7 +30,7 @@
     const JobRun *job = m_jobs.find(id.job);
     WorkerView *worker = findWorker(task.worker);
     if (job == nullptr || worker == nullptr || job->isEnded() || !mayStartOn(*worker, now)) {
-        requeue(id, task, now);
+        giveUpRun(id, task, now);
         return;
     }
     StartOrder order;
@@ -41,7 +43,7 @@
         const auto ticket = tickets->find(task.worker);
         order.ticket = ticket != tickets->end() ? ticket->second : std::string();
     }
-    order.fencingToken = m_term;
+    order.fencingToken = tokenFor(*worker);
     order.leaseEnd = worker->clock->readingAt(m_leases.grantUntil(now, m_confirmedAt));
     worker->leaseEnd = std::max(worker->leaseEnd, worker->clock->surelyReached(order.leaseEnd));
     task.phase = TaskPhase::Ordered;
@@ -54,32 +56,36 @@
 {
     TaskRun *task = m_jobs.task(order.task);
     const bool isCurrent = task != nullptr && task->run == order.run && task->worker == order.worker.id;
-    if (order.fencingToken != m_term || !isCurrent || task->phase != TaskPhase::Ordered) {
+    if (!isOfThisTerm(order.fencingToken) || !isCurrent || task->phase != TaskPhase::Ordered) {
         return;
     }
+    if (const auto *done = std::get_if<OrderDone>(&answer)) {
+        checkClock(order.worker.id, done->clock, now);
+    }
     std::visit(Overloaded{
                    [&](const OrderDone &) {
+                       if (task->phase != TaskPhase::Ordered) {
+                           return; // the order reached a new life of the worker, where the run is being stopped
+                       }
                        task->phase = TaskPhase::Running;
                        task->phaseSince = now;
                        task->confirmedAt = now;
                        task->percentSince = now;
                    },
-                   [&](const OrderRefused &refusal) { refused(order.task, *task, refusal, now); },
+                   [&](const OrderRefused &refusal) {
+                       noteFence(order.worker.id, order.fencingToken, refusal);
+                       refused(order.task, *task, refusal, now);
+                   },
                    [&](const OrderUnsent &) {
                        if (WorkerView *worker = findWorker(task->worker)) {
                            worker->trust.noteRefusal(now);
                        }
-                       if (task->sends > 1) {
-                           beginStop(order.task, *task, now); // an earlier copy may have arrived
-                       } else {
-                           requeue(order.task, *task, now);
-                       }
+                       --task->sends;
+                       giveUpRun(order.task, *task, now);
                    },
                    [&](const OrderUnknown &) {
                        if (task->sends < Internal::StartSends) {
-                           StartOrder again = order;
-                           ++task->sends;
-                           m_actions.emplace_back(std::move(again));
+                           sendStart(order.task, *task, now);
                        } else {
                            beginStop(order.task, *task, now);
                        }
@@ -88,13 +94,30 @@
                answer);
 }
 
+void Dispatcher::checkClock(const std::string &workerId, WorkerTime reading, TimePoint now)
+{
+    WorkerView *worker = findWorker(workerId);
+    const bool wentBack = worker != nullptr && worker->clock && reading + Internal::ClockSlack < worker->clock->reading;
+    if (wentBack) {
+        noteRebirth(*worker, now);
+        worker->bornAt = std::chrono::milliseconds(0);
+        worker->clock.reset();
+    }
+}
+
+void Dispatcher::noteFence(const std::string &workerId, std::int64_t fencingToken, const OrderRefused &refusal)
+{
+    const WorkerView *worker = findWorker(workerId);
+    const bool isNewest = worker != nullptr && fencingToken == tokenFor(*worker);
+    if (refusal.reason == OrderRefusal::Fenced && isNewest) {
+        m_actions.emplace_back(GiveUpOwnership{}); // otherwise a newer order of ours overtook this one
+    }
+}
+
 void Dispatcher::refused(const TaskId &id, TaskRun &task, const OrderRefused &answer, TimePoint now)
 {
     WorkerView *worker = findWorker(task.worker);
     switch (answer.reason) {
-    case OrderRefusal::Fenced:
-        m_actions.emplace_back(GiveUpOwnership{});
-        return;
     case OrderRefusal::Superseded:
         // The run was there and has ended; the next listing says how.
         task.phase = TaskPhase::Running;
@@ -118,11 +141,18 @@
             worker->trust.noteRefusal(now);
         }
         break;
+    case OrderRefusal::Fenced:
     case OrderRefusal::Expired:
         break;
     }
-    if (task.sends > 1) {
-        beginStop(id, task, now); // an earlier copy of the order may still be carried out
+    --task.sends; // this copy is certainly not carried out
+    giveUpRun(id, task, now);
+}
+
+void Dispatcher::giveUpRun(const TaskId &id, TaskRun &task, TimePoint now)
+{
+    if (task.sends > 0) {
+        beginStop(id, task, now); // a copy of the order may still be carried out
     } else {
         requeue(id, task, now);
     }
@@ -140,19 +170,18 @@
 {
     const WorkerView *worker = findWorker(task.worker);
     if (worker != nullptr && !worker->info.address.empty()) {
-        m_actions.emplace_back(StopOrder{addressOf(*worker), id, task.run, m_term});
+        m_actions.emplace_back(StopOrder{addressOf(*worker), id, task.run, tokenFor(*worker)});
     }
 }
 
 void Dispatcher::stopAnswered(const StopOrder &order, const OrderAnswer &answer, TimePoint now)
 {
-    if (const auto *refusal = std::get_if<OrderRefused>(&answer); refusal != nullptr && refusal->reason == OrderRefusal::Fenced) {
-        m_actions.emplace_back(GiveUpOwnership{});
-        return;
+    if (const auto *refusal = std::get_if<OrderRefused>(&answer)) {
+        noteFence(order.worker.id, order.fencingToken, *refusal);
     }
     TaskRun *task = m_jobs.task(order.task);
     const bool isCurrent = task != nullptr && task->run == order.run && task->worker == order.worker.id;
-    if (order.fencingToken != m_term || !isCurrent || task->phase != TaskPhase::Stopping) {
+    if (!isOfThisTerm(order.fencingToken) || !isCurrent || task->phase != TaskPhase::Stopping) {
         return;
     }
     if (std::holds_alternative<OrderDone>(answer)) {
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -58,9 +58,11 @@
         }
         PollOrder poll;
         poll.worker = addressOf(worker);
-        poll.fencingToken = m_term;
-        poll.acknowledgedEnd = worker.durableEnd;
-        if (worker.clock) {
+        poll.fencingToken = tokenFor(worker);
+        // The ends of a new life are numbered anew and must not be taken for acknowledged ones.
+        poll.acknowledgedEnd = worker.failedPolls == 0 ? worker.durableEnd : 0;
+        // A worker that does not answer gets no longer lease: its runs have to end some time.
+        if (worker.clock && worker.failedPolls == 0) {
             const WorkerTime leaseEnd = worker.clock->readingAt(m_leases.grantUntil(now, m_confirmedAt));
             poll.leaseEnd = leaseEnd;
             worker.leaseEnd = std::max(worker.leaseEnd, worker.clock->surelyReached(leaseEnd));
@@ -75,20 +77,22 @@
 void Dispatcher::pollAnswered(const PollOrder &order, const PollAnswer &answer, TimePoint sentAt, TimePoint now)
 {
     WorkerView *worker = findWorker(order.worker.id);
-    if (worker == nullptr || order.fencingToken != m_term) {
+    if (worker == nullptr || !isOfThisTerm(order.fencingToken)) {
         return;
     }
     worker->pollOpen = false;
     const auto failed = [&] {
-        ++worker->failedPolls;
+        if (worker->failedPolls++ == 0) {
+            // It may be about to start anew: its next life shall refuse what was sent to this one.
+            ++worker->suspectedLives;
+        }
         worker->nextPoll = now + Internal::FailedPollPause;
     };
     std::visit(Overloaded{
                    [&](const WorkerListing &listing) { applyListing(*worker, listing, sentAt, now); },
                    [&](const OrderRefused &refusal) {
-                       if (refusal.reason == OrderRefusal::Fenced) {
-                           m_actions.emplace_back(GiveUpOwnership{});
-                       } else if (refusal.reason == OrderRefusal::OtherWorker) {
+                       noteFence(order.worker.id, order.fencingToken, refusal);
+                       if (refusal.reason == OrderRefusal::OtherWorker) {
                            worker->leaseEnd = TimePoint(); // the worker's address serves another one: it is gone
                        }
                        failed();
@@ -131,6 +135,7 @@
 {
     worker.seenEnd = 0;
     worker.durableEnd = 0;
+    ++worker.suspectedLives;
     const auto runs = worker.runs;
     for (const auto &[id, use] : runs) {
         TaskRun *task = m_jobs.task(id);
@@ -151,6 +156,11 @@
     }
     worker.seenEnd = end.number;
     TaskRun *task = m_jobs.task(end.task);
+    if (task != nullptr && task->phase == TaskPhase::Waiting && task->run == end.run && end.ending == RunEnding::Done) {
+        task->worker = worker.info.id; // the run was written off too early
+        endRun(end.task, *task, end.ending, end.checkpoint, now);
+        return;
+    }
     if (task != nullptr && task->isOpen() && task->worker == worker.info.id && task->run == end.run) {
         endRun(end.task, *task, end.ending, end.checkpoint, now);
     }
@@ -232,7 +242,7 @@
         return;
     }
     lastStop = now;
-    m_actions.emplace_back(StopOrder{addressOf(worker), run.task, run.run, m_term});
+    m_actions.emplace_back(StopOrder{addressOf(worker), run.task, run.run, tokenFor(worker)});
 }
 
 std::vector<NeighbourLoad> Dispatcher::endedLoads(WorkerView &worker, TimePoint now)
@@ -272,7 +282,7 @@
         }
         if (runs[index].use->fillsIdle && paces[index] != runs[index].pacePercent) {
             worker.paceChangedAt = now;
-            m_actions.emplace_back(PaceOrder{addressOf(worker), listed[index]->task, listed[index]->run, paces[index], m_term});
+            m_actions.emplace_back(PaceOrder{addressOf(worker), listed[index]->task, listed[index]->run, paces[index], tokenFor(worker)});
         }
     }
 }
--- a/src/libs/dispatch/workerview.h
+++ b/src/libs/dispatch/workerview.h
@@ -34,6 +34,7 @@
     bool listed = false; // registered with the platform at present
     std::optional<WorkerClock> clock;
     std::chrono::milliseconds bornAt{0}; // 0: not known
+    int suspectedLives = 0; // lives in this term after the first one, known or suspected
     WorkerTrust trust;
 
     bool pollOpen = false;
--- /dev/null
+++ b/tests/libs/dispatch/dispatchworld.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "simulatedworker.h"
+
+#include <dispatch/dispatcher.h>
+#include <jobtopic/jobtable.h>
+#include <ports/clusterconfig.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Hyssop::Testing {
+
+/// How often messages and processes misbehave; shares from 0 to 1.
+struct DispatchFaults
+{
+    double lostAnswers = 0; // the order is carried out, its answer is lost
+    double lateOrders = 0; // the order is carried out 2 to 12 s later, without an answer
+    double failedRuns = 0;
+};
+
+/// Dispatchers, workers and the job topic under a virtual clock. Every start is checked against what must always hold;
+/// each violation is noted in violations.
+class DispatchWorld
+{
+public:
+    explicit DispatchWorld(std::uint32_t seed, std::size_t workers = 6);
+    ~DispatchWorld();
+
+    /// Submits a job with @p steps steps, each after the one before, of @p width tasks.
+    void submit(const std::string &jobId, int steps, int width, std::function<void(Wire::TaskStep &)> change = {});
+    void cancel(const std::string &jobId);
+
+    /// Lets an instance claim the topic; the earlier owner goes on until it reads the claim.
+    void claim();
+
+    /// The newest owner stands still, sends nothing and hears nothing for @p time.
+    void freezeOwner(Duration time);
+
+    /// The newest owner can't reach the store; the appends of others succeed.
+    void cutOwnerFromStore(Duration time);
+
+    /// The worker crashes and begins a new life after @p downTime.
+    void restartWorker(std::size_t index, Duration downTime);
+
+    void run(Duration time);
+
+    bool isComplete(const std::string &jobId) const;
+    Wire::JobPhase::type phaseOf(const std::string &jobId) const;
+    SimulatedWorker &worker(std::size_t index) { return *m_workers[index]; }
+    std::size_t startsOn(const std::string &worker) const;
+    std::size_t openRuns() const;
+    int random(int maximum) { return static_cast<int>(m_random() % static_cast<std::uint32_t>(maximum)); }
+
+    DispatchFaults faults;
+    ClusterConfig config;
+    std::set<std::string> evacuated;
+    std::vector<std::string> violations;
+    std::vector<std::pair<TaskId, std::string>> starts; // with the worker
+    std::function<SimulatedWorker::Run(const TaskId &)> plan;
+    TimePoint now{std::chrono::seconds(1000)};
+
+private:
+    struct Owner;
+    using Event = std::function<void()>;
+
+    void at(TimePoint time, Event event);
+    void tick();
+    void tickOwner(Owner &owner);
+    void perform(Owner &owner, DispatchAction action);
+    void answer(const std::shared_ptr<Owner> &owner, Duration delay, Event event);
+    template<typename Order, typename Carry, typename Done>
+    void order(Owner &owner, const Order &order, Carry carry, Done done);
+    void store(Owner &owner, StoreRecords records);
+    void append(const KeyedRecord &record);
+    void checkStart(const TaskId &task, int run, const std::string &worker);
+    bool chance(double share);
+    WallTime wall() const;
+
+    std::mt19937 m_random;
+    std::vector<std::unique_ptr<SimulatedWorker>> m_workers;
+    std::vector<std::shared_ptr<Owner>> m_owners;
+    std::multimap<TimePoint, Event> m_events;
+    JobTable m_table;
+    std::int64_t m_offset = 0;
+    std::map<TaskId, std::string> m_running; // ground truth
+    std::set<TaskId> m_doneNoted;
+    std::set<TaskId> m_done;
+    std::map<TaskId, int> m_failed;
+    std::set<std::string> m_cancelled;
+    std::map<std::string, Wire::StepJob> m_jobs;
+};
+
+} // namespace Hyssop::Testing
