--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -105,6 +105,7 @@
     void stopStray(WorkerView &worker, const ListedRun &run, TimePoint now);
     std::vector<NeighbourLoad> endedLoads(WorkerView &worker, TimePoint now);
     void noteEndedFiller(const TaskId &id, const TaskRun &task, TimePoint now);
+    void noteTails(WorkerView &worker, const std::vector<SharedRun> &runs, TimePoint now);
     bool moveHalted(const TaskId &id, TimePoint now);
     void adjustPace(WorkerView &worker, const WorkerListing &listing, TimePoint now);
 
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -10,6 +10,7 @@
 namespace Internal {
 
 constexpr std::chrono::milliseconds PollWait{1000};
+constexpr std::chrono::milliseconds OverTargetPollWait{400};
 constexpr std::chrono::milliseconds IdlePollInterval{1000};
 constexpr std::chrono::milliseconds FailedPollPause{200};
 // Ends are listed again until they are durable; asking again sooner has no use.
@@ -20,6 +21,8 @@
 // Tails are reported over half a second, so the effect of a change shows only after that time.
 constexpr std::chrono::milliseconds TailReportTime{500};
 constexpr std::chrono::milliseconds PaceInterval{400};
+// All filling runs halt if a serving task stays over its target for this long, whatever was learned of them.
+constexpr std::chrono::milliseconds LongestOverTarget{1200};
 // A halted run that can resume elsewhere is moved after this time.
 constexpr std::chrono::milliseconds LongestHalt{700};
 // A worker lists at most this many ends in one answer.
@@ -67,7 +70,8 @@
             poll.leaseEnd = leaseEnd;
             worker.leaseEnd = std::max(worker.leaseEnd, worker.clock->surelyReached(leaseEnd));
             const bool waits = worker.reached && !worker.runs.empty() && worker.seenEnd == worker.durableEnd;
-            poll.wait = waits ? Internal::PollWait : std::chrono::milliseconds(0);
+            const auto longestWait = worker.overTargetSince ? Internal::OverTargetPollWait : Internal::PollWait;
+            poll.wait = waits ? longestWait : std::chrono::milliseconds(0);
         }
         worker.pollOpen = true;
         m_actions.emplace_back(std::move(poll));
@@ -272,21 +276,34 @@
         use->second.tailMs = isServing ? run.load : 0;
     }
     m_sharing.observe(runs, endedLoads(worker, now));
-    if (now - worker.paceChangedAt < Internal::PaceInterval) {
+    noteTails(worker, runs, now);
+    const bool haltAll = worker.overTargetSince && now - *worker.overTargetSince >= Internal::LongestOverTarget;
+    if (!haltAll && now - worker.paceChangedAt < Internal::PaceInterval) {
         return;
     }
-    const std::vector<int> paces = m_sharing.paces(runs);
+    const std::vector<int> paces = haltAll ? std::vector<int>(runs.size(), 0) : m_sharing.paces(runs);
     for (std::size_t index = 0; index < runs.size(); ++index) {
-        if (paces[index] == 0 && moveHalted(listed[index]->task, now)) {
+        if (!runs[index].use->fillsIdle || (paces[index] == 0 && moveHalted(listed[index]->task, now))) {
             continue;
         }
-        if (runs[index].use->fillsIdle && paces[index] != runs[index].pacePercent) {
+        if (paces[index] != runs[index].pacePercent) {
             worker.paceChangedAt = now;
             m_actions.emplace_back(PaceOrder{addressOf(worker), listed[index]->task, listed[index]->run, paces[index], tokenFor(worker)});
         }
     }
 }
 
+void Dispatcher::noteTails(WorkerView &worker, const std::vector<SharedRun> &runs, TimePoint now)
+{
+    const bool isOver =
+        std::ranges::any_of(runs, [](const SharedRun &run) { return run.use->tailTargetMs > 0 && run.load >= static_cast<double>(run.use->tailTargetMs); });
+    if (!isOver) {
+        worker.overTargetSince.reset();
+    } else if (!worker.overTargetSince) {
+        worker.overTargetSince = now;
+    }
+}
+
 bool Dispatcher::moveHalted(const TaskId &id, TimePoint now)
 {
     const JobRun *job = m_jobs.find(id.job);
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -173,6 +173,9 @@
     if (!step.fillsIdle) {
         return true;
     }
+    if (worker.overTargetSince) {
+        return false;
+    }
     const bool harmless = m_sharing.disturbance(worker, *wish.use) < SharingRule::HarmlessUtilization;
     return Internal::hasIdleTime(worker, step) && (harmless || m_sharing.headroom(worker, *wish.use) > 0);
 }
--- a/src/libs/dispatch/workerview.h
+++ b/src/libs/dispatch/workerview.h
@@ -61,6 +61,7 @@
     };
     std::vector<EndedFiller> endedFillers; // that ended within the time of reported tails
 
+    std::optional<TimePoint> overTargetSince; // a serving task has been over its target in each listing since then
     TimePoint paceChangedAt{}; // when the pace of a filling run here was last changed
 
     /// Commits and releases what a run uses.
