--- /dev/null
+++ b/tests/libs/dispatch/testjobprogress.cpp
@@ -0,0 +1,91 @@
+#include <dispatch/jobprogress.h>
+#include <dispatch/jobrun.h>
+#include <jobtopic/jobtable.h>
+#include <wire/codec.h>
+
+#include <criterion/criterion.h>
+
+using namespace Hyssop;
+
+namespace {
+
+Wire::StepJob twoSteps()
+{
+    Wire::StepJob job;
+    job.queue = "batch";
+    job.steps.resize(2);
+    job.steps[0].taskCount = 10;
+    job.steps[1].taskCount = 3;
+    job.steps[1].after.push_back(0);
+    return job;
+}
+
+/// Stores and restores a job as a takeover does.
+JobRun throughTheTopic(const JobRun &job)
+{
+    JobEntry entry;
+    entry.job = job.job;
+    auto decoded = capture([&] { return decodeJobProgress(encode(progressOf(job))); });
+    entry.progress = *valueOf(decoded);
+    return restoreJob(job.id, entry);
+}
+
+} // namespace
+
+Test(jobProgress, everythingThatMattersSurvivesATakeover)
+{
+    JobRun job;
+    job.id = "a";
+    job.job = twoSteps();
+    job.hasStarted = true;
+    addOccurrence(job, 0);
+    std::vector<TaskRun> &tasks = job.occurrences[0][0].tasks;
+    tasks[9].phase = TaskPhase::Done;
+    job.occurrences[0][0].done = 1;
+    tasks[1].phase = TaskPhase::Running;
+    tasks[1].run = 4;
+    tasks[1].worker = "w";
+    tasks[1].failures = 2;
+    tasks[1].checkpoint = "c";
+    tasks[2].run = 3;
+    tasks[2].failures = 1;
+
+    const JobRun restored = throughTheTopic(job);
+    const StepRun &step = restored.occurrences.at(0)[0];
+    cr_assert_eq(step.done, 1);
+    cr_assert_eq(step.tasks[9].phase, TaskPhase::Done);
+    cr_assert_eq(step.tasks[1].phase, TaskPhase::Ordered);
+    cr_assert_eq(step.tasks[1].run, 4);
+    cr_assert_eq(step.tasks[1].worker, "w");
+    cr_assert_eq(step.tasks[1].failures, 2);
+    cr_assert_eq(step.tasks[1].checkpoint, "c");
+    cr_assert_eq(step.tasks[2].phase, TaskPhase::Waiting);
+    cr_assert_eq(step.tasks[2].run, 3);
+    cr_assert(restored.hasStarted);
+}
+
+Test(jobProgress, anUntouchedJobNeedsFewBytes)
+{
+    JobRun job;
+    job.id = "a";
+    job.job = twoSteps();
+    addOccurrence(job, 0);
+    cr_assert(progressOf(job).steps.empty());
+    cr_assert_eq(progressOf(job).phase, Wire::JobPhase::Pending);
+}
+
+Test(jobProgress, marksOfUnknownTasksAreIgnored)
+{
+    JobEntry entry;
+    entry.job = twoSteps();
+    Wire::StepMarks marks;
+    marks.step = 7;
+    entry.progress.steps.push_back(marks);
+    marks.step = 0;
+    Wire::TaskMark mark;
+    mark.index = 99;
+    marks.marks.push_back(mark);
+    entry.progress.steps.push_back(marks);
+    const JobRun job = restoreJob("a", entry);
+    cr_assert_eq(job.occurrences.at(0)[0].tasks.size(), 10);
+}
