Test the adapter and hyssop-node as processes against a stand-in for the platform

A task whose progress shows less than 1 % in 4 s because it is long is no longer taken for stalled (seen by the process test of an outage). Log lines that would block are dropped and counted.

--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds EndsPendingPause{80};
 constexpr std::chrono::milliseconds StopRepeatInterval{400};
 constexpr std::chrono::milliseconds LongestStall{4000};
+constexpr int StallShareOfEstimate = 10;
 constexpr std::chrono::milliseconds StrayStopInterval{500};
 // Tails are reported over half a second, so the effect of a change shows only after that time.
 constexpr std::chrono::milliseconds TailReportTime{500};
@@ -202,9 +203,12 @@
         return;
     }
     const JobRun *job = m_jobs.find(run.task.job);
-    const bool atWork = job->step(run.task.step).longRunning && run.percent >= 100;
+    const Wire::TaskStep &step = job->step(run.task.step);
+    const bool atWork = step.longRunning && run.percent >= 100;
     const bool slowedByUs = task.pacePercent < 100;
-    if (atWork || slowedByUs || task.phase != TaskPhase::Running || now - task.percentSince < Internal::LongestStall) {
+    // One percent of a long task takes long as well.
+    const auto longestStall = std::max(Internal::LongestStall, std::chrono::milliseconds(step.estimateMs / Internal::StallShareOfEstimate));
+    if (atWork || slowedByUs || task.phase != TaskPhase::Running || now - task.percentSince < longestStall) {
         return;
     }
     worker.trust.noteStall(now);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -251,6 +251,7 @@
         m_dispatcher.updateWorker(info);
     }
     m_metrics.add("hyssop_ownerships_total");
+    m_metrics.set("hyssop_is_owner", 1);
     logMessage(LogLevel::Info,
                "owner",
                "ownership gained",
@@ -266,6 +267,7 @@
         m_lowestTerm = *m_term + 1;
     }
     m_term.reset();
+    m_metrics.set("hyssop_is_owner", 0);
     m_evidence.lastRecordAt = m_clock.now();
 }
 
--- a/src/libs/observability/logging.cpp
+++ b/src/libs/observability/logging.cpp
@@ -1,7 +1,8 @@
 #include "logging.h"
 
+#include "outputappender.h"
+
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -176,7 +177,7 @@
     }
     state->format = format;
     state->instance = instance;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
+    log4cplus::SharedAppenderPtr appender(new Internal::OutputAppender);
     const char *pattern = format == LogFormat::Json ? "{\"time\":\"%D{%Y-%m-%dT%H:%M:%S.%qZ}\",%m}%n" : "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} %m%n";
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
--- /dev/null
+++ b/src/libs/observability/outputappender.cpp
@@ -0,0 +1,48 @@
+#include "outputappender.h"
+
+#include <log4cplus/spi/loggingevent.h>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <sstream>
+#include <string>
+
+namespace Hyssop::Internal {
+
+static bool isWritable()
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+OutputAppender::~OutputAppender()
+{
+    destructorImpl();
+}
+
+void OutputAppender::close()
+{
+    closed = true;
+}
+
+void OutputAppender::append(const log4cplus::spi::InternalLoggingEvent &event)
+{
+    if (!isWritable()) {
+        ++m_dropped;
+        return;
+    }
+    std::ostringstream stream;
+    if (m_dropped > 0) {
+        stream << "message=\"log lines dropped, nobody reads them\" lines=" << m_dropped << "\n";
+        m_dropped = 0;
+    }
+    layout->formatAndAppend(stream, event);
+    const std::string text = stream.str();
+    // The lines of one process are written by one thread; what does not fit into the pipe at once is lost.
+    if (::write(STDOUT_FILENO, text.data(), text.size()) < 0) {
+        ++m_dropped;
+    }
+}
+
+} // namespace Hyssop::Internal
--- /dev/null
+++ b/tests/platform/teststoreclient.cpp
@@ -0,0 +1,106 @@
+#include <http/httpclient.h>
+#include <ports/topicappend.h>
+#include <standins/platform/storeserver.h>
+#include <storeclient.h>
+#include <support/coroutines.h>
+#include <utils/endpoint.h>
+
+#include <criterion/criterion.h>
+
+using namespace Hyssop;
+using namespace std::chrono_literals;
+
+namespace asio = boost::asio;
+
+namespace {
+
+struct Fixture
+{
+    Fixture()
+        : server(context.get_executor(), anyLoopbackPort())
+        , http(context.get_executor())
+        , client(http, formatEndpoint(server.localEndpoint()))
+    {
+        server.start();
+    }
+
+    static TopicAppend appendOf(const std::string &key, const std::string &value)
+    {
+        return {Topic::Jobs, {{0, key, value}}, std::nullopt, std::nullopt};
+    }
+
+    asio::awaitable<TopicAppendAnswer> append(TopicAppend append) { co_return co_await client.append(std::move(append), 500ms); }
+
+    asio::io_context context{1};
+    StandIn::StoreServer server;
+    HttpClient http;
+    Platform::StoreClient client;
+};
+
+} // namespace
+
+static asio::awaitable<void> whatIsAppendedIsReadSteps(Fixture &f)
+{
+    cr_assert_eq(std::get<TopicAppended>(co_await f.append(f.appendOf("a", "1"))).offset, 0);
+    cr_assert_eq(std::get<TopicAppended>(co_await f.append(f.appendOf("b", "2"))).offset, 1);
+    const ReadAnswer read = co_await f.client.read(Topic::Jobs, 1, 0ms);
+    const RecordPage &page = std::get<RecordPage>(read);
+    cr_assert_eq(page.records.size(), 1);
+    cr_assert_eq(page.records[0].key, "b");
+    const NewestAnswer newest = co_await f.client.newest(Topic::Jobs, "a");
+    cr_assert_eq(std::get<NewestPage>(newest).records.size(), 1);
+    const ReadAnswer empty = co_await f.client.read(Topic::Jobs, 2, 20ms);
+    cr_assert(std::get<RecordPage>(empty).records.empty());
+}
+
+Test(storeClient, whatIsAppendedIsRead)
+{
+    Fixture fixture;
+    runToEnd(fixture.context, ::whatIsAppendedIsReadSteps(fixture));
+}
+
+static asio::awaitable<void> conditionsAndEpochsAreToldSteps(Fixture &f)
+{
+    TopicAppend claim = f.appendOf("owner", "x");
+    claim.expectedEnd = 3;
+    cr_assert_eq(std::get<TopicEndMoved>(co_await f.append(claim)).end, 0);
+    claim.expectedEnd = 0;
+    claim.position = ProducerPosition{"owner", 5, 0};
+    cr_assert(std::holds_alternative<TopicAppended>(co_await f.append(claim)));
+    TopicAppend next = f.appendOf("p", "y");
+    next.position = ProducerPosition{"owner", 5, 1};
+    const auto first = std::get<TopicAppended>(co_await f.append(next));
+    cr_assert_eq(std::get<TopicAppended>(co_await f.append(next)).offset, first.offset, "a repeat is answered as the first time");
+    next.position->sequence = 7;
+    cr_assert_eq(std::get<ProducerFenced>(co_await f.append(next)).reason, "seq");
+    next.position = ProducerPosition{"owner", 4, 0};
+    cr_assert_eq(std::get<ProducerFenced>(co_await f.append(next)).reason, "fenced");
+}
+
+Test(storeClient, conditionsAndEpochsAreTold)
+{
+    Fixture fixture;
+    runToEnd(fixture.context, ::conditionsAndEpochsAreToldSteps(fixture));
+}
+
+static asio::awaitable<void> certainAndUncertainFailuresAreToldApartSteps(Fixture &f)
+{
+    f.server.faults.isDown = true;
+    cr_assert(std::holds_alternative<TopicAppendRefused>(co_await f.append(f.appendOf("a", "1"))));
+    cr_assert(std::holds_alternative<Error>(co_await f.client.read(Topic::Jobs, 0, 0ms)));
+    f.server.faults = {false, 1.0};
+    cr_assert(std::holds_alternative<TopicAppendUnknown>(co_await f.append(f.appendOf("a", "1"))));
+    f.server.faults = {};
+    const ReadAnswer read = co_await f.client.read(Topic::Jobs, 0, 0ms);
+    cr_assert_eq(std::get<RecordPage>(read).records.size(), 1, "the append took effect");
+    f.server.store.expireAll();
+    cr_assert(std::holds_alternative<RecordsExpired>(co_await f.client.read(Topic::Jobs, 0, 0ms)));
+    Platform::StoreClient nowhere(f.http, "127.0.0.1:1");
+    cr_assert(std::holds_alternative<TopicAppendRefused>(co_await nowhere.append(f.appendOf("a", "1"), 500ms)));
+}
+
+Test(storeClient, certainAndUncertainFailuresAreToldApart)
+{
+    Fixture fixture;
+    runToEnd(fixture.context, ::certainAndUncertainFailuresAreToldApartSteps(fixture));
+}
--- /dev/null
+++ b/tests/platform/testworkerclient.cpp
@@ -0,0 +1,100 @@
+#include <http/httpclient.h>
+#include <observability/metricsregistry.h>
+#include <standins/platform/platformworker.h>
+#include <support/coroutines.h>
+#include <utils/endpoint.h>
+#include <workerclient.h>
+
+#include <criterion/criterion.h>
+
+using namespace Hyssop;
+using namespace std::chrono_literals;
+
+namespace asio = boost::asio;
+
+namespace {
+
+struct Fixture
+{
+    Fixture()
+        : server(context.get_executor(), anyLoopbackPort(), "i-1")
+        , http(context.get_executor())
+        , client(http, metrics)
+        , worker{"i-1", formatEndpoint(server.localEndpoint())}
+    {
+        server.start();
+    }
+
+    StartOrder startOf(int run, std::int64_t token)
+    {
+        StartOrder order;
+        order.worker = worker;
+        order.task = {"ab", 0, 0, 0};
+        order.run = run;
+        order.payload = "ms=60000";
+        order.fencingToken = token;
+        order.leaseEnd = WorkerTime(6000);
+        return order;
+    }
+
+    asio::io_context context{1};
+    StandIn::PlatformWorker server;
+    HttpClient http;
+    MetricsRegistry metrics;
+    Platform::WorkerClient client;
+    WorkerAddress worker;
+};
+
+OrderRefusal refusalOf(const OrderAnswer &answer)
+{
+    return std::get<OrderRefused>(answer).reason;
+}
+
+} // namespace
+
+static asio::awaitable<void> startsListsAndStopsARunSteps(Fixture &f)
+{
+    cr_assert(std::holds_alternative<OrderDone>(co_await f.client.start(f.startOf(1, 5))));
+    cr_assert(std::holds_alternative<OrderDone>(co_await f.client.start(f.startOf(1, 5))), "the run is there already");
+    PollOrder poll;
+    poll.worker = f.worker;
+    poll.fencingToken = 5;
+    const PollAnswer running = co_await f.client.poll(poll);
+    cr_assert_eq(std::get<WorkerListing>(running).runs.size(), 1);
+    cr_assert_gt(std::get<WorkerListing>(running).bornAt.count(), 0);
+    StopOrder stop;
+    stop.worker = f.worker;
+    stop.task = {"ab", 0, 0, 0};
+    stop.run = 1;
+    stop.fencingToken = 5;
+    cr_assert(std::holds_alternative<OrderDone>(co_await f.client.stop(stop)));
+    const PollAnswer stopped = co_await f.client.poll(poll);
+    cr_assert_eq(std::get<WorkerListing>(stopped).ends.at(0).ending, RunEnding::Stopped);
+    cr_assert_eq(refusalOf(co_await f.client.start(f.startOf(1, 5))), OrderRefusal::Superseded);
+}
+
+Test(workerClient, startsListsAndStopsARun)
+{
+    Fixture fixture;
+    runToEnd(fixture.context, ::startsListsAndStopsARunSteps(fixture));
+}
+
+static asio::awaitable<void> refusalsAreToldApartSteps(Fixture &f)
+{
+    StartOrder late = f.startOf(1, 5);
+    late.leaseEnd = WorkerTime(1);
+    cr_assert_eq(refusalOf(co_await f.client.start(late)), OrderRefusal::Expired);
+    cr_assert_eq(refusalOf(co_await f.client.start(f.startOf(1, 4))), OrderRefusal::Fenced);
+    StartOrder other = f.startOf(1, 5);
+    other.worker.id = "i-2";
+    cr_assert_eq(refusalOf(co_await f.client.start(other)), OrderRefusal::OtherWorker);
+    StartOrder nowhere = f.startOf(1, 5);
+    nowhere.worker.address = "127.0.0.1:1";
+    cr_assert(std::holds_alternative<OrderUnsent>(co_await f.client.start(nowhere)));
+}
+
+Test(workerClient, refusalsAreToldApart)
+{
+    Fixture fixture;
+    runToEnd(fixture.context, ::refusalsAreToldApartSteps(fixture));
+}
--- /dev/null
+++ b/tests/processes/testnode.cpp
@@ -0,0 +1,248 @@
+#include <support/childprocess.h>
+#include <support/httpcall.h>
+
+#include <boost/json.hpp>
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+using namespace Hyssop::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Three instances of hyssop-node, a stand-in for the platform's store, and workers.
+class NodeCluster
+{
+public:
+    explicit NodeCluster(int workers = 3)
+        : m_folder("/tmp/hyssop-nodes-" + std::to_string(::getpid()))
+        , m_platform("standin-platform", {"--workers", std::to_string(workers)}, m_folder + "-platform.log")
+    {
+        store = m_platform.readAddress();
+        for (int index = 0; index < workers; ++index) {
+            workerAddresses.push_back(m_platform.readAddress());
+        }
+        for (int index = 0; index < 3; ++index) {
+            start(index);
+        }
+        waitUntilReady();
+    }
+
+    void start(int index)
+    {
+        const std::string name = "node-" + std::to_string(index);
+        std::ofstream(settingsFile(index)) << "[instance]\nname = " << name << "\nfailure_domain = a\ncallers = " << callers(index)
+                                           << "\nready = " << address(index, 1) << "\nadmin = " << address(index, 2) << "\n[store]\naddress = " << store
+                                           << "\n[shutdown]\ngrace = 4 s\n";
+        m_nodes.erase(index);
+        m_nodes.emplace(index, ChildProcess("hyssop-node", {"--config", settingsFile(index)}, m_folder + "-" + name + ".log"));
+    }
+
+    ~NodeCluster()
+    {
+        m_nodes.clear();
+        for (int index = 0; index < 3; ++index) {
+            std::remove(settingsFile(index).c_str());
+            std::remove((m_folder + "-node-" + std::to_string(index) + ".log").c_str());
+        }
+        std::remove((m_folder + "-platform.log").c_str());
+    }
+
+    ChildProcess &node(int index) { return m_nodes.at(index); }
+
+    HttpAnswer call(int index, const std::string &method, const std::string &path, const std::string &body = {}) const
+    {
+        return httpCall(callers(index), method, path, body, {{"Host", "queue.example"}});
+    }
+
+    int submit(int index, const std::string &jobId, const std::string &payload = "ms=100", int tasks = 2) const
+    {
+        const std::string steps = R"([{"count":)" + std::to_string(tasks) + R"(,"cpu":500,"memMb":100,"estimateMs":100},{"count":1,"cpu":500,"memMb":100,"after":[0]}])";
+        return call(index, "POST", "/batch/" + jobId, R"({"spec":")" + payload + R"(","steps":)" + steps + "}").status;
+    }
+
+    std::string state(int index, const std::string &jobId) const
+    {
+        const HttpAnswer answer = call(index, "GET", "/batch/" + jobId);
+        return answer.status == 200 ? std::string(boost::json::parse(answer.body).at("state").as_string()) : "status " + std::to_string(answer.status);
+    }
+
+    bool waitForState(int index, const std::string &jobId, const std::string &wanted, std::chrono::seconds timeout) const
+    {
+        const auto until = std::chrono::steady_clock::now() + timeout;
+        while (state(index, jobId) != wanted) {
+            if (std::chrono::steady_clock::now() >= until) {
+                return false;
+            }
+            std::this_thread::sleep_for(50ms);
+        }
+        return true;
+    }
+
+    /// Returns the instance that owns the job topic; -1 if none says so.
+    int owner() const
+    {
+        for (int index = 0; index < 3; ++index) {
+            const HttpAnswer answer = httpCall(address(index, 2), "GET", "/metrics");
+            if (answer.body.find("hyssop_is_owner 1") != std::string::npos) {
+                return index;
+            }
+        }
+        return -1;
+    }
+
+    int waitForOwner() const
+    {
+        for (int attempt = 0; attempt < 200; ++attempt) {
+            if (const int index = owner(); index >= 0) {
+                return index;
+            }
+            std::this_thread::sleep_for(50ms);
+        }
+        return -1;
+    }
+
+    void control(const std::string &query) const { httpCall(store, "POST", "/control?" + query); }
+
+    /// Returns how often each task was started.
+    std::map<std::string, int> starts() const
+    {
+        std::map<std::string, int> counts;
+        for (const std::string &worker : workerAddresses) {
+            std::istringstream lines(httpCall(worker, "GET", "/starts").body);
+            std::string task;
+            int run = 0;
+            while (lines >> task >> run) {
+                ++counts[task];
+            }
+        }
+        return counts;
+    }
+
+    std::string store;
+    std::vector<std::string> workerAddresses;
+
+private:
+    // Each test process takes a block of ports of its own.
+    static std::string address(int index, int offset)
+    {
+        return "127.0.0.1:" + std::to_string(20000 + ::getpid() % 3000 * 10 + index * 3 + offset);
+    }
+    static std::string callers(int index) { return address(index, 0); }
+    std::string settingsFile(int index) const { return m_folder + "-" + std::to_string(index) + ".ini"; }
+
+    void waitUntilReady() const
+    {
+        for (int index = 0; index < 3; ++index) {
+            for (int attempt = 0; attempt < 200 && httpCall(address(index, 1), "GET", "/v1/ready").status != 200; ++attempt) {
+                std::this_thread::sleep_for(50ms);
+            }
+        }
+    }
+
+    std::string m_folder;
+    ChildProcess m_platform;
+    std::map<int, ChildProcess> m_nodes;
+};
+
+void assertStartedOnce(const NodeCluster &cluster)
+{
+    for (const auto &[task, count] : cluster.starts()) {
+        cr_assert_eq(count, 1, "%s was started %d times", task.c_str(), count);
+    }
+}
+
+} // namespace
+
+Test(node, aJobRunsToItsEnd, .timeout = 60)
+{
+    NodeCluster cluster;
+    cr_assert_eq(cluster.submit(0, "00000000000000a1"), 200);
+    cr_assert_eq(cluster.submit(1, "00000000000000a1"), 200, "a resend remains one job");
+    cr_assert(cluster.waitForState(2, "00000000000000a1", "completed", 15s));
+    cr_assert_eq(cluster.starts().size(), 3);
+    assertStartedOnce(cluster);
+    cr_assert_eq(cluster.call(0, "GET", "/batch/00000000000000ff").status, 410);
+    cr_assert_eq(cluster.call(0, "GET", "/elsewhere/1").status, 404);
+    cr_assert_eq(cluster.call(0, "POST", "/batch/00000000000000a2", "{").status, 400);
+}
+
+Test(node, aCancelledJobIsGone, .timeout = 60)
+{
+    NodeCluster cluster;
+    cr_assert_eq(cluster.submit(0, "00000000000000b1", "ms=60000"), 200);
+    cr_assert(cluster.waitForState(1, "00000000000000b1", "running", 15s));
+    cr_assert_eq(cluster.call(2, "DELETE", "/batch/00000000000000b1").status, 200);
+    cr_assert(cluster.waitForState(0, "00000000000000b1", "cancelled", 5s));
+    cr_assert_eq(cluster.call(2, "DELETE", "/batch/00000000000000b9").status, 410);
+}
+
+Test(node, theDeathOfTheOwnerLosesAndDoublesNothing, .timeout = 60)
+{
+    NodeCluster cluster;
+    const int owner = cluster.waitForOwner();
+    cr_assert_geq(owner, 0);
+    const int other = (owner + 1) % 3;
+    cr_assert_eq(cluster.submit(other, "00000000000000c1", "ms=3000", 4), 200);
+    cr_assert(cluster.waitForState(other, "00000000000000c1", "running", 10s));
+    cluster.node(owner).kill();
+    cr_assert_eq(cluster.submit(other, "00000000000000c2"), 200);
+    cr_assert(cluster.waitForState(other, "00000000000000c1", "completed", 25s));
+    cr_assert(cluster.waitForState(other, "00000000000000c2", "completed", 10s));
+    assertStartedOnce(cluster);
+}
+
+Test(node, aFrozenOwnerDoesNoHarmWhenItGoesOn, .timeout = 90)
+{
+    NodeCluster cluster;
+    const int owner = cluster.waitForOwner();
+    cr_assert_geq(owner, 0);
+    const int other = (owner + 1) % 3;
+    cr_assert_eq(cluster.submit(other, "00000000000000d1", "ms=2000", 4), 200);
+    cr_assert(cluster.waitForState(other, "00000000000000d1", "running", 10s));
+    cluster.node(owner).sendSignal(SIGSTOP);
+    cr_assert(cluster.waitForState(other, "00000000000000d1", "completed", 30s));
+    cluster.node(owner).sendSignal(SIGCONT);
+    cr_assert_eq(cluster.submit(other, "00000000000000d2"), 200);
+    cr_assert(cluster.waitForState(owner, "00000000000000d2", "completed", 15s));
+    assertStartedOnce(cluster);
+}
+
+Test(node, anOutageOfTheStoreIsToldAndSurvived, .timeout = 90)
+{
+    NodeCluster cluster;
+    cr_assert_eq(cluster.submit(0, "00000000000000e1", "ms=6000", 3), 200);
+    cr_assert(cluster.waitForState(1, "00000000000000e1", "running", 10s));
+    cluster.control("down=1");
+    std::this_thread::sleep_for(300ms);
+    cr_assert_eq(cluster.submit(0, "00000000000000e2"), 503, "what can't be stored is refused");
+    std::this_thread::sleep_for(4s);
+    cluster.control("down=0&lost=0.3&expire=1");
+    cr_assert(cluster.waitForState(1, "00000000000000e1", "completed", 30s));
+    cr_assert_eq(cluster.submit(2, "00000000000000e3"), 200);
+    cr_assert(cluster.waitForState(1, "00000000000000e3", "completed", 15s));
+    assertStartedOnce(cluster);
+    cr_assert_eq(cluster.state(0, "00000000000000e2"), "status 410", "a refused job never runs");
+}
+
+Test(node, aPlannedStopHandsTheTopicOver, .timeout = 60)
+{
+    NodeCluster cluster;
+    const int owner = cluster.waitForOwner();
+    cr_assert_geq(owner, 0);
+    const int other = (owner + 1) % 3;
+    cr_assert_eq(cluster.submit(other, "00000000000000f1", "ms=2500", 3), 200);
+    cr_assert(cluster.waitForState(other, "00000000000000f1", "running", 10s));
+    cluster.node(owner).sendSignal(SIGTERM);
+    cr_assert_eq(cluster.node(owner).waitForExit(6s), 0);
+    cr_assert(cluster.waitForState(other, "00000000000000f1", "completed", 15s));
+    assertStartedOnce(cluster);
+}
--- /dev/null
+++ b/tests/standins/platform/platformworker.cpp
@@ -0,0 +1,196 @@
+#include "platformworker.h"
+
+#include <utils/endpoint.h>
+
+#include <boost/algorithm/string/join.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace Hyssop::StandIn {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::int64_t LongestLeaseMs = 6000;
+constexpr std::chrono::milliseconds CheckInterval{5};
+constexpr std::chrono::milliseconds DefaultTaskTime{100};
+
+std::chrono::milliseconds taskTime(const std::string &payload)
+{
+    const std::size_t position = payload.find("ms=");
+    return position == std::string::npos ? DefaultTaskTime : std::chrono::milliseconds(std::stoi(payload.substr(position + 3)));
+}
+
+} // namespace
+
+int PlatformWorker::Run::percent() const
+{
+    return static_cast<int>(100 * (std::chrono::steady_clock::now() - begunAt) / (endsAt - begunAt));
+}
+
+PlatformWorker::PlatformWorker(asio::any_io_executor executor, const asio::ip::tcp::endpoint &endpoint, std::string id)
+    : m_executor(executor)
+    , m_id(std::move(id))
+    , m_bornUnixMs(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
+    , m_server(std::move(executor), endpoint, [this](const HttpRequest &request) { return answer(request); })
+{
+}
+
+std::string PlatformWorker::registration(std::int64_t sequence) const
+{
+    return json::serialize(json::object{{"service", "hall"},
+                                        {"address", formatEndpoint(localEndpoint())},
+                                        {"zone", "a"},
+                                        {"version", "v1"},
+                                        {"slots", 8},
+                                        {"state", "ready"},
+                                        {"coldLeftMs", 0},
+                                        {"capacity", {{"cpu", 8000}, {"memMb", 16000}, {"gpu", 0}}},
+                                        {"labels", {"a", "r1-1"}},
+                                        {"clockMs", clockMs()},
+                                        {"born", m_bornUnixMs},
+                                        {"sequence", sequence}});
+}
+
+std::string PlatformWorker::startLines() const
+{
+    return boost::algorithm::join(m_starts, "\n");
+}
+
+void PlatformWorker::advance()
+{
+    const auto runs = m_runs;
+    for (const auto &[task, run] : runs) {
+        if (clockMs() >= m_leaseEndMs) {
+            finish(task, "lapsed");
+        } else if (std::chrono::steady_clock::now() >= run.endsAt) {
+            finish(task, "done");
+        }
+    }
+}
+
+asio::awaitable<HttpResponse> PlatformWorker::answer(const HttpRequest &request)
+{
+    const auto expected = request["X-Hyssopferry-Expect-Instance"];
+    if (!expected.empty() && expected != m_id) {
+        co_return makeResponse(request, static_cast<http::status>(421), "");
+    }
+    advance();
+    if (request.target() == "/starts") {
+        co_return makeResponse(request, http::status::ok, startLines());
+    }
+    const std::int64_t token = json::parse(request.body()).at("fencingToken").to_number<std::int64_t>();
+    if (token < m_token) {
+        co_return refuse(request, "fence");
+    }
+    m_token = token;
+    if (request.target() == "/v1/run-start") {
+        co_return startRun(request, request.body());
+    }
+    if (request.target() == "/v1/run-stop") {
+        co_return stopRun(request, request.body());
+    }
+    if (request.target() == "/v1/hold") {
+        co_return co_await hold(request, request.body());
+    }
+    co_return makeResponse(request, http::status::ok, json::serialize(json::object{{"clockMs", clockMs()}}), "application/json");
+}
+
+HttpResponse PlatformWorker::startRun(const HttpRequest &request, const std::string &body)
+{
+    const json::value order = json::parse(body);
+    const std::string task(order.at("task").as_string());
+    const int run = order.at("run").to_number<int>();
+    const auto leaseEnd = order.at("deadlineMs").to_number<std::int64_t>();
+    if (leaseEnd <= clockMs()) {
+        return refuse(request, "late");
+    }
+    extendLease(leaseEnd);
+    const auto present = m_runs.find(task);
+    const bool isThere = present != m_runs.end() && present->second.number == run;
+    const auto ended = m_highestEnded.find(task);
+    if (!isThere && (present != m_runs.end() || (ended != m_highestEnded.end() && run <= ended->second))) {
+        return refuse(request, "old");
+    }
+    if (!isThere) {
+        const Time now = std::chrono::steady_clock::now();
+        m_runs[task] = {run, now, now + taskTime(std::string(order.at("spec").as_string()))};
+        m_starts.push_back(task + " " + std::to_string(run));
+    }
+    return makeResponse(request, http::status::ok, json::serialize(json::object{{"clockMs", clockMs()}}), "application/json");
+}
+
+HttpResponse PlatformWorker::stopRun(const HttpRequest &request, const std::string &body)
+{
+    const json::value order = json::parse(body);
+    const std::string task(order.at("task").as_string());
+    const int run = order.at("run").to_number<int>();
+    const auto present = m_runs.find(task);
+    if (present != m_runs.end() && present->second.number <= run) {
+        finish(task, "stopped");
+    }
+    m_highestEnded[task] = std::max(m_highestEnded[task], run);
+    return makeResponse(request, http::status::ok, json::serialize(json::object{{"clockMs", clockMs()}}), "application/json");
+}
+
+asio::awaitable<HttpResponse> PlatformWorker::hold(const HttpRequest &request, const std::string &body)
+{
+    const json::value order = json::parse(body);
+    if (const json::value *leaseEnd = order.as_object().if_contains("deadlineMs")) {
+        extendLease(leaseEnd->to_number<std::int64_t>());
+    }
+    const auto lastSeen = order.at("lastSeen").to_number<std::int64_t>();
+    std::erase_if(m_ends, [&](const End &end) { return end.number <= lastSeen; });
+    const json::value *wait = order.as_object().if_contains("waitMs");
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait != nullptr ? wait->to_number<int>() : 0);
+    asio::steady_timer timer(m_executor);
+    while (m_ends.empty() && std::chrono::steady_clock::now() < until) {
+        timer.expires_after(CheckInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        advance();
+    }
+    json::array running;
+    for (const auto &[task, run] : m_runs) {
+        running.push_back(json::array{task, run.number, "", run.percent(), 1000});
+    }
+    json::array finished;
+    for (const End &end : m_ends) {
+        finished.push_back(json::array{end.number, end.task, end.run, end.how, ""});
+    }
+    co_return makeResponse(request,
+                           http::status::ok,
+                           json::serialize(json::object{{"clockMs", clockMs()}, {"born", m_bornUnixMs}, {"running", running}, {"finished", finished}}),
+                           "application/json");
+}
+
+void PlatformWorker::finish(const std::string &task, const std::string &how)
+{
+    const int run = m_runs.at(task).number;
+    m_runs.erase(task);
+    m_highestEnded[task] = std::max(m_highestEnded[task], run);
+    m_ends.push_back({++m_lastEnd, task, run, how});
+}
+
+std::int64_t PlatformWorker::clockMs() const
+{
+    return 1000 + std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_born).count();
+}
+
+void PlatformWorker::extendLease(std::int64_t endMs)
+{
+    m_leaseEndMs = std::max(m_leaseEndMs, std::min(endMs, clockMs() + LongestLeaseMs));
+}
+
+HttpResponse PlatformWorker::refuse(const HttpRequest &request, const char *reason) const
+{
+    return makeResponse(request, http::status::conflict, json::serialize(json::object{{"clockMs", clockMs()}, {"reason", reason}}), "application/json");
+}
+
+} // namespace Hyssop::StandIn
--- /dev/null
+++ b/tests/standins/platform/topicstore.cpp
@@ -0,0 +1,166 @@
+#include "topicstore.h"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/endian/conversion.hpp>
+#include <boost/json.hpp>
+
+namespace Hyssop::StandIn {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t PageItems = 500;
+constexpr std::size_t RememberedAppends = 5;
+
+std::string base64(const std::string &bytes)
+{
+    using namespace boost::archive::iterators;
+    using Encoder = base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+    std::string text{Encoder(bytes.cbegin()), Encoder(bytes.cend())};
+    text.append((3 - bytes.size() % 3) % 3, '=');
+    return text;
+}
+
+std::string bigEndian(std::uint64_t number)
+{
+    std::string bytes(8, '\0');
+    boost::endian::store_big_u64(reinterpret_cast<unsigned char *>(bytes.data()), number);
+    return bytes;
+}
+
+std::string lengthPrefix(std::size_t size)
+{
+    std::string bytes(4, '\0');
+    boost::endian::store_big_u32(reinterpret_cast<unsigned char *>(bytes.data()), static_cast<std::uint32_t>(size));
+    return bytes;
+}
+
+std::string keyOf(const std::string &content)
+{
+    return content.substr(1, static_cast<unsigned char>(content.at(0)));
+}
+
+} // namespace
+
+StoreReply TopicStore::append(const std::string &topic, const AppendQuery &query, const std::string &body)
+{
+    Partition &partition = m_topics[topic];
+    const auto end = static_cast<std::int64_t>(partition.records.size());
+    Producer *producer = query.producer.empty() ? nullptr : &partition.producers[query.producer];
+    if (producer != nullptr) {
+        if (auto refusal = checkProducer(*producer, query)) {
+            return *refusal;
+        }
+    }
+    if (query.at && *query.at != end) {
+        return {412, json::serialize(json::object{{"end", end}})};
+    }
+    for (std::size_t position = 0; position < body.size();) {
+        const auto size = boost::endian::load_big_u32(reinterpret_cast<const unsigned char *>(body.data()) + position);
+        addRecord(partition, body.substr(position + 4, size));
+        position += 4 + size;
+    }
+    StoreReply reply{200, json::serialize(json::object{{"offset", end}, {"end", partition.records.size()}})};
+    if (producer != nullptr) {
+        producer->epoch = query.epoch;
+        producer->nextSequence = query.sequence + 1;
+        producer->answers[query.sequence] = reply;
+        while (producer->answers.size() > RememberedAppends) {
+            producer->answers.erase(producer->answers.begin());
+        }
+    }
+    return reply;
+}
+
+std::optional<StoreReply> TopicStore::checkProducer(Producer &producer, const AppendQuery &query)
+{
+    if (query.epoch < producer.epoch) {
+        return StoreReply{409, R"({"reason":"fenced"})"};
+    }
+    if (query.epoch > producer.epoch) {
+        producer.answers.clear();
+        return std::nullopt;
+    }
+    if (const auto answer = producer.answers.find(query.sequence); answer != producer.answers.end()) {
+        return answer->second;
+    }
+    if (query.sequence != producer.nextSequence) {
+        return StoreReply{409, json::serialize(json::object{{"reason", "seq"}, {"sequence", producer.nextSequence}})};
+    }
+    return std::nullopt;
+}
+
+std::optional<StoreReply> TopicStore::read(const std::string &topic, std::int64_t from) const
+{
+    const auto entry = m_topics.find(topic);
+    if (entry == m_topics.end() || from >= static_cast<std::int64_t>(entry->second.records.size())) {
+        return std::nullopt;
+    }
+    const Partition &partition = entry->second;
+    if (from < partition.first) {
+        return StoreReply{410, json::serialize(json::object{{"first", partition.first}})};
+    }
+    std::string body = offsets(partition);
+    for (auto offset = static_cast<std::size_t>(from); offset < partition.records.size(); ++offset) {
+        body += lengthPrefix(partition.records[offset].size()) + partition.records[offset];
+    }
+    return StoreReply{200, std::move(body)};
+}
+
+StoreReply TopicStore::readNothing(const std::string &topic) const
+{
+    const auto entry = m_topics.find(topic);
+    return {200, entry == m_topics.end() ? bigEndian(0) + bigEndian(0) : offsets(entry->second)};
+}
+
+StoreReply TopicStore::newest(const std::string &topic, const std::string &after) const
+{
+    json::array items;
+    const auto entry = m_topics.find(topic);
+    if (entry == m_topics.end()) {
+        return {200, json::serialize(json::object{{"items", items}, {"more", false}, {"end", 0}})};
+    }
+    bool more = false;
+    for (auto key = entry->second.newest.upper_bound(after); key != entry->second.newest.end(); ++key) {
+        if (items.size() == PageItems) {
+            more = true;
+            break;
+        }
+        const std::string &content = entry->second.records[static_cast<std::size_t>(key->second)];
+        items.push_back(json::object{{"key", key->first}, {"value", base64(content.substr(1 + key->first.size()))}, {"offset", key->second}});
+    }
+    return {200, json::serialize(json::object{{"items", items}, {"more", more}, {"end", entry->second.records.size()}})};
+}
+
+void TopicStore::put(const std::string &topic, const std::string &key, const std::string &value)
+{
+    addRecord(m_topics[topic], std::string(1, static_cast<char>(key.size())) + key + value);
+}
+
+void TopicStore::expireAll()
+{
+    for (auto &[name, partition] : m_topics) {
+        partition.first = static_cast<std::int64_t>(partition.records.size());
+    }
+}
+
+void TopicStore::addRecord(Partition &partition, const std::string &content)
+{
+    const std::string key = keyOf(content);
+    const bool isRemoval = content.size() == 1 + key.size();
+    if (isRemoval) {
+        partition.newest.erase(key);
+    } else {
+        partition.newest[key] = static_cast<std::int64_t>(partition.records.size());
+    }
+    partition.records.push_back(content);
+}
+
+std::string TopicStore::offsets(const Partition &partition)
+{
+    return bigEndian(partition.records.size()) + bigEndian(static_cast<std::uint64_t>(partition.first));
+}
+
+} // namespace Hyssop::StandIn
