--- a/src/libs/node/jobintake.cpp
+++ b/src/libs/node/jobintake.cpp
@@ -56,12 +56,8 @@
 
 } // namespace Internal
 
-JobIntake::JobIntake(asio::any_io_executor executor,
-                     const Clock &clock,
-                     MetadataStore &store,
-                     const JobTable &table,
-                     const TopicFollower &follower,
-                     MetricsRegistry &metrics)
+JobIntake::JobIntake(
+    asio::any_io_executor executor, const Clock &clock, MetadataStore &store, const JobTable &table, const TopicFollower &follower, MetricsRegistry &metrics)
     : m_executor(std::move(executor))
     , m_wake(m_executor)
     , m_clock(clock)
@@ -102,7 +98,8 @@
     if (entry != nullptr && entry->isEnded()) {
         co_return JobAccepted{};
     }
-    auto pending = std::make_shared<Internal::PendingRecord>(m_executor, KeyedRecord{0, cancellationKey(jobId), Internal::CancellationValue}, timeout - Internal::AnswerMargin);
+    auto pending = std::make_shared<Internal::PendingRecord>(
+        m_executor, KeyedRecord{0, cancellationKey(jobId), Internal::CancellationValue}, timeout - Internal::AnswerMargin);
     co_await store(pending);
     const char *outcome = pending->offset ? "cancelled" : pending->maybeSent ? "undetermined" : "refused";
     logMessage(LogLevel::Info, "intake", "job cancellation", {{"job_id", jobId}, {"outcome", outcome}, {"known", entry != nullptr}});
--- a/src/libs/node/jobintake.h
+++ b/src/libs/node/jobintake.h
@@ -57,7 +57,12 @@
 class JobIntake
 {
 public:
-    JobIntake(boost::asio::any_io_executor executor, const Clock &clock, MetadataStore &store, const JobTable &table, const TopicFollower &follower, MetricsRegistry &metrics);
+    JobIntake(boost::asio::any_io_executor executor,
+              const Clock &clock,
+              MetadataStore &store,
+              const JobTable &table,
+              const TopicFollower &follower,
+              MetricsRegistry &metrics);
 
     /// @p timeout is how long the caller waits.
     boost::asio::awaitable<SubmitAnswer> submit(std::string jobId, Wire::StepJob job, std::chrono::milliseconds timeout);
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -42,7 +42,8 @@
 
 } // namespace Internal
 
-NodeDaemon::NodeDaemon(asio::io_context &context, const Settings &settings, OwnerPorts ports, const PlatformDecoder &decoder, MetricsRegistry &metrics, Reload reload)
+NodeDaemon::NodeDaemon(
+    asio::io_context &context, const Settings &settings, OwnerPorts ports, const PlatformDecoder &decoder, MetricsRegistry &metrics, Reload reload)
     : m_context(context)
     , m_metrics(metrics)
     , m_reload(std::move(reload))
--- a/src/libs/node/nodedaemon.h
+++ b/src/libs/node/nodedaemon.h
@@ -29,7 +29,8 @@
     using Reload = std::function<void()>;
 
     /// All references must outlive the daemon.
-    NodeDaemon(boost::asio::io_context &context, const Settings &settings, OwnerPorts ports, const PlatformDecoder &decoder, MetricsRegistry &metrics, Reload reload);
+    NodeDaemon(
+        boost::asio::io_context &context, const Settings &settings, OwnerPorts ports, const PlatformDecoder &decoder, MetricsRegistry &metrics, Reload reload);
 
     /// Starts to follow the store and to serve the platform and callers with the handlers given.
     void start(HttpServer::Handler callers, HttpServer::Handler platform);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -253,10 +253,11 @@
     }
     m_metrics.add("hyssop_ownerships_total");
     m_metrics.set("hyssop_is_owner", 1);
-    logMessage(LogLevel::Info,
-               "owner",
-               "ownership gained",
-               {{"epoch", static_cast<long long>(*m_term)}, {"jobs", m_table.jobs().size()}, {"open_runs", m_dispatcher.openRuns()}, {"workers", m_workers.size()}});
+    logMessage(
+        LogLevel::Info,
+        "owner",
+        "ownership gained",
+        {{"epoch", static_cast<long long>(*m_term)}, {"jobs", m_table.jobs().size()}, {"open_runs", m_dispatcher.openRuns()}, {"workers", m_workers.size()}});
 }
 
 void TopicOwner::stepDown(const std::string &reason)
@@ -469,7 +470,10 @@
     logMessage(LogLevel::Info,
                "owner",
                "advice asked",
-               {{"job_id", question.step.job}, {"step", question.step.step}, {"workers", question.workers.size()}, {"allowed", given != nullptr ? given->tickets.size() : 0}});
+               {{"job_id", question.step.job},
+                {"step", question.step.step},
+                {"workers", question.workers.size()},
+                {"allowed", given != nullptr ? given->tickets.size() : 0}});
     if (m_term) {
         m_dispatcher.adviceAnswered(question, answer, sentAt, m_clock.now());
     }
--- a/tests/platform/testcodecs.cpp
+++ b/tests/platform/testcodecs.cpp
@@ -65,7 +65,8 @@
 
 Test(storeCodec, newestRecordsComeInBase64)
 {
-    auto page = capture([] { return decodeNewest(R"({"items":[{"key":"a","value":"eHk=","offset":7},{"key":"b","value":"","offset":8}],"more":true,"end":9})"); });
+    auto page =
+        capture([] { return decodeNewest(R"({"items":[{"key":"a","value":"eHk=","offset":7},{"key":"b","value":"","offset":8}],"more":true,"end":9})"); });
     const NewestPage *decoded = valueOf(page);
     cr_assert_not_null(decoded);
     cr_assert_eq(*decoded->records[0].value, "xy");
@@ -154,13 +155,20 @@
 Test(recordDecoder, aRegistrationFromAnotherWriterNamesNoWorker)
 {
     const RecordDecoder decoder;
-    const std::string good = R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","remainingMs":800,"capacity":{"cpu":4000,"memMb":10},"labels":["a","r1-3"]})";
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","remainingMs":800,"capacity":{"cpu":4000,"memMb":10},"labels":["a","r1-3"]})";
     auto worker = capture([&] { return decoder.worker("i", good); });
     cr_assert_eq(valueOf(worker)->rack, "r1-3");
     cr_assert(valueOf(worker)->draining);
     cr_assert_eq(valueOf(worker)->remaining->count(), 800);
-    for (const char *bad : {"", "\xff", "[]", "{}", R"({"service":5})", R"({"service":"s","address":"a","state":"unheard","capacity":{"cpu":1}})",
-                            R"({"service":"s","address":"a","state":"ready","capacity":7})", R"({"service":"s","address":"a","state":"ready","labels":[3],"capacity":{"cpu":1}})"}) {
+    for (const char *bad : {"",
+                            "\xff",
+                            "[]",
+                            "{}",
+                            R"({"service":5})",
+                            R"({"service":"s","address":"a","state":"unheard","capacity":{"cpu":1}})",
+                            R"({"service":"s","address":"a","state":"ready","capacity":7})",
+                            R"({"service":"s","address":"a","state":"ready","labels":[3],"capacity":{"cpu":1}})"}) {
         cr_assert(fails([&] { return decoder.worker("i", bad); }), "%s", bad);
     }
 }
--- a/tests/platform/teststoreclient.cpp
+++ b/tests/platform/teststoreclient.cpp
@@ -24,10 +24,7 @@
         server.start();
     }
 
-    static TopicAppend appendOf(const std::string &key, const std::string &value)
-    {
-        return {Topic::Jobs, {{0, key, value}}, std::nullopt, std::nullopt};
-    }
+    static TopicAppend appendOf(const std::string &key, const std::string &value) { return {Topic::Jobs, {{0, key, value}}, std::nullopt, std::nullopt}; }
 
     asio::awaitable<TopicAppendAnswer> append(TopicAppend append) { co_return co_await client.append(std::move(append), 500ms); }
 
--- a/tests/processes/testnode.cpp
+++ b/tests/processes/testnode.cpp
@@ -65,7 +65,8 @@
 
     int submit(int index, const std::string &jobId, const std::string &payload = "ms=100", int tasks = 2) const
     {
-        const std::string steps = R"([{"count":)" + std::to_string(tasks) + R"(,"cpu":500,"memMb":100,"estimateMs":100},{"count":1,"cpu":500,"memMb":100,"after":[0]}])";
+        const std::string steps =
+            R"([{"count":)" + std::to_string(tasks) + R"(,"cpu":500,"memMb":100,"estimateMs":100},{"count":1,"cpu":500,"memMb":100,"after":[0]}])";
         return call(index, "POST", "/batch/" + jobId, R"({"spec":")" + payload + R"(","steps":)" + steps + "}").status;
     }
 
@@ -132,10 +133,7 @@
 
 private:
     // Each test process takes a block of ports of its own.
-    static std::string address(int index, int offset)
-    {
-        return "127.0.0.1:" + std::to_string(20000 + ::getpid() % 3000 * 10 + index * 3 + offset);
-    }
+    static std::string address(int index, int offset) { return "127.0.0.1:" + std::to_string(20000 + ::getpid() % 3000 * 10 + index * 3 + offset); }
     static std::string callers(int index) { return address(index, 0); }
     std::string settingsFile(int index) const { return m_folder + "-" + std::to_string(index) + ".ini"; }
 
--- a/tests/standins/platform/storeserver.cpp
+++ b/tests/standins/platform/storeserver.cpp
@@ -69,7 +69,8 @@
         append.epoch = number(query, "epoch", 0);
         append.sequence = number(query, "sequence", 0);
         const StoreReply result = store.append(text(query, "topic"), append, request.body());
-        const bool lost = faults.lostAnswers > 0 && static_cast<int>(++m_appends * faults.lostAnswers) != static_cast<int>((m_appends - 1) * faults.lostAnswers);
+        const bool lost =
+            faults.lostAnswers > 0 && static_cast<int>(++m_appends * faults.lostAnswers) != static_cast<int>((m_appends - 1) * faults.lostAnswers);
         if (lost) {
             co_return HttpResponse(static_cast<http::status>(0), 11);
         }
