--- a/src/libs/node/claimrule.h
+++ b/src/libs/node/claimrule.h
@@ -19,8 +19,9 @@
 class ClaimRule
 {
 public:
-    /// @p jitter is a random part of the delay that keeps instances apart.
-    explicit ClaimRule(std::chrono::milliseconds jitter);
+    /// @p jitter is a random part of the delay that keeps instances apart. @p processorShare is how much of a core this
+    /// instance has: instances with more claim first.
+    ClaimRule(std::chrono::milliseconds jitter, double processorShare);
 
     /// Notes how long the store took for a call: instances near the store claim first.
     void noteStoreLatency(std::chrono::milliseconds latency);
@@ -29,6 +30,7 @@
 
 private:
     std::chrono::milliseconds m_jitter;
+    std::chrono::milliseconds m_sizeDelay;
     std::chrono::milliseconds m_storeLatency{0};
 };
 
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -3,6 +3,7 @@
 #include <instance/instanceparts.h>
 #include <observability/logging.h>
 #include <utils/endpoint.h>
+#include <utils/quantity.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -40,6 +41,19 @@
     return limits;
 }
 
+static OwnerIdentity ownerIdentity(const Settings &settings)
+{
+    OwnerIdentity identity;
+    identity.instance = settings.text("instance.name");
+    auto milliCores = capture([&] { return parseMilliCores(settings.text("instance.processor_share")); });
+    if (const std::int64_t *value = valueOf(milliCores)) {
+        identity.processorShare = static_cast<double>(*value) / 1000;
+    } else {
+        logMessage(LogLevel::Warning, "node", "unreadable processor share", {{"error", errorOf(milliCores)->message}});
+    }
+    return identity;
+}
+
 } // namespace Internal
 
 NodeDaemon::NodeDaemon(
@@ -55,7 +69,7 @@
     , m_operators(context.get_executor(), m_clock, ports.store, Topic::Operators)
     , m_workers(context.get_executor(), m_clock, ports.store, Topic::Workers)
     , m_intake(context.get_executor(), m_clock, ports.store, m_table, m_jobs, metrics)
-    , m_owner(context.get_executor(), m_clock, ports, m_table, m_jobs, metrics, Internal::dispatchLimits(settings), settings.text("instance.name"))
+    , m_owner(context.get_executor(), m_clock, ports, m_table, m_jobs, metrics, Internal::dispatchLimits(settings), Internal::ownerIdentity(settings))
     , m_admin(context.get_executor(), endpointSetting(settings, "instance.admin"), metrics, [this] { return isReady(); })
     , m_callers(nullptr)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
--- a/src/libs/node/nodesettings.cpp
+++ b/src/libs/node/nodesettings.cpp
@@ -11,6 +11,7 @@
         {"instance.callers", AddressSetting{}, "Address for callers.", "", true},
         {"instance.ready", AddressSetting{}, "Address on which the platform asks whether callers may be sent here.", "", true},
         {"instance.admin", AddressSetting{}, "Address of /metrics, /healthz and /readyz.", "", true},
+        {"instance.processor_share", TextSetting{}, "Cores that this instance may use, for example 0.25.", "1", false},
         {"store.address", AddressSetting{}, "Address of the platform's metadata store.", "", true},
         {"advice.address", AddressListSetting{}, "Address of the advice service; may be empty.", "", false},
         {"workers.longest_lease", DurationSetting{2s, 60s}, "Longest lease that workers grant.", "6 s", false},
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -34,7 +34,7 @@
 constexpr std::chrono::milliseconds AppendPause{60};
 constexpr std::chrono::milliseconds ReleaseTimeout{1000};
 constexpr std::chrono::milliseconds ClaimVisibleTime{1000};
-constexpr int LongestClaimJitterMs = 250;
+constexpr int LongestClaimJitterMs = 120;
 constexpr const char *ProducerName = "owner";
 
 static std::int64_t randomNumber(std::int64_t maximum)
@@ -111,16 +111,16 @@
                        const TopicFollower &jobs,
                        MetricsRegistry &metrics,
                        const DispatchLimits &limits,
-                       std::string instance)
+                       const OwnerIdentity &identity)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_ports(ports)
     , m_table(table)
     , m_jobs(jobs)
     , m_metrics(metrics)
-    , m_instance(std::move(instance))
+    , m_instance(identity.instance)
     , m_incarnation(Internal::randomNumber(std::numeric_limits<std::int64_t>::max()))
-    , m_claimRule(std::chrono::milliseconds(Internal::randomNumber(Internal::LongestClaimJitterMs)))
+    , m_claimRule(std::chrono::milliseconds(Internal::randomNumber(Internal::LongestClaimJitterMs)), identity.processorShare)
     , m_dispatcher(limits)
 {
 }
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -33,6 +33,13 @@
     AdviceService &advice;
 };
 
+/// The instance that may become the owner.
+struct OwnerIdentity
+{
+    std::string instance;
+    double processorShare = 1; // of a core
+};
+
 /// Claims the job topic when it has no live owner, and runs the dispatcher while this instance owns it.
 class TopicOwner
 {
@@ -44,7 +51,7 @@
                const TopicFollower &jobs,
                MetricsRegistry &metrics,
                const DispatchLimits &limits,
-               std::string instance);
+               const OwnerIdentity &identity);
 
     /// A record of the job topic was applied to the table.
     void jobRecordApplied(const JobKey &key);
--- a/tests/libs/node/testclaimrule.cpp
+++ b/tests/libs/node/testclaimrule.cpp
@@ -14,20 +14,20 @@
 
 Test(claimRule, aLiveOwnerIsLeftAlone)
 {
-    const ClaimRule rule(100ms);
+    const ClaimRule rule(100ms, 1.0);
     cr_assert_not(rule.shouldClaim({true, false, Begin, Begin}, Begin + 1s));
     cr_assert(rule.shouldClaim({true, false, Begin, Begin}, Begin + 2s));
 }
 
 Test(claimRule, aReleasedTopicIsClaimedSoon)
 {
-    const ClaimRule rule(100ms);
+    const ClaimRule rule(100ms, 1.0);
     cr_assert(rule.shouldClaim({true, true, Begin, Begin}, Begin + 200ms));
 }
 
 Test(claimRule, instancesFarFromTheStoreClaimLater)
 {
-    ClaimRule rule(0ms);
+    ClaimRule rule(0ms, 1.0);
     rule.noteStoreLatency(45ms);
     cr_assert_not(rule.shouldClaim({true, true, Begin, Begin}, Begin + 200ms));
     cr_assert(rule.shouldClaim({true, true, Begin, Begin}, Begin + 300ms));
@@ -35,10 +35,20 @@
 
 Test(claimRule, theFirstClaimNeedsNoSilence)
 {
-    const ClaimRule rule(50ms);
+    const ClaimRule rule(50ms, 1.0);
     cr_assert(rule.shouldClaim({false, false, {}, Begin}, Begin + 60ms));
 }
 
+Test(claimRule, smallInstancesLeaveTheTopicToLargeOnes)
+{
+    const ClaimRule small(0ms, 0.1);
+    const ClaimRule large(100ms, 0.5);
+    const OwnerEvidence released{true, true, Begin, Begin};
+    cr_assert(large.shouldClaim(released, Begin + 200ms));
+    cr_assert_not(small.shouldClaim(released, Begin + 200ms));
+    cr_assert(small.shouldClaim(released, Begin + 1s));
+}
+
 Test(queueIndex, theLongestPrefixOnTheHostWins)
 {
     ClusterConfig config;
