--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -117,10 +117,14 @@
         m_loaded = false;
         co_return;
     }
-    for (const KeyedRecord &record : std::get<RecordPage>(answer).records) {
+    const auto &page = std::get<RecordPage>(answer);
+    for (const KeyedRecord &record : page.records) {
         applyRecord(record);
         m_next = record.offset + 1;
     }
+    if (m_next < page.end && !page.records.empty()) {
+        co_return; // the answer was cut off; what follows may change everything
+    }
     noteAnswer(sentAt);
     co_await sleep(m_pace.pause);
 }
--- /dev/null
+++ b/tests/libs/node/testtopicfollower.cpp
@@ -0,0 +1,154 @@
+#include <node/topicfollower.h>
+#include <ports/metadatastore.h>
+#include <ports/topicappend.h>
+#include <support/coroutines.h>
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <vector>
+
+using namespace Hyssop;
+using namespace std::chrono_literals;
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A topic in memory that answers with at most two records, and forgets its history on demand.
+class SmallPageStore : public MetadataStore
+{
+public:
+    asio::awaitable<ReadAnswer> read(Topic, std::int64_t from, std::chrono::milliseconds) override
+    {
+        ++reads;
+        co_await pauseFor(1ms);
+        if (isDown) {
+            co_return Error{ErrorCode::Unavailable, "down"};
+        }
+        if (from < first) {
+            co_return RecordsExpired{};
+        }
+        RecordPage page;
+        page.end = static_cast<std::int64_t>(records.size());
+        for (std::int64_t offset = from; offset < page.end && offset < from + 2; ++offset) {
+            page.records.push_back(records[static_cast<std::size_t>(offset)]);
+        }
+        co_return page;
+    }
+
+    asio::awaitable<NewestAnswer> newest(Topic, std::string afterKey) override
+    {
+        std::map<std::string, KeyedRecord> newestByKey;
+        for (const KeyedRecord &record : records) {
+            newestByKey[record.key] = record;
+        }
+        NewestPage page;
+        page.end = static_cast<std::int64_t>(records.size());
+        for (const auto &[key, record] : newestByKey) {
+            if (key > afterKey && record.value) {
+                page.records.push_back(record);
+                page.more = true;
+                break; // one record a page
+            }
+        }
+        co_return page;
+    }
+
+    asio::awaitable<TopicAppendAnswer> append(TopicAppend, std::chrono::milliseconds) override { co_return TopicAppendRefused{"read only"}; }
+
+    void put(const std::string &key, std::optional<std::string> value)
+    {
+        records.push_back({static_cast<std::int64_t>(records.size()), key, std::move(value)});
+    }
+
+    std::vector<KeyedRecord> records;
+    std::int64_t first = 0;
+    int reads = 0;
+    bool isDown = false;
+};
+
+struct Fixture
+{
+    Fixture()
+        : follower(context.get_executor(), clock, store, Topic::Jobs)
+    {
+        follower.setPace({10ms, 0ms});
+        follower.setHandlers(
+            [this](const KeyedRecord &record) {
+                if (record.value) {
+                    values[record.key] = *record.value;
+                } else {
+                    values.erase(record.key);
+                }
+            },
+            [this](TimePoint) { confirmedAt.push_back(values.size()); });
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        if (!started) {
+            started = true;
+            asio::co_spawn(context, follower.run(), asio::detached);
+        }
+        context.run_for(time);
+    }
+
+    asio::io_context context{1};
+    Clock clock;
+    SmallPageStore store;
+    TopicFollower follower;
+    std::map<std::string, std::string> values;
+    std::vector<std::size_t> confirmedAt; // number of known keys at each confirmation
+    bool started = false;
+};
+
+} // namespace
+
+Test(topicFollower, loadsAllPagesAndFollows)
+{
+    Fixture fixture;
+    fixture.store.put("a", "1");
+    fixture.store.put("b", "2");
+    fixture.store.put("a", "3");
+    fixture.run(50ms);
+    cr_assert_eq(fixture.values["a"], "3");
+    cr_assert_eq(fixture.values["b"], "2");
+    fixture.store.put("c", "4");
+    fixture.run(50ms);
+    cr_assert_eq(fixture.values["c"], "4");
+}
+
+Test(topicFollower, aCutOffAnswerConfirmsNothing)
+{
+    Fixture fixture;
+    fixture.run(50ms);
+    const std::size_t before = fixture.confirmedAt.size();
+    for (int index = 0; index < 9; ++index) {
+        fixture.store.put("key" + std::to_string(index), "v");
+    }
+    fixture.run(100ms);
+    cr_assert_eq(fixture.values.size(), 9);
+    cr_assert_gt(fixture.confirmedAt.size(), before);
+    for (std::size_t index = before; index < fixture.confirmedAt.size(); ++index) {
+        const std::size_t known = fixture.confirmedAt[index];
+        cr_assert(known == 0 || known == 9, "confirmed with %zu of 9 records", known);
+    }
+}
+
+Test(topicFollower, keysThatWentWhileTheHistoryWasLostAreRemoved)
+{
+    Fixture fixture;
+    fixture.store.put("a", "1");
+    fixture.store.put("b", "2");
+    fixture.run(50ms);
+    fixture.store.isDown = true;
+    fixture.run(50ms);
+    fixture.store.put("a", std::nullopt);
+    fixture.store.put("c", "3");
+    fixture.store.first = 4;
+    fixture.store.isDown = false;
+    fixture.run(600ms);
+    cr_assert_not(fixture.values.contains("a"));
+    cr_assert_eq(fixture.values["c"], "3");
+}
