--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -130,7 +130,7 @@
     bool mayStartOn(const WorkerView &worker, TimePoint now) const;
 
     void placeWaiting(TimePoint now, WallTime wall);
-    void placeStep(JobRun &job, int occurrence, int step, const WorkerChoice &choice, const QueueInfo &queue, TimePoint now);
+    void placeStep(JobRun &job, int occurrence, int step, WorkerChoice &choice, const QueueInfo &queue, TimePoint now);
     void placeGang(JobRun &job, int occurrence, int step, const WorkerChoice &choice, PlacementWish &wish, TimePoint now);
     bool needsAdvice(const TaskId &step, const QueueInfo &queue, PlacementWish &wish, TimePoint now);
     void intend(JobRun &job, const TaskId &id, TaskRun &task, WorkerView &worker, int run, TimePoint now);
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -91,14 +91,14 @@
     for (auto &[id, worker] : m_workers) {
         workers.push_back(&worker);
     }
-    const WorkerChoice choice(std::move(workers), m_evacuated, m_sharing, now);
+    WorkerChoice choice(std::move(workers), m_evacuated, m_sharing, now);
     std::ranges::sort(waiting, {}, &Internal::WaitingStep::urgency);
     for (const Internal::WaitingStep &item : waiting) {
         placeStep(*item.job, item.occurrence, item.step, choice, m_config.queues.at(item.job->job.queue), now);
     }
 }
 
-void Dispatcher::placeStep(JobRun &job, int occurrence, int step, const WorkerChoice &choice, const QueueInfo &queue, TimePoint now)
+void Dispatcher::placeStep(JobRun &job, int occurrence, int step, WorkerChoice &choice, const QueueInfo &queue, TimePoint now)
 {
     StepRun &tasks = job.occurrences.at(occurrence)[static_cast<std::size_t>(step)];
     std::map<std::string, int> perWorker = Internal::openTasksByWorker(tasks);
@@ -119,7 +119,8 @@
         const auto racks = choice.racksByRoom(queue.service);
         wish.rack = racks.empty() ? std::string() : racks.front();
     }
-    for (std::size_t index = 0; index < tasks.tasks.size(); ++index) {
+    std::vector<WorkerChoice::Candidate> candidates = choice.rank(wish);
+    for (std::size_t index = 0; index < tasks.tasks.size() && !candidates.empty(); ++index) {
         TaskRun &task = tasks.tasks[index];
         if (task.phase != TaskPhase::Waiting || task.notBefore > now) {
             continue;
@@ -127,7 +128,7 @@
         if (wish.step->longRunning && task.run == 0 && !choice.hasRoomForServing(queue.service, use)) {
             return;
         }
-        WorkerView *worker = choice.choose(wish);
+        WorkerView *worker = choice.takeBest(candidates, wish);
         if (worker == nullptr) {
             return;
         }
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -217,20 +217,23 @@
 
 void Dispatcher::findMissingRuns(WorkerView &worker, const WorkerListing &listing, TimePoint sentAt, TimePoint now)
 {
-    std::set<TaskId> present;
+    const auto byValue = [](const TaskId *left, const TaskId *right) { return *left < *right; };
+    std::set<const TaskId *, decltype(byValue)> present(byValue);
     for (const ListedRun &run : listing.runs) {
-        present.insert(run.task);
+        present.insert(&run.task);
     }
-    const auto runs = worker.runs;
-    for (const auto &[id, use] : runs) {
+    std::vector<TaskId> missing;
+    for (const auto &[id, use] : worker.runs) {
+        if (!present.contains(&id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const TaskId &id : missing) {
         TaskRun *task = m_jobs.task(id);
         if (task == nullptr) {
             worker.removeRun(id);
             continue;
         }
-        if (present.contains(id)) {
-            continue;
-        }
         const bool adopted = task->phase == TaskPhase::Ordered && task->sends == 0;
         const bool ran = task->phase == TaskPhase::Running && task->confirmedAt <= sentAt;
         const bool stopped = task->phase == TaskPhase::Stopping && task->stopConfirmed && task->confirmedAt <= sentAt;
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -13,6 +13,7 @@
 constexpr int ShortTaskPercent = 10;
 // A worker without an answered call for this long gets no work.
 constexpr std::chrono::milliseconds LongestSilence{2500};
+constexpr std::size_t RememberedWishes = 100;
 constexpr std::int64_t BytesPerMegabyte = 1'000'000;
 // A filling task starts where at least this share of its processor time is expected to be idle.
 constexpr int LeastIdlePercent = 80;
@@ -122,6 +123,62 @@
     return racks;
 }
 
+std::vector<WorkerChoice::Candidate> WorkerChoice::rank(const PlacementWish &wish)
+{
+    std::vector<Candidate> candidates;
+    if (isHopeless(wish)) {
+        return candidates;
+    }
+    for (WorkerView *worker : m_workers) {
+        if (fits(*worker, wish)) {
+            candidates.emplace_back(score(*worker, wish), worker);
+        }
+    }
+    if (candidates.empty()) {
+        noteHopeless(wish);
+    }
+    std::ranges::make_heap(candidates);
+    return candidates;
+}
+
+WorkerView *WorkerChoice::takeBest(std::vector<Candidate> &candidates, const PlacementWish &wish) const
+{
+    while (!candidates.empty()) {
+        std::ranges::pop_heap(candidates);
+        auto &[known, worker] = candidates.back();
+        if (!fits(*worker, wish)) {
+            candidates.pop_back();
+            continue;
+        }
+        const std::int64_t present = score(*worker, wish);
+        const bool isBest = present >= known || candidates.size() == 1 || present >= candidates.front().first;
+        known = present;
+        WorkerView *best = worker;
+        std::ranges::push_heap(candidates);
+        if (isBest) {
+            return best;
+        }
+    }
+    return nullptr;
+}
+
+bool WorkerChoice::isHopeless(const PlacementWish &wish) const
+{
+    return std::ranges::any_of(m_hopeless, [&](const Hopeless &known) {
+        const bool alike = known.service == wish.service && known.label == wish.step->label && known.use.image == wish.use->image
+            && known.use.fillsIdle == wish.use->fillsIdle;
+        return alike && known.use.counted.fitsIn(wish.use->counted) && known.use.idleMilliCores <= wish.use->idleMilliCores;
+    });
+}
+
+void WorkerChoice::noteHopeless(const PlacementWish &wish)
+{
+    const bool onlySize = wish.step->perWorker == 0 && wish.tickets == nullptr && wish.rack.empty();
+    if (onlySize && m_hopeless.size() < Internal::RememberedWishes) {
+        m_hopeless.push_back({wish.service, wish.step->label, *wish.use});
+    }
+}
+
 std::int64_t WorkerChoice::score(const WorkerView &worker, const PlacementWish &wish) const
 {
     const Wire::TaskStep &step = *wish.step;
@@ -155,6 +212,9 @@
 bool WorkerChoice::fits(const WorkerView &worker, const PlacementWish &wish) const
 {
     const Wire::TaskStep &step = *wish.step;
+    if (!wish.use->counted.fitsIn(worker.freeCapacity())) {
+        return false;
+    }
     if (worker.info.service != wish.service || !worker.trust.accepts(m_now, worker.runs.size())) {
         return false;
     }
@@ -167,17 +227,14 @@
     if (wish.tickets != nullptr && !wish.tickets->contains(worker.info.id)) {
         return false;
     }
-    if (!wish.use->counted.fitsIn(worker.freeCapacity())) {
-        return false;
-    }
     if (!step.fillsIdle) {
         return true;
     }
-    if (worker.overTargetSince) {
+    if (worker.overTargetSince || !Internal::hasIdleTime(worker, step)) {
         return false;
     }
     const bool harmless = m_sharing.disturbance(worker, *wish.use) < SharingRule::HarmlessUtilization;
-    return Internal::hasIdleTime(worker, step) && (harmless || m_sharing.headroom(worker, *wish.use) > 0);
+    return harmless || m_sharing.headroom(worker, *wish.use) > 0;
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerchoice.h
+++ b/src/libs/dispatch/workerchoice.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "workerview.h"
+
 #include "hyssop_types.h"
 
 #include <utils/clock.h>
@@ -7,13 +9,12 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Hyssop {
 
 class SharingRule;
-struct RunUse;
-struct WorkerView;
 
 /// Conditions on the worker of one task.
 struct PlacementWish
@@ -43,6 +44,15 @@
     /// Returns the best worker, or a null pointer if none fits now.
     WorkerView *choose(const PlacementWish &wish) const;
 
+    /// A worker that fits, with its score.
+    using Candidate = std::pair<std::int64_t, WorkerView *>;
+
+    /// Returns all workers that fit, as a heap. Wishes that are no smaller than one that found no worker find none at once.
+    std::vector<Candidate> rank(const PlacementWish &wish);
+
+    /// Returns the best of @p candidates, whose scores may be out of date, or a null pointer. The worker stays in the heap.
+    WorkerView *takeBest(std::vector<Candidate> &candidates, const PlacementWish &wish) const;
+
     /// Returns true if enough capacity stays free for short tasks after a serving task has begun to use @p use.
     bool hasRoomForServing(const std::string &service, const RunUse &use) const;
 
@@ -56,7 +66,18 @@
     std::int64_t servingScore(const WorkerView &worker, const PlacementWish &wish) const;
     std::int64_t fillingScore(const WorkerView &worker, const PlacementWish &wish) const;
 
+    /// A wish without other conditions than its size that found no worker.
+    struct Hopeless
+    {
+        std::string service;
+        std::string label;
+        RunUse use;
+    };
+    bool isHopeless(const PlacementWish &wish) const;
+    void noteHopeless(const PlacementWish &wish);
+
     std::vector<WorkerView *> m_workers;
+    std::vector<Hopeless> m_hopeless;
     const SharingRule &m_sharing;
     TimePoint m_now;
 };
