--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -11,7 +11,10 @@
 
 namespace Internal {
 
-constexpr std::chrono::milliseconds BatchInterval{25};
+constexpr std::chrono::milliseconds ShortestBatchInterval{25};
+constexpr std::chrono::milliseconds LongestBatchInterval{200};
+// Every instance reads every batch, so with many runs the changes of a job go into fewer records.
+constexpr std::size_t RunsPerMillisecond = 30;
 constexpr std::chrono::milliseconds TailsInterval{3000};
 // Clocks of instances differ, and callers ask late.
 constexpr std::chrono::milliseconds RetentionMargin{60000};
@@ -22,7 +25,8 @@
 
 void Dispatcher::composeBatch(TimePoint now, WallTime wall)
 {
-    if (m_batchOpen || now - m_batchAt < Internal::BatchInterval) {
+    const auto interval = Internal::ShortestBatchInterval + std::chrono::milliseconds(openRuns() / Internal::RunsPerMillisecond);
+    if (m_batchOpen || now - m_batchAt < std::min(interval, Internal::LongestBatchInterval)) {
         return;
     }
     StoreRecords store;
