--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -39,6 +39,7 @@
 {
     m_term = term;
     m_confirmedAt = claimedAt;
+    m_readAt = claimedAt;
     m_earlierLeasesEnd = m_leases.earlierLeasesEnd(claimedAt, handedOver);
     m_jobs.clear();
     m_workers.clear();
@@ -111,6 +112,12 @@
     m_confirmedAt = std::max(m_confirmedAt, sentAt);
 }
 
+void Dispatcher::confirmRead(TimePoint sentAt)
+{
+    m_readAt = std::max(m_readAt, sentAt);
+    confirmOwnership(sentAt);
+}
+
 std::vector<DispatchAction> Dispatcher::advance(TimePoint now, WallTime wall)
 {
     m_wallMs = sinceEpoch(wall).count();
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -51,6 +51,12 @@
     /// A call that was sent at @p sentAt proved that no later claim existed.
     void confirmOwnership(TimePoint sentAt);
 
+    /// All records that existed at @p sentAt were read: cancellations as well as claims.
+    void confirmRead(TimePoint sentAt);
+
+    /// Returns how far behind the reading of the topic is.
+    Duration readAge(TimePoint now) const { return now - m_readAt; }
+
     void startAnswered(const StartOrder &order, const OrderAnswer &answer, TimePoint now);
     void stopAnswered(const StopOrder &order, const OrderAnswer &answer, TimePoint now);
     void paceAnswered(const PaceOrder &order, const OrderAnswer &answer, TimePoint now);
@@ -143,6 +149,7 @@
     LeaseRule m_leases;
     std::int64_t m_term = 0;
     TimePoint m_confirmedAt{};
+    TimePoint m_readAt{};
     TimePoint m_earlierLeasesEnd{};
     std::int64_t m_wallMs = 0; // of the newest advance(), Unix time
     JobBook m_jobs;
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -73,7 +73,7 @@
 
 void Dispatcher::placeWaiting(TimePoint now, WallTime wall)
 {
-    if (!m_leases.mayStart(now, m_confirmedAt)) {
+    if (!m_leases.mayStart(now, m_readAt)) {
         return;
     }
     std::vector<Internal::WaitingStep> waiting;
@@ -92,7 +92,7 @@
         workers.push_back(&worker);
     }
     WorkerChoice choice(std::move(workers), m_evacuated, m_sharing, now);
-    std::ranges::sort(waiting, {}, &Internal::WaitingStep::urgency);
+    std::ranges::sort(waiting, [](const Internal::WaitingStep &left, const Internal::WaitingStep &right) { return left.urgency < right.urgency; });
     for (const Internal::WaitingStep &item : waiting) {
         placeStep(*item.job, item.occurrence, item.step, choice, m_config.queues.at(item.job->job.queue), now);
     }
--- a/src/libs/dispatch/sharingrule.cpp
+++ b/src/libs/dispatch/sharingrule.cpp
@@ -82,6 +82,7 @@
 std::vector<int> SharingRule::paces(const std::vector<SharedRun> &runs) const
 {
     std::vector<int> paces;
+    paces.reserve(runs.size());
     for (const SharedRun &run : runs) {
         paces.push_back(run.use->fillsIdle ? run.pacePercent : 100);
     }
--- a/src/libs/dispatch/waitingorder.h
+++ b/src/libs/dispatch/waitingorder.h
@@ -4,8 +4,8 @@
 
 #include <utils/clock.h>
 
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace Hyssop {
 
@@ -19,7 +19,10 @@
     WallTime objective{};
     std::string jobId; // makes the order total
 
-    auto operator<=>(const Urgency &other) const = default;
+    bool operator<(const Urgency &other) const
+    {
+        return std::tie(group, priority, objective, jobId) < std::tie(other.group, other.priority, other.objective, other.jobId);
+    }
 };
 
 /// Returns the estimated time of the longest chain of dependent steps.
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -116,6 +116,7 @@
         }
     }
     std::vector<std::string> racks;
+    racks.reserve(room.size());
     for (const auto &[rack, free] : room) {
         racks.push_back(rack);
     }
--- a/src/libs/jobtopic/jobtable.cpp
+++ b/src/libs/jobtopic/jobtable.cpp
@@ -24,7 +24,7 @@
 
 JobKey JobTable::apply(const KeyedRecord &record)
 {
-    const JobKey key = parseJobKey(record.key);
+    JobKey key = parseJobKey(record.key);
     switch (key.kind) {
     case JobKeyKind::Submission:
         applySubmission(key, record);
--- a/src/libs/node/claimrule.cpp
+++ b/src/libs/node/claimrule.cpp
@@ -10,6 +10,9 @@
 // An instance with this share of a core can own a large installation.
 constexpr double AmpleProcessorShare = 0.5;
 constexpr std::chrono::milliseconds LongestSizeDelay{300};
+constexpr std::chrono::milliseconds SmallerThanOwnerDelay{1500};
+constexpr std::chrono::milliseconds OverloadDelay{2000};
+constexpr std::chrono::milliseconds OverloadMemory{60000};
 
 static std::chrono::milliseconds sizeDelay(double processorShare)
 {
@@ -19,10 +22,16 @@
 
 ClaimRule::ClaimRule(std::chrono::milliseconds jitter, double processorShare)
     : m_jitter(jitter)
+    , m_processorShare(processorShare)
     , m_sizeDelay(sizeDelay(processorShare))
 {
 }
 
+void ClaimRule::noteOverload(TimePoint now)
+{
+    m_overloadedAt = now;
+}
+
 void ClaimRule::noteStoreLatency(std::chrono::milliseconds latency)
 {
     m_storeLatency = latency;
@@ -30,7 +39,12 @@
 
 bool ClaimRule::shouldClaim(const OwnerEvidence &evidence, TimePoint now) const
 {
-    const auto delay = std::min(m_storeLatency * LatencyFactor, LongestLatencyDelay) + m_jitter + m_sizeDelay;
+    const double missing = evidence.ownerShare > 0 ? std::max(0.0, 1 - m_processorShare / evidence.ownerShare) : 0;
+    auto delay = std::min(m_storeLatency * LatencyFactor, LongestLatencyDelay) + m_jitter + m_sizeDelay;
+    delay += std::chrono::milliseconds(static_cast<int>(missing * SmallerThanOwnerDelay.count()));
+    if (m_overloadedAt != TimePoint() && now - m_overloadedAt < OverloadMemory) {
+        delay += OverloadDelay;
+    }
     if (!evidence.hasClaim) {
         return now - evidence.loadedAt >= delay;
     }
--- a/src/libs/node/claimrule.h
+++ b/src/libs/node/claimrule.h
@@ -11,6 +11,7 @@
 {
     bool hasClaim = false; // some instance has claimed the topic
     bool released = false; // the owner has given the topic up
+    double ownerShare = 0; // cores of the newest owner; 0: not known
     TimePoint lastRecordAt{}; // when the owner's newest record was read
     TimePoint loadedAt{}; // when the topic was loaded
 };
@@ -20,17 +21,22 @@
 {
 public:
     /// @p jitter is a random part of the delay that keeps instances apart. @p processorShare is how much of a core this
-    /// instance has: instances with more claim first.
+    /// instance has: instances with more claim first, and those with less than the last owner much later.
     ClaimRule(std::chrono::milliseconds jitter, double processorShare);
 
     /// Notes how long the store took for a call: instances near the store claim first.
     void noteStoreLatency(std::chrono::milliseconds latency);
 
+    /// This instance could not keep up as the owner: it leaves the topic to others for a while.
+    void noteOverload(TimePoint now);
+
     bool shouldClaim(const OwnerEvidence &evidence, TimePoint now) const;
 
 private:
     std::chrono::milliseconds m_jitter;
+    double m_processorShare;
     std::chrono::milliseconds m_sizeDelay;
+    TimePoint m_overloadedAt{};
     std::chrono::milliseconds m_storeLatency{0};
 };
 
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -33,6 +33,7 @@
 constexpr std::chrono::milliseconds AppendTimeout{1500};
 constexpr std::chrono::milliseconds AppendPause{60};
 constexpr std::chrono::milliseconds ReleaseTimeout{1000};
+constexpr std::chrono::milliseconds LongestReadAge{4000};
 constexpr std::chrono::milliseconds ClaimVisibleTime{1000};
 constexpr int LongestClaimJitterMs = 120;
 constexpr const char *ProducerName = "owner";
@@ -119,6 +120,7 @@
     , m_jobs(jobs)
     , m_metrics(metrics)
     , m_instance(identity.instance)
+    , m_processorShare(identity.processorShare)
     , m_incarnation(Internal::randomNumber(std::numeric_limits<std::int64_t>::max()))
     , m_claimRule(std::chrono::milliseconds(Internal::randomNumber(Internal::LongestClaimJitterMs)), identity.processorShare)
     , m_dispatcher(limits)
@@ -142,9 +144,10 @@
     }
     m_evidence.hasClaim = m_table.claim().has_value();
     m_evidence.released = m_evidence.hasClaim && m_table.claim()->released;
+    m_evidence.ownerShare = m_evidence.hasClaim ? m_table.claim()->processorShare : 0;
     if (m_term) {
         if (ownsNewestClaim() && m_table.claim()->term == *m_term) {
-            m_dispatcher.confirmOwnership(sentAt);
+            m_dispatcher.confirmRead(sentAt);
         } else {
             stepDown("a later claim");
         }
@@ -205,12 +208,26 @@
             perform(std::move(action));
         }
         reportLoad(now);
+        const bool lagsBehind = m_dispatcher.readAge(now) > Internal::LongestReadAge && now - m_lastAppend < Internal::RenewalInterval;
+        if (m_term && lagsBehind && !m_appending) {
+            co_await handOver("the topic grows faster than it is read");
+            continue;
+        }
         if (m_term && !m_appending && now - m_lastAppend >= Internal::RenewalInterval) {
             beginAppend({claimRecord(false)}, false);
         }
     }
 }
 
+asio::awaitable<void> TopicOwner::handOver(std::string reason)
+{
+    m_claimRule.noteOverload(m_clock.now());
+    TopicAppend append{Topic::Jobs, {claimRecord(true)}, std::nullopt, ProducerPosition{Internal::ProducerName, *m_term, m_sequence}};
+    stepDown(reason);
+    const TopicAppendAnswer answer = co_await m_ports.store.append(std::move(append), Internal::ReleaseTimeout);
+    logMessage(LogLevel::Info, "owner", "ownership released", {{"durable", std::holds_alternative<TopicAppended>(answer)}});
+}
+
 asio::awaitable<void> TopicOwner::release()
 {
     m_releasing = true;
@@ -227,10 +244,7 @@
         stepDown("shutdown while the store does not answer");
         co_return;
     }
-    TopicAppend append{Topic::Jobs, {claimRecord(true)}, std::nullopt, ProducerPosition{Internal::ProducerName, *m_term, m_sequence}};
-    stepDown("released");
-    const TopicAppendAnswer answer = co_await m_ports.store.append(std::move(append), Internal::ReleaseTimeout);
-    logMessage(LogLevel::Info, "owner", "ownership released", {{"durable", std::holds_alternative<TopicAppended>(answer)}});
+    co_await handOver("released");
 }
 
 bool TopicOwner::ownsNewestClaim() const
@@ -280,6 +294,7 @@
     claim.incarnation = m_incarnation;
     claim.term = (m_table.claim() ? m_table.claim()->term : 0) + 1;
     claim.sequence = 0;
+    claim.processorShare = m_processorShare;
     TopicAppend append{Topic::Jobs, {{0, claimKey(), encode(claim)}}, m_jobs.end(), ProducerPosition{Internal::ProducerName, claim.term, claim.sequence}};
     const TimePoint sentAt = m_clock.now();
     const TopicAppendAnswer answer = co_await m_ports.store.append(std::move(append), Internal::AppendTimeout);
@@ -371,6 +386,7 @@
     claim.term = *m_term;
     claim.sequence = m_sequence;
     claim.released = released;
+    claim.processorShare = m_processorShare;
     claim.settled = m_dispatcher.isSettled(m_clock.now());
     return {0, claimKey(), encode(claim)};
 }
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -83,6 +83,7 @@
     void beginAppend(std::vector<KeyedRecord> records, bool isBatch);
     boost::asio::awaitable<void> appendUntilKnown(std::vector<KeyedRecord> records, bool isBatch, std::int64_t term);
     void appendAnswered(const TopicAppendAnswer &answer, bool isBatch, TimePoint sentAt);
+    boost::asio::awaitable<void> handOver(std::string reason);
     KeyedRecord claimRecord(bool released) const;
     void reportLoad(TimePoint now);
     boost::asio::awaitable<void> sendStart(StartOrder order);
@@ -98,6 +99,7 @@
     const TopicFollower &m_jobs;
     MetricsRegistry &m_metrics;
     std::string m_instance;
+    double m_processorShare;
     std::int64_t m_incarnation;
     ClaimRule m_claimRule;
     OwnerEvidence m_evidence;
--- a/src/libs/ports/taskid.h
+++ b/src/libs/ports/taskid.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace Hyssop {
 
@@ -13,7 +13,11 @@
     int step = 0;
     int index = 0;
 
-    auto operator<=>(const TaskId &other) const = default;
+    bool operator==(const TaskId &other) const = default;
+    bool operator<(const TaskId &other) const
+    {
+        return std::tie(job, occurrence, step, index) < std::tie(other.job, other.occurrence, other.step, other.index);
+    }
 
     /// For logs.
     std::string toString() const { return job + "." + std::to_string(occurrence) + "." + std::to_string(step) + "." + std::to_string(index); }
--- a/src/libs/wire/hyssop.thrift
+++ b/src/libs/wire/hyssop.thrift
@@ -255,6 +255,7 @@
   4: bool released = false,      // the owner stops on purpose; others may claim at once
   5: i64 sequence = 0,           // renewal counter
   6: bool settled = false,       // no lease of a still earlier owner is left
+  7: double processorShare = 0,  // cores that the owner may use; 0: not told
 }
 
 union Record {
--- a/src/tools/hyssop-node/main.cpp
+++ b/src/tools/hyssop-node/main.cpp
@@ -78,6 +78,7 @@
 {
     std::vector<std::string> arguments = completeArguments(argc, argv);
     std::vector<char *> pointers;
+    pointers.reserve(arguments.size());
     for (std::string &argument : arguments) {
         pointers.push_back(argument.data());
     }
--- a/tests/libs/dispatch/dispatchworld.cpp
+++ b/tests/libs/dispatch/dispatchworld.cpp
@@ -213,7 +213,7 @@
             owner.deposed = true;
             return;
         }
-        owner.dispatcher.confirmOwnership(now);
+        owner.dispatcher.confirmRead(now);
     }
     owner.dispatcher.applyConfiguration(config, evacuated);
     for (DispatchAction &action : owner.dispatcher.advance(now, wall())) {
--- a/tests/libs/dispatch/testdispatcher.cpp
+++ b/tests/libs/dispatch/testdispatcher.cpp
@@ -111,6 +111,23 @@
     cr_assert(world.isComplete("job"));
 }
 
+Test(dispatcher, noStartWhileTheTopicIsReadTooSlowly)
+{
+    const TimePoint begin{1000s};
+    JobTable table;
+    Dispatcher dispatcher{DispatchLimits()};
+    DispatchWorld world(15);
+    dispatcher.begin(1, table, begin);
+    dispatcher.confirmOwnership(begin + 10s); // an append was answered, but a cancellation may be unread
+    cr_assert_geq(dispatcher.readAge(begin + 10s).count(), Duration(10s).count());
+    world.claim();
+    world.cutOwnerFromStore(10s);
+    world.run(4s);
+    world.submit("job", 1, 1);
+    world.run(3s);
+    cr_assert(world.starts.empty());
+}
+
 Test(dispatcher, noStartInAnEvacuatedFailureDomain)
 {
     DispatchWorld world(8);
--- a/tests/libs/dispatch/testsharing.cpp
+++ b/tests/libs/dispatch/testsharing.cpp
@@ -215,7 +215,7 @@
     void run(Duration time, double tailMs)
     {
         for (const TimePoint until = now + time; now < until; now += 20ms) {
-            m_dispatcher.confirmOwnership(now);
+            m_dispatcher.confirmRead(now);
             const WallTime wall(std::chrono::duration_cast<WallTime::duration>(now.time_since_epoch()));
             for (const DispatchAction &action : m_dispatcher.advance(now, wall)) {
                 answer(action, tailMs);
--- a/tests/libs/node/testclaimrule.cpp
+++ b/tests/libs/node/testclaimrule.cpp
@@ -15,40 +15,58 @@
 Test(claimRule, aLiveOwnerIsLeftAlone)
 {
     const ClaimRule rule(100ms, 1.0);
-    cr_assert_not(rule.shouldClaim({true, false, Begin, Begin}, Begin + 1s));
-    cr_assert(rule.shouldClaim({true, false, Begin, Begin}, Begin + 2s));
+    cr_assert_not(rule.shouldClaim({true, false, 0, Begin, Begin}, Begin + 1s));
+    cr_assert(rule.shouldClaim({true, false, 0, Begin, Begin}, Begin + 2s));
 }
 
 Test(claimRule, aReleasedTopicIsClaimedSoon)
 {
     const ClaimRule rule(100ms, 1.0);
-    cr_assert(rule.shouldClaim({true, true, Begin, Begin}, Begin + 200ms));
+    cr_assert(rule.shouldClaim({true, true, 0, Begin, Begin}, Begin + 200ms));
 }
 
 Test(claimRule, instancesFarFromTheStoreClaimLater)
 {
     ClaimRule rule(0ms, 1.0);
     rule.noteStoreLatency(45ms);
-    cr_assert_not(rule.shouldClaim({true, true, Begin, Begin}, Begin + 200ms));
-    cr_assert(rule.shouldClaim({true, true, Begin, Begin}, Begin + 300ms));
+    cr_assert_not(rule.shouldClaim({true, true, 0, Begin, Begin}, Begin + 200ms));
+    cr_assert(rule.shouldClaim({true, true, 0, Begin, Begin}, Begin + 300ms));
 }
 
 Test(claimRule, theFirstClaimNeedsNoSilence)
 {
     const ClaimRule rule(50ms, 1.0);
-    cr_assert(rule.shouldClaim({false, false, {}, Begin}, Begin + 60ms));
+    cr_assert(rule.shouldClaim({false, false, 0, {}, Begin}, Begin + 60ms));
 }
 
 Test(claimRule, smallInstancesLeaveTheTopicToLargeOnes)
 {
     const ClaimRule small(0ms, 0.1);
     const ClaimRule large(100ms, 0.5);
-    const OwnerEvidence released{true, true, Begin, Begin};
+    const OwnerEvidence released{true, true, 0, Begin, Begin};
     cr_assert(large.shouldClaim(released, Begin + 200ms));
     cr_assert_not(small.shouldClaim(released, Begin + 200ms));
     cr_assert(small.shouldClaim(released, Begin + 1s));
 }
 
+Test(claimRule, instancesSmallerThanTheLastOwnerWaitMuchLonger)
+{
+    const ClaimRule small(0ms, 0.1);
+    const ClaimRule equal(0ms, 0.5);
+    const OwnerEvidence released{true, true, 0.5, Begin, Begin};
+    cr_assert(equal.shouldClaim(released, Begin + 100ms));
+    cr_assert_not(small.shouldClaim(released, Begin + 1s));
+    cr_assert(small.shouldClaim(released, Begin + 2s));
+}
+
+Test(claimRule, anOverloadedOwnerLeavesTheTopicToOthers)
+{
+    ClaimRule rule(0ms, 1.0);
+    rule.noteOverload(Begin);
+    cr_assert_not(rule.shouldClaim({true, true, 0, Begin, Begin}, Begin + 1s));
+    cr_assert(rule.shouldClaim({true, true, 0, Begin, Begin}, Begin + 3s));
+}
+
 Test(queueIndex, theLongestPrefixOnTheHostWins)
 {
     ClusterConfig config;
