--- a/tests/processes/testnode.cpp
+++ b/tests/processes/testnode.cpp
@@ -132,8 +132,8 @@
     std::vector<std::string> workerAddresses;
 
 private:
-    // Each test process takes a block of ports of its own.
-    static std::string address(int index, int offset) { return "127.0.0.1:" + std::to_string(20000 + ::getpid() % 3000 * 10 + index * 3 + offset); }
+    // Each test process has a block of ports of its own, below those that the system gives to outgoing connections.
+    static std::string address(int index, int offset) { return "127.0.0.1:" + std::to_string(20000 + ::getpid() % 1200 * 10 + index * 3 + offset); }
     static std::string callers(int index) { return address(index, 0); }
     std::string settingsFile(int index) const { return m_folder + "-" + std::to_string(index) + ".ini"; }
 
