--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -21,8 +21,7 @@
 
 bool Dispatcher::mayStartOn(const WorkerView &worker, TimePoint now) const
 {
-    const bool takesWork = worker.listed && !worker.info.draining && worker.clock && worker.failedPolls == 0;
-    return takesWork && !m_evacuated.contains(worker.info.failureDomain) && m_leases.mayStart(now, m_readAt);
+    return worker.takesWork(m_evacuated) && m_leases.mayStart(now, m_readAt);
 }
 
 void Dispatcher::sendStart(const TaskId &id, TaskRun &task, TimePoint now)
--- a/src/libs/dispatch/sharingrule.cpp
+++ b/src/libs/dispatch/sharingrule.cpp
@@ -3,7 +3,6 @@
 #include "workerview.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Hyssop {
 
@@ -70,7 +69,7 @@
     return least;
 }
 
-double SharingRule::disturbance(const WorkerView &worker, const RunUse &candidate) const
+double SharingRule::highestAddition(const WorkerView &worker, const RunUse &candidate) const
 {
     double most = 0;
     for (const auto &[servingId, serving] : worker.runs) {
--- a/src/libs/dispatch/sharingrule.h
+++ b/src/libs/dispatch/sharingrule.h
@@ -51,7 +51,7 @@
     double headroom(const WorkerView &worker, const RunUse &candidate) const;
 
     /// Returns the utilization that @p candidate adds to the serving run on @p worker that it disturbs most.
-    double disturbance(const WorkerView &worker, const RunUse &candidate) const;
+    double highestAddition(const WorkerView &worker, const RunUse &candidate) const;
 
     /// Returns the pace in percent for each of @p runs (of filling runs; others get 100).
     std::vector<int> paces(const std::vector<SharedRun> &runs) const;
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -14,7 +14,6 @@
 // A worker without an answered call for this long gets no work.
 constexpr std::chrono::milliseconds LongestSilence{2500};
 constexpr std::size_t RememberedWishes = 100;
-constexpr std::int64_t BytesPerMegabyte = 1'000'000;
 // A filling task starts where at least this share of its processor time is expected to be idle.
 constexpr int LeastIdlePercent = 80;
 // Preference for the rack of the data, in thousandths of a core of free capacity.
@@ -27,10 +26,7 @@
 
 static bool mayGetWork(const WorkerView &worker, const std::set<std::string> &evacuatedDomains, TimePoint now)
 {
-    if (!worker.listed || worker.info.draining || !worker.clock || worker.failedPolls > 0) {
-        return false;
-    }
-    if (now - worker.lastContact > LongestSilence || evacuatedDomains.contains(worker.info.failureDomain)) {
+    if (!worker.takesWork(evacuatedDomains) || now - worker.lastContact > LongestSilence) {
         return false;
     }
     return worker.trust.accepts(now, worker.runs.size());
@@ -62,7 +58,7 @@
     RunUse use;
     use.run = run;
     use.counted.milliCores = step.fillsIdle ? 0 : step.milliCores;
-    use.counted.memoryBytes = step.memoryMb * Internal::BytesPerMegabyte;
+    use.counted.memoryBytes = step.memoryMb * BytesPerMegabyte;
     use.counted.accelerators = step.accelerators;
     use.idleMilliCores = step.fillsIdle ? step.milliCores : 0;
     use.servingMilliCores = step.longRunning && !step.fillsIdle ? step.milliCores : 0;
@@ -207,7 +203,7 @@
 
 std::int64_t WorkerChoice::fillingScore(const WorkerView &worker, const PlacementWish &wish) const
 {
-    return worker.expectedIdle() - static_cast<std::int64_t>(m_sharing.disturbance(worker, *wish.use) * Internal::DisturbanceWeight);
+    return worker.expectedIdle() - static_cast<std::int64_t>(m_sharing.highestAddition(worker, *wish.use) * Internal::DisturbanceWeight);
 }
 
 bool WorkerChoice::fits(const WorkerView &worker, const PlacementWish &wish) const
@@ -234,7 +230,7 @@
     if (worker.overTargetSince || !Internal::hasIdleTime(worker, step)) {
         return false;
     }
-    const bool harmless = m_sharing.disturbance(worker, *wish.use) < SharingRule::HarmlessUtilization;
+    const bool harmless = m_sharing.highestAddition(worker, *wish.use) < SharingRule::HarmlessUtilization;
     return harmless || m_sharing.headroom(worker, *wish.use) > 0;
 }
 
--- a/src/libs/dispatch/workerview.cpp
+++ b/src/libs/dispatch/workerview.cpp
@@ -26,6 +26,11 @@
     runs.erase(run);
 }
 
+bool WorkerView::takesWork(const std::set<std::string> &evacuatedDomains) const
+{
+    return listed && !info.draining && clock && failedPolls == 0 && !evacuatedDomains.contains(info.failureDomain);
+}
+
 std::int64_t WorkerView::expectedIdle() const
 {
     const std::int64_t servingIdle = servingCommitted * (100 - ServingUsePercent) / 100;
--- a/src/libs/dispatch/workerview.h
+++ b/src/libs/dispatch/workerview.h
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace Hyssop {
@@ -68,6 +70,9 @@
     void addRun(const TaskId &task, const RunUse &use);
     void removeRun(const TaskId &task);
 
+    /// Returns true if the worker is registered, answers, stays, and lies in no evacuated failure domain.
+    bool takesWork(const std::set<std::string> &evacuatedDomains) const;
+
     /// Capacity that no open run counts against.
     Resources freeCapacity() const { return info.capacity - committed; }
 
--- a/src/libs/node/jobintake.cpp
+++ b/src/libs/node/jobintake.cpp
@@ -50,7 +50,6 @@
     TimePoint since{};
     bool maybeSent = false;
     bool abandoned = false; // nobody waits any more
-    bool refused = false;
     std::optional<std::int64_t> offset;
 };
 
@@ -201,7 +200,6 @@
             continue;
         }
         if (tooLong && !pending->maybeSent) {
-            pending->refused = true;
             pending->done.cancel();
             continue;
         }
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -278,8 +278,6 @@
 {
     if (m_term) {
         logMessage(LogLevel::Warning, "owner", "ownership given up", {{"epoch", static_cast<long long>(*m_term)}, {"reason", reason}});
-    }
-    if (m_term) {
         m_lowestTerm = *m_term + 1;
     }
     m_term.reset();
@@ -295,7 +293,8 @@
     claim.term = (m_table.claim() ? m_table.claim()->term : 0) + 1;
     claim.sequence = 0;
     claim.processorShare = m_processorShare;
-    TopicAppend append{Topic::Jobs, {{0, claimKey(), encode(claim)}}, m_jobs.end(), ProducerPosition{Internal::ProducerName, claim.term, claim.sequence}};
+    const std::int64_t expectedEnd = m_jobs.end();
+    TopicAppend append{Topic::Jobs, {{0, claimKey(), encode(claim)}}, expectedEnd, ProducerPosition{Internal::ProducerName, claim.term, claim.sequence}};
     const TimePoint sentAt = m_clock.now();
     const TopicAppendAnswer answer = co_await m_ports.store.append(std::move(append), Internal::AppendTimeout);
     m_claimRule.noteStoreLatency(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - sentAt));
@@ -303,7 +302,7 @@
                "owner",
                "claim sent",
                {{"epoch", static_cast<long long>(claim.term)},
-                {"expected_end", static_cast<long long>(m_jobs.end())},
+                {"expected_end", static_cast<long long>(expectedEnd)},
                 {"appended", std::holds_alternative<TopicAppended>(answer)}});
     m_claiming = false; // reading the topic shows whether the claim succeeded
 }
--- a/src/libs/utils/resources.h
+++ b/src/libs/utils/resources.h
@@ -4,6 +4,9 @@
 
 namespace Hyssop {
 
+/// Converts amounts of memory that are told in megabytes.
+constexpr std::int64_t BytesPerMegabyte = 1'000'000;
+
 /// Amounts of what a worker has and a task needs.
 struct Resources
 {
