Forecast the swing of serving loads; place and slow filling work by it

Filling work was placed in troughs and met the crest. Filling runs that are harmless alone (0.01 to 0.03) disturbed together. Measured from listings (trial): the effect grows with the pressure as a share of the worker; a run that reports 0.68 of its declared processor time presses with about a third; more than the whole processor in use raises all tails. Ruled out: weight of other serving tasks and of short tasks on the same worker (coefficients near 0). Change: LoadForecast (period bank, mean and phase of each job); effects fitted beside it; outlook of the serving runs on a worker; paces that fit the next second; idle time by the learned load.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -150,7 +150,7 @@
         ++summary.workers;
         summary.milliCores += worker.info.capacity.milliCores;
         summary.freeMilliCores += worker.freeCapacity().milliCores;
-        summary.idleMilliCores += worker.expectedIdle();
+        summary.idleMilliCores += worker.expectedIdle(m_sharing.outlook(worker, now).milliCores);
     }
     for (JobRun *job : m_jobs.activeJobs()) {
         Internal::forEachTask(*job, [&](const TaskId &id, const TaskRun &task) {
@@ -225,6 +225,7 @@
     job.endedAtMs = m_wallMs;
     m_jobs.markChanged(job);
     m_tickets.forgetJob(job.id);
+    m_sharing.forgetJob(job.id);
     reportEnd(job);
     Internal::forEachTask(job, [&](const TaskId &id, TaskRun &task) {
         if (task.phase == TaskPhase::Intended) {
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -113,7 +113,7 @@
     void noteProgress(WorkerView &worker, const ListedRun &run, TaskRun &task, TimePoint now);
     void findMissingRuns(WorkerView &worker, const WorkerListing &listing, TimePoint sentAt, TimePoint now);
     void stopStray(WorkerView &worker, const ListedRun &run, TimePoint now);
-    std::vector<NeighbourLoad> endedLoads(WorkerView &worker, TimePoint now);
+    std::vector<NeighbourLoad> endedPressures(WorkerView &worker, TimePoint now);
     void noteEndedFiller(const TaskId &id, const TaskRun &task, TimePoint now);
     void noteTails(WorkerView &worker, const std::vector<SharedRun> &runs, TimePoint now);
     bool moveHalted(const TaskId &id, TimePoint now);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -253,7 +253,7 @@
     }
     const auto use = worker->runs.find(id);
     if (use != worker->runs.end() && use->second.fillsIdle) {
-        worker->endedFillers.push_back({use->second, task.load, now});
+        worker->endedFillers.push_back({use->second, task.load, task.pacePercent, now});
     }
 }
 
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -9,7 +9,7 @@
 
 namespace Internal {
 
-constexpr std::chrono::milliseconds PollWait{1000};
+constexpr std::chrono::milliseconds PollWait{600};
 constexpr std::chrono::milliseconds OverTargetPollWait{400};
 constexpr std::chrono::milliseconds IdlePollInterval{1000};
 constexpr std::chrono::milliseconds FailedPollPause{200};
@@ -21,7 +21,7 @@
 constexpr std::chrono::milliseconds StrayStopInterval{500};
 // Tails are reported over half a second, so the effect of a change shows only after that time.
 constexpr std::chrono::milliseconds TailReportTime{500};
-constexpr std::chrono::milliseconds PaceInterval{400};
+constexpr std::chrono::milliseconds PaceInterval{250};
 // All filling runs halt if a serving task stays over its target for this long, whatever was learned of them.
 constexpr std::chrono::milliseconds LongestOverTarget{1200};
 // A halted run that can resume elsewhere is moved after this time.
@@ -256,13 +256,15 @@
     m_actions.emplace_back(StopOrder{addressOf(worker), run.task, run.run, tokenFor(worker)});
 }
 
-std::vector<NeighbourLoad> Dispatcher::endedLoads(WorkerView &worker, TimePoint now)
+std::vector<NeighbourLoad> Dispatcher::endedPressures(WorkerView &worker, TimePoint now)
 {
     std::erase_if(worker.endedFillers, [&](const WorkerView::EndedFiller &filler) { return now - filler.endedAt >= Internal::TailReportTime; });
     std::vector<NeighbourLoad> loads;
     for (const WorkerView::EndedFiller &filler : worker.endedFillers) {
         const double share = 1 - std::chrono::duration<double>(now - filler.endedAt) / Internal::TailReportTime;
-        loads.push_back(SharingRule::loadOf(filler.use, filler.load * share));
+        NeighbourLoad pressure = SharingRule::pressureOf(filler.use, filler.load, filler.pacePercent, worker.info.capacity.milliCores);
+        pressure.load *= share;
+        loads.push_back(pressure);
     }
     return loads;
 }
@@ -278,17 +280,22 @@
         if (use == worker.runs.end() || task == nullptr || task->phase != TaskPhase::Running || (isServing && run.percent < 100)) {
             continue;
         }
-        runs.push_back({&use->second, run.load, task->pacePercent});
+        runs.push_back({&use->second, run.task.job, run.load, task->pacePercent});
         listed.push_back(&run);
-        use->second.tailMs = isServing ? run.load : 0;
     }
-    m_sharing.observe(runs, endedLoads(worker, now));
+    const std::int64_t capacity = worker.info.capacity.milliCores;
+    std::vector<NeighbourLoad> beside = SharingRule::pressuresOf(runs, capacity);
+    std::ranges::copy(endedPressures(worker, now), std::back_inserter(beside));
+    m_sharing.observe(runs, beside, now);
+    for (const SharedRun &run : runs) {
+        worker.runs.at(listed[static_cast<std::size_t>(&run - runs.data())]->task).unexplained = m_sharing.unexplained(run, beside, now);
+    }
     noteTails(worker, runs, now);
     const bool haltAll = worker.overTargetSince && now - *worker.overTargetSince >= Internal::LongestOverTarget;
     if (!haltAll && now - worker.paceChangedAt < Internal::PaceInterval) {
         return;
     }
-    const std::vector<int> paces = haltAll ? std::vector<int>(runs.size(), 0) : m_sharing.paces(runs);
+    const std::vector<int> paces = haltAll ? std::vector<int>(runs.size(), 0) : m_sharing.paces(runs, capacity, now);
     for (std::size_t index = 0; index < runs.size(); ++index) {
         if (!runs[index].use->fillsIdle || (paces[index] == 0 && moveHalted(listed[index]->task, now))) {
             continue;
--- a/src/libs/dispatch/sharingrule.cpp
+++ b/src/libs/dispatch/sharingrule.cpp
@@ -8,17 +8,24 @@
 
 namespace Internal {
 
-constexpr double LoadUnitMilliCores = 8000;
-constexpr double SlowDownRatio = 0.75;
-constexpr double HaltRatio = 1.0;
-constexpr int SlowPace = 40; // percent
-// Utilization left free for the swings of the serving runs' own load.
+// A filling run that presses less uses less processor time, down to this share of what it declares.
+constexpr double UseWithoutPressure = 0.5;
+// Filling tasks are placed by the highest load expected in this time.
+constexpr std::chrono::milliseconds PlacementHorizon{2500};
+constexpr double PlacementMargin = 0.03; // of utilization
+// Paces hold until the next listing of the worker.
+constexpr std::chrono::milliseconds SlowHorizon{1000};
+constexpr std::chrono::milliseconds RaiseHorizon{1800};
+constexpr double SlowMargin = 0.02;
 constexpr double RaiseMargin = 0.05;
-constexpr double PlacementMargin = 0.12;
+constexpr int PaceStep = 20; // percent
+// Reported tails are rough, so only a part of an unexplained one counts.
+constexpr double UnexplainedShare = 0.5;
+constexpr double SmallestUnexplained = 0.1;
 
-static double ratioOf(const SharedRun &serving)
+static double effectOf(const TailModel &model, const RunUse &filler, std::int64_t capacity)
 {
-    return serving.load / static_cast<double>(serving.use->tailTargetMs);
+    return model.added({filler.image, static_cast<double>(filler.idleMilliCores) / static_cast<double>(capacity)});
 }
 
 } // namespace Internal
@@ -30,78 +37,85 @@
     use.fillsIdle = fillsIdle;
 }
 
-void SharingRule::observe(const std::vector<SharedRun> &runs, const std::vector<NeighbourLoad> &ended)
+void SharingRule::observe(const std::vector<SharedRun> &runs, const std::vector<NeighbourLoad> &beside, TimePoint now)
 {
-    std::vector<NeighbourLoad> beside = ended;
     for (const SharedRun &run : runs) {
-        if (run.use->fillsIdle && run.load > 0) {
-            beside.push_back(loadOf(*run.use, run.load));
+        if (run.use->tailTargetMs == 0 || run.load <= 0) {
+            continue;
         }
+        TailModel &model = m_models[run.use->image];
+        model.observe(run.load, m_forecast.expected(run.jobId, now), beside);
+        const double added = model.added(beside);
+        m_forecast.observe(run.jobId, now, std::max(0.0, model.utilizationOf(run.load) - added), added * added);
     }
-    for (const SharedRun &run : runs) {
-        if (run.use->tailTargetMs > 0) {
-            m_models[run.use->image].observe(run.load, beside);
-        }
+}
+
+NeighbourLoad SharingRule::pressureOf(const RunUse &filler, double milliCores, int pacePercent, std::int64_t capacity)
+{
+    const double allowed = static_cast<double>(filler.idleMilliCores) * pacePercent / 100;
+    double pressing = milliCores;
+    if (allowed > 0) {
+        const double share = (milliCores / allowed - Internal::UseWithoutPressure) / (1 - Internal::UseWithoutPressure);
+        pressing = allowed * std::clamp(share, 0.0, 1.0);
     }
+    return {filler.image, pressing / static_cast<double>(capacity)};
 }
 
-NeighbourLoad SharingRule::loadOf(const RunUse &filler, double milliCores)
+std::vector<NeighbourLoad> SharingRule::pressuresOf(const std::vector<SharedRun> &runs, std::int64_t capacity)
 {
-    return {filler.image, milliCores / Internal::LoadUnitMilliCores};
+    std::vector<NeighbourLoad> pressures;
+    for (const SharedRun &run : runs) {
+        if (run.use->fillsIdle && run.load > 0) {
+            pressures.push_back(pressureOf(*run.use, run.load, run.pacePercent, capacity));
+        }
+    }
+    return pressures;
 }
 
-double SharingRule::headroom(const WorkerView &worker, const RunUse &candidate) const
+ServingOutlook SharingRule::outlook(const WorkerView &worker, TimePoint now) const
 {
-    double least = 1;
-    for (const auto &[servingId, serving] : worker.runs) {
-        const auto model = m_models.find(serving.image);
-        if (serving.tailTargetMs == 0 || model == m_models.end()) {
+    ServingOutlook outlook;
+    outlook.at = now;
+    for (const auto &[id, serving] : worker.runs) {
+        const TailModel *model = modelOf(serving);
+        if (serving.servingMilliCores == 0) {
+            continue;
+        }
+        const double own = m_forecast.highest(id.job, now, now + Internal::PlacementHorizon);
+        outlook.milliCores += static_cast<std::int64_t>(own * static_cast<double>(serving.servingMilliCores));
+        if (model == nullptr) {
             continue;
         }
-        double utilization = model->second.ownUtilization() + added(serving, candidate);
+        double utilization = own + serving.unexplained + Internal::PlacementMargin;
         for (const auto &[fillerId, filler] : worker.runs) {
-            utilization += filler.fillsIdle ? added(serving, filler) : 0;
+            utilization += filler.fillsIdle ? Internal::effectOf(*model, filler, worker.info.capacity.milliCores) : 0;
+        }
+        const double slack = model->allowedUtilization(static_cast<double>(serving.tailTargetMs)) - utilization;
+        const auto known = std::ranges::find(outlook.slacks, serving.image, &ServingOutlook::Slack::image);
+        if (known == outlook.slacks.end()) {
+            outlook.slacks.push_back({serving.image, slack});
+        } else {
+            known->utilization = std::min(known->utilization, slack);
         }
-        const double allowed = model->second.allowedUtilization(static_cast<double>(serving.tailTargetMs));
-        const double present = model->second.utilizationOf(serving.tailMs) + added(serving, candidate);
-        least = std::min(least, allowed - std::max(utilization, present + Internal::PlacementMargin));
     }
-    return least;
+    return outlook;
 }
 
-double SharingRule::highestAddition(const WorkerView &worker, const RunUse &candidate) const
+double SharingRule::added(std::uint32_t servingImage, const RunUse &candidate, std::int64_t capacity) const
 {
-    double most = 0;
-    for (const auto &[servingId, serving] : worker.runs) {
-        most = serving.tailTargetMs > 0 ? std::max(most, added(serving, candidate)) : most;
-    }
-    return most;
+    const auto model = m_models.find(servingImage);
+    return model != m_models.end() ? Internal::effectOf(model->second, candidate, capacity) : 0;
 }
 
-std::vector<int> SharingRule::paces(const std::vector<SharedRun> &runs) const
+std::vector<int> SharingRule::paces(const std::vector<SharedRun> &runs, std::int64_t capacity, TimePoint now) const
 {
+    const std::vector<int> needed = fittingPaces(runs, capacity, now, now + Internal::SlowHorizon, Internal::SlowMargin);
+    const std::vector<int> safe = fittingPaces(runs, capacity, now, now + Internal::RaiseHorizon, Internal::RaiseMargin);
     std::vector<int> paces;
     paces.reserve(runs.size());
-    for (const SharedRun &run : runs) {
-        paces.push_back(run.use->fillsIdle ? run.pacePercent : 100);
-    }
-    bool slowed = false;
-    for (const SharedRun &run : runs) {
-        if (run.use->tailTargetMs == 0 || Internal::ratioOf(run) <= Internal::SlowDownRatio) {
-            continue;
-        }
-        const std::size_t filler = worstFiller(runs, run);
-        if (filler < runs.size()) {
-            const bool halt = Internal::ratioOf(run) > Internal::HaltRatio || paces[filler] <= Internal::SlowPace;
-            paces[filler] = halt ? 0 : Internal::SlowPace;
-            slowed = true;
-        }
-    }
-    for (std::size_t index = 0; index < runs.size() && !slowed; ++index) {
-        if (paces[index] < 100 && mayRaise(runs, runs[index])) {
-            paces[index] = 100;
-            break; // the effect shows before the next one is raised
-        }
+    for (std::size_t index = 0; index < runs.size(); ++index) {
+        const int present = runs[index].use->fillsIdle ? runs[index].pacePercent : 100;
+        paces.push_back(std::min(std::max(present, safe[index]), needed[index]));
     }
     return paces;
 }
@@ -133,50 +147,66 @@
 void SharingRule::restore(const Wire::LearnedTails &learned)
 {
     m_models.clear();
+    m_forecast = LoadForecast();
+    double ownUtilization = 0;
     for (const Wire::ServingTail &tail : learned.tails) {
+        ownUtilization += tail.ownUtilization / static_cast<double>(learned.tails.size());
         std::map<std::uint32_t, TailModel::Learned> neighbours;
         for (const Wire::NeighbourEffect &effect : tail.neighbours) {
             neighbours[m_images.idOf(effect.image)] = {effect.coefficient, effect.variance};
         }
         m_models[m_images.idOf(tail.image)].restore(tail.baseMs, tail.ownUtilization, neighbours);
     }
+    if (!learned.tails.empty()) {
+        m_forecast.setTypical(ownUtilization);
+    }
 }
 
-double SharingRule::added(const RunUse &serving, const RunUse &filler) const
+const TailModel *SharingRule::modelOf(const RunUse &serving) const
 {
-    const auto model = m_models.find(serving.image);
-    return model != m_models.end() ? model->second.added(loadOf(filler, static_cast<double>(filler.idleMilliCores))) : 0;
+    const auto model = serving.tailTargetMs > 0 ? m_models.find(serving.image) : m_models.end();
+    return model != m_models.end() ? &model->second : nullptr;
 }
 
-std::size_t SharingRule::worstFiller(const std::vector<SharedRun> &runs, const SharedRun &serving) const
+double SharingRule::unexplained(const SharedRun &serving, const std::vector<NeighbourLoad> &beside, TimePoint now) const
 {
-    std::size_t worst = runs.size();
-    double worstShare = HarmlessUtilization;
-    for (std::size_t index = 0; index < runs.size(); ++index) {
-        const SharedRun &run = runs[index];
-        if (!run.use->fillsIdle || run.pacePercent == 0) {
-            continue;
-        }
-        const double share = added(*serving.use, *run.use) * run.pacePercent / 100;
-        if (share > worstShare) {
-            worst = index;
-            worstShare = share;
-        }
+    const TailModel *model = modelOf(*serving.use);
+    if (model == nullptr || serving.load <= 0) {
+        return 0;
     }
-    return worst;
+    const double expected = m_forecast.expected(serving.jobId, now).utilization + model->added(beside);
+    const double difference = model->utilizationOf(serving.load) - expected;
+    return difference > Internal::SmallestUnexplained ? difference * Internal::UnexplainedShare : 0;
 }
 
-bool SharingRule::mayRaise(const std::vector<SharedRun> &runs, const SharedRun &filler) const
+std::vector<int> SharingRule::fittingPaces(const std::vector<SharedRun> &runs, std::int64_t capacity, TimePoint from, TimePoint until, double margin) const
 {
-    const double share = 1 - filler.pacePercent / 100.0;
-    return std::ranges::all_of(runs, [&](const SharedRun &serving) {
-        const auto model = m_models.find(serving.use->image);
-        if (serving.use->tailTargetMs == 0 || model == m_models.end()) {
-            return true;
+    std::vector<int> paces(runs.size(), 100);
+    for (const SharedRun &serving : runs) {
+        const TailModel *model = modelOf(*serving.use);
+        if (model == nullptr) {
+            continue;
         }
-        const double expected = model->second.utilizationOf(serving.load) + added(*serving.use, *filler.use) * share;
-        return expected < model->second.allowedUtilization(static_cast<double>(serving.use->tailTargetMs)) - Internal::RaiseMargin;
-    });
+        double utilization = m_forecast.highest(serving.jobId, from, until) + serving.use->unexplained + margin;
+        std::vector<std::pair<double, std::size_t>> effects; // at full pace
+        for (std::size_t index = 0; index < runs.size(); ++index) {
+            const double effect = runs[index].use->fillsIdle ? Internal::effectOf(*model, *runs[index].use, capacity) : 0;
+            utilization += effect * paces[index] / 100;
+            if (effect > HarmlessUtilization) {
+                effects.emplace_back(effect, index);
+            }
+        }
+        std::ranges::sort(effects, std::ranges::greater());
+        const double allowed = model->allowedUtilization(static_cast<double>(serving.use->tailTargetMs));
+        for (const auto &[effect, index] : effects) {
+            while (utilization > allowed && paces[index] > 0) {
+                const int pace = std::max(0, paces[index] - Internal::PaceStep);
+                utilization -= effect * (paces[index] - pace) / 100;
+                paces[index] = pace;
+            }
+        }
+    }
+    return paces;
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -14,6 +14,8 @@
 // A worker without an answered call for this long gets no work.
 constexpr std::chrono::milliseconds LongestSilence{2500};
 constexpr std::size_t RememberedWishes = 100;
+// What serving runs use and can bear is computed again after this time.
+constexpr std::chrono::milliseconds OutlookAge{100};
 // A filling task starts where at least this share of its processor time is expected to be idle.
 constexpr int LeastIdlePercent = 80;
 // Preference for the rack of the data, in thousandths of a core of free capacity.
@@ -37,11 +39,6 @@
     return label.empty() || std::ranges::find(worker.info.labels, label) != worker.info.labels.end();
 }
 
-static bool hasIdleTime(const WorkerView &worker, const Wire::TaskStep &step)
-{
-    return worker.expectedIdle() * 100 >= step.milliCores * LeastIdlePercent;
-}
-
 static int openTasks(const PlacementWish &wish, const std::string &worker)
 {
     if (wish.tasksOfStep == nullptr) {
@@ -176,7 +173,7 @@
     }
 }
 
-std::int64_t WorkerChoice::score(const WorkerView &worker, const PlacementWish &wish) const
+std::int64_t WorkerChoice::score(WorkerView &worker, const PlacementWish &wish) const
 {
     const Wire::TaskStep &step = *wish.step;
     const std::int64_t bonus = !step.dataRack.empty() && worker.info.rack == step.dataRack ? Internal::DataRackBonus : 0;
@@ -201,12 +198,37 @@
     return images * Internal::SameImageBonus - worker.freeCapacity().milliCores;
 }
 
-std::int64_t WorkerChoice::fillingScore(const WorkerView &worker, const PlacementWish &wish) const
+std::int64_t WorkerChoice::fillingScore(WorkerView &worker, const PlacementWish &wish) const
 {
-    return worker.expectedIdle() - static_cast<std::int64_t>(m_sharing.highestAddition(worker, *wish.use) * Internal::DisturbanceWeight);
+    const ServingOutlook &outlook = outlookOf(worker);
+    double highest = 0;
+    for (const ServingOutlook::Slack &slack : outlook.slacks) {
+        highest = std::max(highest, m_sharing.added(slack.image, *wish.use, worker.info.capacity.milliCores));
+    }
+    return worker.expectedIdle(outlook.milliCores) - static_cast<std::int64_t>(highest * Internal::DisturbanceWeight);
 }
 
-bool WorkerChoice::fits(const WorkerView &worker, const PlacementWish &wish) const
+const ServingOutlook &WorkerChoice::outlookOf(WorkerView &worker) const
+{
+    if (worker.outlook.at == TimePoint() || m_now - worker.outlook.at > Internal::OutlookAge) {
+        worker.outlook = m_sharing.outlook(worker, m_now);
+    }
+    return worker.outlook;
+}
+
+bool WorkerChoice::sharesWell(WorkerView &worker, const PlacementWish &wish) const
+{
+    const ServingOutlook &outlook = outlookOf(worker);
+    if (worker.overTargetSince || worker.expectedIdle(outlook.milliCores) * 100 < wish.step->milliCores * Internal::LeastIdlePercent) {
+        return false;
+    }
+    return std::ranges::all_of(outlook.slacks, [&](const ServingOutlook::Slack &slack) {
+        const double added = m_sharing.added(slack.image, *wish.use, worker.info.capacity.milliCores);
+        return added < SharingRule::HarmlessUtilization || added < slack.utilization;
+    });
+}
+
+bool WorkerChoice::fits(WorkerView &worker, const PlacementWish &wish) const
 {
     const Wire::TaskStep &step = *wish.step;
     if (!wish.use->counted.fitsIn(worker.freeCapacity())) {
@@ -224,14 +246,7 @@
     if (wish.tickets != nullptr && !wish.tickets->contains(worker.info.id)) {
         return false;
     }
-    if (!step.fillsIdle) {
-        return true;
-    }
-    if (worker.overTargetSince || !Internal::hasIdleTime(worker, step)) {
-        return false;
-    }
-    const bool harmless = m_sharing.highestAddition(worker, *wish.use) < SharingRule::HarmlessUtilization;
-    return harmless || m_sharing.headroom(worker, *wish.use) > 0;
+    return !step.fillsIdle || sharesWell(worker, wish);
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerchoice.h
+++ b/src/libs/dispatch/workerchoice.h
@@ -60,11 +60,15 @@
     std::vector<std::string> racksByRoom(const std::string &service) const;
 
 private:
-    bool fits(const WorkerView &worker, const PlacementWish &wish) const;
+    bool fits(WorkerView &worker, const PlacementWish &wish) const;
+    bool sharesWell(WorkerView &worker, const PlacementWish &wish) const;
 
-    std::int64_t score(const WorkerView &worker, const PlacementWish &wish) const;
+    std::int64_t score(WorkerView &worker, const PlacementWish &wish) const;
     std::int64_t servingScore(const WorkerView &worker, const PlacementWish &wish) const;
-    std::int64_t fillingScore(const WorkerView &worker, const PlacementWish &wish) const;
+    std::int64_t fillingScore(WorkerView &worker, const PlacementWish &wish) const;
+
+    /// Returns the outlook of the worker's serving runs, which is computed again when it is out of date.
+    const ServingOutlook &outlookOf(WorkerView &worker) const;
 
     /// A wish without other conditions than its size that found no worker.
     struct Hopeless
--- a/src/libs/dispatch/workerview.cpp
+++ b/src/libs/dispatch/workerview.cpp
@@ -2,8 +2,8 @@
 
 namespace Hyssop {
 
-// Share of its declared processor time that a serving task uses on average.
-constexpr int ServingUsePercent = 50;
+// Share of its declared processor time that a filling task uses in the mean.
+constexpr double FillingLoad = 0.85;
 
 void WorkerView::addRun(const TaskId &task, const RunUse &use)
 {
@@ -12,6 +12,7 @@
     committed += use.counted;
     idleCommitted += use.idleMilliCores;
     servingCommitted += use.servingMilliCores;
+    outlook.at = TimePoint();
 }
 
 void WorkerView::removeRun(const TaskId &task)
@@ -24,6 +25,7 @@
     idleCommitted -= run->second.idleMilliCores;
     servingCommitted -= run->second.servingMilliCores;
     runs.erase(run);
+    outlook.at = TimePoint();
 }
 
 bool WorkerView::takesWork(const std::set<std::string> &evacuatedDomains) const
@@ -31,10 +33,11 @@
     return listed && !info.draining && clock && failedPolls == 0 && !evacuatedDomains.contains(info.failureDomain);
 }
 
-std::int64_t WorkerView::expectedIdle() const
+std::int64_t WorkerView::expectedIdle(std::int64_t servingUse) const
 {
-    const std::int64_t servingIdle = servingCommitted * (100 - ServingUsePercent) / 100;
-    return info.capacity.milliCores - committed.milliCores + servingIdle - idleCommitted;
+    const std::int64_t counted = committed.milliCores - servingCommitted;
+    const auto filling = static_cast<std::int64_t>(static_cast<double>(idleCommitted) * FillingLoad);
+    return info.capacity.milliCores - counted - servingUse - filling;
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerview.h
+++ b/src/libs/dispatch/workerview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "servingoutlook.h"
 #include "workerclock.h"
 #include "workertrust.h"
 
@@ -25,7 +26,7 @@
     std::int64_t servingMilliCores = 0; // part of counted that a serving task rarely uses in full
     std::uint32_t image = 0; // number of the image in the sharing rule
     std::int64_t tailTargetMs = 0; // target of a serving task's tail; 0: none
-    double tailMs = 0; // of a serving task, as last listed
+    double unexplained = 0; // part of a serving task's utilization that its load and neighbours do not explain
     bool fillsIdle = false;
 };
 
@@ -58,13 +59,15 @@
     struct EndedFiller
     {
         RunUse use;
-        double load = 0; // thousandths of a core
+        double load = 0; // as listed, thousandths of a core
+        int pacePercent = 100;
         TimePoint endedAt{};
     };
     std::vector<EndedFiller> endedFillers; // that ended within the time of reported tails
 
     std::optional<TimePoint> overTargetSince; // a serving task has been over its target in each listing since then
     TimePoint paceChangedAt{}; // when the pace of a filling run here was last changed
+    ServingOutlook outlook;
 
     /// Commits and releases what a run uses.
     void addRun(const TaskId &task, const RunUse &use);
@@ -76,8 +79,9 @@
     /// Capacity that no open run counts against.
     Resources freeCapacity() const { return info.capacity - committed; }
 
-    /// Thousandths of a core that the counted and the filling tasks are expected to leave idle; may be negative.
-    std::int64_t expectedIdle() const;
+    /// Thousandths of a core that all tasks are expected to leave idle while the serving ones use @p servingUse; may be
+    /// negative.
+    std::int64_t expectedIdle(std::int64_t servingUse) const;
 };
 
 } // namespace Hyssop
