Store intents and ends of jobs at once, other progress in larger batches

Load pattern: 5,000 open runs; each batch waited 190 ms because every instance reads it, and a start or the shown end of a job waited with it. A batch of urgent changes alone (intents, ended jobs) goes out after 25 to 60 ms; ends of runs are durable with the next full batch.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -223,7 +223,7 @@
 void Dispatcher::endJob(JobRun &job, TimePoint now)
 {
     job.endedAtMs = m_wallMs;
-    m_jobs.markChanged(job);
+    m_jobs.markUrgent(job);
     m_tickets.forgetJob(job.id);
     m_sharing.forgetJob(job.id);
     reportEnd(job);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -142,6 +142,9 @@
     void intend(JobRun &job, const TaskId &id, TaskRun &task, WorkerView &worker, int run, TimePoint now);
 
     void composeBatch(TimePoint now, WallTime wall);
+
+    /// Adds to a batch with all changes what can wait for it: ends are durable only when all that they changed is.
+    void completeBatch(std::vector<KeyedRecord> &records, std::size_t size, TimePoint now, WallTime wall);
     void storeTails(std::vector<KeyedRecord> &records, TimePoint now);
     void forgetEndedJobs(std::vector<KeyedRecord> &records, WallTime wall);
 
@@ -163,6 +166,7 @@
     OpenBatch m_batch; // on its way to the store
     bool m_batchOpen = false;
     TimePoint m_batchAt{};
+    TimePoint m_fullBatchAt{}; // newest batch with all changes
     TimePoint m_tailsAt{}; // when learned tails were last stored
 };
 
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -303,7 +303,9 @@
     if (job.finishedOccurrences >= job.occurrenceCount() && !job.isEnded()) {
         job.completed = true;
         job.endedAtMs = m_wallMs;
+        m_jobs.markUrgent(job);
         m_tickets.forgetJob(job.id);
+        m_sharing.forgetJob(job.id);
         reportEnd(job);
     }
 }
--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -11,10 +11,12 @@
 
 namespace Internal {
 
-constexpr std::chrono::milliseconds ShortestBatchInterval{25};
-constexpr std::chrono::milliseconds LongestBatchInterval{200};
-// Every instance reads every batch, so with many runs the changes of a job go into fewer records.
-constexpr std::size_t RunsPerMillisecond = 30;
+// Every instance reads every batch. With many runs the changes that nobody waits for go into fewer records.
+constexpr std::chrono::milliseconds ShortestUrgentInterval{25};
+constexpr std::size_t RunsPerUrgentMillisecond = 150;
+constexpr std::chrono::milliseconds ShortestFullInterval{25};
+constexpr std::size_t RunsPerFullMillisecond = 30;
+constexpr std::chrono::milliseconds LongestInterval{200};
 constexpr std::chrono::milliseconds TailsInterval{3000};
 // Clocks of instances differ, and callers ask late.
 constexpr std::chrono::milliseconds RetentionMargin{60000};
@@ -25,27 +27,23 @@
 
 void Dispatcher::composeBatch(TimePoint now, WallTime wall)
 {
-    const auto interval = Internal::ShortestBatchInterval + std::chrono::milliseconds(openRuns() / Internal::RunsPerMillisecond);
-    if (m_batchOpen || now - m_batchAt < std::min(interval, Internal::LongestBatchInterval)) {
+    const std::chrono::milliseconds urgentInterval =
+        Internal::ShortestUrgentInterval + std::chrono::milliseconds(openRuns() / Internal::RunsPerUrgentMillisecond);
+    const std::chrono::milliseconds fullInterval = Internal::ShortestFullInterval + std::chrono::milliseconds(openRuns() / Internal::RunsPerFullMillisecond);
+    if (m_batchOpen || now - m_batchAt < std::min(urgentInterval, Internal::LongestInterval)) {
         return;
     }
+    const bool isFull = now - m_fullBatchAt >= std::min(fullInterval, Internal::LongestInterval);
     StoreRecords store;
     std::size_t size = 0;
-    for (JobRun *job : m_jobs.takeChanged()) {
+    for (JobRun *job : isFull ? m_jobs.takeChanged() : m_jobs.takeUrgent()) {
         KeyedRecord record{0, progressKey(job->id), encode(progressOf(*job))};
         size += record.value->size();
         store.records.push_back(std::move(record));
     }
-    if (size < Internal::LargestBatch) {
-        forgetEndedJobs(store.records, wall);
-    }
-    if (!store.records.empty()) {
-        storeTails(store.records, now);
-    }
-    for (const auto &[id, worker] : m_workers) {
-        if (worker.seenEnd > worker.durableEnd) {
-            m_batch.ends[id] = {worker.bornAt, worker.seenEnd};
-        }
+    if (isFull) {
+        m_fullBatchAt = now;
+        completeBatch(store.records, size, now, wall);
     }
     m_batch.intents = std::exchange(m_newIntents, {});
     if (store.records.empty()) {
@@ -59,6 +57,21 @@
     m_actions.emplace_back(std::move(store));
 }
 
+void Dispatcher::completeBatch(std::vector<KeyedRecord> &records, std::size_t size, TimePoint now, WallTime wall)
+{
+    if (size < Internal::LargestBatch) {
+        forgetEndedJobs(records, wall);
+    }
+    if (!records.empty()) {
+        storeTails(records, now);
+    }
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.seenEnd > worker.durableEnd) {
+            m_batch.ends[id] = {worker.bornAt, worker.seenEnd};
+        }
+    }
+}
+
 void Dispatcher::recordsStored(TimePoint now)
 {
     m_batchOpen = false;
--- a/src/libs/dispatch/jobbook.cpp
+++ b/src/libs/dispatch/jobbook.cpp
@@ -5,6 +5,8 @@
 #include <jobtopic/jobtable.h>
 #include <ports/taskid.h>
 
+#include <utility>
+
 namespace Hyssop {
 
 void JobBook::clear()
@@ -12,6 +14,7 @@
     m_jobs.clear();
     m_active.clear();
     m_changed.clear();
+    m_urgent.clear();
 }
 
 JobRun &JobBook::add(const std::string &jobId, const JobEntry &entry)
@@ -31,6 +34,7 @@
     m_jobs.erase(jobId);
     m_active.erase(jobId);
     m_changed.erase(jobId);
+    m_urgent.erase(jobId);
 }
 
 JobRun *JobBook::find(const std::string &jobId)
@@ -66,16 +70,36 @@
     m_changed.insert(job.id);
 }
 
+void JobBook::markUrgent(JobRun &job)
+{
+    markChanged(job);
+    m_urgent.insert(job.id);
+}
+
 std::vector<JobRun *> JobBook::takeChanged()
 {
-    std::vector<JobRun *> changed;
-    for (const std::string &jobId : m_changed) {
+    m_urgent.clear();
+    return jobsOf(std::exchange(m_changed, {}));
+}
+
+std::vector<JobRun *> JobBook::takeUrgent()
+{
+    const std::set<std::string> taken = std::exchange(m_urgent, {});
+    for (const std::string &jobId : taken) {
+        m_changed.erase(jobId);
+    }
+    return jobsOf(taken);
+}
+
+std::vector<JobRun *> JobBook::jobsOf(const std::set<std::string> &ids)
+{
+    std::vector<JobRun *> jobs;
+    for (const std::string &jobId : ids) {
         if (JobRun *job = find(jobId)) {
-            changed.push_back(job);
+            jobs.push_back(job);
         }
     }
-    m_changed.clear();
-    return changed;
+    return jobs;
 }
 
 std::vector<JobRun *> JobBook::activeJobs()
--- a/src/libs/dispatch/jobbook.h
+++ b/src/libs/dispatch/jobbook.h
@@ -31,10 +31,13 @@
 
     /// Notes that the durable progress of @p job is behind.
     void markChanged(JobRun &job);
-    bool hasChanges() const { return !m_changed.empty(); }
 
-    /// Returns the jobs with changes and forgets the changes.
+    /// The same for a change that somebody waits for: an intent, or the end of the job.
+    void markUrgent(JobRun &job);
+
+    /// Returns the jobs with changes, or those with urgent ones only, and forgets their changes.
     std::vector<JobRun *> takeChanged();
+    std::vector<JobRun *> takeUrgent();
 
     /// Returns the jobs that have not ended.
     std::vector<JobRun *> activeJobs();
@@ -42,9 +45,12 @@
     std::map<std::string, JobRun> &jobs() { return m_jobs; }
 
 private:
+    std::vector<JobRun *> jobsOf(const std::set<std::string> &ids);
+
     std::map<std::string, JobRun> m_jobs;
     std::set<std::string> m_active;
     std::set<std::string> m_changed;
+    std::set<std::string> m_urgent; // part of m_changed
 };
 
 } // namespace Hyssop
