Let work that can't be in time give way to work that can; finish what has begun first

Load pattern: more filling work than can be served in time; by the earliest objective alone each job is started when it is just too late.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -42,6 +42,16 @@
     return WallTime(std::chrono::milliseconds(job.job.startAtMs + occurrence * job.job.intervalMs));
 }
 
+static WaitingWork waitingWork(const JobRun &job, int occurrence, const std::vector<StepRun> &steps)
+{
+    WaitingWork work{job.id, job.job, dueTime(job, occurrence), {}, false};
+    for (const StepRun &step : steps) {
+        work.doneSteps.push_back(step.isDone());
+        work.hasBegun = work.hasBegun || std::ranges::any_of(step.tasks, [](const TaskRun &task) { return task.run > 0; });
+    }
+    return work;
+}
+
 static void collectSteps(JobRun &job, const QueueInfo &queue, TimePoint now, WallTime wall, std::vector<WaitingStep> &waiting)
 {
     for (auto &[occurrence, steps] : job.occurrences) {
@@ -51,7 +61,7 @@
                 continue;
             }
             if (!urgency) {
-                urgency = urgencyOf(job.id, job.job, queue, dueTime(job, occurrence), wall);
+                urgency = urgencyOf(waitingWork(job, occurrence, steps), queue, wall);
             }
             waiting.push_back({*urgency, &job, occurrence, static_cast<int>(index)});
         }
--- a/src/libs/dispatch/waitingorder.cpp
+++ b/src/libs/dispatch/waitingorder.cpp
@@ -26,7 +26,7 @@
 
 } // namespace Internal
 
-std::chrono::milliseconds longestChain(const Wire::StepJob &job)
+std::chrono::milliseconds longestChain(const Wire::StepJob &job, const std::vector<bool> &doneSteps)
 {
     std::vector<std::int64_t> ends(job.steps.size(), 0);
     std::int64_t longest = 0;
@@ -37,24 +37,27 @@
                 begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
             }
         }
-        ends[index] = begin + job.steps[index].estimateMs;
+        const bool isDone = index < doneSteps.size() && doneSteps[index];
+        ends[index] = begin + (isDone ? 0 : job.steps[index].estimateMs);
         longest = std::max(longest, ends[index]);
     }
     return std::chrono::milliseconds(longest);
 }
 
-Urgency urgencyOf(const std::string &jobId, const Wire::StepJob &job, const QueueInfo &queue, WallTime due, WallTime now)
+Urgency urgencyOf(const WaitingWork &work, const QueueInfo &queue, WallTime now)
 {
-    if (Internal::isServing(job)) {
-        return {Internal::Serving, queue.priority, due, jobId};
+    const int begun = work.hasBegun ? 0 : 1;
+    if (Internal::isServing(work.job)) {
+        return {Internal::Serving, queue.priority, begun, work.due, work.jobId};
     }
-    const auto chain = longestChain(job);
+    const auto chain = longestChain(work.job);
     const auto allowed = std::chrono::milliseconds(static_cast<std::int64_t>(queue.stretch * static_cast<double>(chain.count()))) + queue.objectiveMargin;
-    const WallTime objective = due + allowed;
-    if (now > due + Internal::LateFactor * allowed) {
-        return {Internal::Hopeless, queue.priority, objective, jobId};
+    const WallTime objective = work.due + allowed;
+    if (now > work.due + Internal::LateFactor * allowed) {
+        return {Internal::Hopeless, queue.priority, begun, objective, work.jobId};
     }
-    return {now > objective ? Internal::Late : Internal::InTime, queue.priority, objective, jobId};
+    const bool inTime = now + longestChain(work.job, work.doneSteps) <= objective;
+    return {inTime ? Internal::InTime : Internal::Late, queue.priority, begun, objective, work.jobId};
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/waitingorder.h
+++ b/src/libs/dispatch/waitingorder.h
@@ -4,8 +4,10 @@
 
 #include <utils/clock.h>
 
+#include <chrono>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace Hyssop {
 
@@ -16,23 +18,36 @@
 {
     int group = 0;
     int priority = 0;
+    int begun = 0; // 0: the job has begun
     WallTime objective{};
     std::string jobId; // makes the order total
 
     bool operator<(const Urgency &other) const
     {
-        return std::tie(group, priority, objective, jobId) < std::tie(other.group, other.priority, other.objective, other.jobId);
+        return std::tie(group, priority, begun, objective, jobId) < std::tie(other.group, other.priority, other.begun, other.objective, other.jobId);
     }
 };
 
-/// Returns the estimated time of the longest chain of dependent steps.
-std::chrono::milliseconds longestChain(const Wire::StepJob &job);
+/// A job that waits.
+struct WaitingWork
+{
+    std::string jobId;
+    const Wire::StepJob &job;
+    WallTime due{};
+    std::vector<bool> doneSteps; // by step
+    bool hasBegun = false;
+};
+
+/// Returns the estimated time of the longest chain of dependent steps; @p doneSteps take no time.
+std::chrono::milliseconds longestChain(const Wire::StepJob &job, const std::vector<bool> &doneSteps = {});
 
 /// Decides in which order work waits.
 ///
-/// Load pattern: a wave of large batch jobs arrives on top of short ones. Serving tasks come first, because each second
-/// without them is lost. Then come jobs that can still meet their objective, the earliest objective first within a
-/// priority; then late ones; jobs that are so late that their callers gain nothing come last.
-Urgency urgencyOf(const std::string &jobId, const Wire::StepJob &job, const QueueInfo &queue, WallTime due, WallTime now);
+/// Load pattern: a wave of large batch jobs arrives on top of short ones, more than can be served in time. Serving tasks
+/// come first, because each second without them is lost. Then come jobs that can still meet their objective with the
+/// steps that are left: within a priority those that have begun, so that work done is not wasted, and the earliest
+/// objective first. What can no longer be in time leaves its place to what can. Jobs that are so late that their callers
+/// gain nothing come last.
+Urgency urgencyOf(const WaitingWork &work, const QueueInfo &queue, WallTime now);
 
 } // namespace Hyssop
--- a/tests/libs/dispatch/testrules.cpp
+++ b/tests/libs/dispatch/testrules.cpp
@@ -7,6 +7,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 using namespace Hyssop;
 using namespace std::chrono_literals;
 
@@ -85,11 +89,12 @@
 {
     const WallTime now{100000s};
     const Wire::StepJob job = jobOf(1000);
+    const Wire::StepJob lasting = jobOf(0, true);
     // The objective is 3 s; beyond 9 s the job is worth nothing.
-    const Urgency serving = urgencyOf("d", jobOf(0, true), queueOf(2), now, now);
-    const Urgency timely = urgencyOf("c", job, queueOf(2), now, now);
-    const Urgency late = urgencyOf("b", job, queueOf(0), now - 4s, now);
-    const Urgency hopeless = urgencyOf("a", job, queueOf(0), now - 10s, now);
+    const Urgency serving = urgencyOf({"d", lasting, now, {}, false}, queueOf(2), now);
+    const Urgency timely = urgencyOf({"c", job, now, {}, false}, queueOf(2), now);
+    const Urgency late = urgencyOf({"b", job, now - 4s, {}, false}, queueOf(0), now);
+    const Urgency hopeless = urgencyOf({"a", job, now - 10s, {}, false}, queueOf(0), now);
     cr_assert(serving < timely);
     cr_assert(timely < late);
     cr_assert(late < hopeless);
@@ -98,13 +103,73 @@
 Test(waitingOrder, priorityThenObjective)
 {
     const WallTime now{100000s};
-    const Urgency urgent = urgencyOf("b", jobOf(5000), queueOf(0), now, now);
-    const Urgency earlier = urgencyOf("a", jobOf(1000), queueOf(2), now, now);
-    const Urgency later = urgencyOf("a", jobOf(2000), queueOf(2), now, now);
+    const Wire::StepJob longJob = jobOf(5000);
+    const Wire::StepJob shortJob = jobOf(1000);
+    const Wire::StepJob middleJob = jobOf(2000);
+    const Urgency urgent = urgencyOf({"b", longJob, now, {}, false}, queueOf(0), now);
+    const Urgency earlier = urgencyOf({"a", shortJob, now, {}, false}, queueOf(2), now);
+    const Urgency later = urgencyOf({"a", middleJob, now, {}, false}, queueOf(2), now);
     cr_assert(urgent < earlier);
     cr_assert(earlier < later);
 }
 
+Test(waitingOrder, whatCanNoLongerBeInTimeGivesWayToWhatCan)
+{
+    const WallTime now{100000s};
+    Wire::StepJob job = jobOf(1000);
+    job.steps.push_back(job.steps.front());
+    job.steps.back().after = {0};
+    // The objective is 5 s for two steps of 1 s.
+    const Urgency fresh = urgencyOf({"c", job, now, {}, false}, queueOf(2), now);
+    const Urgency tooLate = urgencyOf({"b", job, now - 3500ms, {}, false}, queueOf(2), now);
+    const Urgency halfDone = urgencyOf({"a", job, now - 3500ms, {true, false}, true}, queueOf(2), now);
+    cr_assert(fresh < tooLate, "two steps take longer than what is left");
+    cr_assert(halfDone < fresh, "the step that is left can be in time, and work done is not wasted");
+}
+
+/// Load pattern: for a minute, jobs of two steps arrive half as fast again as one worker can serve them. By the earliest
+/// objective alone, each job would be served when it is just too late.
+Test(waitingOrder, underOverloadTheWorkerServesJobsInTime)
+{
+    constexpr Duration StepTime = 500ms;
+    constexpr Duration ArrivalInterval = 667ms;
+    constexpr Duration Day = 60s;
+    struct Waiting
+    {
+        WallTime due;
+        int doneSteps = 0;
+    };
+    Wire::StepJob job = jobOf(500);
+    job.steps.push_back(job.steps.front());
+    job.steps.back().after = {0};
+    const QueueInfo queue = queueOf(2);
+    const WallTime begin{100000s};
+    const Duration objective = 3s;
+    std::vector<Waiting> jobs;
+    int inTime = 0;
+    Duration nextArrival = 0s;
+    for (Duration passed = 0s; passed < Day; passed += StepTime) {
+        const WallTime now = begin + std::chrono::duration_cast<std::chrono::milliseconds>(passed);
+        for (; nextArrival <= passed; nextArrival += ArrivalInterval) {
+            jobs.push_back({begin + std::chrono::duration_cast<std::chrono::milliseconds>(nextArrival)});
+        }
+        const auto urgency = [&](const Waiting &waiting) {
+            const bool hasBegun = waiting.doneSteps > 0;
+            return urgencyOf({std::to_string(waiting.due.time_since_epoch().count()), job, waiting.due, {hasBegun, false}, hasBegun}, queue, now);
+        };
+        const auto next = std::ranges::min_element(jobs, [&](const Waiting &left, const Waiting &right) { return urgency(left) < urgency(right); });
+        if (next == jobs.end()) {
+            continue;
+        }
+        if (++next->doneSteps == 2) {
+            inTime += now + StepTime <= next->due + objective ? 1 : 0;
+            jobs.erase(next);
+        }
+    }
+    // The worker can serve a job a second.
+    cr_assert_geq(inTime, 54, "%d of 60 in time", inTime);
+}
+
 Test(waitingOrder, theChainFollowsDependentSteps)
 {
     Wire::StepJob job;
@@ -114,6 +179,7 @@
     job.steps[1].after = {0};
     job.steps[2].estimateMs = 250;
     cr_assert_eq(longestChain(job).count(), 300);
+    cr_assert_eq(longestChain(job, {true, false, true}).count(), 200);
 }
 
 Test(workerTrust, failuresOfOneJobAreTheJobsOwn)
