--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "jobbook.h"
 #include "leaserule.h"
 #include "sharingrule.h"
+#include "shorttaskreserve.h"
 #include "ticketbook.h"
 #include "workerview.h"
 
@@ -136,6 +137,7 @@
     bool mayStartOn(const WorkerView &worker, TimePoint now) const;
 
     void placeWaiting(TimePoint now, WallTime wall);
+    void noteShortDemand(TimePoint now);
     void placeStep(JobRun &job, int occurrence, int step, WorkerChoice &choice, const QueueInfo &queue, TimePoint now);
     void placeGang(JobRun &job, int occurrence, int step, const WorkerChoice &choice, PlacementWish &wish, TimePoint now);
     bool needsAdvice(const TaskId &step, const QueueInfo &queue, PlacementWish &wish, TimePoint now);
@@ -161,6 +163,7 @@
     std::set<std::string> m_evacuated;
     TicketBook m_tickets;
     SharingRule m_sharing;
+    ShortTaskReserve m_reserve;
     std::vector<DispatchAction> m_actions;
     Intents m_newIntents; // not yet in a batch
     OpenBatch m_batch; // on its way to the store
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -97,6 +97,7 @@
     if (waiting.empty()) {
         return;
     }
+    noteShortDemand(now);
     std::vector<WorkerView *> workers;
     for (auto &[id, worker] : m_workers) {
         workers.push_back(&worker);
@@ -108,6 +109,28 @@
     }
 }
 
+void Dispatcher::noteShortDemand(TimePoint now)
+{
+    std::map<std::string, std::int64_t> demand;
+    for (JobRun *job : m_jobs.activeJobs()) {
+        const auto queue = m_config.queues.find(job->job.queue);
+        if (queue == m_config.queues.end()) {
+            continue;
+        }
+        for (const auto &[occurrence, steps] : job->occurrences) {
+            for (std::size_t index = 0; index < steps.size(); ++index) {
+                const Wire::TaskStep &step = job->job.steps[index];
+                if (!step.longRunning && !step.fillsIdle && Internal::isReady(steps, step)) {
+                    demand[queue->second.service] += step.milliCores * (step.taskCount - steps[index].done);
+                }
+            }
+        }
+    }
+    for (const auto &[service, milliCores] : demand) {
+        m_reserve.note(service, milliCores, now);
+    }
+}
+
 void Dispatcher::placeStep(JobRun &job, int occurrence, int step, WorkerChoice &choice, const QueueInfo &queue, TimePoint now)
 {
     StepRun &tasks = job.occurrences.at(occurrence)[static_cast<std::size_t>(step)];
@@ -135,7 +158,7 @@
         if (task.phase != TaskPhase::Waiting || task.notBefore > now) {
             continue;
         }
-        if (wish.step->longRunning && task.run == 0 && !choice.hasRoomForServing(queue.service, use)) {
+        if (wish.step->longRunning && task.run == 0 && !choice.hasRoomForServing(queue.service, use, m_reserve)) {
             return;
         }
         WorkerView *worker = choice.takeBest(candidates, wish);
--- /dev/null
+++ b/src/libs/dispatch/shorttaskreserve.cpp
@@ -0,0 +1,35 @@
+#include "shorttaskreserve.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace Hyssop {
+
+namespace Internal {
+
+constexpr double PeakMemory = 15; // seconds until a peak has lost two thirds of its height
+// Free capacity is spread over many workers, so not all of it can be used.
+constexpr double FragmentationFactor = 1.3;
+constexpr double LeastShare = 0.08; // of the capacity
+constexpr double LargestShare = 0.22;
+
+} // namespace Internal
+
+void ShortTaskReserve::note(const std::string &service, std::int64_t demand, TimePoint now)
+{
+    Peak &peak = m_peaks[service];
+    const double passed = peak.at == TimePoint() ? 0 : std::chrono::duration<double>(now - peak.at).count();
+    peak.demand = std::max(static_cast<double>(demand), peak.demand * std::exp(-passed / Internal::PeakMemory));
+    peak.at = now;
+}
+
+std::int64_t ShortTaskReserve::milliCores(const std::string &service, std::int64_t capacity) const
+{
+    const auto peak = m_peaks.find(service);
+    const double wanted = peak != m_peaks.end() ? peak->second.demand * Internal::FragmentationFactor : 0;
+    const auto all = static_cast<double>(capacity);
+    return static_cast<std::int64_t>(std::clamp(wanted, all * Internal::LeastShare, all * Internal::LargestShare));
+}
+
+} // namespace Hyssop
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -1,6 +1,7 @@
 #include "workerchoice.h"
 
 #include "sharingrule.h"
+#include "shorttaskreserve.h"
 #include "workerview.h"
 
 #include <algorithm>
@@ -9,8 +10,6 @@
 
 namespace Internal {
 
-// Share of the capacity that new serving tasks leave to short tasks.
-constexpr int ShortTaskPercent = 10;
 // A worker without an answered call for this long gets no work.
 constexpr std::chrono::milliseconds LongestSilence{2500};
 constexpr std::size_t RememberedWishes = 100;
@@ -87,7 +86,7 @@
     return best;
 }
 
-bool WorkerChoice::hasRoomForServing(const std::string &service, const RunUse &use) const
+bool WorkerChoice::hasRoomForServing(const std::string &service, const RunUse &use, const ShortTaskReserve &reserve) const
 {
     std::int64_t capacity = 0;
     std::int64_t free = -use.counted.milliCores;
@@ -97,7 +96,7 @@
             free += worker->info.capacity.milliCores - worker->servingCommitted;
         }
     }
-    return free * 100 >= capacity * Internal::ShortTaskPercent;
+    return free >= reserve.milliCores(service, capacity);
 }
 
 std::vector<std::string> WorkerChoice::racksByRoom(const std::string &service) const
--- a/src/libs/dispatch/workerchoice.h
+++ b/src/libs/dispatch/workerchoice.h
@@ -15,6 +15,7 @@
 namespace Hyssop {
 
 class SharingRule;
+class ShortTaskReserve;
 
 /// Conditions on the worker of one task.
 struct PlacementWish
@@ -53,8 +54,8 @@
     /// Returns the best of @p candidates, whose scores may be out of date, or a null pointer. The worker stays in the heap.
     WorkerView *takeBest(std::vector<Candidate> &candidates, const PlacementWish &wish) const;
 
-    /// Returns true if enough capacity stays free for short tasks after a serving task has begun to use @p use.
-    bool hasRoomForServing(const std::string &service, const RunUse &use) const;
+    /// Returns true if the reserve for short tasks stays free after a serving task has begun to use @p use.
+    bool hasRoomForServing(const std::string &service, const RunUse &use, const ShortTaskReserve &reserve) const;
 
     /// Returns racks in the order of their free processor capacity, most first.
     std::vector<std::string> racksByRoom(const std::string &service) const;
