--- a/src/libs/dispatch/servingoutlook.h
+++ b/src/libs/dispatch/servingoutlook.h
@@ -2,6 +2,7 @@
 
 #include <utils/clock.h>
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -10,15 +11,23 @@
 /// What the serving runs on a worker use and can bear in the next seconds.
 struct ServingOutlook
 {
+    static constexpr std::chrono::milliseconds Soon{2000};
+    static constexpr std::chrono::milliseconds Later{4000};
+
+    /// Utilization that neighbours may still add to the serving runs of one image, of the run that bears least. Negative:
+    /// too much is there already.
     struct Slack
     {
-        std::uint32_t image = 0; // of some serving runs
-        double utilization = 0; // that neighbours may still add to the run that bears least; negative: too much is there
+        std::uint32_t image = 0;
+        double soon = 0; // within Soon
+        double later = 0; // within Later
     };
 
     TimePoint at{}; // when it was computed; none: it is out of date
-    std::int64_t milliCores = 0; // highest use of all serving runs
+    std::int64_t milliCores = 0; // highest use of all serving runs within Soon
     std::vector<Slack> slacks; // one for each image
+
+    void add(const Slack &slack);
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/sharingrule.cpp
+++ b/src/libs/dispatch/sharingrule.cpp
@@ -10,14 +10,12 @@
 
 // A filling run that presses less uses less processor time, down to this share of what it declares.
 constexpr double UseWithoutPressure = 0.5;
-// Filling tasks are placed by the highest load expected in this time.
-constexpr std::chrono::milliseconds PlacementHorizon{2500};
-constexpr double PlacementMargin = 0.03; // of utilization
+constexpr double PlacementMargin = 0.05; // of utilization
 // Paces hold until the next listing of the worker.
 constexpr std::chrono::milliseconds SlowHorizon{1000};
 constexpr std::chrono::milliseconds RaiseHorizon{1800};
-constexpr double SlowMargin = 0.02;
-constexpr double RaiseMargin = 0.05;
+constexpr double SlowMargin = 0.0;
+constexpr double RaiseMargin = 0.02;
 constexpr int PaceStep = 20; // percent
 // Reported tails are rough, so only a part of an unexplained one counts.
 constexpr double UnexplainedShare = 0.5;
@@ -81,22 +79,17 @@
         if (serving.servingMilliCores == 0) {
             continue;
         }
-        const double own = m_forecast.highest(id.job, now, now + Internal::PlacementHorizon);
-        outlook.milliCores += static_cast<std::int64_t>(own * static_cast<double>(serving.servingMilliCores));
+        const double soon = m_forecast.highest(id.job, now, now + ServingOutlook::Soon);
+        outlook.milliCores += static_cast<std::int64_t>(soon * static_cast<double>(serving.servingMilliCores));
         if (model == nullptr) {
             continue;
         }
-        double utilization = own + serving.unexplained + Internal::PlacementMargin;
+        double bearable = model->allowedUtilization(static_cast<double>(serving.tailTargetMs)) - serving.unexplained - Internal::PlacementMargin;
         for (const auto &[fillerId, filler] : worker.runs) {
-            utilization += filler.fillsIdle ? Internal::effectOf(*model, filler, worker.info.capacity.milliCores) : 0;
-        }
-        const double slack = model->allowedUtilization(static_cast<double>(serving.tailTargetMs)) - utilization;
-        const auto known = std::ranges::find(outlook.slacks, serving.image, &ServingOutlook::Slack::image);
-        if (known == outlook.slacks.end()) {
-            outlook.slacks.push_back({serving.image, slack});
-        } else {
-            known->utilization = std::min(known->utilization, slack);
+            bearable -= filler.fillsIdle ? Internal::effectOf(*model, filler, worker.info.capacity.milliCores) : 0;
         }
+        const double later = m_forecast.highest(id.job, now, now + ServingOutlook::Later);
+        outlook.add({serving.image, bearable - soon, bearable - later});
     }
     return outlook;
 }
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -221,9 +221,10 @@
     if (worker.overTargetSince || worker.expectedIdle(outlook.milliCores) * 100 < wish.step->milliCores * Internal::LeastIdlePercent) {
         return false;
     }
+    const bool isShort = wish.step->estimateMs <= ServingOutlook::Soon.count();
     return std::ranges::all_of(outlook.slacks, [&](const ServingOutlook::Slack &slack) {
         const double added = m_sharing.added(slack.image, *wish.use, worker.info.capacity.milliCores);
-        return added < SharingRule::HarmlessUtilization || added < slack.utilization;
+        return added < SharingRule::HarmlessUtilization || added < (isShort ? slack.soon : slack.later);
     });
 }
 
--- a/tests/libs/dispatch/testsharing.cpp
+++ b/tests/libs/dispatch/testsharing.cpp
@@ -158,6 +158,22 @@
     cr_assert(mayRun(light, 2500ms));
 }
 
+Test(sharingRule, aLongTaskNeedsRoomForLonger)
+{
+    SharingRule rule;
+    RunUse service = serving(rule, "service");
+    RunUse heavy = filler(rule, "heavy");
+    RunUse light = filler(rule, "light");
+    teach(rule, service, heavy, light);
+    WorkerView worker = workerWith(service);
+    // The load rises from the middle of the swing at 10 s on.
+    const ServingOutlook outlook = rule.outlook(worker, Begin + Lesson + 7s);
+    cr_assert_eq(outlook.slacks.size(), 1);
+    const double added = rule.added(service.image, heavy, Capacity);
+    cr_assert_gt(outlook.slacks.front().soon, added);
+    cr_assert_lt(outlook.slacks.front().later, added);
+}
+
 Test(sharingRule, manyHarmlessRunsDisturbTogether)
 {
     SharingRule rule;
@@ -176,12 +192,12 @@
     WorkerView worker = workerWith(service);
     worker.info.capacity.milliCores = Capacity;
     const TimePoint crest = Begin + Lesson + 2s;
-    const double alone = rule.outlook(worker, crest).slacks.front().utilization;
+    const double alone = rule.outlook(worker, crest).slacks.front().soon;
     cr_assert_gt(alone, EachAdds);
     for (int run = 0; run < 6; ++run) {
         worker.addRun({"batch", 0, 0, run}, filling);
     }
-    const double together = rule.outlook(worker, crest).slacks.front().utilization;
+    const double together = rule.outlook(worker, crest).slacks.front().soon;
     cr_assert_lt(together, EachAdds, "six of them leave no room for a seventh: %f of %f", together, alone);
 }
 
