Condense ended jobs; believe the list of a worker that answers; log workers that start anew or are written off

Change: an ended job is a record without payload, steps and marks once its last run has ended; leases of a worker that answers are not taken for ended.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -45,6 +45,24 @@
     std::chrono::milliseconds sinceAccepted{0};
 };
 
-using DispatchAction = std::variant<StartOrder, StopOrder, PaceOrder, PollOrder, StoreRecords, AskAdvice, GiveUpOwnership, RunEnded, JobEnded>;
+/// For the log: a worker is taken for one that has started anew under the same id.
+struct WorkerReborn
+{
+    std::string worker;
+    WorkerTime clock{0}; // that it told
+    WorkerTime expectedClock{0}; // at least, if it were the same life
+    std::size_t openRuns = 0;
+};
+
+/// For the log: all leases on a worker that does not answer have ended.
+struct WorkerWrittenOff
+{
+    std::string worker;
+    int failedPolls = 0;
+    std::size_t openRuns = 0;
+};
+
+using DispatchAction =
+    std::variant<StartOrder, StopOrder, PaceOrder, PollOrder, StoreRecords, AskAdvice, GiveUpOwnership, RunEnded, JobEnded, WorkerReborn, WorkerWrittenOff>;
 
 } // namespace Hyssop
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -108,7 +108,7 @@
     void moveRunsOffLeavingWorkers(TimePoint now);
 
     void applyListing(WorkerView &worker, const WorkerListing &listing, TimePoint sentAt, TimePoint now);
-    void noteRebirth(WorkerView &worker, TimePoint now);
+    void noteRebirth(WorkerView &worker, WorkerTime reading, TimePoint now);
     void applyEnd(WorkerView &worker, const ListedEnd &end, TimePoint now);
     void applyRun(WorkerView &worker, const ListedRun &run, TimePoint now);
     void noteProgress(WorkerView &worker, const ListedRun &run, TaskRun &task, TimePoint now);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -98,7 +98,7 @@
     WorkerView *worker = findWorker(workerId);
     const bool wentBack = worker != nullptr && worker->clock && reading + Internal::ClockSlack < worker->clock->reading;
     if (wentBack) {
-        noteRebirth(*worker, now);
+        noteRebirth(*worker, reading, now);
         worker->bornAt = std::chrono::milliseconds(0);
         worker->clock.reset();
     }
--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -40,6 +40,10 @@
         KeyedRecord record{0, progressKey(job->id), encode(progressOf(*job))};
         size += record.value->size();
         store.records.push_back(std::move(record));
+        if (job->isEnded() && !job->condensed && !hasOpenRuns(*job)) {
+            job->condensed = true;
+            store.records.push_back({0, submissionKey(job->id), encode(endedSubmission(*job))});
+        }
     }
     if (isFull) {
         m_fullBatchAt = now;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -39,9 +39,14 @@
 void Dispatcher::expireLeases(TimePoint now)
 {
     for (auto &[id, worker] : m_workers) {
-        if (now <= worker.leaseEnd) {
+        // What a worker that answers lists tells better than the clock what still runs there.
+        const bool answers = worker.reached && worker.failedPolls == 0;
+        if (answers || now <= worker.leaseEnd) {
             continue;
         }
+        if (!worker.runs.empty()) {
+            m_actions.emplace_back(WorkerWrittenOff{id, worker.failedPolls, worker.runs.size()});
+        }
         const auto runs = worker.runs; // requeue() changes the original
         for (const auto &[task, use] : runs) {
             TaskRun *run = m_jobs.task(task);
@@ -112,7 +117,7 @@
     worker.failedPolls = 0;
     worker.lastContact = now;
     if (listing.bornAt != worker.bornAt && worker.bornAt.count() != 0 && listing.bornAt.count() != 0) {
-        noteRebirth(worker, now);
+        noteRebirth(worker, listing.clock, now);
     }
     worker.bornAt = listing.bornAt;
     worker.clock = WorkerClock{listing.clock, now};
@@ -136,8 +141,9 @@
     }
 }
 
-void Dispatcher::noteRebirth(WorkerView &worker, TimePoint now)
+void Dispatcher::noteRebirth(WorkerView &worker, WorkerTime reading, TimePoint now)
 {
+    m_actions.emplace_back(WorkerReborn{worker.info.id, reading, worker.clock ? worker.clock->readingAt(now) : WorkerTime(0), worker.runs.size()});
     worker.seenEnd = 0;
     worker.durableEnd = 0;
     ++worker.suspectedLives;
--- a/src/libs/dispatch/jobprogress.cpp
+++ b/src/libs/dispatch/jobprogress.cpp
@@ -143,12 +143,30 @@
     return job;
 }
 
+bool hasOpenRuns(const JobRun &job)
+{
+    const auto isOpen = [](const StepRun &step) { return std::ranges::any_of(step.tasks, &TaskRun::isOpen); };
+    return std::ranges::any_of(job.occurrences, [&](const auto &item) { return std::ranges::any_of(item.second, isOpen); });
+}
+
+Wire::StepJob endedSubmission(const JobRun &job)
+{
+    Wire::StepJob submission;
+    submission.queue = job.job.queue;
+    submission.acceptedAtMs = job.job.acceptedAtMs;
+    submission.repeatCount = job.job.repeatCount;
+    return submission;
+}
+
 Wire::JobProgress progressOf(const JobRun &job)
 {
     Wire::JobProgress progress;
     progress.phase = Internal::phaseOf(job);
     progress.endedAtMs = job.endedAtMs;
     progress.finishedOccurrences = job.finishedOccurrences;
+    if (job.isEnded() && !hasOpenRuns(job)) {
+        return progress;
+    }
     for (const auto &[occurrence, steps] : job.occurrences) {
         for (std::size_t index = 0; index < steps.size(); ++index) {
             if (Internal::isTouched(steps[index])) {
--- a/src/libs/dispatch/jobprogress.h
+++ b/src/libs/dispatch/jobprogress.h
@@ -15,7 +15,13 @@
 /// Adds an occurrence with all its steps to a job.
 void addOccurrence(JobRun &job, int occurrence);
 
-/// Returns what has to be durable about a job.
+/// Returns true if a run of the job may exist.
+bool hasOpenRuns(const JobRun &job);
+
+/// Returns what has to be durable about a job. Of a job that has ended and has no open runs the phase is enough.
 Wire::JobProgress progressOf(const JobRun &job);
 
+/// Returns what is left of the submission of a job that has ended: all that callers may still ask for.
+Wire::StepJob endedSubmission(const JobRun &job);
+
 } // namespace Hyssop
--- a/src/libs/dispatch/jobrun.h
+++ b/src/libs/dispatch/jobrun.h
@@ -22,7 +22,7 @@
     bool failed = false;
     bool completed = false;
     bool hasStarted = false;
-    bool changed = false; // the durable progress is behind
+    bool condensed = false; // what is left of the submission of an ended job is durable, or on its way
     std::int64_t endedAtMs = 0; // Unix time; 0: not ended
 
     bool isEnded() const { return cancelled || failed || completed; }
--- a/src/libs/jobtopic/jobtable.cpp
+++ b/src/libs/jobtopic/jobtable.cpp
@@ -69,14 +69,12 @@
         return;
     }
     JobEntry &entry = m_jobs[key.jobId];
-    if (entry.job) {
-        return; // a resend of the same submission
-    }
     auto decoded = capture([&] { return decodeStepJob(*record.value); });
-    if (auto *job = valueOf(decoded)) {
-        entry.job = std::move(*job);
-    } else {
+    auto *job = valueOf(decoded);
+    if (job == nullptr) {
         ++m_malformed;
+    } else if (!entry.job || job->steps.empty()) {
+        entry.job = std::move(*job); // a second one with steps is a resend
     }
 }
 
--- a/src/libs/jobtopic/jobtable.h
+++ b/src/libs/jobtopic/jobtable.h
@@ -16,7 +16,7 @@
 /// What the job topic says about one job.
 struct JobEntry
 {
-    std::optional<Wire::StepJob> job; // none: cancelled before its submission was seen
+    std::optional<Wire::StepJob> job; // none: cancelled before its submission was seen; without steps: ended
     Wire::JobProgress progress;
     std::int64_t progressOffset = -1;
     bool cancelled = false;
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -98,6 +98,23 @@
                 {"failures", end.failures}});
 }
 
+static void logWorker(const WorkerReborn &worker)
+{
+    logMessage(
+        LogLevel::Warning,
+        "owner",
+        "worker has started anew",
+        {{"worker", worker.worker}, {"clock_ms", worker.clock.count()}, {"expected_clock_ms", worker.expectedClock.count()}, {"open_runs", worker.openRuns}});
+}
+
+static void logWorker(const WorkerWrittenOff &worker)
+{
+    logMessage(LogLevel::Warning,
+               "owner",
+               "leases on a worker have ended",
+               {{"worker", worker.worker}, {"failed_polls", worker.failedPolls}, {"open_runs", worker.openRuns}});
+}
+
 static void logEnd(const JobEnded &end)
 {
     logMessage(LogLevel::Info, "owner", "job ended", {{"job_id", end.jobId}, {"outcome", end.phase}, {"after_ms", end.sinceAccepted.count()}});
@@ -318,6 +335,8 @@
                    [&](StoreRecords &store) { beginAppend(std::move(store.records), true); },
                    [&](const RunEnded &end) { Internal::logEnd(end); },
                    [&](const JobEnded &end) { Internal::logEnd(end); },
+                   [&](const WorkerReborn &worker) { Internal::logWorker(worker); },
+                   [&](const WorkerWrittenOff &worker) { Internal::logWorker(worker); },
                    [&](const GiveUpOwnership &) { stepDown("a worker has seen a later owner"); },
                },
                action);
--- a/tests/libs/dispatch/testjobprogress.cpp
+++ b/tests/libs/dispatch/testjobprogress.cpp
@@ -89,3 +89,33 @@
     const JobRun job = restoreJob("a", entry);
     cr_assert_eq(job.occurrences.at(0)[0].tasks.size(), 10);
 }
+
+Test(jobProgress, anEndedJobIsCondensedWhenItsLastRunHasEnded)
+{
+    JobRun job;
+    job.id = "a";
+    job.job = twoSteps();
+    job.job.payload = "payload";
+    job.job.acceptedAtMs = 17;
+    job.cancelled = true;
+    addOccurrence(job, 0);
+    TaskRun &task = job.occurrences[0][0].tasks[3];
+    task.run = 1;
+    task.phase = TaskPhase::Stopping;
+    task.worker = "w";
+    cr_assert(hasOpenRuns(job));
+    cr_assert_eq(progressOf(job).steps.size(), 1, "a new owner has to stop the run as well");
+    task.phase = TaskPhase::Waiting;
+    cr_assert(!hasOpenRuns(job));
+    cr_assert(progressOf(job).steps.empty());
+    cr_assert_eq(progressOf(job).phase, Wire::JobPhase::Cancelled);
+    const Wire::StepJob rest = endedSubmission(job);
+    cr_assert_eq(rest.queue, "batch");
+    cr_assert_eq(rest.acceptedAtMs, 17);
+    cr_assert(rest.payload.empty());
+    cr_assert(rest.steps.empty());
+    JobEntry entry;
+    entry.job = rest;
+    entry.progress = progressOf(job);
+    cr_assert(restoreJob("a", entry).isEnded());
+}
--- a/tests/libs/jobtopic/testjobtable.cpp
+++ b/tests/libs/jobtopic/testjobtable.cpp
@@ -110,3 +110,18 @@
     cr_assert_null(table.find("a"));
     cr_assert(table.jobs().empty());
 }
+
+Test(jobTable, whatIsLeftOfAnEndedJobReplacesItsSubmission)
+{
+    JobTable table;
+    table.apply({0, submissionKey("a"), submission()});
+    table.apply({1, progressKey("a"), progress(Wire::JobPhase::Completed)});
+    Wire::StepJob rest;
+    rest.queue = "batch";
+    table.apply({2, submissionKey("a"), encode(rest)});
+    cr_assert(table.find("a")->job->steps.empty());
+    cr_assert(table.find("a")->job->payload.empty());
+    cr_assert_eq(table.find("a")->phase(), Wire::JobPhase::Completed);
+    table.apply({3, submissionKey("a"), submission("resent")});
+    cr_assert_eq(table.find("a")->phase(), Wire::JobPhase::Completed, "a resend does not bring the job back");
+}
