--- a/src/libs/dispatch/jobprogress.cpp
+++ b/src/libs/dispatch/jobprogress.cpp
@@ -134,7 +134,7 @@
     job.finishedOccurrences = entry.progress.finishedOccurrences;
     job.completed = entry.progress.phase == Wire::JobPhase::Completed;
     job.failed = entry.progress.phase == Wire::JobPhase::Failed;
-    job.cancelled = entry.cancelled && !job.completed && !job.failed;
+    job.cancelled = entry.phase() == Wire::JobPhase::Cancelled;
     job.hasStarted = entry.progress.phase != Wire::JobPhase::Pending;
     job.endedAtMs = entry.progress.endedAtMs;
     for (const Wire::StepMarks &marks : entry.progress.steps) {
