Add the fault soak: hyssop-node as processes, faults from outside, promises checked by callers and workers

Processes are killed, stopped, frozen and restarted, links delayed, silenced, cut one way and reset by a loopback proxy, the store is down, slow, loses answers and history, workers crash; faults overlap.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -111,7 +111,9 @@
     if (const Error *error = errorOf(endpoint)) {
         co_return *error;
     }
-    request.set(http::field::host, address);
+    if (request[http::field::host].empty()) {
+        request.set(http::field::host, address);
+    }
     request.prepare_payload();
     Internal::StreamPtr stream = pool->take(address);
     stream->expires_after(timeout);
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -21,7 +21,8 @@
     explicit HttpClient(boost::asio::any_io_executor executor);
     ~HttpClient();
 
-    /// Sends @p request to @p address ("IP-ADDRESS:PORT") and waits for the whole response. ErrorCode::Unavailable
+    /// Sends @p request to @p address ("IP-ADDRESS:PORT"), which is also the host if the request names none, and waits for
+    /// the whole response. ErrorCode::Unavailable
     /// means that nothing was sent; after any other error the effect is unknown and the connection is closed.
     boost::asio::awaitable<Outcome<HttpResponse>> send(std::string address, HttpRequest request, std::chrono::milliseconds timeout);
 
--- /dev/null
+++ b/tests/soak/soakload.cpp
@@ -0,0 +1,163 @@
+#include "soakload.h"
+
+#include "soakcluster.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace Hyssop::Soak {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds SubmitInterval{120};
+constexpr std::chrono::milliseconds CallTimeout{3000};
+constexpr std::chrono::milliseconds RetryPause{200};
+// From then on every node that answers has to know an accepted job.
+constexpr std::chrono::milliseconds VisibleTime{3000};
+constexpr int Attempts = 5;
+constexpr int MostInFlight = 60;
+constexpr int CancelOneIn = 8;
+
+asio::awaitable<void> pause(std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+bool isRefusal(unsigned status)
+{
+    return status == 429 || status == 503;
+}
+
+bool isEnded(const std::string &state)
+{
+    return state == "completed" || state == "failed" || state == "cancelled";
+}
+
+} // namespace
+
+SoakLoad::SoakLoad(asio::any_io_executor executor, SoakCluster &cluster, std::uint32_t seed)
+    : m_executor(executor)
+    , m_cluster(cluster)
+    , m_http(std::move(executor))
+    , m_random(seed)
+{
+}
+
+asio::awaitable<void> SoakLoad::run()
+{
+    for (int number = 1; !m_stopped; ++number) {
+        co_await pause(SubmitInterval);
+        if (m_inFlight >= MostInFlight) {
+            continue;
+        }
+        std::array<char, 17> jobId{};
+        std::snprintf(jobId.data(), jobId.size(), "%016x", static_cast<unsigned>(number));
+        asio::co_spawn(m_executor, handIn(jobId.data(), drawBody(), draw(CancelOneIn) == 0), asio::detached);
+    }
+}
+
+asio::awaitable<void> SoakLoad::handIn(std::string jobId, std::string body, bool cancels)
+{
+    ++m_inFlight;
+    SoakJob &job = m_jobs[jobId];
+    for (int attempt = 0; attempt < Attempts && !job.accepted; ++attempt) {
+        const unsigned status = co_await call(http::verb::post, jobId, body);
+        job.accepted = status == 200;
+        job.maybeAccepted = job.maybeAccepted || (status != 200 && !isRefusal(status));
+        job.acceptedAt = std::chrono::steady_clock::now();
+        if (!job.accepted) {
+            co_await pause(RetryPause);
+        }
+    }
+    if (job.accepted && cancels) {
+        co_await pause(std::chrono::milliseconds(draw(1000)));
+        co_await cancel(jobId);
+    }
+    --m_inFlight;
+}
+
+asio::awaitable<void> SoakLoad::cancel(std::string jobId)
+{
+    SoakJob &job = m_jobs[jobId];
+    job.maybeCancelled = true;
+    for (int attempt = 0; attempt < Attempts && !job.cancelAcknowledged; ++attempt) {
+        const unsigned status = co_await call(http::verb::delete_, jobId, {});
+        job.cancelAcknowledged = status == 200;
+        if (status == 410) {
+            broken.push_back("an accepted job " + jobId + " was not known when it was cancelled");
+        }
+        co_await pause(RetryPause);
+    }
+}
+
+asio::awaitable<bool> SoakLoad::askForStates()
+{
+    bool allEnded = m_inFlight == 0;
+    for (auto &[jobId, job] : m_jobs) {
+        if (!job.accepted || isEnded(job.state)) {
+            continue;
+        }
+        const bool visible = std::chrono::steady_clock::now() - job.acceptedAt > VisibleTime;
+        std::string answer;
+        const unsigned status = co_await call(http::verb::get, jobId, {}, &answer);
+        if (status == 410 && visible) {
+            broken.push_back("an accepted job " + jobId + " is not known");
+        }
+        if (status == 200) {
+            job.state = json::parse(answer).at("state").as_string();
+        }
+        allEnded = allEnded && isEnded(job.state);
+    }
+    co_return allEnded;
+}
+
+asio::awaitable<unsigned> SoakLoad::call(http::verb method, const std::string &jobId, const std::string &body, std::string *answer)
+{
+    HttpRequest request(method, "/batch/" + jobId, 11);
+    request.body() = body;
+    request.set(http::field::host, "queue.example");
+    request.set(http::field::content_type, "application/json");
+    request.set("X-Hyssopferry-Request-Deadline", std::to_string(CallTimeout.count()));
+    auto outcome = co_await m_http.send(m_cluster.callersAddress(draw(m_cluster.nodeCount())), std::move(request), CallTimeout);
+    const HttpResponse *response = valueOf(outcome);
+    if (response == nullptr) {
+        co_return 0;
+    }
+    if (answer != nullptr) {
+        *answer = response->body();
+    }
+    co_return response->result_int();
+}
+
+std::string SoakLoad::drawBody()
+{
+    json::array steps;
+    const int count = 1 + draw(2);
+    for (int step = 0; step < count; ++step) {
+        json::object row{{"count", 1 + draw(4)}, {"cpu", 200 + draw(800)}, {"memMb", 100}, {"estimateMs", 500}};
+        if (step > 0) {
+            row["after"] = {step - 1};
+        }
+        steps.push_back(std::move(row));
+    }
+    return json::serialize(json::object{{"spec", "ms=" + std::to_string(100 + draw(1500))}, {"steps", std::move(steps)}});
+}
+
+int SoakLoad::draw(int count)
+{
+    return static_cast<int>(m_random() % static_cast<std::uint32_t>(count));
+}
+
+} // namespace Hyssop::Soak
--- /dev/null
+++ b/tests/soak/soakrun.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Hyssop::Soak {
+
+struct SoakOptions
+{
+    std::uint32_t seed = 1;
+    std::chrono::seconds faultTime{12}; // in which faults are injected
+    int nodes = 4;
+    int workers = 4;
+    std::string directory; // for settings and logs
+};
+
+struct SoakResult
+{
+    std::vector<std::string> faults;
+    std::size_t jobs = 0;
+    std::size_t accepted = 0;
+    std::size_t cancelled = 0;
+    std::size_t runs = 0;
+    std::chrono::milliseconds settling{0}; // from the end of the faults until all work had ended
+    std::vector<std::string> broken;
+};
+
+/// Runs one seed with processes of its own.
+SoakResult runSoak(const SoakOptions &options);
+
+} // namespace Hyssop::Soak
--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -53,7 +53,8 @@
 int main(int argc, char **argv)
 {
     po::options_description options("Usage: standin-platform");
-    options.add_options()("help", "Show this help.")("workers", po::value<int>()->default_value(3), "Number of workers.");
+    options.add_options()("help", "Show this help.")("workers", po::value<int>()->default_value(3), "Number of workers.")(
+        "advertised-port", po::value<int>()->default_value(0), "Port in the registration of the first worker, the next one in that of the second, and so on.");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
     if (values.contains("help")) {
@@ -68,7 +69,9 @@
     std::cout << "listening on " << formatEndpoint(store.localEndpoint()) << std::endl;
     std::vector<std::unique_ptr<PlatformWorker>> workers;
     for (int index = 0; index < values["workers"].as<int>(); ++index) {
-        workers.push_back(std::make_unique<PlatformWorker>(context.get_executor(), anyPort, "i-" + std::to_string(index)));
+        const int port = values["advertised-port"].as<int>();
+        const std::string advertised = port > 0 ? "127.0.0.1:" + std::to_string(port + index) : std::string();
+        workers.push_back(std::make_unique<PlatformWorker>(context.get_executor(), anyPort, "i-" + std::to_string(index), advertised));
         workers.back()->start();
         std::cout << "listening on " << formatEndpoint(workers.back()->localEndpoint()) << std::endl;
     }
--- a/tests/standins/platform/platformworker.cpp
+++ b/tests/standins/platform/platformworker.cpp
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <sstream>
 
 namespace Hyssop::StandIn {
 
@@ -35,9 +36,10 @@
     return static_cast<int>(100 * (std::chrono::steady_clock::now() - begunAt) / (endsAt - begunAt));
 }
 
-PlatformWorker::PlatformWorker(asio::any_io_executor executor, const asio::ip::tcp::endpoint &endpoint, std::string id)
+PlatformWorker::PlatformWorker(asio::any_io_executor executor, const asio::ip::tcp::endpoint &endpoint, std::string id, std::string advertised)
     : m_executor(executor)
     , m_id(std::move(id))
+    , m_advertised(std::move(advertised))
     , m_bornUnixMs(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
     , m_server(std::move(executor), endpoint, [this](const HttpRequest &request) { return answer(request); })
 {
@@ -46,7 +48,7 @@
 std::string PlatformWorker::registration(std::int64_t sequence) const
 {
     return json::serialize(json::object{{"service", "hall"},
-                                        {"address", formatEndpoint(localEndpoint())},
+                                        {"address", m_advertised.empty() ? formatEndpoint(localEndpoint()) : m_advertised},
                                         {"zone", "a"},
                                         {"version", "v1"},
                                         {"slots", 8},
@@ -66,6 +68,11 @@
 
 void PlatformWorker::advance()
 {
+    if (clockMs() >= m_leaseEndMs) {
+        for (End &end : m_ends) {
+            end.lapsed = true;
+        }
+    }
     const auto runs = m_runs;
     for (const auto &[task, run] : runs) {
         if (clockMs() >= m_leaseEndMs) {
@@ -86,6 +93,13 @@
     if (request.target() == "/starts") {
         co_return makeResponse(request, http::status::ok, startLines());
     }
+    if (request.target() == "/runs") {
+        co_return makeResponse(request, http::status::ok, runLines());
+    }
+    if (request.target() == "/restart") {
+        restart();
+        co_return makeResponse(request, http::status::ok, "");
+    }
     const std::int64_t token = json::parse(request.body()).at("fencingToken").to_number<std::int64_t>();
     if (token < m_token) {
         co_return refuse(request, "fence");
@@ -121,7 +135,8 @@
     }
     if (!isThere) {
         const Time now = std::chrono::steady_clock::now();
-        m_runs[task] = {run, now, now + taskTime(std::string(order.at("spec").as_string()))};
+        m_runs[task] = {run, now, now + taskTime(std::string(order.at("spec").as_string())), m_history.size()};
+        m_history.push_back({task, run, now, Time(), "running", false});
         m_starts.push_back(task + " " + std::to_string(run));
     }
     return makeResponse(request, http::status::ok, json::serialize(json::object{{"clockMs", clockMs()}}), "application/json");
@@ -147,6 +162,9 @@
         extendLease(leaseEnd->to_number<std::int64_t>());
     }
     const auto lastSeen = order.at("lastSeen").to_number<std::int64_t>();
+    for (const End &end : m_ends) {
+        m_history[end.history].noted = m_history[end.history].noted || (end.number <= lastSeen && !end.lapsed);
+    }
     std::erase_if(m_ends, [&](const End &end) { return end.number <= lastSeen; });
     const json::value *wait = order.as_object().if_contains("waitMs");
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait != nullptr ? wait->to_number<int>() : 0);
@@ -172,10 +190,38 @@
 
 void PlatformWorker::finish(const std::string &task, const std::string &how)
 {
-    const int run = m_runs.at(task).number;
+    const Run ended = m_runs.at(task);
     m_runs.erase(task);
-    m_highestEnded[task] = std::max(m_highestEnded[task], run);
-    m_ends.push_back({++m_lastEnd, task, run, how});
+    m_highestEnded[task] = std::max(m_highestEnded[task], ended.number);
+    m_ends.push_back({++m_lastEnd, task, ended.number, how, ended.history, false});
+    m_history[ended.history].endedAt = std::chrono::steady_clock::now();
+    m_history[ended.history].how = how;
+}
+
+std::string PlatformWorker::runLines() const
+{
+    const auto milliseconds = [](Time time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count(); };
+    std::ostringstream lines;
+    for (const History &run : m_history) {
+        lines << run.task << ' ' << run.run << ' ' << milliseconds(run.begunAt) << ' ' << milliseconds(run.endedAt) << ' ' << run.how << ' ' << run.noted
+              << '\n';
+    }
+    return lines.str();
+}
+
+void PlatformWorker::restart()
+{
+    const auto runs = m_runs;
+    for (const auto &[task, run] : runs) {
+        finish(task, "crashed");
+    }
+    m_ends.clear();
+    m_lastEnd = 0;
+    m_highestEnded.clear();
+    m_token = 0;
+    m_leaseEndMs = 0;
+    m_born = std::chrono::steady_clock::now();
+    m_bornUnixMs = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
 std::int64_t PlatformWorker::clockMs() const
--- a/tests/standins/platform/platformworker.h
+++ b/tests/standins/platform/platformworker.h
@@ -17,7 +17,11 @@
 class PlatformWorker
 {
 public:
-    PlatformWorker(boost::asio::any_io_executor executor, const boost::asio::ip::tcp::endpoint &endpoint, std::string id);
+    /// @p advertised is the address in the registration; empty: the one that the worker listens on.
+    PlatformWorker(boost::asio::any_io_executor executor,
+                   const boost::asio::ip::tcp::endpoint &endpoint,
+                   std::string id,
+                   std::string advertised = std::string());
 
     void start() { m_server.start(); }
     boost::asio::ip::tcp::endpoint localEndpoint() const { return m_server.localEndpoint(); }
@@ -28,8 +32,15 @@
     /// Returns all starts so far, "TASK RUN", one a line.
     std::string startLines() const;
 
+    /// Returns all runs so far, "TASK RUN BEGIN-MS END-MS HOW NOTED" one a line. Times are of the steady clock; a run that
+    /// goes on has the end 0. NOTED is 1 if the end was acknowledged before the lease lapsed.
+    std::string runLines() const;
+
     const std::string &id() const { return m_id; }
 
+    /// Crashes and begins a new life under the same id, which knows nothing.
+    void restart();
+
     /// Ends runs whose time is over or whose lease has lapsed.
     void advance();
 
@@ -41,6 +52,7 @@
         int number = 0;
         Time begunAt{};
         Time endsAt{};
+        std::size_t history = 0; // index
 
         /// Returns the share of the work that is done, in percent.
         int percent() const;
@@ -52,6 +64,19 @@
         std::string task;
         int run = 0;
         std::string how;
+        std::size_t history = 0; // index
+        bool lapsed = false; // the lease lapsed after the end
+    };
+
+    /// One run, for the test.
+    struct History
+    {
+        std::string task;
+        int run = 0;
+        Time begunAt{};
+        Time endedAt{};
+        std::string how;
+        bool noted = false;
     };
 
     boost::asio::awaitable<HttpResponse> answer(const HttpRequest &request);
@@ -65,6 +90,7 @@
 
     boost::asio::any_io_executor m_executor;
     std::string m_id;
+    std::string m_advertised;
     Time m_born = std::chrono::steady_clock::now();
     std::int64_t m_bornUnixMs;
     std::int64_t m_token = 0;
@@ -74,6 +100,7 @@
     std::vector<End> m_ends;
     std::int64_t m_lastEnd = 0;
     std::vector<std::string> m_starts;
+    std::vector<History> m_history;
     HttpServer m_server;
 };
 
--- a/tests/standins/platform/storeserver.cpp
+++ b/tests/standins/platform/storeserver.cpp
@@ -54,6 +54,10 @@
     if (faults.isDown) {
         co_return makeResponse(request, http::status::service_unavailable, "");
     }
+    if (faults.delay.count() > 0) {
+        asio::steady_timer timer(m_executor, faults.delay);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
     if (path == "/v1/log-read") {
         co_return co_await read(request, query);
     }
@@ -69,8 +73,8 @@
         append.epoch = number(query, "epoch", 0);
         append.sequence = number(query, "sequence", 0);
         const StoreReply result = store.append(text(query, "topic"), append, request.body());
-        const bool lost =
-            faults.lostAnswers > 0 && static_cast<int>(++m_appends * faults.lostAnswers) != static_cast<int>((m_appends - 1) * faults.lostAnswers);
+        ++m_appends;
+        const bool lost = static_cast<int>(m_appends * faults.lostAnswers) != static_cast<int>((m_appends - 1) * faults.lostAnswers);
         if (lost) {
             co_return HttpResponse(static_cast<http::status>(0), 11);
         }
@@ -103,6 +107,7 @@
     if (query.contains("lost")) {
         faults.lostAnswers = std::stod(query.at("lost"));
     }
+    faults.delay = std::chrono::milliseconds(number(query, "slow", faults.delay.count()));
     if (query.contains("expire")) {
         store.expireAll();
     }
--- a/tests/standins/platform/storeserver.h
+++ b/tests/standins/platform/storeserver.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <chrono>
 #include <map>
 #include <string>
 
@@ -16,9 +17,10 @@
 {
     bool isDown = false; // answers 503
     double lostAnswers = 0; // share of the appends that are done and not answered
+    std::chrono::milliseconds delay{0}; // of each call
 };
 
-/// Serves a TopicStore over HTTP, with faults. Test-only path: POST /control?down=0|1&lost=SHARE&expire=1.
+/// Serves a TopicStore over HTTP, with faults. Test-only path: POST /control?down=0|1&lost=SHARE&slow=MILLISECONDS&expire=1.
 class StoreServer
 {
 public:
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -46,9 +46,17 @@
     bp::child child;
 };
 
-ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile)
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, ChildOutput output)
     : m_private(std::make_unique<Private>())
 {
+    if (output == ChildOutput::LogFile) {
+        m_private->child = bp::child(bp::exe = programPath(program),
+                                     bp::args = arguments,
+                                     (bp::std_out & bp::std_err) > logFile,
+                                     bp::std_in < bp::null,
+                                     bp::extend::on_exec_setup([](auto &) { endWithTest(); }));
+        return;
+    }
     m_private->child = bp::child(bp::exe = programPath(program),
                                  bp::args = arguments,
                                  bp::std_out > m_private->output,
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -15,12 +15,17 @@
     std::string errors; // standard error
 };
 
+enum class ChildOutput {
+    Pipe, // for readAddress()
+    LogFile, // together with standard error
+};
+
 /// A program started by a test. The destructor kills it if it still runs.
 class ChildProcess
 {
 public:
     /// Starts @p program from the build directory. Standard error goes to @p logFile.
-    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile);
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, ChildOutput output = ChildOutput::Pipe);
     ~ChildProcess();
     ChildProcess(ChildProcess &&other) noexcept;
     ChildProcess &operator=(ChildProcess &&other) noexcept;
