--- /dev/null
+++ b/src/libs/instance/configservicestate.cpp
@@ -0,0 +1,184 @@
+#include "configservicestate.h"
+
+#include <observability/metricsregistry.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace Hyssop::Internal {
+
+namespace asio = boost::asio;
+
+static AppenderOptions appenderOptions(const ConfigServiceOptions &options)
+{
+    AppenderOptions result;
+    result.maximumAppendsPerSecond = options.maximumAppendsPerSecond;
+    return result;
+}
+
+ConfigServiceState::ConfigServiceState(
+    asio::any_io_executor ioExecutor, LogClient &log, RpcClient &rpc, MetricsRegistry &registry, ConfigServiceOptions serviceOptions)
+    : executor(std::move(ioExecutor))
+    , peers(rpc)
+    , metrics(registry)
+    , options(std::move(serviceOptions))
+    , ledger([this](const std::string &key, const std::string &body) { return faultOfBody(key, body); })
+    , tailer(log, "config", registry)
+    , appender(executor, log, "config", options.instance, appenderOptions(options), registry)
+    , random(std::random_device{}())
+{
+}
+
+static std::string listFaults(const std::vector<ContractFault> &faults)
+{
+    std::string text;
+    for (const ContractFault &fault : faults) {
+        text += (text.empty() ? "" : "; ") + (fault.line > 0 ? "line " + std::to_string(fault.line) + ": " : std::string()) + fault.message;
+    }
+    return text;
+}
+
+std::optional<std::string> ConfigServiceState::faultOfBody(const std::string &key, const std::string &body) const
+{
+    if (key.starts_with(DomainPrefix)) {
+        return body == "in" || body == "out" ? std::nullopt : std::optional<std::string>("the body must be \"in\" or \"out\"");
+    }
+    if (!key.starts_with(ContractPrefix)) {
+        return "unknown kind of key";
+    }
+    const auto parsed = parse(body);
+    if (const auto *faults = std::get_if<std::vector<ContractFault>>(&parsed)) {
+        return listFaults(*faults);
+    }
+    const std::string &customer = std::get<Contract>(parsed).customer;
+    if (customer != key.substr(ContractPrefix.size())) {
+        return "the contract is for customer \"" + customer + "\"";
+    }
+    return std::nullopt;
+}
+
+void wakeWaiting(ConfigServiceState &state)
+{
+    for (asio::steady_timer *timer : state.waiting) {
+        timer->cancel();
+    }
+}
+
+asio::awaitable<void> waitForRead(ConfigServiceStatePtr state, TimePoint deadline)
+{
+    asio::steady_timer timer(state->executor, deadline);
+    const auto position = state->waiting.insert(state->waiting.end(), &timer);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    state->waiting.erase(position);
+}
+
+asio::awaitable<void> pause(ConfigServiceStatePtr state, std::chrono::milliseconds delay)
+{
+    const TimePoint deadline = std::chrono::steady_clock::now() + delay;
+    while (!state->stopped && std::chrono::steady_clock::now() < deadline) {
+        co_await waitForRead(state, deadline);
+    }
+}
+
+static void refreshContracts(ConfigServiceState &state)
+{
+    std::map<std::string, ContractInForce> contracts;
+    for (const std::string &key : state.ledger.keysInUse(ContractPrefix)) {
+        const std::string customer = key.substr(ContractPrefix.size());
+        const ConfigBodyInUse inUse = *state.ledger.bodyInUse(key);
+        const auto known = state.contracts.find(customer);
+        if (known != state.contracts.end() && known->second.revision == inUse.revision) {
+            contracts.insert(*known);
+            continue;
+        }
+        auto parsed = state.parse(inUse.body);
+        if (auto *contract = std::get_if<Contract>(&parsed)) {
+            contracts.emplace(customer, ContractInForce{std::move(*contract), inUse.revision});
+        }
+    }
+    state.contracts = std::move(contracts);
+}
+
+static void publishCounters(ConfigServiceState &state)
+{
+    const ConfigLedgerCounters &now = state.ledger.counters();
+    ConfigLedgerCounters &before = state.reportedCounters;
+    const auto publish = [&](const char *name, std::uint64_t ConfigLedgerCounters::*counter) {
+        state.metrics.add(name, {}, static_cast<double>(now.*counter - before.*counter));
+    };
+    publish("hyssop_config_changes_accepted_total", &ConfigLedgerCounters::accepted);
+    publish("hyssop_config_changes_conflicting_total", &ConfigLedgerCounters::conflicts);
+    publish("hyssop_config_unusable_bodies_total", &ConfigLedgerCounters::unusableBodies);
+    publish("hyssop_config_invalid_records_total", &ConfigLedgerCounters::invalidRecords);
+    publish("hyssop_config_contradictions_total", &ConfigLedgerCounters::contradictions);
+    publish("hyssop_config_gaps_total", &ConfigLedgerCounters::gaps);
+    before = now;
+    state.metrics.set("hyssop_config_applied_offset", static_cast<double>(state.ledger.appliedUpTo()));
+    state.metrics.set("config_ready", state.isReady() ? 1 : 0);
+}
+
+void noteLedgerChange(ConfigServiceState &state)
+{
+    publishCounters(state);
+    if (state.laterProof && state.laterProof->first <= state.ledger.knownUpTo()) {
+        state.peerProofAt = std::max(state.peerProofAt.value_or(TimePoint::min()), state.laterProof->second);
+        state.laterProof.reset();
+    }
+    if (state.reportedGeneration != state.ledger.generation()) {
+        state.reportedGeneration = state.ledger.generation();
+        refreshContracts(state);
+        if (state.changeHandler) {
+            state.changeHandler();
+        }
+    }
+    wakeWaiting(state);
+}
+
+/// Learns the log's clock from records that arrive soon after they were written. This machine's wall clock may be wrong.
+static void noteLogTime(ConfigServiceState &state, WallTime time)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    const bool isNew = state.tailer.caughtUp() && state.lastReadAt && now - *state.lastReadAt < LogSilence;
+    if (!isNew) {
+        return;
+    }
+    // A delay on the way makes the offset smaller, so the largest one is the best estimate.
+    const Duration offset = time.time_since_epoch() - now.time_since_epoch();
+    state.logClockOffset = std::max(state.logClockOffset.value_or(offset), offset);
+}
+
+WallTime logTime(const ConfigServiceState &state)
+{
+    if (!state.logClockOffset) {
+        return std::chrono::system_clock::now();
+    }
+    return WallTime(std::chrono::steady_clock::now().time_since_epoch() + *state.logClockOffset);
+}
+
+void applyBatch(ConfigServiceState &state, std::int64_t offset, WallTime time, const Wire::RecordBatch &batch)
+{
+    state.ledger.noteOldest(state.tailer.oldest());
+    noteLogTime(state, time);
+    for (const Wire::Record &record : batch.records) {
+        state.ledger.apply(offset, time, record);
+    }
+}
+
+void noteRead(ConfigServiceState &state, std::int64_t oldest, std::int64_t head)
+{
+    state.lastReadAt = std::chrono::steady_clock::now();
+    state.ledger.noteOldest(oldest);
+    // If all records have expired, nothing below the head is left to read.
+    const std::int64_t readUpTo = oldest > head ? std::max(head, state.tailer.appliedUpTo()) : state.tailer.appliedUpTo();
+    if (readUpTo >= std::max<std::int64_t>(state.ledger.appliedUpTo(), 0)) {
+        state.ledger.advanceTo(readUpTo);
+    }
+    if (readUpTo >= head) {
+        state.ledger.settleAtHead();
+    }
+    noteLedgerChange(state);
+}
+
+} // namespace Hyssop::Internal
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -1,5 +1,6 @@
 #include "topicowner.h"
 
+#include "ownerlog.h"
 #include "topicfollower.h"
 
 #include <jobtopic/jobtable.h>
@@ -45,81 +46,6 @@
     return std::uniform_int_distribution<std::int64_t>(1, maximum)(generator);
 }
 
-static const char *answerName(const OrderAnswer &answer)
-{
-    return std::visit(Overloaded{
-                          [](const OrderDone &) { return "done"; },
-                          [](const OrderRefused &) { return "refused"; },
-                          [](const OrderUnsent &) { return "unsent"; },
-                          [](const OrderUnknown &) { return "unknown"; },
-                      },
-                      answer);
-}
-
-static std::string answerDetail(const OrderAnswer &answer)
-{
-    return std::visit(Overloaded{
-                          [](const OrderDone &) { return std::string(); },
-                          [](const OrderRefused &refusal) { return refusal.detail; },
-                          [](const auto &failure) { return failure.reason; },
-                      },
-                      answer);
-}
-
-static const char *endingName(RunEnding ending)
-{
-    switch (ending) {
-    case RunEnding::Done:
-        return "done";
-    case RunEnding::Failed:
-        return "failed";
-    case RunEnding::Stopped:
-        return "stopped";
-    case RunEnding::LeaseLapsed:
-        return "lapsed";
-    case RunEnding::PeerEnded:
-        return "peer ended";
-    case RunEnding::PeersMissing:
-        return "peers missing";
-    }
-    return "unknown";
-}
-
-static void logEnd(const RunEnded &end)
-{
-    logMessage(LogLevel::Info,
-               "owner",
-               "run ended",
-               {{"job_id", end.task.job},
-                {"task", end.task.toString()},
-                {"run", end.run},
-                {"worker", end.worker},
-                {"ending", endingName(end.ending)},
-                {"failures", end.failures}});
-}
-
-static void logWorker(const WorkerReborn &worker)
-{
-    logMessage(
-        LogLevel::Warning,
-        "owner",
-        "worker has started anew",
-        {{"worker", worker.worker}, {"clock_ms", worker.clock.count()}, {"expected_clock_ms", worker.expectedClock.count()}, {"open_runs", worker.openRuns}});
-}
-
-static void logWorker(const WorkerWrittenOff &worker)
-{
-    logMessage(LogLevel::Warning,
-               "owner",
-               "leases on a worker have ended",
-               {{"worker", worker.worker}, {"failed_polls", worker.failedPolls}, {"open_runs", worker.openRuns}});
-}
-
-static void logEnd(const JobEnded &end)
-{
-    logMessage(LogLevel::Info, "owner", "job ended", {{"job_id", end.jobId}, {"outcome", end.phase}, {"after_ms", end.sinceAccepted.count()}});
-}
-
 } // namespace Internal
 
 TopicOwner::TopicOwner(asio::any_io_executor executor,
@@ -333,10 +259,10 @@
                    [&](PollOrder &order) { asio::co_spawn(m_executor, sendPoll(std::move(order)), asio::detached); },
                    [&](AskAdvice &question) { asio::co_spawn(m_executor, sendAdvice(std::move(question)), asio::detached); },
                    [&](StoreRecords &store) { beginAppend(std::move(store.records), true); },
-                   [&](const RunEnded &end) { Internal::logEnd(end); },
-                   [&](const JobEnded &end) { Internal::logEnd(end); },
-                   [&](const WorkerReborn &worker) { Internal::logWorker(worker); },
-                   [&](const WorkerWrittenOff &worker) { Internal::logWorker(worker); },
+                   [&](const RunEnded &end) { logAction(end); },
+                   [&](const JobEnded &end) { logAction(end); },
+                   [&](const WorkerReborn &worker) { logAction(worker); },
+                   [&](const WorkerWrittenOff &worker) { logAction(worker); },
                    [&](const GiveUpOwnership &) { stepDown("a worker has seen a later owner"); },
                },
                action);
@@ -446,10 +372,10 @@
                 {"run", order.run},
                 {"worker", order.worker.id},
                 {"epoch", static_cast<long long>(order.fencingToken)},
-                {"outcome", Internal::answerName(answer)},
-                {"detail", Internal::answerDetail(answer)}});
+                {"outcome", answerName(answer)},
+                {"detail", answerDetail(answer)}});
     m_metrics.observe("hyssop_start_seconds", m_clock.now() - sentAt);
-    m_metrics.add("hyssop_starts_total", {{"outcome", Internal::answerName(answer)}});
+    m_metrics.add("hyssop_starts_total", {{"outcome", answerName(answer)}});
     if (m_term) {
         m_dispatcher.startAnswered(order, answer, m_clock.now());
     }
@@ -465,9 +391,9 @@
                 {"task", order.task.toString()},
                 {"run", order.run},
                 {"worker", order.worker.id},
-                {"outcome", Internal::answerName(answer)},
-                {"detail", Internal::answerDetail(answer)}});
-    m_metrics.add("hyssop_stops_total", {{"outcome", Internal::answerName(answer)}});
+                {"outcome", answerName(answer)},
+                {"detail", answerDetail(answer)}});
+    m_metrics.add("hyssop_stops_total", {{"outcome", answerName(answer)}});
     if (m_term) {
         m_dispatcher.stopAnswered(order, answer, m_clock.now());
     }
@@ -479,8 +405,8 @@
     logMessage(LogLevel::Debug,
                "owner",
                "pace ordered",
-               {{"task", order.task.toString()}, {"worker", order.worker.id}, {"percent", order.percent}, {"outcome", Internal::answerName(answer)}});
-    m_metrics.add("hyssop_paces_total", {{"outcome", Internal::answerName(answer)}});
+               {{"task", order.task.toString()}, {"worker", order.worker.id}, {"percent", order.percent}, {"outcome", answerName(answer)}});
+    m_metrics.add("hyssop_paces_total", {{"outcome", answerName(answer)}});
     if (m_term) {
         m_dispatcher.paceAnswered(order, answer, m_clock.now());
     }
