Count what filling runs that end soon use as free

Load pattern: a filling run of 1.7 s leaves its place empty for 100 to 300 ms until the next one works there.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -150,7 +150,7 @@
         ++summary.workers;
         summary.milliCores += worker.info.capacity.milliCores;
         summary.freeMilliCores += worker.freeCapacity().milliCores;
-        summary.idleMilliCores += worker.expectedIdle(m_sharing.outlook(worker, now).milliCores);
+        summary.idleMilliCores += worker.expectedIdle(m_sharing.outlook(worker, now));
     }
     for (JobRun *job : m_jobs.activeJobs()) {
         Internal::forEachTask(*job, [&](const TaskId &id, const TaskRun &task) {
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -112,6 +112,7 @@
     void applyEnd(WorkerView &worker, const ListedEnd &end, TimePoint now);
     void applyRun(WorkerView &worker, const ListedRun &run, TimePoint now);
     void noteProgress(WorkerView &worker, const ListedRun &run, TaskRun &task, TimePoint now);
+    void noteExpectedEnd(WorkerView &worker, const ListedRun &run, TaskRun &task, TimePoint now);
     void findMissingRuns(WorkerView &worker, const WorkerListing &listing, TimePoint sentAt, TimePoint now);
     void stopStray(WorkerView &worker, const ListedRun &run, TimePoint now);
     std::vector<NeighbourLoad> endedPressures(WorkerView &worker, TimePoint now);
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -261,6 +261,7 @@
     task.stopConfirmed = false;
     task.percent = -1;
     task.percentSince = now;
+    task.firstPercent = -1;
     task.pacePercent = 100;
     worker.addRun(id, describeUse(job.step(id.step), run));
     job.hasStarted = true;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds LongestStall{4000};
 constexpr int StallShareOfEstimate = 10;
 constexpr std::chrono::milliseconds StrayStopInterval{500};
+// Progress from which the end of a run is estimated, in percent.
+constexpr int LeastProgress = 10;
 // Tails are reported over half a second, so the effect of a change shows only after that time.
 constexpr std::chrono::milliseconds TailReportTime{500};
 constexpr std::chrono::milliseconds PaceInterval{250};
@@ -203,6 +205,7 @@
 void Dispatcher::noteProgress(WorkerView &worker, const ListedRun &run, TaskRun &task, TimePoint now)
 {
     task.load = run.load;
+    noteExpectedEnd(worker, run, task, now);
     if (run.percent != task.percent) {
         task.percent = run.percent;
         task.percentSince = now;
@@ -221,6 +224,23 @@
     beginStop(run.task, task, now);
 }
 
+void Dispatcher::noteExpectedEnd(WorkerView &worker, const ListedRun &run, TaskRun &task, TimePoint now)
+{
+    const auto use = worker.runs.find(run.task);
+    if (use == worker.runs.end() || !use->second.fillsIdle) {
+        return;
+    }
+    use->second.expectedEnd = TimePoint();
+    if (task.firstPercent < 0) {
+        task.firstPercent = run.percent;
+        task.firstPercentAt = now;
+    }
+    const int progress = run.percent - task.firstPercent;
+    if (progress >= Internal::LeastProgress && task.phase == TaskPhase::Running && task.pacePercent == 100) {
+        use->second.expectedEnd = now + (now - task.firstPercentAt) * (100 - run.percent) / progress;
+    }
+}
+
 void Dispatcher::findMissingRuns(WorkerView &worker, const WorkerListing &listing, TimePoint sentAt, TimePoint now)
 {
     const auto byValue = [](const TaskId *left, const TaskId *right) { return *left < *right; };
--- a/src/libs/dispatch/servingoutlook.h
+++ b/src/libs/dispatch/servingoutlook.h
@@ -8,7 +8,7 @@
 
 namespace Hyssop {
 
-/// What the serving runs on a worker use and can bear in the next seconds.
+/// What the serving runs on a worker use and can bear in the next seconds, and what becomes free.
 struct ServingOutlook
 {
     static constexpr std::chrono::milliseconds Soon{2000};
@@ -25,6 +25,7 @@
 
     TimePoint at{}; // when it was computed; none: it is out of date
     std::int64_t milliCores = 0; // highest use of all serving runs within Soon
+    std::int64_t endingMilliCores = 0; // declared by filling runs that end before another one could begin
     std::vector<Slack> slacks; // one for each image
 
     void add(const Slack &slack);
--- a/src/libs/dispatch/sharingrule.cpp
+++ b/src/libs/dispatch/sharingrule.cpp
@@ -10,6 +10,8 @@
 
 // A filling run that presses less uses less processor time, down to this share of what it declares.
 constexpr double UseWithoutPressure = 0.5;
+// Time from the decision to place a task until it works.
+constexpr std::chrono::milliseconds StartTime{200};
 constexpr double PlacementMargin = 0.05; // of utilization
 // Paces hold until the next listing of the worker.
 constexpr std::chrono::milliseconds SlowHorizon{1000};
@@ -74,6 +76,10 @@
 {
     ServingOutlook outlook;
     outlook.at = now;
+    const auto isEnding = [&](const RunUse &run) { return run.expectedEnd != TimePoint() && run.expectedEnd <= now + Internal::StartTime; };
+    for (const auto &[id, run] : worker.runs) {
+        outlook.endingMilliCores += run.fillsIdle && isEnding(run) ? run.idleMilliCores : 0;
+    }
     for (const auto &[id, serving] : worker.runs) {
         const TailModel *model = modelOf(serving);
         if (serving.servingMilliCores == 0) {
@@ -86,7 +92,7 @@
         }
         double bearable = model->allowedUtilization(static_cast<double>(serving.tailTargetMs)) - serving.unexplained - Internal::PlacementMargin;
         for (const auto &[fillerId, filler] : worker.runs) {
-            bearable -= filler.fillsIdle ? Internal::effectOf(*model, filler, worker.info.capacity.milliCores) : 0;
+            bearable -= filler.fillsIdle && !isEnding(filler) ? Internal::effectOf(*model, filler, worker.info.capacity.milliCores) : 0;
         }
         const double later = m_forecast.highest(id.job, now, now + ServingOutlook::Later);
         outlook.add({serving.image, bearable - soon, bearable - later});
--- a/src/libs/dispatch/taskrun.h
+++ b/src/libs/dispatch/taskrun.h
@@ -29,6 +29,8 @@
     bool stopConfirmed = false;
     int percent = -1; // progress listed by the worker; -1: none yet
     TimePoint percentSince{};
+    int firstPercent = -1; // progress in the first listing of this run
+    TimePoint firstPercentAt{};
     double load = 0; // as listed by the worker
     int pacePercent = 100;
     TimePoint paceSince{};
--- a/src/libs/dispatch/workerchoice.cpp
+++ b/src/libs/dispatch/workerchoice.cpp
@@ -204,7 +204,7 @@
     for (const ServingOutlook::Slack &slack : outlook.slacks) {
         highest = std::max(highest, m_sharing.added(slack.image, *wish.use, worker.info.capacity.milliCores));
     }
-    return worker.expectedIdle(outlook.milliCores) - static_cast<std::int64_t>(highest * Internal::DisturbanceWeight);
+    return worker.expectedIdle(outlook) - static_cast<std::int64_t>(highest * Internal::DisturbanceWeight);
 }
 
 const ServingOutlook &WorkerChoice::outlookOf(WorkerView &worker) const
@@ -218,7 +218,7 @@
 bool WorkerChoice::sharesWell(WorkerView &worker, const PlacementWish &wish) const
 {
     const ServingOutlook &outlook = outlookOf(worker);
-    if (worker.overTargetSince || worker.expectedIdle(outlook.milliCores) * 100 < wish.step->milliCores * Internal::LeastIdlePercent) {
+    if (worker.overTargetSince || worker.expectedIdle(outlook) * 100 < wish.step->milliCores * Internal::LeastIdlePercent) {
         return false;
     }
     const bool isShort = wish.step->estimateMs <= ServingOutlook::Soon.count();
--- a/src/libs/dispatch/workerview.cpp
+++ b/src/libs/dispatch/workerview.cpp
@@ -33,11 +33,11 @@
     return listed && !info.draining && clock && failedPolls == 0 && !evacuatedDomains.contains(info.failureDomain);
 }
 
-std::int64_t WorkerView::expectedIdle(std::int64_t servingUse) const
+std::int64_t WorkerView::expectedIdle(const ServingOutlook &next) const
 {
     const std::int64_t counted = committed.milliCores - servingCommitted;
-    const auto filling = static_cast<std::int64_t>(static_cast<double>(idleCommitted) * FillingLoad);
-    return info.capacity.milliCores - counted - servingUse - filling;
+    const auto filling = static_cast<std::int64_t>(static_cast<double>(idleCommitted - next.endingMilliCores) * FillingLoad);
+    return info.capacity.milliCores - counted - next.milliCores - filling;
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerview.h
+++ b/src/libs/dispatch/workerview.h
@@ -28,6 +28,7 @@
     std::int64_t tailTargetMs = 0; // target of a serving task's tail; 0: none
     double unexplained = 0; // part of a serving task's utilization that its load and neighbours do not explain
     bool fillsIdle = false;
+    TimePoint expectedEnd{}; // of a filling run; none: not known
 };
 
 /// The owner's view of one worker.
@@ -79,9 +80,8 @@
     /// Capacity that no open run counts against.
     Resources freeCapacity() const { return info.capacity - committed; }
 
-    /// Thousandths of a core that all tasks are expected to leave idle while the serving ones use @p servingUse; may be
-    /// negative.
-    std::int64_t expectedIdle(std::int64_t servingUse) const;
+    /// Thousandths of a core that all tasks are expected to leave idle with what @p next tells; may be negative.
+    std::int64_t expectedIdle(const ServingOutlook &next) const;
 };
 
 } // namespace Hyssop
--- a/tests/libs/dispatch/testsharing.cpp
+++ b/tests/libs/dispatch/testsharing.cpp
@@ -174,6 +174,26 @@
     cr_assert_lt(outlook.slacks.front().later, added);
 }
 
+Test(sharingRule, whatARunThatEndsSoonUsesIsFree)
+{
+    SharingRule rule;
+    RunUse service = serving(rule, "service");
+    RunUse heavy = filler(rule, "heavy");
+    RunUse light = filler(rule, "light");
+    teach(rule, service, heavy, light);
+    const TimePoint now = Begin + Lesson + 6s;
+    WorkerView worker = workerWith(service);
+    const double alone = rule.outlook(worker, now).slacks.front().soon;
+    const std::int64_t idleAlone = worker.expectedIdle(rule.outlook(worker, now));
+    heavy.expectedEnd = now + 2s;
+    worker.addRun({"batch", 0, 0, 0}, heavy);
+    cr_assert_lt(rule.outlook(worker, now).slacks.front().soon, alone);
+    cr_assert_lt(worker.expectedIdle(rule.outlook(worker, now)), idleAlone);
+    worker.runs.at({"batch", 0, 0, 0}).expectedEnd = now + 100ms;
+    cr_assert_float_eq(rule.outlook(worker, now).slacks.front().soon, alone, 1e-9);
+    cr_assert_eq(worker.expectedIdle(rule.outlook(worker, now)), idleAlone);
+}
+
 Test(sharingRule, manyHarmlessRunsDisturbTogether)
 {
     SharingRule rule;
