Refuse at once, and report not ready, while the store is out of reach

Now an instance that the store has refused for 0.3 s or not answered for 1.5 s answers 503 (nothing was sent, so nothing runs) and asks the balancer for no new connections.

--- a/src/libs/node/jobintake.cpp
+++ b/src/libs/node/jobintake.cpp
@@ -72,6 +72,10 @@
     if (m_table.find(jobId) != nullptr) {
         co_return JobAccepted{}; // a resend
     }
+    if (!m_follower.storeAnswers()) {
+        noteRefusal(jobId, "submission");
+        co_return JobNotAccepted{};
+    }
     const TimePoint begin = m_clock.now();
     auto pending = std::make_shared<Internal::PendingRecord>(m_executor, KeyedRecord{0, submissionKey(jobId), encode(job)}, timeout - Internal::AnswerMargin);
     co_await store(pending);
@@ -97,6 +101,10 @@
     if (entry != nullptr && entry->isEnded()) {
         co_return JobAccepted{};
     }
+    if (!m_follower.storeAnswers()) {
+        noteRefusal(jobId, "cancellation");
+        co_return JobNotAccepted{};
+    }
     auto pending = std::make_shared<Internal::PendingRecord>(
         m_executor, KeyedRecord{0, cancellationKey(jobId), Internal::CancellationValue}, timeout - Internal::AnswerMargin);
     co_await store(pending);
@@ -116,6 +124,15 @@
     co_return m_table.find(jobId) != nullptr ? CancelAnswer(JobAccepted{}) : CancelAnswer(JobUnknown{});
 }
 
+void JobIntake::noteRefusal(const std::string &jobId, const char *kind)
+{
+    logMessage(LogLevel::Info,
+               "intake",
+               "refused at once, the store does not answer",
+               {{"job_id", jobId}, {"request", kind}, {"table_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_follower.age()).count()}});
+    m_metrics.add("hyssop_requests_refused_at_once_total", {{"request", kind}});
+}
+
 StateAnswer JobIntake::state(const std::string &jobId) const
 {
     if (const JobEntry *entry = m_table.find(jobId)) {
--- a/src/libs/node/jobintake.h
+++ b/src/libs/node/jobintake.h
@@ -75,6 +75,7 @@
 private:
     using PendingPtr = std::shared_ptr<Internal::PendingRecord>;
 
+    void noteRefusal(const std::string &jobId, const char *kind);
     boost::asio::awaitable<void> store(PendingPtr pending);
     boost::asio::awaitable<void> writeBatch();
     bool dropRefused(const std::vector<PendingPtr> &batch);
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -98,7 +98,7 @@
 
 bool NodeDaemon::isReady() const
 {
-    return !m_draining && m_cluster.config().has_value() && m_jobs.isLoaded();
+    return !m_draining && m_cluster.config().has_value() && m_jobs.isLoaded() && m_jobs.storeAnswers();
 }
 
 void NodeDaemon::followJobs()
--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -16,6 +16,9 @@
 namespace Internal {
 
 constexpr std::chrono::milliseconds FailurePause{250};
+constexpr std::chrono::milliseconds LongestHiccup{300};
+// Longer than a read that waits for records and the pause after it.
+constexpr std::chrono::milliseconds LongestSilence{1500};
 
 static const char *topicName(Topic topic)
 {
@@ -68,6 +71,12 @@
     return m_clock.now() - m_confirmedAt;
 }
 
+bool TopicFollower::storeAnswers() const
+{
+    const TimePoint now = m_clock.now();
+    return m_failingSince ? now - *m_failingSince < Internal::LongestHiccup : now - m_answeredAt < Internal::LongestSilence;
+}
+
 asio::awaitable<bool> TopicFollower::load()
 {
     std::set<std::string> present;
@@ -81,6 +90,7 @@
             noteFailure(std::get<Error>(answer).message);
             co_return false;
         }
+        noteAnswer();
         firstEnd = firstEnd < 0 ? page->end : firstEnd;
         for (const KeyedRecord &record : page->records) {
             present.insert(record.key);
@@ -97,7 +107,7 @@
                "follower",
                "topic loaded",
                {{"topic", Internal::topicName(m_topic)}, {"keys", present.size()}, {"offset", static_cast<long long>(m_next)}});
-    noteAnswer(sentAt);
+    noteConfirmed(sentAt);
     co_return true;
 }
 
@@ -113,6 +123,7 @@
         co_await sleep(Internal::FailurePause);
         co_return;
     }
+    noteAnswer();
     if (std::holds_alternative<RecordsExpired>(answer)) {
         m_loaded = false;
         co_return;
@@ -125,7 +136,7 @@
     if (m_next < page.end && !page.records.empty()) {
         co_return; // the answer was cut off; what follows may change everything
     }
-    noteAnswer(sentAt);
+    noteConfirmed(sentAt);
     co_await sleep(m_pace.pause);
 }
 
@@ -152,20 +163,25 @@
     m_apply(record);
 }
 
-void TopicFollower::noteAnswer(TimePoint sentAt)
+void TopicFollower::noteAnswer()
 {
-    if (m_failing) {
-        m_failing = false;
+    m_answeredAt = m_clock.now();
+    if (m_failingSince) {
+        m_failingSince.reset();
         logMessage(LogLevel::Info, "follower", "store reachable again", {{"topic", Internal::topicName(m_topic)}});
     }
+}
+
+void TopicFollower::noteConfirmed(TimePoint sentAt)
+{
     m_confirmedAt = sentAt;
     m_answered(sentAt);
 }
 
 void TopicFollower::noteFailure(const std::string &reason)
 {
-    if (!m_failing) {
-        m_failing = true;
+    if (!m_failingSince) {
+        m_failingSince = m_clock.now();
         logMessage(LogLevel::Warning, "follower", "store not reachable", {{"topic", Internal::topicName(m_topic)}, {"error", reason}});
     }
 }
--- a/src/libs/node/topicfollower.h
+++ b/src/libs/node/topicfollower.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -52,12 +53,16 @@
     /// Returns how long ago the newest answered call was sent.
     Duration age() const;
 
+    /// Returns false if the store has refused this instance, or not answered it, for longer than a hiccup.
+    bool storeAnswers() const;
+
 private:
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<void> readNext();
     void removeMissing(const std::set<std::string> &present, std::int64_t offset);
     void applyRecord(const KeyedRecord &record);
-    void noteAnswer(TimePoint sentAt);
+    void noteAnswer();
+    void noteConfirmed(TimePoint sentAt);
     void noteFailure(const std::string &reason);
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds time) const;
 
@@ -72,7 +77,8 @@
     std::int64_t m_next = 0;
     TimePoint m_confirmedAt{};
     bool m_loaded = false;
-    bool m_failing = false;
+    TimePoint m_answeredAt{}; // when the newest answer of any content arrived
+    std::optional<TimePoint> m_failingSince; // calls have failed since then
     bool m_stopped = false;
 };
 
--- a/tests/libs/node/testtopicfollower.cpp
+++ b/tests/libs/node/testtopicfollower.cpp
@@ -23,6 +23,9 @@
     {
         ++reads;
         co_await pauseFor(1ms);
+        while (isSilent) {
+            co_await pauseFor(10ms);
+        }
         if (isDown) {
             co_return Error{ErrorCode::Unavailable, "down"};
         }
@@ -66,6 +69,7 @@
     std::int64_t first = 0;
     int reads = 0;
     bool isDown = false;
+    bool isSilent = false; // answers nothing
 };
 
 struct Fixture
@@ -152,3 +156,30 @@
     cr_assert_not(fixture.values.contains("a"));
     cr_assert_eq(fixture.values["c"], "3");
 }
+
+Test(topicFollower, aStoreThatRefusesForLongerThanAHiccupDoesNotAnswer)
+{
+    Fixture fixture;
+    cr_assert(!fixture.follower.storeAnswers(), "nothing was heard yet");
+    fixture.run(50ms);
+    cr_assert(fixture.follower.storeAnswers());
+    fixture.store.isDown = true;
+    fixture.run(100ms);
+    cr_assert(fixture.follower.storeAnswers(), "a single failure is a hiccup");
+    fixture.run(500ms);
+    cr_assert(!fixture.follower.storeAnswers());
+    fixture.store.isDown = false;
+    fixture.run(400ms);
+    cr_assert(fixture.follower.storeAnswers());
+}
+
+Test(topicFollower, aStoreThatIsSilentDoesNotAnswer)
+{
+    Fixture fixture;
+    fixture.run(50ms);
+    fixture.store.isSilent = true;
+    fixture.run(1s);
+    cr_assert(fixture.follower.storeAnswers(), "a read may wait this long for records");
+    fixture.run(700ms);
+    cr_assert(!fixture.follower.storeAnswers());
+}
