--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -12,6 +12,8 @@
 
 // Most workers to ask the advice service about at once: each costs time there.
 constexpr std::size_t AdviceCandidates = 30;
+// The reserve for short tasks holds a new serving task back for this long at most.
+constexpr std::chrono::milliseconds LongestHold{1800};
 
 struct WaitingStep
 {
@@ -158,7 +160,8 @@
         if (task.phase != TaskPhase::Waiting || task.notBefore > now) {
             continue;
         }
-        if (wish.step->longRunning && task.run == 0 && !choice.hasRoomForServing(queue.service, use, m_reserve)) {
+        const bool mayWait = wish.step->longRunning && task.run == 0 && m_wallMs - sinceEpoch(job.acceptedAt).count() < Internal::LongestHold.count();
+        if (mayWait && !choice.hasRoomForServing(queue.service, use, m_reserve)) {
             return;
         }
         WorkerView *worker = choice.takeBest(candidates, wish);
--- a/tests/libs/dispatch/testdispatcher.cpp
+++ b/tests/libs/dispatch/testdispatcher.cpp
@@ -204,6 +204,23 @@
     cr_assert_eq(world.phaseOf("service"), Wire::JobPhase::Running);
 }
 
+/// Callers see it as lost if a serving task waits for 3 s while a worker has room for it.
+Test(dispatcher, theReserveForShortTasksHoldsNoServingTaskBackForLong)
+{
+    DispatchWorld world(16, 2);
+    world.plan = [](const TaskId &) { return SimulatedWorker::Run{0, TimePoint(1h), RunEnding::Done, 5}; };
+    world.claim();
+    world.run(1s);
+    world.submit("service", 1, 15, [](Wire::TaskStep &step) {
+        step.longRunning = true;
+        step.milliCores = 1000;
+    });
+    world.run(1s);
+    cr_assert_lt(world.openRuns(), 15, "some room is left to short tasks at first");
+    world.run(1700ms);
+    cr_assert_eq(world.openRuns(), 15);
+}
+
 Test(dispatcher, lateAndLostOrdersDoubleNothing)
 {
     DispatchWorld world(14);
