--- a/src/libs/dispatch/dispatchlimits.h
+++ b/src/libs/dispatch/dispatchlimits.h
@@ -9,7 +9,6 @@
 {
     std::chrono::milliseconds longestLease{6000}; // the platform shortens longer leases
     std::chrono::milliseconds statusRetention{120000}; // how long callers may ask for the state of an ended job
-    std::chrono::milliseconds stopGrace{900}; // longest time from a stop order to the run's end
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds LongestStall{4000};
 constexpr int StallShareOfEstimate = 10;
 constexpr std::chrono::milliseconds StrayStopInterval{500};
+constexpr std::chrono::milliseconds StrayMemory{10000};
 // Progress from which the end of a run is estimated, in percent.
 constexpr int LeastProgress = 10;
 // Tails are reported over half a second, so the effect of a change shows only after that time.
@@ -132,6 +133,7 @@
     if (listing.ends.size() < Internal::ListedEndsLimit) {
         findMissingRuns(worker, listing, sentAt, now);
     }
+    std::erase_if(worker.strayStops, [&](const auto &item) { return now - item.second > Internal::StrayMemory; });
     adjustPace(worker, listing, now);
     worker.nextPoll = now;
     if (!worker.reached) {
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -36,7 +36,6 @@
 {
     DispatchLimits limits;
     limits.longestLease = millisecondsSetting(settings, "workers.longest_lease");
-    limits.stopGrace = millisecondsSetting(settings, "workers.stop_grace");
     limits.statusRetention = millisecondsSetting(settings, "jobs.status_retention");
     return limits;
 }
--- a/src/libs/node/nodesettings.cpp
+++ b/src/libs/node/nodesettings.cpp
@@ -15,7 +15,6 @@
         {"store.address", AddressSetting{}, "Address of the platform's metadata store.", "", true},
         {"advice.address", AddressListSetting{}, "Address of the advice service; may be empty.", "", false},
         {"workers.longest_lease", DurationSetting{2s, 60s}, "Longest lease that workers grant.", "6 s", false},
-        {"workers.stop_grace", DurationSetting{0s, 60s}, "Longest time that a worker takes to stop a run.", "1 s", false},
         {"jobs.status_retention", DurationSetting{1s, 24h}, "How long callers may ask for the state of an ended job.", "120 s", false},
         {"shutdown.grace", DurationSetting{1s, 60s}, "Time from SIGTERM until the process is killed.", "6 s", false},
         {"logging.level", ChoiceSetting{{"debug", "info", "warning", "error"}}, "Lowest level that is written.", "info", false},
