Claim by the producer's epoch alone

The store takes one first append for each epoch, which is enough: only one claim of a term succeeds, and the claimant has read all that came before when it reads its claim.

--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -236,8 +236,10 @@
     claim.term = (m_table.claim() ? m_table.claim()->term : 0) + 1;
     claim.sequence = 0;
     claim.processorShare = m_processorShare;
-    const std::int64_t expectedEnd = m_jobs.end();
-    TopicAppend append{Topic::Jobs, {{0, claimKey(), encode(claim)}}, expectedEnd, ProducerPosition{Internal::ProducerName, claim.term, claim.sequence}};
+    // The store takes one first append for each epoch, so only one claim of a term succeeds. Requiring the present end
+    // of the topic as well would let every submission of another instance void the claim.
+    const std::int64_t readUpTo = m_jobs.end();
+    TopicAppend append{Topic::Jobs, {{0, claimKey(), encode(claim)}}, std::nullopt, ProducerPosition{Internal::ProducerName, claim.term, claim.sequence}};
     const TimePoint sentAt = m_clock.now();
     const TopicAppendAnswer answer = co_await m_ports.store.append(std::move(append), Internal::AppendTimeout);
     m_claimRule.noteStoreLatency(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - sentAt));
@@ -245,7 +247,7 @@
                "owner",
                "claim sent",
                {{"epoch", static_cast<long long>(claim.term)},
-                {"expected_end", static_cast<long long>(expectedEnd)},
+                {"read_up_to", static_cast<long long>(readUpTo)},
                 {"appended", std::holds_alternative<TopicAppended>(answer)}});
     m_claiming = false; // reading the topic shows whether the claim succeeded
 }
--- a/tests/platform/teststoreclient.cpp
+++ b/tests/platform/teststoreclient.cpp
@@ -101,3 +101,27 @@
     Fixture fixture;
     runToEnd(fixture.context, ::certainAndUncertainFailuresAreToldApartSteps(fixture));
 }
+
+static asio::awaitable<void> onlyOneClaimOfATermSucceedsSteps(Fixture &f)
+{
+    TopicAppend first = f.appendOf("owner", "first");
+    first.position = ProducerPosition{"owner", 7, 0};
+    TopicAppend second = f.appendOf("owner", "second");
+    second.position = first.position;
+    cr_assert_eq(std::get<TopicAppended>(co_await f.append(first)).offset, 0);
+    // A submission in between does not void a claim.
+    cr_assert_eq(std::get<TopicAppended>(co_await f.append(f.appendOf("s", "1"))).offset, 1);
+    const TopicAppendAnswer late = co_await f.append(second);
+    const auto *repeated = std::get_if<TopicAppended>(&late);
+    cr_assert(repeated == nullptr || repeated->offset == 0, "the second claim is taken for a repeat of the first, or refused");
+    const ReadAnswer read = co_await f.client.read(Topic::Jobs, 0, 0ms);
+    const RecordPage &page = std::get<RecordPage>(read);
+    cr_assert_eq(page.records.size(), 2);
+    cr_assert_eq(*page.records[0].value, "first");
+}
+
+Test(storeClient, onlyOneClaimOfATermSucceeds)
+{
+    Fixture fixture;
+    runToEnd(fixture.context, ::onlyOneClaimOfATermSucceedsSteps(fixture));
+}
