--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -5,6 +5,7 @@
 #include <jobtopic/jobkeys.h>
 #include <wire/codec.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Hyssop {
@@ -12,9 +13,8 @@
 namespace Internal {
 
 // Every instance reads every batch. With many runs the changes that nobody waits for go into fewer records.
-constexpr std::chrono::milliseconds ShortestUrgentInterval{25};
+constexpr std::chrono::milliseconds ShortestInterval{25};
 constexpr std::size_t RunsPerUrgentMillisecond = 150;
-constexpr std::chrono::milliseconds ShortestFullInterval{25};
 constexpr std::size_t RunsPerFullMillisecond = 30;
 constexpr std::chrono::milliseconds LongestInterval{200};
 constexpr std::chrono::milliseconds TailsInterval{3000};
@@ -23,17 +23,20 @@
 // Bytes of records in one append.
 constexpr std::size_t LargestBatch = 512 * 1024;
 
+static std::chrono::milliseconds intervalOf(std::size_t openRuns, std::size_t runsPerMillisecond)
+{
+    return std::min(ShortestInterval + std::chrono::milliseconds(openRuns / runsPerMillisecond), LongestInterval);
+}
+
 } // namespace Internal
 
 void Dispatcher::composeBatch(TimePoint now, WallTime wall)
 {
-    const std::chrono::milliseconds urgentInterval =
-        Internal::ShortestUrgentInterval + std::chrono::milliseconds(openRuns() / Internal::RunsPerUrgentMillisecond);
-    const std::chrono::milliseconds fullInterval = Internal::ShortestFullInterval + std::chrono::milliseconds(openRuns() / Internal::RunsPerFullMillisecond);
-    if (m_batchOpen || now - m_batchAt < std::min(urgentInterval, Internal::LongestInterval)) {
+    const std::size_t runs = openRuns();
+    if (m_batchOpen || now - m_batchAt < Internal::intervalOf(runs, Internal::RunsPerUrgentMillisecond)) {
         return;
     }
-    const bool isFull = now - m_fullBatchAt >= std::min(fullInterval, Internal::LongestInterval);
+    const bool isFull = now - m_fullBatchAt >= Internal::intervalOf(runs, Internal::RunsPerFullMillisecond);
     StoreRecords store;
     std::size_t size = 0;
     for (JobRun *job : isFull ? m_jobs.takeChanged() : m_jobs.takeUrgent()) {
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -287,14 +287,14 @@
 std::vector<NeighbourLoad> Dispatcher::endedPressures(WorkerView &worker, TimePoint now)
 {
     std::erase_if(worker.endedFillers, [&](const WorkerView::EndedFiller &filler) { return now - filler.endedAt >= Internal::TailReportTime; });
-    std::vector<NeighbourLoad> loads;
+    std::vector<NeighbourLoad> pressures;
     for (const WorkerView::EndedFiller &filler : worker.endedFillers) {
         const double share = 1 - std::chrono::duration<double>(now - filler.endedAt) / Internal::TailReportTime;
         NeighbourLoad pressure = SharingRule::pressureOf(filler.use, filler.load, filler.pacePercent, worker.info.capacity.milliCores);
         pressure.load *= share;
-        loads.push_back(pressure);
+        pressures.push_back(pressure);
     }
-    return loads;
+    return pressures;
 }
 
 void Dispatcher::adjustPace(WorkerView &worker, const WorkerListing &listing, TimePoint now)
@@ -315,8 +315,8 @@
     std::vector<NeighbourLoad> beside = SharingRule::pressuresOf(runs, capacity);
     std::ranges::copy(endedPressures(worker, now), std::back_inserter(beside));
     m_sharing.observe(runs, beside, now);
-    for (const SharedRun &run : runs) {
-        worker.runs.at(listed[static_cast<std::size_t>(&run - runs.data())]->task).unexplained = m_sharing.unexplained(run, beside, now);
+    for (std::size_t index = 0; index < runs.size(); ++index) {
+        worker.runs.at(listed[index]->task).unexplained = m_sharing.unexplained(runs[index], beside, now);
     }
     noteTails(worker, runs, now);
     const bool haltAll = worker.overTargetSince && now - *worker.overTargetSince >= Internal::LongestOverTarget;
--- /dev/null
+++ b/tests/libs/dispatch/oneworker.cpp
@@ -0,0 +1,31 @@
+#include "oneworker.h"
+
+#include <dispatch/dispatcher.h>
+#include <jobtopic/jobkeys.h>
+#include <jobtopic/jobtable.h>
+#include <ports/keyedrecord.h>
+#include <wire/codec.h>
+
+namespace Hyssop::Testing {
+
+void beginWithOneWorker(Dispatcher &dispatcher, Wire::StepJob job, std::int64_t milliCores, TimePoint now)
+{
+    QueueInfo queue;
+    queue.name = "batch";
+    queue.service = "hall";
+    ClusterConfig config;
+    config.queues["batch"] = queue;
+    dispatcher.applyConfiguration(config, {});
+    job.queue = "batch";
+    JobTable table;
+    table.apply({0, submissionKey("j"), encode(job)});
+    dispatcher.begin(1, table, now, true);
+    WorkerInfo worker;
+    worker.id = "w";
+    worker.service = "hall";
+    worker.address = "127.0.0.1:1";
+    worker.capacity.milliCores = milliCores;
+    dispatcher.updateWorker(worker);
+}
+
+} // namespace Hyssop::Testing
--- a/tests/libs/dispatch/testlateanswers.cpp
+++ b/tests/libs/dispatch/testlateanswers.cpp
@@ -1,8 +1,6 @@
+#include "oneworker.h"
+
 #include <dispatch/dispatcher.h>
-#include <jobtopic/jobkeys.h>
-#include <jobtopic/jobtable.h>
-#include <ports/keyedrecord.h>
-#include <wire/codec.h>
 
 #include <criterion/criterion.h>
 
@@ -24,27 +22,12 @@
 public:
     explicit HandAnsweredWorker(int tasks)
     {
-        QueueInfo queue;
-        queue.name = "batch";
-        queue.service = "hall";
-        ClusterConfig config;
-        config.queues["batch"] = queue;
-        m_dispatcher.applyConfiguration(config, {});
         Wire::StepJob job;
-        job.queue = "batch";
         job.steps.resize(1);
         job.steps[0].taskCount = tasks;
         job.steps[0].milliCores = 1000;
         job.steps[0].estimateMs = 600'000;
-        JobTable table;
-        table.apply({0, submissionKey("j"), encode(job)});
-        m_dispatcher.begin(1, table, now, true);
-        WorkerInfo worker;
-        worker.id = "w";
-        worker.service = "hall";
-        worker.address = "127.0.0.1:1";
-        worker.capacity.milliCores = 64000;
-        m_dispatcher.updateWorker(worker);
+        Testing::beginWithOneWorker(m_dispatcher, job, 64000, now);
     }
 
     /// Lets the dispatcher act once and keeps its orders.
--- a/tests/libs/dispatch/testsharing.cpp
+++ b/tests/libs/dispatch/testsharing.cpp
@@ -1,12 +1,10 @@
+#include "oneworker.h"
+
 #include <dispatch/dispatcher.h>
 #include <dispatch/sharingrule.h>
 #include <dispatch/tailmodel.h>
 #include <dispatch/workerchoice.h>
 #include <dispatch/workerview.h>
-#include <jobtopic/jobkeys.h>
-#include <jobtopic/jobtable.h>
-#include <ports/keyedrecord.h>
-#include <wire/codec.h>
 
 #include <criterion/criterion.h>
 
@@ -269,14 +267,7 @@
 public:
     SharedWorker()
     {
-        QueueInfo queue;
-        queue.name = "batch";
-        queue.service = "hall";
-        ClusterConfig config;
-        config.queues["batch"] = queue;
-        m_dispatcher.applyConfiguration(config, {});
         Wire::StepJob job;
-        job.queue = "batch";
         job.steps.resize(2);
         job.steps[0].longRunning = true;
         job.steps[0].tailTargetMs = TargetMs;
@@ -286,15 +277,7 @@
         job.steps[1].image = "filler";
         job.steps[1].milliCores = 1000;
         job.steps[1].estimateMs = 60000;
-        JobTable table;
-        table.apply({0, submissionKey("j"), encode(job)});
-        m_dispatcher.begin(1, table, now);
-        WorkerInfo worker;
-        worker.id = "w";
-        worker.service = "hall";
-        worker.address = "127.0.0.1:1";
-        worker.capacity.milliCores = 8000;
-        m_dispatcher.updateWorker(worker);
+        Testing::beginWithOneWorker(m_dispatcher, job, 8000, now);
     }
 
     /// Lets time pass in steps of 20 ms; polls are answered at once with the serving task's tail.
