--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -122,6 +122,9 @@
     void adjustPace(WorkerView &worker, const WorkerListing &listing, TimePoint now);
 
     void sendStart(const TaskId &id, TaskRun &task, TimePoint now);
+
+    /// A worker has confirmed a run of the job: it no longer waits.
+    void noteStarted(const TaskId &id);
     void checkClock(const std::string &workerId, WorkerTime reading, TimePoint now);
     void noteFence(const std::string &workerId, std::int64_t fencingToken, const OrderRefused &refusal);
     void refused(const TaskId &id, TaskRun &task, const OrderRefused &answer, TimePoint now);
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -267,7 +267,6 @@
     task.firstPercent = -1;
     task.pacePercent = 100;
     worker.addRun(id, describeUse(job.step(id.step), run));
-    job.hasStarted = true;
     m_jobs.markUrgent(job);
     m_newIntents.emplace_back(id, run);
 }
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -70,6 +70,7 @@
                        task->phaseSince = now;
                        task->confirmedAt = now;
                        task->percentSince = now;
+                       noteStarted(order.task);
                    },
                    [&](const OrderRefused &refusal) {
                        noteFence(order.worker.id, order.fencingToken, refusal);
@@ -93,6 +94,15 @@
                answer);
 }
 
+void Dispatcher::noteStarted(const TaskId &id)
+{
+    JobRun *job = m_jobs.find(id.job);
+    if (job != nullptr && !job->hasStarted) {
+        job->hasStarted = true;
+        m_jobs.markChanged(*job);
+    }
+}
+
 void Dispatcher::checkClock(const std::string &workerId, WorkerTime reading, TimePoint now)
 {
     WorkerView *worker = findWorker(workerId);
@@ -220,6 +230,9 @@
 void Dispatcher::endRun(const TaskId &id, TaskRun &task, RunEnding ending, const std::string &checkpoint, TimePoint now)
 {
     JobRun *job = m_jobs.find(id.job);
+    if (ending == RunEnding::Done || ending == RunEnding::Failed) {
+        noteStarted(id);
+    }
     const bool isLasting = job->step(id.step).longRunning;
     if (!checkpoint.empty()) {
         task.checkpoint = checkpoint;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -196,6 +196,7 @@
         task->phase = TaskPhase::Running;
         task->phaseSince = now;
         task->confirmedAt = now;
+        noteStarted(run.task);
     }
     if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
         task->phaseSince = now;
--- a/src/libs/dispatch/jobrun.h
+++ b/src/libs/dispatch/jobrun.h
@@ -21,7 +21,7 @@
     bool cancelled = false;
     bool failed = false;
     bool completed = false;
-    bool hasStarted = false;
+    bool hasStarted = false; // a worker has confirmed a run
     bool condensed = false; // what is left of the submission of an ended job is durable, or on its way
     std::int64_t endedAtMs = 0; // Unix time; 0: not ended
 
--- a/tests/libs/dispatch/testdispatcher.cpp
+++ b/tests/libs/dispatch/testdispatcher.cpp
@@ -221,6 +221,23 @@
     cr_assert_eq(world.openRuns(), 15);
 }
 
+/// Callers count a job as waiting until a worker has begun one of its tasks.
+Test(dispatcher, aJobWhoseStartNoWorkerConfirmsStillWaits)
+{
+    DispatchWorld world(17, 2);
+    world.claim();
+    world.run(1s);
+    world.worker(0).cutOff = true;
+    world.worker(1).cutOff = true;
+    world.submit("job", 1, 1);
+    world.run(500ms);
+    cr_assert_eq(world.phaseOf("job"), Wire::JobPhase::Pending);
+    world.worker(0).cutOff = false;
+    world.worker(1).cutOff = false;
+    world.run(20s);
+    cr_assert(world.isComplete("job"));
+}
+
 Test(dispatcher, lateAndLostOrdersDoubleNothing)
 {
     DispatchWorld world(14);
