Keep the fencing token of a worker that was removed and registers again

No task started until the next owner had claimed the topic, and tasks on workers that it could not reach waited 13.4 s for the leases of the earlier owner (LOST at 49.535 and 58.535 s).

Cause: the token of a worker rises with each suspected restart of its process. When the registration of an unreachable worker lapsed and its runs had ended, the dispatcher forgot the worker, and began with the first token when it registered again. The worker rejected that token as too low, which the dispatcher took for a newer owner.

Why it works: the counts of removed workers are kept for the term, in bounded memory, and never decrease, so a worker never sees a token of this owner that is lower than an earlier one.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -43,6 +43,7 @@
     m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claimedAt, afterHandover);
     m_jobs.clear();
     m_workers.clear();
+    m_removedWorkersRestarts = RestartCounts();
     m_tickets = TicketCache();
     m_colocation.restore(table.learnedTails());
     m_tailsStoredAt = claimedAt;
@@ -175,6 +176,8 @@
     if (isNew) {
         entry->second.info.id = worker;
         entry->second.leaseEnd = m_earlierLeasesEnd;
+        // A worker that was removed in this term rejects tokens below those that it has seen.
+        entry->second.suspectedRestarts = m_removedWorkersRestarts.countOf(worker);
     }
     return entry->second;
 }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatchsummary.h"
 #include "jobregistry.h"
 #include "leasepolicy.h"
+#include "restartcounts.h"
 #include "shorttaskreserve.h"
 #include "ticketcache.h"
 #include "workerstate.h"
@@ -166,6 +167,7 @@
     std::int64_t m_wallMs = 0; // Unix time of the last advance()
     JobRegistry m_jobs;
     std::map<std::string, WorkerState> m_workers;
+    RestartCounts m_removedWorkersRestarts; // suspected restarts in this term of workers that were removed
     ClusterConfig m_config;
     std::set<std::string> m_evacuated;
     TicketCache m_tickets;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -36,7 +36,14 @@
 
 void Dispatcher::removeUnregisteredWorkers()
 {
-    std::erase_if(m_workers, [](const auto &item) { return !item.second.registered && item.second.runs.empty() && !item.second.pollPending; });
+    std::erase_if(m_workers, [this](const auto &item) {
+        const WorkerState &worker = item.second;
+        const bool isRemovable = !worker.registered && worker.runs.empty() && !worker.pollPending;
+        if (isRemovable) {
+            m_removedWorkersRestarts.record(item.first, worker.suspectedRestarts);
+        }
+        return isRemovable;
+    });
 }
 
 void Dispatcher::expireLeases(TimePoint now)
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -152,6 +152,25 @@
     });
 }
 
+void DispatchSimulation::unregisterWorker(std::size_t index)
+{
+    for (const auto &owner : m_owners) {
+        owner->dispatcher.removeWorker(m_workers[index]->info().id);
+    }
+}
+
+void DispatchSimulation::registerWorker(std::size_t index)
+{
+    for (const auto &owner : m_owners) {
+        owner->dispatcher.updateWorker(m_workers[index]->info());
+    }
+}
+
+bool DispatchSimulation::hasNewestOwnerSteppedDown() const
+{
+    return m_owners.back()->steppedDown;
+}
+
 void DispatchSimulation::run(Duration time)
 {
     const TimePoint until = now + time;
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -49,8 +49,15 @@
     /// Crashes the worker and restarts it after @p downTime.
     void restartWorker(std::size_t index, Duration downTime);
 
+    /// Removes the registration of the worker, which continues to run, or adds it again.
+    void unregisterWorker(std::size_t index);
+    void registerWorker(std::size_t index);
+
     void run(Duration time);
 
+    /// Returns true if the newest owner has stepped down.
+    bool hasNewestOwnerSteppedDown() const;
+
     bool isComplete(const std::string &jobId) const;
     Wire::JobPhase::type phaseOf(const std::string &jobId) const;
     SimulatedWorker &worker(std::size_t index) { return *m_workers[index]; }
