Replace runs of a worker whose process has ended before their lease ends

What callers saw: a serving task whose worker crashed had no run for 10 s, the length of a lease, although there was capacity.

Cause: the owner knew the end of a run only from a report of its worker or from the end of the lease. A port that refuses connections proves that the worker's process, and with it every run, has ended; the owner treated it like silence.

Evidence: workerLoss/runsOfACrashedWorkerAreReplacedBeforeTheirLeaseEnds failed with the old rule ("6 tasks have no run" after 3 s).

Why it works: after a refused connection that follows another failed poll, the runs that the process had confirmed count as ended. A start that was not confirmed still waits for the lease, because a delayed copy of its command may reach the next process at the same address. dispatchFaults/crashesWithRefusedConnections... checks 200 seeds with such crashes.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -62,6 +62,14 @@
     std::size_t openRuns = 0;
 };
 
+/// Log event: the process of a worker has ended; the runs that it had confirmed have ended with it.
+struct WorkerProcessEnded
+{
+    std::string worker;
+    int failedPolls = 0;
+    std::size_t endedRuns = 0;
+};
+
 using DispatchAction = std::variant<StartCommand,
                                     StopCommand,
                                     ThrottleCommand,
@@ -72,6 +80,7 @@
                                     RunEnded,
                                     JobEnded,
                                     WorkerRestarted,
-                                    WorkerLeaseExpired>;
+                                    WorkerLeaseExpired,
+                                    WorkerProcessEnded>;
 
 } // namespace Hyssop
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -112,6 +112,10 @@
 
     void handleReport(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
     void handleWorkerRestart(WorkerState &worker, WorkerTime reading, TimePoint now);
+
+    /// Ends the runs that the process of @p worker has confirmed: the process has ended. A start command that was not
+    /// confirmed may still reach the next process.
+    void endConfirmedRuns(WorkerState &worker, TimePoint now);
     void handleEndedRun(WorkerState &worker, const ReportedRunEnd &end, TimePoint now);
     void handleReportedRun(WorkerState &worker, const ReportedRun &run, TimePoint now);
     void updateProgress(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now);
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds MaximumOverTargetPollWait{400};
 constexpr std::chrono::milliseconds IdlePollInterval{1000};
 constexpr std::chrono::milliseconds FailedPollBackoff{200};
+// The process of a worker has ended if this many polls in a row failed and the last one was refused.
+constexpr int RefusalsUntilEnded = 2;
 // Run ends are reported again until they are durable and acknowledged, so a poll before that is useless.
 constexpr std::chrono::milliseconds PendingEndsInterval{80};
 constexpr std::chrono::milliseconds StopRepeatInterval{400};
@@ -117,6 +119,12 @@
                        }
                        failed();
                    },
+                   [&](const WorkerNotListening &) {
+                       failed();
+                       if (worker->failedPolls >= Internal::RefusalsUntilEnded) {
+                           endConfirmedRuns(*worker, now);
+                       }
+                   },
                    [&](const auto &) { failed(); },
                },
                result);
@@ -171,6 +179,24 @@
     }
 }
 
+void Dispatcher::endConfirmedRuns(WorkerState &worker, TimePoint now)
+{
+    std::vector<TaskId> confirmed;
+    for (const auto &[id, profile] : worker.runs) {
+        const TaskExecution *task = m_jobs.task(id);
+        const bool isActive = task != nullptr && (task->phase == TaskPhase::Running || task->phase == TaskPhase::Stopping);
+        if (isActive && task->confirmedAt != TimePoint()) {
+            confirmed.push_back(id);
+        }
+    }
+    if (!confirmed.empty()) {
+        m_actions.emplace_back(WorkerProcessEnded{worker.info.id, worker.failedPolls, confirmed.size()});
+    }
+    for (const TaskId &id : confirmed) {
+        endRun(id, *m_jobs.task(id), RunEndReason::LeaseExpired, {}, now);
+    }
+}
+
 void Dispatcher::handleEndedRun(WorkerState &worker, const ReportedRunEnd &end, TimePoint now)
 {
     if (end.sequence <= worker.processedEndSequence) {
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -79,6 +79,12 @@
     return {error == beast::error::timeout ? ErrorCode::Timeout : ErrorCode::Closed, error.message()};
 }
 
+static Error connectionError(const std::string &address, const boost::system::error_code &error)
+{
+    const ErrorCode code = error == asio::error::connection_refused ? ErrorCode::ConnectionRefused : ErrorCode::Unavailable;
+    return {code, "connection to " + address + ": " + error.message()};
+}
+
 static asio::awaitable<Outcome<HttpResponse>> exchange(beast::tcp_stream &stream, const HttpRequest &request)
 {
     const auto [writeError, writeSize] = co_await http::async_write(stream, request, AsTuple);
@@ -120,7 +126,7 @@
     if (!stream->socket().is_open()) {
         const auto [connectError] = co_await stream->async_connect(*valueOf(endpoint), Internal::AsTuple);
         if (connectError) {
-            co_return Error{ErrorCode::Unavailable, "connection to " + address + ": " + connectError.message()};
+            co_return Internal::connectionError(address, connectError);
         }
         boost::system::error_code ignored;
         stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -23,7 +23,7 @@
     ~HttpClient();
 
     /// Sends @p request to @p address ("IP-ADDRESS:PORT") and waits for the whole response. The address is also the value
-    /// of the Host field if the request has none. ErrorCode::Unavailable means that nothing was sent; after any other
+    /// of the Host field if the request has none. After an error with isNotSent() nothing was sent; after any other
     /// error it is unknown whether the request took effect, and the connection is closed.
     boost::asio::awaitable<Outcome<HttpResponse>> send(std::string address, HttpRequest request, std::chrono::milliseconds timeout);
 
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -75,6 +75,14 @@
                {{"worker", worker.worker}, {"failed_polls", worker.failedPolls}, {"open_runs", worker.openRuns}});
 }
 
+void logAction(const WorkerProcessEnded &worker)
+{
+    logMessage(LogLevel::Warning,
+               "owner",
+               "worker process has ended",
+               {{"worker", worker.worker}, {"failed_polls", worker.failedPolls}, {"ended_runs", worker.endedRuns}});
+}
+
 void logAction(const JobEnded &end)
 {
     logMessage(LogLevel::Info, "owner", "job ended", {{"job_id", end.jobId}, {"outcome", end.phase}, {"after_ms", end.sinceAccepted.count()}});
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -11,6 +11,7 @@
 void logAction(const JobEnded &end);
 void logAction(const WorkerRestarted &worker);
 void logAction(const WorkerLeaseExpired &worker);
+void logAction(const WorkerProcessEnded &worker);
 
 /// Return the outcome of a command for logs and metrics, and details of a failure.
 const char *resultName(const CommandResult &result);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -265,6 +265,7 @@
                    [&](const JobEnded &end) { logAction(end); },
                    [&](const WorkerRestarted &worker) { logAction(worker); },
                    [&](const WorkerLeaseExpired &worker) { logAction(worker); },
+                   [&](const WorkerProcessEnded &worker) { logAction(worker); },
                    [&](const StepDown &) { stepDown("a worker has seen a newer owner"); },
                },
                action);
--- a/src/libs/platform/logclient.cpp
+++ b/src/libs/platform/logclient.cpp
@@ -128,7 +128,7 @@
     }
     auto outcome = co_await m_http.send(m_address, http::verb::post, "/streams/" + stream + "/records", std::move(bytes), timeout);
     if (const Error *error = errorOf(outcome)) {
-        if (error->code == ErrorCode::Unavailable || error->code == ErrorCode::InvalidArgument) {
+        if (isNotSent(error->code) || error->code == ErrorCode::InvalidArgument) {
             co_return AppendRejected{error->message};
         }
         co_return AppendUndetermined{error->message};
--- a/src/libs/platform/logtailer.cpp
+++ b/src/libs/platform/logtailer.cpp
@@ -163,7 +163,7 @@
         logMessage(LogLevel::Warning, "platform", "reading the log failed; retrying", {{"stream", m_stream}, {"error", error.message}});
     }
     // The HTTP client closes the connection if a response exceeds its size limit, so the next read asks for fewer records.
-    if (error.code != ErrorCode::Unavailable) {
+    if (!isNotSent(error.code)) {
         m_recordsPerRead = std::max(m_recordsPerRead / 4, 1);
     }
     constexpr int MaximumDoublings = 8;
--- a/src/libs/platform/workerclient.cpp
+++ b/src/libs/platform/workerclient.cpp
@@ -236,7 +236,7 @@
 {
     auto response = co_await m_http.send(std::move(address), http::verb::post, std::move(path), std::move(body), timeout);
     if (const Error *error = errorOf(response)) {
-        co_return error->code == ErrorCode::Unavailable ? CommandOutcome::Unreachable : CommandOutcome::Undetermined;
+        co_return isNotSent(error->code) ? CommandOutcome::Unreachable : CommandOutcome::Undetermined;
     }
     co_return Internal::parseCommandResponse(valueOf(response)->body());
 }
--- a/src/libs/ports/commandresults.h
+++ b/src/libs/ports/commandresults.h
@@ -85,6 +85,12 @@
     std::vector<ReportedRunEnd> ends;
 };
 
-using PollResult = std::variant<WorkerReport, CommandRejected, CommandNotSent, CommandUndetermined>;
+/// Nothing listens at the worker's address: its process has ended, and with it all its runs.
+struct WorkerNotListening
+{
+    std::string reason;
+};
+
+using PollResult = std::variant<WorkerReport, CommandRejected, CommandNotSent, CommandUndetermined, WorkerNotListening>;
 
 } // namespace Hyssop
--- a/src/libs/utils/error.cpp
+++ b/src/libs/utils/error.cpp
@@ -15,6 +15,8 @@
         return "not-found";
     case ErrorCode::Unavailable:
         return "unavailable";
+    case ErrorCode::ConnectionRefused:
+        return "connection-refused";
     case ErrorCode::Timeout:
         return "timeout";
     case ErrorCode::Closed:
--- a/src/tools/hyssopctl/output.cpp
+++ b/src/tools/hyssopctl/output.cpp
@@ -50,6 +50,7 @@
     case ErrorCode::Conflict:
         return ExitCode::Conflict;
     case ErrorCode::Unavailable:
+    case ErrorCode::ConnectionRefused:
     case ErrorCode::Timeout:
     case ErrorCode::Closed:
         return ExitCode::Unavailable;
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -6,6 +6,7 @@
 #include <wire/codec.h>
 
 #include <algorithm>
+#include <type_traits>
 
 namespace Hyssop::Testing {
 
@@ -16,8 +17,20 @@
 constexpr auto Step = 10ms;
 constexpr auto OwnerTick = 20ms;
 constexpr auto CommandTimeout = 800ms;
+constexpr auto ConnectionTime = 2ms;
 constexpr int MaximumFailures = 3;
 
+/// Returns the result of a command whose connection was refused.
+template<typename Outcome>
+Outcome refusal()
+{
+    if constexpr (std::is_same_v<Outcome, PollResult>) {
+        return WorkerNotListening{"connection refused"};
+    } else {
+        return CommandNotSent{"connection refused"};
+    }
+}
+
 } // namespace
 
 struct DispatchSimulation::Owner
@@ -152,6 +165,17 @@
     });
 }
 
+void DispatchSimulation::crashWorker(std::size_t index, Duration downTime)
+{
+    SimulatedWorker &worker = *m_workers[index];
+    worker.restart(now);
+    worker.refusesConnections = true;
+    at(now + downTime, [this, &worker] {
+        worker.restart(now);
+        worker.refusesConnections = false;
+    });
+}
+
 void DispatchSimulation::unregisterWorker(std::size_t index)
 {
     for (const auto &owner : m_owners) {
@@ -302,6 +326,10 @@
     const auto unknown = [=, this] {
         deliver(sender, CommandTimeout, [=, this] { done(*sender, command, Outcome(CommandUndetermined{"timeout"}), sentAt, now); });
     };
+    if (target->refusesConnections) {
+        deliver(sender, ConnectionTime, [=, this] { done(*sender, command, refusal<Outcome>(), sentAt, now); });
+        return;
+    }
     if (target->unreachable || late) {
         unknown();
     }
@@ -311,7 +339,7 @@
     const bool lost = chance(faults.lostResponses);
     const int incarnation = target->incarnation(); // a restart of the worker closes the connection
     at(now + transitTime, [=, this] {
-        if (target->unreachable || target->incarnation() != incarnation) {
+        if (target->unreachable || target->refusesConnections || target->incarnation() != incarnation) {
             if (!late) {
                 unknown(); // lost in transit
             }
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -49,6 +49,9 @@
     /// Crashes the worker and restarts it after @p downTime.
     void restartWorker(std::size_t index, Duration downTime);
 
+    /// Crashes the worker, whose machine refuses connections until the worker restarts after @p downTime.
+    void crashWorker(std::size_t index, Duration downTime);
+
     /// Removes the registration of the worker, which continues to run, or adds it again.
     void unregisterWorker(std::size_t index);
     void registerWorker(std::size_t index);
--- a/tests/libs/dispatch/simulatedworker.h
+++ b/tests/libs/dispatch/simulatedworker.h
@@ -48,6 +48,7 @@
     std::map<TaskId, Run> &runs() { return m_runs; }
 
     bool unreachable = false; // no message reaches the worker
+    bool refusesConnections = false; // the process has ended, and nothing listens at its address
 
 private:
     struct End
--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -13,8 +13,10 @@
 constexpr std::uint32_t Seeds = 200;
 constexpr int Jobs = 30;
 
+using CrashWorker = void (DispatchSimulation::*)(std::size_t index, Duration downTime);
+
 /// Injects a random fault; faults may overlap and repeat.
-void injectFault(DispatchSimulation &simulation)
+void injectFault(DispatchSimulation &simulation, CrashWorker crash)
 {
     switch (simulation.random(7)) {
     case 0:
@@ -32,7 +34,7 @@
         simulation.claim();
         break;
     case 4:
-        simulation.restartWorker(static_cast<std::size_t>(simulation.random(6)), std::chrono::milliseconds(1500 + simulation.random(4000)));
+        (simulation.*crash)(static_cast<std::size_t>(simulation.random(6)), std::chrono::milliseconds(1500 + simulation.random(4000)));
         break;
     case 5:
         simulation.worker(static_cast<std::size_t>(simulation.random(6))).unreachable = true;
@@ -44,7 +46,7 @@
     }
 }
 
-void runScenario(std::uint32_t seed)
+void runScenario(std::uint32_t seed, CrashWorker crash)
 {
     DispatchSimulation simulation(seed);
     simulation.faults = {0.03, 0.03, 0.03};
@@ -53,7 +55,7 @@
         simulation.submit("job" + std::to_string(job), 1 + simulation.random(3), 1 + simulation.random(5));
         simulation.run(std::chrono::milliseconds(simulation.random(1500)));
         if (simulation.random(4) == 0) {
-            injectFault(simulation);
+            injectFault(simulation, crash);
         }
         if (simulation.random(10) == 0) {
             simulation.cancel("job" + std::to_string(simulation.random(job + 1)));
@@ -78,6 +80,13 @@
 Test(dispatchFaults, randomFaultsCauseNoLostOrDuplicateRuns)
 {
     for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
-        runScenario(seed);
+        runScenario(seed, &DispatchSimulation::restartWorker);
+    }
+}
+
+Test(dispatchFaults, crashesWithRefusedConnectionsCauseNoLostOrDuplicateRuns)
+{
+    for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
+        runScenario(seed, &DispatchSimulation::crashWorker);
     }
 }
--- /dev/null
+++ b/tests/libs/dispatch/testworkerloss.cpp
@@ -0,0 +1,45 @@
+#include "dispatchsimulation.h"
+
+#include <criterion/criterion.h>
+
+using namespace Hyssop;
+using namespace Hyssop::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Longest time that a serving task may be without a run while there is capacity, less the time for its start.
+constexpr auto MaximumAbsence = 3s;
+constexpr std::size_t Tasks = 6;
+
+SimulatedWorker::Run endlessRun(const TaskId &)
+{
+    return {0, TimePoint(1h), RunEndReason::Completed, 0};
+}
+
+void submitServingJob(DispatchSimulation &simulation)
+{
+    simulation.submit("serving", 1, Tasks, [](Wire::TaskStep &step) { step.longRunning = true; });
+}
+
+std::size_t busyWorker(DispatchSimulation &simulation)
+{
+    return simulation.worker(0).runCount() > 0 ? 0 : 1;
+}
+
+} // namespace
+
+Test(workerLoss, runsOfACrashedWorkerAreReplacedBeforeTheirLeaseEnds)
+{
+    DispatchSimulation simulation(1, 2);
+    simulation.plan = endlessRun;
+    simulation.claim();
+    submitServingJob(simulation);
+    simulation.run(4s);
+    cr_assert_eq(simulation.openRuns(), Tasks);
+    simulation.crashWorker(busyWorker(simulation), 30s);
+    cr_assert_lt(simulation.openRuns(), Tasks);
+    simulation.run(MaximumAbsence);
+    cr_assert_eq(simulation.openRuns(), Tasks, "%zu tasks have no run", Tasks - simulation.openRuns());
+    cr_assert(simulation.violations.empty());
+}
--- a/tests/platform/testworkerclient.cpp
+++ b/tests/platform/testworkerclient.cpp
@@ -91,6 +91,9 @@
     StartCommand unreachable = f.startOf(1, 5);
     unreachable.worker.address = "127.0.0.1:1";
     cr_assert(std::holds_alternative<CommandNotSent>(co_await f.client.start(unreachable)));
+    PollCommand poll;
+    poll.worker = unreachable.worker;
+    cr_assert(std::holds_alternative<WorkerNotListening>(co_await f.client.poll(poll)));
 }
 
 Test(workerClient, rejectionsAreDistinguished)
