Replace stopped runs of a worker that leaves before their lease ends

Cause: the end of a stopped run was learned only from a later report of its worker. If the worker left, or could no longer be reached, between the confirmation of the stop and the next report, the owner kept the run open until the lease had expired.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -123,6 +123,7 @@
 {
     m_wallMs = sinceEpoch(wall).count();
     expireLeases(now);
+    endStoppedRuns(now);
     removeUnregisteredWorkers();
     moveRunsOffDrainingWorkers(now);
     placePendingTasks(now, wall);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -107,6 +107,10 @@
 
     void removeUnregisteredWorkers();
     void expireLeases(TimePoint now);
+
+    /// Ends the runs of serving tasks whose stop was confirmed by a worker that no longer responds. Runs of other tasks may have
+    /// completed before the stop; these wait for the end of the lease.
+    void endStoppedRuns(TimePoint now);
     void pollWorkers(TimePoint now);
     void moveRunsOffDrainingWorkers(TimePoint now);
 
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -263,7 +263,7 @@
     task.worker = worker.info.id;
     task.startsSent = 0;
     task.stopConfirmed = false;
-    task.confirmedAt = TimePoint();
+    task.startConfirmed = false;
     task.progressPercent = -1;
     task.progressSince = now;
     task.firstProgressPercent = -1;
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -68,6 +68,7 @@
                        }
                        task->phase = TaskPhase::Running;
                        task->phaseSince = now;
+                       task->startConfirmed = true;
                        task->confirmedAt = now;
                        task->progressSince = now;
                        markStarted(command.task);
@@ -131,6 +132,7 @@
         // The run existed and has ended; the next report tells the outcome.
         task.phase = TaskPhase::Running;
         task.phaseSince = now;
+        task.startConfirmed = true;
         task.confirmedAt = now;
         return;
     case RejectionReason::MissingTicket:
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -71,6 +71,24 @@
     }
 }
 
+void Dispatcher::endStoppedRuns(TimePoint now)
+{
+    const Duration stopDuration = m_limits.stopDuration * 100 / WorkerClock::SlowestPercent;
+    for (auto &[workerId, worker] : m_workers) {
+        if (worker.failedPolls == 0) {
+            continue;
+        }
+        const auto runs = worker.runs; // copied because endRun() modifies the map
+        for (const auto &[id, profile] : runs) {
+            TaskExecution *task = m_jobs.task(id);
+            const bool isStopped = task != nullptr && task->phase == TaskPhase::Stopping && task->startConfirmed && task->stopConfirmed;
+            if (isStopped && now - task->confirmedAt >= stopDuration && m_jobs.find(id.job)->step(id.step).longRunning) {
+                endRun(id, *task, RunEndReason::Stopped, {}, now);
+            }
+        }
+    }
+}
+
 void Dispatcher::pollWorkers(TimePoint now)
 {
     for (auto &[id, worker] : m_workers) {
@@ -185,7 +203,7 @@
     for (const auto &[id, profile] : worker.runs) {
         const TaskExecution *task = m_jobs.task(id);
         const bool isActive = task != nullptr && (task->phase == TaskPhase::Running || task->phase == TaskPhase::Stopping);
-        if (isActive && task->confirmedAt != TimePoint()) {
+        if (isActive && task->startConfirmed) {
             confirmed.push_back(id);
         }
     }
@@ -222,6 +240,7 @@
         stopOrphan(worker, run, now);
         return;
     }
+    task->startConfirmed = true;
     if (!run.checkpoint.empty()) {
         task->checkpoint = run.checkpoint;
     }
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -25,7 +25,8 @@
     std::string worker; // worker of the open run
     TimePoint phaseSince{};
     int startsSent = 0; // start commands of this run that the worker may execute
-    TimePoint confirmedAt{}; // when the worker last confirmed the start or the stop of this run; default: not confirmed
+    bool startConfirmed = false; // the worker has confirmed the start of this run
+    TimePoint confirmedAt{}; // when the worker last confirmed the start or the stop
     bool stopConfirmed = false;
     int progressPercent = -1; // reported progress; -1: no report yet
     TimePoint progressSince{};
--- a/src/libs/dispatch/workerclock.h
+++ b/src/libs/dispatch/workerclock.h
@@ -8,6 +8,8 @@
 /// Maps the steady clock of a worker, which may run up to 2 % slow, to the clock of this process.
 struct WorkerClock
 {
+    static constexpr int SlowestPercent = 98; // platform contract: a slow clock advances by at least 98 ms in 100 ms
+
     WorkerTime reading{0};
     TimePoint receivedAt{}; // upper bound of the time at which the worker read its clock
 
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -36,6 +36,7 @@
 {
     DispatchLimits limits;
     limits.maximumLease = millisecondsSetting(settings, "workers.longest_lease");
+    limits.stopDuration = millisecondsSetting(settings, "workers.stop_duration");
     limits.statusRetention = millisecondsSetting(settings, "jobs.status_retention");
     return limits;
 }
--- a/src/libs/node/nodesettings.cpp
+++ b/src/libs/node/nodesettings.cpp
@@ -15,6 +15,7 @@
         {"store.address", AddressSetting{}, "Address of the platform's metadata store.", "", true},
         {"advice.address", AddressListSetting{}, "Address of the advice service; may be empty.", "", false},
         {"workers.longest_lease", DurationSetting{2s, 60s}, "Maximum lease duration that workers accept.", "6 s", false},
+        {"workers.stop_duration", DurationSetting{0s, 60s}, "Maximum time from the confirmation of a stop until the run has ended.", "900 ms", false},
         {"jobs.status_retention", DurationSetting{1s, 24h}, "How long the state of an ended job can be queried.", "120 s", false},
         {"shutdown.grace", DurationSetting{1s, 60s}, "Time from SIGTERM until the process is killed.", "6 s", false},
         {"logging.level", ChoiceSetting{{"debug", "info", "warning", "error"}}, "Lowest level that is written.", "info", false},
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -176,6 +176,15 @@
     });
 }
 
+void DispatchSimulation::drainWorker(std::size_t index)
+{
+    WorkerInfo info = m_workers[index]->info();
+    info.draining = true;
+    for (const auto &owner : m_owners) {
+        owner->dispatcher.updateWorker(info);
+    }
+}
+
 void DispatchSimulation::unregisterWorker(std::size_t index)
 {
     for (const auto &owner : m_owners) {
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -52,6 +52,9 @@
     /// Crashes the worker, whose machine refuses connections until the worker restarts after @p downTime.
     void crashWorker(std::size_t index, Duration downTime);
 
+    /// Lets the worker announce that it leaves; it continues to run.
+    void drainWorker(std::size_t index);
+
     /// Removes the registration of the worker, which continues to run, or adds it again.
     void unregisterWorker(std::size_t index);
     void registerWorker(std::size_t index);
--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -75,6 +75,51 @@
     cr_assert_eq(simulation.openRuns(), 0, "seed %u: a run is left", seed);
 }
 
+constexpr int ServingJobs = 4;
+constexpr int ServingWidth = 4;
+constexpr int ServingRounds = 30;
+
+/// Lets a worker announce that it leaves; later it can't be reached, its registration lapses, and it may return.
+void injectDeparture(DispatchSimulation &simulation)
+{
+    const auto index = static_cast<std::size_t>(simulation.random(6));
+    simulation.drainWorker(index);
+    simulation.run(std::chrono::milliseconds(simulation.random(400)));
+    simulation.worker(index).unreachable = true;
+    simulation.run(std::chrono::milliseconds(simulation.random(3000)));
+    simulation.unregisterWorker(index);
+    simulation.run(std::chrono::milliseconds(simulation.random(3000)));
+    simulation.worker(index).unreachable = false;
+    simulation.registerWorker(index);
+}
+
+void runServingScenario(std::uint32_t seed)
+{
+    DispatchSimulation simulation(seed);
+    simulation.faults = {0.03, 0.03, 0};
+    simulation.plan = [](const TaskId &) { return SimulatedWorker::Run{0, TimePoint(1h), RunEndReason::Completed, 0}; };
+    simulation.claim();
+    for (int job = 0; job < ServingJobs; ++job) {
+        simulation.submit("serving" + std::to_string(job), 1, ServingWidth, [](Wire::TaskStep &step) { step.longRunning = true; });
+    }
+    for (int round = 0; round < ServingRounds; ++round) {
+        simulation.run(std::chrono::milliseconds(simulation.random(1500)));
+        if (simulation.random(2) == 0) {
+            injectDeparture(simulation);
+        } else {
+            injectFault(simulation, simulation.random(2) == 0 ? &DispatchSimulation::crashWorker : &DispatchSimulation::restartWorker);
+        }
+    }
+    simulation.faults = {};
+    for (std::size_t index = 0; index < 6; ++index) {
+        simulation.worker(index).unreachable = false;
+        simulation.registerWorker(index);
+    }
+    simulation.run(60s);
+    cr_assert(simulation.violations.empty(), "seed %u: %s", seed, simulation.violations.empty() ? "" : simulation.violations.front().c_str());
+    cr_assert_eq(simulation.openRuns(), ServingJobs * ServingWidth, "seed %u: %zu tasks run", seed, simulation.openRuns());
+}
+
 } // namespace
 
 Test(dispatchFaults, randomFaultsCauseNoLostOrDuplicateRuns)
@@ -90,3 +135,10 @@
         runScenario(seed, &DispatchSimulation::crashWorker);
     }
 }
+
+Test(dispatchFaults, servingTasksOfDepartingWorkersRunExactlyOnce)
+{
+    for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
+        runServingScenario(seed);
+    }
+}
--- a/tests/libs/dispatch/testworkerloss.cpp
+++ b/tests/libs/dispatch/testworkerloss.cpp
@@ -43,3 +43,23 @@
     cr_assert_eq(simulation.openRuns(), Tasks, "%zu tasks have no run", Tasks - simulation.openRuns());
     cr_assert(simulation.violations.empty());
 }
+
+Test(workerLoss, runsStoppedByALeavingWorkerAreReplacedBeforeTheirLeaseEnds)
+{
+    DispatchSimulation simulation(1, 2);
+    simulation.plan = endlessRun;
+    simulation.claim();
+    submitServingJob(simulation);
+    simulation.run(4s);
+    const std::size_t leaving = busyWorker(simulation);
+    simulation.drainWorker(leaving);
+    while (simulation.worker(leaving).runCount() > 0) {
+        simulation.run(10ms);
+    }
+    // The worker confirms the stops, but no later poll reaches it.
+    simulation.worker(leaving).unreachable = true;
+    simulation.unregisterWorker(leaving);
+    simulation.run(MaximumAbsence);
+    cr_assert_eq(simulation.openRuns(), Tasks, "%zu tasks have no run", Tasks - simulation.openRuns());
+    cr_assert(simulation.violations.empty());
+}
