Read large store responses as long as they make progress

What callers saw: after a configuration of about 2,850 queues, 20 of 22 instances behind a full link reported the store as not reachable for the topic operators and never applied the change; the link stayed full, and commands and polls through it timed out.

Cause: HttpClient bounded a whole exchange with one fixed deadline. StoreClient used it for reads (wait + 1.5 s, so the time of the long poll was missing from the transfer) and for pages of newest records (8 s). When the readers of one record together need longer than that, every read is given up while it receives bytes, the bytes are thrown away, and it is sent again from the start; the load never falls.

Fix: HttpTimeouts separates the time until the header from the time without progress. The body is read in pieces, and each piece moves the deadline, so a transfer ends however full the link is, and bytes that crossed it are used. A minimum rate of 16 KiB/s keeps a peer that sends single bytes from holding a request; with the limit of 4 MiB it also bounds the transfer. Commands, polls and appends keep their total deadline.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "httpclient.h"
 
 #include <utils/endpoint.h>
+#include <utils/overloaded.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <map>
 #include <utility>
 #include <vector>
@@ -24,6 +26,8 @@
 
 constexpr std::size_t MaximumIdleConnections = 8; // per address
 constexpr std::uint64_t MaximumResponseSize = 4 * 1024 * 1024;
+// Lower than the share of one of a hundred readers of a link of 30 Mbit/s; bounds the time of a response of the maximum size.
+constexpr std::int64_t MinimumBodyBytesPerSecond = 16 * 1024;
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
@@ -74,22 +78,67 @@
     std::map<std::string, std::vector<StreamPtr>> m_idle;
 };
 
+using ResponseParser = http::response_parser<http::string_body>;
+
+static std::chrono::milliseconds responseTimeout(const HttpClient::Timeout &timeout)
+{
+    return std::visit(Overloaded{[](std::chrono::milliseconds total) { return total; }, [](const HttpTimeouts &timeouts) { return timeouts.response; }},
+                      timeout);
+}
+
 static Error transferError(const boost::system::error_code &error)
 {
     return {error == beast::error::timeout ? ErrorCode::Timeout : ErrorCode::Closed, error.message()};
 }
 
-static asio::awaitable<Outcome<HttpResponse>> exchange(beast::tcp_stream &stream, const HttpRequest &request)
+static std::chrono::milliseconds timeAtMinimumRate(std::size_t bytes)
+{
+    return std::chrono::milliseconds(static_cast<std::int64_t>(bytes) * 1000 / MinimumBodyBytesPerSecond);
+}
+
+/// Reads the body. Each piece moves the deadline, and a stall is the time without a byte or behind the minimum rate.
+static asio::awaitable<boost::system::error_code>
+readProgressingBody(beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser, std::chrono::milliseconds stall)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    std::size_t received = 0;
+    while (!parser.is_done()) {
+        const auto now = std::chrono::steady_clock::now();
+        stream.expires_at(std::min(now, begin + timeAtMinimumRate(received)) + stall);
+        const auto [error, size] = co_await http::async_read_some(stream, buffer, parser, AsTuple);
+        if (error) {
+            co_return error;
+        }
+        received += size;
+    }
+    co_return boost::system::error_code();
+}
+
+static asio::awaitable<boost::system::error_code>
+readResponse(beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser, const HttpClient::Timeout &timeout)
+{
+    const auto *timeouts = std::get_if<HttpTimeouts>(&timeout);
+    if (timeouts == nullptr) {
+        const auto [error, size] = co_await http::async_read(stream, buffer, parser, AsTuple);
+        co_return error;
+    }
+    const auto [error, size] = co_await http::async_read_header(stream, buffer, parser, AsTuple);
+    if (error) {
+        co_return error;
+    }
+    co_return co_await readProgressingBody(stream, buffer, parser, timeouts->stall);
+}
+
+static asio::awaitable<Outcome<HttpResponse>> exchange(beast::tcp_stream &stream, const HttpRequest &request, const HttpClient::Timeout &timeout)
 {
     const auto [writeError, writeSize] = co_await http::async_write(stream, request, AsTuple);
     if (writeError) {
         co_return transferError(writeError);
     }
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
+    ResponseParser parser;
     parser.body_limit(MaximumResponseSize);
-    const auto [readError, readSize] = co_await http::async_read(stream, buffer, parser, AsTuple);
-    if (readError) {
+    if (const auto readError = co_await readResponse(stream, buffer, parser, timeout)) {
         co_return transferError(readError);
     }
     co_return parser.release();
@@ -104,7 +153,7 @@
 
 HttpClient::~HttpClient() = default;
 
-asio::awaitable<Outcome<HttpResponse>> HttpClient::send(std::string address, HttpRequest request, std::chrono::milliseconds timeout)
+asio::awaitable<Outcome<HttpResponse>> HttpClient::send(std::string address, HttpRequest request, Timeout timeout)
 {
     const auto pool = m_pool;
     auto endpoint = capture([&] { return parseEndpoint(address); });
@@ -116,7 +165,7 @@
     }
     request.prepare_payload();
     Internal::StreamPtr stream = pool->take(address);
-    stream->expires_after(timeout);
+    stream->expires_after(Internal::responseTimeout(timeout));
     if (!stream->socket().is_open()) {
         const auto [connectError] = co_await stream->async_connect(*valueOf(endpoint), Internal::AsTuple);
         if (connectError) {
@@ -125,15 +174,14 @@
         boost::system::error_code ignored;
         stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
-    auto outcome = co_await Internal::exchange(*stream, request);
+    auto outcome = co_await Internal::exchange(*stream, request, timeout);
     if (const HttpResponse *response = valueOf(outcome); response != nullptr && response->keep_alive()) {
         pool->putBack(address, std::move(stream));
     }
     co_return outcome;
 }
 
-asio::awaitable<Outcome<HttpResponse>>
-HttpClient::send(std::string address, http::verb method, std::string path, std::string body, std::chrono::milliseconds timeout)
+asio::awaitable<Outcome<HttpResponse>> HttpClient::send(std::string address, http::verb method, std::string path, std::string body, Timeout timeout)
 {
     HttpRequest request(method, path, 11);
     request.body() = std::move(body);
--- a/src/libs/ports/metadatastore.h
+++ b/src/libs/ports/metadatastore.h
@@ -13,7 +13,8 @@
 
 struct TopicAppend;
 
-/// Interface of the platform's metadata store, a log whose topics are compacted by key. Every call completes within its timeout.
+/// Interface of the platform's metadata store, a log whose topics are compacted by key. Every call completes: an append
+/// within its timeout, a read when the store does not respond or its response makes no progress.
 class MetadataStore
 {
 public:
--- a/tests/platform/teststoreclient.cpp
+++ b/tests/platform/teststoreclient.cpp
@@ -3,8 +3,10 @@
 #include <standins/platform/storeserver.h>
 #include <storeclient.h>
 #include <support/coroutines.h>
+#include <support/slowserver.h>
 #include <utils/endpoint.h>
 
+#include <boost/endian/conversion.hpp>
 #include <criterion/criterion.h>
 
 using namespace Hyssop;
@@ -34,6 +36,43 @@
     Platform::StoreClient client;
 };
 
+/// A store behind a link that delivers the body of a response in pieces.
+struct SlowLinkFixture
+{
+    explicit SlowLinkFixture(SlowResponse response)
+        : server(context.get_executor(), std::move(response))
+        , http(context.get_executor())
+        , client(http, formatEndpoint(server.localEndpoint()))
+    {
+    }
+
+    asio::io_context context{1};
+    SlowServer server;
+    HttpClient http;
+    Platform::StoreClient client;
+};
+
+constexpr std::size_t LargeValueBytes = 1024 * 1024;
+constexpr std::size_t Pieces = 20;
+
+std::string bigEndian(std::uint64_t number, std::size_t size)
+{
+    std::string bytes(8, '\0');
+    boost::endian::store_big_u64(reinterpret_cast<unsigned char *>(bytes.data()), number);
+    return bytes.substr(8 - size);
+}
+
+/// Response to a read of one large record in pieces, one each @p pieceInterval.
+SlowResponse largeRecordResponse(std::chrono::milliseconds pieceInterval)
+{
+    const std::string content = "\6config" + std::string(LargeValueBytes, 'x');
+    SlowResponse response;
+    response.body = bigEndian(1, 8) + bigEndian(0, 8) + bigEndian(content.size(), 4) + content;
+    response.pieceSize = response.body.size() / Pieces + 1;
+    response.pieceInterval = pieceInterval;
+    return response;
+}
+
 } // namespace
 
 static asio::awaitable<void> appendedRecordsAreReadSteps(Fixture &f)
@@ -125,3 +164,44 @@
     Fixture fixture;
     runToEnd(fixture.context, ::onlyOneClaimOfATermSucceedsSteps(fixture));
 }
+
+static asio::awaitable<void> expectLargeRecordSteps(SlowLinkFixture &f, std::chrono::milliseconds wait)
+{
+    const TopicReadResult read = co_await f.client.read(Topic::Operators, 0, wait);
+    const auto *error = std::get_if<Error>(&read);
+    cr_assert_null(error, "the read failed: %s", error != nullptr ? error->message.c_str() : "");
+    const RecordPage &page = std::get<RecordPage>(read);
+    cr_assert_eq(page.records.size(), 1);
+    cr_assert_eq(page.records[0].value->size(), LargeValueBytes);
+    cr_assert_eq(f.server.requests(), 1);
+}
+
+Test(storeClient, aLargeRecordOverASlowLinkIsReadInOneRequest)
+{
+    SlowLinkFixture fixture(largeRecordResponse(100ms));
+    runToEnd(fixture.context, ::expectLargeRecordSteps(fixture, 0ms));
+}
+
+Test(storeClient, theWaitForARecordDoesNotReduceTheTimeOfItsTransfer)
+{
+    SlowResponse response = largeRecordResponse(90ms);
+    response.headerDelay = 950ms;
+    SlowLinkFixture fixture(std::move(response));
+    runToEnd(fixture.context, ::expectLargeRecordSteps(fixture, 1000ms));
+}
+
+static asio::awaitable<void> aStalledPageOfNewestRecordsIsGivenUpSoonSteps(SlowLinkFixture &f)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    const NewestRecordsResult newest = co_await f.client.readNewest(Topic::Operators, "");
+    cr_assert(std::holds_alternative<Error>(newest));
+    cr_assert_lt((std::chrono::steady_clock::now() - begin).count(), std::chrono::nanoseconds(4s).count());
+}
+
+Test(storeClient, aStalledPageOfNewestRecordsIsGivenUpSoon)
+{
+    SlowResponse response = largeRecordResponse(10ms);
+    response.stallsAfter = response.body.size() / 2;
+    SlowLinkFixture fixture(std::move(response));
+    runToEnd(fixture.context, ::aStalledPageOfNewestRecordsIsGivenUpSoonSteps(fixture));
+}
