--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -91,6 +91,13 @@
     return {error == beast::error::timeout ? ErrorCode::Timeout : ErrorCode::Closed, error.message()};
 }
 
+static Error responseError(const boost::system::error_code &error, const ResponseParser &parser)
+{
+    Error result = transferError(error);
+    result.message += parser.is_header_done() ? " after " + std::to_string(parser.get().body().size()) + " bytes of the body" : " before the response";
+    return result;
+}
+
 static std::chrono::milliseconds timeAtMinimumRate(std::size_t bytes)
 {
     return std::chrono::milliseconds(static_cast<std::int64_t>(bytes) * 1000 / MinimumBodyBytesPerSecond);
@@ -139,7 +146,7 @@
     ResponseParser parser;
     parser.body_limit(MaximumResponseSize);
     if (const auto readError = co_await readResponse(stream, buffer, parser, timeout)) {
-        co_return transferError(readError);
+        co_return responseError(readError, parser);
     }
     co_return parser.release();
 }
--- a/tests/libs/http/testhttpclient.cpp
+++ b/tests/libs/http/testhttpclient.cpp
@@ -109,3 +109,22 @@
     Fixture fixture(steadyResponse());
     runToEnd(fixture.context, expectTimeout(fixture, 400ms, 400ms));
 }
+
+static asio::awaitable<void> anErrorTellsHowMuchOfTheResponseArrivedSteps(Fixture &f, std::string text)
+{
+    auto outcome = co_await f.get(Timeouts);
+    cr_assert_not_null(errorOf(outcome));
+    cr_assert(errorOf(outcome)->message.find(text) != std::string::npos, "%s", errorOf(outcome)->message.c_str());
+}
+
+Test(httpClient, anErrorTellsHowMuchOfTheResponseArrived)
+{
+    SlowResponse stalled = steadyResponse();
+    stalled.stallsAfter = 10 * 1024;
+    Fixture partial(std::move(stalled));
+    runToEnd(partial.context, ::anErrorTellsHowMuchOfTheResponseArrivedSteps(partial, "after 10240 bytes of the body"));
+    SlowResponse late = steadyResponse();
+    late.headerDelay = 10s;
+    Fixture missing(std::move(late));
+    runToEnd(missing.context, ::anErrorTellsHowMuchOfTheResponseArrivedSteps(missing, "before the response"));
+}
