Log large and slow reads of topics, count reads and their bytes

The logs of the incident could not tell how large a record was, how long its transfer took, or that reads failed again and again: only the first failure of a series is logged. ObservedStore wraps the store's client and logs reads of 256 KiB or more, or 1 s longer than they may wait for a record, at most one line a second and topic for slow ones. Metrics: hyssop_topic_reads_total{topic,outcome}, hyssop_topic_read_bytes_total{topic}, hyssop_topic_read_seconds{topic}.

The names of topics in logs and metrics move to ports/topic.h.

--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -20,21 +20,6 @@
 // Longer than a read that waits for records plus the interval after it.
 constexpr std::chrono::milliseconds ResponseTimeout{1500};
 
-static const char *topicName(Topic topic)
-{
-    switch (topic) {
-    case Topic::Jobs:
-        return "jobs";
-    case Topic::Operators:
-        return "operators";
-    case Topic::Workers:
-        return "workers";
-    case Topic::Status:
-        return "status";
-    }
-    return "unknown";
-}
-
 } // namespace Internal
 
 TopicFollower::TopicFollower(asio::any_io_executor executor, const Clock &clock, MetadataStore &store, Topic topic)
@@ -103,10 +88,8 @@
     }
     removeMissingKeys(presentKeys, firstEnd);
     m_next = firstEnd;
-    logMessage(LogLevel::Info,
-               "follower",
-               "topic loaded",
-               {{"topic", Internal::topicName(m_topic)}, {"keys", presentKeys.size()}, {"offset", static_cast<long long>(m_next)}});
+    logMessage(
+        LogLevel::Info, "follower", "topic loaded", {{"topic", topicName(m_topic)}, {"keys", presentKeys.size()}, {"offset", static_cast<long long>(m_next)}});
     confirmRead(sentAt);
     co_return true;
 }
@@ -168,7 +151,7 @@
     m_lastResponseAt = m_clock.now();
     if (m_failingSince) {
         m_failingSince.reset();
-        logMessage(LogLevel::Info, "follower", "store reachable again", {{"topic", Internal::topicName(m_topic)}});
+        logMessage(LogLevel::Info, "follower", "store reachable again", {{"topic", topicName(m_topic)}});
     }
 }
 
@@ -182,7 +165,7 @@
 {
     if (!m_failingSince) {
         m_failingSince = m_clock.now();
-        logMessage(LogLevel::Warning, "follower", "store not reachable", {{"topic", Internal::topicName(m_topic)}, {"error", reason}});
+        logMessage(LogLevel::Warning, "follower", "store not reachable", {{"topic", topicName(m_topic)}, {"error", reason}});
     }
 }
 
--- a/src/libs/ports/topic.h
+++ b/src/libs/ports/topic.h
@@ -10,4 +10,20 @@
     Status, // replies to requests of the operators
 };
 
+/// Returns the name of @p topic in logs and metrics.
+constexpr const char *topicName(Topic topic)
+{
+    switch (topic) {
+    case Topic::Jobs:
+        return "jobs";
+    case Topic::Operators:
+        return "operators";
+    case Topic::Workers:
+        return "workers";
+    case Topic::Status:
+        return "status";
+    }
+    return "unknown";
+}
+
 } // namespace Hyssop
--- a/src/tools/hyssop-node/main.cpp
+++ b/src/tools/hyssop-node/main.cpp
@@ -9,6 +9,7 @@
 #include <instance/programoptions.h>
 #include <node/nodedaemon.h>
 #include <node/nodesettings.h>
+#include <node/observedstore.h>
 #include <observability/logging.h>
 
 #include <boost/asio/io_context.hpp>
@@ -59,7 +60,9 @@
     boost::asio::io_context context(1);
     MetricsRegistry metrics;
     HttpClient http(context.get_executor());
-    Platform::StoreClient store(http, settings.text("store.address"));
+    const Clock clock;
+    Platform::StoreClient storeClient(http, settings.text("store.address"));
+    ObservedStore store(storeClient, clock, metrics);
     Platform::WorkerClient workers(http, metrics);
     const auto adviceAddresses = settings.list("advice.address");
     Platform::AdviceClient advice(http, adviceAddresses.empty() ? std::string() : adviceAddresses.front());
