Continue the loading of a topic at the page that failed

What callers saw: an instance whose link to the store is full, or which lost single responses, was not ready for longer than its loading takes: each failed page discarded all pages before it, and they crossed the link again. This also follows when records expired before they were read.

Cause: TopicFollower::load() returned at the first failed page, and the next attempt began at the first key.

Evidence, the new test on the code before, with every third page failing:

[FAIL] topicFollower::aFailedPageDoesNotRestartTheLoading: (2.00s) pages that had arrived were requested again

Fix: the failed page is requested again after the retry delay. The time that a load confirms is still that of its first page that arrived.

--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -42,9 +42,6 @@
     while (!m_stopped) {
         if (!m_loaded) {
             m_loaded = co_await load();
-            if (!m_loaded) {
-                co_await sleep(Internal::RetryDelay);
-            }
             continue;
         }
         co_await readNext();
@@ -67,13 +64,18 @@
     std::set<std::string> presentKeys;
     std::string after;
     std::int64_t firstEnd = -1;
-    const TimePoint sentAt = m_clock.now();
+    TimePoint sentAt; // of the first page, whose end is the begin of the records to read after the loading
     while (true) {
+        sentAt = firstEnd < 0 ? m_clock.now() : sentAt;
         NewestRecordsResult result = co_await m_store.readNewest(m_topic, after);
         const auto *page = std::get_if<NewestRecordsPage>(&result);
         if (page == nullptr) {
             recordFailure(std::get<Error>(result).message);
-            co_return false;
+            co_await sleep(Internal::RetryDelay);
+            if (m_stopped) {
+                co_return false;
+            }
+            continue; // with the same page: if records after firstEnd expire meanwhile, the next read reports it
         }
         recordResponse();
         firstEnd = firstEnd < 0 ? page->end : firstEnd;
--- a/tests/libs/node/testtopicfollower.cpp
+++ b/tests/libs/node/testtopicfollower.cpp
@@ -42,6 +42,10 @@
 
     asio::awaitable<NewestRecordsResult> readNewest(Topic, std::string afterKey) override
     {
+        ++newestReads;
+        if (failedNewestInterval > 0 && newestReads % failedNewestInterval == 0) {
+            co_return Error{ErrorCode::Timeout, "timeout"};
+        }
         std::map<std::string, KeyedRecord> newestByKey;
         for (const KeyedRecord &record : records) {
             newestByKey[record.key] = record;
@@ -68,6 +72,8 @@
     std::vector<KeyedRecord> records;
     std::int64_t first = 0;
     int reads = 0;
+    int newestReads = 0;
+    int failedNewestInterval = 0; // each read of newest records with a multiple of this number fails
     bool isDown = false;
     bool isUnresponsive = false;
 };
@@ -157,6 +163,21 @@
     cr_assert_eq(fixture.values["c"], "3");
 }
 
+Test(topicFollower, aFailedPageDoesNotRestartTheLoading)
+{
+    constexpr int Keys = 5;
+    constexpr int FailedReads = 2;
+    Fixture fixture;
+    for (int index = 0; index < Keys; ++index) {
+        fixture.store.put("key" + std::to_string(index), "v");
+    }
+    fixture.store.failedNewestInterval = 3;
+    fixture.run(2s);
+    cr_assert(fixture.follower.isLoaded(), "pages that had arrived were requested again");
+    cr_assert_eq(fixture.values.size(), Keys);
+    cr_assert_eq(fixture.store.newestReads, Keys + 1 + FailedReads, "each page is requested once, and the failed ones again");
+}
+
 Test(topicFollower, isUnresponsiveWhenTheStoreFailsForLongerThanATransientFailure)
 {
     Fixture fixture;
