Repeat timed out reads of a topic after a growing, varied delay

Instances that read the same large record time out together and repeated their reads together, 250 ms later each time, so the link that delayed them received the same load again at once.

--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -15,7 +15,6 @@
 
 namespace Internal {
 
-constexpr std::chrono::milliseconds RetryDelay{250};
 constexpr std::chrono::milliseconds TransientFailureTimeout{300};
 // Longer than a read that waits for records plus the interval after it.
 constexpr std::chrono::milliseconds ResponseTimeout{1500};
@@ -27,6 +26,7 @@
     , m_clock(clock)
     , m_store(store)
     , m_topic(topic)
+    , m_backoff(std::random_device()())
 {
 }
 
@@ -70,8 +70,7 @@
         NewestRecordsResult result = co_await m_store.readNewest(m_topic, after);
         const auto *page = std::get_if<NewestRecordsPage>(&result);
         if (page == nullptr) {
-            recordFailure(std::get<Error>(result).message);
-            co_await sleep(Internal::RetryDelay);
+            co_await waitAfterFailure(std::get<Error>(result));
             if (m_stopped) {
                 co_return false;
             }
@@ -104,8 +103,7 @@
         co_return;
     }
     if (const auto *error = std::get_if<Error>(&result)) {
-        recordFailure(error->message);
-        co_await sleep(Internal::RetryDelay);
+        co_await waitAfterFailure(*error);
         co_return;
     }
     recordResponse();
@@ -151,6 +149,7 @@
 void TopicFollower::recordResponse()
 {
     m_lastResponseAt = m_clock.now();
+    m_backoff.reset();
     if (m_failingSince) {
         m_failingSince.reset();
         logMessage(LogLevel::Info, "follower", "store reachable again", {{"topic", topicName(m_topic)}});
@@ -163,12 +162,13 @@
     m_readHandler(sentAt);
 }
 
-void TopicFollower::recordFailure(const std::string &reason)
+asio::awaitable<void> TopicFollower::waitAfterFailure(Error error)
 {
     if (!m_failingSince) {
         m_failingSince = m_clock.now();
-        logMessage(LogLevel::Warning, "follower", "store not reachable", {{"topic", topicName(m_topic)}, {"error", reason}});
+        logMessage(LogLevel::Warning, "follower", "store not reachable", {{"topic", topicName(m_topic)}, {"error", error.message}});
     }
+    co_await sleep(m_backoff.next(error.code));
 }
 
 asio::awaitable<void> TopicFollower::sleep(std::chrono::milliseconds time) const
--- a/src/libs/node/topicfollower.h
+++ b/src/libs/node/topicfollower.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "retrybackoff.h"
+
 #include <ports/storeresults.h>
 #include <ports/topic.h>
 #include <utils/clock.h>
@@ -63,7 +65,7 @@
     void applyRecord(const KeyedRecord &record);
     void recordResponse();
     void confirmRead(TimePoint sentAt);
-    void recordFailure(const std::string &reason);
+    boost::asio::awaitable<void> waitAfterFailure(Error error);
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds time) const;
 
     boost::asio::any_io_executor m_executor;
@@ -79,6 +81,7 @@
     bool m_loaded = false;
     TimePoint m_lastResponseAt{}; // arrival of the last response that was not an error
     std::optional<TimePoint> m_failingSince; // time of the first of the current series of failed calls
+    RetryBackoff m_backoff;
     bool m_stopped = false;
 };
 
