--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -15,26 +15,10 @@
 
 namespace Internal {
 
-constexpr std::chrono::milliseconds RetryDelay{250};
 constexpr std::chrono::milliseconds TransientFailureTimeout{300};
 // Longer than a read that waits for records plus the interval after it.
 constexpr std::chrono::milliseconds ResponseTimeout{1500};
 
-static const char *topicName(Topic topic)
-{
-    switch (topic) {
-    case Topic::Jobs:
-        return "jobs";
-    case Topic::Operators:
-        return "operators";
-    case Topic::Workers:
-        return "workers";
-    case Topic::Status:
-        return "status";
-    }
-    return "unknown";
-}
-
 } // namespace Internal
 
 TopicFollower::TopicFollower(asio::any_io_executor executor, const Clock &clock, MetadataStore &store, Topic topic)
@@ -42,6 +26,7 @@
     , m_clock(clock)
     , m_store(store)
     , m_topic(topic)
+    , m_backoff(std::random_device()())
 {
 }
 
@@ -57,9 +42,6 @@
     while (!m_stopped) {
         if (!m_loaded) {
             m_loaded = co_await load();
-            if (!m_loaded) {
-                co_await sleep(Internal::RetryDelay);
-            }
             continue;
         }
         co_await readNext();
@@ -82,13 +64,17 @@
     std::set<std::string> presentKeys;
     std::string after;
     std::int64_t firstEnd = -1;
-    const TimePoint sentAt = m_clock.now();
+    TimePoint sentAt; // of the first page, whose end is the begin of the records to read after the loading
     while (true) {
+        sentAt = firstEnd < 0 ? m_clock.now() : sentAt;
         NewestRecordsResult result = co_await m_store.readNewest(m_topic, after);
         const auto *page = std::get_if<NewestRecordsPage>(&result);
         if (page == nullptr) {
-            recordFailure(std::get<Error>(result).message);
-            co_return false;
+            co_await waitAfterFailure(std::get<Error>(result));
+            if (m_stopped) {
+                co_return false;
+            }
+            continue; // with the same page: if records after firstEnd expire meanwhile, the next read reports it
         }
         recordResponse();
         firstEnd = firstEnd < 0 ? page->end : firstEnd;
@@ -103,10 +89,8 @@
     }
     removeMissingKeys(presentKeys, firstEnd);
     m_next = firstEnd;
-    logMessage(LogLevel::Info,
-               "follower",
-               "topic loaded",
-               {{"topic", Internal::topicName(m_topic)}, {"keys", presentKeys.size()}, {"offset", static_cast<long long>(m_next)}});
+    logMessage(
+        LogLevel::Info, "follower", "topic loaded", {{"topic", topicName(m_topic)}, {"keys", presentKeys.size()}, {"offset", static_cast<long long>(m_next)}});
     confirmRead(sentAt);
     co_return true;
 }
@@ -119,8 +103,7 @@
         co_return;
     }
     if (const auto *error = std::get_if<Error>(&result)) {
-        recordFailure(error->message);
-        co_await sleep(Internal::RetryDelay);
+        co_await waitAfterFailure(*error);
         co_return;
     }
     recordResponse();
@@ -166,9 +149,10 @@
 void TopicFollower::recordResponse()
 {
     m_lastResponseAt = m_clock.now();
+    m_backoff.reset();
     if (m_failingSince) {
         m_failingSince.reset();
-        logMessage(LogLevel::Info, "follower", "store reachable again", {{"topic", Internal::topicName(m_topic)}});
+        logMessage(LogLevel::Info, "follower", "store reachable again", {{"topic", topicName(m_topic)}});
     }
 }
 
@@ -178,12 +162,13 @@
     m_readHandler(sentAt);
 }
 
-void TopicFollower::recordFailure(const std::string &reason)
+asio::awaitable<void> TopicFollower::waitAfterFailure(Error error)
 {
     if (!m_failingSince) {
         m_failingSince = m_clock.now();
-        logMessage(LogLevel::Warning, "follower", "store not reachable", {{"topic", Internal::topicName(m_topic)}, {"error", reason}});
+        logMessage(LogLevel::Warning, "follower", "store not reachable", {{"topic", topicName(m_topic)}, {"error", error.message}});
     }
+    co_await sleep(m_backoff.next(error.code));
 }
 
 asio::awaitable<void> TopicFollower::sleep(std::chrono::milliseconds time) const
