--- a/src/libs/node/clusterview.cpp
+++ b/src/libs/node/clusterview.cpp
@@ -55,7 +55,8 @@
     if (m_config && config->version <= m_config->version) {
         return false;
     }
-    logMessage(LogLevel::Info,
+    logMessage(LogPriority::Essential,
+               LogLevel::Info,
                "cluster",
                "configuration applied",
                {{"version", static_cast<long long>(config->version)},
@@ -70,7 +71,11 @@
 {
     const bool changed = isEvacuated ? m_evacuated.insert(domain).second : m_evacuated.erase(domain) > 0;
     if (changed) {
-        logMessage(LogLevel::Info, "cluster", isEvacuated ? "failure domain evacuated" : "evacuation of failure domain ended", {{"failure_domain", domain}});
+        logMessage(LogPriority::Essential,
+                   LogLevel::Info,
+                   "cluster",
+                   isEvacuated ? "failure domain evacuated" : "evacuation of failure domain ended",
+                   {{"failure_domain", domain}});
     }
     return changed;
 }
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -61,6 +61,7 @@
 void logAction(const WorkerRestarted &worker)
 {
     logMessage(
+        LogPriority::StateChange,
         LogLevel::Warning,
         "owner",
         "worker restarted",
@@ -69,7 +70,8 @@
 
 void logAction(const WorkerLeaseExpired &worker)
 {
-    logMessage(LogLevel::Warning,
+    logMessage(LogPriority::StateChange,
+               LogLevel::Warning,
                "owner",
                "leases of unreachable worker expired",
                {{"worker", worker.worker}, {"failed_polls", worker.failedPolls}, {"open_runs", worker.openRuns}});
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -168,7 +168,7 @@
     TopicAppend append{Topic::Jobs, {claimRecord(true)}, std::nullopt, ProducerPosition{Internal::ProducerName, *m_term, m_sequence}};
     stepDown(reason);
     const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::ReleaseTimeout);
-    logMessage(LogLevel::Info, "owner", "ownership released", {{"durable", std::holds_alternative<TopicAppended>(result)}});
+    logMessage(LogPriority::Essential, LogLevel::Info, "owner", "ownership released", {{"durable", std::holds_alternative<TopicAppended>(result)}});
 }
 
 asio::awaitable<void> TopicOwner::release()
@@ -211,6 +211,7 @@
     m_metrics.add("hyssop_ownerships_total");
     m_metrics.set("hyssop_is_owner", 1);
     logMessage(
+        LogPriority::Essential,
         LogLevel::Info,
         "owner",
         "ownership acquired",
@@ -243,7 +244,8 @@
     const TimePoint sentAt = m_clock.now();
     const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::AppendTimeout);
     m_claimPolicy.recordStoreLatency(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - sentAt));
-    logMessage(LogLevel::Info,
+    logMessage(LogPriority::Essential,
+               LogLevel::Info,
                "owner",
                "ownership claim sent",
                {{"epoch", static_cast<long long>(claim.term)},
--- a/src/libs/observability/logging.cpp
+++ b/src/libs/observability/logging.cpp
@@ -16,6 +16,10 @@
 
 namespace Internal {
 
+// Parts of the limit that are not available to lines of lower priority.
+constexpr int StateChangeSharePercent = 30;
+constexpr int EssentialSharePercent = 10;
+
 struct LoggingState
 {
     log4cplus::Initializer initializer;
@@ -84,8 +88,23 @@
     return result + "\"";
 }
 
+/// Returns how many lines of the limit are reserved for lines of a higher priority.
+static int reservedLines(int linesPerSecond, LogPriority priority)
+{
+    const int essentialLines = linesPerSecond * EssentialSharePercent / 100;
+    switch (priority) {
+    case LogPriority::Routine:
+        return essentialLines + linesPerSecond * StateChangeSharePercent / 100;
+    case LogPriority::StateChange:
+        return essentialLines;
+    case LogPriority::Essential:
+        return 0;
+    }
+    return 0;
+}
+
 /// Applies the rate limit. Returns false, and counts the line as dropped, if the limit of this second is reached.
-static bool consumeLineBudget(LoggingState &state)
+static bool consumeLineBudget(LoggingState &state, LogPriority priority)
 {
     if (state.linesPerSecond == 0) {
         return true;
@@ -95,7 +114,7 @@
         state.secondStartedAt = now;
         state.remainingLines = state.linesPerSecond;
     }
-    if (state.remainingLines <= 0) {
+    if (state.remainingLines <= reservedLines(state.linesPerSecond, priority)) {
         ++state.droppedLines;
         return false;
     }
@@ -209,6 +228,12 @@
 }
 
 void logMessage(LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields)
+{
+    const bool isRoutine = level == LogLevel::Debug || level == LogLevel::Info;
+    logMessage(isRoutine ? LogPriority::Routine : LogPriority::Essential, level, component, message, fields);
+}
+
+void logMessage(LogPriority priority, LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields)
 {
     const auto &state = Internal::loggingState();
     if (!state) {
@@ -216,7 +241,7 @@
     }
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     const log4cplus::LogLevel libraryLevel = Internal::toLibraryLevel(level);
-    if (!root.isEnabledFor(libraryLevel) || !Internal::consumeLineBudget(*state)) {
+    if (!root.isEnabledFor(libraryLevel) || !Internal::consumeLineBudget(*state, priority)) {
         return;
     }
     std::string line;
--- a/src/libs/observability/logging.h
+++ b/src/libs/observability/logging.h
@@ -14,6 +14,13 @@
     Error,
 };
 
+/// Decides which lines are dropped first when the limit of lines is reached.
+enum class LogPriority {
+    Routine, // about a single request
+    StateChange, // of one of many workers; may occur in large numbers
+    Essential,
+};
+
 enum class LogFormat {
     KeyValue,
     Json,
@@ -40,7 +47,7 @@
 void initializeLogging(LogLevel level, LogFormat format, const std::string &instance);
 
 /// Limits the number of lines per second. Further lines are dropped; the next written line has their number in the
-/// field dropped_lines.
+/// field dropped_lines. A part of the limit is reserved for each priority above LogPriority::Routine.
 void setLogLineLimit(int linesPerSecond);
 
 /// Parses "debug", "info", "warning" or "error"; returns LogLevel::Info for any other text.
@@ -49,7 +56,11 @@
 /// Parses "json"; returns LogFormat::KeyValue for any other text.
 LogFormat parseLogFormat(std::string_view name);
 
-/// Writes one structured log line. @p component is the name of the library, for example "scheduler".
+/// Writes one structured log line. @p component is the name of the library, for example "scheduler". Lines of the level
+/// Warning and above are essential, others routine.
 void logMessage(LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields = {});
 
+/// Writes one structured log line with an explicit priority.
+void logMessage(LogPriority priority, LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields = {});
+
 } // namespace Hyssop
