Tell why a run is stopped in the log and the metrics

The dispatcher passes the reason with the command (repetitions have the reason of the first), the log line has it in the field "reason", and hyssop_stop_reasons_total counts the commands by reason. The worker does not get it. The lines of the results of commands have one function now, in ownerlog.cpp.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -231,7 +231,7 @@
         if (task.phase == TaskPhase::Assigned) {
             requeue(id, task, now);
         } else if (task.isOpen()) {
-            beginStop(id, task, now);
+            beginStop(id, task, StopReason::JobEnded, now);
         }
     });
 }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -130,7 +130,7 @@
     void detectClockRegression(const std::string &workerId, WorkerTime reading, TimePoint now);
     void handleFencing(const std::string &workerId, std::int64_t fencingToken, const CommandRejected &rejection);
     void handleStartRejection(const TaskId &id, TaskExecution &task, const CommandRejected &rejection, TimePoint now);
-    void beginStop(const TaskId &id, TaskExecution &task, TimePoint now);
+    void beginStop(const TaskId &id, TaskExecution &task, StopReason reason, TimePoint now);
     void sendStop(const TaskId &id, const TaskExecution &task);
     void abandonRun(const TaskId &id, TaskExecution &task, TimePoint now);
     void requeue(const TaskId &id, TaskExecution &task, TimePoint now);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -87,7 +87,7 @@
                        if (task->startsSent < Internal::MaximumStartSends) {
                            sendStart(command.task, *task, now);
                        } else {
-                           beginStop(command.task, *task, now);
+                           beginStop(command.task, *task, StopReason::StartUndetermined, now);
                        }
                    },
                },
@@ -161,16 +161,17 @@
 void Dispatcher::abandonRun(const TaskId &id, TaskExecution &task, TimePoint now)
 {
     if (task.startsSent > 0) {
-        beginStop(id, task, now); // a start command may still be executed
+        beginStop(id, task, StopReason::StartAbandoned, now); // a start command may still be executed
     } else {
         requeue(id, task, now);
     }
 }
 
-void Dispatcher::beginStop(const TaskId &id, TaskExecution &task, TimePoint now)
+void Dispatcher::beginStop(const TaskId &id, TaskExecution &task, StopReason reason, TimePoint now)
 {
     task.phase = TaskPhase::Stopping;
     task.phaseSince = now;
+    task.stopReason = reason;
     task.stopConfirmed = false;
     sendStop(id, task);
 }
@@ -179,7 +180,7 @@
 {
     const WorkerState *worker = findWorker(task.worker);
     if (worker != nullptr && !worker->info.address.empty()) {
-        m_actions.emplace_back(StopCommand{addressOf(*worker), id, task.run, tokenFor(*worker)});
+        m_actions.emplace_back(StopCommand{addressOf(*worker), id, task.run, tokenFor(*worker), task.stopReason});
     }
 }
 
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -159,7 +159,7 @@
         } else if (task->phase == TaskPhase::Running) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now);
         } else if (task->phase != TaskPhase::Assigned) {
-            beginStop(id, *task, now); // the start command may still reach the restarted worker
+            beginStop(id, *task, StopReason::WorkerRestarted, now); // the start command may still reach the restarted worker
         }
     }
 }
@@ -224,7 +224,7 @@
         return;
     }
     worker.health.reportStall(now);
-    beginStop(run.task, task, now);
+    beginStop(run.task, task, StopReason::Stalled, now);
 }
 
 void Dispatcher::updateExpectedEnd(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now)
@@ -282,7 +282,7 @@
         return;
     }
     lastStop = now;
-    m_actions.emplace_back(StopCommand{addressOf(worker), run.task, run.run, tokenFor(worker)});
+    m_actions.emplace_back(StopCommand{addressOf(worker), run.task, run.run, tokenFor(worker), StopReason::Orphaned});
 }
 
 std::vector<NeighbourLoad> Dispatcher::endedNeighbourLoads(WorkerState &worker, TimePoint now)
@@ -357,7 +357,7 @@
     if (!paused || !job->step(id.step).checkpointable) {
         return false;
     }
-    beginStop(id, *task, now);
+    beginStop(id, *task, StopReason::PausedTooLong, now);
     return true;
 }
 
@@ -378,7 +378,7 @@
             const std::int64_t remainingMs = step.estimateMs * (100 - std::clamp(task->progressPercent, 0, 100)) / 100;
             const bool endsInTime = worker.info.drainRemaining && remainingMs < worker.info.drainRemaining->count();
             if (step.longRunning || (step.checkpointable && !endsInTime)) {
-                beginStop(taskId, *task, now);
+                beginStop(taskId, *task, StopReason::WorkerDraining, now);
             }
         }
     }
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <ports/workercommands.h>
 #include <utils/clock.h>
 
 #include <string>
@@ -26,6 +27,7 @@
     TimePoint phaseSince{};
     int startsSent = 0; // start commands of this run that the worker may execute
     TimePoint confirmedAt{}; // when the worker last confirmed the start or the stop
+    StopReason stopReason = StopReason::JobEnded; // of the last stop
     bool stopConfirmed = false;
     int progressPercent = -1; // reported progress; -1: no report yet
     TimePoint progressSince{};
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -16,7 +16,7 @@
                       result);
 }
 
-std::string resultDetail(const CommandResult &result)
+static std::string resultDetail(const CommandResult &result)
 {
     return std::visit(Overloaded{
                           [](const CommandExecuted &) { return std::string(); },
@@ -26,6 +26,29 @@
                       result);
 }
 
+const char *stopReasonName(StopReason reason)
+{
+    switch (reason) {
+    case StopReason::JobEnded:
+        return "job ended";
+    case StopReason::WorkerDraining:
+        return "worker draining";
+    case StopReason::WorkerRestarted:
+        return "worker restarted";
+    case StopReason::Stalled:
+        return "no progress";
+    case StopReason::PausedTooLong:
+        return "paused too long";
+    case StopReason::StartUndetermined:
+        return "start undetermined";
+    case StopReason::StartAbandoned:
+        return "start abandoned";
+    case StopReason::Orphaned:
+        return "not expected on the worker";
+    }
+    return "unknown";
+}
+
 static const char *endReasonName(RunEndReason endReason)
 {
     switch (endReason) {
@@ -45,6 +68,37 @@
     return "unknown";
 }
 
+/// Logs the result of a command about a run. @p input is its characteristic parameter.
+template<typename Command>
+static void logRunCommand(LogLevel level, const char *message, const Command &command, const LogField &input, const CommandResult &result)
+{
+    logMessage(level,
+               "owner",
+               message,
+               {{"job_id", command.task.job},
+                {"task", command.task.toString()},
+                {"run", command.run},
+                {"worker", command.worker.id},
+                input,
+                {"outcome", resultName(result)},
+                {"detail", resultDetail(result)}});
+}
+
+void logResult(const StartCommand &command, const CommandResult &result)
+{
+    logRunCommand(LogLevel::Info, "start command result", command, {"epoch", static_cast<long long>(command.fencingToken)}, result);
+}
+
+void logResult(const StopCommand &command, const CommandResult &result)
+{
+    logRunCommand(LogLevel::Info, "stop command result", command, {"reason", stopReasonName(command.reason)}, result);
+}
+
+void logResult(const ThrottleCommand &command, const CommandResult &result)
+{
+    logRunCommand(LogLevel::Debug, "throttle command result", command, {"percent", command.speedPercent}, result);
+}
+
 void logAction(const RunEnded &end)
 {
     logMessage(LogLevel::Info,
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -12,8 +12,15 @@
 void logAction(const WorkerRestarted &worker);
 void logAction(const WorkerLeaseExpired &worker);
 
-/// Return the outcome of a command for logs and metrics, and details of a failure.
+/// Logs the result of a command.
+void logResult(const StartCommand &command, const CommandResult &result);
+void logResult(const StopCommand &command, const CommandResult &result);
+void logResult(const ThrottleCommand &command, const CommandResult &result);
+
+/// Returns the outcome of a command for logs and metrics.
 const char *resultName(const CommandResult &result);
-std::string resultDetail(const CommandResult &result);
+
+/// Returns @p reason for logs and metrics.
+const char *stopReasonName(StopReason reason);
 
 } // namespace Hyssop
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -368,16 +368,7 @@
 {
     const TimePoint sentAt = m_clock.now();
     const CommandResult result = co_await m_ports.workers.start(command);
-    logMessage(LogLevel::Info,
-               "owner",
-               "start command result",
-               {{"job_id", command.task.job},
-                {"task", command.task.toString()},
-                {"run", command.run},
-                {"worker", command.worker.id},
-                {"epoch", static_cast<long long>(command.fencingToken)},
-                {"outcome", resultName(result)},
-                {"detail", resultDetail(result)}});
+    logResult(command, result);
     m_metrics.observe("hyssop_start_seconds", m_clock.now() - sentAt);
     m_metrics.add("hyssop_starts_total", {{"outcome", resultName(result)}});
     if (m_term) {
@@ -388,16 +379,9 @@
 asio::awaitable<void> TopicOwner::sendStop(StopCommand command)
 {
     const CommandResult result = co_await m_ports.workers.stop(command);
-    logMessage(LogLevel::Info,
-               "owner",
-               "stop command result",
-               {{"job_id", command.task.job},
-                {"task", command.task.toString()},
-                {"run", command.run},
-                {"worker", command.worker.id},
-                {"outcome", resultName(result)},
-                {"detail", resultDetail(result)}});
+    logResult(command, result);
     m_metrics.add("hyssop_stops_total", {{"outcome", resultName(result)}});
+    m_metrics.add("hyssop_stop_reasons_total", {{"reason", stopReasonName(command.reason)}});
     if (m_term) {
         m_dispatcher.stopAnswered(command, result, m_clock.now());
     }
@@ -406,10 +390,7 @@
 asio::awaitable<void> TopicOwner::sendThrottle(ThrottleCommand command)
 {
     const CommandResult result = co_await m_ports.workers.throttle(command);
-    logMessage(LogLevel::Debug,
-               "owner",
-               "throttle command result",
-               {{"task", command.task.toString()}, {"worker", command.worker.id}, {"percent", command.speedPercent}, {"outcome", resultName(result)}});
+    logResult(command, result);
     m_metrics.add("hyssop_paces_total", {{"outcome", resultName(result)}});
     if (m_term) {
         m_dispatcher.throttleAnswered(command, result, m_clock.now());
--- a/src/libs/ports/workercommands.h
+++ b/src/libs/ports/workercommands.h
@@ -32,6 +32,18 @@
     WorkerTime leaseEnd{0}; // the worker rejects the command after this time
 };
 
+/// Why the owner stops a run; for logs and metrics, not sent to the worker.
+enum class StopReason {
+    JobEnded, // cancelled or failed
+    WorkerDraining,
+    WorkerRestarted,
+    Stalled, // no progress
+    PausedTooLong, // throttled to a standstill in favour of a serving task
+    StartUndetermined, // no start command of the run was answered
+    StartAbandoned, // an earlier start command of the run may still be executed
+    Orphaned, // the run is not expected on this worker
+};
+
 /// Stops a run, or prevents it from starting later.
 struct StopCommand
 {
@@ -39,6 +51,7 @@
     TaskId task;
     int run = 0;
     std::int64_t fencingToken = 0;
+    StopReason reason = StopReason::JobEnded;
 };
 
 /// Sets the share of time during which a running task may execute (duty cycle).
--- /dev/null
+++ b/tests/libs/dispatch/eventharness.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "hyssop_types.h"
+
+#include <dispatch/dispatcher.h>
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace Hyssop::Testing {
+
+/// A dispatcher with the worker "w" that collects the log events and commands of the dispatcher. The test responds to the
+/// commands itself.
+class EventHarness
+{
+public:
+    /// Begins a term with the job "j" of @p tasks long tasks.
+    explicit EventHarness(int tasks = 1, bool longRunning = false);
+
+    /// Advances the dispatcher by @p passed in short steps. Polls are answered if @p answersPolls, otherwise they fail.
+    void advance(Duration passed, bool answersPolls = true);
+
+    /// Advances until all tasks have a start command, and answers these.
+    void startAllTasks();
+
+    void answerPoll();
+    void failPoll(const PollResult &failure = CommandUndetermined{"no response"});
+    WorkerInfo worker() const;
+    WorkerTime clock() const;
+
+    /// Returns the actions of one type, in their order.
+    template<typename Action>
+    std::vector<Action> all() const
+    {
+        std::vector<Action> result;
+        for (const DispatchAction &action : actions) {
+            if (const auto *typed = std::get_if<Action>(&action)) {
+                result.push_back(*typed);
+            }
+        }
+        return result;
+    }
+
+    Dispatcher dispatcher{DispatchLimits()};
+    TimePoint now{std::chrono::seconds(1000)};
+    std::vector<DispatchAction> actions;
+    std::optional<PollCommand> poll; // not answered yet
+    std::vector<ReportedRun> runs; // in the next reports of the worker
+    bool makesProgress = true;
+
+private:
+    void step();
+
+    int m_tasks;
+};
+
+} // namespace Hyssop::Testing
