Log changes of workers and why a worker made the owner step down

The dispatcher emits a log event when a worker is registered, draining, unregistered, unreachable (at the first failed poll, with its reason) or reachable again: one for each change, none for each poll. 490 workers may change at once, so these lines have the priority of state changes and cannot displace "stepped down as owner". StepDown carries the worker, both tokens and the detail of the rejection. "load" and gauges tell the number of registered, draining and unreachable workers and the open runs that are kept for unreachable or unregistered workers; hyssop_step_downs_total{reason} tells what a dropped line would have. The registrations of the first two seconds of a term are the listing and not changes, so they are not logged.

No decision changes.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -3,6 +3,9 @@
 #include <ports/commandresults.h>
 #include <ports/keyedrecord.h>
 
+#include <chrono>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -25,6 +28,10 @@
 /// Gives up the ownership: a worker has seen the fencing token of a later owner.
 struct StepDown
 {
+    std::string worker;
+    std::int64_t fencingToken = 0; // of the rejected command
+    std::int64_t newestToken = 0; // for commands to this worker
+    std::string detail; // reported by the worker
 };
 
 /// Log event: a run has ended.
@@ -62,6 +69,51 @@
     std::size_t openRuns = 0;
 };
 
+/// Log event: a worker was registered with the platform during the term.
+struct WorkerRegistered
+{
+    std::string worker;
+    std::string address;
+    std::string failureDomain;
+    std::size_t openRuns = 0;
+};
+
+/// Log event: the platform begins to withdraw a worker.
+struct WorkerDraining
+{
+    std::string worker;
+    std::optional<std::chrono::milliseconds> remaining; // unknown for some workers
+    std::size_t openRuns = 0;
+};
+
+/// Log event: a worker is no longer registered with the platform.
+struct WorkerUnregistered
+{
+    std::string worker;
+    int failedPolls = 0;
+    std::size_t openRuns = 0;
+    std::optional<std::chrono::milliseconds> sinceReport; // none: it never reported in this term
+};
+
+/// Log event: the first poll of a worker after a report has failed.
+struct WorkerUnreachable
+{
+    std::string worker;
+    std::string reason;
+    std::size_t openRuns = 0;
+    std::optional<std::chrono::milliseconds> sinceReport; // none: it never reported in this term
+    std::chrono::milliseconds untilLeaseEnd{0}; // time until all runs have certainly ended
+};
+
+/// Log event: a worker reports again after failed polls.
+struct WorkerReachableAgain
+{
+    std::string worker;
+    int failedPolls = 0;
+    std::size_t openRuns = 0;
+    std::optional<std::chrono::milliseconds> sinceReport; // none: this is its first report in this term
+};
+
 using DispatchAction = std::variant<StartCommand,
                                     StopCommand,
                                     ThrottleCommand,
@@ -72,6 +124,11 @@
                                     RunEnded,
                                     JobEnded,
                                     WorkerRestarted,
-                                    WorkerLeaseExpired>;
+                                    WorkerLeaseExpired,
+                                    WorkerRegistered,
+                                    WorkerDraining,
+                                    WorkerUnregistered,
+                                    WorkerUnreachable,
+                                    WorkerReachableAgain>;
 
 } // namespace Hyssop
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -40,6 +40,7 @@
     m_term = term;
     m_confirmedAt = claimedAt;
     m_readAt = claimedAt;
+    m_termBeganAt = claimedAt;
     m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claimedAt, afterHandover);
     m_jobs.clear();
     m_workers.clear();
@@ -121,6 +122,7 @@
 std::vector<DispatchAction> Dispatcher::advance(TimePoint now, WallTime wall)
 {
     m_wallMs = sinceEpoch(wall).count();
+    reportWorkerChanges(now);
     expireLeases(now);
     removeUnregisteredWorkers();
     moveRunsOffDrainingWorkers(now);
@@ -144,6 +146,10 @@
     DispatchSummary summary;
     summary.openRuns = openRuns();
     for (const auto &[id, worker] : m_workers) {
+        summary.registeredWorkers += worker.registered ? 1 : 0;
+        summary.drainingWorkers += worker.registered && worker.info.draining ? 1 : 0;
+        summary.unreachableWorkers += worker.isUnreachable() ? 1 : 0;
+        summary.unreachableRuns += worker.isUnreachable() || !worker.registered ? worker.runs.size() : 0;
         if (!canStartOn(worker, now)) {
             continue;
         }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -104,6 +104,9 @@
     void adoptOpenRuns(JobExecution &job);
     void releaseDueOccurrences(JobExecution &job, WallTime wall);
 
+    /// Reports registrations, drains and withdrawals since the last call as log events.
+    void reportWorkerChanges(TimePoint now);
+    void reportUnreachable(const WorkerState &worker, const std::string &reason, TimePoint now);
     void removeUnregisteredWorkers();
     void expireLeases(TimePoint now);
     void pollWorkers(TimePoint now);
@@ -162,6 +165,7 @@
     std::int64_t m_term = 0;
     TimePoint m_confirmedAt{}; // ownership was confirmed as of then
     TimePoint m_readAt{}; // all records up to then were read
+    TimePoint m_termBeganAt{};
     TimePoint m_earlierLeasesEnd{};
     std::int64_t m_wallMs = 0; // Unix time of the last advance()
     JobRegistry m_jobs;
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -119,7 +119,8 @@
     const WorkerState *worker = findWorker(workerId);
     const bool isNewest = worker != nullptr && fencingToken == tokenFor(*worker);
     if (rejection.reason == RejectionReason::Fenced && isNewest) {
-        m_actions.emplace_back(StepDown{}); // with an older token, a newer command of this owner has overtaken it
+        m_actions.emplace_back(
+            StepDown{workerId, fencingToken, tokenFor(*worker), rejection.detail}); // with an older token, a newer command of this owner has overtaken it
     }
 }
 
--- a/src/libs/dispatch/dispatchsummary.h
+++ b/src/libs/dispatch/dispatchsummary.h
@@ -9,7 +9,11 @@
 struct DispatchSummary
 {
     std::size_t workers = 0; // workers on which tasks can be started
+    std::size_t registeredWorkers = 0;
+    std::size_t drainingWorkers = 0; // registered workers that are being withdrawn
+    std::size_t unreachableWorkers = 0; // registered or not
     std::size_t openRuns = 0;
+    std::size_t unreachableRuns = 0; // open runs on unreachable or unregistered workers
     std::size_t pendingReserved = 0; // tasks with reserved processor capacity, without serving tasks
     std::size_t pendingBestEffort = 0; // tasks that use idle processor time
     std::size_t pendingServing = 0;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -31,9 +31,36 @@
 constexpr std::chrono::milliseconds MaximumPause{700};
 // A worker reports at most this many run ends at once. If it reports as many, missing runs may have ended as well.
 constexpr std::size_t MaximumReportedEnds = 500;
+// Registrations in this time after the beginning of a term were made earlier and are not reported.
+constexpr std::chrono::milliseconds WorkerListingTime{2000};
 
 } // namespace Internal
 
+void Dispatcher::reportWorkerChanges(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        const bool isDraining = worker.registered && worker.info.draining;
+        if (worker.registered && !worker.toldRegistered && now - m_termBeganAt >= Internal::WorkerListingTime) {
+            m_actions.emplace_back(WorkerRegistered{id, worker.info.address, worker.info.failureDomain, worker.runs.size()});
+        }
+        if (isDraining && !worker.toldDraining) {
+            m_actions.emplace_back(WorkerDraining{id, worker.info.drainRemaining, worker.runs.size()});
+        }
+        if (!worker.registered && worker.toldRegistered) {
+            m_actions.emplace_back(WorkerUnregistered{id, worker.failedPolls, worker.runs.size(), worker.sinceReport(now)});
+        }
+        worker.toldRegistered = worker.registered;
+        worker.toldDraining = isDraining;
+    }
+}
+
+void Dispatcher::reportUnreachable(const WorkerState &worker, const std::string &reason, TimePoint now)
+{
+    const Duration untilLeaseEnd = std::max(worker.leaseEnd - now, Duration(0));
+    m_actions.emplace_back(WorkerUnreachable{
+        worker.info.id, reason, worker.runs.size(), worker.sinceReport(now), std::chrono::duration_cast<std::chrono::milliseconds>(untilLeaseEnd)});
+}
+
 void Dispatcher::removeUnregisteredWorkers()
 {
     std::erase_if(m_workers, [](const auto &item) { return !item.second.registered && item.second.runs.empty() && !item.second.pollPending; });
@@ -94,8 +121,9 @@
         return;
     }
     worker->pollPending = false;
-    const auto failed = [&] {
+    const auto failed = [&](const std::string &reason) {
         if (worker->failedPolls++ == 0) {
+            reportUnreachable(*worker, reason, now);
             // The worker may be restarting: its next incarnation has to reject commands that were sent to this one.
             ++worker->suspectedRestarts;
         }
@@ -108,15 +136,18 @@
                        if (rejection.reason == RejectionReason::WrongWorker) {
                            worker->leaseEnd = TimePoint(); // the address belongs to another worker now: this one is gone
                        }
-                       failed();
+                       failed(rejection.detail);
                    },
-                   [&](const auto &) { failed(); },
+                   [&](const auto &undelivered) { failed(undelivered.reason); },
                },
                result);
 }
 
 void Dispatcher::handleReport(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
+    if (worker.isUnreachable()) {
+        m_actions.emplace_back(WorkerReachableAgain{worker.info.id, worker.failedPolls, worker.runs.size(), worker.sinceReport(now)});
+    }
     worker.failedPolls = 0;
     worker.lastReportAt = now;
     if (report.processStartedAt != worker.processStartedAt && worker.processStartedAt.count() != 0 && report.processStartedAt.count() != 0) {
--- a/src/libs/dispatch/workerstate.cpp
+++ b/src/libs/dispatch/workerstate.cpp
@@ -33,6 +33,14 @@
     return registered && !info.draining && clock && failedPolls == 0 && !evacuatedDomains.contains(info.failureDomain);
 }
 
+std::optional<std::chrono::milliseconds> WorkerState::sinceReport(TimePoint now) const
+{
+    if (!hasAnswered) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - lastReportAt);
+}
+
 std::int64_t WorkerState::expectedIdleMilliCores(const ServingForecast &next) const
 {
     const std::int64_t reserved = committed.milliCores - servingCommitted;
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -46,6 +46,8 @@
     TimePoint lastReportAt{}; // when the last report was received
     bool hasAnswered = false; // a poll of this owner was answered
     int failedPolls = 0; // consecutive
+    bool toldRegistered = false; // as in the last log event
+    bool toldDraining = false;
     TimePoint leaseEnd{}; // unless the lease is renewed, all runs have ended by then
 
     std::int64_t processedEndSequence = 0; // sequence number of the newest run end that was processed
@@ -77,6 +79,12 @@
     /// Returns true if the worker is registered, answers, is not draining, and its failure domain is not evacuated.
     bool isSchedulable(const std::set<std::string> &evacuatedDomains) const;
 
+    /// Returns true if the last poll failed.
+    bool isUnreachable() const { return failedPolls > 0; }
+
+    /// Returns the time since the last report, if there was one in this term.
+    std::optional<std::chrono::milliseconds> sinceReport(TimePoint now) const;
+
     /// Returns the capacity that no open run has reserved.
     Resources freeCapacity() const { return info.capacity - committed; }
 
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -1,5 +1,6 @@
 #include "ownerlog.h"
 
+#include <dispatch/dispatchsummary.h>
 #include <observability/logging.h>
 #include <utils/overloaded.h>
 
@@ -131,6 +132,92 @@
                {{"worker", worker.worker}, {"failed_polls", worker.failedPolls}, {"open_runs", worker.openRuns}});
 }
 
+static void logWorkerChange(const char *message, std::initializer_list<LogField> fields)
+{
+    logMessage(LogPriority::StateChange, LogLevel::Info, "owner", message, fields);
+}
+
+/// Returns a field with @p time in milliseconds, or "unknown".
+static LogField timeField(const char *key, const std::optional<std::chrono::milliseconds> &time)
+{
+    return time ? LogField(key, static_cast<long long>(time->count())) : LogField(key, "unknown");
+}
+
+void logAction(const WorkerRegistered &worker)
+{
+    logWorkerChange("worker registered",
+                    {{"worker", worker.worker}, {"address", worker.address}, {"failure_domain", worker.failureDomain}, {"open_runs", worker.openRuns}});
+}
+
+void logAction(const WorkerDraining &worker)
+{
+    logWorkerChange("worker draining", {{"worker", worker.worker}, timeField("remaining_ms", worker.remaining), {"open_runs", worker.openRuns}});
+}
+
+void logAction(const WorkerUnregistered &worker)
+{
+    logWorkerChange(
+        "worker unregistered",
+        {{"worker", worker.worker}, {"open_runs", worker.openRuns}, {"failed_polls", worker.failedPolls}, timeField("since_report_ms", worker.sinceReport)});
+}
+
+void logAction(const WorkerUnreachable &worker)
+{
+    logWorkerChange("worker unreachable",
+                    {{"worker", worker.worker},
+                     {"error", worker.reason},
+                     {"open_runs", worker.openRuns},
+                     timeField("since_report_ms", worker.sinceReport),
+                     {"lease_end_in_ms", worker.untilLeaseEnd.count()}});
+}
+
+void logAction(const WorkerReachableAgain &worker)
+{
+    logWorkerChange(
+        "worker reachable again",
+        {{"worker", worker.worker}, {"open_runs", worker.openRuns}, {"failed_polls", worker.failedPolls}, timeField("since_report_ms", worker.sinceReport)});
+}
+
+void logStepDown(std::int64_t term, const std::string &reason, const StepDown &rejection)
+{
+    constexpr const char *Message = "stepped down as owner";
+    const LogField epoch("epoch", static_cast<long long>(term));
+    if (rejection.worker.empty()) {
+        logMessage(LogLevel::Warning, "owner", Message, {epoch, {"reason", reason}});
+        return;
+    }
+    logMessage(LogLevel::Warning,
+               "owner",
+               Message,
+               {epoch,
+                {"reason", reason},
+                {"worker", rejection.worker},
+                {"token", static_cast<long long>(rejection.fencingToken)},
+                {"newest_token", static_cast<long long>(rejection.newestToken)},
+                {"detail", rejection.detail}});
+}
+
+void logLoad(std::int64_t term, const DispatchSummary &load)
+{
+    logMessage(LogPriority::Essential,
+               LogLevel::Info,
+               "owner",
+               "load",
+               {{"epoch", static_cast<long long>(term)},
+                {"workers", load.workers},
+                {"registered", load.registeredWorkers},
+                {"draining", load.drainingWorkers},
+                {"unreachable", load.unreachableWorkers},
+                {"open_runs", load.openRuns},
+                {"unreachable_runs", load.unreachableRuns},
+                {"waiting_counted", load.pendingReserved},
+                {"waiting_filling", load.pendingBestEffort},
+                {"waiting_serving", load.pendingServing},
+                {"millicores", static_cast<long long>(load.milliCores)},
+                {"free_millicores", static_cast<long long>(load.freeMilliCores)},
+                {"idle_millicores", static_cast<long long>(load.idleMilliCores)}});
+}
+
 void logAction(const JobEnded &end)
 {
     logMessage(LogLevel::Info, "owner", "job ended", {{"job_id", end.jobId}, {"outcome", end.phase}, {"after_ms", end.sinceAccepted.count()}});
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -2,15 +2,29 @@
 
 #include <dispatch/dispatchactions.h>
 
+#include <cstdint>
 #include <string>
 
 namespace Hyssop {
 
+struct DispatchSummary;
+
 /// Logs an action of the dispatcher that changes the owner's state.
 void logAction(const RunEnded &end);
 void logAction(const JobEnded &end);
 void logAction(const WorkerRestarted &worker);
 void logAction(const WorkerLeaseExpired &worker);
+void logAction(const WorkerRegistered &worker);
+void logAction(const WorkerDraining &worker);
+void logAction(const WorkerUnregistered &worker);
+void logAction(const WorkerUnreachable &worker);
+void logAction(const WorkerReachableAgain &worker);
+
+/// Logs that the ownership of @p term is given up. @p rejection is empty unless a worker's response is the reason.
+void logStepDown(std::int64_t term, const std::string &reason, const StepDown &rejection);
+
+/// Logs the load of the owner of @p term.
+void logLoad(std::int64_t term, const DispatchSummary &load);
 
 /// Logs the result of a command.
 void logResult(const StartCommand &command, const CommandResult &result);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -218,10 +218,11 @@
         {{"epoch", static_cast<long long>(*m_term)}, {"jobs", m_table.jobs().size()}, {"open_runs", m_dispatcher.openRuns()}, {"workers", m_workers.size()}});
 }
 
-void TopicOwner::stepDown(const std::string &reason)
+void TopicOwner::stepDown(const std::string &reason, const StepDown &rejection)
 {
     if (m_term) {
-        logMessage(LogLevel::Warning, "owner", "stepped down as owner", {{"epoch", static_cast<long long>(*m_term)}, {"reason", reason}});
+        logStepDown(*m_term, reason, rejection);
+        m_metrics.add("hyssop_step_downs_total", {{"reason", reason.substr(0, reason.find(':'))}});
         m_minimumTerm = *m_term + 1;
     }
     m_term.reset();
@@ -263,11 +264,8 @@
                    [&](PollCommand &command) { asio::co_spawn(m_executor, sendPoll(std::move(command)), asio::detached); },
                    [&](RequestAdvice &request) { asio::co_spawn(m_executor, sendAdvice(std::move(request)), asio::detached); },
                    [&](AppendRecords &append) { startAppend(std::move(append.records), true); },
-                   [&](const RunEnded &end) { logAction(end); },
-                   [&](const JobEnded &end) { logAction(end); },
-                   [&](const WorkerRestarted &worker) { logAction(worker); },
-                   [&](const WorkerLeaseExpired &worker) { logAction(worker); },
-                   [&](const StepDown &) { stepDown("a worker has seen a newer owner"); },
+                   [&](const StepDown &rejection) { stepDown("a worker has seen a newer owner", rejection); },
+                   [](const auto &event) { logAction(event); },
                },
                action);
 }
@@ -346,20 +344,11 @@
     }
     m_lastLoadReport = now;
     const DispatchSummary load = m_dispatcher.summary(now);
-    logMessage(LogLevel::Info,
-               "owner",
-               "load",
-               {{"epoch", static_cast<long long>(term())},
-                {"workers", load.workers},
-                {"open_runs", load.openRuns},
-                {"waiting_counted", load.pendingReserved},
-                {"waiting_filling", load.pendingBestEffort},
-                {"waiting_serving", load.pendingServing},
-                {"millicores", static_cast<long long>(load.milliCores)},
-                {"free_millicores", static_cast<long long>(load.freeMilliCores)},
-                {"idle_millicores", static_cast<long long>(load.idleMilliCores)}});
+    logLoad(term(), load);
     m_metrics.set("hyssop_open_runs", static_cast<double>(load.openRuns));
     m_metrics.set("hyssop_waiting_tasks", static_cast<double>(load.pendingReserved + load.pendingBestEffort + load.pendingServing));
+    m_metrics.set("hyssop_unreachable_workers", static_cast<double>(load.unreachableWorkers));
+    m_metrics.set("hyssop_unreachable_runs", static_cast<double>(load.unreachableRuns));
     m_metrics.set("hyssop_free_millicores", static_cast<double>(load.freeMilliCores));
     m_metrics.set("hyssop_term", static_cast<double>(term()));
 }
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -77,7 +77,7 @@
 private:
     bool ownsNewestClaim() const;
     void becomeOwner();
-    void stepDown(const std::string &reason);
+    void stepDown(const std::string &reason, const StepDown &rejection = {});
     boost::asio::awaitable<void> claim();
     void execute(DispatchAction action);
     void startAppend(std::vector<KeyedRecord> records, bool isBatch);
--- a/tests/libs/dispatch/eventharness.cpp
+++ b/tests/libs/dispatch/eventharness.cpp
@@ -30,7 +30,7 @@
     const WallTime wall(std::chrono::duration_cast<WallTime::duration>(now.time_since_epoch()));
     for (DispatchAction &action : dispatcher.advance(now, wall)) {
         if (const auto *command = std::get_if<PollCommand>(&action)) {
-            poll = *command;
+            m_poll = *command;
         } else if (std::holds_alternative<AppendRecords>(action)) {
             dispatcher.recordsStored(now);
         }
@@ -43,13 +43,13 @@
     const TimePoint until = now + passed;
     while (now < until) {
         step();
-        if (!poll) {
+        if (!m_poll) {
             continue;
         }
         if (answersPolls) {
             answerPoll();
         } else {
-            failPoll();
+            dispatcher.pollAnswered(*std::exchange(m_poll, std::nullopt), pollFailure, now, now);
         }
     }
 }
@@ -74,12 +74,7 @@
         run.progressPercent = makesProgress ? (run.progressPercent + 1) % ProgressCycle : run.progressPercent;
     }
     report.runs = runs;
-    dispatcher.pollAnswered(*std::exchange(poll, std::nullopt), report, now, now);
-}
-
-void EventHarness::failPoll(const PollResult &failure)
-{
-    dispatcher.pollAnswered(*std::exchange(poll, std::nullopt), failure, now, now);
+    dispatcher.pollAnswered(*std::exchange(m_poll, std::nullopt), report, now, now);
 }
 
 WorkerInfo EventHarness::worker() const
--- a/tests/libs/dispatch/eventharness.h
+++ b/tests/libs/dispatch/eventharness.h
@@ -24,8 +24,6 @@
     /// Advances until all tasks have a start command, and answers these.
     void startAllTasks();
 
-    void answerPoll();
-    void failPoll(const PollResult &failure = CommandUndetermined{"no response"});
     WorkerInfo worker() const;
     WorkerTime clock() const;
 
@@ -45,14 +43,16 @@
     Dispatcher dispatcher{DispatchLimits()};
     TimePoint now{std::chrono::seconds(1000)};
     std::vector<DispatchAction> actions;
-    std::optional<PollCommand> poll; // not answered yet
     std::vector<ReportedRun> runs; // in the next reports of the worker
     bool makesProgress = true;
+    PollResult pollFailure = CommandUndetermined{"no response"};
 
 private:
     void step();
+    void answerPoll();
 
     int m_tasks;
+    std::optional<PollCommand> m_poll; // not answered yet
 };
 
 } // namespace Hyssop::Testing
