Test the lines of the owner and the reason of the stop of a paused run

The lines are what operators search, so their fields are tested as text, and "stepped down as owner" is tested against twice the limit of lines about runs and about workers in the same second. The captured output of the logging test is shared.

--- a/tests/libs/dispatch/testcolocation.cpp
+++ b/tests/libs/dispatch/testcolocation.cpp
@@ -265,7 +265,7 @@
 class ColocationHarness
 {
 public:
-    ColocationHarness()
+    explicit ColocationHarness(bool isCheckpointable = false)
     {
         Wire::StepJob job;
         job.steps.resize(2);
@@ -274,6 +274,7 @@
         job.steps[0].image = "service";
         job.steps[0].milliCores = 1000;
         job.steps[1].fillsIdle = true;
+        job.steps[1].checkpointable = isCheckpointable;
         job.steps[1].image = "filler";
         job.steps[1].milliCores = 1000;
         job.steps[1].estimateMs = 60000;
@@ -294,6 +295,7 @@
 
     TimePoint now = Begin;
     int speed = 100; // of the best-effort task
+    std::vector<StopCommand> stops;
 
 private:
     void respond(const DispatchAction &action, double tailMs)
@@ -301,6 +303,8 @@
         if (const auto *start = std::get_if<StartCommand>(&action)) {
             m_runs[start->task] = start->run;
             m_dispatcher.startAnswered(*start, CommandExecuted{}, now);
+        } else if (const auto *stop = std::get_if<StopCommand>(&action)) {
+            stops.push_back(*stop);
         } else if (std::holds_alternative<AppendRecords>(action)) {
             m_dispatcher.recordsStored(now);
         } else if (const auto *command = std::get_if<ThrottleCommand>(&action)) {
@@ -332,3 +336,13 @@
     harness.run(2s, TargetMs + 4);
     cr_assert_eq(harness.speed, 0);
 }
+
+Test(colocationPolicy, theStopOfAPausedRunNamesItsReason)
+{
+    ColocationHarness harness(true);
+    harness.run(3s, TargetMs + 4);
+    cr_assert(!harness.stops.empty());
+    for (const StopCommand &stop : harness.stops) {
+        cr_assert_eq(stop.reason, StopReason::PausedTooLong);
+    }
+}
--- /dev/null
+++ b/tests/libs/node/testownerlog.cpp
@@ -0,0 +1,89 @@
+#include "support/capturedoutput.h"
+
+#include <dispatch/dispatchsummary.h>
+#include <node/ownerlog.h>
+#include <observability/logging.h>
+
+#include <criterion/criterion.h>
+
+using namespace Hyssop;
+using Hyssop::Testing::CapturedOutput;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int LineLimit = 400;
+
+void expectLine(const std::string &text, const std::string &line)
+{
+    cr_assert(text.find(line + "\n") != std::string::npos, "%s", text.c_str());
+}
+
+class OwnerLog
+{
+public:
+    OwnerLog()
+    {
+        initializeLogging(LogLevel::Info, LogFormat::KeyValue, "front");
+        setLogLineLimit(LineLimit);
+    }
+
+    std::string text() const { return m_output.text(); }
+
+private:
+    CapturedOutput m_output;
+};
+
+} // namespace
+
+Test(ownerLog, stepDownNamesTheWorkerAndTheTokens)
+{
+    const OwnerLog log;
+    logStepDown(3, "a worker has seen a newer owner", StepDown{"w", 3000, 3001, "fence"});
+    logStepDown(3, "a newer claim exists", {});
+    expectLine(log.text(),
+               "message=\"stepped down as owner\" epoch=3 reason=\"a worker has seen a newer owner\" worker=w token=3000 newest_token=3001 detail=fence");
+    expectLine(log.text(), "message=\"stepped down as owner\" epoch=3 reason=\"a newer claim exists\"");
+}
+
+Test(ownerLog, changesOfAWorker)
+{
+    const OwnerLog log;
+    logAction(WorkerRegistered{"w", "127.0.0.1:1", "east", 0});
+    logAction(WorkerDraining{"w", 7000ms, 2});
+    logAction(WorkerUnreachable{"w", "timeout", 2, 90ms, 9000ms});
+    logAction(WorkerReachableAgain{"w", 4, 2, 900ms});
+    logAction(WorkerUnregistered{"w", 0, 2, std::nullopt});
+    const std::string text = log.text();
+    expectLine(text, "message=\"worker registered\" worker=w address=127.0.0.1:1 failure_domain=east open_runs=0");
+    expectLine(text, "message=\"worker draining\" worker=w remaining_ms=7000 open_runs=2");
+    expectLine(text, "message=\"worker unreachable\" worker=w error=timeout open_runs=2 since_report_ms=90 lease_end_in_ms=9000");
+    expectLine(text, "message=\"worker reachable again\" worker=w open_runs=2 failed_polls=4 since_report_ms=900");
+    expectLine(text, "message=\"worker unregistered\" worker=w open_runs=2 failed_polls=0 since_report_ms=unknown");
+}
+
+Test(ownerLog, resultsOfCommands)
+{
+    const OwnerLog log;
+    const TaskId task{"j", 0, 1, 2};
+    logResult(StartCommand{{"w", ""}, task, 4, "", "", "", 3001}, CommandNotSent{"refused"});
+    logResult(StopCommand{{"w", ""}, task, 4, 3001, StopReason::WorkerDraining}, CommandExecuted{});
+    const std::string text = log.text();
+    expectLine(text, "message=\"start command result\" job_id=j task=j.0.1.2 run=4 worker=w epoch=3001 outcome=unsent detail=refused");
+    expectLine(text, "message=\"stop command result\" job_id=j task=j.0.1.2 run=4 worker=w reason=\"worker draining\" outcome=done detail=\"\"");
+}
+
+Test(ownerLog, stepDownIsNotDisplacedByRunsAndWorkers)
+{
+    const OwnerLog log;
+    for (int line = 0; line < 2 * LineLimit; ++line) {
+        logAction(RunEnded{});
+        logAction(WorkerUnreachable{"w", "timeout", 2, 90ms, 9000ms});
+        logAction(WorkerLeaseExpired{"w", 3, 2});
+    }
+    logStepDown(3, "a newer claim exists", {});
+    logLoad(3, {});
+    const std::string text = log.text();
+    cr_assert(text.find("stepped down as owner") != std::string::npos);
+    cr_assert(text.find("message=load epoch=3") != std::string::npos);
+}
--- a/tests/libs/observability/testlogging.cpp
+++ b/tests/libs/observability/testlogging.cpp
@@ -1,52 +1,18 @@
+#include "support/capturedoutput.h"
+
 #include <observability/logging.h>
 
 #include <criterion/criterion.h>
 
-#include <unistd.h>
-
-#include <cstdio>
 #include <string>
-#include <vector>
 
 using namespace Hyssop;
+using Hyssop::Testing::CapturedOutput;
 
 namespace {
 
 constexpr int LineLimit = 100;
 
-/// Standard output of the process, redirected to a temporary file.
-class CapturedOutput
-{
-public:
-    CapturedOutput()
-        : m_original(::dup(STDOUT_FILENO))
-    {
-        std::fflush(stdout);
-        ::dup2(::fileno(m_file), STDOUT_FILENO);
-    }
-
-    ~CapturedOutput()
-    {
-        ::dup2(m_original, STDOUT_FILENO);
-        ::close(m_original);
-        std::fclose(m_file);
-    }
-
-    std::string text() const
-    {
-        std::string result;
-        std::rewind(m_file);
-        for (int character = std::fgetc(m_file); character != EOF; character = std::fgetc(m_file)) {
-            result += static_cast<char>(character);
-        }
-        return result;
-    }
-
-private:
-    std::FILE *m_file = std::tmpfile();
-    int m_original;
-};
-
 int count(const std::string &text, const std::string &part)
 {
     int result = 0;
