--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -105,6 +105,9 @@
     void adoptOpenRuns(JobExecution &job);
     void releaseDueOccurrences(JobExecution &job, WallTime wall);
 
+    /// Reports registrations, drains and withdrawals since the last call as log events.
+    void reportWorkerChanges(TimePoint now);
+    void reportUnreachable(const WorkerState &worker, const std::string &reason, TimePoint now);
     void removeUnregisteredWorkers();
     void expireLeases(TimePoint now);
 
@@ -139,7 +142,7 @@
     void detectClockRegression(const std::string &workerId, WorkerTime reading, TimePoint now);
     void handleFencing(const std::string &workerId, std::int64_t fencingToken, const CommandRejected &rejection);
     void handleStartRejection(const TaskId &id, TaskExecution &task, const CommandRejected &rejection, TimePoint now);
-    void beginStop(const TaskId &id, TaskExecution &task, TimePoint now);
+    void beginStop(const TaskId &id, TaskExecution &task, StopReason reason, TimePoint now);
     void sendStop(const TaskId &id, const TaskExecution &task);
     void abandonRun(const TaskId &id, TaskExecution &task, TimePoint now);
     void requeue(const TaskId &id, TaskExecution &task, TimePoint now);
@@ -171,6 +174,7 @@
     std::int64_t m_term = 0;
     TimePoint m_confirmedAt{}; // ownership was confirmed as of then
     TimePoint m_readAt{}; // all records up to then were read
+    TimePoint m_termBeganAt{};
     TimePoint m_earlierLeasesEnd{};
     std::int64_t m_wallMs = 0; // Unix time of the last advance()
     JobRegistry m_jobs;
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -88,7 +88,7 @@
                        if (task->startsSent < Internal::MaximumStartSends) {
                            sendStart(command.task, *task, now);
                        } else {
-                           beginStop(command.task, *task, now);
+                           beginStop(command.task, *task, StopReason::StartUndetermined, now);
                        }
                    },
                },
@@ -120,7 +120,8 @@
     const WorkerState *worker = findWorker(workerId);
     const bool isNewest = worker != nullptr && fencingToken == tokenFor(*worker);
     if (rejection.reason == RejectionReason::Fenced && isNewest) {
-        m_actions.emplace_back(StepDown{}); // with an older token, a newer command of this owner has overtaken it
+        m_actions.emplace_back(
+            StepDown{workerId, fencingToken, tokenFor(*worker), rejection.detail}); // with an older token, a newer command of this owner has overtaken it
     }
 }
 
@@ -163,16 +164,17 @@
 void Dispatcher::abandonRun(const TaskId &id, TaskExecution &task, TimePoint now)
 {
     if (task.startsSent > 0) {
-        beginStop(id, task, now); // a start command may still be executed
+        beginStop(id, task, StopReason::StartAbandoned, now); // a start command may still be executed
     } else {
         requeue(id, task, now);
     }
 }
 
-void Dispatcher::beginStop(const TaskId &id, TaskExecution &task, TimePoint now)
+void Dispatcher::beginStop(const TaskId &id, TaskExecution &task, StopReason reason, TimePoint now)
 {
     task.phase = TaskPhase::Stopping;
     task.phaseSince = now;
+    task.stopReason = reason;
     task.stopConfirmed = false;
     sendStop(id, task);
 }
@@ -181,7 +183,7 @@
 {
     const WorkerState *worker = findWorker(task.worker);
     if (worker != nullptr && !worker->info.address.empty()) {
-        m_actions.emplace_back(StopCommand{addressOf(*worker), id, task.run, tokenFor(*worker)});
+        m_actions.emplace_back(StopCommand{addressOf(*worker), id, task.run, tokenFor(*worker), task.stopReason});
     }
 }
 
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -33,9 +33,36 @@
 constexpr std::chrono::milliseconds MaximumPause{700};
 // A worker reports at most this many run ends at once. If it reports as many, missing runs may have ended as well.
 constexpr std::size_t MaximumReportedEnds = 500;
+// Registrations in this time after the beginning of a term were made earlier and are not reported.
+constexpr std::chrono::milliseconds WorkerListingTime{2000};
 
 } // namespace Internal
 
+void Dispatcher::reportWorkerChanges(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        const bool isDraining = worker.registered && worker.info.draining;
+        if (worker.registered && !worker.toldRegistered && now - m_termBeganAt >= Internal::WorkerListingTime) {
+            m_actions.emplace_back(WorkerRegistered{id, worker.info.address, worker.info.failureDomain, worker.runs.size()});
+        }
+        if (isDraining && !worker.toldDraining) {
+            m_actions.emplace_back(WorkerDraining{id, worker.info.drainRemaining, worker.runs.size()});
+        }
+        if (!worker.registered && worker.toldRegistered) {
+            m_actions.emplace_back(WorkerUnregistered{id, worker.failedPolls, worker.runs.size(), worker.sinceReport(now)});
+        }
+        worker.toldRegistered = worker.registered;
+        worker.toldDraining = isDraining;
+    }
+}
+
+void Dispatcher::reportUnreachable(const WorkerState &worker, const std::string &reason, TimePoint now)
+{
+    const Duration untilLeaseEnd = std::max(worker.leaseEnd - now, Duration(0));
+    m_actions.emplace_back(WorkerUnreachable{
+        worker.info.id, reason, worker.runs.size(), worker.sinceReport(now), std::chrono::duration_cast<std::chrono::milliseconds>(untilLeaseEnd)});
+}
+
 void Dispatcher::removeUnregisteredWorkers()
 {
     std::erase_if(m_workers, [this](const auto &item) {
@@ -121,8 +148,9 @@
         return;
     }
     worker->pollPending = false;
-    const auto failed = [&] {
+    const auto failed = [&](const std::string &reason) {
         if (worker->failedPolls++ == 0) {
+            reportUnreachable(*worker, reason, now);
             // The worker may be restarting: its next incarnation has to reject commands that were sent to this one.
             ++worker->suspectedRestarts;
         }
@@ -135,21 +163,24 @@
                        if (rejection.reason == RejectionReason::WrongWorker) {
                            worker->leaseEnd = TimePoint(); // the address belongs to another worker now: this one is gone
                        }
-                       failed();
+                       failed(rejection.detail);
                    },
-                   [&](const WorkerNotListening &) {
-                       failed();
+                   [&](const WorkerNotListening &refusal) {
+                       failed(refusal.reason);
                        if (worker->failedPolls >= Internal::RefusalsUntilEnded) {
                            endConfirmedRuns(*worker, now);
                        }
                    },
-                   [&](const auto &) { failed(); },
+                   [&](const auto &undelivered) { failed(undelivered.reason); },
                },
                result);
 }
 
 void Dispatcher::handleReport(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
+    if (worker.isUnreachable()) {
+        m_actions.emplace_back(WorkerReachableAgain{worker.info.id, worker.failedPolls, worker.runs.size(), worker.sinceReport(now)});
+    }
     worker.failedPolls = 0;
     worker.lastReportAt = now;
     if (report.processStartedAt != worker.processStartedAt && worker.processStartedAt.count() != 0 && report.processStartedAt.count() != 0) {
@@ -192,7 +223,7 @@
         } else if (task->phase == TaskPhase::Running) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now);
         } else if (task->phase != TaskPhase::Assigned) {
-            beginStop(id, *task, now); // the start command may still reach the restarted worker
+            beginStop(id, *task, StopReason::WorkerRestarted, now); // the start command may still reach the restarted worker
         }
     }
 }
@@ -276,7 +307,7 @@
         return;
     }
     worker.health.reportStall(now);
-    beginStop(run.task, task, now);
+    beginStop(run.task, task, StopReason::Stalled, now);
 }
 
 void Dispatcher::updateExpectedEnd(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now)
@@ -334,7 +365,7 @@
         return;
     }
     lastStop = now;
-    m_actions.emplace_back(StopCommand{addressOf(worker), run.task, run.run, tokenFor(worker)});
+    m_actions.emplace_back(StopCommand{addressOf(worker), run.task, run.run, tokenFor(worker), StopReason::Orphaned});
 }
 
 std::vector<NeighbourLoad> Dispatcher::endedNeighbourLoads(WorkerState &worker, TimePoint now)
@@ -409,7 +440,7 @@
     if (!paused || !job->step(id.step).checkpointable) {
         return false;
     }
-    beginStop(id, *task, now);
+    beginStop(id, *task, StopReason::PausedTooLong, now);
     return true;
 }
 
@@ -430,7 +461,7 @@
             const std::int64_t remainingMs = step.estimateMs * (100 - std::clamp(task->progressPercent, 0, 100)) / 100;
             const bool endsInTime = worker.info.drainRemaining && remainingMs < worker.info.drainRemaining->count();
             if (step.longRunning || (step.checkpointable && !endsInTime)) {
-                beginStop(taskId, *task, now);
+                beginStop(taskId, *task, StopReason::WorkerDraining, now);
             }
         }
     }
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -1,5 +1,6 @@
 #include "ownerlog.h"
 
+#include <dispatch/dispatchsummary.h>
 #include <observability/logging.h>
 #include <utils/overloaded.h>
 
@@ -16,7 +17,7 @@
                       result);
 }
 
-std::string resultDetail(const CommandResult &result)
+static std::string resultDetail(const CommandResult &result)
 {
     return std::visit(Overloaded{
                           [](const CommandExecuted &) { return std::string(); },
@@ -26,6 +27,29 @@
                       result);
 }
 
+const char *stopReasonName(StopReason reason)
+{
+    switch (reason) {
+    case StopReason::JobEnded:
+        return "job ended";
+    case StopReason::WorkerDraining:
+        return "worker draining";
+    case StopReason::WorkerRestarted:
+        return "worker restarted";
+    case StopReason::Stalled:
+        return "no progress";
+    case StopReason::PausedTooLong:
+        return "paused too long";
+    case StopReason::StartUndetermined:
+        return "start undetermined";
+    case StopReason::StartAbandoned:
+        return "start abandoned";
+    case StopReason::Orphaned:
+        return "not expected on the worker";
+    }
+    return "unknown";
+}
+
 static const char *endReasonName(RunEndReason endReason)
 {
     switch (endReason) {
@@ -45,6 +69,37 @@
     return "unknown";
 }
 
+/// Logs the result of a command about a run. @p input is its characteristic parameter.
+template<typename Command>
+static void logRunCommand(LogLevel level, const char *message, const Command &command, const LogField &input, const CommandResult &result)
+{
+    logMessage(level,
+               "owner",
+               message,
+               {{"job_id", command.task.job},
+                {"task", command.task.toString()},
+                {"run", command.run},
+                {"worker", command.worker.id},
+                input,
+                {"outcome", resultName(result)},
+                {"detail", resultDetail(result)}});
+}
+
+void logResult(const StartCommand &command, const CommandResult &result)
+{
+    logRunCommand(LogLevel::Info, "start command result", command, {"epoch", static_cast<long long>(command.fencingToken)}, result);
+}
+
+void logResult(const StopCommand &command, const CommandResult &result)
+{
+    logRunCommand(LogLevel::Info, "stop command result", command, {"reason", stopReasonName(command.reason)}, result);
+}
+
+void logResult(const ThrottleCommand &command, const CommandResult &result)
+{
+    logRunCommand(LogLevel::Debug, "throttle command result", command, {"percent", command.speedPercent}, result);
+}
+
 void logAction(const RunEnded &end)
 {
     logMessage(LogLevel::Info,
@@ -61,6 +116,7 @@
 void logAction(const WorkerRestarted &worker)
 {
     logMessage(
+        LogPriority::StateChange,
         LogLevel::Warning,
         "owner",
         "worker restarted",
@@ -69,7 +125,8 @@
 
 void logAction(const WorkerLeaseExpired &worker)
 {
-    logMessage(LogLevel::Warning,
+    logMessage(LogPriority::StateChange,
+               LogLevel::Warning,
                "owner",
                "leases of unreachable worker expired",
                {{"worker", worker.worker}, {"failed_polls", worker.failedPolls}, {"open_runs", worker.openRuns}});
@@ -77,12 +134,99 @@
 
 void logAction(const WorkerProcessEnded &worker)
 {
-    logMessage(LogLevel::Warning,
+    logMessage(LogPriority::StateChange,
+               LogLevel::Warning,
                "owner",
                "worker process has ended",
                {{"worker", worker.worker}, {"failed_polls", worker.failedPolls}, {"ended_runs", worker.endedRuns}});
 }
 
+static void logWorkerChange(const char *message, std::initializer_list<LogField> fields)
+{
+    logMessage(LogPriority::StateChange, LogLevel::Info, "owner", message, fields);
+}
+
+/// Returns a field with @p time in milliseconds, or "unknown".
+static LogField timeField(const char *key, const std::optional<std::chrono::milliseconds> &time)
+{
+    return time ? LogField(key, static_cast<long long>(time->count())) : LogField(key, "unknown");
+}
+
+void logAction(const WorkerRegistered &worker)
+{
+    logWorkerChange("worker registered",
+                    {{"worker", worker.worker}, {"address", worker.address}, {"failure_domain", worker.failureDomain}, {"open_runs", worker.openRuns}});
+}
+
+void logAction(const WorkerDraining &worker)
+{
+    logWorkerChange("worker draining", {{"worker", worker.worker}, timeField("remaining_ms", worker.remaining), {"open_runs", worker.openRuns}});
+}
+
+void logAction(const WorkerUnregistered &worker)
+{
+    logWorkerChange(
+        "worker unregistered",
+        {{"worker", worker.worker}, {"open_runs", worker.openRuns}, {"failed_polls", worker.failedPolls}, timeField("since_report_ms", worker.sinceReport)});
+}
+
+void logAction(const WorkerUnreachable &worker)
+{
+    logWorkerChange("worker unreachable",
+                    {{"worker", worker.worker},
+                     {"error", worker.reason},
+                     {"open_runs", worker.openRuns},
+                     timeField("since_report_ms", worker.sinceReport),
+                     {"lease_end_in_ms", worker.untilLeaseEnd.count()}});
+}
+
+void logAction(const WorkerReachableAgain &worker)
+{
+    logWorkerChange(
+        "worker reachable again",
+        {{"worker", worker.worker}, {"open_runs", worker.openRuns}, {"failed_polls", worker.failedPolls}, timeField("since_report_ms", worker.sinceReport)});
+}
+
+void logStepDown(std::int64_t term, const std::string &reason, const StepDown &rejection)
+{
+    constexpr const char *Message = "stepped down as owner";
+    const LogField epoch("epoch", static_cast<long long>(term));
+    if (rejection.worker.empty()) {
+        logMessage(LogLevel::Warning, "owner", Message, {epoch, {"reason", reason}});
+        return;
+    }
+    logMessage(LogLevel::Warning,
+               "owner",
+               Message,
+               {epoch,
+                {"reason", reason},
+                {"worker", rejection.worker},
+                {"token", static_cast<long long>(rejection.fencingToken)},
+                {"newest_token", static_cast<long long>(rejection.newestToken)},
+                {"detail", rejection.detail}});
+}
+
+void logLoad(std::int64_t term, const DispatchSummary &load)
+{
+    logMessage(LogPriority::Essential,
+               LogLevel::Info,
+               "owner",
+               "load",
+               {{"epoch", static_cast<long long>(term)},
+                {"workers", load.workers},
+                {"registered", load.registeredWorkers},
+                {"draining", load.drainingWorkers},
+                {"unreachable", load.unreachableWorkers},
+                {"open_runs", load.openRuns},
+                {"unreachable_runs", load.unreachableRuns},
+                {"waiting_counted", load.pendingReserved},
+                {"waiting_filling", load.pendingBestEffort},
+                {"waiting_serving", load.pendingServing},
+                {"millicores", static_cast<long long>(load.milliCores)},
+                {"free_millicores", static_cast<long long>(load.freeMilliCores)},
+                {"idle_millicores", static_cast<long long>(load.idleMilliCores)}});
+}
+
 void logAction(const JobEnded &end)
 {
     logMessage(LogLevel::Info, "owner", "job ended", {{"job_id", end.jobId}, {"outcome", end.phase}, {"after_ms", end.sinceAccepted.count()}});
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -168,7 +168,7 @@
     TopicAppend append{Topic::Jobs, {claimRecord(true)}, std::nullopt, ProducerPosition{Internal::ProducerName, *m_term, m_sequence}};
     stepDown(reason);
     const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::ReleaseTimeout);
-    logMessage(LogLevel::Info, "owner", "ownership released", {{"durable", std::holds_alternative<TopicAppended>(result)}});
+    logMessage(LogPriority::Essential, LogLevel::Info, "owner", "ownership released", {{"durable", std::holds_alternative<TopicAppended>(result)}});
 }
 
 asio::awaitable<void> TopicOwner::release()
@@ -211,16 +211,18 @@
     m_metrics.add("hyssop_ownerships_total");
     m_metrics.set("hyssop_is_owner", 1);
     logMessage(
+        LogPriority::Essential,
         LogLevel::Info,
         "owner",
         "ownership acquired",
         {{"epoch", static_cast<long long>(*m_term)}, {"jobs", m_table.jobs().size()}, {"open_runs", m_dispatcher.openRuns()}, {"workers", m_workers.size()}});
 }
 
-void TopicOwner::stepDown(const std::string &reason)
+void TopicOwner::stepDown(const std::string &reason, const StepDown &rejection)
 {
     if (m_term) {
-        logMessage(LogLevel::Warning, "owner", "stepped down as owner", {{"epoch", static_cast<long long>(*m_term)}, {"reason", reason}});
+        logStepDown(*m_term, reason, rejection);
+        m_metrics.add("hyssop_step_downs_total", {{"reason", reason.substr(0, reason.find(':'))}});
         m_minimumTerm = *m_term + 1;
     }
     m_term.reset();
@@ -243,7 +245,8 @@
     const TimePoint sentAt = m_clock.now();
     const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::AppendTimeout);
     m_claimPolicy.recordStoreLatency(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - sentAt));
-    logMessage(LogLevel::Info,
+    logMessage(LogPriority::Essential,
+               LogLevel::Info,
                "owner",
                "ownership claim sent",
                {{"epoch", static_cast<long long>(claim.term)},
@@ -261,12 +264,8 @@
                    [&](PollCommand &command) { asio::co_spawn(m_executor, sendPoll(std::move(command)), asio::detached); },
                    [&](RequestAdvice &request) { asio::co_spawn(m_executor, sendAdvice(std::move(request)), asio::detached); },
                    [&](AppendRecords &append) { startAppend(std::move(append.records), true); },
-                   [&](const RunEnded &end) { logAction(end); },
-                   [&](const JobEnded &end) { logAction(end); },
-                   [&](const WorkerRestarted &worker) { logAction(worker); },
-                   [&](const WorkerLeaseExpired &worker) { logAction(worker); },
-                   [&](const WorkerProcessEnded &worker) { logAction(worker); },
-                   [&](const StepDown &) { stepDown("a worker has seen a newer owner"); },
+                   [&](const StepDown &rejection) { stepDown("a worker has seen a newer owner", rejection); },
+                   [](const auto &event) { logAction(event); },
                },
                action);
 }
@@ -345,20 +344,11 @@
     }
     m_lastLoadReport = now;
     const DispatchSummary load = m_dispatcher.summary(now);
-    logMessage(LogLevel::Info,
-               "owner",
-               "load",
-               {{"epoch", static_cast<long long>(term())},
-                {"workers", load.workers},
-                {"open_runs", load.openRuns},
-                {"waiting_counted", load.pendingReserved},
-                {"waiting_filling", load.pendingBestEffort},
-                {"waiting_serving", load.pendingServing},
-                {"millicores", static_cast<long long>(load.milliCores)},
-                {"free_millicores", static_cast<long long>(load.freeMilliCores)},
-                {"idle_millicores", static_cast<long long>(load.idleMilliCores)}});
+    logLoad(term(), load);
     m_metrics.set("hyssop_open_runs", static_cast<double>(load.openRuns));
     m_metrics.set("hyssop_waiting_tasks", static_cast<double>(load.pendingReserved + load.pendingBestEffort + load.pendingServing));
+    m_metrics.set("hyssop_unreachable_workers", static_cast<double>(load.unreachableWorkers));
+    m_metrics.set("hyssop_unreachable_runs", static_cast<double>(load.unreachableRuns));
     m_metrics.set("hyssop_free_millicores", static_cast<double>(load.freeMilliCores));
     m_metrics.set("hyssop_term", static_cast<double>(term()));
 }
@@ -367,16 +357,7 @@
 {
     const TimePoint sentAt = m_clock.now();
     const CommandResult result = co_await m_ports.workers.start(command);
-    logMessage(LogLevel::Info,
-               "owner",
-               "start command result",
-               {{"job_id", command.task.job},
-                {"task", command.task.toString()},
-                {"run", command.run},
-                {"worker", command.worker.id},
-                {"epoch", static_cast<long long>(command.fencingToken)},
-                {"outcome", resultName(result)},
-                {"detail", resultDetail(result)}});
+    logResult(command, result);
     m_metrics.observe("hyssop_start_seconds", m_clock.now() - sentAt);
     m_metrics.add("hyssop_starts_total", {{"outcome", resultName(result)}});
     if (m_term) {
@@ -387,16 +368,9 @@
 asio::awaitable<void> TopicOwner::sendStop(StopCommand command)
 {
     const CommandResult result = co_await m_ports.workers.stop(command);
-    logMessage(LogLevel::Info,
-               "owner",
-               "stop command result",
-               {{"job_id", command.task.job},
-                {"task", command.task.toString()},
-                {"run", command.run},
-                {"worker", command.worker.id},
-                {"outcome", resultName(result)},
-                {"detail", resultDetail(result)}});
+    logResult(command, result);
     m_metrics.add("hyssop_stops_total", {{"outcome", resultName(result)}});
+    m_metrics.add("hyssop_stop_reasons_total", {{"reason", stopReasonName(command.reason)}});
     if (m_term) {
         m_dispatcher.stopAnswered(command, result, m_clock.now());
     }
@@ -405,10 +379,7 @@
 asio::awaitable<void> TopicOwner::sendThrottle(ThrottleCommand command)
 {
     const CommandResult result = co_await m_ports.workers.throttle(command);
-    logMessage(LogLevel::Debug,
-               "owner",
-               "throttle command result",
-               {{"task", command.task.toString()}, {"worker", command.worker.id}, {"percent", command.speedPercent}, {"outcome", resultName(result)}});
+    logResult(command, result);
     m_metrics.add("hyssop_paces_total", {{"outcome", resultName(result)}});
     if (m_term) {
         m_dispatcher.throttleAnswered(command, result, m_clock.now());
