Test takeovers whose owner learns of the workers late

A new owner that begins its term before it knows the registered workers has only the open intents, without addresses. The simulation can delay the registrations after a claim. The tests pass on the unchanged dispatcher: runs are adopted when their workers become known, stopped if their job was cancelled meanwhile, and repeated only after the leases of the earlier owner.

--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -124,8 +124,15 @@
     append({0, claimKey(), encode(record)});
     auto owner = std::make_shared<Owner>(record.term, DispatchLimits());
     owner->dispatcher.beginTerm(record.term, m_table, now);
-    for (const auto &worker : m_workers) {
-        owner->dispatcher.updateWorker(worker->info());
+    const auto loadWorkers = [this, owner] {
+        for (const auto &worker : m_workers) {
+            owner->dispatcher.updateWorker(worker->info());
+        }
+    };
+    if (workerLoadTime > Duration::zero()) {
+        at(now + workerLoadTime, loadWorkers);
+    } else {
+        loadWorkers();
     }
     owner->nextTick = now;
     m_owners.push_back(std::move(owner));
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -59,6 +59,7 @@
     int random(int maximum) { return static_cast<int>(m_random() % static_cast<std::uint32_t>(maximum)); }
 
     DispatchFaults faults;
+    Duration workerLoadTime{0}; // from a claim until its owner knows the registered workers
     ClusterConfig config;
     std::set<std::string> evacuated;
     std::vector<std::string> violations;
--- a/tests/libs/dispatch/testdispatcher.cpp
+++ b/tests/libs/dispatch/testdispatcher.cpp
@@ -69,6 +69,56 @@
     assertNoViolation(simulation);
 }
 
+Test(dispatcher, noRunIsLostWhileANewOwnerLoadsTheWorkers)
+{
+    DispatchSimulation simulation(4);
+    simulation.plan = [](const TaskId &) { return SimulatedWorker::Run{0, TimePoint(6s), RunEndReason::Completed, 0}; };
+    simulation.claim();
+    simulation.submit("job", 1, 10);
+    simulation.run(2s);
+    simulation.workerLoadTime = 2s;
+    simulation.claim();
+    simulation.run(10s);
+    cr_assert(simulation.isComplete("job"));
+    cr_assert_eq(simulation.starts.size(), 10, "every run was adopted, %zu starts", simulation.starts.size());
+    assertNoViolation(simulation);
+}
+
+Test(dispatcher, noTaskRunsTwiceWhileANewOwnerLoadsTheWorkersForLongerThanALease)
+{
+    DispatchSimulation simulation(6, 2);
+    simulation.plan = [](const TaskId &) { return SimulatedWorker::Run{0, TimePoint(1h), RunEndReason::Completed, 0}; };
+    simulation.claim();
+    simulation.submit("job", 1, 4);
+    simulation.run(2s);
+    simulation.workerLoadTime = 20s;
+    simulation.claim();
+    simulation.run(40s);
+    assertNoViolation(simulation);
+    cr_assert_eq(simulation.openRuns(), 4);
+}
+
+Test(dispatcher, aJobCancelledWhileANewOwnerLoadsTheWorkersIsStopped)
+{
+    DispatchSimulation simulation(4);
+    simulation.plan = [](const TaskId &) { return SimulatedWorker::Run{0, TimePoint(1h), RunEndReason::Completed, 0}; };
+    simulation.claim();
+    simulation.submit("job", 1, 4);
+    simulation.run(2s);
+    simulation.workerLoadTime = 2s;
+    simulation.claim();
+    simulation.run(500ms);
+    simulation.cancel("job");
+    simulation.run(5s);
+    cr_assert_eq(simulation.phaseOf("job"), Wire::JobPhase::Cancelled);
+    std::size_t runs = 0;
+    for (std::size_t index = 0; index < 6; ++index) {
+        runs += simulation.worker(index).runCount();
+    }
+    cr_assert_eq(runs, 0, "%zu runs", runs);
+    assertNoViolation(simulation);
+}
+
 Test(dispatcher, aRunOnAnUnreachableWorkerIsReplacedOnlyAfterItsLease)
 {
     DispatchSimulation simulation(5, 2);
