Follow the workers topic only as the owner or with a claim outstanding

Every instance followed the workers topic, but only the dispatcher of the owner uses the registrations.

Evidence: an instance beside an active owner read the topic in the failing runs of standbyInstancesDoNotReadTheWorkersTopic (3 reads in 3 s), noWorkerOfAnEarlierTermSurvivesAStepDown (3 reads after the step down) and aLostClaimEndsTheReadsOfTheWorkersTopic (1 read after the claim was lost).

Change: TopicFollower can be paused. A pause removes all known keys through the record handler, so that no registration of an earlier term is used, and discards the response to the call that is open. There is one loop for the whole time, so a resumed follower sends its first call after the open one has completed. A resumed follower loads the topic again, because the store may have dropped the history. NodeDaemon follows the workers while TopicOwner needs them: from the time a claim is sent, so that the load runs beside the append and the reading back, until the step down or until the claim can no longer appear.

--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -23,8 +23,7 @@
 constexpr FollowTiming OwnerJobsTiming{std::chrono::milliseconds(30), std::chrono::milliseconds(500)};
 constexpr FollowTiming StandbyJobsTiming{std::chrono::milliseconds(250), std::chrono::milliseconds(500)};
 constexpr FollowTiming OperatorsTiming{std::chrono::milliseconds(50), std::chrono::milliseconds(1000)};
-constexpr FollowTiming OwnerWorkersTiming{std::chrono::milliseconds(400), std::chrono::milliseconds(500)};
-constexpr FollowTiming StandbyWorkersTiming{std::chrono::milliseconds(1500), std::chrono::milliseconds(500)};
+constexpr FollowTiming WorkersTiming{std::chrono::milliseconds(400), std::chrono::milliseconds(500)};
 // The load balancer needs up to two seconds to notice that an instance is not ready.
 constexpr std::chrono::milliseconds MinimumDrainTime{2500};
 constexpr std::chrono::milliseconds IdleTimeBeforeExit{300};
@@ -107,7 +106,11 @@
                        [this](TimePoint sentAt) {
                            m_owner.jobsRead(sentAt);
                            m_jobs.setTiming(m_owner.isOwner() || m_owner.isClaiming() ? Internal::OwnerJobsTiming : Internal::StandbyJobsTiming);
-                           m_workers.setTiming(m_owner.isOwner() ? Internal::OwnerWorkersTiming : Internal::StandbyWorkersTiming);
+                           if (m_owner.needsWorkers()) {
+                               m_workers.resume();
+                           } else {
+                               m_workers.pause();
+                           }
                        });
     asio::co_spawn(m_context, m_jobs.run(), asio::detached);
 }
@@ -128,7 +131,7 @@
 
 void NodeDaemon::followWorkers()
 {
-    m_workers.setTiming(Internal::StandbyWorkersTiming);
+    m_workers.setTiming(Internal::WorkersTiming);
     m_workers.setHandlers(
         [this](const KeyedRecord &record) {
             if (const auto worker = m_cluster.applyWorkerRecord(record)) {
@@ -138,6 +141,7 @@
             }
         },
         [](TimePoint) {});
+    m_workers.pause();
     asio::co_spawn(m_context, m_workers.run(), asio::detached);
 }
 
--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -3,7 +3,7 @@
 #include <observability/logging.h>
 #include <ports/metadatastore.h>
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
@@ -15,6 +15,7 @@
 
 namespace Internal {
 
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds RetryDelay{250};
 constexpr std::chrono::milliseconds TransientFailureTimeout{300};
 // Longer than a read that waits for records plus the interval after it.
@@ -37,8 +38,8 @@
 
 } // namespace Internal
 
-TopicFollower::TopicFollower(asio::any_io_executor executor, const Clock &clock, MetadataStore &store, Topic topic)
-    : m_executor(std::move(executor))
+TopicFollower::TopicFollower(const asio::any_io_executor &executor, const Clock &clock, MetadataStore &store, Topic topic)
+    : m_timer(executor)
     , m_clock(clock)
     , m_store(store)
     , m_topic(topic)
@@ -55,14 +56,48 @@
 {
     m_stopped = false;
     while (!m_stopped) {
-        if (!m_loaded) {
+        if (m_paused) {
+            co_await waitForResume();
+        } else if (m_loaded) {
+            co_await readNext();
+        } else {
+            const int pauses = m_pauses;
             m_loaded = co_await load();
-            if (!m_loaded) {
+            if (!m_loaded && pauses == m_pauses) {
                 co_await sleep(Internal::RetryDelay);
             }
-            continue;
         }
-        co_await readNext();
+    }
+}
+
+void TopicFollower::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+}
+
+void TopicFollower::pause()
+{
+    if (m_paused) {
+        return;
+    }
+    m_paused = true;
+    ++m_pauses;
+    m_loaded = false;
+    m_failingSince.reset();
+    logMessage(LogLevel::Info,
+               "follower",
+               "topic paused",
+               {{"topic", Internal::topicName(m_topic)}, {"keys", m_keys.size()}, {"offset", static_cast<long long>(m_next)}});
+    removeMissingKeys({}, m_next);
+}
+
+void TopicFollower::resume()
+{
+    if (m_paused) {
+        m_paused = false;
+        logMessage(LogLevel::Info, "follower", "topic resumed", {{"topic", Internal::topicName(m_topic)}});
+        m_timer.cancel();
     }
 }
 
@@ -83,8 +118,12 @@
     std::string after;
     std::int64_t firstEnd = -1;
     const TimePoint sentAt = m_clock.now();
+    const int pauses = m_pauses;
     while (true) {
         NewestRecordsResult result = co_await m_store.readNewest(m_topic, after);
+        if (m_stopped || pauses != m_pauses) {
+            co_return false;
+        }
         const auto *page = std::get_if<NewestRecordsPage>(&result);
         if (page == nullptr) {
             recordFailure(std::get<Error>(result).message);
@@ -108,14 +147,15 @@
                "topic loaded",
                {{"topic", Internal::topicName(m_topic)}, {"keys", presentKeys.size()}, {"offset", static_cast<long long>(m_next)}});
     confirmRead(sentAt);
-    co_return true;
+    co_return pauses == m_pauses;
 }
 
 asio::awaitable<void> TopicFollower::readNext()
 {
     const TimePoint sentAt = m_clock.now();
+    const int pauses = m_pauses;
     const TopicReadResult result = co_await m_store.read(m_topic, m_next, m_timing.maximumWait);
-    if (m_stopped) {
+    if (m_stopped || pauses != m_pauses) {
         co_return;
     }
     if (const auto *error = std::get_if<Error>(&result)) {
@@ -186,12 +226,18 @@
     }
 }
 
-asio::awaitable<void> TopicFollower::sleep(std::chrono::milliseconds time) const
+asio::awaitable<void> TopicFollower::sleep(std::chrono::milliseconds time)
 {
     if (time.count() > 0) {
-        asio::steady_timer timer(m_executor, time);
-        co_await timer.async_wait(asio::use_awaitable);
+        m_timer.expires_after(time);
+        co_await m_timer.async_wait(Internal::AsTuple);
     }
 }
 
+asio::awaitable<void> TopicFollower::waitForResume()
+{
+    m_timer.expires_at(asio::steady_timer::time_point::max());
+    co_await m_timer.async_wait(Internal::AsTuple);
+}
+
 } // namespace Hyssop
--- a/src/libs/node/topicfollower.h
+++ b/src/libs/node/topicfollower.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -33,7 +34,7 @@
     using RecordHandler = std::function<void(const KeyedRecord &)>;
     using ReadHandler = std::function<void(TimePoint sentAt)>;
 
-    TopicFollower(boost::asio::any_io_executor executor, const Clock &clock, MetadataStore &store, Topic topic);
+    TopicFollower(const boost::asio::any_io_executor &executor, const Clock &clock, MetadataStore &store, Topic topic);
 
     /// @p onRecord is called for each record, and with a tombstone for each key that was found missing after a reload. @p onRead is
     /// called after the records of a complete read; all records that existed at sentAt have been applied by then.
@@ -43,7 +44,15 @@
 
     /// Follows the topic until stop().
     boost::asio::awaitable<void> run();
-    void stop() { m_stopped = true; }
+    void stop();
+
+    /// Stops reading and calls the record handler with a tombstone for each known key. The response to a call that was sent
+    /// before is discarded. Has no effect while paused.
+    void pause();
+
+    /// Loads the topic again and follows it, after the call that was sent before pause() has completed. Has no effect unless
+    /// paused.
+    void resume();
 
     bool isLoaded() const { return m_loaded; }
 
@@ -64,9 +73,10 @@
     void recordResponse();
     void confirmRead(TimePoint sentAt);
     void recordFailure(const std::string &reason);
-    boost::asio::awaitable<void> sleep(std::chrono::milliseconds time) const;
+    boost::asio::awaitable<void> sleep(std::chrono::milliseconds time);
+    boost::asio::awaitable<void> waitForResume();
 
-    boost::asio::any_io_executor m_executor;
+    boost::asio::steady_timer m_timer; // of the only wait of run(); resume() and stop() end it early
     const Clock &m_clock;
     MetadataStore &m_store;
     Topic m_topic;
@@ -80,6 +90,8 @@
     TimePoint m_lastResponseAt{}; // arrival of the last response that was not an error
     std::optional<TimePoint> m_failingSince; // time of the first of the current series of failed calls
     bool m_stopped = false;
+    bool m_paused = false;
+    int m_pauses = 0; // responses to calls that were sent before the last pause are discarded
 };
 
 } // namespace Hyssop
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -201,6 +201,7 @@
     const TimePoint now = m_clock.now();
     m_term = m_table.claim()->term;
     m_sequence = m_table.claim()->sequence + 1;
+    m_claimSentAt = TimePoint(); // the claim has appeared
     m_lastAppend = now;
     m_appending = false;
     m_dispatcher.beginTerm(*m_term, m_table, now, m_cleanHandover);
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -72,6 +72,9 @@
     bool isOwner() const { return m_term.has_value(); }
     /// Returns true while a recently sent claim may still appear in the topic.
     bool isClaiming() const;
+    /// Returns true while this instance is the owner or its claim may still succeed. Only then updateWorker() and removeWorker()
+    /// need to be called. removeWorker() must be called for each known worker before a later term.
+    bool needsWorkers() const { return m_term || m_claiming || isClaiming(); }
     std::int64_t term() const { return m_term.value_or(-1); }
 
 private:
@@ -104,7 +107,7 @@
     ClaimPolicy m_claimPolicy;
     OwnerObservation m_ownerObservation;
     Dispatcher m_dispatcher;
-    std::map<std::string, WorkerInfo> m_workers;
+    std::map<std::string, WorkerInfo> m_workers; // empty unless needsWorkers()
     ClusterConfig m_config;
     std::set<std::string> m_evacuatedDomains;
     std::optional<std::int64_t> m_term; // set while this instance is the owner
--- /dev/null
+++ b/tests/libs/node/memorystore.cpp
@@ -0,0 +1,67 @@
+#include "memorystore.h"
+
+#include "memorytopics.h"
+
+#include <support/coroutines.h>
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+
+namespace Hyssop::Testing {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds ReadTime{2};
+
+asio::awaitable<TopicReadResult> MemoryStore::read(Topic topic, std::int64_t from, std::chrono::milliseconds wait)
+{
+    beginCall(topic);
+    TopicReadResult result;
+    for (std::chrono::milliseconds waited = 0ms;; waited += ReadTime) {
+        co_await pauseFor(ReadTime);
+        result = m_topics.read(topic, from);
+        const auto *page = std::get_if<RecordPage>(&result);
+        if (page == nullptr || !page->records.empty() || waited >= wait) {
+            break;
+        }
+    }
+    --m_calls[topic].open;
+    if (failingTopic == topic) {
+        co_return Error{ErrorCode::Unavailable, "down"};
+    }
+    co_return result;
+}
+
+asio::awaitable<NewestRecordsResult> MemoryStore::readNewest(Topic topic, std::string afterKey)
+{
+    beginCall(topic);
+    co_await pauseFor(ReadTime);
+    --m_calls[topic].open;
+    if (failingTopic == topic) {
+        co_return Error{ErrorCode::Unavailable, "down"};
+    }
+    co_return m_topics.newest(topic, afterKey);
+}
+
+asio::awaitable<TopicAppendResult> MemoryStore::append(TopicAppend append, std::chrono::milliseconds)
+{
+    co_await pauseFor(appendTime);
+    if (m_workersReadsAtClaim < 0) {
+        m_workersReadsAtClaim = m_calls[Topic::Workers].sent;
+    }
+    if (losesAppends) {
+        co_return TopicAppendRejected{"down"};
+    }
+    co_return m_topics.append(append);
+}
+
+void MemoryStore::beginCall(Topic topic)
+{
+    Calls &calls = m_calls[topic];
+    ++calls.sent;
+    ++calls.open;
+    calls.mostAtOnce = std::max(calls.mostAtOnce, calls.open);
+}
+
+} // namespace Hyssop::Testing
--- /dev/null
+++ b/tests/libs/node/testnodedaemon.cpp
@@ -0,0 +1,233 @@
+#include "memorystore.h"
+#include "memorytopics.h"
+
+#include <jobtopic/jobkeys.h>
+#include <node/nodedaemon.h>
+#include <node/nodesettings.h>
+#include <ports/adviceservice.h>
+#include <ports/platformdecoder.h>
+#include <ports/workerapi.h>
+#include <support/coroutines.h>
+#include <wire/codec.h>
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <set>
+#include <string>
+
+using namespace Hyssop;
+using namespace Hyssop::Testing;
+using namespace std::chrono_literals;
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char *SettingsText = R"(
+[instance]
+name = node
+failure_domain = rack
+callers = 127.0.0.1:0
+ready = 127.0.0.1:0
+admin = 127.0.0.1:0
+[store]
+address = 127.0.0.1:1
+)";
+
+/// Fails every call and collects the ids of the workers that were polled.
+class PolledWorkers : public WorkerApi
+{
+public:
+    asio::awaitable<CommandResult> start(StartCommand) override { co_return CommandNotSent{"no workers"}; }
+    asio::awaitable<CommandResult> stop(StopCommand) override { co_return CommandNotSent{"no workers"}; }
+    asio::awaitable<CommandResult> throttle(ThrottleCommand) override { co_return CommandNotSent{"no workers"}; }
+    asio::awaitable<PollResult> poll(PollCommand command) override
+    {
+        ids.insert(command.worker.id);
+        co_return CommandNotSent{"no workers"};
+    }
+
+    std::set<std::string> ids;
+};
+
+class NoAdvice : public AdviceService
+{
+public:
+    asio::awaitable<AdviceResult> requestAdvice(TaskId, std::vector<std::string>) override { co_return Error{ErrorCode::Unavailable, "no advice"}; }
+};
+
+/// Takes the value of a worker's record as its address.
+class AddressDecoder : public PlatformDecoder
+{
+public:
+    OperatorKey operatorKey(std::string_view) const override { return {}; }
+    Result<ClusterConfig> configuration(std::string_view) const override { return ClusterConfig(); }
+    Result<WorkerInfo> worker(std::string_view id, std::string_view bytes) const override
+    {
+        WorkerInfo info;
+        info.id = id;
+        info.address = bytes;
+        return info;
+    }
+};
+
+/// One instance and, in the topics, another one that can own the job topic.
+struct Fixture
+{
+    Fixture()
+        : settings(std::get<Settings>(Settings::parse(SettingsText, "test", nodeSettings())))
+        , daemon(context, settings, {store, workers, advice}, decoder, metrics, [] {})
+    {
+        const auto handler = [](const HttpRequest &) -> asio::awaitable<HttpResponse> { co_return HttpResponse(); };
+        daemon.start(handler, handler);
+    }
+
+    /// Lets another instance claim the topic and renew its claim until endOtherOwner().
+    void beginOtherOwner(std::int64_t term)
+    {
+        otherTerm = term;
+        asio::co_spawn(context, renewOtherOwner(term), asio::detached);
+        context.run_for(1ms);
+    }
+
+    void endOtherOwner() { otherTerm = 0; }
+
+    asio::awaitable<void> renewOtherOwner(std::int64_t term)
+    {
+        for (std::int64_t sequence = 0; otherTerm == term; ++sequence) {
+            Wire::TopicClaim claim;
+            claim.instance = "other";
+            claim.incarnation = 1;
+            claim.term = term;
+            claim.sequence = sequence;
+            claim.processorShare = 1;
+            topics.append({Topic::Jobs, {{0, claimKey(), encode(claim)}}, std::nullopt, ProducerPosition{"owner", term, sequence}});
+            co_await pauseFor(300ms);
+        }
+    }
+
+    void putWorker(const std::string &id) { topics.put(Topic::Workers, id, "127.0.0.1:1"); }
+    void removeWorker(const std::string &id) { topics.put(Topic::Workers, id, std::nullopt); }
+
+    /// Runs until @p condition holds and fails the test if it doesn't within 10 s.
+    void runUntil(const std::function<bool()> &condition)
+    {
+        for (int step = 0; step < 1000 && !condition(); ++step) {
+            context.run_for(10ms);
+        }
+        cr_assert(condition());
+    }
+
+    /// Returns the workers that are polled from now on.
+    std::set<std::string> polledWorkers()
+    {
+        context.run_for(600ms);
+        workers.ids.clear();
+        context.run_for(600ms);
+        return workers.ids;
+    }
+
+    asio::io_context context{1};
+    Settings settings;
+    MetricsRegistry metrics;
+    MemoryTopics topics;
+    MemoryStore store{topics};
+    PolledWorkers workers;
+    NoAdvice advice;
+    AddressDecoder decoder;
+    NodeDaemon daemon;
+    std::int64_t otherTerm = 0;
+};
+
+using Ids = std::set<std::string>;
+
+} // namespace
+
+Test(nodeDaemon, standbyInstancesDoNotReadTheWorkersTopic, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.putWorker("a");
+    fixture.beginOtherOwner(1);
+    fixture.context.run_for(3s);
+    cr_assert_eq(fixture.store.reads(Topic::Workers), 0, "%d reads", fixture.store.reads(Topic::Workers));
+    cr_assert_gt(fixture.store.reads(Topic::Jobs), 1);
+}
+
+Test(nodeDaemon, aNewOwnerKnowsTheWorkersThatRegisteredWhileItWasStandby, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.putWorker("a");
+    fixture.putWorker("b");
+    fixture.beginOtherOwner(1);
+    fixture.context.run_for(500ms);
+    fixture.putWorker("c");
+    fixture.putWorker("d");
+    fixture.removeWorker("a");
+    fixture.topics.dropHistory(Topic::Workers);
+    fixture.endOtherOwner();
+    fixture.runUntil([&] { return !fixture.workers.ids.empty(); });
+    cr_assert(fixture.polledWorkers() == Ids({"b", "c", "d"}));
+    cr_assert_not(fixture.workers.ids.contains("a"));
+    fixture.putWorker("e");
+    fixture.removeWorker("b");
+    cr_assert(fixture.polledWorkers() == Ids({"c", "d", "e"}));
+}
+
+Test(nodeDaemon, noWorkerOfAnEarlierTermSurvivesAStepDown, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.putWorker("a");
+    fixture.putWorker("b");
+    fixture.runUntil([&] { return fixture.workers.ids.size() == 2; });
+    fixture.beginOtherOwner(2);
+    fixture.context.run_for(1s);
+    fixture.workers.ids.clear();
+    const int readsBefore = fixture.store.reads(Topic::Workers);
+    fixture.removeWorker("a");
+    fixture.putWorker("c");
+    fixture.topics.dropHistory(Topic::Workers);
+    fixture.context.run_for(2s);
+    cr_assert(fixture.workers.ids.empty());
+    const int readsOnStandby = fixture.store.reads(Topic::Workers) - readsBefore;
+    cr_assert_eq(readsOnStandby, 0, "%d reads after the step down", readsOnStandby);
+    fixture.endOtherOwner();
+    fixture.runUntil([&] { return !fixture.workers.ids.empty(); });
+    cr_assert(fixture.polledWorkers() == Ids({"b", "c"}));
+    cr_assert_eq(fixture.store.mostReadsAtOnce(Topic::Workers), 1);
+}
+
+Test(nodeDaemon, aLostClaimEndsTheReadsOfTheWorkersTopic, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.putWorker("a");
+    fixture.store.losesAppends = true;
+    fixture.context.run_for(1s);
+    fixture.beginOtherOwner(1);
+    fixture.context.run_for(2s);
+    const int readsBefore = fixture.store.reads(Topic::Workers);
+    cr_assert_gt(readsBefore, 0, "no claim was sent");
+    fixture.context.run_for(2s);
+    const int readsOnStandby = fixture.store.reads(Topic::Workers) - readsBefore;
+    cr_assert_eq(readsOnStandby, 0, "%d reads after the claim was lost", readsOnStandby);
+}
+
+Test(nodeDaemon, theWorkersAreLoadedWhileTheClaimIsAppended, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.putWorker("a");
+    fixture.store.appendTime = 300ms;
+    fixture.runUntil([&] { return fixture.workers.ids.contains("a"); });
+    cr_assert_gt(fixture.store.workersReadsAtClaim(), 0);
+}
+
+Test(nodeDaemon, aNewOwnerRepeatsAFailedLoadOfTheWorkers, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.putWorker("a");
+    fixture.store.failingTopic = Topic::Workers;
+    fixture.context.run_for(2s);
+    cr_assert(fixture.workers.ids.empty());
+    fixture.store.failingTopic.reset();
+    fixture.runUntil([&] { return fixture.workers.ids.contains("a"); });
+}
--- a/tests/libs/node/testtopicfollower.cpp
+++ b/tests/libs/node/testtopicfollower.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -22,10 +23,12 @@
     asio::awaitable<TopicReadResult> read(Topic, std::int64_t from, std::chrono::milliseconds) override
     {
         ++reads;
+        beginCall();
         co_await pauseFor(1ms);
         while (isUnresponsive) {
             co_await pauseFor(10ms);
         }
+        --openCalls;
         if (isDown) {
             co_return Error{ErrorCode::Unavailable, "down"};
         }
@@ -42,6 +45,9 @@
 
     asio::awaitable<NewestRecordsResult> readNewest(Topic, std::string afterKey) override
     {
+        beginCall();
+        co_await pauseFor(pageTime);
+        --openCalls;
         std::map<std::string, KeyedRecord> newestByKey;
         for (const KeyedRecord &record : records) {
             newestByKey[record.key] = record;
@@ -65,9 +71,14 @@
         records.push_back({static_cast<std::int64_t>(records.size()), key, std::move(value)});
     }
 
+    void beginCall() { mostCallsAtOnce = std::max(mostCallsAtOnce, ++openCalls); }
+
     std::vector<KeyedRecord> records;
     std::int64_t first = 0;
+    std::chrono::milliseconds pageTime{0};
     int reads = 0;
+    int openCalls = 0;
+    int mostCallsAtOnce = 0;
     bool isDown = false;
     bool isUnresponsive = false;
 };
@@ -183,3 +194,96 @@
     fixture.run(700ms);
     cr_assert(!fixture.follower.isStoreResponsive());
 }
+
+Test(topicFollower, aPausedFollowerRemovesItsKeysAndDoesNotRead)
+{
+    Fixture fixture;
+    fixture.store.put("a", "1");
+    fixture.run(50ms);
+    cr_assert_eq(fixture.values.size(), 1);
+    fixture.follower.pause();
+    cr_assert(fixture.values.empty());
+    cr_assert_not(fixture.follower.isLoaded());
+    fixture.run(50ms);
+    const int reads = fixture.store.reads;
+    fixture.store.put("b", "2");
+    fixture.run(100ms);
+    cr_assert_eq(fixture.store.reads, reads);
+    cr_assert(fixture.values.empty());
+}
+
+Test(topicFollower, aResponseToAReadBeforeThePauseIsNotApplied)
+{
+    Fixture fixture;
+    fixture.run(50ms);
+    fixture.store.isUnresponsive = true;
+    fixture.run(50ms);
+    fixture.store.put("a", "1");
+    fixture.follower.pause();
+    fixture.store.isUnresponsive = false;
+    fixture.run(50ms);
+    cr_assert(fixture.values.empty());
+}
+
+Test(topicFollower, pauseAndResumeDuringAReadNeverLeaveTwoReaders)
+{
+    Fixture fixture;
+    fixture.store.put("a", "1");
+    fixture.store.put("b", "2");
+    fixture.run(50ms);
+    fixture.store.isUnresponsive = true;
+    fixture.run(50ms);
+    for (int round = 0; round < 3; ++round) {
+        fixture.follower.pause();
+        fixture.run(20ms);
+        fixture.follower.resume();
+        fixture.run(20ms);
+    }
+    fixture.store.put("a", std::nullopt);
+    fixture.store.put("c", "3");
+    fixture.store.isUnresponsive = false;
+    fixture.run(100ms);
+    cr_assert_eq(fixture.store.mostCallsAtOnce, 1);
+    cr_assert_not(fixture.values.contains("a"));
+    cr_assert_eq(fixture.values.size(), 2);
+    fixture.store.put("d", "4");
+    fixture.run(50ms);
+    cr_assert(fixture.values.contains("d"));
+}
+
+Test(topicFollower, aLoadBeforeThePauseIsNotContinued)
+{
+    Fixture fixture;
+    for (int index = 0; index < 5; ++index) {
+        fixture.store.put("key" + std::to_string(index), "v");
+    }
+    fixture.store.pageTime = 20ms;
+    fixture.run(50ms);
+    cr_assert(!fixture.values.empty() && fixture.values.size() < 5, "the load is not in progress");
+    fixture.follower.pause();
+    fixture.run(10ms);
+    fixture.follower.resume();
+    fixture.store.put("key0", std::nullopt);
+    fixture.run(300ms);
+    cr_assert_eq(fixture.values.size(), 4);
+    cr_assert_not(fixture.values.contains("key0"));
+    cr_assert_eq(fixture.store.mostCallsAtOnce, 1);
+    cr_assert(fixture.keysAtReads.front() == 4, "confirmed with %zu keys", fixture.keysAtReads.front());
+}
+
+Test(topicFollower, aResumedFollowerLoadsWithoutDelay)
+{
+    Fixture fixture;
+    fixture.follower.setTiming({10s, 0ms});
+    fixture.store.put("a", "1");
+    fixture.run(50ms);
+    fixture.follower.pause();
+    fixture.run(50ms);
+    fixture.follower.resume();
+    fixture.run(50ms);
+    cr_assert_eq(fixture.values.size(), 1);
+    fixture.follower.pause();
+    fixture.follower.resume();
+    fixture.run(50ms);
+    cr_assert_eq(fixture.values.size(), 1);
+}
