Repeat the random faults with owners that learn of the workers late

The same 200 seeds as randomFaultsCauseNoLostOrDuplicateRuns, with 0.1 to 20 s from each claim until its owner knows the registered workers.

--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::uint32_t Seeds = 200;
 constexpr int Jobs = 30;
+constexpr std::chrono::milliseconds WorkerLoadTimeStep{100}; // up to 20 s with all seeds
 
 /// Injects a random fault; faults may overlap and repeat.
 void injectFault(DispatchSimulation &simulation)
@@ -44,9 +45,10 @@
     }
 }
 
-void runScenario(std::uint32_t seed)
+void runScenario(std::uint32_t seed, Duration workerLoadTime = Duration::zero())
 {
     DispatchSimulation simulation(seed);
+    simulation.workerLoadTime = workerLoadTime;
     simulation.faults = {0.03, 0.03, 0.03};
     simulation.claim();
     for (int job = 0; job < Jobs; ++job) {
@@ -81,3 +83,10 @@
         runScenario(seed);
     }
 }
+
+Test(dispatchFaults, randomFaultsCauseNoLostOrDuplicateRunsIfOwnersLearnOfTheWorkersLate)
+{
+    for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
+        runScenario(seed, seed * WorkerLoadTimeStep);
+    }
+}
