Stop reading the workers at once after a step down

Seen: an owner that steps down because the store fences its append, while its reads of the job topic fail, went on reading the workers topic, because only a successful read of the job topic paused the follower. On a full link that load would stay until a read succeeds.

TopicOwner now says when it needs the workers: with the claim, the begin and the end of a term, and at each tick for a claim that can no longer appear. This does not depend on calls to the store.

--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -106,11 +106,6 @@
                        [this](TimePoint sentAt) {
                            m_owner.jobsRead(sentAt);
                            m_jobs.setTiming(m_owner.isOwner() || m_owner.isClaiming() ? Internal::OwnerJobsTiming : Internal::StandbyJobsTiming);
-                           if (m_owner.needsWorkers()) {
-                               m_workers.resume();
-                           } else {
-                               m_workers.pause();
-                           }
                        });
     asio::co_spawn(m_context, m_jobs.run(), asio::detached);
 }
@@ -141,6 +136,13 @@
             }
         },
         [](TimePoint) {});
+    m_owner.setWorkersNeedHandler([this](bool isNeeded) {
+        if (isNeeded) {
+            m_workers.resume();
+        } else {
+            m_workers.pause();
+        }
+    });
     m_workers.pause();
     asio::co_spawn(m_context, m_workers.run(), asio::detached);
 }
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -105,6 +105,7 @@
         m_claiming = true;
         m_cleanHandover = m_ownerObservation.released && m_table.claim()->settled;
         m_claimSentAt = now;
+        updateWorkersNeed();
         asio::co_spawn(m_executor, claim(), asio::detached);
     }
 }
@@ -143,6 +144,7 @@
     while (true) {
         timer.expires_after(m_term ? Internal::TickInterval : Internal::StandbyInterval);
         co_await timer.async_wait(Internal::AsTuple);
+        updateWorkersNeed();
         if (!m_term || m_releasing) {
             continue;
         }
@@ -209,6 +211,7 @@
     for (const auto &[id, info] : m_workers) {
         m_dispatcher.updateWorker(info);
     }
+    updateWorkersNeed();
     m_metrics.add("hyssop_ownerships_total");
     m_metrics.set("hyssop_is_owner", 1);
     logMessage(
@@ -227,6 +230,16 @@
     m_term.reset();
     m_metrics.set("hyssop_is_owner", 0);
     m_ownerObservation.lastRecordAt = m_clock.now();
+    updateWorkersNeed();
+}
+
+void TopicOwner::updateWorkersNeed()
+{
+    const bool isNeeded = m_term || m_claiming || isClaiming();
+    if (isNeeded != m_needsWorkers) {
+        m_needsWorkers = isNeeded;
+        m_workersNeedHandler(isNeeded);
+    }
 }
 
 asio::awaitable<void> TopicOwner::claim()
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -10,9 +10,11 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Hyssop {
@@ -44,6 +46,9 @@
 class TopicOwner
 {
 public:
+    /// @p isNeeded is true while this instance is the owner or its claim may still succeed.
+    using WorkersNeedHandler = std::function<void(bool isNeeded)>;
+
     TopicOwner(boost::asio::any_io_executor executor,
                const Clock &clock,
                OwnerPorts ports,
@@ -53,6 +58,10 @@
                const DispatchLimits &limits,
                const OwnerIdentity &identity);
 
+    /// @p onWorkersNeed is called when the registered workers begin or cease to be needed; at first, they are not. While they are
+    /// not needed, all known workers must be removed, and none needs to be added.
+    void setWorkersNeedHandler(WorkersNeedHandler onWorkersNeed) { m_workersNeedHandler = std::move(onWorkersNeed); }
+
     /// Must be called after a record of the job topic was applied to the table.
     void jobRecordApplied(const JobKey &key);
 
@@ -72,15 +81,13 @@
     bool isOwner() const { return m_term.has_value(); }
     /// Returns true while a recently sent claim may still appear in the topic.
     bool isClaiming() const;
-    /// Returns true while this instance is the owner or its claim may still succeed. Only then updateWorker() and removeWorker()
-    /// need to be called. removeWorker() must be called for each known worker before a later term.
-    bool needsWorkers() const { return m_term || m_claiming || isClaiming(); }
     std::int64_t term() const { return m_term.value_or(-1); }
 
 private:
     bool ownsNewestClaim() const;
     void becomeOwner();
     void stepDown(const std::string &reason);
+    void updateWorkersNeed();
     boost::asio::awaitable<void> claim();
     void execute(DispatchAction action);
     void startAppend(std::vector<KeyedRecord> records, bool isBatch);
@@ -107,7 +114,9 @@
     ClaimPolicy m_claimPolicy;
     OwnerObservation m_ownerObservation;
     Dispatcher m_dispatcher;
-    std::map<std::string, WorkerInfo> m_workers; // empty unless needsWorkers()
+    WorkersNeedHandler m_workersNeedHandler;
+    bool m_needsWorkers = false;
+    std::map<std::string, WorkerInfo> m_workers; // empty unless they are needed
     ClusterConfig m_config;
     std::set<std::string> m_evacuatedDomains;
     std::optional<std::int64_t> m_term; // set while this instance is the owner
--- a/tests/libs/node/testnodedaemon.cpp
+++ b/tests/libs/node/testnodedaemon.cpp
@@ -197,6 +197,22 @@
     cr_assert_eq(fixture.store.mostReadsAtOnce(Topic::Workers), 1);
 }
 
+Test(nodeDaemon, aStepDownWithoutReadsOfTheJobsEndsTheReadsOfTheWorkersTopic, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.putWorker("a");
+    fixture.runUntil([&] { return !fixture.workers.ids.empty(); });
+    fixture.store.failingTopic = Topic::Jobs;
+    fixture.beginOtherOwner(2);
+    fixture.context.run_for(2s);
+    const int readsBefore = fixture.store.reads(Topic::Workers);
+    fixture.workers.ids.clear();
+    fixture.context.run_for(3s);
+    cr_assert(fixture.workers.ids.empty());
+    const int readsAfter = fixture.store.reads(Topic::Workers) - readsBefore;
+    cr_assert_eq(readsAfter, 0, "%d reads after the step down", readsAfter);
+}
+
 Test(nodeDaemon, aLostClaimEndsTheReadsOfTheWorkersTopic, .timeout = 30)
 {
     Fixture fixture;
