--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -3,7 +3,7 @@
 #include <observability/logging.h>
 #include <ports/metadatastore.h>
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
@@ -15,14 +15,15 @@
 
 namespace Internal {
 
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds TransientFailureTimeout{300};
 // Longer than a read that waits for records plus the interval after it.
 constexpr std::chrono::milliseconds ResponseTimeout{1500};
 
 } // namespace Internal
 
-TopicFollower::TopicFollower(asio::any_io_executor executor, const Clock &clock, MetadataStore &store, Topic topic)
-    : m_executor(std::move(executor))
+TopicFollower::TopicFollower(const asio::any_io_executor &executor, const Clock &clock, MetadataStore &store, Topic topic)
+    : m_timer(executor)
     , m_clock(clock)
     , m_store(store)
     , m_topic(topic)
@@ -40,11 +41,42 @@
 {
     m_stopped = false;
     while (!m_stopped) {
-        if (!m_loaded) {
+        if (m_paused) {
+            co_await waitForResume();
+        } else if (m_loaded) {
+            co_await readNext();
+        } else {
             m_loaded = co_await load();
-            continue;
         }
-        co_await readNext();
+    }
+}
+
+void TopicFollower::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+}
+
+void TopicFollower::pause()
+{
+    if (m_paused) {
+        return;
+    }
+    m_paused = true;
+    ++m_pauses;
+    m_loaded = false;
+    m_failingSince.reset();
+    logMessage(
+        LogLevel::Info, "follower", "topic paused", {{"topic", topicName(m_topic)}, {"keys", m_keys.size()}, {"offset", static_cast<long long>(m_next)}});
+    removeMissingKeys({}, m_next);
+}
+
+void TopicFollower::resume()
+{
+    if (m_paused) {
+        m_paused = false;
+        logMessage(LogLevel::Info, "follower", "topic resumed", {{"topic", topicName(m_topic)}});
+        m_timer.cancel();
     }
 }
 
@@ -65,13 +97,17 @@
     std::string after;
     std::int64_t firstEnd = -1;
     TimePoint sentAt; // of the first page, whose end is the begin of the records to read after the loading
+    const int pauses = m_pauses;
     while (true) {
         sentAt = firstEnd < 0 ? m_clock.now() : sentAt;
         NewestRecordsResult result = co_await m_store.readNewest(m_topic, after);
+        if (m_stopped || pauses != m_pauses) {
+            co_return false;
+        }
         const auto *page = std::get_if<NewestRecordsPage>(&result);
         if (page == nullptr) {
             co_await waitAfterFailure(std::get<Error>(result));
-            if (m_stopped) {
+            if (m_stopped || pauses != m_pauses) {
                 co_return false;
             }
             continue; // with the same page: if records after firstEnd expire meanwhile, the next read reports it
@@ -92,14 +128,15 @@
     logMessage(
         LogLevel::Info, "follower", "topic loaded", {{"topic", topicName(m_topic)}, {"keys", presentKeys.size()}, {"offset", static_cast<long long>(m_next)}});
     confirmRead(sentAt);
-    co_return true;
+    co_return pauses == m_pauses;
 }
 
 asio::awaitable<void> TopicFollower::readNext()
 {
     const TimePoint sentAt = m_clock.now();
+    const int pauses = m_pauses;
     const TopicReadResult result = co_await m_store.read(m_topic, m_next, m_timing.maximumWait);
-    if (m_stopped) {
+    if (m_stopped || pauses != m_pauses) {
         co_return;
     }
     if (const auto *error = std::get_if<Error>(&result)) {
@@ -171,12 +208,18 @@
     co_await sleep(m_backoff.next(error.code));
 }
 
-asio::awaitable<void> TopicFollower::sleep(std::chrono::milliseconds time) const
+asio::awaitable<void> TopicFollower::sleep(std::chrono::milliseconds time)
 {
     if (time.count() > 0) {
-        asio::steady_timer timer(m_executor, time);
-        co_await timer.async_wait(asio::use_awaitable);
+        m_timer.expires_after(time);
+        co_await m_timer.async_wait(Internal::AsTuple);
     }
 }
 
+asio::awaitable<void> TopicFollower::waitForResume()
+{
+    m_timer.expires_at(asio::steady_timer::time_point::max());
+    co_await m_timer.async_wait(Internal::AsTuple);
+}
+
 } // namespace Hyssop
--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::uint32_t Seeds = 200;
 constexpr int Jobs = 30;
+constexpr std::chrono::milliseconds WorkerLoadTimeStep{100}; // up to 20 s with all seeds
 
 using CrashWorker = void (DispatchSimulation::*)(std::size_t index, Duration downTime);
 
@@ -46,9 +47,10 @@
     }
 }
 
-void runScenario(std::uint32_t seed, CrashWorker crash)
+void runScenario(std::uint32_t seed, CrashWorker crash, Duration workerLoadTime = Duration::zero())
 {
     DispatchSimulation simulation(seed);
+    simulation.workerLoadTime = workerLoadTime;
     simulation.faults = {0.03, 0.03, 0.03};
     simulation.claim();
     for (int job = 0; job < Jobs; ++job) {
@@ -142,3 +144,10 @@
         runServingScenario(seed);
     }
 }
+
+Test(dispatchFaults, randomFaultsCauseNoLostOrDuplicateRunsIfOwnersLearnOfTheWorkersLate)
+{
+    for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
+        runScenario(seed, &DispatchSimulation::restartWorker, seed * WorkerLoadTimeStep);
+    }
+}
