Entries with values out of range name no worker

What callers would see: an entry of another writer with cpu 2^63-1, a negative amount, port 65536 or an address with a line break was taken for a worker. Its capacity overflowed the sums over the workers (undefined behaviour, racks sorted by garbage); an unusable address was polled five times a second, and one with a line break or NUL went into the Host header as it was. An id with a line break or of more than 65,533 bytes went into a header too, where the setter throws.

Cause: integers were decoded without bounds, unsigned ones above 2^63-1 wrapped to negative ones, and the address and the key were not checked.

The time that remains may be negative: it is a minimum that can be over.

--- /dev/null
+++ b/tests/platform/testoddrecords.cpp
@@ -0,0 +1,152 @@
+#include <recorddecoder.h>
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <string>
+
+using namespace Hyssop;
+using namespace Hyssop::Platform;
+
+namespace {
+
+constexpr std::size_t DeepNesting = 100'000; // levels
+constexpr std::size_t LongText = 1024 * 1024; // bytes
+
+// Values that no writer of the platform uses for an amount or a time.
+constexpr std::array OddIntegers{"-9223372036854775808",
+                                 "9223372036854775807",
+                                 "9223372036854775808",
+                                 "18446744073709551615",
+                                 "1e18",
+                                 "1e308",
+                                 "1e999",
+                                 "-1e999",
+                                 "99999999999999999999999999",
+                                 "true",
+                                 "\"7\"",
+                                 "[]",
+                                 "{}"};
+
+template<typename Operation>
+bool fails(Operation operation)
+{
+    auto outcome = capture(operation);
+    return errorOf(outcome) != nullptr;
+}
+
+std::string repeated(std::string_view text, std::size_t count)
+{
+    std::string result;
+    for (std::size_t index = 0; index < count; ++index) {
+        result += text;
+    }
+    return result;
+}
+
+/// Returns the entry of a worker in which the value of @p field is @p value.
+std::string workerWith(const std::string &field, const std::string &value)
+{
+    const auto valueOfField = [&](const std::string &name, const std::string &usual) { return "\"" + name + "\":" + (name == field ? value : usual); };
+    return "{" + valueOfField("service", "\"s\"") + "," + valueOfField("address", "\"127.0.0.1:7000\"") + "," + valueOfField("zone", "\"z\"") + ","
+        + valueOfField("state", "\"draining\"") + "," + valueOfField("coldLeftMs", "0") + "," + valueOfField("remainingMs", "5") + ","
+        + valueOfField("labels", "[\"r1-2\"]") + ",\"capacity\":{" + valueOfField("cpu", "4000") + "," + valueOfField("memMb", "1000") + ","
+        + valueOfField("gpu", "0") + "}}";
+}
+
+bool isUsableWorker(const std::string &entry, const std::string &id = "w")
+{
+    return !fails([&] { return RecordDecoder().worker(id, entry); });
+}
+
+} // namespace
+
+Test(oddRecords, anUsualEntryNamesAWorker)
+{
+    cr_assert(isUsableWorker(workerWith("", "")));
+    for (const char *address : {"\"127.0.0.1:1\"", "\"127.0.0.1:65535\"", "\"[::1]:80\""}) {
+        cr_assert(isUsableWorker(workerWith("address", address)), "%s", address);
+    }
+}
+
+Test(oddRecords, aDeeplyNestedEntryIsAnError)
+{
+    for (const std::string &entry : {repeated("[", DeepNesting),
+                                     repeated("{\"a\":", DeepNesting),
+                                     workerWith("labels", repeated("[", DeepNesting)),
+                                     workerWith("labels", repeated("[", DeepNesting) + repeated("]", DeepNesting)),
+                                     workerWith("service", repeated("{\"a\":", DeepNesting) + "1" + repeated("}", DeepNesting))}) {
+        cr_assert_not(isUsableWorker(entry));
+    }
+}
+
+Test(oddRecords, anEntryWithAnOddAmountNamesNoWorker)
+{
+    for (const char *field : {"cpu", "memMb", "gpu", "coldLeftMs", "remainingMs"}) {
+        for (const char *value : OddIntegers) {
+            cr_expect_not(isUsableWorker(workerWith(field, value)), "%s: %s", field, value);
+        }
+    }
+}
+
+Test(oddRecords, anEntryWithANegativeAmountNamesNoWorker)
+{
+    for (const char *field : {"cpu", "memMb", "gpu"}) {
+        cr_expect_not(isUsableWorker(workerWith(field, "-1")), "%s", field);
+    }
+    cr_expect(isUsableWorker(workerWith("remainingMs", "-1")), "the minimum time is over");
+}
+
+Test(oddRecords, anEntryWithAnUnusableAddressNamesNoWorker)
+{
+    for (const char *address : {"\"127.0.0.1:0\"",
+                                "\"127.0.0.1:65536\"",
+                                "\"127.0.0.1:99999999999\"",
+                                "\"127.0.0.1:99999999999999999999\"",
+                                "\"127.0.0.1:-1\"",
+                                "\"127.0.0.1:\"",
+                                "\"127.0.0.1\"",
+                                "\"::1\"",
+                                "\"::1:80\"",
+                                "\"a host:80\"",
+                                "\"0.0.0.0:80\"",
+                                "\"[::]:80\"",
+                                "\":80\"",
+                                "\"127.0.0.1:80\\r\\n\"",
+                                "\"127.0.0.1:80 \"",
+                                "\"127.0.0.1\\u0000\\r\\nA: b:80\"",
+                                "80",
+                                "null",
+                                "\"\""}) {
+        cr_expect_not(isUsableWorker(workerWith("address", address)), "%s", address);
+    }
+    cr_expect_not(isUsableWorker(workerWith("address", "\"" + std::string(LongText, '1') + ":80\"")));
+}
+
+Test(oddRecords, anEntryWithoutFailureDomainNamesNoWorker)
+{
+    cr_expect_not(isUsableWorker(workerWith("zone", "null")));
+    cr_expect_not(isUsableWorker(workerWith("zone", "\"\"")));
+}
+
+Test(oddRecords, anEntryUnderAnIdThatIsNoHeaderValueNamesNoWorker)
+{
+    for (const std::string &id : {std::string(), std::string("a\r\nB: c"), std::string("a\0b", 3), std::string("\xff\xfe"), std::string(LongText, 'a')}) {
+        cr_expect_not(isUsableWorker(workerWith("", ""), id));
+    }
+}
+
+Test(oddRecords, bytesThatAreNoEntryNameNoWorker)
+{
+    for (const std::string &entry : {std::string(),
+                                     std::string("\xff\xfe"),
+                                     std::string("\0\0", 2),
+                                     std::string(LongText, 'a'),
+                                     std::string("[]"),
+                                     std::string("null"),
+                                     std::string("1e999"),
+                                     workerWith("service", "\"\xff\""),
+                                     workerWith("", "") + "}"}) {
+        cr_expect_not(isUsableWorker(entry));
+    }
+}
