Reports with values out of range do not name other runs or overflow

Cause: integers of reports were cast to narrower types or kept without bounds.

Rows with an impossible number are malformed, and a report with an impossible clock is no report. Progress and load are measurements: they are limited, and the row still says that the run is present. Without the row the run would be taken for lost and started a second time.

--- a/tests/platform/testoddrecords.cpp
+++ b/tests/platform/testoddrecords.cpp
@@ -1,8 +1,10 @@
 #include <recorddecoder.h>
+#include <workercodec.h>
 
 #include <criterion/criterion.h>
 
 #include <array>
+#include <optional>
 #include <string>
 
 using namespace Hyssop;
@@ -150,3 +152,73 @@
         cr_expect_not(isUsableWorker(entry));
     }
 }
+
+namespace {
+
+std::string reportWith(const std::string &clock, const std::string &running, const std::string &finished = {})
+{
+    return "{\"clockMs\":" + clock + ",\"born\":1700000000000,\"running\":[" + running + "],\"finished\":[" + finished + "]}";
+}
+
+std::optional<WorkerReport> decodedReport(const std::string &body, std::size_t *malformedRows = nullptr)
+{
+    std::size_t malformed = 0;
+    auto report = capture([&] { return decodeReport(body, malformed); });
+    if (malformedRows != nullptr) {
+        *malformedRows = malformed;
+    }
+    const WorkerReport *decoded = valueOf(report);
+    return decoded != nullptr ? std::optional<WorkerReport>(*decoded) : std::nullopt;
+}
+
+} // namespace
+
+Test(oddRecords, aReportWithAnOddClockIsAnError)
+{
+    cr_assert(decodedReport(reportWith("482113", "")).has_value());
+    for (const char *clock : OddIntegers) {
+        cr_expect_not(decodedReport(reportWith(clock, "")).has_value(), "%s", clock);
+    }
+    cr_expect_not(decodedReport(reportWith("-1", "")).has_value());
+    for (const std::string &body : {repeated("[", DeepNesting), repeated("{\"a\":", DeepNesting), reportWith("1", repeated("[", DeepNesting))}) {
+        cr_expect_not(decodedReport(body).has_value());
+    }
+}
+
+Test(oddRecords, aRowWithAnOddRunNumberDoesNotNameAnotherRun)
+{
+    for (const char *run : {"4294967298", "-4294967294", "-1", "0", "18446744073709551615", "1e308"}) {
+        std::size_t malformedRows = 0;
+        const std::string rows = "[\"ab.0.1.2\"," + std::string(run) + ",\"\",40,5],[\"ab.0.1.3\",2,\"\",40,5]";
+        const std::string ends = "[7,\"ab.0.1.2\"," + std::string(run) + ",\"done\",\"\"],[8,\"ab.0.1.3\",1,\"done\",\"\"]";
+        const auto report = decodedReport(reportWith("5", rows, ends), &malformedRows);
+        cr_expect(report && report->runs.size() == 1 && report->runs[0].run == 2, "%s", run);
+        cr_expect(report && report->ends.size() == 1 && report->ends[0].run == 1, "%s", run);
+        cr_expect_eq(malformedRows, 2);
+    }
+}
+
+Test(oddRecords, anEndWithAnOddNumberDoesNotHideLaterEnds)
+{
+    for (const char *number : OddIntegers) {
+        const auto report = decodedReport(reportWith("5", "", "[" + std::string(number) + ",\"ab.0.1.2\",1,\"done\",\"\"],[8,\"ab.0.1.3\",1,\"done\",\"\"]"));
+        cr_expect(report && report->ends.size() == 1 && report->ends[0].sequence == 8, "%s", number);
+    }
+}
+
+Test(oddRecords, aRunWithOddMeasurementsIsStillReported)
+{
+    for (const char *value : {"-1", "101", "2147483648", "-2147483648", "9223372036854775807", "18446744073709551615"}) {
+        const auto odd = decodedReport(reportWith("5", "[\"ab.0.1.2\",1,\"\"," + std::string(value) + "," + value + "]"));
+        cr_assert(odd && odd->runs.size() == 1, "%s", value);
+        cr_expect(odd->runs[0].progressPercent >= 0 && odd->runs[0].progressPercent <= 100, "%s", value);
+        cr_expect(odd->runs[0].load >= 0 && odd->runs[0].load < 1e12, "%s", value);
+    }
+}
+
+Test(oddRecords, theClockOfACommandResponseIsBounded)
+{
+    for (const char *clock : OddIntegers) {
+        cr_expect_eq(decodeClock("{\"clockMs\":" + std::string(clock) + "}").count(), 0, "%s", clock);
+    }
+}
