A start response without clock is not taken for a restart

What callers would see: a worker that answers a start with 200 and a body without a usable clockMs loses all its runs: they count as ended and are started a second time elsewhere (LOST, then double runs).

Cause: the clock 0 of a response means "unknown", but was compared with the last reported clock, so the clock seemed to have gone back.

Before: delayedResponses/aStartResponseWithoutClockIsNotTakenForARestart failed: endedRuns was not 0. A response without clock now proves nothing about the worker's process; the next report does.

--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -58,7 +58,7 @@
     if (!isOfThisTerm(command.fencingToken) || !isCurrent || task->phase != TaskPhase::Starting) {
         return;
     }
-    if (const auto *executed = std::get_if<CommandExecuted>(&result)) {
+    if (const auto *executed = std::get_if<CommandExecuted>(&result); executed != nullptr && executed->clock.count() > 0) {
         detectClockRegression(command.worker.id, executed->clock, now);
     }
     std::visit(Overloaded{
--- a/tests/libs/dispatch/testdelayedresponses.cpp
+++ b/tests/libs/dispatch/testdelayedresponses.cpp
@@ -138,3 +138,24 @@
     }
     cr_assert_gt(answeredJustAfterLeaseEnd, 0);
 }
+
+Test(delayedResponses, aStartResponseWithoutClockIsNotTakenForARestart)
+{
+    DispatcherHarness harness(2);
+    harness.step(20ms);
+    harness.answerPoll(harness.clock());
+    for (int round = 0; round < 10 && harness.starts.size() < 2; ++round) {
+        harness.step(20ms);
+    }
+    cr_assert_eq(harness.starts.size(), 2);
+    harness.answerStart(harness.starts[0], harness.clock());
+    harness.answerStart(harness.starts[1], WorkerTime(0));
+    for (int round = 0; round < 50; ++round) {
+        harness.step(20ms);
+        if (harness.poll) {
+            harness.answerPoll(harness.clock());
+        }
+    }
+    cr_assert_eq(harness.endedRuns, 0);
+    cr_assert_eq(harness.starts.size(), 2, "no run was considered lost");
+}
