A report without clock is an error

What callers would see: after a report without clockMs the leases of that worker were sent as times near 0 on its clock, which have long passed, so they were no longer extended and its runs ended.

Cause: a missing clock was decoded as 0.

Before: oddRecords/aReportWithoutClockIsAnError failed.

--- a/tests/platform/testoddrecords.cpp
+++ b/tests/platform/testoddrecords.cpp
@@ -222,3 +222,9 @@
         cr_expect_eq(decodeClock("{\"clockMs\":" + std::string(clock) + "}").count(), 0, "%s", clock);
     }
 }
+
+Test(oddRecords, aReportWithoutClockIsAnError)
+{
+    cr_assert_not(decodedReport(R"({"born":1700000000000,"running":[],"finished":[]})").has_value());
+    cr_assert_not(decodedReport(R"({"clockMs":null,"running":[],"finished":[]})").has_value());
+}
