Submissions with values out of range are refused

What callers would see: a submission with a negative cpu was accepted and added free capacity to its worker, so that too much was started there; one with 15,000 steps of 100,000 tasks each needed more memory than the owner has, and each later owner read it again; estimates, start times and intervals near 2^63 overflowed the deadlines.

Cause: only the number of tasks of one step was checked. Other integers were cast or kept as they came.

Before: oddRecords/aSubmissionWithAnOddAmountIsRefused and aSubmissionThatOverflowsAsAWholeIsRefused failed (each amount with -1, -2^63 and 2^63-1 was accepted, and so were the job of 120,000 tasks and the chain of 400 steps of 8e9 ms).

--- a/tests/platform/testoddrecords.cpp
+++ b/tests/platform/testoddrecords.cpp
@@ -1,3 +1,4 @@
+#include <jobcodec.h>
 #include <recorddecoder.h>
 #include <workercodec.h>
 
@@ -228,3 +229,50 @@
     cr_assert_not(decodedReport(R"({"born":1700000000000,"running":[],"finished":[]})").has_value());
     cr_assert_not(decodedReport(R"({"clockMs":null,"running":[],"finished":[]})").has_value());
 }
+
+namespace {
+
+std::string stepWith(const std::string &fields)
+{
+    return "{\"count\":1" + (fields.empty() ? std::string() : "," + fields) + "}";
+}
+
+bool isAcceptedJob(const std::string &steps, const std::string &fields = {})
+{
+    const std::string body = R"({"spec":"s","steps":[)" + steps + "]" + (fields.empty() ? std::string() : "," + fields) + "}";
+    return !fails([&] { return decodeJob(body, 4 * LongText); });
+}
+
+} // namespace
+
+Test(oddRecords, aSubmissionWithAnOddAmountIsRefused)
+{
+    cr_assert(isAcceptedJob(stepWith(R"("cpu":500,"memMb":256,"gpu":1,"estimateMs":900,"antiAffinity":2,"targetMs":18,"mayMiss":1)")));
+    for (const char *field : {"cpu", "memMb", "gpu", "estimateMs", "antiAffinity", "targetMs", "mayMiss"}) {
+        cr_expect_not(isAcceptedJob(stepWith("\"" + std::string(field) + "\":-1")), "%s: -1", field);
+        for (const char *value : OddIntegers) {
+            cr_expect_not(isAcceptedJob(stepWith("\"" + std::string(field) + "\":" + value)), "%s: %s", field, value);
+        }
+    }
+    for (const char *field : {"repeatCount", "startAtMs", "intervalMs"}) {
+        cr_expect_not(isAcceptedJob(stepWith(""), "\"" + std::string(field) + "\":-1"), "%s: -1", field);
+        for (const char *value : OddIntegers) {
+            cr_expect_not(isAcceptedJob(stepWith(""), "\"" + std::string(field) + "\":" + value), "%s: %s", field, value);
+        }
+    }
+}
+
+Test(oddRecords, aSubmissionThatOverflowsAsAWholeIsRefused)
+{
+    cr_assert(isAcceptedJob(stepWith(""), R"("repeatCount":1000,"startAtMs":1796428800000,"intervalMs":60000)"));
+    cr_expect_not(isAcceptedJob(stepWith(""), R"("repeatCount":1000000,"startAtMs":1796428800000,"intervalMs":8000000000)"));
+    cr_expect_not(isAcceptedJob(R"({"count":60000},{"count":60000})"), "two steps with more tasks than one may have");
+    std::string chain = stepWith("\"estimateMs\":8000000000");
+    for (int step = 1; step < 400; ++step) {
+        chain += "," + stepWith("\"estimateMs\":8000000000,\"after\":[" + std::to_string(step - 1) + "]");
+    }
+    cr_expect_not(isAcceptedJob(chain));
+    cr_expect_not(isAcceptedJob(stepWith("\"after\":[0]")));
+    cr_expect_not(isAcceptedJob(stepWith("\"after\":[18446744073709551615]")));
+    cr_expect_not(isAcceptedJob(repeated("[", DeepNesting)));
+}
