Records of the job topic out of range are ignored

What callers would see: a submission record with 2^31-1 tasks ends the owner and each later owner for want of memory; progress with finishedOccurrences -2^31 releases two billion occurrences; a run 2^31-1 overflows with the next start; a claim of term 2^63-1 leaves no term to claim, so nobody becomes the owner again; a learned value that is no number makes each forecast with it no number, and it is stored again by each owner.

Cause: records were decoded by structure only. They may come from another version, and they are read again after each restart.

Such a record is counted as malformed, and the value read before it holds.

--- a/src/libs/jobtopic/jobtable.cpp
+++ b/src/libs/jobtopic/jobtable.cpp
@@ -1,5 +1,7 @@
 #include "jobtable.h"
 
+#include "joblimits.h"
+
 #include <ports/keyedrecord.h>
 #include <utils/result.h>
 #include <wire/codec.h>
@@ -8,6 +10,15 @@
 
 namespace Hyssop {
 
+/// Turns a decoded value that is out of the limits into a failure.
+template<typename Value>
+static Result<Value> withinLimits(Result<Value> decoded)
+{
+    BOOST_LEAF_AUTO(value, std::move(decoded));
+    BOOST_LEAF_CHECK(checkLimits(value));
+    return value;
+}
+
 Wire::JobPhase::type TopicJob::phase() const
 {
     if (progress.phase == Wire::JobPhase::Completed || progress.phase == Wire::JobPhase::Failed) {
@@ -69,7 +80,7 @@
         return;
     }
     TopicJob &entry = m_jobs[key.jobId];
-    auto decoded = capture([&] { return decodeStepJob(*record.value); });
+    auto decoded = capture([&] { return withinLimits(decodeStepJob(*record.value)); });
     auto *job = valueOf(decoded);
     if (job == nullptr) {
         ++m_malformedRecords;
@@ -96,7 +107,7 @@
     if (record.offset <= entry.progressOffset) {
         return;
     }
-    auto decoded = capture([&] { return decodeJobProgress(*record.value); });
+    auto decoded = capture([&] { return withinLimits(decodeJobProgress(*record.value)); });
     if (auto *progress = valueOf(decoded)) {
         entry.progress = std::move(*progress);
         entry.progressOffset = record.offset;
@@ -110,7 +121,7 @@
     if (!record.value) {
         return;
     }
-    auto decoded = capture([&] { return decodeLearnedTails(*record.value); });
+    auto decoded = capture([&] { return withinLimits(decodeLearnedTails(*record.value)); });
     if (auto *tails = valueOf(decoded)) {
         m_learnedTails = std::move(*tails);
     } else {
@@ -123,7 +134,7 @@
     if (!record.value || record.offset <= m_claimOffset) {
         return;
     }
-    auto decoded = capture([&] { return decodeTopicClaim(*record.value); });
+    auto decoded = capture([&] { return withinLimits(decodeTopicClaim(*record.value)); });
     if (auto *claim = valueOf(decoded)) {
         m_claim = std::move(*claim);
         m_claimOffset = record.offset;
