A job releases a bounded number of occurrences

What callers would see: a submission with repeatCount 1,000,000 and no interval made the owner create a million occurrences at once; with 2^31-1 it runs out of memory, and so does each owner after it, because the submission is stored.

Cause: all due occurrences were released, however many. Progress records were restored in the same way, with occurrences that the job doesn't have, and a step named twice counted its tasks twice, so that it never ended.

An occurrence is released while the job has fewer than 5,000 released occurrences and 100,000 released tasks, and the next ones as soon as earlier ones have ended. The same rule, in the same order, holds for restoring, so a later owner restores whatever an owner could release.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -208,9 +208,13 @@
         if (!isDue) {
             return;
         }
-        if (!job.occurrences.contains(occurrence)) {
-            addOccurrence(job, occurrence);
+        if (job.occurrences.contains(occurrence)) {
+            continue;
+        }
+        if (!canAddOccurrence(job)) {
+            return;
         }
+        addOccurrence(job, occurrence);
     }
 }
 
--- a/src/libs/dispatch/jobprogress.cpp
+++ b/src/libs/dispatch/jobprogress.cpp
@@ -12,6 +12,8 @@
 namespace Internal {
 
 constexpr std::size_t BitsPerByte = 8;
+constexpr std::size_t MaximumReleasedOccurrences = 5000;
+constexpr std::int64_t MaximumReleasedTasks = 100'000; // checked before the last occurrence is added
 
 static bool hasBit(const std::string &mask, std::size_t index)
 {
@@ -44,7 +46,7 @@
 static void restoreStep(StepExecution &step, const Wire::StepMarks &marks)
 {
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
-        if (hasBit(marks.doneMask, index)) {
+        if (hasBit(marks.doneMask, index) && step.tasks[index].phase != TaskPhase::Done) {
             step.tasks[index].phase = TaskPhase::Done;
             ++step.done;
         }
@@ -59,10 +61,13 @@
 static void restoreOccurrence(JobExecution &job, const Wire::StepMarks &marks)
 {
     const bool known = marks.step >= 0 && marks.step < static_cast<int>(job.submission.steps.size());
-    if (!known || marks.occurrence < job.finishedOccurrences) {
+    if (!known || marks.occurrence < job.finishedOccurrences || marks.occurrence >= job.occurrenceCount()) {
         return;
     }
     if (!job.occurrences.contains(marks.occurrence)) {
+        if (!canAddOccurrence(job)) {
+            return;
+        }
         addOccurrence(job, marks.occurrence);
     }
     restoreStep(job.occurrences[marks.occurrence][static_cast<std::size_t>(marks.step)], marks);
@@ -116,6 +121,16 @@
 
 } // namespace Internal
 
+bool canAddOccurrence(const JobExecution &job)
+{
+    std::int64_t tasks = 0;
+    for (const Wire::TaskStep &step : job.submission.steps) {
+        tasks += step.taskCount;
+    }
+    const auto released = static_cast<std::int64_t>(job.occurrences.size());
+    return job.occurrences.size() < Internal::MaximumReleasedOccurrences && released * tasks < Internal::MaximumReleasedTasks;
+}
+
 void addOccurrence(JobExecution &job, int occurrence)
 {
     std::vector<StepExecution> steps(job.submission.steps.size());
--- a/src/libs/dispatch/jobprogress.h
+++ b/src/libs/dispatch/jobprogress.h
@@ -13,6 +13,10 @@
 /// their workers tell their state.
 JobExecution restoreJob(const std::string &jobId, const TopicJob &entry);
 
+/// Returns true if another occurrence may be released. The others are released when earlier ones have ended, which bounds the
+/// size of a job whose occurrences all are due.
+bool canAddOccurrence(const JobExecution &job);
+
 /// Adds an occurrence with all its steps to a job.
 void addOccurrence(JobExecution &job, int occurrence);
 
