An exception does not end following silently

What callers would see: an instance that stops following a topic for good and goes on answering: it uses the workers and the configuration of that moment, or keeps the ownership without dispatching.

Cause: loops and commands were spawned with asio::detached, which discards the exception of a coroutine. One record whose handling throws ended the loop of its topic.

Before: topicFollower/aRecordThatCannotBeAppliedDoesNotEndFollowing failed: of the keys a, odd and z only a was loaded.

A record for which the handler throws is logged with its key and offset and skipped; reading it again would fail again. An exception that leaves a loop now leaves the event loop, so the process ends with an error message and is started again. One that leaves a single command is logged and affects no other worker.

--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -1,5 +1,7 @@
 #include "nodedaemon.h"
 
+#include "detachedtask.h"
+
 #include <instance/instanceparts.h>
 #include <observability/logging.h>
 #include <utils/endpoint.h>
@@ -7,7 +9,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -89,8 +90,8 @@
     followJobs();
     followOperators();
     followWorkers();
-    asio::co_spawn(executor, m_intake.run(), asio::detached);
-    asio::co_spawn(executor, m_owner.run(), asio::detached);
+    asio::co_spawn(executor, m_intake.run(), endProcessOnException);
+    asio::co_spawn(executor, m_owner.run(), endProcessOnException);
     waitForSignal();
     logMessage(LogLevel::Info, "node", "started", {{"callers", m_callersAddress}});
 }
@@ -109,7 +110,7 @@
                            m_jobs.setTiming(m_owner.isOwner() || m_owner.isClaiming() ? Internal::OwnerJobsTiming : Internal::StandbyJobsTiming);
                            m_workers.setTiming(m_owner.isOwner() ? Internal::OwnerWorkersTiming : Internal::StandbyWorkersTiming);
                        });
-    asio::co_spawn(m_context, m_jobs.run(), asio::detached);
+    asio::co_spawn(m_context, m_jobs.run(), endProcessOnException);
 }
 
 void NodeDaemon::followOperators()
@@ -123,7 +124,7 @@
             }
         },
         [](TimePoint) {});
-    asio::co_spawn(m_context, m_operators.run(), asio::detached);
+    asio::co_spawn(m_context, m_operators.run(), endProcessOnException);
 }
 
 void NodeDaemon::followWorkers()
@@ -138,7 +139,7 @@
             }
         },
         [](TimePoint) {});
-    asio::co_spawn(m_context, m_workers.run(), asio::detached);
+    asio::co_spawn(m_context, m_workers.run(), endProcessOnException);
 }
 
 void NodeDaemon::applyLimits()
@@ -165,7 +166,7 @@
             m_reload();
         } else if (!m_draining) {
             m_draining = true;
-            asio::co_spawn(m_context, shutDown(), asio::detached);
+            asio::co_spawn(m_context, shutDown(), endProcessOnException);
         }
         waitForSignal();
     });
--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -160,7 +161,19 @@
     } else {
         m_keys.erase(record.key);
     }
-    m_recordHandler(record);
+    try {
+        m_recordHandler(record);
+    } catch (const std::exception &error) {
+        // Reading the same record again would fail again, and the records after it must be applied.
+        logMessage(LogLevel::Error,
+                   "follower",
+                   "cannot apply record",
+                   {{"topic", Internal::topicName(m_topic)},
+                    {"key", record.key},
+                    {"offset", static_cast<long long>(record.offset)},
+                    {"bytes", record.value ? record.value->size() : 0},
+                    {"error", error.what()}});
+    }
 }
 
 void TopicFollower::recordResponse()
--- a/src/libs/node/topicfollower.h
+++ b/src/libs/node/topicfollower.h
@@ -36,7 +36,8 @@
     TopicFollower(boost::asio::any_io_executor executor, const Clock &clock, MetadataStore &store, Topic topic);
 
     /// @p onRecord is called for each record, and with a tombstone for each key that was found missing after a reload. @p onRead is
-    /// called after the records of a complete read; all records that existed at sentAt have been applied by then.
+    /// called after the records of a complete read; all records that existed at sentAt have been applied by then. A
+    /// record for which @p onRecord throws is logged and skipped.
     void setHandlers(RecordHandler onRecord, ReadHandler onRead);
 
     void setTiming(const FollowTiming &timing) { m_timing = timing; }
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -1,5 +1,6 @@
 #include "topicowner.h"
 
+#include "detachedtask.h"
 #include "ownerlog.h"
 #include "topicfollower.h"
 
@@ -14,7 +15,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -105,7 +105,7 @@
         m_claiming = true;
         m_cleanHandover = m_ownerObservation.released && m_table.claim()->settled;
         m_claimSentAt = now;
-        asio::co_spawn(m_executor, claim(), asio::detached);
+        asio::co_spawn(m_executor, claim(), endProcessOnException);
     }
 }
 
@@ -255,11 +255,11 @@
 void TopicOwner::execute(DispatchAction action)
 {
     std::visit(Overloaded{
-                   [&](StartCommand &command) { asio::co_spawn(m_executor, sendStart(std::move(command)), asio::detached); },
-                   [&](StopCommand &command) { asio::co_spawn(m_executor, sendStop(std::move(command)), asio::detached); },
-                   [&](ThrottleCommand &command) { asio::co_spawn(m_executor, sendThrottle(std::move(command)), asio::detached); },
-                   [&](PollCommand &command) { asio::co_spawn(m_executor, sendPoll(std::move(command)), asio::detached); },
-                   [&](RequestAdvice &request) { asio::co_spawn(m_executor, sendAdvice(std::move(request)), asio::detached); },
+                   [&](StartCommand &command) { asio::co_spawn(m_executor, sendStart(std::move(command)), logException); },
+                   [&](StopCommand &command) { asio::co_spawn(m_executor, sendStop(std::move(command)), logException); },
+                   [&](ThrottleCommand &command) { asio::co_spawn(m_executor, sendThrottle(std::move(command)), logException); },
+                   [&](PollCommand &command) { asio::co_spawn(m_executor, sendPoll(std::move(command)), logException); },
+                   [&](RequestAdvice &request) { asio::co_spawn(m_executor, sendAdvice(std::move(request)), logException); },
                    [&](AppendRecords &append) { startAppend(std::move(append.records), true); },
                    [&](const RunEnded &end) { logAction(end); },
                    [&](const JobEnded &end) { logAction(end); },
@@ -275,7 +275,7 @@
     if (!m_term) {
         return;
     }
-    asio::co_spawn(m_executor, appendWithRetries(std::move(records), isBatch, *m_term), asio::detached);
+    asio::co_spawn(m_executor, appendWithRetries(std::move(records), isBatch, *m_term), endProcessOnException);
 }
 
 asio::awaitable<void> TopicOwner::appendWithRetries(std::vector<KeyedRecord> records, bool isBatch, std::int64_t term)
--- a/tests/libs/node/testtopicfollower.cpp
+++ b/tests/libs/node/testtopicfollower.cpp
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <stdexcept>
 #include <vector>
 
 using namespace Hyssop;
@@ -183,3 +184,29 @@
     fixture.run(700ms);
     cr_assert(!fixture.follower.isStoreResponsive());
 }
+
+Test(topicFollower, aRecordThatCannotBeAppliedDoesNotEndFollowing)
+{
+    Fixture fixture;
+    int attempts = 0;
+    fixture.follower.setHandlers(
+        [&](const KeyedRecord &record) {
+            if (record.key == "odd") {
+                ++attempts;
+                throw std::length_error("a value is too long");
+            }
+            fixture.values[record.key] = record.value.value_or("");
+        },
+        [&](TimePoint) { fixture.keysAtReads.push_back(fixture.values.size()); });
+    fixture.store.put("a", "1");
+    fixture.store.put("odd", "1");
+    fixture.store.put("z", "1");
+    fixture.run(100ms);
+    cr_assert_eq(fixture.values.size(), 2, "loaded: %zu", fixture.values.size());
+    fixture.store.put("odd", "2");
+    fixture.store.put("z", "2");
+    fixture.run(100ms);
+    cr_assert_eq(fixture.values["z"], "2");
+    cr_assert_eq(attempts, 2, "the record is not read again");
+    cr_assert(fixture.follower.isStoreResponsive());
+}
