Times and limits of the configuration are bounded

What callers would see: a time-out or margin near 2^63 ms overflowed the deadlines and the timers of connections, so that each connection ended at once; a stretch of 1e308 made the deadline no number; maxBodyBytes -1 allowed bodies of any size. Version 2^64-1 wrapped to -1.

Cause: integers of the configuration were cast without bounds.

Values are limited instead of refused here: one odd value of one queue must not withhold all other queues. A version that is no integer from 0 to 2^63-1 is refused.

--- a/tests/platform/testoddrecords.cpp
+++ b/tests/platform/testoddrecords.cpp
@@ -276,3 +276,67 @@
     cr_expect_not(isAcceptedJob(stepWith("\"after\":[18446744073709551615]")));
     cr_expect_not(isAcceptedJob(repeated("[", DeepNesting)));
 }
+
+namespace {
+
+std::optional<ClusterConfig> configurationWith(const std::string &queueFields, const std::string &limitFields = {})
+{
+    const std::string queue = R"({"name":"q","host":"h","pathPrefix":"/p/","service":"s")" + (queueFields.empty() ? std::string() : "," + queueFields) + "}";
+    const std::string entry = R"({"version":7,"routes":[)" + queue + "],\"services\":[],\"limits\":{" + limitFields + "}}";
+    auto config = capture([&] { return RecordDecoder().configuration(entry); });
+    const ClusterConfig *decoded = valueOf(config);
+    return decoded != nullptr ? std::optional<ClusterConfig>(*decoded) : std::nullopt;
+}
+
+bool isBounded(std::chrono::milliseconds time)
+{
+    return time >= std::chrono::milliseconds(0) && time <= std::chrono::hours(24 * 100);
+}
+
+bool isBounded(const ClusterConfig &config)
+{
+    constexpr std::size_t MostBytes = 1'000'000'000;
+    const QueueInfo &queue = config.queues.at("q");
+    const AdviceParameters advice = queue.advice.value_or(AdviceParameters());
+    const bool hasBoundedTimes = isBounded(queue.deadlineMargin) && isBounded(queue.timeout) && isBounded(advice.decisionTime)
+        && isBounded(advice.decisionTimePerWorker) && isBounded(advice.validity) && isBounded(config.limits.headerTimeout)
+        && isBounded(config.limits.idleTimeout);
+    return hasBoundedTimes && queue.deadlineFactor >= 0 && queue.deadlineFactor <= 100 && queue.maximumFailures >= 0 && config.limits.headerBytes <= MostBytes
+        && config.limits.bodyBytes <= MostBytes;
+}
+
+} // namespace
+
+Test(oddRecords, anOddTimeOrLimitOfTheConfigurationIsLimited)
+{
+    cr_assert(configurationWith(R"("priority":2,"maxAttempts":3,"stretch":1.5,"sloMs":500,"timeoutMs":3000)", R"("idleTimeoutMs":15000)").has_value());
+    for (const char *value : {"-1", "-9223372036854775808", "9223372036854775807", "4294967296"}) {
+        for (const char *field : {"priority", "maxAttempts", "sloMs", "timeoutMs", "stretch"}) {
+            const auto config = configurationWith("\"" + std::string(field) + "\":" + value);
+            cr_expect(config && isBounded(*config), "%s: %s", field, value);
+        }
+        for (const char *field : {"decideMs", "eachMs", "validMs"}) {
+            const auto config = configurationWith(R"("advice":{")" + std::string(field) + "\":" + value + "}");
+            cr_expect(config && isBounded(*config), "%s: %s", field, value);
+        }
+        for (const char *field : {"maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs"}) {
+            const auto config = configurationWith("", "\"" + std::string(field) + "\":" + value);
+            cr_expect(config && isBounded(*config), "%s: %s", field, value);
+        }
+    }
+    for (const char *value : {"1e308", "1e999", "-1e999"}) {
+        const auto config = configurationWith("\"stretch\":" + std::string(value));
+        cr_expect(!config || isBounded(*config), "stretch: %s", value);
+    }
+}
+
+Test(oddRecords, aConfigurationWithAnImpossibleVersionIsRefused)
+{
+    for (const char *version : OddIntegers) {
+        if (std::string_view(version) == "9223372036854775807") {
+            continue; // later versions are lower, but it is a version
+        }
+        cr_expect(
+            fails([&] { return RecordDecoder().configuration("{\"version\":" + std::string(version) + ",\"routes\":[],\"services\":[]}"); }), "%s", version);
+    }
+}
