One odd key does not withhold a page of the store

What callers would see: an instance that starts while another writer's entry has a key that is no UTF-8 never loads the topic, if the store returns the key as it is: it has no workers and is not ready. Offsets above 2^63-1 became negative, and reading went on at offset -1.

Cause: the JSON parser refuses the whole page of newest records for one invalid byte, and offsets were cast without a bound.

Before: oddRecords/aPageWithAnOddKeyStillHasItsOtherRecords and aPageWithAnImpossibleOffsetIsAnError failed.

--- a/tests/platform/testoddrecords.cpp
+++ b/tests/platform/testoddrecords.cpp
@@ -1,5 +1,6 @@
 #include <jobcodec.h>
 #include <recorddecoder.h>
+#include <storecodec.h>
 #include <workercodec.h>
 
 #include <criterion/criterion.h>
@@ -340,3 +341,45 @@
             fails([&] { return RecordDecoder().configuration("{\"version\":" + std::string(version) + ",\"routes\":[],\"services\":[]}"); }), "%s", version);
     }
 }
+
+namespace {
+
+std::string newestPage(const std::string &items, const std::string &end = "9")
+{
+    return "{\"items\":[" + items + "],\"more\":false,\"end\":" + end + "}";
+}
+
+constexpr const char *UsualItem = R"({"key":"a","value":"eHk=","offset":7})";
+
+} // namespace
+
+Test(oddRecords, aPageWithAnOddKeyStillHasItsOtherRecords)
+{
+    const std::string oddItem = "{\"key\":\"\xff\xfe\",\"value\":\"eHk=\",\"offset\":8}";
+    auto page = capture([&] { return decodeNewest(newestPage(UsualItem + std::string(",") + oddItem)); });
+    const NewestRecordsPage *decoded = valueOf(page);
+    cr_assert_not_null(decoded);
+    cr_assert_eq(decoded->records.size(), 2);
+    cr_assert_eq(decoded->records[0].key, "a");
+    cr_assert_eq(decoded->records[1].key, "\xff\xfe");
+}
+
+Test(oddRecords, aPageWithAnImpossibleOffsetIsAnError)
+{
+    cr_assert_not(fails([] { return decodeNewest(newestPage(UsualItem)); }));
+    for (const char *offset : OddIntegers) {
+        cr_expect(fails([&] { return decodeNewest(newestPage(UsualItem, offset)); }), "end %s", offset);
+        cr_expect(fails([&] { return decodeNewest(newestPage(R"({"key":"a","value":"eHk=","offset":)" + std::string(offset) + "}")); }), "offset %s", offset);
+    }
+    for (const char *first : {"\xff", "\x80", "\x7f"}) {
+        const std::string offsets = std::string(first) + std::string(7, '\xff') + std::string(8, '\0');
+        cr_expect(fails([&] { return decodeRecords(offsets, 0); }));
+    }
+}
+
+Test(oddRecords, aRecordThatAnnouncesMoreBytesThanThereAreIsAnError)
+{
+    const std::string offsets(16, '\0');
+    cr_expect(fails([&] { return decodeRecords(offsets + "\xff\xff\xff\xff" + "a", 0); }));
+    cr_expect_not(fails([&] { return decodeRecords(offsets + std::string(4, '\0'), 0); }), "a record without key");
+}
