--- a/tests/platform/testoddrecords.cpp
+++ b/tests/platform/testoddrecords.cpp
@@ -3,6 +3,10 @@
 #include <storecodec.h>
 #include <workercodec.h>
 
+#include <node/clusterview.h>
+#include <observability/metricsregistry.h>
+#include <ports/keyedrecord.h>
+
 #include <criterion/criterion.h>
 
 #include <array>
@@ -383,3 +387,20 @@
     cr_expect(fails([&] { return decodeRecords(offsets + "\xff\xff\xff\xff" + "a", 0); }));
     cr_expect_not(fails([&] { return decodeRecords(offsets + std::string(4, '\0'), 0); }), "a record without key");
 }
+
+Test(oddRecords, oneOddEntryAmongTheWorkersChangesNothingForTheOthers)
+{
+    const RecordDecoder decoder;
+    MetricsRegistry metrics;
+    ClusterView cluster(decoder, metrics);
+    for (const std::string &entry : {repeated("[", DeepNesting),
+                                     workerWith("cpu", "1e999"),
+                                     workerWith("cpu", "9223372036854775807"),
+                                     workerWith("address", "\"127.0.0.1:99999\""),
+                                     std::string("\xff"),
+                                     workerWith("state", "\"unheard\"")}) {
+        cr_expect(cluster.applyWorkerRecord({1, "usual", workerWith("", "")}).has_value());
+        cr_expect_not(cluster.applyWorkerRecord({2, "odd", entry}).has_value());
+        cr_expect(cluster.applyWorkerRecord({3, "other", workerWith("", "")}).has_value());
+    }
+}
