--- a/src/libs/jobs/jobentry.cpp
+++ b/src/libs/jobs/jobentry.cpp
@@ -1,5 +1,6 @@
 #include "jobentry.h"
 
+#include <algorithm>
 #include <array>
 
 namespace Hyssop {
@@ -23,9 +24,12 @@
 constexpr const char *TransferredName = "transferred";
 constexpr const char *ConfirmedName = "transfer-confirmed";
 
+constexpr std::int64_t MaximumTimeMs = 9'000'000'000'000; // a later time overflows WallTime
+
 WallTime fromMilliseconds(std::int64_t value)
 {
-    return WallTime(std::chrono::duration_cast<WallTime::duration>(std::chrono::milliseconds(value)));
+    const std::chrono::milliseconds time(std::clamp<std::int64_t>(value, 0, MaximumTimeMs));
+    return WallTime(std::chrono::duration_cast<WallTime::duration>(time));
 }
 
 } // namespace
