--- a/tests/libs/jobtopic/testoddjobrecords.cpp
+++ b/tests/libs/jobtopic/testoddjobrecords.cpp
@@ -71,7 +71,7 @@
 Test(oddJobRecords, progressOutOfRangeIsIgnored)
 {
     const std::vector<std::function<void(Wire::JobProgress &)>> changes{
-        [](Wire::JobProgress &progress) { progress.phase = static_cast<Wire::JobPhase::type>(77); },
+        [](Wire::JobProgress &progress) { progress.phase = static_cast<Wire::JobPhase::type>(7); },
         [](Wire::JobProgress &progress) { progress.endedAtMs = LargestNumber; },
         [](Wire::JobProgress &progress) { progress.finishedOccurrences = -LargestCount; },
         [](Wire::JobProgress &progress) { progress.finishedOccurrences = LargestCount; },
