Ask the platform whether a worker that is neither registered nor responding exists

Cause: a worker that leaves closes its registration and does not respond any more, which looks the same as a worker that is cut off and continues. The only proof of the end of its runs was the end of the lease.

Why it works: the platform's list of machines names the worker process on each machine. While a worker with runs of serving tasks is missing for a second, the owner reads that list once a second; a worker that is missing in it has ended, and its runs of serving tasks are replaced. An incomplete list is an error, and without a list the lease decides as before.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -25,6 +25,11 @@
     std::vector<std::string> workers;
 };
 
+/// Asks the platform which worker processes exist.
+struct ListLiveWorkers
+{
+};
+
 /// Gives up the ownership: a worker has seen the fencing token of a later owner.
 struct StepDown
 {
@@ -128,6 +133,7 @@
                                     PollCommand,
                                     AppendRecords,
                                     RequestAdvice,
+                                    ListLiveWorkers,
                                     StepDown,
                                     RunEnded,
                                     JobEnded,
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -52,6 +52,7 @@
     m_newIntents.clear();
     m_batch = PendingBatch();
     m_batchPending = false;
+    m_listingWorkers = false;
     for (const auto &[jobId, entry] : table.jobs()) {
         if (entry.submission) {
             adoptOpenRuns(m_jobs.add(jobId, entry));
@@ -126,6 +127,7 @@
     reportWorkerChanges(now);
     expireLeases(now);
     endStoppedRuns(now);
+    findDepartedWorkers(now);
     removeUnregisteredWorkers();
     moveRunsOffDrainingWorkers(now);
     placePendingTasks(now, wall);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -15,6 +15,7 @@
 #include <ports/commandresults.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -67,6 +68,12 @@
     void pollAnswered(const PollCommand &command, const PollResult &result, TimePoint sentAt, TimePoint now);
     void adviceAnswered(const RequestAdvice &adviceRequest, const AdviceResult &result, TimePoint sentAt, TimePoint now);
 
+    /// Processes the answer to ListLiveWorkers: @p workers are the ids of all processes that existed after @p sentAt.
+    void liveWorkersListed(const std::set<std::string> &workers, TimePoint sentAt, TimePoint now);
+
+    /// Called if the answer to ListLiveWorkers is an error.
+    void liveWorkersUnknown() { m_listingWorkers = false; }
+
     /// Confirms that the records of the last AppendRecords action are durable.
     void recordsStored(TimePoint now);
 
@@ -123,6 +130,18 @@
     /// Ends the runs that the process of @p worker has confirmed: the process has ended. A start command that was not
     /// confirmed may still reach the next process.
     void endConfirmedRuns(WorkerState &worker, TimePoint now);
+
+    /// Requests the list of live workers if serving tasks may have lost their run with a worker that is no longer registered.
+    void findDepartedWorkers(TimePoint now);
+
+    /// Ends the runs of serving tasks on @p worker, which does not exist any more.
+    void endServingRuns(WorkerState &worker, TimePoint now);
+
+    void endRunsOfEndedProcess(const WorkerState &worker, const std::vector<TaskId> &runs, TimePoint now);
+    bool isServingTask(const TaskId &id);
+
+    /// Returns the open runs of @p worker that have @p property.
+    std::vector<TaskId> runsWith(const WorkerState &worker, const std::function<bool(const TaskId &, const TaskExecution &)> &property);
     void handleEndedRun(WorkerState &worker, const ReportedRunEnd &end, TimePoint now);
     void handleReportedRun(WorkerState &worker, const ReportedRun &run, TimePoint now);
     void updateProgress(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now);
@@ -191,6 +210,8 @@
     bool m_batchPending = false;
     TimePoint m_batchAt{};
     TimePoint m_fullBatchAt{}; // last batch that contained all changes
+    bool m_listingWorkers = false; // a list of live workers was requested
+    TimePoint m_workersListedAt{}; // when it was last requested
     TimePoint m_tailsStoredAt{}; // when the learned tail latencies were last stored
 };
 
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -79,8 +79,7 @@
 {
     for (auto &[id, worker] : m_workers) {
         // The reports of a worker that answers are more reliable than the estimated end of its lease.
-        const bool answers = worker.hasAnswered && worker.failedPolls == 0;
-        if (answers || now <= worker.leaseEnd) {
+        if (worker.isResponding() || now <= worker.leaseEnd) {
             continue;
         }
         if (!worker.runs.empty()) {
@@ -98,24 +97,6 @@
     }
 }
 
-void Dispatcher::endStoppedRuns(TimePoint now)
-{
-    const Duration stopDuration = m_limits.stopDuration * 100 / WorkerClock::SlowestPercent;
-    for (auto &[workerId, worker] : m_workers) {
-        if (worker.failedPolls == 0) {
-            continue;
-        }
-        const auto runs = worker.runs; // copied because endRun() modifies the map
-        for (const auto &[id, profile] : runs) {
-            TaskExecution *task = m_jobs.task(id);
-            const bool isStopped = task != nullptr && task->phase == TaskPhase::Stopping && task->startConfirmed && task->stopConfirmed;
-            if (isStopped && now - task->confirmedAt >= stopDuration && m_jobs.find(id.job)->step(id.step).longRunning) {
-                endRun(id, *task, RunEndReason::Stopped, {}, now);
-            }
-        }
-    }
-}
-
 void Dispatcher::pollWorkers(TimePoint now)
 {
     for (auto &[id, worker] : m_workers) {
@@ -228,24 +209,6 @@
     }
 }
 
-void Dispatcher::endConfirmedRuns(WorkerState &worker, TimePoint now)
-{
-    std::vector<TaskId> confirmed;
-    for (const auto &[id, profile] : worker.runs) {
-        const TaskExecution *task = m_jobs.task(id);
-        const bool isActive = task != nullptr && (task->phase == TaskPhase::Running || task->phase == TaskPhase::Stopping);
-        if (isActive && task->startConfirmed) {
-            confirmed.push_back(id);
-        }
-    }
-    if (!confirmed.empty()) {
-        m_actions.emplace_back(WorkerProcessEnded{worker.info.id, worker.failedPolls, confirmed.size()});
-    }
-    for (const TaskId &id : confirmed) {
-        endRun(id, *m_jobs.task(id), RunEndReason::LeaseExpired, {}, now);
-    }
-}
-
 void Dispatcher::handleEndedRun(WorkerState &worker, const ReportedRunEnd &end, TimePoint now)
 {
     if (end.sequence <= worker.processedEndSequence) {
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -48,6 +48,7 @@
     int failedPolls = 0; // consecutive
     bool toldRegistered = false; // as in the last log event
     bool toldDraining = false;
+    std::optional<TimePoint> missingSince; // since then neither registered nor responding
     TimePoint leaseEnd{}; // unless the lease is renewed, all runs have ended by then
 
     std::int64_t processedEndSequence = 0; // sequence number of the newest run end that was processed
@@ -76,6 +77,9 @@
     void addRun(const TaskId &task, const RunProfile &profile);
     void removeRun(const TaskId &task);
 
+    /// Returns true if the last poll of this owner was answered.
+    bool isResponding() const { return hasAnswered && failedPolls == 0; }
+
     /// Returns true if the worker is registered, answers, is not draining, and its failure domain is not evacuated.
     bool isSchedulable(const std::set<std::string> &evacuatedDomains) const;
 
--- a/src/libs/node/nodesettings.cpp
+++ b/src/libs/node/nodesettings.cpp
@@ -14,6 +14,7 @@
         {"instance.processor_share", TextSetting{}, "Cores that this instance may use, for example 0.25.", "1", false},
         {"store.address", AddressSetting{}, "Address of the platform's metadata store.", "", true},
         {"advice.address", AddressListSetting{}, "Address of the advice service; may be empty.", "", false},
+        {"machines.address", AddressListSetting{}, "Address of the platform's list of machines; may be empty.", "", false},
         {"workers.longest_lease", DurationSetting{2s, 60s}, "Maximum lease duration that workers accept.", "6 s", false},
         {"workers.stop_duration", DurationSetting{0s, 60s}, "Maximum time from the confirmation of a stop until the run has ended.", "900 ms", false},
         {"jobs.status_retention", DurationSetting{1s, 24h}, "How long the state of an ended job can be queried.", "120 s", false},
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -206,6 +206,15 @@
                 {"detail", rejection.detail}});
 }
 
+void logLiveWorkers(const LiveWorkersResult &result)
+{
+    if (const auto *error = std::get_if<Error>(&result)) {
+        logMessage(LogPriority::StateChange, LogLevel::Warning, "owner", "cannot list live workers", {{"error", error->message}});
+        return;
+    }
+    logMessage(LogPriority::StateChange, LogLevel::Info, "owner", "live workers listed", {{"workers", std::get<std::set<std::string>>(result).size()}});
+}
+
 void logLoad(std::int64_t term, const DispatchSummary &load)
 {
     logMessage(LogPriority::Essential,
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dispatch/dispatchactions.h>
+#include <ports/machinedirectory.h>
 
 #include <cstdint>
 #include <string>
@@ -24,6 +25,9 @@
 /// Logs that the ownership of @p term is given up. @p rejection is empty unless a worker's response is the reason.
 void logStepDown(std::int64_t term, const std::string &reason, const StepDown &rejection);
 
+/// Logs the answer to a request for the live workers.
+void logLiveWorkers(const LiveWorkersResult &result);
+
 /// Logs the load of the owner of @p term.
 void logLoad(std::int64_t term, const DispatchSummary &load);
 
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -8,6 +8,7 @@
 #include <observability/logging.h>
 #include <observability/metricsregistry.h>
 #include <ports/adviceservice.h>
+#include <ports/machinedirectory.h>
 #include <ports/metadatastore.h>
 #include <ports/workerapi.h>
 #include <utils/overloaded.h>
@@ -277,6 +278,7 @@
                    [&](ThrottleCommand &command) { asio::co_spawn(m_executor, sendThrottle(std::move(command)), logException); },
                    [&](PollCommand &command) { asio::co_spawn(m_executor, sendPoll(std::move(command)), logException); },
                    [&](RequestAdvice &request) { asio::co_spawn(m_executor, sendAdvice(std::move(request)), logException); },
+                   [&](const ListLiveWorkers &) { asio::co_spawn(m_executor, listLiveWorkers(), logException); },
                    [&](AppendRecords &append) { startAppend(std::move(append.records), true); },
                    [&](const StepDown &rejection) { stepDown("a worker has seen a newer owner", rejection); },
                    [](const auto &event) { logAction(event); },
@@ -427,4 +429,21 @@
     }
 }
 
+asio::awaitable<void> TopicOwner::listLiveWorkers()
+{
+    const std::optional<std::int64_t> term = m_term;
+    const TimePoint sentAt = m_clock.now();
+    const LiveWorkersResult result = co_await m_ports.machines.liveWorkers();
+    const auto *workers = std::get_if<std::set<std::string>>(&result);
+    logLiveWorkers(result);
+    if (!m_term || m_term != term) {
+        co_return;
+    }
+    if (workers != nullptr) {
+        m_dispatcher.liveWorkersListed(*workers, sentAt, m_clock.now());
+    } else {
+        m_dispatcher.liveWorkersUnknown();
+    }
+}
+
 } // namespace Hyssop
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -20,6 +20,7 @@
 namespace Hyssop {
 
 class AdviceService;
+class MachineDirectory;
 class JobTable;
 class MetadataStore;
 class MetricsRegistry;
@@ -33,6 +34,7 @@
     MetadataStore &store;
     WorkerApi &workers;
     AdviceService &advice;
+    MachineDirectory &machines;
 };
 
 /// Identifies this instance in its claims.
@@ -101,6 +103,7 @@
     boost::asio::awaitable<void> sendThrottle(ThrottleCommand command);
     boost::asio::awaitable<void> sendPoll(PollCommand command);
     boost::asio::awaitable<void> sendAdvice(RequestAdvice request);
+    boost::asio::awaitable<void> listLiveWorkers();
 
     boost::asio::any_io_executor m_executor;
     const Clock &m_clock;
--- a/src/tools/hyssop-node/main.cpp
+++ b/src/tools/hyssop-node/main.cpp
@@ -1,5 +1,6 @@
 #include <adviceclient.h>
 #include <jobendpoint.h>
+#include <machineclient.h>
 #include <recorddecoder.h>
 #include <storeclient.h>
 #include <wirenames.h>
@@ -66,8 +67,10 @@
     Platform::WorkerClient workers(http, metrics);
     const auto adviceAddresses = settings.list("advice.address");
     Platform::AdviceClient advice(http, adviceAddresses.empty() ? std::string() : adviceAddresses.front());
+    const auto machineAddresses = settings.list("machines.address");
+    Platform::MachineClient machines(http, machineAddresses.empty() ? std::string() : machineAddresses.front());
     Platform::RecordDecoder decoder;
-    NodeDaemon daemon(context, settings, {store, workers, advice}, decoder, metrics, [file] { reloadSettings(file); });
+    NodeDaemon daemon(context, settings, {store, workers, advice, machines}, decoder, metrics, [file] { reloadSettings(file); });
     Platform::JobEndpoint endpoint(daemon.intake(), daemon.table(), daemon.cluster());
     daemon.start([&](const HttpRequest &request) { return endpoint.handle(request); },
                  [&](const HttpRequest &request) { return Platform::handleReadiness(request, daemon.isReady()); });
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -139,7 +139,9 @@
     owner->dispatcher.beginTerm(record.term, m_table, now);
     const auto loadWorkers = [this, owner] {
         for (const auto &worker : m_workers) {
-            owner->dispatcher.updateWorker(worker->info());
+            if (!m_removedMachines.contains(worker->info().id)) {
+                owner->dispatcher.updateWorker(worker->info());
+            }
         }
     };
     if (workerLoadTime > Duration::zero()) {
@@ -192,6 +194,22 @@
     }
 }
 
+void DispatchSimulation::removeMachine(std::size_t index)
+{
+    m_workers[index]->restart(now);
+    m_workers[index]->unreachable = true;
+    m_removedMachines.insert(m_workers[index]->info().id);
+    unregisterWorker(index);
+}
+
+void DispatchSimulation::addMachine(std::size_t index)
+{
+    m_removedMachines.erase(m_workers[index]->info().id);
+    m_workers[index]->restart(now);
+    m_workers[index]->unreachable = false;
+    registerWorker(index);
+}
+
 void DispatchSimulation::unregisterWorker(std::size_t index)
 {
     for (const auto &owner : m_owners) {
@@ -312,6 +330,7 @@
                    },
                    [&](const ThrottleCommand &throttle) { owner.dispatcher.throttleAnswered(throttle, CommandExecuted{}, now); },
                    [&](AppendRecords &records) { store(owner, std::move(records)); },
+                   [&](const ListLiveWorkers &) { listWorkers(owner); },
                    [&](const StepDown &) { owner.steppedDown = true; },
                    [](const auto &) {},
                },
@@ -373,6 +392,19 @@
     });
 }
 
+void DispatchSimulation::listWorkers(Owner &owner)
+{
+    const auto sender = *std::ranges::find_if(m_owners, [&](const auto &entry) { return entry.get() == &owner; });
+    std::set<std::string> ids;
+    for (const auto &worker : m_workers) {
+        if (!worker->refusesConnections && !m_removedMachines.contains(worker->info().id)) {
+            ids.insert(worker->info().id);
+        }
+    }
+    const TimePoint sentAt = now;
+    deliver(sender, std::chrono::milliseconds(4 + random(20)), [=, this] { sender->dispatcher.liveWorkersListed(ids, sentAt, now); });
+}
+
 void DispatchSimulation::store(Owner &owner, AppendRecords records)
 {
     const auto sender = *std::ranges::find_if(m_owners, [&](const auto &entry) { return entry.get() == &owner; });
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -55,6 +55,12 @@
     /// Lets the worker announce that it leaves; it continues to run.
     void drainWorker(std::size_t index);
 
+    /// Ends the worker and removes its machine; its address does not respond any more.
+    void removeMachine(std::size_t index);
+
+    /// Adds the machine of the worker again, with a new process under the same id.
+    void addMachine(std::size_t index);
+
     /// Removes the registration of the worker, which continues to run, or adds it again.
     void unregisterWorker(std::size_t index);
     void registerWorker(std::size_t index);
@@ -92,6 +98,7 @@
     template<typename Command, typename Execute, typename Done>
     void send(Owner &owner, const Command &command, Execute execute, Done done);
     void store(Owner &owner, AppendRecords records);
+    void listWorkers(Owner &owner);
     void append(const KeyedRecord &record);
     void checkStart(const TaskId &task, int run, const std::string &worker);
     bool chance(double share);
@@ -99,6 +106,7 @@
 
     std::mt19937 m_random;
     std::vector<std::unique_ptr<SimulatedWorker>> m_workers;
+    std::set<std::string> m_removedMachines; // ids of their workers
     std::vector<std::shared_ptr<Owner>> m_owners;
     std::multimap<TimePoint, Event> m_events;
     JobTable m_table;
--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -95,6 +95,19 @@
     simulation.registerWorker(index);
 }
 
+/// Removes the machine of a worker, and adds it again later. The owner may change in between.
+void injectRemoval(DispatchSimulation &simulation)
+{
+    const auto index = static_cast<std::size_t>(simulation.random(6));
+    simulation.removeMachine(index);
+    simulation.run(std::chrono::milliseconds(simulation.random(2000)));
+    if (simulation.random(2) == 0) {
+        simulation.claim();
+    }
+    simulation.run(std::chrono::milliseconds(simulation.random(5000)));
+    simulation.addMachine(index);
+}
+
 void runServingScenario(std::uint32_t seed)
 {
     DispatchSimulation simulation(seed);
@@ -106,8 +119,11 @@
     }
     for (int round = 0; round < ServingRounds; ++round) {
         simulation.run(std::chrono::milliseconds(simulation.random(1500)));
-        if (simulation.random(2) == 0) {
+        const int kind = simulation.random(3);
+        if (kind == 0) {
             injectDeparture(simulation);
+        } else if (kind == 1) {
+            injectRemoval(simulation);
         } else {
             injectFault(simulation, simulation.random(2) == 0 ? &DispatchSimulation::crashWorker : &DispatchSimulation::restartWorker);
         }
--- a/tests/libs/dispatch/testworkerloss.cpp
+++ b/tests/libs/dispatch/testworkerloss.cpp
@@ -63,3 +63,35 @@
     cr_assert_eq(simulation.openRuns(), Tasks, "%zu tasks have no run", Tasks - simulation.openRuns());
     cr_assert(simulation.violations.empty());
 }
+
+Test(workerLoss, runsOfAWorkerThatLeftBeforeATakeoverAreReplacedBeforeTheirLeaseEnds)
+{
+    DispatchSimulation simulation(1, 2);
+    simulation.plan = endlessRun;
+    simulation.claim();
+    submitServingJob(simulation);
+    simulation.run(4s);
+    simulation.removeMachine(busyWorker(simulation));
+    simulation.claim();
+    simulation.run(MaximumAbsence);
+    cr_assert_eq(simulation.openRuns(), Tasks, "%zu tasks have no run", Tasks - simulation.openRuns());
+    cr_assert(simulation.violations.empty());
+}
+
+Test(workerLoss, runsOfAnUnregisteredWorkerThatStillExistsAreNotReplacedBeforeTheirLeaseEnds)
+{
+    DispatchSimulation simulation(1, 2);
+    simulation.plan = endlessRun;
+    simulation.claim();
+    submitServingJob(simulation);
+    simulation.run(4s);
+    const std::size_t isolated = busyWorker(simulation);
+    const std::size_t startsBefore = simulation.starts.size();
+    simulation.worker(isolated).unreachable = true;
+    simulation.unregisterWorker(isolated);
+    simulation.run(MaximumAbsence);
+    cr_assert_eq(simulation.starts.size(), startsBefore);
+    simulation.run(30s);
+    cr_assert_eq(simulation.openRuns(), Tasks);
+    cr_assert(simulation.violations.empty());
+}
--- a/tests/libs/node/testnodedaemon.cpp
+++ b/tests/libs/node/testnodedaemon.cpp
@@ -5,6 +5,7 @@
 #include <node/nodedaemon.h>
 #include <node/nodesettings.h>
 #include <ports/adviceservice.h>
+#include <ports/machinedirectory.h>
 #include <ports/platformdecoder.h>
 #include <ports/workerapi.h>
 #include <support/coroutines.h>
@@ -57,6 +58,12 @@
     asio::awaitable<AdviceResult> requestAdvice(TaskId, std::vector<std::string>) override { co_return Error{ErrorCode::Unavailable, "no advice"}; }
 };
 
+class NoMachines : public MachineDirectory
+{
+public:
+    asio::awaitable<LiveWorkersResult> liveWorkers() override { co_return Error{ErrorCode::Unavailable, "no list of machines"}; }
+};
+
 /// Takes the value of a worker's record as its address.
 class AddressDecoder : public PlatformDecoder
 {
@@ -77,7 +84,7 @@
 {
     Fixture()
         : settings(std::get<Settings>(Settings::parse(SettingsText, "test", nodeSettings())))
-        , daemon(context, settings, {store, workers, advice}, decoder, metrics, [] {})
+        , daemon(context, settings, {store, workers, advice, machines}, decoder, metrics, [] {})
     {
         const auto handler = [](const HttpRequest &) -> asio::awaitable<HttpResponse> { co_return HttpResponse(); };
         daemon.start(handler, handler);
@@ -135,6 +142,7 @@
     MemoryStore store{topics};
     PolledWorkers workers;
     NoAdvice advice;
+    NoMachines machines;
     AddressDecoder decoder;
     NodeDaemon daemon;
     std::int64_t otherTerm = 0;
