--- /dev/null
+++ b/tests/libs/dispatch/testworkerprocessend.cpp
@@ -0,0 +1,56 @@
+#include "eventharness.h"
+
+#include <criterion/criterion.h>
+
+using namespace Hyssop;
+using namespace Hyssop::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto SeveralPolls = 1s; // less than a lease
+
+void refusePolls(EventHarness &harness)
+{
+    harness.pollFailure = WorkerNotListening{"connection refused"};
+    harness.advance(SeveralPolls, false);
+}
+
+} // namespace
+
+Test(workerProcessEnd, aRefusalAtAnotherAddressDoesNotEndTheRunsOfALiveWorker)
+{
+    EventHarness harness;
+    harness.startAllTasks();
+    harness.advance(1s);
+    // The entry of the worker names a port where nothing listens; its process runs where it has reported from.
+    WorkerInfo info = harness.worker();
+    info.address = "127.0.0.1:2";
+    harness.dispatcher.updateWorker(info);
+    refusePolls(harness);
+    cr_assert(harness.all<RunEnded>().empty(), "a run of a live worker counts as ended");
+}
+
+Test(workerProcessEnd, aRunWithAnUnansweredStartCommandWaitsForItsLease)
+{
+    EventHarness harness;
+    while (harness.all<StartCommand>().empty()) {
+        harness.advance(20ms);
+    }
+    // The first copy is not answered and may still be executed, by the next process as well; the second one is confirmed.
+    harness.dispatcher.startAnswered(harness.all<StartCommand>().back(), CommandUndetermined{"timeout"}, harness.now);
+    harness.advance(20ms);
+    cr_assert_eq(harness.all<StartCommand>().size(), 2);
+    harness.dispatcher.startAnswered(harness.all<StartCommand>().back(), CommandExecuted{harness.clock()}, harness.now);
+    refusePolls(harness);
+    cr_assert(harness.all<RunEnded>().empty(), "the run counts as ended, but a command may start it again");
+}
+
+Test(workerProcessEnd, aRunWithOneConfirmedStartCommandEnds)
+{
+    EventHarness harness;
+    harness.startAllTasks();
+    harness.advance(1s);
+    refusePolls(harness);
+    cr_assert_eq(harness.all<RunEnded>().size(), 1);
+}
