--- a/tests/libs/dispatch/testworkerprocessend.cpp
+++ b/tests/libs/dispatch/testworkerprocessend.cpp
@@ -54,3 +54,19 @@
     refusePolls(harness);
     cr_assert_eq(harness.all<RunEnded>().size(), 1);
 }
+
+Test(workerProcessEnd, aStopThatWasNotSentIsRepeatedWhilePollsFail)
+{
+    EventHarness harness(1, true);
+    harness.startAllTasks();
+    harness.advance(1s);
+    WorkerInfo info = harness.worker();
+    info.draining = true;
+    harness.dispatcher.updateWorker(info);
+    harness.advance(20ms);
+    cr_assert_eq(harness.all<StopCommand>().size(), 1);
+    // Without a confirmed stop, the run is known to have ended only when its lease has expired.
+    harness.dispatcher.stopAnswered(harness.all<StopCommand>().back(), CommandNotSent{"no connection"}, harness.now);
+    harness.advance(2s, false);
+    cr_assert_geq(harness.all<StopCommand>().size(), 2, "the stop was not repeated");
+}
--- a/tests/platform/teststoreclient.cpp
+++ b/tests/platform/teststoreclient.cpp
@@ -205,3 +205,20 @@
     SlowLinkFixture fixture(std::move(response));
     runToEnd(fixture.context, ::aStalledPageOfNewestRecordsIsGivenUpSoonSteps(fixture));
 }
+
+static asio::awaitable<void> aLostPageOfNewestRecordsIsGivenUpBeforeLeasesEndSteps(SlowLinkFixture &f)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    const NewestRecordsResult newest = co_await f.client.readNewest(Topic::Workers, "");
+    cr_assert(std::holds_alternative<Error>(newest));
+    // A new owner knows no worker until the page has arrived, and leases of 6 s end meanwhile.
+    cr_assert_lt((std::chrono::steady_clock::now() - begin).count(), std::chrono::nanoseconds(3s).count());
+}
+
+Test(storeClient, aLostPageOfNewestRecordsIsGivenUpBeforeLeasesEnd)
+{
+    SlowResponse response = largeRecordResponse(10ms);
+    response.headerDelay = 20s;
+    SlowLinkFixture fixture(std::move(response));
+    runToEnd(fixture.context, ::aLostPageOfNewestRecordsIsGivenUpBeforeLeasesEndSteps(fixture));
+}
