Take refused connections as a proof only at the address that the worker reported from

What callers would see: a well-formed entry of another writer that names a closed port for a live worker, or another worker's address, made the owner start all runs of that worker a second time elsewhere.

Cause: a refused connection, or the answer of a different worker, counted as the end of the worker whichever address the poll went to.

Evidence: workerProcessEnd/aRefusalAtAnotherAddressDoesNotEndTheRunsOfALiveWorker failed before ("a run of a live worker counts as ended").

Why it works: only what answers at the address of the worker's last report says something about that worker. The rejection of a start no longer ends the lease by itself; the poll that follows does, with the same check.

--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -139,11 +139,6 @@
     case RejectionReason::MissingTicket:
         m_tickets.discard(id, task.worker);
         break;
-    case RejectionReason::WrongWorker:
-        if (worker != nullptr) {
-            worker->leaseEnd = TimePoint();
-        }
-        break;
     case RejectionReason::Invalid:
         task.notBefore = now + Internal::InvalidCommandBackoff;
         break;
@@ -155,6 +150,7 @@
         break;
     case RejectionReason::Fenced:
     case RejectionReason::Expired:
+    case RejectionReason::WrongWorker:
         break;
     }
     --task.startsSent; // this command will certainly not be executed
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -13,8 +13,8 @@
 constexpr std::chrono::milliseconds MaximumOverTargetPollWait{400};
 constexpr std::chrono::milliseconds IdlePollInterval{1000};
 constexpr std::chrono::milliseconds FailedPollBackoff{200};
-// The process of a worker has ended if this many polls in a row failed and the last one was refused.
-constexpr int RefusalsUntilEnded = 2;
+// A refused connection proves that the process has ended only if an earlier poll failed too.
+constexpr int FailuresUntilRefusalCounts = 2;
 // Run ends are reported again until they are durable and acknowledged, so a poll before that is useless.
 constexpr std::chrono::milliseconds PendingEndsInterval{80};
 constexpr std::chrono::milliseconds StopRepeatInterval{400};
@@ -129,6 +129,8 @@
         return;
     }
     worker->pollPending = false;
+    // An entry of another writer may name any address; what answers there says nothing about this worker.
+    const bool isReportedAddress = command.worker.address == worker->reportedAddress;
     const auto failed = [&](const std::string &reason) {
         if (worker->failedPolls++ == 0) {
             reportUnreachable(*worker, reason, now);
@@ -138,17 +140,20 @@
         worker->nextPoll = now + Internal::FailedPollBackoff;
     };
     std::visit(Overloaded{
-                   [&](const WorkerReport &report) { handleReport(*worker, report, sentAt, now); },
+                   [&](const WorkerReport &report) {
+                       worker->reportedAddress = command.worker.address;
+                       handleReport(*worker, report, sentAt, now);
+                   },
                    [&](const CommandRejected &rejection) {
                        handleFencing(command.worker.id, command.fencingToken, rejection);
-                       if (rejection.reason == RejectionReason::WrongWorker) {
+                       if (rejection.reason == RejectionReason::WrongWorker && isReportedAddress) {
                            worker->leaseEnd = TimePoint(); // the address belongs to another worker now: this one is gone
                        }
                        failed(rejection.detail);
                    },
                    [&](const WorkerNotListening &refusal) {
                        failed(refusal.reason);
-                       if (worker->failedPolls >= Internal::RefusalsUntilEnded) {
+                       if (worker->failedPolls >= Internal::FailuresUntilRefusalCounts && isReportedAddress) {
                            endConfirmedRuns(*worker, now);
                        }
                    },
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -45,6 +45,7 @@
     TimePoint nextPoll{};
     TimePoint lastReportAt{}; // when the last report was received
     bool hasAnswered = false; // a poll of this owner was answered
+    std::string reportedAddress; // where the last report came from; empty: no report
     int failedPolls = 0; // consecutive
     bool toldRegistered = false; // as in the last log event
     bool toldDraining = false;
