Wait for the lease of a run whose start was sent more than once

What callers would see: a task that ran twice, or again after it had completed, if its worker crashed and the first of two start commands, whose response had been lost, was executed late by the next process at the same address.

Cause: a confirmed start was taken to mean that no start command is outstanding.

Evidence: workerProcessEnd/aRunWithAnUnansweredStartCommandWaitsForItsLease failed before.

Why it works: a run counts as ended by its process only if its only start command was confirmed. After a crash this excludes adopted runs, whose starts by earlier owners are unknown.

--- a/src/libs/dispatch/dispatchdepartures.cpp
+++ b/src/libs/dispatch/dispatchdepartures.cpp
@@ -10,10 +10,11 @@
 constexpr std::chrono::milliseconds MissingTime{1000};
 constexpr std::chrono::milliseconds WorkerListInterval{1000};
 
-/// Returns true if a start command of the run may still reach a process at the worker's address.
-static bool isStartUncertain(const TaskExecution &task)
+/// Returns true if a start command of this owner may still reach a process at the worker's address. Only the last command of a
+/// run is known to be answered.
+static bool isStartOutstanding(const TaskExecution &task)
 {
-    return task.startsSent > 0 && !task.startConfirmed;
+    return task.startsSent > 1 || (task.startsSent == 1 && !task.startConfirmed);
 }
 
 } // namespace Internal
@@ -38,7 +39,7 @@
             continue;
         }
         const auto stopped = runsWith(worker, [&](const TaskId &id, const TaskExecution &task) {
-            const bool isStopped = task.phase == TaskPhase::Stopping && task.startConfirmed && task.stopConfirmed;
+            const bool isStopped = task.phase == TaskPhase::Stopping && task.startConfirmed && task.stopConfirmed && !Internal::isStartOutstanding(task);
             return isStopped && now - task.confirmedAt >= stopDuration && isServingTask(id);
         });
         for (const TaskId &id : stopped) {
@@ -49,22 +50,19 @@
 
 void Dispatcher::endConfirmedRuns(WorkerState &worker, TimePoint now)
 {
-    endRunsOfEndedProcess(worker,
-                          runsWith(worker,
-                                   [](const TaskId &, const TaskExecution &task) {
-                                       return task.startConfirmed && (task.phase == TaskPhase::Running || task.phase == TaskPhase::Stopping);
-                                   }),
-                          now);
+    const auto runs = runsWith(worker, [](const TaskId &, const TaskExecution &task) {
+        const bool isActive = task.phase == TaskPhase::Running || task.phase == TaskPhase::Stopping;
+        return isActive && task.startConfirmed && task.startsSent == 1; // not adopted: starts of earlier owners are unknown
+    });
+    endRunsOfEndedProcess(worker, runs, now);
 }
 
 void Dispatcher::endServingRuns(WorkerState &worker, TimePoint now)
 {
-    endRunsOfEndedProcess(worker,
-                          runsWith(worker,
-                                   [this](const TaskId &id, const TaskExecution &task) {
-                                       return task.phase != TaskPhase::Assigned && !Internal::isStartUncertain(task) && isServingTask(id);
-                                   }),
-                          now);
+    const auto runs = runsWith(worker, [this](const TaskId &id, const TaskExecution &task) {
+        return task.phase != TaskPhase::Assigned && !Internal::isStartOutstanding(task) && isServingTask(id);
+    });
+    endRunsOfEndedProcess(worker, runs, now);
 }
 
 void Dispatcher::endRunsOfEndedProcess(const WorkerState &worker, const std::vector<TaskId> &runs, TimePoint now)
