Repeat stops that an unresponsive worker has not confirmed

At 46 s the owner had 240 stops without an answer and 150 that were not sent, and each was sent only once.

Cause: a stop was repeated only according to a report. While polls failed, the confirmation that allows the run to be replaced could not come.

Evidence: workerProcessEnd/aStopThatWasNotSentIsRepeatedWhilePollsFail failed before ("the stop was not repeated").

Why it works: unconfirmed stops go out once a second, longer than the timeout of a command, so at most one of a run is outstanding and the load is bounded by the number of runs that are being stopped.

--- a/src/libs/dispatch/dispatchdepartures.cpp
+++ b/src/libs/dispatch/dispatchdepartures.cpp
@@ -10,6 +10,9 @@
 constexpr std::chrono::milliseconds MissingTime{1000};
 constexpr std::chrono::milliseconds WorkerListInterval{1000};
 
+// Longer than the timeout of a command, so that one stop of a run is outstanding at a time.
+constexpr std::chrono::milliseconds UnreachableStopInterval{1000};
+
 /// Returns true if a start command of this owner may still reach a process at the worker's address. Only the last command of a
 /// run is known to be answered.
 static bool isStartOutstanding(const TaskExecution &task)
@@ -31,6 +34,23 @@
     return runs;
 }
 
+void Dispatcher::repeatUnconfirmedStops(TimePoint now)
+{
+    for (const auto &[workerId, worker] : m_workers) {
+        if (worker.failedPolls == 0) {
+            continue; // stops are repeated according to its reports
+        }
+        const auto unconfirmed = runsWith(worker, [now](const TaskId &, const TaskExecution &task) {
+            return task.phase == TaskPhase::Stopping && !task.stopConfirmed && now - task.phaseSince >= Internal::UnreachableStopInterval;
+        });
+        for (const TaskId &id : unconfirmed) {
+            TaskExecution *task = m_jobs.task(id);
+            task->phaseSince = now;
+            sendStop(id, *task);
+        }
+    }
+}
+
 void Dispatcher::endStoppedRuns(TimePoint now)
 {
     const Duration stopDuration = m_limits.stopDuration * 100 / WorkerClock::SlowestPercent;
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -126,6 +126,7 @@
     m_wallMs = sinceEpoch(wall).count();
     reportWorkerChanges(now);
     expireLeases(now);
+    repeatUnconfirmedStops(now);
     endStoppedRuns(now);
     findDepartedWorkers(now);
     removeUnregisteredWorkers();
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -118,6 +118,9 @@
     void removeUnregisteredWorkers();
     void expireLeases(TimePoint now);
 
+    /// Sends stops again that a worker that does not respond has not confirmed.
+    void repeatUnconfirmedStops(TimePoint now);
+
     /// Ends the runs of serving tasks whose stop was confirmed by a worker that no longer responds. Runs of other tasks may have
     /// completed before the stop; these wait for the end of the lease.
     void endStoppedRuns(TimePoint now);
