Close all idle connections to an address that timed out

What callers would see: when open connections go silent without a reset, each idle one (8 for an address) costs another timeout: up to 12 s without an append of the owner, or several polls of a worker in a row.

Cause: after a timeout only the connection that was used was closed, and the next request took the next idle one.

Why it works: a timeout or a failed connect says something about the path, so the idle connections of the address are closed with it; the next request opens a new one.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -63,6 +63,9 @@
         }
     }
 
+    /// Closes the idle connections to @p address.
+    void closeIdle(const std::string &address) { m_idle.erase(address); }
+
 private:
     static bool isUsable(beast::tcp_stream &stream)
     {
@@ -182,6 +185,7 @@
     if (!stream->socket().is_open()) {
         const auto [connectError] = co_await stream->async_connect(*valueOf(endpoint), Internal::AsTuple);
         if (connectError) {
+            pool->closeIdle(address);
             co_return Internal::connectionError(address, connectError);
         }
         boost::system::error_code ignored;
@@ -190,6 +194,8 @@
     auto outcome = co_await Internal::exchange(*stream, request, timeout);
     if (const HttpResponse *response = valueOf(outcome); response != nullptr && response->keep_alive()) {
         pool->putBack(address, std::move(stream));
+    } else if (const Error *error = errorOf(outcome); error != nullptr && error->code == ErrorCode::Timeout) {
+        pool->closeIdle(address); // connections that a silent path has cut look idle, and each would cost another timeout
     }
     co_return outcome;
 }
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -16,8 +16,8 @@
 class HttpConnectionPool;
 }
 
-/// HTTP/1.1 client with pooled connections. Response bodies are read into memory and limited to 4 MiB. Use from one
-/// executor only.
+/// HTTP/1.1 client with pooled connections. After a timeout or a failed connect, the idle connections to that address are closed. Response bodies are read into
+/// memory and limited to 4 MiB. Use from one executor only.
 class HttpClient
 {
 public:
