Keep the runs that the next process of a worker has started

Cause: when the first report of a restarted worker arrived, all runs that counted as running there were ended as lost, also those whose start the new process had already executed and confirmed.

Why it works: runs and ends that the report of the new process lists belong to it and are kept. A run that was confirmed after the poll was sent may belong to it as well, so it is stopped before the task is started again.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -128,8 +128,13 @@
     void moveRunsOffDrainingWorkers(TimePoint now);
 
     void handleReport(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
+    /// Ends or stops the runs of the previous process of @p worker, which has restarted.
     void handleWorkerRestart(WorkerState &worker, WorkerTime reading, TimePoint now);
 
+    /// Does the same on the first @p report of the new process, and keeps the runs that it lists.
+    void handleWorkerRestart(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
+    void endRunsOfPreviousProcess(WorkerState &worker, const std::set<std::pair<TaskId, int>> &kept, TimePoint confirmedUntil, TimePoint now);
+
     /// Ends the runs that the process of @p worker has confirmed: the process has ended. A start command that was not
     /// confirmed may still reach the next process.
     void endConfirmedRuns(WorkerState &worker, TimePoint now);
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -170,7 +170,7 @@
     worker.failedPolls = 0;
     worker.lastReportAt = now;
     if (report.processStartedAt != worker.processStartedAt && worker.processStartedAt.count() != 0 && report.processStartedAt.count() != 0) {
-        handleWorkerRestart(worker, report.clock, now);
+        handleWorkerRestart(worker, report, sentAt, now);
     }
     worker.processStartedAt = report.processStartedAt;
     worker.clock = WorkerClock{report.clock, now};
@@ -198,6 +198,24 @@
 void Dispatcher::handleWorkerRestart(WorkerState &worker, WorkerTime reading, TimePoint now)
 {
     m_actions.emplace_back(WorkerRestarted{worker.info.id, reading, worker.clock ? worker.clock->readingAt(now) : WorkerTime(0), worker.runs.size()});
+    endRunsOfPreviousProcess(worker, {}, now, now);
+}
+
+void Dispatcher::handleWorkerRestart(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
+{
+    m_actions.emplace_back(WorkerRestarted{worker.info.id, report.clock, worker.clock ? worker.clock->readingAt(now) : WorkerTime(0), worker.runs.size()});
+    std::set<std::pair<TaskId, int>> listed;
+    for (const ReportedRun &run : report.runs) {
+        listed.emplace(run.task, run.run);
+    }
+    for (const ReportedRunEnd &end : report.ends) {
+        listed.emplace(end.task, end.run);
+    }
+    endRunsOfPreviousProcess(worker, listed, sentAt, now);
+}
+
+void Dispatcher::endRunsOfPreviousProcess(WorkerState &worker, const std::set<std::pair<TaskId, int>> &kept, TimePoint confirmedUntil, TimePoint now)
+{
     worker.processedEndSequence = 0;
     worker.durableEndSequence = 0;
     ++worker.suspectedRestarts;
@@ -206,10 +224,12 @@
         TaskExecution *task = m_jobs.task(id);
         if (task == nullptr) {
             worker.removeRun(id);
-        } else if (task->phase == TaskPhase::Running) {
+        } else if (kept.contains({id, task->run})) {
+            continue;
+        } else if (task->phase == TaskPhase::Running && task->confirmedAt <= confirmedUntil) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now);
         } else if (task->phase != TaskPhase::Assigned) {
-            beginStop(id, *task, StopReason::WorkerRestarted, now); // the start command may still reach the restarted worker
+            beginStop(id, *task, StopReason::WorkerRestarted, now); // the start command may still reach the restarted worker, or has reached it
         }
     }
 }
--- a/tests/libs/dispatch/eventharness.cpp
+++ b/tests/libs/dispatch/eventharness.cpp
@@ -70,6 +70,7 @@
     constexpr int ProgressCycle = 99;
     WorkerReport report;
     report.clock = clock();
+    report.processStartedAt = processStartedAt;
     for (ReportedRun &run : runs) {
         run.progressPercent = makesProgress ? (run.progressPercent + 1) % ProgressCycle : run.progressPercent;
     }
--- a/tests/libs/dispatch/testworkerprocessend.cpp
+++ b/tests/libs/dispatch/testworkerprocessend.cpp
@@ -70,3 +70,39 @@
     harness.advance(2s, false);
     cr_assert_geq(harness.all<StopCommand>().size(), 2, "the stop was not repeated");
 }
+
+Test(workerProcessEnd, aRunThatTheNextProcessReportsIsNotStartedAgain)
+{
+    EventHarness harness(2);
+    harness.processStartedAt = 1s;
+    harness.advance(100ms);
+    harness.startAllTasks();
+    harness.advance(100ms);
+    // The process has restarted, and has executed the start of the second task before its first report.
+    harness.processStartedAt = 2s;
+    harness.runs.erase(harness.runs.begin());
+    harness.advance(100ms);
+    cr_assert_eq(harness.all<RunEnded>().size(), 1, "%zu runs count as ended", harness.all<RunEnded>().size());
+    cr_assert_neq(harness.all<RunEnded>().front().task.index, harness.runs.front().task.index);
+}
+
+Test(workerProcessEnd, aRunConfirmedAfterTheFirstPollOfTheNextProcessIsStoppedFirst)
+{
+    EventHarness harness;
+    harness.processStartedAt = 1s;
+    harness.advance(100ms);
+    while (harness.all<StartCommand>().empty()) {
+        harness.advance(20ms);
+    }
+    const PollCommand poll = harness.all<PollCommand>().back();
+    const TimePoint polledAt = harness.now;
+    harness.now += 20ms;
+    harness.dispatcher.startAnswered(harness.all<StartCommand>().back(), CommandExecuted{harness.clock()}, harness.now);
+    WorkerReport report;
+    report.clock = harness.clock();
+    report.processStartedAt = 2s;
+    harness.dispatcher.pollAnswered(poll, report, polledAt, harness.now);
+    harness.advance(20ms);
+    cr_assert(harness.all<RunEnded>().empty(), "the run may have been started by the next process");
+    cr_assert_eq(harness.all<StopCommand>().size(), 1);
+}
