Start no task while reading the registrations of the workers lags behind

Cause: starts required a recent read of the job topic, but not of the topic that tells which workers leave.

Why it works: a start needs a read of the registrations that was sent at most 2 s ago and applied in full, so an announcement that is older than the bound is known. A new owner starts nothing before it has loaded them.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -40,6 +40,7 @@
     m_term = term;
     m_confirmedAt = claimedAt;
     m_readAt = claimedAt;
+    m_workersReadAt.reset();
     m_termBeganAt = claimedAt;
     m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claimedAt, afterHandover);
     m_jobs.clear();
@@ -121,6 +122,11 @@
     confirmOwnership(sentAt);
 }
 
+void Dispatcher::confirmWorkersRead(TimePoint sentAt)
+{
+    m_workersReadAt = std::max(m_workersReadAt.value_or(sentAt), sentAt);
+}
+
 std::vector<DispatchAction> Dispatcher::advance(TimePoint now, WallTime wall)
 {
     m_wallMs = sinceEpoch(wall).count();
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -59,6 +60,9 @@
     /// Confirms that all records that existed at @p sentAt were read: cancellations as well as claims.
     void confirmRead(TimePoint sentAt);
 
+    /// Confirms that all registrations of workers that existed at @p sentAt were read.
+    void confirmWorkersRead(TimePoint sentAt);
+
     /// Returns how far reading the topic lags behind.
     Duration readLag(TimePoint now) const { return now - m_readAt; }
 
@@ -179,6 +183,7 @@
     void recordFailedRun(const TaskId &id, TaskExecution &task, TimePoint now);
     void reportEnd(const JobExecution &job);
     void endJob(JobExecution &job, TimePoint now);
+    bool canStart(TimePoint now) const;
     bool canStartOn(const WorkerState &worker, TimePoint now) const;
 
     void placePendingTasks(TimePoint now, WallTime wall);
@@ -202,6 +207,7 @@
     TimePoint m_confirmedAt{}; // ownership was confirmed as of then
     TimePoint m_readAt{}; // all records up to then were read
     TimePoint m_termBeganAt{};
+    std::optional<TimePoint> m_workersReadAt; // all registrations up to then were read; none: not in this term
     TimePoint m_earlierLeasesEnd{};
     std::int64_t m_wallMs = 0; // Unix time of the last advance()
     JobRegistry m_jobs;
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -85,7 +85,7 @@
 
 void Dispatcher::placePendingTasks(TimePoint now, WallTime wall)
 {
-    if (!m_leasePolicy.canStart(now, m_readAt)) {
+    if (!canStart(now)) {
         return;
     }
     std::vector<Internal::PendingStep> pending;
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -11,6 +11,8 @@
 
 // A start command is sent at most this often before the run is abandoned.
 constexpr int MaximumStartSends = 3;
+// Less than the time after which a worker that leaves must get no task.
+constexpr std::chrono::milliseconds MaximumWorkersAge{2000};
 constexpr std::chrono::milliseconds RetryDelay{100};
 constexpr std::chrono::milliseconds InvalidCommandBackoff{2000};
 constexpr std::chrono::milliseconds FailureBackoff{100};
@@ -19,9 +21,15 @@
 
 } // namespace Internal
 
+bool Dispatcher::canStart(TimePoint now) const
+{
+    const bool knowsLeavingWorkers = m_workersReadAt && now - *m_workersReadAt < Internal::MaximumWorkersAge;
+    return knowsLeavingWorkers && m_leasePolicy.canStart(now, m_readAt);
+}
+
 bool Dispatcher::canStartOn(const WorkerState &worker, TimePoint now) const
 {
-    return worker.isSchedulable(m_evacuated) && m_leasePolicy.canStart(now, m_readAt);
+    return worker.isSchedulable(m_evacuated) && canStart(now);
 }
 
 void Dispatcher::sendStart(const TaskId &id, TaskExecution &task, TimePoint now)
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -137,7 +137,7 @@
                 m_owner.removeWorker(record.key);
             }
         },
-        [](TimePoint) {});
+        [this](TimePoint sentAt) { m_owner.workersRead(sentAt); });
     m_owner.setWorkersNeedHandler([this](bool isNeeded) {
         if (isNeeded) {
             m_workers.resume();
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -111,6 +111,14 @@
     }
 }
 
+void TopicOwner::workersRead(TimePoint sentAt)
+{
+    m_workersReadAt = sentAt;
+    if (m_term) {
+        m_dispatcher.confirmWorkersRead(sentAt);
+    }
+}
+
 bool TopicOwner::isClaiming() const
 {
     return m_claimSentAt != TimePoint() && m_clock.now() - m_claimSentAt < Internal::ClaimVisibilityTimeout;
@@ -209,6 +217,9 @@
     m_appending = false;
     m_dispatcher.beginTerm(*m_term, m_table, now, m_cleanHandover);
     m_dispatcher.applyConfiguration(m_config, m_evacuatedDomains);
+    if (m_workersReadAt) {
+        m_dispatcher.confirmWorkersRead(*m_workersReadAt);
+    }
     for (const auto &[id, info] : m_workers) {
         m_dispatcher.updateWorker(info);
     }
@@ -241,6 +252,7 @@
     const bool isNeeded = m_term || m_claiming || isClaiming();
     if (isNeeded != m_needsWorkers) {
         m_needsWorkers = isNeeded;
+        m_workersReadAt.reset();
         m_workersNeedHandler(isNeeded);
     }
 }
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -70,6 +70,9 @@
     /// Must be called after the records of a read of the job topic were applied. The read was sent at @p sentAt.
     void jobsRead(TimePoint sentAt);
 
+    /// Must be called after the records of a read of the workers topic were applied. The read was sent at @p sentAt.
+    void workersRead(TimePoint sentAt);
+
     void applyConfiguration(const ClusterConfig &config, const std::set<std::string> &evacuatedDomains);
     void updateWorker(const WorkerInfo &info);
     void removeWorker(const std::string &id);
@@ -120,6 +123,7 @@
     WorkersNeedHandler m_workersNeedHandler;
     bool m_needsWorkers = false;
     std::map<std::string, WorkerInfo> m_workers; // empty unless they are needed
+    std::optional<TimePoint> m_workersReadAt; // all registrations up to then are in m_workers
     ClusterConfig m_config;
     std::set<std::string> m_evacuatedDomains;
     std::optional<std::int64_t> m_term; // set while this instance is the owner
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -44,6 +44,7 @@
     std::int64_t term;
     Dispatcher dispatcher;
     bool steppedDown = false;
+    bool knowsWorkers = false; // has read the registrations of the workers
     TimePoint pausedUntil{};
     TimePoint partitionedUntil{};
     TimePoint nextTick{};
@@ -138,6 +139,7 @@
     auto owner = std::make_shared<Owner>(record.term, DispatchLimits());
     owner->dispatcher.beginTerm(record.term, m_table, now);
     const auto loadWorkers = [this, owner] {
+        owner->knowsWorkers = true;
         for (const auto &worker : m_workers) {
             if (!m_removedMachines.contains(worker->info().id)) {
                 owner->dispatcher.updateWorker(worker->info());
@@ -291,6 +293,9 @@
             return;
         }
         owner.dispatcher.confirmRead(now);
+        if (owner.knowsWorkers) {
+            owner.dispatcher.confirmWorkersRead(now);
+        }
     }
     owner.dispatcher.applyConfiguration(config, evacuated);
     for (DispatchAction &action : owner.dispatcher.advance(now, wall())) {
--- a/tests/libs/dispatch/eventharness.cpp
+++ b/tests/libs/dispatch/eventharness.cpp
@@ -27,6 +27,9 @@
 {
     now += StepInterval;
     dispatcher.confirmRead(now);
+    if (readsWorkers) {
+        dispatcher.confirmWorkersRead(now);
+    }
     const WallTime wall(std::chrono::duration_cast<WallTime::duration>(now.time_since_epoch()));
     for (DispatchAction &action : dispatcher.advance(now, wall)) {
         if (const auto *command = std::get_if<PollCommand>(&action)) {
--- a/tests/libs/dispatch/eventharness.h
+++ b/tests/libs/dispatch/eventharness.h
@@ -45,6 +45,7 @@
     std::vector<DispatchAction> actions;
     std::vector<ReportedRun> runs; // in the next reports of the worker
     bool makesProgress = true;
+    bool readsWorkers = true; // the registrations of the workers are read
     std::chrono::milliseconds processStartedAt{0}; // in the next reports of the worker
     PollResult pollFailure = CommandUndetermined{"no response"};
 
--- a/tests/libs/dispatch/testdelayedresponses.cpp
+++ b/tests/libs/dispatch/testdelayedresponses.cpp
@@ -35,6 +35,7 @@
     {
         now += passed;
         m_dispatcher.confirmRead(now);
+        m_dispatcher.confirmWorkersRead(now);
         const WallTime wall(std::chrono::duration_cast<WallTime::duration>(now.time_since_epoch()));
         for (const DispatchAction &action : m_dispatcher.advance(now, wall)) {
             if (const auto *start = std::get_if<StartCommand>(&action)) {
--- a/tests/libs/dispatch/testoddjobs.cpp
+++ b/tests/libs/dispatch/testoddjobs.cpp
@@ -28,6 +28,7 @@
     Dispatcher dispatcher{DispatchLimits()};
     Testing::beginWithSingleWorker(dispatcher, job, 64000, Begin);
     dispatcher.confirmRead(Begin);
+    dispatcher.confirmWorkersRead(Begin);
     dispatcher.advance(Begin, WallTime(1'000'000h));
     return dispatcher.summary(Begin).pendingReserved;
 }
@@ -79,6 +80,7 @@
         for (int round = 0; round < rounds; ++round) {
             now += 20ms;
             m_dispatcher.confirmRead(now);
+            m_dispatcher.confirmWorkersRead(now);
             for (const DispatchAction &action : m_dispatcher.advance(now, WallTime(std::chrono::milliseconds(LatestTimeMs)))) {
                 respond(action);
             }
--- a/tests/libs/dispatch/testworkerregistration.cpp
+++ b/tests/libs/dispatch/testworkerregistration.cpp
@@ -1,4 +1,5 @@
 #include "dispatchsimulation.h"
+#include "eventharness.h"
 
 #include <dispatch/restartcounts.h>
 
@@ -48,3 +49,14 @@
     cr_assert_geq(counts.countOf("w"), 3);
     cr_assert_geq(counts.countOf("w0"), 1);
 }
+
+Test(workerRegistration, noTaskIsStartedWhileReadingTheRegistrationsLagsBehind)
+{
+    EventHarness harness(2);
+    harness.readsWorkers = false;
+    harness.advance(5s);
+    cr_assert(harness.all<StartCommand>().empty(), "the worker may have announced that it leaves");
+    harness.readsWorkers = true;
+    harness.advance(1s);
+    cr_assert_eq(harness.all<StartCommand>().size(), 2);
+}
