Split the gateway's exchange by job

Exchange keeps the retries and the choice of the target. KeyedRequest claims the idempotency key and records the outcome, RequestSender sends the request of one attempt and ResponseRelay forwards its response. No change of behaviour.

test-gateway: 28 tests pass.

--- a/src/libs/gateway/clientsession.h
+++ b/src/libs/gateway/clientsession.h
@@ -37,6 +37,9 @@
 
 private:
     friend class Exchange;
+    friend class KeyedRequest;
+    friend class RequestSender;
+    friend class ResponseRelay;
 
     boost::asio::awaitable<bool> readHeader();
     boost::asio::awaitable<void> serveRequest();
