Remove unused constants and constants that stand twice

RetryDelay (dispatchruns.cpp), MaximumBufferedBody (clientsession.cpp) and WorkerHealth::isProbing had no user. FirstLogOffset replaces the FirstOffset of the config ledger and of the log tailer; its header moves to wire, on which all three libraries depend. MinimumSpeedPercent replaces a literal 25 in the placement engine. No change of behaviour.

LoadForecast::period() stays: a test of the learned period needs it.

--- a/src/libs/config/configledger.cpp
+++ b/src/libs/config/configledger.cpp
@@ -1,5 +1,7 @@
 #include "configledger.h"
 
+#include <wire/logposition.h>
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -11,7 +13,6 @@
 constexpr std::size_t MaximumBodySize = 64 * 1024; // a contract has 1 to 4 KiB
 constexpr std::size_t MaximumNameLength = 200; // of keys, change ids and operators
 constexpr std::int64_t MaximumRevision = std::int64_t(1) << 53; // a larger revision is corrupt; the limit also prevents overflow
-constexpr std::int64_t FirstOffset = 1;
 constexpr std::size_t MaximumCachedVerdicts = 10'000;
 constexpr std::size_t MaximumAuditBytes = 4 * 1024 * 1024;
 
@@ -89,7 +90,7 @@
 void ConfigLedger::setOldestOffset(std::int64_t oldest)
 {
     if (oldest <= m_knownUpTo + 1) {
-        m_headReached = m_headReached || m_firstVisible <= FirstOffset;
+        m_headReached = m_headReached || m_firstVisible <= FirstLogOffset;
         return;
     }
     if (m_appliedUpTo >= 0) {
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -11,7 +11,6 @@
 
 // A start command is sent at most this often before the run is abandoned.
 constexpr int MaximumStartSends = 3;
-constexpr std::chrono::milliseconds RetryDelay{100};
 constexpr std::chrono::milliseconds InvalidCommandBackoff{2000};
 constexpr std::chrono::milliseconds FailureBackoff{100};
 // Upper bound of the time by which responses are reordered.
--- a/src/libs/dispatch/workerhealth.h
+++ b/src/libs/dispatch/workerhealth.h
@@ -29,8 +29,6 @@
     /// Returns true if another task may be started beside @p openRuns open runs.
     bool acceptsTask(TimePoint now, std::size_t openRuns) const;
 
-    bool isProbing() const { return m_probing; }
-
 private:
     void quarantine(TimePoint now);
 
--- a/src/libs/gateway/clientsession.cpp
+++ b/src/libs/gateway/clientsession.cpp
@@ -21,7 +21,6 @@
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t InitialReadSize = 4 * 1024;
-constexpr std::uint64_t MaximumBufferedBody = 16 * 1024; // bodies up to this size are buffered before a target is chosen
 constexpr std::size_t BodyReadSize = 16 * 1024;
 constexpr std::uint64_t MaximumDiscardedBody = 64 * 1024;
 constexpr std::size_t MaximumIdleBuffer = 8 * 1024;
--- a/src/libs/jobs/jobledger.h
+++ b/src/libs/jobs/jobledger.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "jobentry.h"
-#include "logposition.h"
 
 #include "hyssop_types.h"
 
 #include <utils/clock.h>
+#include <wire/logposition.h>
 
 #include <chrono>
 #include <cstdint>
--- a/src/libs/placement/placementengine.cpp
+++ b/src/libs/placement/placementengine.cpp
@@ -121,7 +121,8 @@
     bool atMinimumSpeed = true;
     for (const std::uint32_t other : state.workers[worker].tasks) {
         const TaskRecord &colocated = state.tasks[other];
-        atMinimumSpeed = atMinimumSpeed && (!colocated.batch() || colocated.queueClass == QueueClass::Urgent || colocated.running->speedPercent <= 25);
+        atMinimumSpeed =
+            atMinimumSpeed && (!colocated.batch() || colocated.queueClass == QueueClass::Urgent || colocated.running->speedPercent <= MinimumSpeedPercent);
     }
     const bool atFullSpeed = state.workers[worker].throttledTasks == 0;
     const auto action = state.eviction.observe(worker, latencyRatio, favor, atMinimumSpeed, atFullSpeed, measuredAt, now);
--- a/src/libs/placement/placementround.cpp
+++ b/src/libs/placement/placementround.cpp
@@ -18,7 +18,6 @@
 constexpr std::size_t DistinctFailuresForRejection = 3;
 constexpr std::size_t ReservationSampleSize = 12;
 constexpr std::size_t MaximumEvictedQueueKeys = 10000;
-constexpr int MinimumSpeedPercent = 25;
 constexpr int HalfSpeedPercent = 50;
 constexpr int FullSpeedPercent = 100;
 
--- a/src/libs/placement/taskrecord.h
+++ b/src/libs/placement/taskrecord.h
@@ -13,6 +13,7 @@
 namespace Hyssop::Internal {
 
 constexpr std::uint32_t NoId = UINT32_MAX;
+constexpr int MinimumSpeedPercent = 25; // of full speed
 
 /// Data of a task that exists only while it runs.
 struct RunningTask
--- a/src/libs/platform/logtailer.cpp
+++ b/src/libs/platform/logtailer.cpp
@@ -3,6 +3,7 @@
 #include <observability/logging.h>
 #include <observability/metricsregistry.h>
 #include <wire/codec.h>
+#include <wire/logposition.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,7 +18,6 @@
 
 namespace asio = boost::asio;
 
-constexpr std::int64_t FirstOffset = 1;
 constexpr std::int32_t SupportedFormatVersion = 1;
 constexpr int MaximumRecordsPerRead = 256;
 // A response verifies the head only as of the time at which the read was sent, so a longer wait makes it less current.
@@ -58,7 +58,7 @@
         // Without a wait the first read of an empty stream returns at once.
         const auto wait = m_caughtUp ? MaximumWait : std::chrono::milliseconds::zero();
         const TimePoint sentAt = std::chrono::steady_clock::now();
-        auto outcome = co_await m_client.read(m_stream, std::max(m_appliedUpTo + 1, FirstOffset), m_recordsPerRead, wait);
+        auto outcome = co_await m_client.read(m_stream, std::max(m_appliedUpTo + 1, FirstLogOffset), m_recordsPerRead, wait);
         if (m_stopped) {
             co_return;
         }
--- a/src/libs/schedulercore/schedulercore.h
+++ b/src/libs/schedulercore/schedulercore.h
@@ -3,8 +3,8 @@
 #include "hyssop_types.h"
 
 #include <contract/contract.h>
-#include <jobs/logposition.h>
 #include <utils/clock.h>
+#include <wire/logposition.h>
 #include <workers/commandoutcome.h>
 #include <workers/leaseresult.h>
 
