--- a/src/libs/wire/hyssop.thrift
+++ b/src/libs/wire/hyssop.thrift
@@ -255,7 +255,7 @@
   3: i64 term = 0,               // fencing token of all commands of the owner
   4: bool released = false,      // the owner stops deliberately; others may claim immediately
   5: i64 sequence = 0,           // renewal counter
-  6: bool settled = false,       // all leases of earlier owners have expired
+  6: bool settled = false,       // all leases of previous owners have expired
   7: double processorShare = 0,  // cores that the owner may use; 0: unknown
 }
 
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -37,7 +37,7 @@
     void submit(const std::string &jobId, int steps, int width, std::function<void(Wire::TaskStep &)> change = {});
     void cancel(const std::string &jobId);
 
-    /// Lets a new instance claim the topic; the earlier owner continues until it reads the claim.
+    /// Lets a new instance claim the topic; the previous owner continues until it reads the claim.
     void claim();
 
     /// Suspends the process of the newest owner for @p time.
--- a/tests/libs/dispatch/testpolicies.cpp
+++ b/tests/libs/dispatch/testpolicies.cpp
@@ -42,7 +42,7 @@
 {
     const LeasePolicy policy(6s);
     const TimePoint claimedAt = Begin;
-    // The earlier owner had its last proof of ownership just before the claim, and renews leases as long as permitted.
+    // The previous owner had its last proof of ownership just before the claim, and renews leases as long as permitted.
     TimePoint latest = Begin;
     for (Duration after = 0s; after < 60s; after += 100ms) {
         latest = std::max(latest, policy.latestLeaseEnd(Begin + after, claimedAt));
--- a/tests/libs/membership/testmembershiptable.cpp
+++ b/tests/libs/membership/testmembershiptable.cpp
@@ -46,7 +46,7 @@
     cr_assert(table.recordHeartbeat(heartbeat("a", 6), Start + 3s));
 }
 
-// Guards against heartbeats of a former owner that hide a failure of the current one.
+// Guards against heartbeats of a previous owner that hide a failure of the current one.
 Test(membershiptable, timeSinceOwnerHeartbeatFollowsTheHighestTerm)
 {
     MembershipTable table;
