Share the preparation that dispatch tests repeat

Four colocation tests trained the same policy, two tests of delayed responses answered polls in the same loops and two tests of worker loss started the same job. No check changes.

test-dispatch: 84 tests pass.

--- a/tests/libs/dispatch/testcolocation.cpp
+++ b/tests/libs/dispatch/testcolocation.cpp
@@ -89,6 +89,17 @@
     return worker;
 }
 
+/// A policy that has learned the load of a service and the effect of two images on it.
+struct TrainedPolicy
+{
+    TrainedPolicy() { train(policy, service, heavy, light); }
+
+    ColocationPolicy policy;
+    RunProfile service = servingProfile(policy, "service");
+    RunProfile heavy = bestEffortProfile(policy, "heavy");
+    RunProfile light = bestEffortProfile(policy, "light");
+};
+
 } // namespace
 
 Test(tailLatencyModel, distinguishesInterferingAndHarmlessImages)
@@ -129,12 +140,8 @@
 
 Test(colocationPolicy, placesAnInterferingImageOnlyInATrough)
 {
-    ColocationPolicy policy;
-    RunProfile service = servingProfile(policy, "service");
-    RunProfile heavy = bestEffortProfile(policy, "heavy");
-    RunProfile light = bestEffortProfile(policy, "light");
-    train(policy, service, heavy, light);
-    WorkerState worker = workerWith(service);
+    TrainedPolicy trained;
+    WorkerState worker = workerWith(trained.service);
     Wire::TaskStep step;
     step.fillsIdle = true;
     step.milliCores = 8000;
@@ -147,49 +154,41 @@
         worker.lastReportAt = now;
         worker.forecast.at = TimePoint();
         request.profile = &profile;
-        return WorkerRanking({&worker}, {}, policy, now).choose(request) == &worker;
+        return WorkerRanking({&worker}, {}, trained.policy, now).choose(request) == &worker;
     };
-    cr_assert(!canRun(heavy, 1s), "the peak comes while it would run");
-    cr_assert(!canRun(heavy, 2500ms));
-    cr_assert(canRun(heavy, 5500ms));
-    cr_assert(canRun(light, 1s));
-    cr_assert(canRun(light, 2500ms));
+    cr_assert(!canRun(trained.heavy, 1s), "the peak comes while it would run");
+    cr_assert(!canRun(trained.heavy, 2500ms));
+    cr_assert(canRun(trained.heavy, 5500ms));
+    cr_assert(canRun(trained.light, 1s));
+    cr_assert(canRun(trained.light, 2500ms));
 }
 
 Test(colocationPolicy, aLongTaskNeedsHeadroomForLonger)
 {
-    ColocationPolicy policy;
-    RunProfile service = servingProfile(policy, "service");
-    RunProfile heavy = bestEffortProfile(policy, "heavy");
-    RunProfile light = bestEffortProfile(policy, "light");
-    train(policy, service, heavy, light);
-    WorkerState worker = workerWith(service);
+    TrainedPolicy trained;
+    WorkerState worker = workerWith(trained.service);
     // The load rises through its mean at 10 s.
-    const ServingForecast forecast = policy.forecast(worker, Begin + TrainingTime + 7s);
+    const ServingForecast forecast = trained.policy.forecast(worker, Begin + TrainingTime + 7s);
     cr_assert_eq(forecast.headrooms.size(), 1);
-    const double addedUtilization = policy.addedUtilization(service.image, heavy, Capacity);
+    const double addedUtilization = trained.policy.addedUtilization(trained.service.image, trained.heavy, Capacity);
     cr_assert_gt(forecast.headrooms.front().shortTerm, addedUtilization);
     cr_assert_lt(forecast.headrooms.front().longTerm, addedUtilization);
 }
 
 Test(colocationPolicy, aRunThatEndsSoonCountsAsFree)
 {
-    ColocationPolicy policy;
-    RunProfile service = servingProfile(policy, "service");
-    RunProfile heavy = bestEffortProfile(policy, "heavy");
-    RunProfile light = bestEffortProfile(policy, "light");
-    train(policy, service, heavy, light);
+    TrainedPolicy trained;
     const TimePoint now = Begin + TrainingTime + 6s;
-    WorkerState worker = workerWith(service);
-    const double alone = policy.forecast(worker, now).headrooms.front().shortTerm;
-    const std::int64_t idleAlone = worker.expectedIdleMilliCores(policy.forecast(worker, now));
-    heavy.expectedEnd = now + 2s;
-    worker.addRun({"batch", 0, 0, 0}, heavy);
-    cr_assert_lt(policy.forecast(worker, now).headrooms.front().shortTerm, alone);
-    cr_assert_lt(worker.expectedIdleMilliCores(policy.forecast(worker, now)), idleAlone);
+    WorkerState worker = workerWith(trained.service);
+    const double alone = trained.policy.forecast(worker, now).headrooms.front().shortTerm;
+    const std::int64_t idleAlone = worker.expectedIdleMilliCores(trained.policy.forecast(worker, now));
+    trained.heavy.expectedEnd = now + 2s;
+    worker.addRun({"batch", 0, 0, 0}, trained.heavy);
+    cr_assert_lt(trained.policy.forecast(worker, now).headrooms.front().shortTerm, alone);
+    cr_assert_lt(worker.expectedIdleMilliCores(trained.policy.forecast(worker, now)), idleAlone);
     worker.runs.at({"batch", 0, 0, 0}).expectedEnd = now + 100ms;
-    cr_assert_float_eq(policy.forecast(worker, now).headrooms.front().shortTerm, alone, 1e-9);
-    cr_assert_eq(worker.expectedIdleMilliCores(policy.forecast(worker, now)), idleAlone);
+    cr_assert_float_eq(trained.policy.forecast(worker, now).headrooms.front().shortTerm, alone, 1e-9);
+    cr_assert_eq(worker.expectedIdleMilliCores(trained.policy.forecast(worker, now)), idleAlone);
 }
 
 Test(colocationPolicy, manySmallEffectsAddUp)
@@ -221,22 +220,19 @@
 
 Test(colocationPolicy, throttlesOnlyTheInterferingRun)
 {
-    ColocationPolicy policy;
-    RunProfile service = servingProfile(policy, "service");
-    RunProfile heavy = bestEffortProfile(policy, "heavy");
-    RunProfile light = bestEffortProfile(policy, "light");
-    train(policy, service, heavy, light);
-    const std::vector<ColocatedRun> runs{{&service, "service", 8, 100}, {&light, "batch", 8000, 100}, {&heavy, "batch", 8000, 100}};
-    const std::vector<int> beforePeak = policy.speeds(runs, Capacity, Begin + TrainingTime + 1s);
+    TrainedPolicy trained;
+    const std::vector<ColocatedRun> runs{{&trained.service, "service", 8, 100}, {&trained.light, "batch", 8000, 100}, {&trained.heavy, "batch", 8000, 100}};
+    const std::vector<int> beforePeak = trained.policy.speeds(runs, Capacity, Begin + TrainingTime + 1s);
     cr_assert_eq(beforePeak[1], 100);
     cr_assert_leq(beforePeak[2], 60);
-    cr_assert(policy.speeds(runs, Capacity, Begin + TrainingTime + 6s) == (std::vector<int>{100, 100, 100}), "both fit in the trough");
-    service.residualUtilization = 0.5;
-    cr_assert_eq(policy.speeds(runs, Capacity, Begin + TrainingTime + 2s)[2], 0);
-    service.residualUtilization = 0;
-    const std::vector<ColocatedRun> paused{{&service, "service", 5, 100}, {&light, "batch", 8000, 100}, {&heavy, "batch", 0, 0}};
-    cr_assert(policy.speeds(paused, Capacity, Begin + TrainingTime + 6s) == (std::vector<int>{100, 100, 100}), "the model expects headroom for it again");
-    cr_assert_lt(policy.speeds(paused, Capacity, Begin + TrainingTime + 1s)[2], 100, "but not before a peak");
+    cr_assert(trained.policy.speeds(runs, Capacity, Begin + TrainingTime + 6s) == (std::vector<int>{100, 100, 100}), "both fit in the trough");
+    trained.service.residualUtilization = 0.5;
+    cr_assert_eq(trained.policy.speeds(runs, Capacity, Begin + TrainingTime + 2s)[2], 0);
+    trained.service.residualUtilization = 0;
+    const std::vector<ColocatedRun> paused{{&trained.service, "service", 5, 100}, {&trained.light, "batch", 8000, 100}, {&trained.heavy, "batch", 0, 0}};
+    cr_assert(trained.policy.speeds(paused, Capacity, Begin + TrainingTime + 6s) == (std::vector<int>{100, 100, 100}),
+              "the model expects headroom for it again");
+    cr_assert_lt(trained.policy.speeds(paused, Capacity, Begin + TrainingTime + 1s)[2], 100, "but not before a peak");
 }
 
 Test(colocationPolicy, servingTasksOfOneImageArePackedTogether)
--- a/tests/libs/dispatch/testdelayedresponses.cpp
+++ b/tests/libs/dispatch/testdelayedresponses.cpp
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <utility>
@@ -68,6 +69,27 @@
         m_dispatcher.startAnswered(command, CommandExecuted{clock}, now);
     }
 
+    /// Answers the first poll and advances until @p count tasks are to be started, for at most 200 ms.
+    void waitForStarts(std::size_t count)
+    {
+        step(20ms);
+        answerPoll(clock());
+        for (int round = 0; round < 10 && starts.size() < count; ++round) {
+            step(20ms);
+        }
+    }
+
+    /// Advances @p rounds times and answers every poll.
+    void answerPolls(int rounds)
+    {
+        for (int round = 0; round < rounds; ++round) {
+            step(20ms);
+            if (poll) {
+                answerPoll(clock());
+            }
+        }
+    }
+
     WorkerTime clock() const { return std::chrono::duration_cast<WorkerTime>(now - Begin) + 5000ms; }
 
     TimePoint now = Begin;
@@ -87,11 +109,7 @@
 Test(delayedResponses, aReorderedStartResponseIsNotTakenForARestart)
 {
     DispatcherHarness harness(2);
-    harness.step(20ms);
-    harness.answerPoll(harness.clock());
-    for (int round = 0; round < 10 && harness.starts.size() < 2; ++round) {
-        harness.step(20ms);
-    }
+    harness.waitForStarts(2);
     cr_assert_eq(harness.starts.size(), 2);
     const WorkerTime startedAt = harness.clock();
     harness.answerStart(harness.starts[0], startedAt);
@@ -100,12 +118,7 @@
     harness.running[harness.starts[1].task] = harness.starts[1].run;
     harness.answerPoll(harness.clock());
     harness.answerStart(harness.starts[1], startedAt);
-    for (int round = 0; round < 50; ++round) {
-        harness.step(20ms);
-        if (harness.poll) {
-            harness.answerPoll(harness.clock());
-        }
-    }
+    harness.answerPolls(50);
     cr_assert_eq(harness.starts.size(), 2, "no run was considered lost");
 }
 
@@ -114,11 +127,7 @@
     int answeredJustAfterLeaseEnd = 0;
     for (Duration silence = 4s; silence < 8s; silence += 20ms) {
         DispatcherHarness harness(1);
-        harness.step(20ms);
-        harness.answerPoll(harness.clock());
-        for (int round = 0; round < 10 && harness.starts.empty(); ++round) {
-            harness.step(20ms);
-        }
+        harness.waitForStarts(1);
         harness.answerStart(harness.starts[0], harness.clock());
         const TimePoint until = harness.now + silence;
         while (harness.now < until) {
@@ -142,20 +151,11 @@
 Test(delayedResponses, aStartResponseWithoutClockIsNotTakenForARestart)
 {
     DispatcherHarness harness(2);
-    harness.step(20ms);
-    harness.answerPoll(harness.clock());
-    for (int round = 0; round < 10 && harness.starts.size() < 2; ++round) {
-        harness.step(20ms);
-    }
+    harness.waitForStarts(2);
     cr_assert_eq(harness.starts.size(), 2);
     harness.answerStart(harness.starts[0], harness.clock());
     harness.answerStart(harness.starts[1], WorkerTime(0));
-    for (int round = 0; round < 50; ++round) {
-        harness.step(20ms);
-        if (harness.poll) {
-            harness.answerPoll(harness.clock());
-        }
-    }
+    harness.answerPolls(50);
     cr_assert_eq(harness.endedRuns, 0);
     cr_assert_eq(harness.starts.size(), 2, "no run was considered lost");
 }
--- a/tests/libs/dispatch/testworkerloss.cpp
+++ b/tests/libs/dispatch/testworkerloss.cpp
@@ -17,9 +17,12 @@
     return {0, TimePoint(1h), RunEndReason::Completed, 0};
 }
 
-void submitServingJob(DispatchSimulation &simulation)
+void startServingJob(DispatchSimulation &simulation)
 {
+    simulation.plan = endlessRun;
+    simulation.claim();
     simulation.submit("serving", 1, Tasks, [](Wire::TaskStep &step) { step.longRunning = true; });
+    simulation.run(4s);
 }
 
 std::size_t busyWorker(DispatchSimulation &simulation)
@@ -32,10 +35,7 @@
 Test(workerLoss, runsOfACrashedWorkerAreReplacedBeforeTheirLeaseEnds)
 {
     DispatchSimulation simulation(1, 2);
-    simulation.plan = endlessRun;
-    simulation.claim();
-    submitServingJob(simulation);
-    simulation.run(4s);
+    startServingJob(simulation);
     cr_assert_eq(simulation.openRuns(), Tasks);
     simulation.crashWorker(busyWorker(simulation), 30s);
     cr_assert_lt(simulation.openRuns(), Tasks);
@@ -47,10 +47,7 @@
 Test(workerLoss, runsStoppedByALeavingWorkerAreReplacedBeforeTheirLeaseEnds)
 {
     DispatchSimulation simulation(1, 2);
-    simulation.plan = endlessRun;
-    simulation.claim();
-    submitServingJob(simulation);
-    simulation.run(4s);
+    startServingJob(simulation);
     const std::size_t leaving = busyWorker(simulation);
     simulation.drainWorker(leaving);
     while (simulation.worker(leaving).runCount() > 0) {
