--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -13,7 +13,6 @@
 constexpr int MaximumStartSends = 3;
 // Less than the time after which a worker that leaves must get no task.
 constexpr std::chrono::milliseconds MaximumWorkersAge{2000};
-constexpr std::chrono::milliseconds RetryDelay{100};
 constexpr std::chrono::milliseconds InvalidCommandBackoff{2000};
 constexpr std::chrono::milliseconds FailureBackoff{100};
 // Upper bound of the time by which responses are reordered.
