--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -40,9 +40,11 @@
     m_term = term;
     m_confirmedAt = claimedAt;
     m_readAt = claimedAt;
+    m_termBeganAt = claimedAt;
     m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claimedAt, afterHandover);
     m_jobs.clear();
     m_workers.clear();
+    m_removedWorkersRestarts = RestartCounts();
     m_tickets = TicketCache();
     m_colocation.restore(table.learnedTails());
     m_tailsStoredAt = claimedAt;
@@ -121,7 +123,9 @@
 std::vector<DispatchAction> Dispatcher::advance(TimePoint now, WallTime wall)
 {
     m_wallMs = sinceEpoch(wall).count();
+    reportWorkerChanges(now);
     expireLeases(now);
+    endStoppedRuns(now);
     removeUnregisteredWorkers();
     moveRunsOffDrainingWorkers(now);
     placePendingTasks(now, wall);
@@ -144,6 +148,10 @@
     DispatchSummary summary;
     summary.openRuns = openRuns();
     for (const auto &[id, worker] : m_workers) {
+        summary.registeredWorkers += worker.registered ? 1 : 0;
+        summary.drainingWorkers += worker.registered && worker.info.draining ? 1 : 0;
+        summary.unreachableWorkers += worker.isUnreachable() ? 1 : 0;
+        summary.unreachableRuns += worker.isUnreachable() || !worker.registered ? worker.runs.size() : 0;
         if (!canStartOn(worker, now)) {
             continue;
         }
@@ -175,6 +183,8 @@
     if (isNew) {
         entry->second.info.id = worker;
         entry->second.leaseEnd = m_earlierLeasesEnd;
+        // A worker that was removed in this term rejects tokens below those that it has seen.
+        entry->second.suspectedRestarts = m_removedWorkersRestarts.countOf(worker);
     }
     return entry->second;
 }
@@ -208,9 +218,13 @@
         if (!isDue) {
             return;
         }
-        if (!job.occurrences.contains(occurrence)) {
-            addOccurrence(job, occurrence);
+        if (job.occurrences.contains(occurrence)) {
+            continue;
+        }
+        if (!canAddOccurrence(job)) {
+            return;
         }
+        addOccurrence(job, occurrence);
     }
 }
 
@@ -231,7 +245,7 @@
         if (task.phase == TaskPhase::Assigned) {
             requeue(id, task, now);
         } else if (task.isOpen()) {
-            beginStop(id, task, now);
+            beginStop(id, task, StopReason::JobEnded, now);
         }
     });
 }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatchsummary.h"
 #include "jobregistry.h"
 #include "leasepolicy.h"
+#include "restartcounts.h"
 #include "shorttaskreserve.h"
 #include "ticketcache.h"
 #include "workerstate.h"
@@ -104,13 +105,24 @@
     void adoptOpenRuns(JobExecution &job);
     void releaseDueOccurrences(JobExecution &job, WallTime wall);
 
+    /// Reports registrations, drains and withdrawals since the last call as log events.
+    void reportWorkerChanges(TimePoint now);
+    void reportUnreachable(const WorkerState &worker, const std::string &reason, TimePoint now);
     void removeUnregisteredWorkers();
     void expireLeases(TimePoint now);
+
+    /// Ends the runs of serving tasks whose stop was confirmed by a worker that no longer responds. Runs of other tasks may have
+    /// completed before the stop; these wait for the end of the lease.
+    void endStoppedRuns(TimePoint now);
     void pollWorkers(TimePoint now);
     void moveRunsOffDrainingWorkers(TimePoint now);
 
     void handleReport(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
     void handleWorkerRestart(WorkerState &worker, WorkerTime reading, TimePoint now);
+
+    /// Ends the runs that the process of @p worker has confirmed: the process has ended. A start command that was not
+    /// confirmed may still reach the next process.
+    void endConfirmedRuns(WorkerState &worker, TimePoint now);
     void handleEndedRun(WorkerState &worker, const ReportedRunEnd &end, TimePoint now);
     void handleReportedRun(WorkerState &worker, const ReportedRun &run, TimePoint now);
     void updateProgress(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now);
@@ -130,7 +142,7 @@
     void detectClockRegression(const std::string &workerId, WorkerTime reading, TimePoint now);
     void handleFencing(const std::string &workerId, std::int64_t fencingToken, const CommandRejected &rejection);
     void handleStartRejection(const TaskId &id, TaskExecution &task, const CommandRejected &rejection, TimePoint now);
-    void beginStop(const TaskId &id, TaskExecution &task, TimePoint now);
+    void beginStop(const TaskId &id, TaskExecution &task, StopReason reason, TimePoint now);
     void sendStop(const TaskId &id, const TaskExecution &task);
     void abandonRun(const TaskId &id, TaskExecution &task, TimePoint now);
     void requeue(const TaskId &id, TaskExecution &task, TimePoint now);
@@ -162,10 +174,12 @@
     std::int64_t m_term = 0;
     TimePoint m_confirmedAt{}; // ownership was confirmed as of then
     TimePoint m_readAt{}; // all records up to then were read
+    TimePoint m_termBeganAt{};
     TimePoint m_earlierLeasesEnd{};
     std::int64_t m_wallMs = 0; // Unix time of the last advance()
     JobRegistry m_jobs;
     std::map<std::string, WorkerState> m_workers;
+    RestartCounts m_removedWorkersRestarts; // suspected restarts in this term of workers that were removed
     ClusterConfig m_config;
     std::set<std::string> m_evacuated;
     TicketCache m_tickets;
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -58,7 +58,7 @@
     if (!isOfThisTerm(command.fencingToken) || !isCurrent || task->phase != TaskPhase::Starting) {
         return;
     }
-    if (const auto *executed = std::get_if<CommandExecuted>(&result)) {
+    if (const auto *executed = std::get_if<CommandExecuted>(&result); executed != nullptr && executed->clock.count() > 0) {
         detectClockRegression(command.worker.id, executed->clock, now);
     }
     std::visit(Overloaded{
@@ -68,6 +68,7 @@
                        }
                        task->phase = TaskPhase::Running;
                        task->phaseSince = now;
+                       task->startConfirmed = true;
                        task->confirmedAt = now;
                        task->progressSince = now;
                        markStarted(command.task);
@@ -87,7 +88,7 @@
                        if (task->startsSent < Internal::MaximumStartSends) {
                            sendStart(command.task, *task, now);
                        } else {
-                           beginStop(command.task, *task, now);
+                           beginStop(command.task, *task, StopReason::StartUndetermined, now);
                        }
                    },
                },
@@ -119,7 +120,8 @@
     const WorkerState *worker = findWorker(workerId);
     const bool isNewest = worker != nullptr && fencingToken == tokenFor(*worker);
     if (rejection.reason == RejectionReason::Fenced && isNewest) {
-        m_actions.emplace_back(StepDown{}); // with an older token, a newer command of this owner has overtaken it
+        m_actions.emplace_back(
+            StepDown{workerId, fencingToken, tokenFor(*worker), rejection.detail}); // with an older token, a newer command of this owner has overtaken it
     }
 }
 
@@ -131,6 +133,7 @@
         // The run existed and has ended; the next report tells the outcome.
         task.phase = TaskPhase::Running;
         task.phaseSince = now;
+        task.startConfirmed = true;
         task.confirmedAt = now;
         return;
     case RejectionReason::MissingTicket:
@@ -161,16 +164,17 @@
 void Dispatcher::abandonRun(const TaskId &id, TaskExecution &task, TimePoint now)
 {
     if (task.startsSent > 0) {
-        beginStop(id, task, now); // a start command may still be executed
+        beginStop(id, task, StopReason::StartAbandoned, now); // a start command may still be executed
     } else {
         requeue(id, task, now);
     }
 }
 
-void Dispatcher::beginStop(const TaskId &id, TaskExecution &task, TimePoint now)
+void Dispatcher::beginStop(const TaskId &id, TaskExecution &task, StopReason reason, TimePoint now)
 {
     task.phase = TaskPhase::Stopping;
     task.phaseSince = now;
+    task.stopReason = reason;
     task.stopConfirmed = false;
     sendStop(id, task);
 }
@@ -179,7 +183,7 @@
 {
     const WorkerState *worker = findWorker(task.worker);
     if (worker != nullptr && !worker->info.address.empty()) {
-        m_actions.emplace_back(StopCommand{addressOf(*worker), id, task.run, tokenFor(*worker)});
+        m_actions.emplace_back(StopCommand{addressOf(*worker), id, task.run, tokenFor(*worker), task.stopReason});
     }
 }
 
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -1,5 +1,7 @@
 #include "nodedaemon.h"
 
+#include "detachedtask.h"
+
 #include <instance/instanceparts.h>
 #include <observability/logging.h>
 #include <utils/endpoint.h>
@@ -7,7 +9,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -23,8 +24,7 @@
 constexpr FollowTiming OwnerJobsTiming{std::chrono::milliseconds(30), std::chrono::milliseconds(500)};
 constexpr FollowTiming StandbyJobsTiming{std::chrono::milliseconds(250), std::chrono::milliseconds(500)};
 constexpr FollowTiming OperatorsTiming{std::chrono::milliseconds(50), std::chrono::milliseconds(1000)};
-constexpr FollowTiming OwnerWorkersTiming{std::chrono::milliseconds(400), std::chrono::milliseconds(500)};
-constexpr FollowTiming StandbyWorkersTiming{std::chrono::milliseconds(1500), std::chrono::milliseconds(500)};
+constexpr FollowTiming WorkersTiming{std::chrono::milliseconds(400), std::chrono::milliseconds(500)};
 // The load balancer needs up to two seconds to notice that an instance is not ready.
 constexpr std::chrono::milliseconds MinimumDrainTime{2500};
 constexpr std::chrono::milliseconds IdleTimeBeforeExit{300};
@@ -36,6 +36,7 @@
 {
     DispatchLimits limits;
     limits.maximumLease = millisecondsSetting(settings, "workers.longest_lease");
+    limits.stopDuration = millisecondsSetting(settings, "workers.stop_duration");
     limits.statusRetention = millisecondsSetting(settings, "jobs.status_retention");
     return limits;
 }
@@ -89,8 +90,8 @@
     followJobs();
     followOperators();
     followWorkers();
-    asio::co_spawn(executor, m_intake.run(), asio::detached);
-    asio::co_spawn(executor, m_owner.run(), asio::detached);
+    asio::co_spawn(executor, m_intake.run(), endProcessOnException);
+    asio::co_spawn(executor, m_owner.run(), endProcessOnException);
     waitForSignal();
     logMessage(LogLevel::Info, "node", "started", {{"callers", m_callersAddress}});
 }
@@ -107,9 +108,8 @@
                        [this](TimePoint sentAt) {
                            m_owner.jobsRead(sentAt);
                            m_jobs.setTiming(m_owner.isOwner() || m_owner.isClaiming() ? Internal::OwnerJobsTiming : Internal::StandbyJobsTiming);
-                           m_workers.setTiming(m_owner.isOwner() ? Internal::OwnerWorkersTiming : Internal::StandbyWorkersTiming);
                        });
-    asio::co_spawn(m_context, m_jobs.run(), asio::detached);
+    asio::co_spawn(m_context, m_jobs.run(), endProcessOnException);
 }
 
 void NodeDaemon::followOperators()
@@ -123,12 +123,12 @@
             }
         },
         [](TimePoint) {});
-    asio::co_spawn(m_context, m_operators.run(), asio::detached);
+    asio::co_spawn(m_context, m_operators.run(), endProcessOnException);
 }
 
 void NodeDaemon::followWorkers()
 {
-    m_workers.setTiming(Internal::StandbyWorkersTiming);
+    m_workers.setTiming(Internal::WorkersTiming);
     m_workers.setHandlers(
         [this](const KeyedRecord &record) {
             if (const auto worker = m_cluster.applyWorkerRecord(record)) {
@@ -138,7 +138,15 @@
             }
         },
         [](TimePoint) {});
-    asio::co_spawn(m_context, m_workers.run(), asio::detached);
+    m_owner.setWorkersNeedHandler([this](bool isNeeded) {
+        if (isNeeded) {
+            m_workers.resume();
+        } else {
+            m_workers.pause();
+        }
+    });
+    m_workers.pause();
+    asio::co_spawn(m_context, m_workers.run(), endProcessOnException);
 }
 
 void NodeDaemon::applyLimits()
@@ -165,7 +173,7 @@
             m_reload();
         } else if (!m_draining) {
             m_draining = true;
-            asio::co_spawn(m_context, shutDown(), asio::detached);
+            asio::co_spawn(m_context, shutDown(), endProcessOnException);
         }
         waitForSignal();
     });
--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -3,9 +3,10 @@
 #include <observability/logging.h>
 #include <ports/metadatastore.h>
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -15,33 +16,19 @@
 
 namespace Internal {
 
-constexpr std::chrono::milliseconds RetryDelay{250};
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds TransientFailureTimeout{300};
 // Longer than a read that waits for records plus the interval after it.
 constexpr std::chrono::milliseconds ResponseTimeout{1500};
 
-static const char *topicName(Topic topic)
-{
-    switch (topic) {
-    case Topic::Jobs:
-        return "jobs";
-    case Topic::Operators:
-        return "operators";
-    case Topic::Workers:
-        return "workers";
-    case Topic::Status:
-        return "status";
-    }
-    return "unknown";
-}
-
 } // namespace Internal
 
-TopicFollower::TopicFollower(asio::any_io_executor executor, const Clock &clock, MetadataStore &store, Topic topic)
-    : m_executor(std::move(executor))
+TopicFollower::TopicFollower(const asio::any_io_executor &executor, const Clock &clock, MetadataStore &store, Topic topic)
+    : m_timer(executor)
     , m_clock(clock)
     , m_store(store)
     , m_topic(topic)
+    , m_backoff(std::random_device()())
 {
 }
 
@@ -55,14 +42,42 @@
 {
     m_stopped = false;
     while (!m_stopped) {
-        if (!m_loaded) {
+        if (m_paused) {
+            co_await waitForResume();
+        } else if (m_loaded) {
+            co_await readNext();
+        } else {
             m_loaded = co_await load();
-            if (!m_loaded) {
-                co_await sleep(Internal::RetryDelay);
-            }
-            continue;
         }
-        co_await readNext();
+    }
+}
+
+void TopicFollower::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+}
+
+void TopicFollower::pause()
+{
+    if (m_paused) {
+        return;
+    }
+    m_paused = true;
+    ++m_pauses;
+    m_loaded = false;
+    m_failingSince.reset();
+    logMessage(
+        LogLevel::Info, "follower", "topic paused", {{"topic", topicName(m_topic)}, {"keys", m_keys.size()}, {"offset", static_cast<long long>(m_next)}});
+    removeMissingKeys({}, m_next);
+}
+
+void TopicFollower::resume()
+{
+    if (m_paused) {
+        m_paused = false;
+        logMessage(LogLevel::Info, "follower", "topic resumed", {{"topic", topicName(m_topic)}});
+        m_timer.cancel();
     }
 }
 
@@ -82,13 +97,21 @@
     std::set<std::string> presentKeys;
     std::string after;
     std::int64_t firstEnd = -1;
-    const TimePoint sentAt = m_clock.now();
+    TimePoint sentAt; // of the first page, whose end is the begin of the records to read after the loading
+    const int pauses = m_pauses;
     while (true) {
+        sentAt = firstEnd < 0 ? m_clock.now() : sentAt;
         NewestRecordsResult result = co_await m_store.readNewest(m_topic, after);
+        if (m_stopped || pauses != m_pauses) {
+            co_return false;
+        }
         const auto *page = std::get_if<NewestRecordsPage>(&result);
         if (page == nullptr) {
-            recordFailure(std::get<Error>(result).message);
-            co_return false;
+            co_await waitAfterFailure(std::get<Error>(result));
+            if (m_stopped || pauses != m_pauses) {
+                co_return false;
+            }
+            continue; // with the same page: if records after firstEnd expire meanwhile, the next read reports it
         }
         recordResponse();
         firstEnd = firstEnd < 0 ? page->end : firstEnd;
@@ -103,24 +126,22 @@
     }
     removeMissingKeys(presentKeys, firstEnd);
     m_next = firstEnd;
-    logMessage(LogLevel::Info,
-               "follower",
-               "topic loaded",
-               {{"topic", Internal::topicName(m_topic)}, {"keys", presentKeys.size()}, {"offset", static_cast<long long>(m_next)}});
+    logMessage(
+        LogLevel::Info, "follower", "topic loaded", {{"topic", topicName(m_topic)}, {"keys", presentKeys.size()}, {"offset", static_cast<long long>(m_next)}});
     confirmRead(sentAt);
-    co_return true;
+    co_return pauses == m_pauses;
 }
 
 asio::awaitable<void> TopicFollower::readNext()
 {
     const TimePoint sentAt = m_clock.now();
+    const int pauses = m_pauses;
     const TopicReadResult result = co_await m_store.read(m_topic, m_next, m_timing.maximumWait);
-    if (m_stopped) {
+    if (m_stopped || pauses != m_pauses) {
         co_return;
     }
     if (const auto *error = std::get_if<Error>(&result)) {
-        recordFailure(error->message);
-        co_await sleep(Internal::RetryDelay);
+        co_await waitAfterFailure(*error);
         co_return;
     }
     recordResponse();
@@ -160,15 +181,28 @@
     } else {
         m_keys.erase(record.key);
     }
-    m_recordHandler(record);
+    try {
+        m_recordHandler(record);
+    } catch (const std::exception &error) {
+        // Reading the same record again would fail again, and the records after it must be applied.
+        logMessage(LogLevel::Error,
+                   "follower",
+                   "cannot apply record",
+                   {{"topic", topicName(m_topic)},
+                    {"key", record.key},
+                    {"offset", static_cast<long long>(record.offset)},
+                    {"bytes", record.value ? record.value->size() : 0},
+                    {"error", error.what()}});
+    }
 }
 
 void TopicFollower::recordResponse()
 {
     m_lastResponseAt = m_clock.now();
+    m_backoff.reset();
     if (m_failingSince) {
         m_failingSince.reset();
-        logMessage(LogLevel::Info, "follower", "store reachable again", {{"topic", Internal::topicName(m_topic)}});
+        logMessage(LogLevel::Info, "follower", "store reachable again", {{"topic", topicName(m_topic)}});
     }
 }
 
@@ -178,20 +212,27 @@
     m_readHandler(sentAt);
 }
 
-void TopicFollower::recordFailure(const std::string &reason)
+asio::awaitable<void> TopicFollower::waitAfterFailure(Error error)
 {
     if (!m_failingSince) {
         m_failingSince = m_clock.now();
-        logMessage(LogLevel::Warning, "follower", "store not reachable", {{"topic", Internal::topicName(m_topic)}, {"error", reason}});
+        logMessage(LogLevel::Warning, "follower", "store not reachable", {{"topic", topicName(m_topic)}, {"error", error.message}});
     }
+    co_await sleep(m_backoff.next(error.code));
 }
 
-asio::awaitable<void> TopicFollower::sleep(std::chrono::milliseconds time) const
+asio::awaitable<void> TopicFollower::sleep(std::chrono::milliseconds time)
 {
     if (time.count() > 0) {
-        asio::steady_timer timer(m_executor, time);
-        co_await timer.async_wait(asio::use_awaitable);
+        m_timer.expires_after(time);
+        co_await m_timer.async_wait(Internal::AsTuple);
     }
 }
 
+asio::awaitable<void> TopicFollower::waitForResume()
+{
+    m_timer.expires_at(asio::steady_timer::time_point::max());
+    co_await m_timer.async_wait(Internal::AsTuple);
+}
+
 } // namespace Hyssop
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -6,6 +6,7 @@
 #include <wire/codec.h>
 
 #include <algorithm>
+#include <type_traits>
 
 namespace Hyssop::Testing {
 
@@ -16,8 +17,20 @@
 constexpr auto Step = 10ms;
 constexpr auto OwnerTick = 20ms;
 constexpr auto CommandTimeout = 800ms;
+constexpr auto ConnectionTime = 2ms;
 constexpr int MaximumFailures = 3;
 
+/// Returns the result of a command whose connection was refused.
+template<typename Outcome>
+Outcome refusal()
+{
+    if constexpr (std::is_same_v<Outcome, PollResult>) {
+        return WorkerNotListening{"connection refused"};
+    } else {
+        return CommandNotSent{"connection refused"};
+    }
+}
+
 } // namespace
 
 struct DispatchSimulation::Owner
@@ -124,8 +137,15 @@
     append({0, claimKey(), encode(record)});
     auto owner = std::make_shared<Owner>(record.term, DispatchLimits());
     owner->dispatcher.beginTerm(record.term, m_table, now);
-    for (const auto &worker : m_workers) {
-        owner->dispatcher.updateWorker(worker->info());
+    const auto loadWorkers = [this, owner] {
+        for (const auto &worker : m_workers) {
+            owner->dispatcher.updateWorker(worker->info());
+        }
+    };
+    if (workerLoadTime > Duration::zero()) {
+        at(now + workerLoadTime, loadWorkers);
+    } else {
+        loadWorkers();
     }
     owner->nextTick = now;
     m_owners.push_back(std::move(owner));
@@ -152,6 +172,45 @@
     });
 }
 
+void DispatchSimulation::crashWorker(std::size_t index, Duration downTime)
+{
+    SimulatedWorker &worker = *m_workers[index];
+    worker.restart(now);
+    worker.refusesConnections = true;
+    at(now + downTime, [this, &worker] {
+        worker.restart(now);
+        worker.refusesConnections = false;
+    });
+}
+
+void DispatchSimulation::drainWorker(std::size_t index)
+{
+    WorkerInfo info = m_workers[index]->info();
+    info.draining = true;
+    for (const auto &owner : m_owners) {
+        owner->dispatcher.updateWorker(info);
+    }
+}
+
+void DispatchSimulation::unregisterWorker(std::size_t index)
+{
+    for (const auto &owner : m_owners) {
+        owner->dispatcher.removeWorker(m_workers[index]->info().id);
+    }
+}
+
+void DispatchSimulation::registerWorker(std::size_t index)
+{
+    for (const auto &owner : m_owners) {
+        owner->dispatcher.updateWorker(m_workers[index]->info());
+    }
+}
+
+bool DispatchSimulation::hasNewestOwnerSteppedDown() const
+{
+    return m_owners.back()->steppedDown;
+}
+
 void DispatchSimulation::run(Duration time)
 {
     const TimePoint until = now + time;
@@ -283,6 +342,10 @@
     const auto unknown = [=, this] {
         deliver(sender, CommandTimeout, [=, this] { done(*sender, command, Outcome(CommandUndetermined{"timeout"}), sentAt, now); });
     };
+    if (target->refusesConnections) {
+        deliver(sender, ConnectionTime, [=, this] { done(*sender, command, refusal<Outcome>(), sentAt, now); });
+        return;
+    }
     if (target->unreachable || late) {
         unknown();
     }
@@ -292,7 +355,7 @@
     const bool lost = chance(faults.lostResponses);
     const int incarnation = target->incarnation(); // a restart of the worker closes the connection
     at(now + transitTime, [=, this] {
-        if (target->unreachable || target->incarnation() != incarnation) {
+        if (target->unreachable || target->refusesConnections || target->incarnation() != incarnation) {
             if (!late) {
                 unknown(); // lost in transit
             }
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -49,8 +49,21 @@
     /// Crashes the worker and restarts it after @p downTime.
     void restartWorker(std::size_t index, Duration downTime);
 
+    /// Crashes the worker, whose machine refuses connections until the worker restarts after @p downTime.
+    void crashWorker(std::size_t index, Duration downTime);
+
+    /// Lets the worker announce that it leaves; it continues to run.
+    void drainWorker(std::size_t index);
+
+    /// Removes the registration of the worker, which continues to run, or adds it again.
+    void unregisterWorker(std::size_t index);
+    void registerWorker(std::size_t index);
+
     void run(Duration time);
 
+    /// Returns true if the newest owner has stepped down.
+    bool hasNewestOwnerSteppedDown() const;
+
     bool isComplete(const std::string &jobId) const;
     Wire::JobPhase::type phaseOf(const std::string &jobId) const;
     SimulatedWorker &worker(std::size_t index) { return *m_workers[index]; }
@@ -59,6 +72,7 @@
     int random(int maximum) { return static_cast<int>(m_random() % static_cast<std::uint32_t>(maximum)); }
 
     DispatchFaults faults;
+    Duration workerLoadTime{0}; // from a claim until its owner knows the registered workers
     ClusterConfig config;
     std::set<std::string> evacuated;
     std::vector<std::string> violations;
