--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -13,8 +13,8 @@
 constexpr std::chrono::milliseconds MaximumOverTargetPollWait{400};
 constexpr std::chrono::milliseconds IdlePollInterval{1000};
 constexpr std::chrono::milliseconds FailedPollBackoff{200};
-// The process of a worker has ended if this many polls in a row failed and the last one was refused.
-constexpr int RefusalsUntilEnded = 2;
+// A refused connection proves that the process has ended only if an earlier poll failed too.
+constexpr int FailuresUntilRefusalCounts = 2;
 // Run ends are reported again until they are durable and acknowledged, so a poll before that is useless.
 constexpr std::chrono::milliseconds PendingEndsInterval{80};
 constexpr std::chrono::milliseconds StopRepeatInterval{400};
@@ -79,8 +79,7 @@
 {
     for (auto &[id, worker] : m_workers) {
         // The reports of a worker that answers are more reliable than the estimated end of its lease.
-        const bool answers = worker.hasAnswered && worker.failedPolls == 0;
-        if (answers || now <= worker.leaseEnd) {
+        if (worker.isResponding() || now <= worker.leaseEnd) {
             continue;
         }
         if (!worker.runs.empty()) {
@@ -98,24 +97,6 @@
     }
 }
 
-void Dispatcher::endStoppedRuns(TimePoint now)
-{
-    const Duration stopDuration = m_limits.stopDuration * 100 / WorkerClock::SlowestPercent;
-    for (auto &[workerId, worker] : m_workers) {
-        if (worker.failedPolls == 0) {
-            continue;
-        }
-        const auto runs = worker.runs; // copied because endRun() modifies the map
-        for (const auto &[id, profile] : runs) {
-            TaskExecution *task = m_jobs.task(id);
-            const bool isStopped = task != nullptr && task->phase == TaskPhase::Stopping && task->startConfirmed && task->stopConfirmed;
-            if (isStopped && now - task->confirmedAt >= stopDuration && m_jobs.find(id.job)->step(id.step).longRunning) {
-                endRun(id, *task, RunEndReason::Stopped, {}, now);
-            }
-        }
-    }
-}
-
 void Dispatcher::pollWorkers(TimePoint now)
 {
     for (auto &[id, worker] : m_workers) {
@@ -148,6 +129,8 @@
         return;
     }
     worker->pollPending = false;
+    // An entry of another writer may name any address; what answers there says nothing about this worker.
+    const bool isReportedAddress = command.worker.address == worker->reportedAddress;
     const auto failed = [&](const std::string &reason) {
         if (worker->failedPolls++ == 0) {
             reportUnreachable(*worker, reason, now);
@@ -157,17 +140,20 @@
         worker->nextPoll = now + Internal::FailedPollBackoff;
     };
     std::visit(Overloaded{
-                   [&](const WorkerReport &report) { handleReport(*worker, report, sentAt, now); },
+                   [&](const WorkerReport &report) {
+                       worker->reportedAddress = command.worker.address;
+                       handleReport(*worker, report, sentAt, now);
+                   },
                    [&](const CommandRejected &rejection) {
                        handleFencing(command.worker.id, command.fencingToken, rejection);
-                       if (rejection.reason == RejectionReason::WrongWorker) {
+                       if (rejection.reason == RejectionReason::WrongWorker && isReportedAddress) {
                            worker->leaseEnd = TimePoint(); // the address belongs to another worker now: this one is gone
                        }
                        failed(rejection.detail);
                    },
                    [&](const WorkerNotListening &refusal) {
                        failed(refusal.reason);
-                       if (worker->failedPolls >= Internal::RefusalsUntilEnded) {
+                       if (worker->failedPolls >= Internal::FailuresUntilRefusalCounts && isReportedAddress) {
                            endConfirmedRuns(*worker, now);
                        }
                    },
@@ -228,24 +214,6 @@
     }
 }
 
-void Dispatcher::endConfirmedRuns(WorkerState &worker, TimePoint now)
-{
-    std::vector<TaskId> confirmed;
-    for (const auto &[id, profile] : worker.runs) {
-        const TaskExecution *task = m_jobs.task(id);
-        const bool isActive = task != nullptr && (task->phase == TaskPhase::Running || task->phase == TaskPhase::Stopping);
-        if (isActive && task->startConfirmed) {
-            confirmed.push_back(id);
-        }
-    }
-    if (!confirmed.empty()) {
-        m_actions.emplace_back(WorkerProcessEnded{worker.info.id, worker.failedPolls, confirmed.size()});
-    }
-    for (const TaskId &id : confirmed) {
-        endRun(id, *m_jobs.task(id), RunEndReason::LeaseExpired, {}, now);
-    }
-}
-
 void Dispatcher::handleEndedRun(WorkerState &worker, const ReportedRunEnd &end, TimePoint now)
 {
     if (end.sequence <= worker.processedEndSequence) {
