--- a/tests/libs/dispatch/testworkerloss.cpp
+++ b/tests/libs/dispatch/testworkerloss.cpp
@@ -64,10 +64,7 @@
 Test(workerLoss, runsOfAWorkerThatLeftBeforeATakeoverAreReplacedBeforeTheirLeaseEnds)
 {
     DispatchSimulation simulation(1, 2);
-    simulation.plan = endlessRun;
-    simulation.claim();
-    submitServingJob(simulation);
-    simulation.run(4s);
+    startServingJob(simulation);
     simulation.removeMachine(busyWorker(simulation));
     simulation.claim();
     simulation.run(MaximumAbsence);
@@ -78,10 +75,7 @@
 Test(workerLoss, runsOfAnUnregisteredWorkerThatStillExistsAreNotReplacedBeforeTheirLeaseEnds)
 {
     DispatchSimulation simulation(1, 2);
-    simulation.plan = endlessRun;
-    simulation.claim();
-    submitServingJob(simulation);
-    simulation.run(4s);
+    startServingJob(simulation);
     const std::size_t isolated = busyWorker(simulation);
     const std::size_t startsBefore = simulation.starts.size();
     simulation.worker(isolated).unreachable = true;
