--- a/tests/soak/testsoak.cpp
+++ b/tests/soak/testsoak.cpp
@@ -40,6 +40,12 @@
     assertNoViolations(7, 8s);
 }
 
+// A worker restarts twice while its responses are late: runs that the second process had confirmed counted as lost.
+Test(soak, runsOfAWorkerThatRestartsTwiceAreNotStartedAgain, .timeout = 120)
+{
+    assertNoViolations(6005, 12s);
+}
+
 Test(soakChecks, findConcurrentRuns)
 {
     const auto runs = parseRuns("j.0.0.0 1 100 300 lapsed 0\nj.0.0.0 2 200 400 done 1\n");
