--- a/tests/libs/dispatch/testcolocation.cpp
+++ b/tests/libs/dispatch/testcolocation.cpp
@@ -282,7 +282,7 @@
     {
         for (const TimePoint until = now + time; now < until; now += 20ms) {
             m_dispatcher.confirmRead(now);
-        m_dispatcher.confirmWorkersRead(now);
+            m_dispatcher.confirmWorkersRead(now);
             const WallTime wall(std::chrono::duration_cast<WallTime::duration>(now.time_since_epoch()));
             for (const DispatchAction &action : m_dispatcher.advance(now, wall)) {
                 respond(action, tailMs);
