Store many changes at once in several appends

Seen: nothing by callers yet.

Cause: composeBatch() took every changed job. The platform rejects an append of more than 2 MiB, and the owner repeats a rejected append unchanged until it succeeds, so the first batch that is too large ends all starts, and no end of a run is acknowledged any more. A batch that needs longer than the timeout of an append has the same effect.

Evidence: storedBatches/manyChangesAtOnceAreNotOneAppendThatTheStoreRejects with 10,000 starts at once failed before with 'an append of 2625200 bytes', anEndOfARunIsNotAcknowledgedBeforeItsJobIsStored with the same line.

Fix: a batch ends at 512 KiB, urgent changes first. A pass over all changed jobs takes as many batches as it needs, and the run ends that were processed when it began are durable with the last of them. Intents stay with the batch that contains their job, so a start still follows its durable intent.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -53,6 +53,8 @@
     m_newIntents.clear();
     m_batch = PendingBatch();
     m_batchPending = false;
+    m_isPassOpen = false;
+    m_passEnds.clear();
     m_listingWorkers = false;
     for (const auto &[jobId, entry] : table.jobs()) {
         if (entry.submission) {
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -97,10 +97,12 @@
         std::int64_t sequence = 0;
     };
 
+    using StoredEnds = std::map<std::string, StoredEnd>; // by worker
+
     struct PendingBatch
     {
         Intents intents;
-        std::map<std::string, StoredEnd> ends; // by worker
+        StoredEnds ends;
     };
 
     RunProfile runProfile(const Wire::TaskStep &step, int run);
@@ -195,9 +197,16 @@
 
     void composeBatch(TimePoint now, WallTime wall);
 
-    /// Adds what is stored only together with all changes. A run end counts as durable only when everything that it changed
-    /// is durable.
-    void addDeferredRecords(std::vector<KeyedRecord> &records, std::size_t size, TimePoint now, WallTime wall);
+    /// Adds jobs with urgent changes, and then those of the open pass, as far as they fit into a batch. Returns the size in bytes.
+    std::size_t addChangedJobs(std::vector<KeyedRecord> &records);
+
+    /// Begins to store all changes, in as many batches as they need. A run end counts as durable only when everything that it
+    /// changed is durable, so the ends that were processed by now are durable with the last of these batches.
+    void beginPass(TimePoint now);
+    void finishPass(std::vector<KeyedRecord> &records, TimePoint now, WallTime wall);
+
+    /// Moves the intents whose jobs are in the batch from the new ones to the batch.
+    void takeStoredIntents();
     void storeLearnedTails(std::vector<KeyedRecord> &records, TimePoint now);
     void removeExpiredJobs(std::vector<KeyedRecord> &records, WallTime wall);
 
@@ -223,7 +232,9 @@
     PendingBatch m_batch; // being appended
     bool m_batchPending = false;
     TimePoint m_batchAt{};
-    TimePoint m_fullBatchAt{}; // last batch that contained all changes
+    bool m_isPassOpen = false; // all changes are being stored
+    TimePoint m_passBeganAt{}; // when the last pass began
+    StoredEnds m_passEnds; // that are durable after the open pass
     bool m_listingWorkers = false; // a list of live workers was requested
     TimePoint m_workersListedAt{}; // when it was last requested
     TimePoint m_tailsStoredAt{}; // when the learned tail latencies were last stored
--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -6,6 +6,7 @@
 #include <wire/codec.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace Hyssop {
@@ -21,7 +22,7 @@
 constexpr std::chrono::milliseconds LearnedTailsInterval{3000};
 // Covers clock skew between instances and late queries of callers.
 constexpr std::chrono::milliseconds RetentionMargin{60000};
-// Records of removed jobs are added only to a batch of fewer bytes.
+// A batch that has reached this size is stored before more is added to it. The platform rejects appends of more than 2 MiB.
 constexpr std::size_t MaximumBatchBytes = 512 * 1024;
 
 static std::chrono::milliseconds batchInterval(std::size_t openRuns, std::size_t runsPerMillisecond)
@@ -37,23 +38,16 @@
     if (m_batchPending || now - m_batchAt < Internal::batchInterval(runs, Internal::RunsPerUrgentMillisecond)) {
         return;
     }
-    const bool isFull = now - m_fullBatchAt >= Internal::batchInterval(runs, Internal::RunsPerFullMillisecond);
-    AppendRecords append;
-    std::size_t size = 0;
-    for (JobExecution *job : isFull ? m_jobs.takeChanged() : m_jobs.takeUrgent()) {
-        KeyedRecord record{0, progressKey(job->id), encode(progressOf(*job))};
-        size += record.value->size();
-        append.records.push_back(std::move(record));
-        if (job->isEnded() && !job->submissionCompacted && !hasOpenRuns(*job)) {
-            job->submissionCompacted = true;
-            append.records.push_back({0, submissionKey(job->id), encode(compactedSubmission(*job))});
-        }
+    const bool isPassDue = now - m_passBeganAt >= Internal::batchInterval(runs, Internal::RunsPerFullMillisecond);
+    if (isPassDue && !m_isPassOpen) {
+        beginPass(now);
     }
-    if (isFull) {
-        m_fullBatchAt = now;
-        addDeferredRecords(append.records, size, now, wall);
+    AppendRecords append;
+    const std::size_t size = addChangedJobs(append.records);
+    if (m_isPassOpen && size < Internal::MaximumBatchBytes && !m_jobs.isPassUnfinished()) {
+        finishPass(append.records, now, wall);
     }
-    m_batch.intents = std::exchange(m_newIntents, {});
+    takeStoredIntents();
     if (append.records.empty()) {
         if (!m_batch.ends.empty()) {
             recordsStored(now); // the ends changed nothing that is stored
@@ -65,21 +59,59 @@
     m_actions.emplace_back(std::move(append));
 }
 
-void Dispatcher::addDeferredRecords(std::vector<KeyedRecord> &records, std::size_t size, TimePoint now, WallTime wall)
+std::size_t Dispatcher::addChangedJobs(std::vector<KeyedRecord> &records)
 {
-    if (size < Internal::MaximumBatchBytes) {
-        removeExpiredJobs(records, wall);
-    }
-    if (!records.empty()) {
-        storeLearnedTails(records, now);
+    std::size_t size = 0;
+    while (size < Internal::MaximumBatchBytes) {
+        JobExecution *job = m_jobs.takeUrgent();
+        if (job == nullptr && m_isPassOpen) {
+            job = m_jobs.takeNextOfPass();
+        }
+        if (job == nullptr) {
+            break;
+        }
+        KeyedRecord record{0, progressKey(job->id), encode(progressOf(*job))};
+        size += record.value->size();
+        records.push_back(std::move(record));
+        if (job->isEnded() && !job->submissionCompacted && !hasOpenRuns(*job)) {
+            job->submissionCompacted = true;
+            records.push_back({0, submissionKey(job->id), encode(compactedSubmission(*job))});
+        }
     }
+    return size;
+}
+
+void Dispatcher::beginPass(TimePoint now)
+{
+    m_isPassOpen = true;
+    m_passBeganAt = now;
+    m_jobs.beginPass();
+    m_passEnds.clear();
     for (const auto &[id, worker] : m_workers) {
         if (worker.processedEndSequence > worker.durableEndSequence) {
-            m_batch.ends[id] = {worker.processStartedAt, worker.processedEndSequence};
+            m_passEnds[id] = {worker.processStartedAt, worker.processedEndSequence};
         }
     }
 }
 
+void Dispatcher::finishPass(std::vector<KeyedRecord> &records, TimePoint now, WallTime wall)
+{
+    m_isPassOpen = false;
+    m_batch.ends = std::exchange(m_passEnds, {});
+    removeExpiredJobs(records, wall);
+    if (!records.empty()) {
+        storeLearnedTails(records, now);
+    }
+}
+
+void Dispatcher::takeStoredIntents()
+{
+    const auto isLeft = [this](const auto &intent) { return m_jobs.isUrgent(intent.first.job); };
+    const auto firstLeft = std::stable_partition(m_newIntents.begin(), m_newIntents.end(), std::not_fn(isLeft));
+    m_batch.intents.assign(m_newIntents.begin(), firstLeft);
+    m_newIntents.erase(m_newIntents.begin(), firstLeft);
+}
+
 void Dispatcher::recordsStored(TimePoint now)
 {
     m_batchPending = false;
--- a/src/libs/dispatch/jobregistry.cpp
+++ b/src/libs/dispatch/jobregistry.cpp
@@ -15,6 +15,7 @@
     m_active.clear();
     m_changed.clear();
     m_urgent.clear();
+    m_pass.clear();
 }
 
 JobExecution &JobRegistry::add(const std::string &jobId, const TopicJob &entry)
@@ -35,6 +36,7 @@
     m_active.erase(jobId);
     m_changed.erase(jobId);
     m_urgent.erase(jobId);
+    m_pass.erase(jobId);
 }
 
 JobExecution *JobRegistry::find(const std::string &jobId)
@@ -76,30 +78,28 @@
     m_urgent.insert(job.id);
 }
 
-std::vector<JobExecution *> JobRegistry::takeChanged()
+JobExecution *JobRegistry::takeUrgent()
 {
-    m_urgent.clear();
-    return jobsOf(std::exchange(m_changed, {}));
+    if (m_urgent.empty()) {
+        return nullptr;
+    }
+    const std::string jobId = std::move(m_urgent.extract(m_urgent.begin()).value());
+    m_changed.erase(jobId);
+    m_pass.erase(jobId);
+    return find(jobId);
 }
 
-std::vector<JobExecution *> JobRegistry::takeUrgent()
+void JobRegistry::beginPass()
 {
-    const std::set<std::string> taken = std::exchange(m_urgent, {});
-    for (const std::string &jobId : taken) {
-        m_changed.erase(jobId);
-    }
-    return jobsOf(taken);
+    m_pass = std::exchange(m_changed, {});
 }
 
-std::vector<JobExecution *> JobRegistry::jobsOf(const std::set<std::string> &ids)
+JobExecution *JobRegistry::takeNextOfPass()
 {
-    std::vector<JobExecution *> jobs;
-    for (const std::string &jobId : ids) {
-        if (JobExecution *job = find(jobId)) {
-            jobs.push_back(job);
-        }
+    if (m_pass.empty()) {
+        return nullptr;
     }
-    return jobs;
+    return find(m_pass.extract(m_pass.begin()).value());
 }
 
 std::vector<JobExecution *> JobRegistry::activeJobs()
--- a/src/libs/dispatch/jobregistry.h
+++ b/src/libs/dispatch/jobregistry.h
@@ -35,9 +35,19 @@
     /// Does the same for a change that must not be delayed: an intent, or the end of the job.
     void markUrgent(JobExecution &job);
 
-    /// Returns the jobs with changes, or only those with urgent ones, and clears their marks.
-    std::vector<JobExecution *> takeChanged();
-    std::vector<JobExecution *> takeUrgent();
+    bool isUrgent(const std::string &jobId) const { return m_urgent.contains(jobId); }
+
+    /// Returns a job with an urgent change and clears its marks, or a null pointer if there is none.
+    JobExecution *takeUrgent();
+
+    /// Begins a pass over all jobs that are marked as changed now. The previous pass must be finished.
+    void beginPass();
+
+    /// Returns the next job of the pass and clears its mark, or a null pointer at the end of the pass.
+    JobExecution *takeNextOfPass();
+
+    /// Returns true if the pass has jobs left.
+    bool isPassUnfinished() const { return !m_pass.empty(); }
 
     /// Returns the jobs that have not ended.
     std::vector<JobExecution *> activeJobs();
@@ -45,12 +55,11 @@
     std::map<std::string, JobExecution> &jobs() { return m_jobs; }
 
 private:
-    std::vector<JobExecution *> jobsOf(const std::set<std::string> &ids);
-
     std::map<std::string, JobExecution> m_jobs;
     std::set<std::string> m_active;
-    std::set<std::string> m_changed;
-    std::set<std::string> m_urgent; // subset of m_changed
+    std::set<std::string> m_changed; // since the begin of the pass
+    std::set<std::string> m_urgent; // each is also changed or in the pass
+    std::set<std::string> m_pass; // jobs that the pass has not reached yet
 };
 
 } // namespace Hyssop
--- /dev/null
+++ b/tests/libs/dispatch/teststoredbatches.cpp
@@ -0,0 +1,159 @@
+#include "hyssop_types.h"
+
+#include <dispatch/dispatcher.h>
+#include <jobtopic/jobkeys.h>
+#include <jobtopic/jobtable.h>
+#include <ports/keyedrecord.h>
+#include <utils/overloaded.h>
+#include <wire/codec.h>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace Hyssop;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int Jobs = 200;
+constexpr int TasksPerJob = 50;
+constexpr std::size_t WorkerIdLength = 250; // makes the records of the jobs larger than one append of the platform
+constexpr std::size_t LargestAppend = 1024 * 1024; // bytes
+constexpr auto Tick = 20ms;
+
+std::string jobName(int index)
+{
+    return "j" + std::to_string(1000 + index);
+}
+
+/// A dispatcher that has just taken over many jobs, and a worker that executes every command at once.
+class BusyTerm
+{
+public:
+    BusyTerm()
+    {
+        QueueInfo queue;
+        queue.name = "batch";
+        queue.workerPool = "hall";
+        ClusterConfig config;
+        config.queues["batch"] = queue;
+        dispatcher.applyConfiguration(config, {});
+        Wire::StepJob job;
+        job.queue = "batch";
+        job.steps.resize(1);
+        job.steps[0].taskCount = TasksPerJob;
+        job.steps[0].milliCores = 1;
+        job.steps[0].estimateMs = 600'000;
+        JobTable table;
+        for (int index = 0; index < Jobs; ++index) {
+            table.apply({index, submissionKey(jobName(index)), encode(job)});
+        }
+        dispatcher.beginTerm(1, table, now, true);
+        WorkerInfo worker;
+        worker.id = std::string(WorkerIdLength, 'w');
+        worker.workerPool = "hall";
+        worker.address = "127.0.0.1:1";
+        worker.capacity.milliCores = 1'000'000;
+        dispatcher.updateWorker(worker);
+    }
+
+    void run(Duration time)
+    {
+        for (const TimePoint until = now + time; now < until; now += Tick) {
+            dispatcher.confirmRead(now);
+            dispatcher.confirmWorkersRead(now);
+            const WallTime wall(std::chrono::duration_cast<WallTime::duration>(now.time_since_epoch()));
+            for (const DispatchAction &action : dispatcher.advance(now, wall)) {
+                std::visit(Overloaded{[this](const PollCommand &poll) { answer(poll); },
+                                      [this](const StartCommand &start) { answer(start); },
+                                      [this](const AppendRecords &append) { store(append); },
+                                      [](const auto &) {}},
+                           action);
+            }
+        }
+    }
+
+    /// Reports the end of one run of each job in the next reports.
+    void endFirstRuns()
+    {
+        for (int index = 0; index < Jobs; ++index) {
+            const auto run = std::ranges::find_if(m_runs, [&](const ReportedRun &entry) { return entry.task.job == jobName(index); });
+            m_ends.push_back({index + 1, run->task, run->run, RunEndReason::Completed, ""});
+            m_runs.erase(run);
+        }
+        storedJobs.clear();
+    }
+
+    Dispatcher dispatcher{DispatchLimits()};
+    TimePoint now{1000s};
+    std::size_t starts = 0;
+    std::size_t largestAppend = 0;
+    std::set<std::string> storedJobs;
+    std::int64_t acknowledged = 0;
+    bool isAcknowledgedUnstored = false; // the end of a run was acknowledged before its job was stored
+
+private:
+    WorkerTime clock() const { return std::chrono::duration_cast<WorkerTime>(now - TimePoint(900s)); }
+
+    void answer(const PollCommand &poll)
+    {
+        acknowledged = std::max(acknowledged, poll.acknowledgedSequence);
+        for (int index = 0; index < poll.acknowledgedSequence; ++index) {
+            isAcknowledgedUnstored = isAcknowledgedUnstored || !storedJobs.contains(jobName(index));
+        }
+        WorkerReport report;
+        report.clock = clock();
+        for (ReportedRun &run : m_runs) {
+            run.progressPercent = (run.progressPercent + 1) % 99;
+        }
+        report.runs = m_runs;
+        report.ends = m_ends;
+        dispatcher.pollAnswered(poll, report, now, now);
+    }
+
+    void answer(const StartCommand &start)
+    {
+        ++starts;
+        m_runs.push_back({start.task, start.run, "", 0, 0});
+        dispatcher.startAnswered(start, CommandExecuted{clock()}, now);
+    }
+
+    void store(const AppendRecords &append)
+    {
+        std::size_t size = 0;
+        for (const KeyedRecord &record : append.records) {
+            size += record.value ? record.value->size() : 0;
+            storedJobs.insert(parseJobKey(record.key).jobId);
+        }
+        largestAppend = std::max(largestAppend, size);
+        dispatcher.recordsStored(now);
+    }
+
+    std::vector<ReportedRun> m_runs;
+    std::vector<ReportedRunEnd> m_ends;
+};
+
+} // namespace
+
+Test(storedBatches, manyChangesAtOnceAreNotOneAppendThatTheStoreRejects)
+{
+    BusyTerm term;
+    term.run(4s);
+    cr_assert_leq(term.largestAppend, LargestAppend, "an append of %zu bytes", term.largestAppend);
+    cr_assert_eq(term.starts, Jobs * TasksPerJob, "%zu runs were started", term.starts);
+}
+
+Test(storedBatches, anEndOfARunIsNotAcknowledgedBeforeItsJobIsStored)
+{
+    BusyTerm term;
+    term.run(4s);
+    term.endFirstRuns();
+    term.run(4s);
+    cr_assert_leq(term.largestAppend, LargestAppend, "an append of %zu bytes", term.largestAppend);
+    cr_assert_not(term.isAcknowledgedUnstored);
+    cr_assert_eq(term.acknowledged, Jobs);
+}
