Keep runs whose row in a report cannot be decoded

Cause: rows of a report that can't be decoded were skipped and counted, and the runs they name then counted as missing, so as ended. A second run of the task would start beside the first.

Evidence: workerProcessEnd/aRunWhoseRowCannotBeDecodedIsNotStartedAgain failed before with 'the row that cannot be decoded may be the missing run'.

Fix: the report says how many running rows are missing from it; as long as there are any, no run of that worker counts as missing. An end that the worker lists, a lost process and the lease still end a run.

--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -180,7 +180,8 @@
     for (const ReportedRun &run : report.runs) {
         handleReportedRun(worker, run, now);
     }
-    if (report.ends.size() < Internal::MaximumReportedEnds) {
+    const bool listsAllRuns = report.ends.size() < Internal::MaximumReportedEnds && report.malformedRuns == 0;
+    if (listsAllRuns) {
         findMissingRuns(worker, report, sentAt, now);
     }
     std::erase_if(worker.orphanStops, [&](const auto &item) { return now - item.second > Internal::OrphanStopRetention; });
--- a/src/libs/ports/commandresults.h
+++ b/src/libs/ports/commandresults.h
@@ -2,6 +2,7 @@
 
 #include "workercommands.h"
 
+#include <cstddef>
 #include <string>
 #include <variant>
 #include <vector>
@@ -83,6 +84,7 @@
     std::chrono::milliseconds processStartedAt{0}; // Unix time at which the worker process started; 0: unknown
     std::vector<ReportedRun> runs;
     std::vector<ReportedRunEnd> ends;
+    std::size_t malformedRuns = 0; // runs of the worker that are not in the list because they cannot be decoded
 };
 
 /// Nothing listens at the worker's address: its process has ended, and with it all its runs.
--- a/tests/libs/dispatch/eventharness.cpp
+++ b/tests/libs/dispatch/eventharness.cpp
@@ -78,6 +78,7 @@
         run.progressPercent = makesProgress ? (run.progressPercent + 1) % ProgressCycle : run.progressPercent;
     }
     report.runs = runs;
+    report.malformedRuns = malformedRuns;
     dispatcher.pollAnswered(*std::exchange(m_poll, std::nullopt), report, now, now);
 }
 
--- a/tests/libs/dispatch/eventharness.h
+++ b/tests/libs/dispatch/eventharness.h
@@ -44,6 +44,7 @@
     TimePoint now{std::chrono::seconds(1000)};
     std::vector<DispatchAction> actions;
     std::vector<ReportedRun> runs; // in the next reports of the worker
+    std::size_t malformedRuns = 0; // in the next reports of the worker
     bool makesProgress = true;
     bool readsWorkers = true; // the registrations of the workers are read
     std::chrono::milliseconds processStartedAt{0}; // in the next reports of the worker
--- a/tests/libs/dispatch/testworkerprocessend.cpp
+++ b/tests/libs/dispatch/testworkerprocessend.cpp
@@ -106,3 +106,17 @@
     cr_assert(harness.all<RunEnded>().empty(), "the run may have been started by the next process");
     cr_assert_eq(harness.all<StopCommand>().size(), 1);
 }
+
+Test(workerProcessEnd, aRunWhoseRowCannotBeDecodedIsNotStartedAgain)
+{
+    EventHarness harness(2);
+    harness.startAllTasks();
+    harness.advance(1s);
+    harness.runs.pop_back();
+    harness.malformedRuns = 1;
+    harness.advance(1s);
+    cr_assert(harness.all<RunEnded>().empty(), "the row that cannot be decoded may be the missing run");
+    harness.malformedRuns = 0;
+    harness.advance(1s);
+    cr_assert_eq(harness.all<RunEnded>().size(), 1);
+}
--- a/tests/platform/testcodecs.cpp
+++ b/tests/platform/testcodecs.cpp
@@ -117,6 +117,7 @@
     cr_assert_eq(decoded->ends.size(), 1);
     cr_assert_eq(decoded->ends[0].endReason, RunEndReason::Completed);
     cr_assert_eq(malformed, 3);
+    cr_assert_eq(decoded->malformedRuns, 2);
 }
 
 Test(workerCodec, rejectionsAreDistinguished)
