Bound the record of a job of many tasks

Seen: nothing by callers yet; found with the sizes of appends.

Cause: the progress of a job is one record, with an entry for each task that was started and is not done. The store rejects records of more than 256 KiB, and the owner repeats a rejected append unchanged, so one job of about 4,400 running tasks ends all starts.

Evidence: storedBatches/theRecordOfAJobOfManyTasksIsNotOneThatTheStoreRejects failed before with 'a record of 360714 bytes' (6,000 tasks).

Fix: at most 3,000 tasks of a job are between their first start and their end; the others wait until some are done. The members of a gang start together and are not limited; a gang of that size fits on no site.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t MaximumAdviceCandidates = 30;
 // The reserve for short tasks delays the first run of a serving task by at most this time.
 constexpr std::chrono::milliseconds MaximumReserveDelay{1800};
+// The store limits the size of a record, and the progress of a job is one: started tasks have an entry in it until they are done.
+constexpr std::size_t MaximumStartedTasks = 3000; // of a job
 
 struct PendingStep
 {
@@ -70,6 +72,18 @@
     }
 }
 
+static std::size_t startedTasks(const JobExecution &job)
+{
+    const auto isStarted = [](const TaskExecution &task) { return task.run > 0 && task.phase != TaskPhase::Done; };
+    std::size_t count = 0;
+    for (const auto &[occurrence, steps] : job.occurrences) {
+        for (const StepExecution &step : steps) {
+            count += static_cast<std::size_t>(std::ranges::count_if(step.tasks, isStarted));
+        }
+    }
+    return count;
+}
+
 static std::map<std::string, int> openTasksByWorker(const StepExecution &step)
 {
     std::map<std::string, int> counts;
@@ -155,11 +169,15 @@
         request.rack = racks.empty() ? std::string() : racks.front();
     }
     std::vector<WorkerRanking::Candidate> candidates = ranking.rankCandidates(request);
+    std::size_t started = Internal::startedTasks(job);
     for (std::size_t index = 0; index < execution.tasks.size() && !candidates.empty(); ++index) {
         TaskExecution &task = execution.tasks[index];
         if (task.phase != TaskPhase::Pending || task.notBefore > now) {
             continue;
         }
+        if (task.run == 0 && started >= Internal::MaximumStartedTasks) {
+            continue;
+        }
         const bool isDeferrable =
             request.step->longRunning && task.run == 0 && m_wallMs - sinceEpoch(job.acceptedAt).count() < Internal::MaximumReserveDelay.count();
         if (isDeferrable && !ranking.leavesShortTaskReserve(queue.workerPool, profile, m_shortTaskReserve)) {
@@ -169,6 +187,7 @@
         if (worker == nullptr) {
             return;
         }
+        started += task.run == 0 ? 1 : 0;
         assignRun(job, {job.id, occurrence, step, static_cast<int>(index)}, task, *worker, task.run + 1, now);
         ++perWorker[worker->info.id];
     }
--- a/tests/libs/dispatch/teststoredbatches.cpp
+++ b/tests/libs/dispatch/teststoredbatches.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace Hyssop;
@@ -23,6 +24,8 @@
 constexpr int TasksPerJob = 50;
 constexpr std::size_t WorkerIdLength = 250; // makes the records of the jobs larger than one append of the platform
 constexpr std::size_t LargestAppend = 1024 * 1024; // bytes
+constexpr std::size_t LargestRecord = 256 * 1024; // bytes; the platform rejects larger ones
+constexpr std::size_t CheckpointLength = 16;
 constexpr auto Tick = 20ms;
 
 std::string jobName(int index)
@@ -34,7 +37,7 @@
 class BusyTerm
 {
 public:
-    BusyTerm()
+    explicit BusyTerm(int jobs = Jobs, int tasksPerJob = TasksPerJob, std::size_t workerIdLength = WorkerIdLength)
     {
         QueueInfo queue;
         queue.name = "batch";
@@ -45,22 +48,30 @@
         Wire::StepJob job;
         job.queue = "batch";
         job.steps.resize(1);
-        job.steps[0].taskCount = TasksPerJob;
+        job.steps[0].taskCount = tasksPerJob;
         job.steps[0].milliCores = 1;
         job.steps[0].estimateMs = 600'000;
         JobTable table;
-        for (int index = 0; index < Jobs; ++index) {
+        for (int index = 0; index < jobs; ++index) {
             table.apply({index, submissionKey(jobName(index)), encode(job)});
         }
         dispatcher.beginTerm(1, table, now, true);
         WorkerInfo worker;
-        worker.id = std::string(WorkerIdLength, 'w');
+        worker.id = std::string(workerIdLength, 'w');
         worker.workerPool = "hall";
         worker.address = "127.0.0.1:1";
         worker.capacity.milliCores = 1'000'000;
         dispatcher.updateWorker(worker);
     }
 
+    /// Reports all runs as completed in the next reports.
+    void endAllRuns()
+    {
+        for (const ReportedRun &run : std::exchange(m_runs, {})) {
+            m_ends.push_back({static_cast<std::int64_t>(m_ends.size()) + 1, run.task, run.run, RunEndReason::Completed, ""});
+        }
+    }
+
     void run(Duration time)
     {
         for (const TimePoint until = now + time; now < until; now += Tick) {
@@ -92,6 +103,7 @@
     TimePoint now{1000s};
     std::size_t starts = 0;
     std::size_t largestAppend = 0;
+    std::size_t largestRecord = 0;
     std::set<std::string> storedJobs;
     std::int64_t acknowledged = 0;
     bool isAcknowledgedUnstored = false; // the end of a run was acknowledged before its job was stored
@@ -118,7 +130,7 @@
     void answer(const StartCommand &start)
     {
         ++starts;
-        m_runs.push_back({start.task, start.run, "", 0, 0});
+        m_runs.push_back({start.task, start.run, std::string(CheckpointLength, 'c'), 0, 0});
         dispatcher.startAnswered(start, CommandExecuted{clock()}, now);
     }
 
@@ -127,6 +139,7 @@
         std::size_t size = 0;
         for (const KeyedRecord &record : append.records) {
             size += record.value ? record.value->size() : 0;
+            largestRecord = std::max(largestRecord, record.key.size() + (record.value ? record.value->size() : 0));
             storedJobs.insert(parseJobKey(record.key).jobId);
         }
         largestAppend = std::max(largestAppend, size);
@@ -157,3 +170,17 @@
     cr_assert_not(term.isAcknowledgedUnstored);
     cr_assert_eq(term.acknowledged, Jobs);
 }
+
+Test(storedBatches, theRecordOfAJobOfManyTasksIsNotOneThatTheStoreRejects)
+{
+    constexpr int ManyTasks = 6000;
+    BusyTerm term(1, ManyTasks, 32);
+    term.run(2s);
+    cr_assert_leq(term.largestRecord, LargestRecord, "a record of %zu bytes", term.largestRecord);
+    for (int round = 0; round < 5; ++round) {
+        term.endAllRuns();
+        term.run(1s);
+    }
+    cr_assert_leq(term.largestRecord, LargestRecord, "a record of %zu bytes", term.largestRecord);
+    cr_assert_eq(term.starts, ManyTasks, "%zu runs were started", term.starts);
+}
