--- /dev/null
+++ b/src/libs/node/ownerappender.cpp
@@ -0,0 +1,97 @@
+#include "ownerappender.h"
+
+#include "detachedtask.h"
+
+#include <observability/metricsregistry.h>
+#include <ports/metadatastore.h>
+#include <ports/topicappend.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace Hyssop {
+
+namespace asio = boost::asio;
+
+namespace Internal {
+
+constexpr auto AppenderAsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds OwnerAppendTimeout{1500};
+constexpr std::chrono::milliseconds AppendRetryDelay{60};
+constexpr std::chrono::milliseconds AppendQueueInterval{20};
+
+} // namespace Internal
+
+OwnerAppender::OwnerAppender(asio::any_io_executor executor, const Clock &clock, MetadataStore &store, MetricsRegistry &metrics)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+    , m_store(store)
+    , m_metrics(metrics)
+{
+}
+
+void OwnerAppender::beginTerm(std::int64_t term, std::int64_t claimSequence)
+{
+    m_term = term;
+    m_sequence = claimSequence + 1;
+    m_lastAppend = m_clock.now();
+    m_appending = false;
+}
+
+ProducerPosition OwnerAppender::position() const
+{
+    return {ProducerName, m_term.value_or(0), m_sequence};
+}
+
+void OwnerAppender::append(std::vector<KeyedRecord> records, ResultHandler onResult)
+{
+    if (m_term) {
+        asio::co_spawn(m_executor, appendWithRetries(std::move(records), std::move(onResult), *m_term), endProcessOnException);
+    }
+}
+
+asio::awaitable<void> OwnerAppender::appendWithRetries(std::vector<KeyedRecord> records, ResultHandler onResult, std::int64_t term)
+{
+    asio::steady_timer timer(m_executor);
+    while (m_appending && m_term == term) { // sequence numbers allow only one append in flight
+        timer.expires_after(Internal::AppendQueueInterval);
+        co_await timer.async_wait(Internal::AppenderAsTuple);
+    }
+    if (m_term != term) {
+        co_return;
+    }
+    m_appending = true;
+    while (m_term == term) {
+        const TimePoint sentAt = m_clock.now();
+        TopicAppend append{Topic::Jobs, records, std::nullopt, position()};
+        const TopicAppendResult result = co_await m_store.append(std::move(append), Internal::OwnerAppendTimeout);
+        m_metrics.observe("hyssop_owner_append_seconds", m_clock.now() - sentAt);
+        if (m_term != term) {
+            co_return;
+        }
+        const bool isRetryable = std::holds_alternative<TopicAppendRejected>(result) || std::holds_alternative<TopicAppendUndetermined>(result);
+        if (!isRetryable) {
+            finish(result, onResult, sentAt);
+            co_return;
+        }
+        m_metrics.add("hyssop_owner_append_retries_total");
+        timer.expires_after(Internal::AppendRetryDelay);
+        co_await timer.async_wait(Internal::AppenderAsTuple);
+    }
+}
+
+void OwnerAppender::finish(const TopicAppendResult &result, const ResultHandler &onResult, TimePoint sentAt)
+{
+    m_appending = false;
+    if (std::holds_alternative<TopicAppended>(result)) {
+        ++m_sequence;
+        m_lastAppend = m_clock.now();
+    }
+    onResult(result, sentAt);
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/node/ownerappender.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <ports/keyedrecord.h>
+#include <ports/storeresults.h>
+#include <utils/clock.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace Hyssop {
+
+class MetadataStore;
+class MetricsRegistry;
+struct ProducerPosition;
+
+/// Appends records of the owner to the job topic, one append at a time, under the producer position of its term. An append whose
+/// outcome is unknown is repeated with the same position, which the store executes only once.
+class OwnerAppender
+{
+public:
+    /// Name of the producer for all appends of owners, claims included.
+    static constexpr const char *ProducerName = "owner";
+
+    /// Called with the result of an append that was sent at @p sentAt, unless its term has ended. A result is neither
+    /// TopicAppendRejected nor TopicAppendUndetermined.
+    using ResultHandler = std::function<void(const TopicAppendResult &result, TimePoint sentAt)>;
+
+    OwnerAppender(boost::asio::any_io_executor executor, const Clock &clock, MetadataStore &store, MetricsRegistry &metrics);
+
+    /// Begins a term, whose claim has the number @p claimSequence.
+    void beginTerm(std::int64_t term, std::int64_t claimSequence);
+
+    /// Ends the term. Appends that have not been sent are dropped, and the results of others are ignored.
+    void endTerm() { m_term.reset(); }
+
+    /// Appends @p records after the append in flight.
+    void append(std::vector<KeyedRecord> records, ResultHandler onResult);
+
+    bool isAppending() const { return m_appending; }
+
+    /// Returns the position of the next append of the term.
+    ProducerPosition position() const;
+
+    /// Returns when the last append of the term was acknowledged, or the begin of the term.
+    TimePoint lastAppend() const { return m_lastAppend; }
+
+private:
+    boost::asio::awaitable<void> appendWithRetries(std::vector<KeyedRecord> records, ResultHandler onResult, std::int64_t term);
+    void finish(const TopicAppendResult &result, const ResultHandler &onResult, TimePoint sentAt);
+
+    boost::asio::any_io_executor m_executor;
+    const Clock &m_clock;
+    MetadataStore &m_store;
+    MetricsRegistry &m_metrics;
+    std::optional<std::int64_t> m_term; // none: not the owner
+    std::int64_t m_sequence = 0; // of the next append
+    TimePoint m_lastAppend{};
+    bool m_appending = false;
+};
+
+} // namespace Hyssop
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -32,13 +32,11 @@
 constexpr std::chrono::milliseconds StandbyInterval{200};
 constexpr std::chrono::milliseconds ClaimRenewalInterval{500};
 constexpr std::chrono::milliseconds LoadReportInterval{2000};
-constexpr std::chrono::milliseconds AppendTimeout{1500};
-constexpr std::chrono::milliseconds AppendRetryDelay{60};
+constexpr std::chrono::milliseconds ClaimTimeout{1500};
 constexpr std::chrono::milliseconds ReleaseTimeout{1000};
 constexpr std::chrono::milliseconds MaximumReadLag{4000};
 constexpr std::chrono::milliseconds ClaimVisibilityTimeout{1000};
 constexpr int MaximumClaimJitterMs = 120;
-constexpr const char *ProducerName = "owner";
 
 static std::int64_t randomNumber(std::int64_t maximum)
 {
@@ -67,6 +65,7 @@
     , m_processorShare(identity.processorShare)
     , m_incarnation(Internal::randomNumber(std::numeric_limits<std::int64_t>::max()))
     , m_claimPolicy(std::chrono::milliseconds(Internal::randomNumber(Internal::MaximumClaimJitterMs)), identity.processorShare)
+    , m_appender(m_executor, clock, ports.store, metrics)
     , m_dispatcher(limits)
 {
 }
@@ -162,12 +161,12 @@
             execute(std::move(action));
         }
         reportLoad(now);
-        const bool isReadLagging = m_dispatcher.readLag(now) > Internal::MaximumReadLag && now - m_lastAppend < Internal::ClaimRenewalInterval;
-        if (m_term && isReadLagging && !m_appending) {
+        const bool isReadLagging = m_dispatcher.readLag(now) > Internal::MaximumReadLag && now - m_appender.lastAppend() < Internal::ClaimRenewalInterval;
+        if (m_term && isReadLagging && !m_appender.isAppending()) {
             co_await releaseOwnership("reading lags behind the growth of the job topic");
             continue;
         }
-        if (m_term && !m_appending && now - m_lastAppend >= Internal::ClaimRenewalInterval) {
+        if (m_term && !m_appender.isAppending() && now - m_appender.lastAppend() >= Internal::ClaimRenewalInterval) {
             startAppend({claimRecord(false)}, false);
         }
     }
@@ -176,7 +175,7 @@
 asio::awaitable<void> TopicOwner::releaseOwnership(std::string reason)
 {
     m_claimPolicy.recordOverload(m_clock.now());
-    TopicAppend append{Topic::Jobs, {claimRecord(true)}, std::nullopt, ProducerPosition{Internal::ProducerName, *m_term, m_sequence}};
+    TopicAppend append{Topic::Jobs, {claimRecord(true)}, std::nullopt, m_appender.position()};
     stepDown(reason);
     const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::ReleaseTimeout);
     logMessage(LogPriority::Essential, LogLevel::Info, "owner", "ownership released", {{"durable", std::holds_alternative<TopicAppended>(result)}});
@@ -190,11 +189,11 @@
     }
     const TimePoint deadline = m_clock.now() + Internal::ReleaseTimeout;
     asio::steady_timer timer(m_executor);
-    while (m_appending && m_clock.now() < deadline) {
+    while (m_appender.isAppending() && m_clock.now() < deadline) {
         timer.expires_after(Internal::TickInterval);
         co_await timer.async_wait(Internal::AsTuple);
     }
-    if (!m_term || m_appending) {
+    if (!m_term || m_appender.isAppending()) {
         stepDown("shutdown while the store is not responding");
         co_return;
     }
@@ -211,10 +210,8 @@
 {
     const TimePoint now = m_clock.now();
     m_term = m_table.claim()->term;
-    m_sequence = m_table.claim()->sequence + 1;
     m_claimSentAt = TimePoint(); // the claim has appeared
-    m_lastAppend = now;
-    m_appending = false;
+    m_appender.beginTerm(*m_term, m_table.claim()->sequence);
     m_dispatcher.beginTerm(*m_term, m_table, now, m_cleanHandover);
     m_dispatcher.applyConfiguration(m_config, m_evacuatedDomains);
     if (m_workersReadAt) {
@@ -242,6 +239,7 @@
         m_minimumTerm = *m_term + 1;
     }
     m_term.reset();
+    m_appender.endTerm();
     m_metrics.set("hyssop_is_owner", 0);
     m_ownerObservation.lastRecordAt = m_clock.now();
     updateWorkersNeed();
@@ -268,9 +266,9 @@
     // The store accepts a single first append per epoch, so only one claim of a term succeeds. The claim does not also require
     // the current end of the topic: any submission through another instance would then make it fail.
     const std::int64_t readUpTo = m_jobs.end();
-    TopicAppend append{Topic::Jobs, {{0, claimKey(), encode(claim)}}, std::nullopt, ProducerPosition{Internal::ProducerName, claim.term, claim.sequence}};
+    TopicAppend append{Topic::Jobs, {{0, claimKey(), encode(claim)}}, std::nullopt, ProducerPosition{OwnerAppender::ProducerName, claim.term, claim.sequence}};
     const TimePoint sentAt = m_clock.now();
-    const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::AppendTimeout);
+    const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::ClaimTimeout);
     m_claimPolicy.recordStoreLatency(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - sentAt));
     logMessage(LogPriority::Essential,
                LogLevel::Info,
@@ -300,41 +298,7 @@
 
 void TopicOwner::startAppend(std::vector<KeyedRecord> records, bool isBatch)
 {
-    if (!m_term) {
-        return;
-    }
-    asio::co_spawn(m_executor, appendWithRetries(std::move(records), isBatch, *m_term), endProcessOnException);
-}
-
-asio::awaitable<void> TopicOwner::appendWithRetries(std::vector<KeyedRecord> records, bool isBatch, std::int64_t term)
-{
-    asio::steady_timer timer(m_executor);
-    while (m_appending && m_term == term) { // sequence numbers allow only one append in flight
-        timer.expires_after(Internal::TickInterval);
-        co_await timer.async_wait(Internal::AsTuple);
-    }
-    if (m_term != term) {
-        co_return;
-    }
-    m_appending = true;
-    while (m_term == term) {
-        const TimePoint sentAt = m_clock.now();
-        TopicAppend append{Topic::Jobs, records, std::nullopt, ProducerPosition{Internal::ProducerName, term, m_sequence}};
-        const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::AppendTimeout);
-        m_metrics.observe("hyssop_owner_append_seconds", m_clock.now() - sentAt);
-        if (m_term != term) {
-            co_return;
-        }
-        const bool isRetryable = std::holds_alternative<TopicAppendRejected>(result) || std::holds_alternative<TopicAppendUndetermined>(result);
-        if (!isRetryable) {
-            m_appending = false;
-            appendAnswered(result, isBatch, sentAt);
-            co_return;
-        }
-        m_metrics.add("hyssop_owner_append_retries_total");
-        timer.expires_after(Internal::AppendRetryDelay);
-        co_await timer.async_wait(Internal::AsTuple);
-    }
+    m_appender.append(std::move(records), [this, isBatch](const TopicAppendResult &result, TimePoint sentAt) { appendAnswered(result, isBatch, sentAt); });
 }
 
 void TopicOwner::appendAnswered(const TopicAppendResult &result, bool isBatch, TimePoint sentAt)
@@ -344,11 +308,9 @@
         stepDown("the store rejected an append: " + (fenced != nullptr ? fenced->reason : std::string("unexpected end of the topic")));
         return;
     }
-    ++m_sequence;
-    m_lastAppend = m_clock.now();
     m_dispatcher.confirmOwnership(sentAt);
     if (isBatch) {
-        m_dispatcher.recordsStored(m_lastAppend);
+        m_dispatcher.recordsStored(m_clock.now());
     }
 }
 
@@ -358,7 +320,7 @@
     claim.instance = m_instance;
     claim.incarnation = m_incarnation;
     claim.term = *m_term;
-    claim.sequence = m_sequence;
+    claim.sequence = m_appender.position().sequence;
     claim.released = released;
     claim.processorShare = m_processorShare;
     claim.settled = m_dispatcher.earlierLeasesExpired(m_clock.now());
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "claimpolicy.h"
+#include "ownerappender.h"
 
 #include <dispatch/dispatcher.h>
 #include <ports/storeresults.h>
@@ -96,7 +97,6 @@
     boost::asio::awaitable<void> claim();
     void execute(DispatchAction action);
     void startAppend(std::vector<KeyedRecord> records, bool isBatch);
-    boost::asio::awaitable<void> appendWithRetries(std::vector<KeyedRecord> records, bool isBatch, std::int64_t term);
     void appendAnswered(const TopicAppendResult &result, bool isBatch, TimePoint sentAt);
     boost::asio::awaitable<void> releaseOwnership(std::string reason);
     KeyedRecord claimRecord(bool released) const;
@@ -119,6 +119,7 @@
     std::int64_t m_incarnation;
     ClaimPolicy m_claimPolicy;
     OwnerObservation m_ownerObservation;
+    OwnerAppender m_appender;
     Dispatcher m_dispatcher;
     WorkersNeedHandler m_workersNeedHandler;
     bool m_needsWorkers = false;
@@ -128,10 +129,7 @@
     std::set<std::string> m_evacuatedDomains;
     std::optional<std::int64_t> m_term; // set while this instance is the owner
     std::int64_t m_minimumTerm = 0; // terms below this one are not resumed after stepping down
-    std::int64_t m_sequence = 0; // of the next append
-    TimePoint m_lastAppend{};
     TimePoint m_lastLoadReport{};
-    bool m_appending = false;
     bool m_claiming = false;
     bool m_cleanHandover = false; // the claim sent last follows a release by an owner, after all leases of previous owners had expired
     TimePoint m_claimSentAt{};
