Count the proof of a new owner from the request of its read

What callers could see: a task running twice.

Cause: an owner that reads its own claim took the time at which it processed the response as the proof of its ownership and of having read everything. If its process is suspended in between, another instance has claimed meanwhile and counts the leases of this owner from its own claim. After the resumption, this owner granted full leases from then, and could start runs, until its next append was rejected. All later reads and appends count from the time they were sent.

Evidence: the test below. A worker that only the resumed owner reaches would keep its runs up to 5.6 s after the resumption, the new owner replaces them 9.2 s after its claim; a suspension of about 6 s makes both overlap.

Why the fix works: the response shows that no later claim existed when the request was sent, so each later claim became durable after that. Leases end by then + 3 s + lease, which the later owner waits for. A new owner still counts the leases of earlier ones from the time it processed the response, which is later than its claim became durable.

The test failed before:

testdelayedresponses.cpp:183: a lease was granted without proof of the ownership testdelayedresponses.cpp:188: a run was started without proof of the ownership [FAIL] delayedResponses::aClaimThatWasReadLateProvesNoOwnershipAfterItsRequest

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include "claimtimes.h"
 #include "jobprogress.h"
 #include "workerranking.h"
 
@@ -35,20 +36,20 @@
 {
 }
 
-void Dispatcher::beginTerm(std::int64_t term, const JobTable &table, TimePoint claimedAt, bool afterHandover)
+void Dispatcher::beginTerm(std::int64_t term, const JobTable &table, const ClaimTimes &claim, bool afterHandover)
 {
     m_term = term;
-    m_confirmedAt = claimedAt;
-    m_readAt = claimedAt;
+    m_confirmedAt = claim.readSentAt;
+    m_readAt = claim.readSentAt;
     m_workersReadAt.reset();
-    m_termBeganAt = claimedAt;
-    m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claimedAt, afterHandover);
+    m_termBeganAt = claim.readAt;
+    m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claim.readAt, afterHandover);
     m_jobs.clear();
     m_workers.clear();
     m_removedWorkersRestarts = RestartCounts();
     m_tickets = TicketCache();
     m_colocation.restore(table.learnedTails());
-    m_tailsStoredAt = claimedAt;
+    m_tailsStoredAt = claim.readAt;
     m_actions.clear();
     m_newIntents.clear();
     m_batch = PendingBatch();
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -26,6 +26,7 @@
 
 class JobTable;
 class WorkerRanking;
+struct ClaimTimes;
 struct PlacementRequest;
 
 /// Scheduler of the instance that owns the job topic. It performs no I/O: its inputs are records, results of commands and the time, its
@@ -41,8 +42,8 @@
     explicit Dispatcher(const DispatchLimits &limits);
 
     /// Starts a term of ownership with the jobs of @p table. @p term is part of the fencing token of all commands.
-    /// @p claimedAt is when the response to the claim arrived. For @p afterHandover, see LeasePolicy::earlierLeasesEnd().
-    void beginTerm(std::int64_t term, const JobTable &table, TimePoint claimedAt, bool afterHandover = false);
+    /// For @p afterHandover, see LeasePolicy::earlierLeasesEnd().
+    void beginTerm(std::int64_t term, const JobTable &table, const ClaimTimes &claim, bool afterHandover = false);
 
     /// Returns true if every lease that a previous owner granted has expired.
     bool earlierLeasesExpired(TimePoint now) const { return now >= m_earlierLeasesEnd; }
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -4,6 +4,7 @@
 #include "ownerlog.h"
 #include "topicfollower.h"
 
+#include <dispatch/claimtimes.h>
 #include <jobtopic/jobtable.h>
 #include <observability/logging.h>
 #include <observability/metricsregistry.h>
@@ -101,7 +102,7 @@
         return;
     }
     if (ownsNewestClaim()) {
-        becomeOwner();
+        becomeOwner(sentAt);
     } else if (!m_claiming && m_claimPolicy.shouldClaim(m_ownerObservation, now)) {
         m_claiming = true;
         m_cleanHandover = m_ownerObservation.released && m_table.claim()->settled;
@@ -207,7 +208,7 @@
     return claim && claim->instance == m_instance && claim->incarnation == m_incarnation && !claim->released && claim->term >= m_minimumTerm;
 }
 
-void TopicOwner::becomeOwner()
+void TopicOwner::becomeOwner(TimePoint readSentAt)
 {
     const TimePoint now = m_clock.now();
     m_term = m_table.claim()->term;
@@ -215,7 +216,7 @@
     m_claimSentAt = TimePoint(); // the claim has appeared
     m_lastAppend = now;
     m_appending = false;
-    m_dispatcher.beginTerm(*m_term, m_table, now, m_cleanHandover);
+    m_dispatcher.beginTerm(*m_term, m_table, {now, readSentAt}, m_cleanHandover);
     m_dispatcher.applyConfiguration(m_config, m_evacuatedDomains);
     if (m_workersReadAt) {
         m_dispatcher.confirmWorkersRead(*m_workersReadAt);
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -90,7 +90,7 @@
 
 private:
     bool ownsNewestClaim() const;
-    void becomeOwner();
+    void becomeOwner(TimePoint readSentAt);
     void stepDown(const std::string &reason, const StepDown &rejection = {});
     void updateWorkersNeed();
     boost::asio::awaitable<void> claim();
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -1,5 +1,6 @@
 #include "dispatchsimulation.h"
 
+#include <dispatch/claimtimes.h>
 #include <jobtopic/jobkeys.h>
 #include <ports/keyedrecord.h>
 #include <utils/overloaded.h>
@@ -138,7 +139,7 @@
     record.term = static_cast<std::int64_t>(m_owners.size()) + 1;
     append({0, claimKey(), encode(record)});
     auto owner = std::make_shared<Owner>(record.term, m_limits);
-    owner->dispatcher.beginTerm(record.term, m_table, now);
+    owner->dispatcher.beginTerm(record.term, m_table, {now, now});
     const auto loadWorkers = [this, owner] {
         owner->knowsWorkers = true;
         for (const auto &worker : m_workers) {
--- a/tests/libs/dispatch/eventharness.cpp
+++ b/tests/libs/dispatch/eventharness.cpp
@@ -2,6 +2,8 @@
 
 #include "singleworker.h"
 
+#include <dispatch/claimtimes.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -20,7 +22,7 @@
     job.steps[0].milliCores = 1000;
     job.steps[0].estimateMs = longRunning ? 0 : 600'000;
     job.steps[0].longRunning = longRunning;
-    beginWithSingleWorker(dispatcher, job, 64000, now);
+    beginWithSingleWorker(dispatcher, job, 64000, {now, now});
 }
 
 void EventHarness::step()
--- a/tests/libs/dispatch/singleworker.cpp
+++ b/tests/libs/dispatch/singleworker.cpp
@@ -1,5 +1,6 @@
 #include "singleworker.h"
 
+#include <dispatch/claimtimes.h>
 #include <dispatch/dispatcher.h>
 #include <jobtopic/jobkeys.h>
 #include <jobtopic/jobtable.h>
@@ -8,7 +9,7 @@
 
 namespace Hyssop::Testing {
 
-void beginWithSingleWorker(Dispatcher &dispatcher, Wire::StepJob job, std::int64_t milliCores, TimePoint now)
+void beginWithSingleWorker(Dispatcher &dispatcher, Wire::StepJob job, std::int64_t milliCores, const ClaimTimes &claim)
 {
     QueueInfo queue;
     queue.name = "batch";
@@ -19,7 +20,7 @@
     job.queue = "batch";
     JobTable table;
     table.apply({0, submissionKey("j"), encode(job)});
-    dispatcher.beginTerm(1, table, now, true);
+    dispatcher.beginTerm(1, table, claim, true);
     WorkerInfo worker;
     worker.id = "w";
     worker.workerPool = "hall";
--- a/tests/libs/dispatch/testcolocation.cpp
+++ b/tests/libs/dispatch/testcolocation.cpp
@@ -1,5 +1,6 @@
 #include "singleworker.h"
 
+#include <dispatch/claimtimes.h>
 #include <dispatch/colocationpolicy.h>
 #include <dispatch/dispatcher.h>
 #include <dispatch/taillatencymodel.h>
@@ -274,7 +275,7 @@
         job.steps[1].image = "filler";
         job.steps[1].milliCores = 1000;
         job.steps[1].estimateMs = 60000;
-        Testing::beginWithSingleWorker(m_dispatcher, job, 8000, now);
+        Testing::beginWithSingleWorker(m_dispatcher, job, 8000, {now, now});
     }
 
     /// Advances the time in steps of 20 ms; each poll is answered at once with the tail latency @p tailMs.
--- a/tests/libs/dispatch/testdelayedresponses.cpp
+++ b/tests/libs/dispatch/testdelayedresponses.cpp
@@ -1,5 +1,6 @@
 #include "singleworker.h"
 
+#include <dispatch/claimtimes.h>
 #include <dispatch/dispatcher.h>
 
 #include <criterion/criterion.h>
@@ -21,21 +22,23 @@
 class DispatcherHarness
 {
 public:
-    explicit DispatcherHarness(int tasks)
+    explicit DispatcherHarness(int tasks, Duration claimReadTime = Duration::zero())
     {
         Wire::StepJob job;
         job.steps.resize(1);
         job.steps[0].taskCount = tasks;
         job.steps[0].milliCores = 1000;
         job.steps[0].estimateMs = 600'000;
-        Testing::beginWithSingleWorker(m_dispatcher, job, 64000, now);
+        Testing::beginWithSingleWorker(m_dispatcher, job, 64000, {now, now - claimReadTime});
     }
 
     /// Advances the dispatcher once and keeps its commands.
     void step(Duration passed)
     {
         now += passed;
-        m_dispatcher.confirmRead(now);
+        if (answersReads) {
+            m_dispatcher.confirmRead(now);
+        }
         m_dispatcher.confirmWorkersRead(now);
         const WallTime wall(std::chrono::duration_cast<WallTime::duration>(now.time_since_epoch()));
         for (const DispatchAction &action : m_dispatcher.advance(now, wall)) {
@@ -99,6 +102,7 @@
     TimePoint polledAt{};
     std::map<TaskId, int> running;
     int endedRuns = 0;
+    bool answersReads = true; // reads of the job topic
 
 private:
     Dispatcher m_dispatcher{DispatchLimits()};
@@ -160,3 +164,26 @@
     cr_assert_eq(harness.endedRuns, 0);
     cr_assert_eq(harness.starts.size(), 2, "no run was considered lost");
 }
+
+Test(delayedResponses, aClaimThatWasReadLateProvesNoOwnershipAfterItsRequest)
+{
+    // The owner's process was suspended before it processed the response with its claim. Another instance may have claimed
+    // since the request, and counts the leases of this owner from then.
+    constexpr Duration ReadTime = 10s;
+    DispatcherHarness harness(1, ReadTime);
+    harness.answersReads = false;
+    int renewals = 0;
+    for (int round = 0; round < 10; ++round) {
+        harness.step(20ms);
+        if (!harness.poll) {
+            continue;
+        }
+        if (harness.poll->leaseEnd) {
+            ++renewals;
+            cr_expect_leq(harness.poll->leaseEnd->count(), harness.clock().count(), "a lease was granted without proof of the ownership");
+        }
+        harness.answerPoll(harness.clock());
+    }
+    cr_expect_gt(renewals, 0);
+    cr_expect(harness.starts.empty(), "a run was started without proof of the ownership");
+}
--- a/tests/libs/dispatch/testdispatcher.cpp
+++ b/tests/libs/dispatch/testdispatcher.cpp
@@ -1,5 +1,7 @@
 #include "dispatchsimulation.h"
 
+#include <dispatch/claimtimes.h>
+
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -167,7 +169,7 @@
     JobTable table;
     Dispatcher dispatcher{DispatchLimits()};
     DispatchSimulation simulation(15);
-    dispatcher.beginTerm(1, table, begin);
+    dispatcher.beginTerm(1, table, {begin, begin});
     dispatcher.confirmOwnership(begin + 10s); // an append was answered, but a cancellation may be unread
     cr_assert_geq(dispatcher.readLag(begin + 10s).count(), Duration(10s).count());
     simulation.claim();
--- a/tests/libs/dispatch/testoddjobs.cpp
+++ b/tests/libs/dispatch/testoddjobs.cpp
@@ -1,5 +1,6 @@
 #include "singleworker.h"
 
+#include <dispatch/claimtimes.h>
 #include <dispatch/dispatcher.h>
 #include <dispatch/jobexecution.h>
 #include <dispatch/jobprogress.h>
@@ -26,7 +27,7 @@
 std::size_t pendingTasks(const Wire::StepJob &job)
 {
     Dispatcher dispatcher{DispatchLimits()};
-    Testing::beginWithSingleWorker(dispatcher, job, 64000, Begin);
+    Testing::beginWithSingleWorker(dispatcher, job, 64000, {Begin, Begin});
     dispatcher.confirmRead(Begin);
     dispatcher.confirmWorkersRead(Begin);
     dispatcher.advance(Begin, WallTime(1'000'000h));
@@ -60,7 +61,7 @@
             const std::string id = std::to_string(number);
             m_table.apply({number, submissionKey(id), encode(largestJob(number))});
         }
-        m_dispatcher.beginTerm(LargestTerm, m_table, now, true);
+        m_dispatcher.beginTerm(LargestTerm, m_table, {now, now}, true);
         for (int number = 0; number < WorkerCount; ++number) {
             WorkerInfo worker;
             worker.id = "w" + std::to_string(number);
