Combine the routine results of a job's runs in one log line

Seen: an on-call engineer could not follow a request through the log of the owner.

Cause: each start and each end of a run has its own line: about 1,000 of each a second with a limit of 400 lines, of which routine lines may use 240. The end of a job and failed commands had the same priority as these, so they were dropped with them.

The routine results (a start that the worker has confirmed, a completed run) of one step of a job are combined in "run results", at most 0.5 s or 100 results in a line; they are written before the end of the job and when the owner steps down. Serving tasks keep a line for each run. The end of a job and all other results have a priority above routine lines and below changes of workers.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -47,6 +47,7 @@
     std::string worker;
     RunEndReason endReason = RunEndReason::Failed;
     int failures = 0; // failed runs of the task so far
+    bool isServing = false; // a serving task
 };
 
 /// Log event: a job has ended.
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -44,6 +44,7 @@
     command.task = id;
     command.run = task.run;
     command.payload = job->submission.payload;
+    command.isServing = job->step(id.step).longRunning;
     command.checkpoint = task.checkpoint;
     if (const auto *tickets = m_tickets.tickets(id, now)) {
         const auto ticket = tickets->find(task.worker);
@@ -251,7 +252,7 @@
         recordFailedRun(id, task, now);
     }
     recordEndedBestEffortRun(id, task, now);
-    m_actions.emplace_back(RunEnded{id, task.run, task.worker, endReason, task.failures});
+    m_actions.emplace_back(RunEnded{id, task.run, task.worker, endReason, task.failures, isLongRunning});
     if (endReason == RunEndReason::Completed && !isLongRunning) {
         markDone(id, task);
         return;
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -69,11 +69,22 @@
     return "unknown";
 }
 
+bool isRoutine(const StartCommand &command, const CommandResult &result)
+{
+    return !command.isServing && std::holds_alternative<CommandExecuted>(result);
+}
+
+bool isRoutine(const RunEnded &end)
+{
+    return !end.isServing && end.endReason == RunEndReason::Completed;
+}
+
 /// Logs the result of a command about a run. @p input is its characteristic parameter.
 template<typename Command>
 static void logRunCommand(LogLevel level, const char *message, const Command &command, const LogField &input, const CommandResult &result)
 {
-    logMessage(level,
+    logMessage(LogPriority::Outcome,
+               level,
                "owner",
                message,
                {{"job_id", command.task.job},
@@ -102,7 +113,8 @@
 
 void logAction(const RunEnded &end)
 {
-    logMessage(LogLevel::Info,
+    logMessage(LogPriority::Outcome,
+               LogLevel::Info,
                "owner",
                "run ended",
                {{"job_id", end.task.job},
@@ -238,7 +250,8 @@
 
 void logAction(const JobEnded &end)
 {
-    logMessage(LogLevel::Info, "owner", "job ended", {{"job_id", end.jobId}, {"outcome", end.phase}, {"after_ms", end.sinceAccepted.count()}});
+    logMessage(
+        LogPriority::Outcome, LogLevel::Info, "owner", "job ended", {{"job_id", end.jobId}, {"outcome", end.phase}, {"after_ms", end.sinceAccepted.count()}});
 }
 
 } // namespace Hyssop
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -10,6 +10,10 @@
 
 struct DispatchSummary;
 
+/// Returns true if the result needs no line of its own: RunLog combines it with others.
+bool isRoutine(const StartCommand &command, const CommandResult &result);
+bool isRoutine(const RunEnded &end);
+
 /// Logs an action of the dispatcher that changes the owner's state.
 void logAction(const RunEnded &end);
 void logAction(const JobEnded &end);
--- /dev/null
+++ b/src/libs/node/runlog.cpp
@@ -0,0 +1,133 @@
+#include "runlog.h"
+
+#include <observability/logging.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace Hyssop {
+
+namespace Internal {
+
+constexpr std::chrono::milliseconds MaximumDelay{500};
+// Bounds the length of a line.
+constexpr std::size_t MaximumResults = 100;
+
+/// Appends "FIRST-LAST" or "FIRST", with "/RUN" unless it is the first run.
+static void appendRange(std::string &text, int first, int last, int run)
+{
+    text += text.empty() ? "" : ",";
+    text += std::to_string(first);
+    if (last > first) {
+        text += "-" + std::to_string(last);
+    }
+    if (run != 1) {
+        text += "/" + std::to_string(run);
+    }
+}
+
+} // namespace Internal
+
+void RunLog::started(const StartCommand &command, TimePoint now)
+{
+    StepResults &results = resultsOf(command.task, now);
+    results.started[command.worker.id].push_back({command.task.index, command.run});
+    writeIfFull(command.task, results, now);
+}
+
+void RunLog::completed(const RunEnded &end, TimePoint now)
+{
+    StepResults &results = resultsOf(end.task, now);
+    results.completed.push_back({end.task.index, end.run});
+    writeIfFull(end.task, results, now);
+}
+
+void RunLog::writeDue(TimePoint now)
+{
+    std::erase_if(m_steps, [now](const auto &item) {
+        const bool isDue = now - item.second.since >= Internal::MaximumDelay;
+        if (isDue) {
+            write(item.first, item.second, now);
+        }
+        return isDue;
+    });
+}
+
+void RunLog::writeJob(const std::string &jobId, TimePoint now)
+{
+    constexpr int Lowest = std::numeric_limits<int>::min();
+    auto step = m_steps.lower_bound(StepKey(jobId, Lowest, Lowest));
+    while (step != m_steps.end() && std::get<0>(step->first) == jobId) {
+        write(step->first, step->second, now);
+        step = m_steps.erase(step);
+    }
+}
+
+void RunLog::writeAll(TimePoint now)
+{
+    for (auto &[step, results] : m_steps) {
+        write(step, results, now);
+    }
+    m_steps.clear();
+}
+
+std::string RunLog::toString(const std::vector<RunOfTask> &runs)
+{
+    std::vector<RunOfTask> sorted = runs;
+    std::ranges::sort(sorted, {}, [](const RunOfTask &run) { return std::pair(run.run, run.index); });
+    std::string text;
+    for (std::size_t first = 0; first < sorted.size();) {
+        std::size_t last = first;
+        while (last + 1 < sorted.size() && sorted[last + 1].run == sorted[first].run && sorted[last + 1].index == sorted[last].index + 1) {
+            ++last;
+        }
+        Internal::appendRange(text, sorted[first].index, sorted[last].index, sorted[first].run);
+        first = last + 1;
+    }
+    return text;
+}
+
+std::string RunLog::toString(const std::map<std::string, std::vector<RunOfTask>> &runsByWorker)
+{
+    std::string text;
+    for (const auto &[worker, runs] : runsByWorker) {
+        text += text.empty() ? "" : ";";
+        text += worker + ":" + toString(runs);
+    }
+    return text;
+}
+
+void RunLog::write(const StepKey &step, const StepResults &results, TimePoint now)
+{
+    const auto &[jobId, occurrence, index] = step;
+    logMessage(LogLevel::Info,
+               "owner",
+               "run results",
+               {{"job_id", jobId},
+                {"step", std::to_string(occurrence) + "." + std::to_string(index)},
+                {"started", toString(results.started)},
+                {"completed", toString(results.completed)},
+                {"span_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - results.since).count()}});
+}
+
+RunLog::StepResults &RunLog::resultsOf(const TaskId &task, TimePoint now)
+{
+    StepResults &results = m_steps[StepKey(task.job, task.occurrence, task.step)];
+    if (results.count == 0) {
+        results.since = now;
+    }
+    ++results.count;
+    return results;
+}
+
+void RunLog::writeIfFull(const TaskId &task, StepResults &results, TimePoint now)
+{
+    if (results.count < Internal::MaximumResults) {
+        return;
+    }
+    const StepKey step(task.job, task.occurrence, task.step);
+    write(step, results, now);
+    m_steps.erase(step);
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/node/runlog.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <dispatch/dispatchactions.h>
+#include <utils/clock.h>
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace Hyssop {
+
+/// Combines the routine results of runs into few log lines. Each result is in exactly one line, which is written after a bounded
+/// time, or earlier if it has reached its size limit.
+class RunLog
+{
+public:
+    /// Takes the result of a start command that a worker has executed.
+    void started(const StartCommand &command, TimePoint now);
+
+    /// Takes the end of a run that has completed its task.
+    void completed(const RunEnded &end, TimePoint now);
+
+    /// Writes the lines that are due.
+    void writeDue(TimePoint now);
+
+    /// Writes the lines about @p jobId.
+    void writeJob(const std::string &jobId, TimePoint now);
+
+    /// Writes all lines.
+    void writeAll(TimePoint now);
+
+private:
+    using StepKey = std::tuple<std::string, int, int>; // job, occurrence, step
+
+    struct RunOfTask
+    {
+        int index = 0;
+        int run = 0;
+    };
+
+    struct StepResults
+    {
+        TimePoint since{}; // first result
+        std::map<std::string, std::vector<RunOfTask>> started; // by worker
+        std::vector<RunOfTask> completed;
+        std::size_t count = 0;
+    };
+
+    static std::string toString(const std::vector<RunOfTask> &runs);
+    static std::string toString(const std::map<std::string, std::vector<RunOfTask>> &runsByWorker);
+    static void write(const StepKey &step, const StepResults &results, TimePoint now);
+
+    StepResults &resultsOf(const TaskId &task, TimePoint now);
+    void writeIfFull(const TaskId &task, StepResults &results, TimePoint now);
+
+    std::map<StepKey, StepResults> m_steps;
+};
+
+} // namespace Hyssop
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -154,6 +154,7 @@
         timer.expires_after(m_term ? Internal::TickInterval : Internal::StandbyInterval);
         co_await timer.async_wait(Internal::AsTuple);
         updateWorkersNeed();
+        m_runLog.writeDue(m_clock.now());
         if (!m_term || m_releasing) {
             continue;
         }
@@ -237,6 +238,7 @@
 void TopicOwner::stepDown(const std::string &reason, const StepDown &rejection)
 {
     if (m_term) {
+        m_runLog.writeAll(m_clock.now());
         logStepDown(*m_term, reason, rejection);
         m_metrics.add("hyssop_step_downs_total", {{"reason", reason.substr(0, reason.find(':'))}});
         m_minimumTerm = *m_term + 1;
@@ -293,11 +295,28 @@
                    [&](const ListLiveWorkers &) { asio::co_spawn(m_executor, listLiveWorkers(), logException); },
                    [&](AppendRecords &append) { startAppend(std::move(append.records), true); },
                    [&](const StepDown &rejection) { stepDown("a worker has seen a newer owner", rejection); },
+                   [&](const RunEnded &end) { logEvent(end); },
+                   [&](const JobEnded &end) { logEvent(end); },
                    [](const auto &event) { logAction(event); },
                },
                action);
 }
 
+void TopicOwner::logEvent(const RunEnded &end)
+{
+    if (isRoutine(end)) {
+        m_runLog.completed(end, m_clock.now());
+    } else {
+        logAction(end);
+    }
+}
+
+void TopicOwner::logEvent(const JobEnded &end)
+{
+    m_runLog.writeJob(end.jobId, m_clock.now());
+    logAction(end);
+}
+
 void TopicOwner::startAppend(std::vector<KeyedRecord> records, bool isBatch)
 {
     if (!m_term) {
@@ -385,7 +404,11 @@
 {
     const TimePoint sentAt = m_clock.now();
     const CommandResult result = co_await m_ports.workers.start(command);
-    logResult(command, result);
+    if (isRoutine(command, result)) {
+        m_runLog.started(command, m_clock.now());
+    } else {
+        logResult(command, result);
+    }
     m_metrics.observe("hyssop_start_seconds", m_clock.now() - sentAt);
     m_metrics.add("hyssop_starts_total", {{"outcome", resultName(result)}});
     if (m_term) {
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "claimpolicy.h"
+#include "runlog.h"
 
 #include <dispatch/dispatcher.h>
 #include <ports/storeresults.h>
@@ -95,6 +96,8 @@
     void updateWorkersNeed();
     boost::asio::awaitable<void> claim();
     void execute(DispatchAction action);
+    void logEvent(const RunEnded &end);
+    void logEvent(const JobEnded &end);
     void startAppend(std::vector<KeyedRecord> records, bool isBatch);
     boost::asio::awaitable<void> appendWithRetries(std::vector<KeyedRecord> records, bool isBatch, std::int64_t term);
     void appendAnswered(const TopicAppendResult &result, bool isBatch, TimePoint sentAt);
@@ -120,6 +123,7 @@
     ClaimPolicy m_claimPolicy;
     OwnerObservation m_ownerObservation;
     Dispatcher m_dispatcher;
+    RunLog m_runLog;
     WorkersNeedHandler m_workersNeedHandler;
     bool m_needsWorkers = false;
     std::map<std::string, WorkerInfo> m_workers; // empty unless they are needed
--- a/src/libs/observability/logging.cpp
+++ b/src/libs/observability/logging.cpp
@@ -17,7 +17,8 @@
 namespace Internal {
 
 // Parts of the limit that are not available to lines of lower priority.
-constexpr int StateChangeSharePercent = 30;
+constexpr int OutcomeSharePercent = 15;
+constexpr int StateChangeSharePercent = 15;
 constexpr int EssentialSharePercent = 10;
 
 struct LoggingState
@@ -92,9 +93,12 @@
 static int reservedLines(int linesPerSecond, LogPriority priority)
 {
     const int essentialLines = linesPerSecond * EssentialSharePercent / 100;
+    const int stateChangeLines = linesPerSecond * StateChangeSharePercent / 100;
     switch (priority) {
     case LogPriority::Routine:
-        return essentialLines + linesPerSecond * StateChangeSharePercent / 100;
+        return essentialLines + stateChangeLines + linesPerSecond * OutcomeSharePercent / 100;
+    case LogPriority::Outcome:
+        return essentialLines + stateChangeLines;
     case LogPriority::StateChange:
         return essentialLines;
     case LogPriority::Essential:
--- a/src/libs/ports/workercommands.h
+++ b/src/libs/ports/workercommands.h
@@ -30,6 +30,7 @@
     std::string ticket; // issued by the advice service; empty: none
     std::int64_t fencingToken = 0;
     WorkerTime leaseEnd{0}; // the worker rejects the command after this time
+    bool isServing = false; // a serving task; for logs and metrics, not sent to the worker
 };
 
 /// Why the owner stops a run; for logs and metrics, not sent to the worker.
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -87,3 +87,19 @@
     cr_assert(text.find("stepped down as owner") != std::string::npos);
     cr_assert(text.find("message=load epoch=3") != std::string::npos);
 }
+
+Test(ownerLog, theOutcomeOfARequestIsNotDisplacedByRoutineLines)
+{
+    const OwnerLog log;
+    for (int line = 0; line < 2 * LineLimit; ++line) {
+        logMessage(LogLevel::Info, "owner", "run results", {{"job_id", "j"}});
+    }
+    const TaskId task{"j", 0, 1, 2};
+    logResult(StartCommand{{"w", ""}, task, 4, "", "", "", 3001}, CommandNotSent{"refused"});
+    logAction(RunEnded{task, 4, "w", RunEndReason::LeaseExpired, 0});
+    logAction(JobEnded{"j", "completed", 700ms});
+    const std::string text = log.text();
+    cr_assert(text.find("outcome=unsent") != std::string::npos);
+    cr_assert(text.find("ending=lapsed") != std::string::npos);
+    cr_assert(text.find("message=\"job ended\" job_id=j outcome=completed after_ms=700") != std::string::npos);
+}
--- a/tests/libs/observability/testlogging.cpp
+++ b/tests/libs/observability/testlogging.cpp
@@ -67,3 +67,19 @@
     cr_assert_eq(count(text, "message=stepped"), 1);
     cr_assert_leq(count(text, "\n"), LineLimit);
 }
+
+Test(logging, manyOutcomesDropNeitherStateChangesNorWarnings)
+{
+    const CapturedOutput output;
+    initializeLogging(LogLevel::Info, LogFormat::KeyValue, "front");
+    setLogLineLimit(LineLimit);
+    for (int line = 0; line < 2 * LineLimit; ++line) {
+        logMessage(LogPriority::Outcome, LogLevel::Info, "owner", "ended");
+    }
+    logMessage(LogPriority::StateChange, LogLevel::Info, "owner", "unreachable");
+    logMessage(LogLevel::Warning, "owner", "stepped");
+    const std::string text = output.text();
+    cr_assert_gt(count(text, "message=ended"), LineLimit / 2);
+    cr_assert_eq(count(text, "message=unreachable"), 1);
+    cr_assert_eq(count(text, "message=stepped"), 1);
+}
