Let the end of a job tell why it was late

Seen: "job ended" had only the outcome and the time.

"job ended" now has the time until the first start, the last run with its worker and duration, and the numbers of failed, lapsed and stopped runs and of starts without response, not sent, refused and withdrawn. The counts are those of the owner that writes the line, since counted_from_ms. Withdrawn starts are in "run results".

Failed before: without the counts "testownerevents.cpp:178: *history.firstStart - events[0].countedFrom > 900ms ... is false", without the event "testownerevents.cpp:199: (events.size()) == (1) is false".

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "jobhistory.h"
+
 #include <ports/commandresults.h>
 #include <ports/keyedrecord.h>
 
@@ -56,6 +58,17 @@
     std::string jobId;
     std::string phase;
     std::chrono::milliseconds sinceAccepted{0};
+    bool hasStarted = false; // a worker has confirmed a run
+    std::chrono::milliseconds countedFrom{0}; // time from the acceptance to the beginning of the term
+    JobHistory history; // in this term
+};
+
+/// Log event: a run was assigned to a worker, and its start command was not sent.
+struct StartWithdrawn
+{
+    TaskId task;
+    int run = 0;
+    std::string worker;
 };
 
 /// Log event: the process of a worker has restarted under the same id, or must be assumed to have.
@@ -138,6 +151,7 @@
                                     StepDown,
                                     RunEnded,
                                     JobEnded,
+                                    StartWithdrawn,
                                     WorkerRestarted,
                                     WorkerLeaseExpired,
                                     WorkerProcessEnded,
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -42,6 +42,7 @@
     m_readAt = claimedAt;
     m_workersReadAt.reset();
     m_termBeganAt = claimedAt;
+    m_termWallMs.reset();
     m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claimedAt, afterHandover);
     m_jobs.clear();
     m_workers.clear();
@@ -130,6 +131,7 @@
 std::vector<DispatchAction> Dispatcher::advance(TimePoint now, WallTime wall)
 {
     m_wallMs = sinceEpoch(wall).count();
+    m_termWallMs = m_termWallMs.value_or(m_wallMs);
     reportWorkerChanges(now);
     expireLeases(now);
     repeatUnconfirmedStops(now);
@@ -240,7 +242,9 @@
 void Dispatcher::reportEnd(const JobExecution &job)
 {
     const char *phase = job.completed ? "completed" : job.failed ? "failed" : "cancelled";
-    m_actions.emplace_back(JobEnded{job.id, phase, std::chrono::milliseconds(job.endedAtMs - job.submission.acceptedAtMs)});
+    const std::chrono::milliseconds sinceAccepted(job.endedAtMs - job.submission.acceptedAtMs);
+    const std::chrono::milliseconds countedFrom(std::max<std::int64_t>(m_termWallMs.value_or(m_wallMs) - job.submission.acceptedAtMs, 0));
+    m_actions.emplace_back(JobEnded{job.id, phase, sinceAccepted, job.hasStarted, countedFrom, job.history});
 }
 
 void Dispatcher::endJob(JobExecution &job, TimePoint now)
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -167,6 +167,11 @@
     void adjustSpeeds(WorkerState &worker, const WorkerReport &report, TimePoint now);
 
     void sendStart(const TaskId &id, TaskExecution &task, TimePoint now);
+    void withdrawStart(const TaskId &id, TaskExecution &task, TimePoint now);
+
+    /// Counts what the log line about the end of the job says.
+    void recordStartResult(const StartCommand &command, const CommandResult &result);
+    static void recordRunEnd(JobHistory &history, const TaskId &id, const TaskExecution &task, RunEndReason endReason, TimePoint now);
 
     /// Marks the job of @p id as running, because a worker has confirmed a run of it.
     void markStarted(const TaskId &id);
@@ -210,6 +215,7 @@
     std::optional<TimePoint> m_workersReadAt; // all registrations up to then were read; none: not in this term
     TimePoint m_earlierLeasesEnd{};
     std::int64_t m_wallMs = 0; // Unix time of the last advance()
+    std::optional<std::int64_t> m_termWallMs; // Unix time of the first advance() of the term
     JobRegistry m_jobs;
     std::map<std::string, WorkerState> m_workers;
     RestartCounts m_removedWorkersRestarts; // suspected restarts in this term of workers that were removed
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -36,7 +36,7 @@
     const JobExecution *job = m_jobs.find(id.job);
     WorkerState *worker = findWorker(task.worker);
     if (job == nullptr || worker == nullptr || job->isEnded() || !canStartOn(*worker, now)) {
-        abandonRun(id, task, now);
+        withdrawStart(id, task, now);
         return;
     }
     StartCommand command;
@@ -59,8 +59,36 @@
     m_actions.emplace_back(std::move(command));
 }
 
+void Dispatcher::withdrawStart(const TaskId &id, TaskExecution &task, TimePoint now)
+{
+    if (JobExecution *job = m_jobs.find(id.job)) {
+        ++job->history.startsWithdrawn;
+    }
+    m_actions.emplace_back(StartWithdrawn{id, task.run, task.worker});
+    abandonRun(id, task, now);
+}
+
+void Dispatcher::recordStartResult(const StartCommand &command, const CommandResult &result)
+{
+    JobExecution *job = m_jobs.find(command.task.job);
+    if (job == nullptr) {
+        return;
+    }
+    JobHistory &history = job->history;
+    std::visit(Overloaded{
+                   [](const CommandExecuted &) {},
+                   [&](const CommandRejected &) { ++history.startsRejected; },
+                   [&](const CommandNotSent &) { ++history.startsNotSent; },
+                   [&](const CommandUndetermined &) { ++history.startsWithoutResponse; },
+               },
+               result);
+}
+
 void Dispatcher::startAnswered(const StartCommand &command, const CommandResult &result, TimePoint now)
 {
+    if (isOfThisTerm(command.fencingToken)) {
+        recordStartResult(command, result);
+    }
     TaskExecution *task = m_jobs.task(command.task);
     const bool isCurrent = task != nullptr && task->run == command.run && task->worker == command.worker.id;
     if (!isOfThisTerm(command.fencingToken) || !isCurrent || task->phase != TaskPhase::Starting) {
@@ -108,6 +136,7 @@
     JobExecution *job = m_jobs.find(id.job);
     if (job != nullptr && !job->hasStarted) {
         job->hasStarted = true;
+        job->history.firstStart = std::chrono::milliseconds(m_wallMs - job->submission.acceptedAtMs);
         m_jobs.markChanged(*job);
     }
 }
@@ -252,6 +281,7 @@
         recordFailedRun(id, task, now);
     }
     recordEndedBestEffortRun(id, task, now);
+    recordRunEnd(job->history, id, task, endReason, now);
     m_actions.emplace_back(RunEnded{id, task.run, task.worker, endReason, task.failures, isLongRunning});
     if (endReason == RunEndReason::Completed && !isLongRunning) {
         markDone(id, task);
@@ -266,6 +296,35 @@
     }
 }
 
+void Dispatcher::recordRunEnd(JobHistory &history, const TaskId &id, const TaskExecution &task, RunEndReason endReason, TimePoint now)
+{
+    history.lastTask = id;
+    history.lastRun = task.run;
+    history.lastWorker = task.worker;
+    history.lastRunTime.reset();
+    if (task.confirmedAt != TimePoint()) {
+        history.lastRunTime = std::chrono::duration_cast<std::chrono::milliseconds>(now - task.confirmedAt);
+    }
+    switch (endReason) {
+    case RunEndReason::Completed:
+        ++history.completedRuns;
+        return;
+    case RunEndReason::Failed:
+        ++history.failedRuns;
+        return;
+    case RunEndReason::Stopped:
+        ++history.stoppedRuns;
+        return;
+    case RunEndReason::LeaseExpired:
+        ++history.lapsedRuns;
+        return;
+    case RunEndReason::PeerEnded:
+    case RunEndReason::GangIncomplete:
+        ++history.incompleteRuns;
+        return;
+    }
+}
+
 void Dispatcher::recordEndedBestEffortRun(const TaskId &id, const TaskExecution &task, TimePoint now)
 {
     WorkerState *worker = findWorker(task.worker);
--- a/src/libs/dispatch/jobexecution.h
+++ b/src/libs/dispatch/jobexecution.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobhistory.h"
 #include "stepexecution.h"
 
 #include "hyssop_types.h"
@@ -24,6 +25,7 @@
     bool hasStarted = false; // a worker has confirmed a run
     bool submissionCompacted = false; // the submission of the ended job was, or is being, replaced by its compacted form
     std::int64_t endedAtMs = 0; // Unix time; 0: not ended
+    JobHistory history;
 
     bool isEnded() const { return cancelled || failed || completed; }
     int occurrenceCount() const { return submission.repeatCount > 0 ? submission.repeatCount : 1; }
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -248,10 +248,47 @@
                 {"idle_millicores", static_cast<long long>(load.idleMilliCores)}});
 }
 
+/// Returns a field with the time from the acceptance of a job to its first start.
+static LogField waitingField(const JobEnded &end)
+{
+    return end.hasStarted ? timeField("waiting_ms", end.history.firstStart) : LogField("waiting_ms", "not started");
+}
+
+/// Returns a field with the time from the first start of a job to its end.
+static LogField runningField(const JobEnded &end)
+{
+    std::optional<std::chrono::milliseconds> running;
+    if (end.history.firstStart) {
+        running = end.sinceAccepted - *end.history.firstStart;
+    }
+    return end.hasStarted ? timeField("running_ms", running) : LogField("running_ms", "not started");
+}
+
 void logAction(const JobEnded &end)
 {
-    logMessage(
-        LogPriority::Outcome, LogLevel::Info, "owner", "job ended", {{"job_id", end.jobId}, {"outcome", end.phase}, {"after_ms", end.sinceAccepted.count()}});
+    const JobHistory &history = end.history;
+    logMessage(LogPriority::Outcome,
+               LogLevel::Info,
+               "owner",
+               "job ended",
+               {{"job_id", end.jobId},
+                {"outcome", end.phase},
+                {"after_ms", end.sinceAccepted.count()},
+                waitingField(end),
+                runningField(end),
+                {"last_task", history.endedRuns() > 0 ? history.lastTask.toString() : std::string()},
+                {"last_run", history.lastRun},
+                {"last_worker", history.lastWorker},
+                timeField("last_run_ms", history.lastRunTime),
+                {"runs", history.endedRuns()},
+                {"failed", history.failedRuns},
+                {"lapsed", history.lapsedRuns},
+                {"stopped", history.stoppedRuns},
+                {"starts_without_response", history.startsWithoutResponse},
+                {"starts_not_sent", history.startsNotSent},
+                {"starts_refused", history.startsRejected},
+                {"starts_withdrawn", history.startsWithdrawn},
+                {"counted_from_ms", end.countedFrom.count()}});
 }
 
 } // namespace Hyssop
--- a/src/libs/node/runlog.cpp
+++ b/src/libs/node/runlog.cpp
@@ -35,6 +35,13 @@
     writeIfFull(command.task, results, now);
 }
 
+void RunLog::withdrawn(const StartWithdrawn &start, TimePoint now)
+{
+    StepResults &results = resultsOf(start.task, now);
+    results.withdrawn[start.worker].push_back({start.task.index, start.run});
+    writeIfFull(start.task, results, now);
+}
+
 void RunLog::completed(const RunEnded &end, TimePoint now)
 {
     StepResults &results = resultsOf(end.task, now);
@@ -87,7 +94,7 @@
     return text;
 }
 
-std::string RunLog::toString(const std::map<std::string, std::vector<RunOfTask>> &runsByWorker)
+std::string RunLog::toString(const RunsByWorker &runsByWorker)
 {
     std::string text;
     for (const auto &[worker, runs] : runsByWorker) {
@@ -106,6 +113,7 @@
                {{"job_id", jobId},
                 {"step", std::to_string(occurrence) + "." + std::to_string(index)},
                 {"started", toString(results.started)},
+                {"withdrawn", toString(results.withdrawn)},
                 {"completed", toString(results.completed)},
                 {"span_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - results.since).count()}});
 }
--- a/src/libs/node/runlog.h
+++ b/src/libs/node/runlog.h
@@ -19,6 +19,9 @@
     /// Takes the result of a start command that a worker has executed.
     void started(const StartCommand &command, TimePoint now);
 
+    /// Takes a start that was decided and not sent.
+    void withdrawn(const StartWithdrawn &start, TimePoint now);
+
     /// Takes the end of a run that has completed its task.
     void completed(const RunEnded &end, TimePoint now);
 
@@ -40,16 +43,19 @@
         int run = 0;
     };
 
+    using RunsByWorker = std::map<std::string, std::vector<RunOfTask>>;
+
     struct StepResults
     {
         TimePoint since{}; // first result
-        std::map<std::string, std::vector<RunOfTask>> started; // by worker
+        RunsByWorker started;
+        RunsByWorker withdrawn;
         std::vector<RunOfTask> completed;
         std::size_t count = 0;
     };
 
     static std::string toString(const std::vector<RunOfTask> &runs);
-    static std::string toString(const std::map<std::string, std::vector<RunOfTask>> &runsByWorker);
+    static std::string toString(const RunsByWorker &runsByWorker);
     static void write(const StepKey &step, const StepResults &results, TimePoint now);
 
     StepResults &resultsOf(const TaskId &task, TimePoint now);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -297,6 +297,7 @@
                    [&](const StepDown &rejection) { stepDown("a worker has seen a newer owner", rejection); },
                    [&](const RunEnded &end) { logEvent(end); },
                    [&](const JobEnded &end) { logEvent(end); },
+                   [&](const StartWithdrawn &start) { m_runLog.withdrawn(start, m_clock.now()); },
                    [](const auto &event) { logAction(event); },
                },
                action);
--- a/tests/libs/dispatch/eventharness.cpp
+++ b/tests/libs/dispatch/eventharness.cpp
@@ -35,6 +35,9 @@
         if (const auto *command = std::get_if<PollCommand>(&action)) {
             m_poll = *command;
         } else if (std::holds_alternative<AppendRecords>(action)) {
+            if (beforeRecordsStored) {
+                beforeRecordsStored();
+            }
             dispatcher.recordsStored(now);
         }
         actions.push_back(std::move(action));
@@ -78,6 +81,7 @@
         run.progressPercent = makesProgress ? (run.progressPercent + 1) % ProgressCycle : run.progressPercent;
     }
     report.runs = runs;
+    report.ends = ends;
     dispatcher.pollAnswered(*std::exchange(m_poll, std::nullopt), report, now, now);
 }
 
--- a/tests/libs/dispatch/eventharness.h
+++ b/tests/libs/dispatch/eventharness.h
@@ -4,6 +4,7 @@
 
 #include <dispatch/dispatcher.h>
 
+#include <functional>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -44,8 +45,10 @@
     TimePoint now{std::chrono::seconds(1000)};
     std::vector<DispatchAction> actions;
     std::vector<ReportedRun> runs; // in the next reports of the worker
+    std::vector<ReportedRunEnd> ends; // in the next reports of the worker
     bool makesProgress = true;
     bool readsWorkers = true; // the registrations of the workers are read
+    std::function<void()> beforeRecordsStored;
     std::chrono::milliseconds processStartedAt{0}; // in the next reports of the worker
     PollResult pollFailure = CommandUndetermined{"no response"};
 
--- a/tests/libs/dispatch/testownerevents.cpp
+++ b/tests/libs/dispatch/testownerevents.cpp
@@ -150,3 +150,54 @@
     cr_assert_eq(summary.registeredWorkers, 0);
     cr_assert_eq(summary.unreachableRuns, 2, "the runs of an unregistered worker count too");
 }
+
+Test(ownerEvents, theEndOfAJobTellsWhyItWasLate)
+{
+    EventHarness harness(2);
+    while (harness.all<StartCommand>().size() < 2) {
+        harness.advance(20ms);
+    }
+    const StartCommand first = harness.all<StartCommand>()[0];
+    const StartCommand second = harness.all<StartCommand>()[1];
+    harness.dispatcher.startAnswered(first, CommandUndetermined{"timeout"}, harness.now);
+    harness.dispatcher.startAnswered(second, CommandNotSent{"connection refused"}, harness.now);
+    harness.advance(1s);
+    harness.dispatcher.startAnswered(first, CommandExecuted{harness.clock()}, harness.now);
+    const StartCommand third = harness.all<StartCommand>().back();
+    cr_assert(third.task == second.task && third.run == 2);
+    harness.dispatcher.startAnswered(third, CommandExecuted{harness.clock()}, harness.now);
+    harness.runs = {{first.task, 1, "", 0, 0}, {third.task, 2, "", 0, 0}};
+    harness.advance(2s);
+    harness.runs.clear();
+    harness.ends = {{1, first.task, 1, RunEndReason::Completed, ""}, {2, third.task, 2, RunEndReason::Completed, ""}};
+    harness.advance(100ms);
+    const auto events = harness.all<JobEnded>();
+    cr_assert_eq(events.size(), 1);
+    const JobHistory &history = events[0].history;
+    cr_assert(events[0].hasStarted);
+    cr_assert(*history.firstStart - events[0].countedFrom > 900ms && *history.firstStart - events[0].countedFrom < 1500ms);
+    cr_assert_eq(history.startsWithoutResponse, 1);
+    cr_assert_eq(history.startsNotSent, 1);
+    cr_assert_eq(history.endedRuns(), 2);
+    cr_assert_eq(history.completedRuns, 2);
+    cr_assert(history.lastTask == third.task);
+    cr_assert_eq(history.lastRun, 2);
+    cr_assert_eq(history.lastWorker, "w");
+    cr_assert(*history.lastRunTime > 1900ms && *history.lastRunTime < 2200ms);
+}
+
+Test(ownerEvents, aStartThatIsNotSentIsReported)
+{
+    EventHarness harness;
+    WorkerInfo info = harness.worker();
+    harness.beforeRecordsStored = [&harness, &info] {
+        info.draining = info.draining || harness.dispatcher.openRuns() > 0;
+        harness.dispatcher.updateWorker(info);
+    };
+    harness.advance(1s);
+    const auto events = harness.all<StartWithdrawn>();
+    cr_assert_eq(events.size(), 1);
+    cr_assert_eq(events[0].worker, "w");
+    cr_assert_eq(events[0].run, 1);
+    cr_assert(harness.all<StartCommand>().empty());
+}
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -97,9 +97,42 @@
     const TaskId task{"j", 0, 1, 2};
     logResult(StartCommand{{"w", ""}, task, 4, "", "", "", 3001}, CommandNotSent{"refused"});
     logAction(RunEnded{task, 4, "w", RunEndReason::LeaseExpired, 0});
-    logAction(JobEnded{"j", "completed", 700ms});
+    logAction(JobEnded{"j", "completed", 700ms, true, 0ms, {}});
     const std::string text = log.text();
     cr_assert(text.find("outcome=unsent") != std::string::npos);
     cr_assert(text.find("ending=lapsed") != std::string::npos);
     cr_assert(text.find("message=\"job ended\" job_id=j outcome=completed after_ms=700") != std::string::npos);
 }
+
+Test(ownerLog, theEndOfAJobTellsWhyItWasLate)
+{
+    const OwnerLog log;
+    JobEnded end{"j", "completed", 9552ms, true, 0ms, {}};
+    end.history.firstStart = 1200ms;
+    end.history.completedRuns = 19;
+    end.history.failedRuns = 1;
+    end.history.startsWithoutResponse = 2;
+    end.history.startsWithdrawn = 20;
+    end.history.lastTask = {"j", 0, 1, 2};
+    end.history.lastRun = 2;
+    end.history.lastWorker = "w";
+    end.history.lastRunTime = 700ms;
+    logAction(end);
+    end.hasStarted = false;
+    end.phase = "cancelled";
+    end.history = {};
+    logAction(end);
+    end.hasStarted = true;
+    end.countedFrom = 9000ms;
+    logAction(end);
+    const std::string text = log.text();
+    expectLine(text,
+               "message=\"job ended\" job_id=j outcome=completed after_ms=9552 waiting_ms=1200 running_ms=8352 last_task=j.0.1.2 last_run=2 last_worker=w "
+               "last_run_ms=700 runs=20 failed=1 lapsed=0 stopped=0 starts_without_response=2 starts_not_sent=0 starts_refused=0 starts_withdrawn=20 "
+               "counted_from_ms=0");
+    expectLine(text,
+               "message=\"job ended\" job_id=j outcome=cancelled after_ms=9552 waiting_ms=\"not started\" running_ms=\"not started\" last_task=\"\" "
+               "last_run=0 last_worker=\"\" last_run_ms=unknown runs=0 failed=0 lapsed=0 stopped=0 starts_without_response=0 starts_not_sent=0 "
+               "starts_refused=0 starts_withdrawn=0 counted_from_ms=0");
+    cr_assert(text.find("waiting_ms=unknown running_ms=unknown") != std::string::npos, "an earlier owner started it");
+}
--- a/tests/libs/node/testrunlog.cpp
+++ b/tests/libs/node/testrunlog.cpp
@@ -67,10 +67,10 @@
     runs.writeDue(Begin + 500ms);
     runs.writeDue(Begin + 2s);
     cr_assert_eq(log.lineCount(), 1);
-    log.expect("message=\"run results\" job_id=j step=0.1 started=v:0-19;w:20-49 completed=\"\" span_ms=500");
+    log.expect("message=\"run results\" job_id=j step=0.1 started=v:0-19;w:20-49 withdrawn=\"\" completed=\"\" span_ms=500");
 }
 
-Test(runLog, laterRunsAndGapsAreNamed)
+Test(runLog, laterRunsGapsAndWithdrawnStartsAreNamed)
 {
     const CapturedLog log;
     RunLog runs;
@@ -78,10 +78,12 @@
         runs.started(start("j", index, 1, "w"), Begin);
     }
     runs.started(start("j", 2, 2, "w"), Begin);
+    runs.withdrawn({{"j", 0, 1, 1}, 1, "w"}, Begin);
+    runs.withdrawn({{"j", 0, 1, 1}, 2, "v"}, Begin);
     runs.completed(completion("j", 5, 1), Begin + 100ms);
     runs.completed(completion("j", 6, 3), Begin + 100ms);
     runs.writeAll(Begin + 200ms);
-    log.expect("message=\"run results\" job_id=j step=0.1 started=w:0-1,3,7,2/2 completed=5,6/3 span_ms=200");
+    log.expect("message=\"run results\" job_id=j step=0.1 started=w:0-1,3,7,2/2 withdrawn=v:1/2;w:1 completed=5,6/3 span_ms=200");
 }
 
 Test(runLog, theRunsOfAJobAreWrittenBeforeItsEnd)
@@ -93,7 +95,7 @@
     runs.started(start("k", 0, 1, "w"), Begin);
     runs.writeJob("j", Begin + 20ms);
     cr_assert_eq(log.lineCount(), 1);
-    log.expect("job_id=j step=0.1 started=w:0 completed=\"\" span_ms=20");
+    log.expect("job_id=j step=0.1 started=w:0 withdrawn=\"\" completed=\"\" span_ms=20");
     runs.writeJob("j", Begin + 20ms);
     cr_assert_eq(log.lineCount(), 1, "each result is written once");
     runs.writeAll(Begin + 40ms);
@@ -112,5 +114,5 @@
     cr_assert_eq(log.lineCount(), 3);
     log.expect("started="
                + std::string("w:400,402,404,406,408,410,412,414,416,418,420,422,424,426,428,430,432,434,436,438,440,442,444,446,448,450,452,454,456,"
-                             "458,460,462,464,466,468,470,472,474,476,478,480,482,484,486,488,490,492,494,496,498 completed=\"\" span_ms=0"));
+                             "458,460,462,464,466,468,470,472,474,476,478,480,482,484,486,488,490,492,494,496,498 withdrawn=\"\" completed=\"\" span_ms=0"));
 }
