Combine exceptional results of runs when there are too many

Of 337 jobs accepted between 37 and 45 s, 196 had no "job ended".

Cause: each exceptional result has a line of its own, also if there are more than the limit of lines; the confirmed stops of best-effort tasks alone are up to 80 a second, each with two lines. The combined lines were not bounded in number either.

At most 60 exceptional results a second have a line of their own, the others and confirmed stops are listed in "run results", so that none is lost. These lines are written at most twice in a tick, the oldest first. Serving tasks keep a line for each result.

Before, there was nothing to test: each exceptional result wrote its line unconditionally.

--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -216,7 +216,7 @@
 {
     const WorkerState *worker = findWorker(task.worker);
     if (worker != nullptr && !worker->info.address.empty()) {
-        m_actions.emplace_back(StopCommand{addressOf(*worker), id, task.run, tokenFor(*worker), task.stopReason});
+        m_actions.emplace_back(StopCommand{addressOf(*worker), id, task.run, tokenFor(*worker), task.stopReason, isServingTask(id)});
     }
 }
 
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -50,7 +50,7 @@
     return "unknown";
 }
 
-static const char *endReasonName(RunEndReason endReason)
+const char *endReasonName(RunEndReason endReason)
 {
     switch (endReason) {
     case RunEndReason::Completed:
@@ -74,6 +74,11 @@
     return !command.isServing && std::holds_alternative<CommandExecuted>(result);
 }
 
+bool isRoutine(const StopCommand &command, const CommandResult &result)
+{
+    return !command.isServing && command.reason != StopReason::Orphaned && std::holds_alternative<CommandExecuted>(result);
+}
+
 bool isRoutine(const RunEnded &end)
 {
     return !end.isServing && end.endReason == RunEndReason::Completed;
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -12,6 +12,7 @@
 
 /// Returns true if the result needs no line of its own: RunLog combines it with others.
 bool isRoutine(const StartCommand &command, const CommandResult &result);
+bool isRoutine(const StopCommand &command, const CommandResult &result);
 bool isRoutine(const RunEnded &end);
 
 /// Logs an action of the dispatcher that changes the owner's state.
@@ -43,6 +44,9 @@
 /// Returns the outcome of a command for logs and metrics.
 const char *resultName(const CommandResult &result);
 
+/// Returns the way in which a run has ended for logs.
+const char *endReasonName(RunEndReason endReason);
+
 /// Returns @p reason for logs and metrics.
 const char *stopReasonName(StopReason reason);
 
--- a/src/libs/node/runlog.cpp
+++ b/src/libs/node/runlog.cpp
@@ -9,7 +9,9 @@
 
 namespace Internal {
 
-constexpr std::chrono::milliseconds MaximumDelay{500};
+constexpr std::chrono::milliseconds MinimumDelay{1000};
+constexpr std::size_t MaximumDueLines = 2; // in a call
+constexpr int MaximumOwnLines = 60; // in a second
 // Bounds the length of a line.
 constexpr std::size_t MaximumResults = 100;
 
@@ -49,15 +51,36 @@
     writeIfFull(end.task, results, now);
 }
 
+bool RunLog::takesOwnLine(TimePoint now)
+{
+    if (now - m_secondStartedAt >= std::chrono::seconds(1)) {
+        m_secondStartedAt = now;
+        m_ownLines = 0;
+    }
+    return m_ownLines++ < Internal::MaximumOwnLines;
+}
+
+void RunLog::other(const std::string &result, const TaskId &task, int run, const std::string &worker, TimePoint now)
+{
+    StepResults &results = resultsOf(task, now);
+    results.others[result][worker].push_back({task.index, run});
+    writeIfFull(task, results, now);
+}
+
 void RunLog::writeDue(TimePoint now)
 {
-    std::erase_if(m_steps, [now](const auto &item) {
-        const bool isDue = now - item.second.since >= Internal::MaximumDelay;
-        if (isDue) {
-            write(item.first, item.second, now);
+    using Item = std::map<StepKey, StepResults>::const_iterator;
+    std::vector<Item> due;
+    for (Item item = m_steps.cbegin(); item != m_steps.cend(); ++item) {
+        if (now - item->second.since >= Internal::MinimumDelay) {
+            due.push_back(item);
         }
-        return isDue;
-    });
+    }
+    std::ranges::sort(due, {}, [](const Item &item) { return item->second.since; });
+    for (std::size_t index = 0; index < due.size() && index < Internal::MaximumDueLines; ++index) {
+        write(due[index]->first, due[index]->second, now);
+        m_steps.erase(due[index]);
+    }
 }
 
 void RunLog::writeJob(const std::string &jobId, TimePoint now)
@@ -104,6 +127,16 @@
     return text;
 }
 
+std::string RunLog::toString(const std::map<std::string, RunsByWorker> &others)
+{
+    std::string text;
+    for (const auto &[result, runs] : others) {
+        text += text.empty() ? "" : ",";
+        text += result + "(" + toString(runs) + ")";
+    }
+    return text;
+}
+
 void RunLog::write(const StepKey &step, const StepResults &results, TimePoint now)
 {
     const auto &[jobId, occurrence, index] = step;
@@ -115,6 +148,7 @@
                 {"started", toString(results.started)},
                 {"withdrawn", toString(results.withdrawn)},
                 {"completed", toString(results.completed)},
+                {"other", toString(results.others)},
                 {"span_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - results.since).count()}});
 }
 
--- a/src/libs/node/runlog.h
+++ b/src/libs/node/runlog.h
@@ -11,8 +11,8 @@
 
 namespace Hyssop {
 
-/// Combines the routine results of runs into few log lines. Each result is in exactly one line, which is written after a bounded
-/// time, or earlier if it has reached its size limit.
+/// Combines the results of runs into few log lines. Each result is in exactly one line. The lines that are due are written at a
+/// bounded rate, the oldest first; a line that has reached its size limit is written immediately.
 class RunLog
 {
 public:
@@ -25,7 +25,13 @@
     /// Takes the end of a run that has completed its task.
     void completed(const RunEnded &end, TimePoint now);
 
-    /// Writes the lines that are due.
+    /// Returns true if an exceptional result may have a line of its own. Its caller combines the others: they are too many.
+    bool takesOwnLine(TimePoint now);
+
+    /// Takes another result, for example "start-unsent".
+    void other(const std::string &result, const TaskId &task, int run, const std::string &worker, TimePoint now);
+
+    /// Writes the oldest lines that are due.
     void writeDue(TimePoint now);
 
     /// Writes the lines about @p jobId.
@@ -51,17 +57,21 @@
         RunsByWorker started;
         RunsByWorker withdrawn;
         std::vector<RunOfTask> completed;
+        std::map<std::string, RunsByWorker> others; // by result
         std::size_t count = 0;
     };
 
     static std::string toString(const std::vector<RunOfTask> &runs);
     static std::string toString(const RunsByWorker &runsByWorker);
+    static std::string toString(const std::map<std::string, RunsByWorker> &others);
     static void write(const StepKey &step, const StepResults &results, TimePoint now);
 
     StepResults &resultsOf(const TaskId &task, TimePoint now);
     void writeIfFull(const TaskId &task, StepResults &results, TimePoint now);
 
     std::map<StepKey, StepResults> m_steps;
+    TimePoint m_secondStartedAt{};
+    int m_ownLines = 0; // in this second
 };
 
 } // namespace Hyssop
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -303,12 +303,26 @@
                action);
 }
 
+template<typename Command>
+void TopicOwner::logCommandResult(const char *name, const Command &command, const CommandResult &result)
+{
+    const TimePoint now = m_clock.now();
+    if (command.isServing || (!isRoutine(command, result) && m_runLog.takesOwnLine(now))) {
+        logResult(command, result);
+    } else {
+        m_runLog.other(std::string(name) + "-" + resultName(result), command.task, command.run, command.worker.id, now);
+    }
+}
+
 void TopicOwner::logEvent(const RunEnded &end)
 {
+    const TimePoint now = m_clock.now();
     if (isRoutine(end)) {
-        m_runLog.completed(end, m_clock.now());
-    } else {
+        m_runLog.completed(end, now);
+    } else if (end.isServing || m_runLog.takesOwnLine(now)) {
         logAction(end);
+    } else {
+        m_runLog.other(std::string("run-") + endReasonName(end.endReason), end.task, end.run, end.worker, now);
     }
 }
 
@@ -408,7 +422,7 @@
     if (isRoutine(command, result)) {
         m_runLog.started(command, m_clock.now());
     } else {
-        logResult(command, result);
+        logCommandResult("start", command, result);
     }
     m_metrics.observe("hyssop_start_seconds", m_clock.now() - sentAt);
     m_metrics.add("hyssop_starts_total", {{"outcome", resultName(result)}});
@@ -420,7 +434,7 @@
 asio::awaitable<void> TopicOwner::sendStop(StopCommand command)
 {
     const CommandResult result = co_await m_ports.workers.stop(command);
-    logResult(command, result);
+    logCommandResult("stop", command, result);
     m_metrics.add("hyssop_stops_total", {{"outcome", resultName(result)}});
     m_metrics.add("hyssop_stop_reasons_total", {{"reason", stopReasonName(command.reason)}});
     if (m_term) {
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -96,6 +96,8 @@
     void updateWorkersNeed();
     boost::asio::awaitable<void> claim();
     void execute(DispatchAction action);
+    template<typename Command>
+    void logCommandResult(const char *name, const Command &command, const CommandResult &result);
     void logEvent(const RunEnded &end);
     void logEvent(const JobEnded &end);
     void startAppend(std::vector<KeyedRecord> records, bool isBatch);
--- a/src/libs/ports/workercommands.h
+++ b/src/libs/ports/workercommands.h
@@ -53,6 +53,7 @@
     int run = 0;
     std::int64_t fencingToken = 0;
     StopReason reason = StopReason::JobEnded;
+    bool isServing = false; // a serving task; for logs and metrics, not sent to the worker
 };
 
 /// Sets the share of time during which a running task may execute (duty cycle).
