Report when and why no task is started at all

Nothing says that starts were withheld, since when, and which topic was read late.

The owner writes "starts withheld" with the ages of both reads when it ceases to start tasks, and "starts resumed" with the time in between; hyssop_starts_withheld_seconds_total counts the time. The lines are written on a change only.

Before, there was no such event; the test of the event does not compile on the code before.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -141,6 +141,19 @@
     std::optional<std::chrono::milliseconds> sinceReport; // none: this is its first report in this term
 };
 
+/// Log event: no task is started from now on, because reading a topic lags behind.
+struct StartsWithheld
+{
+    std::chrono::milliseconds jobsReadAge{0}; // age of the last read of the job topic
+    std::optional<std::chrono::milliseconds> workersReadAge; // the same for the registrations; none: not read in this term
+};
+
+/// Log event: tasks are started again.
+struct StartsResumed
+{
+    std::chrono::milliseconds withheldFor{0};
+};
+
 using DispatchAction = std::variant<StartCommand,
                                     StopCommand,
                                     ThrottleCommand,
@@ -159,6 +172,8 @@
                                     WorkerDraining,
                                     WorkerUnregistered,
                                     WorkerUnreachable,
-                                    WorkerReachableAgain>;
+                                    WorkerReachableAgain,
+                                    StartsWithheld,
+                                    StartsResumed>;
 
 } // namespace Hyssop
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -41,6 +41,7 @@
     m_confirmedAt = claimedAt;
     m_readAt = claimedAt;
     m_workersReadAt.reset();
+    m_startsWithheldSince.reset();
     m_termBeganAt = claimedAt;
     m_termWallMs.reset();
     m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claimedAt, afterHandover);
@@ -133,6 +134,7 @@
     m_wallMs = sinceEpoch(wall).count();
     m_termWallMs = m_termWallMs.value_or(m_wallMs);
     reportWorkerChanges(now);
+    reportWithheldStarts(now);
     expireLeases(now);
     repeatUnconfirmedStops(now);
     endStoppedRuns(now);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -66,6 +66,9 @@
     /// Returns how far reading the topic lags behind.
     Duration readLag(TimePoint now) const { return now - m_readAt; }
 
+    /// Returns true if no task is started at present, whatever its worker.
+    bool areStartsWithheld() const { return m_startsWithheldSince.has_value(); }
+
     void startAnswered(const StartCommand &command, const CommandResult &result, TimePoint now);
     void stopAnswered(const StopCommand &command, const CommandResult &result, TimePoint now);
     void throttleAnswered(const ThrottleCommand &command, const CommandResult &result, TimePoint now);
@@ -118,6 +121,7 @@
 
     /// Reports registrations, drains and withdrawals since the last call as log events.
     void reportWorkerChanges(TimePoint now);
+    void reportWithheldStarts(TimePoint now);
     void reportUnreachable(const WorkerState &worker, const std::string &reason, TimePoint now);
     void removeUnregisteredWorkers();
     void expireLeases(TimePoint now);
@@ -213,6 +217,7 @@
     TimePoint m_readAt{}; // all records up to then were read
     TimePoint m_termBeganAt{};
     std::optional<TimePoint> m_workersReadAt; // all registrations up to then were read; none: not in this term
+    std::optional<TimePoint> m_startsWithheldSince;
     TimePoint m_earlierLeasesEnd{};
     std::int64_t m_wallMs = 0; // Unix time of the last advance()
     std::optional<std::int64_t> m_termWallMs; // Unix time of the first advance() of the term
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -26,6 +26,26 @@
     return knowsLeavingWorkers && m_leasePolicy.canStart(now, m_readAt);
 }
 
+void Dispatcher::reportWithheldStarts(TimePoint now)
+{
+    const bool isWithheld = !canStart(now);
+    if (isWithheld == m_startsWithheldSince.has_value()) {
+        return;
+    }
+    if (!isWithheld) {
+        const auto withheldFor = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_startsWithheldSince);
+        m_startsWithheldSince.reset();
+        m_actions.emplace_back(StartsResumed{withheldFor});
+        return;
+    }
+    m_startsWithheldSince = now;
+    StartsWithheld event{std::chrono::duration_cast<std::chrono::milliseconds>(now - m_readAt), {}};
+    if (m_workersReadAt) {
+        event.workersReadAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_workersReadAt);
+    }
+    m_actions.emplace_back(event);
+}
+
 bool Dispatcher::canStartOn(const WorkerState &worker, TimePoint now) const
 {
     return worker.isSchedulable(m_evacuated) && canStart(now);
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -204,6 +204,19 @@
         {{"worker", worker.worker}, {"open_runs", worker.openRuns}, {"failed_polls", worker.failedPolls}, timeField("since_report_ms", worker.sinceReport)});
 }
 
+void logAction(const StartsWithheld &withheld)
+{
+    logMessage(LogLevel::Warning,
+               "owner",
+               "starts withheld",
+               {{"jobs_read_age_ms", withheld.jobsReadAge.count()}, timeField("workers_read_age_ms", withheld.workersReadAge)});
+}
+
+void logAction(const StartsResumed &resumed)
+{
+    logMessage(LogPriority::Essential, LogLevel::Info, "owner", "starts resumed", {{"withheld_ms", resumed.withheldFor.count()}});
+}
+
 void logStepDown(std::int64_t term, const std::string &reason, const StepDown &rejection)
 {
     constexpr const char *Message = "stepped down as owner";
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -26,6 +26,8 @@
 void logAction(const WorkerUnregistered &worker);
 void logAction(const WorkerUnreachable &worker);
 void logAction(const WorkerReachableAgain &worker);
+void logAction(const StartsWithheld &withheld);
+void logAction(const StartsResumed &resumed);
 
 /// Logs that the ownership of @p term is given up. @p rejection is empty unless a worker's response is the reason.
 void logStepDown(std::int64_t term, const std::string &reason, const StepDown &rejection);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -163,6 +163,7 @@
             execute(std::move(action));
         }
         reportLoad(now);
+        countWithheldTime(now);
         const bool isReadLagging = m_dispatcher.readLag(now) > Internal::MaximumReadLag && now - m_lastAppend < Internal::ClaimRenewalInterval;
         if (m_term && isReadLagging && !m_appending) {
             co_await releaseOwnership("reading lags behind the growth of the job topic");
@@ -215,6 +216,7 @@
     m_sequence = m_table.claim()->sequence + 1;
     m_claimSentAt = TimePoint(); // the claim has appeared
     m_lastAppend = now;
+    m_lastTick = now;
     m_appending = false;
     m_dispatcher.beginTerm(*m_term, m_table, now, m_cleanHandover);
     m_dispatcher.applyConfiguration(m_config, m_evacuatedDomains);
@@ -415,6 +417,14 @@
     m_metrics.set("hyssop_term", static_cast<double>(term()));
 }
 
+void TopicOwner::countWithheldTime(TimePoint now)
+{
+    if (m_dispatcher.areStartsWithheld()) {
+        m_metrics.add("hyssop_starts_withheld_seconds_total", {}, std::chrono::duration<double>(now - m_lastTick).count());
+    }
+    m_lastTick = now;
+}
+
 asio::awaitable<void> TopicOwner::sendStart(StartCommand command)
 {
     const TimePoint sentAt = m_clock.now();
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -106,6 +106,7 @@
     boost::asio::awaitable<void> releaseOwnership(std::string reason);
     KeyedRecord claimRecord(bool released) const;
     void reportLoad(TimePoint now);
+    void countWithheldTime(TimePoint now);
     boost::asio::awaitable<void> sendStart(StartCommand command);
     boost::asio::awaitable<void> sendStop(StopCommand command);
     boost::asio::awaitable<void> sendThrottle(ThrottleCommand command);
@@ -137,6 +138,7 @@
     std::int64_t m_sequence = 0; // of the next append
     TimePoint m_lastAppend{};
     TimePoint m_lastLoadReport{};
+    TimePoint m_lastTick{}; // while this instance is the owner
     bool m_appending = false;
     bool m_claiming = false;
     bool m_cleanHandover = false; // the claim sent last follows a release by an owner, after all leases of previous owners had expired
--- a/tests/libs/dispatch/testownerevents.cpp
+++ b/tests/libs/dispatch/testownerevents.cpp
@@ -201,3 +201,22 @@
     cr_assert_eq(events[0].run, 1);
     cr_assert(harness.all<StartCommand>().empty());
 }
+
+Test(ownerEvents, withheldStartsAreReportedWithTheAgesOfBothReads)
+{
+    EventHarness harness;
+    harness.advance(1s);
+    harness.readsWorkers = false;
+    harness.advance(5s);
+    cr_assert(harness.dispatcher.areStartsWithheld());
+    harness.readsWorkers = true;
+    harness.advance(1s);
+    cr_assert_not(harness.dispatcher.areStartsWithheld());
+    const auto withheld = harness.all<StartsWithheld>();
+    cr_assert_eq(withheld.size(), 1);
+    cr_assert(withheld[0].workersReadAge >= 2s && withheld[0].workersReadAge <= 2100ms);
+    cr_assert_leq(withheld[0].jobsReadAge.count(), 20);
+    const auto resumed = harness.all<StartsResumed>();
+    cr_assert_eq(resumed.size(), 1);
+    cr_assert(resumed[0].withheldFor >= 2900ms && resumed[0].withheldFor <= 3100ms);
+}
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -136,3 +136,14 @@
                "starts_refused=0 starts_withdrawn=0 counted_from_ms=0");
     cr_assert(text.find("waiting_ms=unknown running_ms=unknown") != std::string::npos, "an earlier owner started it");
 }
+
+Test(ownerLog, withheldStarts)
+{
+    const OwnerLog log;
+    logAction(StartsWithheld{40ms, 2010ms});
+    logAction(StartsWithheld{2510ms, std::nullopt});
+    logAction(StartsResumed{700ms});
+    expectLine(log.text(), "message=\"starts withheld\" jobs_read_age_ms=40 workers_read_age_ms=2010");
+    expectLine(log.text(), "message=\"starts withheld\" jobs_read_age_ms=2510 workers_read_age_ms=unknown");
+    expectLine(log.text(), "message=\"starts resumed\" withheld_ms=700");
+}
