Name the evidence of the end of a run

Seen: "run ended" with ending=lapsed is written both when a worker's report did not list the run any more, when its process had restarted or refused connections, when the machine was not in the list of live workers, and when nothing was known and the lease had to expire.

"run ended" names its evidence and the number of start commands that the worker may have executed. With more than one, a refused connection proves nothing. Refused connections and the list of live workers share one value, "process ended"; the line before tells them apart.

Before, the event had no such field; the tests of it do not compile on the code before.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -41,6 +41,16 @@
     std::string detail; // reported by the worker
 };
 
+/// How the owner learned that a run has ended.
+enum class RunEndEvidence {
+    Report, // a worker reported the end
+    MissingInReport, // the worker's report did not list the run any more
+    WorkerRestarted, // another process of the worker reported
+    ProcessEnded, // the worker refused connections, or is not in the list of live workers
+    StopConfirmed, // the stop was confirmed by a worker that did not report afterwards
+    LeaseExpired, // none: the lease must have expired
+};
+
 /// Log event: a run has ended.
 struct RunEnded
 {
@@ -50,6 +60,8 @@
     RunEndReason endReason = RunEndReason::Failed;
     int failures = 0; // failed runs of the task so far
     bool isServing = false; // a serving task
+    RunEndEvidence evidence = RunEndEvidence::Report;
+    int startsSent = 0; // start commands that the worker may have executed; 0: sent by an earlier owner
 };
 
 /// Log event: a job has ended.
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -18,6 +18,12 @@
 // Upper bound of the time by which responses are reordered.
 constexpr std::chrono::milliseconds ReorderingTolerance{1000};
 
+/// Returns the evidence of an end that neither a report nor a lease has told.
+static RunEndEvidence evidenceWithoutReport(RunEndReason endReason)
+{
+    return endReason == RunEndReason::Stopped ? RunEndEvidence::StopConfirmed : RunEndEvidence::ProcessEnded;
+}
+
 } // namespace Internal
 
 bool Dispatcher::canStart(TimePoint now) const
@@ -284,7 +290,8 @@
     }
 }
 
-void Dispatcher::endRun(const TaskId &id, TaskExecution &task, RunEndReason endReason, const std::string &checkpoint, TimePoint now)
+void Dispatcher::endRun(
+    const TaskId &id, TaskExecution &task, RunEndReason endReason, const std::string &checkpoint, TimePoint now, std::optional<RunEndEvidence> evidence)
 {
     JobExecution *job = m_jobs.find(id.job);
     if (endReason == RunEndReason::Completed || endReason == RunEndReason::Failed) {
@@ -302,7 +309,8 @@
     }
     recordEndedBestEffortRun(id, task, now);
     recordRunEnd(job->history, id, task, endReason, now);
-    m_actions.emplace_back(RunEnded{id, task.run, task.worker, endReason, task.failures, isLongRunning});
+    m_actions.emplace_back(RunEnded{
+        id, task.run, task.worker, endReason, task.failures, isLongRunning, evidence.value_or(Internal::evidenceWithoutReport(endReason)), task.startsSent});
     if (endReason == RunEndReason::Completed && !isLongRunning) {
         markDone(id, task);
         return;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -91,7 +91,7 @@
             if (run == nullptr) {
                 worker.removeRun(task);
             } else if (run->phase != TaskPhase::Assigned) {
-                endRun(task, *run, RunEndReason::LeaseExpired, {}, now);
+                endRun(task, *run, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::LeaseExpired);
             }
         }
     }
@@ -227,7 +227,7 @@
         } else if (kept.contains({id, task->run})) {
             continue;
         } else if (task->phase == TaskPhase::Running && task->confirmedAt <= confirmedUntil) {
-            endRun(id, *task, RunEndReason::LeaseExpired, {}, now);
+            endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::WorkerRestarted);
         } else if (task->phase != TaskPhase::Assigned) {
             beginStop(id, *task, StopReason::WorkerRestarted, now); // the start command may still reach the restarted worker, or has reached it
         }
@@ -243,11 +243,11 @@
     TaskExecution *task = m_jobs.task(end.task);
     if (task != nullptr && task->phase == TaskPhase::Pending && task->run == end.run && end.endReason == RunEndReason::Completed) {
         task->worker = worker.info.id; // the run was considered lost too early
-        endRun(end.task, *task, end.endReason, end.checkpoint, now);
+        endRun(end.task, *task, end.endReason, end.checkpoint, now, RunEndEvidence::Report);
         return;
     }
     if (task != nullptr && task->isOpen() && task->worker == worker.info.id && task->run == end.run) {
-        endRun(end.task, *task, end.endReason, end.checkpoint, now);
+        endRun(end.task, *task, end.endReason, end.checkpoint, now, RunEndEvidence::Report);
     }
 }
 
@@ -338,7 +338,7 @@
         const bool ran = task->phase == TaskPhase::Running && task->confirmedAt <= sentAt;
         const bool stopped = task->phase == TaskPhase::Stopping && task->stopConfirmed && task->confirmedAt <= sentAt;
         if (adopted || ran || stopped) {
-            endRun(id, *task, RunEndReason::LeaseExpired, {}, now);
+            endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::MissingInReport);
         } else if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
             task->phaseSince = now;
             sendStop(id, *task);
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -116,6 +116,25 @@
     logRunCommand(LogLevel::Debug, "throttle command result", command, {"percent", command.speedPercent}, result);
 }
 
+static const char *evidenceName(RunEndEvidence evidence)
+{
+    switch (evidence) {
+    case RunEndEvidence::Report:
+        return "report";
+    case RunEndEvidence::MissingInReport:
+        return "missing in report";
+    case RunEndEvidence::WorkerRestarted:
+        return "worker restarted";
+    case RunEndEvidence::ProcessEnded:
+        return "process ended";
+    case RunEndEvidence::StopConfirmed:
+        return "stop confirmed";
+    case RunEndEvidence::LeaseExpired:
+        return "lease expired";
+    }
+    return "unknown";
+}
+
 void logAction(const RunEnded &end)
 {
     logMessage(LogPriority::Outcome,
@@ -127,7 +146,9 @@
                 {"run", end.run},
                 {"worker", end.worker},
                 {"ending", endReasonName(end.endReason)},
-                {"failures", end.failures}});
+                {"failures", end.failures},
+                {"evidence", evidenceName(end.evidence)},
+                {"starts", end.startsSent}});
 }
 
 void logAction(const WorkerRestarted &worker)
--- a/tests/libs/dispatch/testownerevents.cpp
+++ b/tests/libs/dispatch/testownerevents.cpp
@@ -220,3 +220,32 @@
     cr_assert_eq(resumed.size(), 1);
     cr_assert(resumed[0].withheldFor >= 2900ms && resumed[0].withheldFor <= 3100ms);
 }
+
+Test(ownerEvents, theEndOfARunNamesItsEvidence)
+{
+    EventHarness harness(3);
+    harness.startAllTasks();
+    harness.advance(1s);
+    harness.ends = {{1, harness.runs[0].task, 1, RunEndReason::Completed, ""}};
+    harness.runs.erase(harness.runs.begin(), harness.runs.begin() + 2);
+    harness.advance(1s);
+    harness.advance(15s, false);
+    const auto events = harness.all<RunEnded>();
+    cr_assert_geq(events.size(), 3);
+    cr_assert(events[0].evidence == RunEndEvidence::Report);
+    cr_assert_eq(events[0].startsSent, 1);
+    cr_assert(events[1].evidence == RunEndEvidence::MissingInReport);
+    cr_assert(events[2].evidence == RunEndEvidence::LeaseExpired);
+}
+
+Test(ownerEvents, theEndOfARunNamesTheRefusedConnection)
+{
+    EventHarness harness;
+    harness.startAllTasks();
+    harness.advance(1s);
+    harness.pollFailure = WorkerNotListening{"connection refused"};
+    harness.advance(1s, false);
+    const auto events = harness.all<RunEnded>();
+    cr_assert_eq(events.size(), 1);
+    cr_assert(events[0].evidence == RunEndEvidence::ProcessEnded);
+}
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -96,7 +96,7 @@
     }
     const TaskId task{"j", 0, 1, 2};
     logResult(StartCommand{{"w", ""}, task, 4, "", "", "", 3001}, CommandNotSent{"refused"});
-    logAction(RunEnded{task, 4, "w", RunEndReason::LeaseExpired, 0});
+    logAction(RunEnded{task, 4, "w", RunEndReason::LeaseExpired, 0, false, RunEndEvidence::LeaseExpired, 1});
     logAction(JobEnded{"j", "completed", 700ms, true, 0ms, {}});
     const std::string text = log.text();
     cr_assert(text.find("outcome=unsent") != std::string::npos);
@@ -147,3 +147,10 @@
     expectLine(log.text(), "message=\"starts withheld\" jobs_read_age_ms=2510 workers_read_age_ms=unknown");
     expectLine(log.text(), "message=\"starts resumed\" withheld_ms=700");
 }
+
+Test(ownerLog, theEndOfARunNamesItsEvidence)
+{
+    const OwnerLog log;
+    logAction(RunEnded{{"j", 0, 1, 2}, 4, "w", RunEndReason::LeaseExpired, 0, true, RunEndEvidence::MissingInReport, 2});
+    expectLine(log.text(), "message=\"run ended\" job_id=j task=j.0.1.2 run=4 worker=w ending=lapsed failures=0 evidence=\"missing in report\" starts=2");
+}
