Tell how long a serving task had no run when it starts again

The owner's log has no line from which to learn the length of such a gap: the end of the run is one line, its start another, and either may be dropped. There is no metric of it at all.

The start of a serving task says without_run_ms: the time since the stop of its last run was decided or, if the worker was cut off, since its last report. hyssop_serving_gap_seconds has the same times. They begin anew with each owner.

Before, the command had no such field; the tests of it do not compile on the code before.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -171,6 +171,8 @@
     void adjustSpeeds(WorkerState &worker, const WorkerReport &report, TimePoint now);
 
     void sendStart(const TaskId &id, TaskExecution &task, TimePoint now);
+    /// Notes when the run of @p task was last known to exist.
+    void recordRunLoss(TaskExecution &task, std::optional<RunEndEvidence> evidence, TimePoint now);
     void withdrawStart(const TaskId &id, TaskExecution &task, TimePoint now);
 
     /// Counts what the log line about the end of the job says.
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -71,6 +71,9 @@
     command.run = task.run;
     command.payload = job->submission.payload;
     command.isServing = job->step(id.step).longRunning;
+    if (command.isServing && task.withoutRunSince) {
+        command.withoutRun = std::chrono::duration_cast<std::chrono::milliseconds>(now - *task.withoutRunSince);
+    }
     command.checkpoint = task.checkpoint;
     if (const auto *tickets = m_tickets.tickets(id, now)) {
         const auto ticket = tickets->find(task.worker);
@@ -85,6 +88,17 @@
     m_actions.emplace_back(std::move(command));
 }
 
+void Dispatcher::recordRunLoss(TaskExecution &task, std::optional<RunEndEvidence> evidence, TimePoint now)
+{
+    const bool isAdopted = task.startsSent == 0 && task.phase != TaskPhase::Assigned;
+    if (task.withoutRunSince || !(task.startConfirmed || isAdopted)) {
+        return;
+    }
+    const WorkerState *worker = findWorker(task.worker);
+    const bool wasCutOff = evidence == RunEndEvidence::LeaseExpired && worker != nullptr && worker->hasAnswered;
+    task.withoutRunSince = wasCutOff ? worker->lastReportAt : now;
+}
+
 void Dispatcher::withdrawStart(const TaskId &id, TaskExecution &task, TimePoint now)
 {
     if (JobExecution *job = m_jobs.find(id.job)) {
@@ -131,6 +145,7 @@
                        task->phase = TaskPhase::Running;
                        task->phaseSince = now;
                        task->startConfirmed = true;
+                       task->withoutRunSince.reset();
                        task->confirmedAt = now;
                        task->progressSince = now;
                        markStarted(command.task);
@@ -231,6 +246,7 @@
 
 void Dispatcher::beginStop(const TaskId &id, TaskExecution &task, StopReason reason, TimePoint now)
 {
+    recordRunLoss(task, {}, now);
     task.phase = TaskPhase::Stopping;
     task.phaseSince = now;
     task.stopReason = reason;
@@ -308,6 +324,7 @@
         recordFailedRun(id, task, now);
     }
     recordEndedBestEffortRun(id, task, now);
+    recordRunLoss(task, evidence, now);
     recordRunEnd(job->history, id, task, endReason, now);
     m_actions.emplace_back(RunEnded{
         id, task.run, task.worker, endReason, task.failures, isLongRunning, evidence.value_or(Internal::evidenceWithoutReport(endReason)), task.startsSent});
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -267,6 +267,7 @@
         task->phase = TaskPhase::Running;
         task->phaseSince = now;
         task->confirmedAt = now;
+        task->withoutRunSince.reset();
         markStarted(run.task);
     }
     if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -3,6 +3,7 @@
 #include <ports/workercommands.h>
 #include <utils/clock.h>
 
+#include <optional>
 #include <string>
 
 namespace Hyssop {
@@ -37,6 +38,7 @@
     double load = 0; // as reported by the worker
     int speedPercent = 100;
     TimePoint speedSince{};
+    std::optional<TimePoint> withoutRunSince; // the last run was stopped, or last reported, then
     TimePoint notBefore{}; // the next run is not started before
 
     /// Returns true if a run exists or may exist on a worker, or is about to be started.
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -84,6 +84,12 @@
     return !end.isServing && end.endReason == RunEndReason::Completed;
 }
 
+/// Returns a field with @p time in milliseconds, or "unknown".
+static LogField timeField(const char *key, const std::optional<std::chrono::milliseconds> &time)
+{
+    return time ? LogField(key, static_cast<long long>(time->count())) : LogField(key, "unknown");
+}
+
 /// Logs the result of a command about a run. @p input is its characteristic parameter.
 template<typename Command>
 static void logRunCommand(LogLevel level, const char *message, const Command &command, const LogField &input, const CommandResult &result)
@@ -103,7 +109,24 @@
 
 void logResult(const StartCommand &command, const CommandResult &result)
 {
-    logRunCommand(LogLevel::Info, "start command result", command, {"epoch", static_cast<long long>(command.fencingToken)}, result);
+    constexpr const char *Message = "start command result";
+    const LogField epoch("epoch", static_cast<long long>(command.fencingToken));
+    if (!command.isServing) {
+        logRunCommand(LogLevel::Info, Message, command, epoch, result);
+        return;
+    }
+    logMessage(LogPriority::Outcome,
+               LogLevel::Info,
+               "owner",
+               Message,
+               {{"job_id", command.task.job},
+                {"task", command.task.toString()},
+                {"run", command.run},
+                {"worker", command.worker.id},
+                epoch,
+                {"outcome", resultName(result)},
+                {"detail", resultDetail(result)},
+                command.withoutRun ? timeField("without_run_ms", command.withoutRun) : LogField("without_run_ms", "first run")});
 }
 
 void logResult(const StopCommand &command, const CommandResult &result)
@@ -184,12 +207,6 @@
     logMessage(LogPriority::StateChange, LogLevel::Info, "owner", message, fields);
 }
 
-/// Returns a field with @p time in milliseconds, or "unknown".
-static LogField timeField(const char *key, const std::optional<std::chrono::milliseconds> &time)
-{
-    return time ? LogField(key, static_cast<long long>(time->count())) : LogField(key, "unknown");
-}
-
 void logAction(const WorkerRegistered &worker)
 {
     logWorkerChange("worker registered",
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -435,6 +435,9 @@
         logCommandResult("start", command, result);
     }
     m_metrics.observe("hyssop_start_seconds", m_clock.now() - sentAt);
+    if (command.withoutRun && std::holds_alternative<CommandExecuted>(result)) {
+        m_metrics.observe("hyssop_serving_gap_seconds", *command.withoutRun);
+    }
     m_metrics.add("hyssop_starts_total", {{"outcome", resultName(result)}});
     if (m_term) {
         m_dispatcher.startAnswered(command, result, m_clock.now());
--- a/src/libs/ports/workercommands.h
+++ b/src/libs/ports/workercommands.h
@@ -31,6 +31,7 @@
     std::int64_t fencingToken = 0;
     WorkerTime leaseEnd{0}; // the worker rejects the command after this time
     bool isServing = false; // a serving task; for logs and metrics, not sent to the worker
+    std::optional<std::chrono::milliseconds> withoutRun{}; // time since a run of a serving task was last known; none: its first run; not sent either
 };
 
 /// Why the owner stops a run; for logs and metrics, not sent to the worker.
--- a/tests/libs/dispatch/testownerevents.cpp
+++ b/tests/libs/dispatch/testownerevents.cpp
@@ -249,3 +249,20 @@
     cr_assert_eq(events.size(), 1);
     cr_assert(events[0].evidence == RunEndEvidence::ProcessEnded);
 }
+
+Test(ownerEvents, theStartOfAServingTaskTellsHowLongItHadNoRun)
+{
+    EventHarness harness(1, true);
+    harness.startAllTasks();
+    cr_assert_not(harness.all<StartCommand>()[0].withoutRun.has_value());
+    harness.advance(1s);
+    harness.pollFailure = WorkerNotListening{"connection refused"};
+    harness.advance(1s, false);
+    harness.runs.clear();
+    harness.processStartedAt = 2s;
+    harness.advance(2s);
+    const auto starts = harness.all<StartCommand>();
+    cr_assert_eq(starts.size(), 2);
+    cr_assert(starts[1].isServing);
+    cr_assert(starts[1].withoutRun > 500ms && starts[1].withoutRun < 1500ms);
+}
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -154,3 +154,15 @@
     logAction(RunEnded{{"j", 0, 1, 2}, 4, "w", RunEndReason::LeaseExpired, 0, true, RunEndEvidence::MissingInReport, 2});
     expectLine(log.text(), "message=\"run ended\" job_id=j task=j.0.1.2 run=4 worker=w ending=lapsed failures=0 evidence=\"missing in report\" starts=2");
 }
+
+Test(ownerLog, theStartOfAServingTaskTellsHowLongItHadNoRun)
+{
+    const OwnerLog log;
+    StartCommand command{{"w", ""}, {"j", 0, 1, 2}, 4, "", "", "", 3001};
+    command.isServing = true;
+    logResult(command, CommandExecuted{});
+    command.withoutRun = 10080ms;
+    logResult(command, CommandExecuted{});
+    expectLine(log.text(), "task=j.0.1.2 run=4 worker=w epoch=3001 outcome=done detail=\"\" without_run_ms=\"first run\"");
+    expectLine(log.text(), "task=j.0.1.2 run=4 worker=w epoch=3001 outcome=done detail=\"\" without_run_ms=10080");
+}
