--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "jobhistory.h"
+
 #include <ports/commandresults.h>
 #include <ports/keyedrecord.h>
 
@@ -39,6 +41,16 @@
     std::string detail; // reported by the worker
 };
 
+/// How the owner learned that a run has ended.
+enum class RunEndEvidence {
+    Report, // a worker reported the end
+    MissingInReport, // the worker's report did not list the run any more
+    WorkerRestarted, // another process of the worker reported
+    ProcessEnded, // the worker refused connections, or is not in the list of live workers
+    StopConfirmed, // the stop was confirmed by a worker that did not report afterwards
+    LeaseExpired, // none: the lease must have expired
+};
+
 /// Log event: a run has ended.
 struct RunEnded
 {
@@ -47,6 +59,9 @@
     std::string worker;
     RunEndReason endReason = RunEndReason::Failed;
     int failures = 0; // failed runs of the task so far
+    bool isServing = false; // a serving task
+    RunEndEvidence evidence = RunEndEvidence::Report;
+    int startsSent = 0; // start commands that the worker may have executed; 0: sent by an earlier owner
 };
 
 /// Log event: a job has ended.
@@ -55,6 +70,17 @@
     std::string jobId;
     std::string phase;
     std::chrono::milliseconds sinceAccepted{0};
+    bool hasStarted = false; // a worker has confirmed a run
+    std::chrono::milliseconds countedFrom{0}; // time from the acceptance to the beginning of the term
+    JobHistory history; // in this term
+};
+
+/// Log event: a run was assigned to a worker, and its start command was not sent.
+struct StartWithdrawn
+{
+    TaskId task;
+    int run = 0;
+    std::string worker;
 };
 
 /// Log event: the process of a worker has restarted under the same id, or must be assumed to have.
@@ -127,6 +153,19 @@
     std::optional<std::chrono::milliseconds> sinceReport; // none: this is its first report in this term
 };
 
+/// Log event: no task is started from now on, because reading a topic lags behind.
+struct StartsWithheld
+{
+    std::chrono::milliseconds jobsReadAge{0}; // age of the last read of the job topic
+    std::optional<std::chrono::milliseconds> workersReadAge; // the same for the registrations; none: not read in this term
+};
+
+/// Log event: tasks are started again.
+struct StartsResumed
+{
+    std::chrono::milliseconds withheldFor{0};
+};
+
 using DispatchAction = std::variant<StartCommand,
                                     StopCommand,
                                     ThrottleCommand,
@@ -137,6 +176,7 @@
                                     StepDown,
                                     RunEnded,
                                     JobEnded,
+                                    StartWithdrawn,
                                     WorkerRestarted,
                                     WorkerLeaseExpired,
                                     WorkerProcessEnded,
@@ -144,6 +184,8 @@
                                     WorkerDraining,
                                     WorkerUnregistered,
                                     WorkerUnreachable,
-                                    WorkerReachableAgain>;
+                                    WorkerReachableAgain,
+                                    StartsWithheld,
+                                    StartsResumed>;
 
 } // namespace Hyssop
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -42,7 +42,9 @@
     m_confirmedAt = claim.readSentAt;
     m_readAt = claim.readSentAt;
     m_workersReadAt.reset();
+    m_startsWithheldSince.reset();
     m_termBeganAt = claim.readAt;
+    m_termWallMs.reset();
     m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claim.readAt, afterHandover);
     m_jobs.clear();
     m_workers.clear();
@@ -133,7 +135,9 @@
 std::vector<DispatchAction> Dispatcher::advance(TimePoint now, WallTime wall)
 {
     m_wallMs = sinceEpoch(wall).count();
+    m_termWallMs = m_termWallMs.value_or(m_wallMs);
     reportWorkerChanges(now);
+    reportWithheldStarts(now);
     expireLeases(now);
     repeatUnconfirmedStops(now);
     endStoppedRuns(now);
@@ -243,7 +247,9 @@
 void Dispatcher::reportEnd(const JobExecution &job)
 {
     const char *phase = job.completed ? "completed" : job.failed ? "failed" : "cancelled";
-    m_actions.emplace_back(JobEnded{job.id, phase, std::chrono::milliseconds(job.endedAtMs - job.submission.acceptedAtMs)});
+    const std::chrono::milliseconds sinceAccepted(job.endedAtMs - job.submission.acceptedAtMs);
+    const std::chrono::milliseconds countedFrom(std::max<std::int64_t>(m_termWallMs.value_or(m_wallMs) - job.submission.acceptedAtMs, 0));
+    m_actions.emplace_back(JobEnded{job.id, phase, sinceAccepted, job.hasStarted, countedFrom, job.history});
 }
 
 void Dispatcher::endJob(JobExecution &job, TimePoint now)
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -67,6 +67,9 @@
     /// Returns how far reading the topic lags behind.
     Duration readLag(TimePoint now) const { return now - m_readAt; }
 
+    /// Returns true if no task is started at present, whatever its worker.
+    bool areStartsWithheld() const { return m_startsWithheldSince.has_value(); }
+
     void startAnswered(const StartCommand &command, const CommandResult &result, TimePoint now);
     void stopAnswered(const StopCommand &command, const CommandResult &result, TimePoint now);
     void throttleAnswered(const ThrottleCommand &command, const CommandResult &result, TimePoint now);
@@ -121,6 +124,7 @@
 
     /// Reports registrations, drains and withdrawals since the last call as log events.
     void reportWorkerChanges(TimePoint now);
+    void reportWithheldStarts(TimePoint now);
     void reportUnreachable(const WorkerState &worker, const std::string &reason, TimePoint now);
     void removeUnregisteredWorkers();
     void expireLeases(TimePoint now);
@@ -170,6 +174,13 @@
     void adjustSpeeds(WorkerState &worker, const WorkerReport &report, TimePoint now);
 
     void sendStart(const TaskId &id, TaskExecution &task, TimePoint now);
+    /// Notes when the run of @p task was last known to exist.
+    void recordRunLoss(TaskExecution &task, std::optional<RunEndEvidence> evidence, TimePoint now);
+    void withdrawStart(const TaskId &id, TaskExecution &task, TimePoint now);
+
+    /// Counts what the log line about the end of the job says.
+    void recordStartResult(const StartCommand &command, const CommandResult &result);
+    static void recordRunEnd(JobHistory &history, const TaskId &id, const TaskExecution &task, RunEndReason endReason, TimePoint now);
 
     /// Marks the job of @p id as running, because a worker has confirmed a run of it.
     void markStarted(const TaskId &id);
@@ -180,7 +191,12 @@
     void sendStop(const TaskId &id, const TaskExecution &task);
     void abandonRun(const TaskId &id, TaskExecution &task, TimePoint now);
     void requeue(const TaskId &id, TaskExecution &task, TimePoint now);
-    void endRun(const TaskId &id, TaskExecution &task, RunEndReason endReason, const std::string &checkpoint, TimePoint now);
+    void endRun(const TaskId &id,
+                TaskExecution &task,
+                RunEndReason endReason,
+                const std::string &checkpoint,
+                TimePoint now,
+                std::optional<RunEndEvidence> evidence = {});
     void markDone(const TaskId &id, TaskExecution &task);
     void finishOccurrences(JobExecution &job);
     void recordFailedRun(const TaskId &id, TaskExecution &task, TimePoint now);
@@ -218,8 +234,10 @@
     TimePoint m_readAt{}; // all records up to then were read
     TimePoint m_termBeganAt{};
     std::optional<TimePoint> m_workersReadAt; // all registrations up to then were read; none: not in this term
+    std::optional<TimePoint> m_startsWithheldSince;
     TimePoint m_earlierLeasesEnd{};
     std::int64_t m_wallMs = 0; // Unix time of the last advance()
+    std::optional<std::int64_t> m_termWallMs; // Unix time of the first advance() of the term
     JobRegistry m_jobs;
     std::map<std::string, WorkerState> m_workers;
     RestartCounts m_removedWorkersRestarts; // suspected restarts in this term of workers that were removed
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -18,6 +18,12 @@
 // Upper bound of the time by which responses are reordered.
 constexpr std::chrono::milliseconds ReorderingTolerance{1000};
 
+/// Returns the evidence of an end that neither a report nor a lease has told.
+static RunEndEvidence evidenceWithoutReport(RunEndReason endReason)
+{
+    return endReason == RunEndReason::Stopped ? RunEndEvidence::StopConfirmed : RunEndEvidence::ProcessEnded;
+}
+
 } // namespace Internal
 
 bool Dispatcher::canStart(TimePoint now) const
@@ -26,6 +32,26 @@
     return knowsLeavingWorkers && m_leasePolicy.canStart(now, m_readAt);
 }
 
+void Dispatcher::reportWithheldStarts(TimePoint now)
+{
+    const bool isWithheld = !canStart(now);
+    if (isWithheld == m_startsWithheldSince.has_value()) {
+        return;
+    }
+    if (!isWithheld) {
+        const auto withheldFor = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_startsWithheldSince);
+        m_startsWithheldSince.reset();
+        m_actions.emplace_back(StartsResumed{withheldFor});
+        return;
+    }
+    m_startsWithheldSince = now;
+    StartsWithheld event{std::chrono::duration_cast<std::chrono::milliseconds>(now - m_readAt), {}};
+    if (m_workersReadAt) {
+        event.workersReadAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_workersReadAt);
+    }
+    m_actions.emplace_back(event);
+}
+
 bool Dispatcher::canStartOn(const WorkerState &worker, TimePoint now) const
 {
     return worker.isSchedulable(m_evacuated) && canStart(now);
@@ -36,7 +62,7 @@
     const JobExecution *job = m_jobs.find(id.job);
     WorkerState *worker = findWorker(task.worker);
     if (job == nullptr || worker == nullptr || job->isEnded() || !canStartOn(*worker, now)) {
-        abandonRun(id, task, now);
+        withdrawStart(id, task, now);
         return;
     }
     StartCommand command;
@@ -44,6 +70,10 @@
     command.task = id;
     command.run = task.run;
     command.payload = job->submission.payload;
+    command.isServing = job->step(id.step).longRunning;
+    if (command.isServing && task.withoutRunSince) {
+        command.withoutRun = std::chrono::duration_cast<std::chrono::milliseconds>(now - *task.withoutRunSince);
+    }
     command.checkpoint = task.checkpoint;
     if (const auto *tickets = m_tickets.tickets(id, now)) {
         const auto ticket = tickets->find(task.worker);
@@ -58,8 +88,47 @@
     m_actions.emplace_back(std::move(command));
 }
 
+void Dispatcher::recordRunLoss(TaskExecution &task, std::optional<RunEndEvidence> evidence, TimePoint now)
+{
+    const bool isAdopted = task.startsSent == 0 && task.phase != TaskPhase::Assigned;
+    if (task.withoutRunSince || !(task.startConfirmed || isAdopted)) {
+        return;
+    }
+    const WorkerState *worker = findWorker(task.worker);
+    const bool wasCutOff = evidence == RunEndEvidence::LeaseExpired && worker != nullptr && worker->hasAnswered;
+    task.withoutRunSince = wasCutOff ? worker->lastReportAt : now;
+}
+
+void Dispatcher::withdrawStart(const TaskId &id, TaskExecution &task, TimePoint now)
+{
+    if (JobExecution *job = m_jobs.find(id.job)) {
+        ++job->history.startsWithdrawn;
+    }
+    m_actions.emplace_back(StartWithdrawn{id, task.run, task.worker});
+    abandonRun(id, task, now);
+}
+
+void Dispatcher::recordStartResult(const StartCommand &command, const CommandResult &result)
+{
+    JobExecution *job = m_jobs.find(command.task.job);
+    if (job == nullptr) {
+        return;
+    }
+    JobHistory &history = job->history;
+    std::visit(Overloaded{
+                   [](const CommandExecuted &) {},
+                   [&](const CommandRejected &) { ++history.startsRejected; },
+                   [&](const CommandNotSent &) { ++history.startsNotSent; },
+                   [&](const CommandUndetermined &) { ++history.startsWithoutResponse; },
+               },
+               result);
+}
+
 void Dispatcher::startAnswered(const StartCommand &command, const CommandResult &result, TimePoint now)
 {
+    if (isOfThisTerm(command.fencingToken)) {
+        recordStartResult(command, result);
+    }
     TaskExecution *task = m_jobs.task(command.task);
     const bool isCurrent = task != nullptr && task->run == command.run && task->worker == command.worker.id;
     if (!isOfThisTerm(command.fencingToken) || !isCurrent || task->phase != TaskPhase::Starting) {
@@ -76,6 +145,7 @@
                        task->phase = TaskPhase::Running;
                        task->phaseSince = now;
                        task->startConfirmed = true;
+                       task->withoutRunSince.reset();
                        task->confirmedAt = now;
                        task->progressSince = now;
                        markStarted(command.task);
@@ -107,6 +177,7 @@
     JobExecution *job = m_jobs.find(id.job);
     if (job != nullptr && !job->hasStarted) {
         job->hasStarted = true;
+        job->history.firstStart = std::chrono::milliseconds(m_wallMs - job->submission.acceptedAtMs);
         m_jobs.markChanged(*job);
     }
 }
@@ -175,6 +246,7 @@
 
 void Dispatcher::beginStop(const TaskId &id, TaskExecution &task, StopReason reason, TimePoint now)
 {
+    recordRunLoss(task, {}, now);
     task.phase = TaskPhase::Stopping;
     task.phaseSince = now;
     task.stopReason = reason;
@@ -186,7 +258,7 @@
 {
     const WorkerState *worker = findWorker(task.worker);
     if (worker != nullptr && !worker->info.address.empty()) {
-        m_actions.emplace_back(StopCommand{addressOf(*worker), id, task.run, tokenFor(*worker), task.stopReason});
+        m_actions.emplace_back(StopCommand{addressOf(*worker), id, task.run, tokenFor(*worker), task.stopReason, isServingTask(id)});
     }
 }
 
@@ -234,7 +306,8 @@
     }
 }
 
-void Dispatcher::endRun(const TaskId &id, TaskExecution &task, RunEndReason endReason, const std::string &checkpoint, TimePoint now)
+void Dispatcher::endRun(
+    const TaskId &id, TaskExecution &task, RunEndReason endReason, const std::string &checkpoint, TimePoint now, std::optional<RunEndEvidence> evidence)
 {
     JobExecution *job = m_jobs.find(id.job);
     if (endReason == RunEndReason::Completed || endReason == RunEndReason::Failed) {
@@ -251,7 +324,10 @@
         recordFailedRun(id, task, now);
     }
     recordEndedBestEffortRun(id, task, now);
-    m_actions.emplace_back(RunEnded{id, task.run, task.worker, endReason, task.failures});
+    recordRunLoss(task, evidence, now);
+    recordRunEnd(job->history, id, task, endReason, now);
+    m_actions.emplace_back(RunEnded{
+        id, task.run, task.worker, endReason, task.failures, isLongRunning, evidence.value_or(Internal::evidenceWithoutReport(endReason)), task.startsSent});
     if (endReason == RunEndReason::Completed && !isLongRunning) {
         markDone(id, task);
         return;
@@ -265,6 +341,35 @@
     }
 }
 
+void Dispatcher::recordRunEnd(JobHistory &history, const TaskId &id, const TaskExecution &task, RunEndReason endReason, TimePoint now)
+{
+    history.lastTask = id;
+    history.lastRun = task.run;
+    history.lastWorker = task.worker;
+    history.lastRunTime.reset();
+    if (task.confirmedAt != TimePoint()) {
+        history.lastRunTime = std::chrono::duration_cast<std::chrono::milliseconds>(now - task.confirmedAt);
+    }
+    switch (endReason) {
+    case RunEndReason::Completed:
+        ++history.completedRuns;
+        return;
+    case RunEndReason::Failed:
+        ++history.failedRuns;
+        return;
+    case RunEndReason::Stopped:
+        ++history.stoppedRuns;
+        return;
+    case RunEndReason::LeaseExpired:
+        ++history.lapsedRuns;
+        return;
+    case RunEndReason::PeerEnded:
+    case RunEndReason::GangIncomplete:
+        ++history.incompleteRuns;
+        return;
+    }
+}
+
 void Dispatcher::recordEndedBestEffortRun(const TaskId &id, const TaskExecution &task, TimePoint now)
 {
     WorkerState *worker = findWorker(task.worker);
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -50,7 +50,7 @@
     return "unknown";
 }
 
-static const char *endReasonName(RunEndReason endReason)
+const char *endReasonName(RunEndReason endReason)
 {
     switch (endReason) {
     case RunEndReason::Completed:
@@ -69,11 +69,33 @@
     return "unknown";
 }
 
+bool isRoutine(const StartCommand &command, const CommandResult &result)
+{
+    return !command.isServing && std::holds_alternative<CommandExecuted>(result);
+}
+
+bool isRoutine(const StopCommand &command, const CommandResult &result)
+{
+    return !command.isServing && command.reason != StopReason::Orphaned && std::holds_alternative<CommandExecuted>(result);
+}
+
+bool isRoutine(const RunEnded &end)
+{
+    return !end.isServing && end.endReason == RunEndReason::Completed;
+}
+
+/// Returns a field with @p time in milliseconds, or "unknown".
+static LogField timeField(const char *key, const std::optional<std::chrono::milliseconds> &time)
+{
+    return time ? LogField(key, static_cast<long long>(time->count())) : LogField(key, "unknown");
+}
+
 /// Logs the result of a command about a run. @p input is its characteristic parameter.
 template<typename Command>
 static void logRunCommand(LogLevel level, const char *message, const Command &command, const LogField &input, const CommandResult &result)
 {
-    logMessage(level,
+    logMessage(LogPriority::Outcome,
+               level,
                "owner",
                message,
                {{"job_id", command.task.job},
@@ -87,7 +109,24 @@
 
 void logResult(const StartCommand &command, const CommandResult &result)
 {
-    logRunCommand(LogLevel::Info, "start command result", command, {"epoch", static_cast<long long>(command.fencingToken)}, result);
+    constexpr const char *Message = "start command result";
+    const LogField epoch("epoch", static_cast<long long>(command.fencingToken));
+    if (!command.isServing) {
+        logRunCommand(LogLevel::Info, Message, command, epoch, result);
+        return;
+    }
+    logMessage(LogPriority::Outcome,
+               LogLevel::Info,
+               "owner",
+               Message,
+               {{"job_id", command.task.job},
+                {"task", command.task.toString()},
+                {"run", command.run},
+                {"worker", command.worker.id},
+                epoch,
+                {"outcome", resultName(result)},
+                {"detail", resultDetail(result)},
+                command.withoutRun ? timeField("without_run_ms", command.withoutRun) : LogField("without_run_ms", "first run")});
 }
 
 void logResult(const StopCommand &command, const CommandResult &result)
@@ -100,9 +139,29 @@
     logRunCommand(LogLevel::Debug, "throttle command result", command, {"percent", command.speedPercent}, result);
 }
 
+static const char *evidenceName(RunEndEvidence evidence)
+{
+    switch (evidence) {
+    case RunEndEvidence::Report:
+        return "report";
+    case RunEndEvidence::MissingInReport:
+        return "missing in report";
+    case RunEndEvidence::WorkerRestarted:
+        return "worker restarted";
+    case RunEndEvidence::ProcessEnded:
+        return "process ended";
+    case RunEndEvidence::StopConfirmed:
+        return "stop confirmed";
+    case RunEndEvidence::LeaseExpired:
+        return "lease expired";
+    }
+    return "unknown";
+}
+
 void logAction(const RunEnded &end)
 {
-    logMessage(LogLevel::Info,
+    logMessage(LogPriority::Outcome,
+               LogLevel::Info,
                "owner",
                "run ended",
                {{"job_id", end.task.job},
@@ -110,7 +169,9 @@
                 {"run", end.run},
                 {"worker", end.worker},
                 {"ending", endReasonName(end.endReason)},
-                {"failures", end.failures}});
+                {"failures", end.failures},
+                {"evidence", evidenceName(end.evidence)},
+                {"starts", end.startsSent}});
 }
 
 void logAction(const WorkerRestarted &worker)
@@ -146,12 +207,6 @@
     logMessage(LogPriority::StateChange, LogLevel::Info, "owner", message, fields);
 }
 
-/// Returns a field with @p time in milliseconds, or "unknown".
-static LogField timeField(const char *key, const std::optional<std::chrono::milliseconds> &time)
-{
-    return time ? LogField(key, static_cast<long long>(time->count())) : LogField(key, "unknown");
-}
-
 void logAction(const WorkerRegistered &worker)
 {
     logWorkerChange("worker registered",
@@ -187,6 +242,19 @@
         {{"worker", worker.worker}, {"open_runs", worker.openRuns}, {"failed_polls", worker.failedPolls}, timeField("since_report_ms", worker.sinceReport)});
 }
 
+void logAction(const StartsWithheld &withheld)
+{
+    logMessage(LogLevel::Warning,
+               "owner",
+               "starts withheld",
+               {{"jobs_read_age_ms", withheld.jobsReadAge.count()}, timeField("workers_read_age_ms", withheld.workersReadAge)});
+}
+
+void logAction(const StartsResumed &resumed)
+{
+    logMessage(LogPriority::Essential, LogLevel::Info, "owner", "starts resumed", {{"withheld_ms", resumed.withheldFor.count()}});
+}
+
 void logStepDown(std::int64_t term, const std::string &reason, const StepDown &rejection)
 {
     constexpr const char *Message = "stepped down as owner";
@@ -236,9 +304,47 @@
                 {"idle_millicores", static_cast<long long>(load.idleMilliCores)}});
 }
 
+/// Returns a field with the time from the acceptance of a job to its first start.
+static LogField waitingField(const JobEnded &end)
+{
+    return end.hasStarted ? timeField("waiting_ms", end.history.firstStart) : LogField("waiting_ms", "not started");
+}
+
+/// Returns a field with the time from the first start of a job to its end.
+static LogField runningField(const JobEnded &end)
+{
+    std::optional<std::chrono::milliseconds> running;
+    if (end.history.firstStart) {
+        running = end.sinceAccepted - *end.history.firstStart;
+    }
+    return end.hasStarted ? timeField("running_ms", running) : LogField("running_ms", "not started");
+}
+
 void logAction(const JobEnded &end)
 {
-    logMessage(LogLevel::Info, "owner", "job ended", {{"job_id", end.jobId}, {"outcome", end.phase}, {"after_ms", end.sinceAccepted.count()}});
+    const JobHistory &history = end.history;
+    logMessage(LogPriority::Outcome,
+               LogLevel::Info,
+               "owner",
+               "job ended",
+               {{"job_id", end.jobId},
+                {"outcome", end.phase},
+                {"after_ms", end.sinceAccepted.count()},
+                waitingField(end),
+                runningField(end),
+                {"last_task", history.endedRuns() > 0 ? history.lastTask.toString() : std::string()},
+                {"last_run", history.lastRun},
+                {"last_worker", history.lastWorker},
+                timeField("last_run_ms", history.lastRunTime),
+                {"runs", history.endedRuns()},
+                {"failed", history.failedRuns},
+                {"lapsed", history.lapsedRuns},
+                {"stopped", history.stoppedRuns},
+                {"starts_without_response", history.startsWithoutResponse},
+                {"starts_not_sent", history.startsNotSent},
+                {"starts_refused", history.startsRejected},
+                {"starts_withdrawn", history.startsWithdrawn},
+                {"counted_from_ms", end.countedFrom.count()}});
 }
 
 } // namespace Hyssop
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -10,6 +10,11 @@
 
 struct DispatchSummary;
 
+/// Returns true if the result needs no line of its own: RunLog combines it with others.
+bool isRoutine(const StartCommand &command, const CommandResult &result);
+bool isRoutine(const StopCommand &command, const CommandResult &result);
+bool isRoutine(const RunEnded &end);
+
 /// Logs an action of the dispatcher that changes the owner's state.
 void logAction(const RunEnded &end);
 void logAction(const JobEnded &end);
@@ -21,6 +26,8 @@
 void logAction(const WorkerUnregistered &worker);
 void logAction(const WorkerUnreachable &worker);
 void logAction(const WorkerReachableAgain &worker);
+void logAction(const StartsWithheld &withheld);
+void logAction(const StartsResumed &resumed);
 
 /// Logs that the ownership of @p term is given up. @p rejection is empty unless a worker's response is the reason.
 void logStepDown(std::int64_t term, const std::string &reason, const StepDown &rejection);
@@ -39,6 +46,9 @@
 /// Returns the outcome of a command for logs and metrics.
 const char *resultName(const CommandResult &result);
 
+/// Returns the way in which a run has ended for logs.
+const char *endReasonName(RunEndReason endReason);
+
 /// Returns @p reason for logs and metrics.
 const char *stopReasonName(StopReason reason);
 
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -154,6 +154,7 @@
         timer.expires_after(m_term ? Internal::TickInterval : Internal::StandbyInterval);
         co_await timer.async_wait(Internal::AsTuple);
         updateWorkersNeed();
+        m_runLog.writeDue(m_clock.now());
         if (!m_term || m_releasing) {
             continue;
         }
@@ -162,6 +163,7 @@
             execute(std::move(action));
         }
         reportLoad(now);
+        countWithheldTime(now);
         const bool isReadLagging = m_dispatcher.readLag(now) > Internal::MaximumReadLag && now - m_appender.lastAppend() < Internal::ClaimRenewalInterval;
         if (m_term && isReadLagging && !m_appender.isAppending()) {
             co_await releaseOwnership("reading lags behind the growth of the job topic");
@@ -214,6 +216,7 @@
     m_claimSentAt = TimePoint(); // the claim has appeared
     m_appender.beginTerm(*m_term, m_table.claim()->sequence);
     m_dispatcher.beginTerm(*m_term, m_table, {now, readSentAt}, m_cleanHandover);
+    m_lastTick = now;
     m_dispatcher.applyConfiguration(m_config, m_evacuatedDomains);
     if (m_workersReadAt) {
         m_dispatcher.confirmWorkersRead(*m_workersReadAt);
@@ -235,6 +238,7 @@
 void TopicOwner::stepDown(const std::string &reason, const StepDown &rejection)
 {
     if (m_term) {
+        m_runLog.writeAll(m_clock.now());
         logStepDown(*m_term, reason, rejection);
         m_metrics.add("hyssop_step_downs_total", {{"reason", reason.substr(0, reason.find(':'))}});
         m_minimumTerm = *m_term + 1;
@@ -292,11 +296,43 @@
                    [&](const ListLiveWorkers &) { asio::co_spawn(m_executor, listLiveWorkers(), logException); },
                    [&](AppendRecords &append) { startAppend(std::move(append.records), true); },
                    [&](const StepDown &rejection) { stepDown("a worker has seen a newer owner", rejection); },
+                   [&](const RunEnded &end) { logEvent(end); },
+                   [&](const JobEnded &end) { logEvent(end); },
+                   [&](const StartWithdrawn &start) { m_runLog.withdrawn(start, m_clock.now()); },
                    [](const auto &event) { logAction(event); },
                },
                action);
 }
 
+template<typename Command>
+void TopicOwner::logCommandResult(const char *name, const Command &command, const CommandResult &result)
+{
+    const TimePoint now = m_clock.now();
+    if (command.isServing || (!isRoutine(command, result) && m_runLog.takesOwnLine(now))) {
+        logResult(command, result);
+    } else {
+        m_runLog.other(std::string(name) + "-" + resultName(result), command.task, command.run, command.worker.id, now);
+    }
+}
+
+void TopicOwner::logEvent(const RunEnded &end)
+{
+    const TimePoint now = m_clock.now();
+    if (isRoutine(end)) {
+        m_runLog.completed(end, now);
+    } else if (end.isServing || m_runLog.takesOwnLine(now)) {
+        logAction(end);
+    } else {
+        m_runLog.other(std::string("run-") + endReasonName(end.endReason), end.task, end.run, end.worker, now);
+    }
+}
+
+void TopicOwner::logEvent(const JobEnded &end)
+{
+    m_runLog.writeJob(end.jobId, m_clock.now());
+    logAction(end);
+}
+
 void TopicOwner::startAppend(std::vector<KeyedRecord> records, bool isBatch)
 {
     m_appender.append(std::move(records), [this, isBatch](const TopicAppendResult &result, TimePoint sentAt) { appendAnswered(result, isBatch, sentAt); });
@@ -344,12 +380,27 @@
     m_metrics.set("hyssop_term", static_cast<double>(term()));
 }
 
+void TopicOwner::countWithheldTime(TimePoint now)
+{
+    if (m_dispatcher.areStartsWithheld()) {
+        m_metrics.add("hyssop_starts_withheld_seconds_total", {}, std::chrono::duration<double>(now - m_lastTick).count());
+    }
+    m_lastTick = now;
+}
+
 asio::awaitable<void> TopicOwner::sendStart(StartCommand command)
 {
     const TimePoint sentAt = m_clock.now();
     const CommandResult result = co_await m_ports.workers.start(command);
-    logResult(command, result);
+    if (isRoutine(command, result)) {
+        m_runLog.started(command, m_clock.now());
+    } else {
+        logCommandResult("start", command, result);
+    }
     m_metrics.observe("hyssop_start_seconds", m_clock.now() - sentAt);
+    if (command.withoutRun && std::holds_alternative<CommandExecuted>(result)) {
+        m_metrics.observe("hyssop_serving_gap_seconds", *command.withoutRun);
+    }
     m_metrics.add("hyssop_starts_total", {{"outcome", resultName(result)}});
     if (m_term) {
         m_dispatcher.startAnswered(command, result, m_clock.now());
@@ -359,7 +410,7 @@
 asio::awaitable<void> TopicOwner::sendStop(StopCommand command)
 {
     const CommandResult result = co_await m_ports.workers.stop(command);
-    logResult(command, result);
+    logCommandResult("stop", command, result);
     m_metrics.add("hyssop_stops_total", {{"outcome", resultName(result)}});
     m_metrics.add("hyssop_stop_reasons_total", {{"reason", stopReasonName(command.reason)}});
     if (m_term) {
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -2,6 +2,7 @@
 
 #include "claimpolicy.h"
 #include "ownerappender.h"
+#include "runlog.h"
 
 #include <dispatch/dispatcher.h>
 #include <ports/storeresults.h>
@@ -96,11 +97,16 @@
     void updateWorkersNeed();
     boost::asio::awaitable<void> claim();
     void execute(DispatchAction action);
+    template<typename Command>
+    void logCommandResult(const char *name, const Command &command, const CommandResult &result);
+    void logEvent(const RunEnded &end);
+    void logEvent(const JobEnded &end);
     void startAppend(std::vector<KeyedRecord> records, bool isBatch);
     void appendAnswered(const TopicAppendResult &result, bool isBatch, TimePoint sentAt);
     boost::asio::awaitable<void> releaseOwnership(std::string reason);
     KeyedRecord claimRecord(bool released) const;
     void reportLoad(TimePoint now);
+    void countWithheldTime(TimePoint now);
     boost::asio::awaitable<void> sendStart(StartCommand command);
     boost::asio::awaitable<void> sendStop(StopCommand command);
     boost::asio::awaitable<void> sendThrottle(ThrottleCommand command);
@@ -121,6 +127,7 @@
     OwnerObservation m_ownerObservation;
     OwnerAppender m_appender;
     Dispatcher m_dispatcher;
+    RunLog m_runLog;
     WorkersNeedHandler m_workersNeedHandler;
     bool m_needsWorkers = false;
     std::map<std::string, WorkerInfo> m_workers; // empty unless they are needed
@@ -130,6 +137,7 @@
     std::optional<std::int64_t> m_term; // set while this instance is the owner
     std::int64_t m_minimumTerm = 0; // terms below this one are not resumed after stepping down
     TimePoint m_lastLoadReport{};
+    TimePoint m_lastTick{}; // while this instance is the owner
     bool m_claiming = false;
     bool m_cleanHandover = false; // the claim sent last follows a release by an owner, after all leases of previous owners had expired
     TimePoint m_claimSentAt{};
--- a/src/libs/ports/workercommands.h
+++ b/src/libs/ports/workercommands.h
@@ -30,6 +30,8 @@
     std::string ticket; // issued by the advice service; empty: none
     std::int64_t fencingToken = 0;
     WorkerTime leaseEnd{0}; // the worker rejects the command after this time
+    bool isServing = false; // a serving task; for logs and metrics, not sent to the worker
+    std::optional<std::chrono::milliseconds> withoutRun{}; // time since a run of a serving task was last known; none: its first run; not sent either
 };
 
 /// Why the owner stops a run; for logs and metrics, not sent to the worker.
@@ -52,6 +54,7 @@
     int run = 0;
     std::int64_t fencingToken = 0;
     StopReason reason = StopReason::JobEnded;
+    bool isServing = false; // a serving task; for logs and metrics, not sent to the worker
 };
 
 /// Sets the share of time during which a running task may execute (duty cycle).
--- a/tests/libs/dispatch/eventharness.cpp
+++ b/tests/libs/dispatch/eventharness.cpp
@@ -37,6 +37,9 @@
         if (const auto *command = std::get_if<PollCommand>(&action)) {
             m_poll = *command;
         } else if (std::holds_alternative<AppendRecords>(action)) {
+            if (beforeRecordsStored) {
+                beforeRecordsStored();
+            }
             dispatcher.recordsStored(now);
         }
         actions.push_back(std::move(action));
@@ -81,6 +84,7 @@
     }
     report.runs = runs;
     report.malformedRuns = malformedRuns;
+    report.ends = ends;
     dispatcher.pollAnswered(*std::exchange(m_poll, std::nullopt), report, now, now);
 }
 
--- a/tests/libs/dispatch/teststoredbatches.cpp
+++ b/tests/libs/dispatch/teststoredbatches.cpp
@@ -1,5 +1,6 @@
 #include "hyssop_types.h"
 
+#include <dispatch/claimtimes.h>
 #include <dispatch/dispatcher.h>
 #include <jobtopic/jobkeys.h>
 #include <jobtopic/jobtable.h>
@@ -55,7 +56,7 @@
         for (int index = 0; index < jobs; ++index) {
             table.apply({index, submissionKey(jobName(index)), encode(job)});
         }
-        dispatcher.beginTerm(1, table, now, true);
+        dispatcher.beginTerm(1, table, {now, now}, true);
         WorkerInfo worker;
         worker.id = std::string(workerIdLength, 'w');
         worker.workerPool = "hall";
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -87,3 +87,82 @@
     cr_assert(text.find("stepped down as owner") != std::string::npos);
     cr_assert(text.find("message=load epoch=3") != std::string::npos);
 }
+
+Test(ownerLog, theOutcomeOfARequestIsNotDisplacedByRoutineLines)
+{
+    const OwnerLog log;
+    for (int line = 0; line < 2 * LineLimit; ++line) {
+        logMessage(LogLevel::Info, "owner", "run results", {{"job_id", "j"}});
+    }
+    const TaskId task{"j", 0, 1, 2};
+    logResult(StartCommand{{"w", ""}, task, 4, "", "", "", 3001}, CommandNotSent{"refused"});
+    logAction(RunEnded{task, 4, "w", RunEndReason::LeaseExpired, 0, false, RunEndEvidence::LeaseExpired, 1});
+    logAction(JobEnded{"j", "completed", 700ms, true, 0ms, {}});
+    const std::string text = log.text();
+    cr_assert(text.find("outcome=unsent") != std::string::npos);
+    cr_assert(text.find("ending=lapsed") != std::string::npos);
+    cr_assert(text.find("message=\"job ended\" job_id=j outcome=completed after_ms=700") != std::string::npos);
+}
+
+Test(ownerLog, theEndOfAJobTellsWhyItWasLate)
+{
+    const OwnerLog log;
+    JobEnded end{"j", "completed", 9552ms, true, 0ms, {}};
+    end.history.firstStart = 1200ms;
+    end.history.completedRuns = 19;
+    end.history.failedRuns = 1;
+    end.history.startsWithoutResponse = 2;
+    end.history.startsWithdrawn = 20;
+    end.history.lastTask = {"j", 0, 1, 2};
+    end.history.lastRun = 2;
+    end.history.lastWorker = "w";
+    end.history.lastRunTime = 700ms;
+    logAction(end);
+    end.hasStarted = false;
+    end.phase = "cancelled";
+    end.history = {};
+    logAction(end);
+    end.hasStarted = true;
+    end.countedFrom = 9000ms;
+    logAction(end);
+    const std::string text = log.text();
+    expectLine(text,
+               "message=\"job ended\" job_id=j outcome=completed after_ms=9552 waiting_ms=1200 running_ms=8352 last_task=j.0.1.2 last_run=2 last_worker=w "
+               "last_run_ms=700 runs=20 failed=1 lapsed=0 stopped=0 starts_without_response=2 starts_not_sent=0 starts_refused=0 starts_withdrawn=20 "
+               "counted_from_ms=0");
+    expectLine(text,
+               "message=\"job ended\" job_id=j outcome=cancelled after_ms=9552 waiting_ms=\"not started\" running_ms=\"not started\" last_task=\"\" "
+               "last_run=0 last_worker=\"\" last_run_ms=unknown runs=0 failed=0 lapsed=0 stopped=0 starts_without_response=0 starts_not_sent=0 "
+               "starts_refused=0 starts_withdrawn=0 counted_from_ms=0");
+    cr_assert(text.find("waiting_ms=unknown running_ms=unknown") != std::string::npos, "an earlier owner started it");
+}
+
+Test(ownerLog, withheldStarts)
+{
+    const OwnerLog log;
+    logAction(StartsWithheld{40ms, 2010ms});
+    logAction(StartsWithheld{2510ms, std::nullopt});
+    logAction(StartsResumed{700ms});
+    expectLine(log.text(), "message=\"starts withheld\" jobs_read_age_ms=40 workers_read_age_ms=2010");
+    expectLine(log.text(), "message=\"starts withheld\" jobs_read_age_ms=2510 workers_read_age_ms=unknown");
+    expectLine(log.text(), "message=\"starts resumed\" withheld_ms=700");
+}
+
+Test(ownerLog, theEndOfARunNamesItsEvidence)
+{
+    const OwnerLog log;
+    logAction(RunEnded{{"j", 0, 1, 2}, 4, "w", RunEndReason::LeaseExpired, 0, true, RunEndEvidence::MissingInReport, 2});
+    expectLine(log.text(), "message=\"run ended\" job_id=j task=j.0.1.2 run=4 worker=w ending=lapsed failures=0 evidence=\"missing in report\" starts=2");
+}
+
+Test(ownerLog, theStartOfAServingTaskTellsHowLongItHadNoRun)
+{
+    const OwnerLog log;
+    StartCommand command{{"w", ""}, {"j", 0, 1, 2}, 4, "", "", "", 3001};
+    command.isServing = true;
+    logResult(command, CommandExecuted{});
+    command.withoutRun = 10080ms;
+    logResult(command, CommandExecuted{});
+    expectLine(log.text(), "task=j.0.1.2 run=4 worker=w epoch=3001 outcome=done detail=\"\" without_run_ms=\"first run\"");
+    expectLine(log.text(), "task=j.0.1.2 run=4 worker=w epoch=3001 outcome=done detail=\"\" without_run_ms=10080");
+}
