Wait for leases that late polls grant to a restarted worker

Seen: nothing by callers.

Cause: the end of a lease is a time on the clock of the process that it was computed for. A poll in transit while the worker restarts may be executed by the next process, whose clock begins anew, so that only the platform limits the lease that it grants.

Evidence: latePolls/theLeaseThatALatePollGrantsToTheNextProcessIsWaitedFor failed before with 'the owner replaces the run 3240 ms before it ends'.

Fix: when the owner learns of a restart, it counts with the longest lease that the platform permits from then on.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -144,6 +144,10 @@
 
     /// Does the same on the first @p report of the new process, and keeps the runs that it lists.
     void handleWorkerRestart(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
+
+    /// Takes into account that the process of @p worker, of which the owner has just learned, may have executed a poll that was sent
+    /// to an earlier process. The end of its lease is a time on the clock of that process, so only the platform limits the lease.
+    void awaitLeasesOfLatePolls(WorkerState &worker, TimePoint now) const;
     void endRunsOfPreviousProcess(WorkerState &worker, const std::set<std::pair<TaskId, int>> &kept, TimePoint confirmedUntil, TimePoint now);
 
     /// Ends the runs that the process of @p worker has confirmed: the process has ended. A start command that was not
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -215,11 +215,17 @@
     endRunsOfPreviousProcess(worker, listed, sentAt, now);
 }
 
+void Dispatcher::awaitLeasesOfLatePolls(WorkerState &worker, TimePoint now) const
+{
+    worker.leaseEnd = std::max(worker.leaseEnd, now + m_limits.maximumLease * 100 / WorkerClock::SlowestPercent);
+}
+
 void Dispatcher::endRunsOfPreviousProcess(WorkerState &worker, const std::set<std::pair<TaskId, int>> &kept, TimePoint confirmedUntil, TimePoint now)
 {
     worker.processedEndSequence = 0;
     worker.durableEndSequence = 0;
     ++worker.suspectedRestarts;
+    awaitLeasesOfLatePolls(worker, now);
     const auto runs = worker.runs;
     for (const auto &[id, profile] : runs) {
         TaskExecution *task = m_jobs.task(id);
