Repeat stops although a row of the report cannot be decoded

Seen: nothing by callers.

Fix: only the ends of missing runs need a complete list; stops are repeated in any case.

--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -180,10 +180,7 @@
     for (const ReportedRun &run : report.runs) {
         handleReportedRun(worker, run, now);
     }
-    const bool listsAllRuns = report.ends.size() < Internal::MaximumReportedEnds && report.malformedRuns == 0;
-    if (listsAllRuns) {
-        findMissingRuns(worker, report, sentAt, now);
-    }
+    findMissingRuns(worker, report, sentAt, now);
     std::erase_if(worker.orphanStops, [&](const auto &item) { return now - item.second > Internal::OrphanStopRetention; });
     adjustSpeeds(worker, report, now);
     worker.nextPoll = now;
@@ -325,6 +322,7 @@
 
 void Dispatcher::findMissingRuns(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
+    const bool listsAllRuns = report.ends.size() < Internal::MaximumReportedEnds && report.malformedRuns == 0;
     const auto byValue = [](const TaskId *left, const TaskId *right) { return *left < *right; };
     std::set<const TaskId *, decltype(byValue)> present(byValue);
     for (const ReportedRun &run : report.runs) {
@@ -345,7 +343,7 @@
         const bool adopted = task->phase == TaskPhase::Starting && task->startsSent == 0;
         const bool ran = task->phase == TaskPhase::Running && task->confirmedAt <= sentAt;
         const bool stopped = task->phase == TaskPhase::Stopping && task->stopConfirmed && task->confirmedAt <= sentAt;
-        if (adopted || ran || stopped) {
+        if (listsAllRuns && (adopted || ran || stopped)) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::MissingInReport);
         } else if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
             task->phaseSince = now;
--- a/tests/libs/dispatch/testworkerprocessend.cpp
+++ b/tests/libs/dispatch/testworkerprocessend.cpp
@@ -120,3 +120,19 @@
     harness.advance(1s);
     cr_assert_eq(harness.all<RunEnded>().size(), 1);
 }
+
+Test(workerProcessEnd, aStopIsRepeatedWhileARowOfTheReportCannotBeDecoded)
+{
+    EventHarness harness(1, true);
+    harness.startAllTasks();
+    harness.advance(1s);
+    WorkerInfo info = harness.worker();
+    info.draining = true;
+    harness.dispatcher.updateWorker(info);
+    harness.advance(20ms);
+    harness.dispatcher.stopAnswered(harness.all<StopCommand>().back(), CommandNotSent{"no connection"}, harness.now);
+    harness.runs.clear();
+    harness.malformedRuns = 1;
+    harness.advance(2s);
+    cr_assert_gt(harness.all<StopCommand>().size(), 1, "the stop was not repeated");
+}
--- a/tests/platform/testcodecs.cpp
+++ b/tests/platform/testcodecs.cpp
@@ -120,6 +120,17 @@
     cr_assert_eq(decoded->malformedRuns, 2);
 }
 
+Test(workerCodec, aRunWithAnOddCheckpointIsListed)
+{
+    std::size_t malformed = 0;
+    auto report = capture([&] { return decodeReport(R"({"clockMs":5,"born":1700000000000,"running":[["ab.0.1.2",3,7,40,1500]],"finished":[]})", malformed); });
+    const WorkerReport *decoded = valueOf(report);
+    cr_assert_not_null(decoded);
+    cr_assert_eq(decoded->runs.size(), 1);
+    cr_assert(decoded->runs[0].checkpoint.empty());
+    cr_assert_eq(decoded->malformedRuns, 0);
+}
+
 Test(workerCodec, rejectionsAreDistinguished)
 {
     cr_assert_eq(decodeRejection(409, R"({"reason":"fence"})").reason, RejectionReason::Fenced);
