Count all bytes of an append, and remove few expired jobs with one

Seen: nothing by callers.

Cause: the size of a batch counted neither keys nor compacted submissions, and all expired jobs were removed with one append.

Evidence: storedBatches/theRemovalOfManyExpiredJobsIsNotOneAppendThatTheStoreRejects failed before with 'an append of 2246670 bytes'; the platform takes 2097152. The tests of batches now count keys and lengths as well.

Fix: the size of a batch is that of all its records, and it removes at most 500 jobs.

--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -24,12 +24,19 @@
 constexpr std::chrono::milliseconds RetentionMargin{60000};
 // A batch that has reached this size is stored before more is added to it. The platform rejects appends of more than 2 MiB.
 constexpr std::size_t MaximumBatchBytes = 512 * 1024;
+constexpr std::size_t MaximumRemovals = 500; // of jobs, with one batch
+constexpr std::size_t RecordOverhead = 5; // bytes of the lengths of a record and its key
 
 static std::chrono::milliseconds batchInterval(std::size_t openRuns, std::size_t runsPerMillisecond)
 {
     return std::min(MinimumBatchInterval + std::chrono::milliseconds(openRuns / runsPerMillisecond), MaximumBatchInterval);
 }
 
+static std::size_t storedSize(const KeyedRecord &record)
+{
+    return RecordOverhead + record.key.size() + (record.value ? record.value->size() : 0);
+}
+
 } // namespace Internal
 
 void Dispatcher::composeBatch(TimePoint now, WallTime wall)
@@ -70,12 +77,12 @@
         if (job == nullptr) {
             break;
         }
-        KeyedRecord record{0, progressKey(job->id), encode(progressOf(*job))};
-        size += record.value->size();
-        records.push_back(std::move(record));
+        records.push_back({0, progressKey(job->id), encode(progressOf(*job))});
+        size += Internal::storedSize(records.back());
         if (job->isEnded() && !job->submissionCompacted && !hasOpenRuns(*job)) {
             job->submissionCompacted = true;
             records.push_back({0, submissionKey(job->id), encode(compactedSubmission(*job))});
+            size += Internal::storedSize(records.back());
         }
     }
     return size;
@@ -147,6 +154,9 @@
         if (job.isEnded() && job.endedAtMs > 0 && job.endedAtMs < endedBefore) {
             expired.push_back(id);
         }
+        if (expired.size() >= Internal::MaximumRemovals) {
+            break;
+        }
     }
     for (const std::string &id : expired) {
         records.push_back({0, submissionKey(id), std::nullopt});
--- a/tests/libs/dispatch/teststoredbatches.cpp
+++ b/tests/libs/dispatch/teststoredbatches.cpp
@@ -26,7 +26,9 @@
 constexpr std::size_t WorkerIdLength = 250; // makes the records of the jobs larger than one append of the platform
 constexpr std::size_t LargestAppend = 1024 * 1024; // bytes
 constexpr std::size_t LargestRecord = 256 * 1024; // bytes; the platform rejects larger ones
+constexpr std::size_t LengthBytes = 5; // of a record and its key
 constexpr std::size_t CheckpointLength = 16;
+constexpr std::size_t JobIdLength = 64;
 constexpr auto Tick = 20ms;
 
 std::string jobName(int index)
@@ -65,6 +67,24 @@
         dispatcher.updateWorker(worker);
     }
 
+    /// Begins a new term with jobs that ended long ago.
+    void beginWithExpiredJobs(int jobs)
+    {
+        JobTable table;
+        Wire::StepJob job;
+        job.queue = "batch";
+        job.steps.resize(1);
+        Wire::JobProgress progress;
+        progress.phase = Wire::JobPhase::Completed;
+        progress.endedAtMs = 1;
+        for (int index = 0; index < jobs; ++index) {
+            const std::string id = std::to_string(index) + std::string(JobIdLength, 'j');
+            table.apply({index, submissionKey(id), encode(job)});
+            table.apply({index, progressKey(id), encode(progress)});
+        }
+        dispatcher.beginTerm(2, table, {now, now}, true);
+    }
+
     /// Reports all runs as completed in the next reports.
     void endAllRuns()
     {
@@ -139,8 +159,9 @@
     {
         std::size_t size = 0;
         for (const KeyedRecord &record : append.records) {
-            size += record.value ? record.value->size() : 0;
-            largestRecord = std::max(largestRecord, record.key.size() + (record.value ? record.value->size() : 0));
+            const std::size_t recordSize = LengthBytes + record.key.size() + (record.value ? record.value->size() : 0);
+            size += recordSize;
+            largestRecord = std::max(largestRecord, recordSize);
             storedJobs.insert(parseJobKey(record.key).jobId);
         }
         largestAppend = std::max(largestAppend, size);
@@ -185,3 +206,13 @@
     cr_assert_leq(term.largestRecord, LargestRecord, "a record of %zu bytes", term.largestRecord);
     cr_assert_eq(term.starts, ManyTasks, "%zu runs were started", term.starts);
 }
+
+Test(storedBatches, theRemovalOfManyExpiredJobsIsNotOneAppendThatTheStoreRejects)
+{
+    constexpr int ExpiredJobs = 10'000;
+    BusyTerm term(0, 0);
+    term.beginWithExpiredJobs(ExpiredJobs);
+    term.run(8s);
+    cr_assert_leq(term.largestAppend, LargestAppend, "an append of %zu bytes", term.largestAppend);
+    cr_assert_eq(term.storedJobs.size(), ExpiredJobs);
+}
