Acknowledge no end of a process that has not reported

Cause: a poll acknowledges run ends by their number in the process that the owner knows. If the worker restarts while the poll is in transit, the poll reaches the next process, whose ends are numbered from 1 again. A start in transit at the same time may have run there to completion. The poll discards that end, no report lists it, and the run counts as lost and is started again.

Fix: a poll acknowledges ends only if all runs that were started on the worker have been listed. Starts wait while it is unanswered; if it fails, later starts carry a higher fencing token, which makes their process reject it. So the process that the poll reaches has no end that was not listed. After a start without a response, acknowledgements wait until it can no longer be executed. Acknowledging polls do not wait at the worker, and later polls acknowledge nothing, so starts rarely wait. A worker with 250 ends that are not acknowledged gets no more tasks, as it lists 500 at most.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -131,6 +131,19 @@
     void pollWorkers(TimePoint now);
     void moveRunsOffDrainingWorkers(TimePoint now);
 
+    /// Returns true if the next poll may acknowledge the ends of @p worker that are durable. Its process may have restarted since
+    /// its last report, and numbers ends from 1 again. So this is possible only while no start command, executed by a process
+    /// that has not reported yet, can have led to an end that the poll would acknowledge unseen.
+    bool acknowledges(WorkerState &worker, TimePoint now);
+    bool hasUnlistedRuns(const WorkerState &worker);
+
+    /// Acknowledges no ends while a start command of which no response has arrived may still be executed.
+    void delayAcknowledgements(const std::string &workerId, TimePoint now);
+
+    /// Returns true if start commands have to wait for an acknowledgement that is to be sent or answered first.
+    bool holdsStarts(const WorkerState &worker, TimePoint now) const;
+    void sendHeldStarts(WorkerState &worker, TimePoint now);
+
     void handleReport(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
     /// Ends or stops the runs of the previous process of @p worker, which has restarted.
     void handleWorkerRestart(WorkerState &worker, WorkerTime reading, TimePoint now);
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -264,6 +264,7 @@
     task.startsSent = 0;
     task.stopConfirmed = false;
     task.startConfirmed = false;
+    task.listed = false;
     task.progressPercent = -1;
     task.progressSince = now;
     task.firstProgressPercent = -1;
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -39,6 +39,10 @@
         abandonRun(id, task, now);
         return;
     }
+    if (holdsStarts(*worker, now)) {
+        worker->heldStarts.emplace_back(id, task.run);
+        return;
+    }
     StartCommand command;
     command.worker = addressOf(*worker);
     command.task = id;
@@ -92,6 +96,7 @@
                        abandonRun(command.task, *task, now);
                    },
                    [&](const CommandUndetermined &) {
+                       delayAcknowledgements(command.worker.id, now);
                        if (task->startsSent < Internal::MaximumStartSends) {
                            sendStart(command.task, *task, now);
                        } else {
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -106,14 +106,14 @@
         PollCommand poll;
         poll.worker = addressOf(worker);
         poll.fencingToken = tokenFor(worker);
-        // After a restart, the worker numbers run ends from 1 again; these must not be acknowledged unseen.
-        poll.acknowledgedSequence = worker.failedPolls == 0 ? worker.durableEndSequence : 0;
+        worker.acknowledging = acknowledges(worker, now);
+        poll.acknowledgedSequence = worker.acknowledging ? worker.durableEndSequence : 0;
         // The lease of a worker that does not answer is not renewed, so that its runs end after a bounded time.
         if (worker.clock && worker.failedPolls == 0) {
             const WorkerTime leaseEnd = worker.clock->readingAt(m_leasePolicy.latestLeaseEnd(now, m_confirmedAt));
             poll.leaseEnd = leaseEnd;
             worker.leaseEnd = std::max(worker.leaseEnd, worker.clock->latestTimeOf(leaseEnd));
-            const bool waits = worker.hasAnswered && !worker.runs.empty() && worker.processedEndSequence == worker.durableEndSequence;
+            const bool waits = worker.hasAnswered && !worker.runs.empty() && worker.processedEndSequence == worker.acknowledgedEndSequence;
             const auto maximumWait = worker.overTargetSince ? Internal::MaximumOverTargetPollWait : Internal::MaximumPollWait;
             poll.wait = waits ? maximumWait : std::chrono::milliseconds(0);
         }
@@ -129,6 +129,7 @@
         return;
     }
     worker->pollPending = false;
+    worker->acknowledging = false;
     // An entry of another writer may name any address; what answers there says nothing about this worker.
     const bool isReportedAddress = command.worker.address == worker->reportedAddress;
     const auto failed = [&](const std::string &reason) {
@@ -143,6 +144,8 @@
                    [&](const WorkerReport &report) {
                        worker->reportedAddress = command.worker.address;
                        handleReport(*worker, report, sentAt, now);
+                       worker->acknowledgedEndSequence =
+                           std::min(std::max(worker->acknowledgedEndSequence, command.acknowledgedSequence), worker->durableEndSequence);
                    },
                    [&](const CommandRejected &rejection) {
                        handleFencing(command.worker.id, command.fencingToken, rejection);
@@ -160,6 +163,7 @@
                    [&](const auto &undelivered) { failed(undelivered.reason); },
                },
                result);
+    sendHeldStarts(*worker, now);
 }
 
 void Dispatcher::handleReport(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
@@ -188,7 +192,7 @@
     worker.nextPoll = now;
     if (!worker.hasAnswered) {
         worker.hasAnswered = true;
-    } else if (worker.processedEndSequence != worker.durableEndSequence) {
+    } else if (worker.processedEndSequence != worker.acknowledgedEndSequence) {
         worker.nextPoll = now + Internal::PendingEndsInterval;
     } else if (worker.runs.empty()) {
         worker.nextPoll = now + Internal::IdlePollInterval;
@@ -218,6 +222,7 @@
 {
     worker.processedEndSequence = 0;
     worker.durableEndSequence = 0;
+    worker.acknowledgedEndSequence = 0;
     ++worker.suspectedRestarts;
     const auto runs = worker.runs;
     for (const auto &[id, profile] : runs) {
@@ -260,6 +265,7 @@
         return;
     }
     task->startConfirmed = true;
+    task->listed = true;
     if (!run.checkpoint.empty()) {
         task->checkpoint = run.checkpoint;
     }
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -27,6 +27,7 @@
     TimePoint phaseSince{};
     int startsSent = 0; // start commands of this run that the worker may execute
     bool startConfirmed = false; // the worker has confirmed the start of this run
+    bool listed = false; // a report has listed this run, so its start has not reached a later process
     TimePoint confirmedAt{}; // when the worker last confirmed the start or the stop
     StopReason stopReason = StopReason::JobEnded; // of the last stop
     bool stopConfirmed = false;
--- a/src/libs/dispatch/workerstate.cpp
+++ b/src/libs/dispatch/workerstate.cpp
@@ -4,6 +4,8 @@
 
 // Mean share of its declared processor time that a best-effort task uses.
 constexpr double BestEffortUse = 0.85;
+// A worker reports a limited number of ends at once, so no more runs are started until it has discarded some.
+constexpr std::int64_t MaximumUnacknowledgedEnds = 250;
 
 void WorkerState::addRun(const TaskId &task, const RunProfile &profile)
 {
@@ -30,7 +32,8 @@
 
 bool WorkerState::isSchedulable(const std::set<std::string> &evacuatedDomains) const
 {
-    return registered && !info.draining && clock && failedPolls == 0 && !evacuatedDomains.contains(info.failureDomain);
+    const bool canListMoreEnds = processedEndSequence - acknowledgedEndSequence < MaximumUnacknowledgedEnds;
+    return registered && !info.draining && clock && failedPolls == 0 && canListMoreEnds && !evacuatedDomains.contains(info.failureDomain);
 }
 
 std::optional<std::chrono::milliseconds> WorkerState::sinceReport(TimePoint now) const
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Hyssop {
@@ -54,6 +55,11 @@
 
     std::int64_t processedEndSequence = 0; // sequence number of the newest run end that was processed
     std::int64_t durableEndSequence = 0; // all run ends up to this sequence number are durable
+    std::int64_t acknowledgedEndSequence = 0; // the process has discarded the ends up to this sequence number
+    bool acknowledging = false; // the pending poll acknowledges ends
+    TimePoint acknowledgeAfter{}; // until then, a start command of which no response arrived may still be executed
+    std::optional<TimePoint> acknowledgementDueSince; // since then, unconfirmed starts prevent an acknowledgement
+    std::vector<std::pair<TaskId, int>> heldStarts; // runs whose start command waits for the response to an acknowledgement
 
     std::map<TaskId, RunProfile> runs; // open runs
     Resources committed; // reserved resources of the open runs
@@ -81,12 +87,16 @@
     /// Returns true if the last poll of this owner was answered.
     bool isResponding() const { return hasAnswered && failedPolls == 0; }
 
-    /// Returns true if the worker is registered, answers, is not draining, and its failure domain is not evacuated.
+    /// Returns true if the worker is registered, answers, can list more ends, is not draining, and its failure domain is not
+    /// evacuated.
     bool isSchedulable(const std::set<std::string> &evacuatedDomains) const;
 
     /// Returns true if the last poll failed.
     bool isUnreachable() const { return failedPolls > 0; }
 
+    /// Returns true if ends are durable that the process may still list.
+    bool hasEndsToAcknowledge() const { return durableEndSequence > acknowledgedEndSequence; }
+
     /// Returns the time since the last report, if there was one in this term.
     std::optional<std::chrono::milliseconds> sinceReport(TimePoint now) const;
 
