End no run that the next process may have confirmed

Callers: a task had two runs at the same time.

Cause: if the clock in the response to a start shows that the worker has restarted, the owner ended all runs of which it knew that they run. The next process may have executed such a run too: responses to its starts whose clocks did not show the restart had confirmed them, and no report had named their process.

Evidence: the new test answers two starts of the next process, and failed before with "a run of the next process counts as ended".

Fix: such a restart ends only runs that a report has listed, which the previous process had executed. The others are stopped first.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -150,6 +150,9 @@
 
     /// Does the same on the first @p report of the new process, and keeps the runs that it lists.
     void handleWorkerRestart(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
+
+    /// Ends the runs that a report of the previous process of @p worker has listed or that were confirmed until @p confirmedUntil,
+    /// and stops the others, except those in @p kept.
     void endRunsOfPreviousProcess(WorkerState &worker, const std::set<std::pair<TaskId, int>> &kept, TimePoint confirmedUntil, TimePoint now);
 
     /// Ends the runs that the process of @p worker has confirmed: the process has ended. A start command that was not
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -202,7 +202,7 @@
 void Dispatcher::handleWorkerRestart(WorkerState &worker, WorkerTime reading, TimePoint now)
 {
     m_actions.emplace_back(WorkerRestarted{worker.info.id, reading, worker.clock ? worker.clock->readingAt(now) : WorkerTime(0), worker.runs.size()});
-    endRunsOfPreviousProcess(worker, {}, now, now);
+    endRunsOfPreviousProcess(worker, {}, TimePoint(), now); // a start that was confirmed may have been executed by the next process
 }
 
 void Dispatcher::handleWorkerRestart(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
@@ -231,7 +231,7 @@
             worker.removeRun(id);
         } else if (kept.contains({id, task->run})) {
             continue;
-        } else if (task->phase == TaskPhase::Running && task->confirmedAt <= confirmedUntil) {
+        } else if (task->phase == TaskPhase::Running && (task->listed || task->confirmedAt <= confirmedUntil)) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now);
         } else if (task->phase != TaskPhase::Assigned) {
             beginStop(id, *task, StopReason::WorkerRestarted, now); // the start command may still reach the restarted worker, or has reached it
--- a/tests/libs/dispatch/testworkerprocessend.cpp
+++ b/tests/libs/dispatch/testworkerprocessend.cpp
@@ -106,3 +106,21 @@
     cr_assert(harness.all<RunEnded>().empty(), "the run may have been started by the next process");
     cr_assert_eq(harness.all<StopCommand>().size(), 1);
 }
+
+Test(workerProcessEnd, aRunThatTheNextProcessHasConfirmedIsNotEndedWhenAClockShowsTheRestart)
+{
+    EventHarness harness(2);
+    harness.processStartedAt = 1s;
+    while (harness.all<StartCommand>().size() < 2) {
+        harness.advance(20ms);
+    }
+    // Both starts were executed by the next process; the later response arrives first.
+    const auto starts = harness.all<StartCommand>();
+    harness.dispatcher.startAnswered(starts[0], CommandExecuted{harness.clock() - 500ms}, harness.now);
+    harness.dispatcher.startAnswered(starts[1], CommandExecuted{harness.clock() - 3000ms}, harness.now);
+    harness.processStartedAt = 2s;
+    harness.runs = {{starts[0].task, starts[0].run, "", 0, 0}, {starts[1].task, starts[1].run, "", 0, 0}};
+    harness.advance(200ms);
+    cr_assert_eq(harness.all<WorkerRestarted>().size(), 1);
+    cr_assert(harness.all<RunEnded>().empty(), "a run of the next process counts as ended");
+}
