End no run while a start command of it is in transit

Callers: a task had two runs at the same time.

Cause: the owner ended a run that a report did not list although a start command of it was in transit: after a restart, or when a stop was confirmed. Another process of the worker, to which the stop is unknown, then executed the command. A run of which two copies of the start were sent also ended when a clock showed a restart, although the second copy had reached the next process.

Evidence: the simulation now has messages that take up to 0.7 s in each direction and reach the process that has replaced the one they were sent to.

Fix: while the last start command of a run is not answered, no report ends the run; it is stopped instead.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -151,8 +151,8 @@
     /// Does the same on the first @p report of the new process, and keeps the runs that it lists.
     void handleWorkerRestart(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
 
-    /// Ends the runs that a report of the previous process of @p worker has listed or that were confirmed until @p confirmedUntil,
-    /// and stops the others, except those in @p kept.
+    /// Ends the runs of which a report of the previous process of @p worker shows that no other has started them, and those
+    /// confirmed until @p confirmedUntil. Stops the others, except those in @p kept.
     void endRunsOfPreviousProcess(WorkerState &worker, const std::set<std::pair<TaskId, int>> &kept, TimePoint confirmedUntil, TimePoint now);
 
     /// Ends the runs that the process of @p worker has confirmed: the process has ended. A start command that was not
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -263,6 +263,7 @@
     task.worker = worker.info.id;
     task.startsSent = 0;
     task.stopConfirmed = false;
+    task.startPending = false;
     task.startConfirmed = false;
     task.listed = false;
     task.progressPercent = -1;
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -59,6 +59,7 @@
     task.phase = TaskPhase::Starting;
     task.phaseSince = now;
     ++task.startsSent;
+    task.startPending = true;
     m_actions.emplace_back(std::move(command));
 }
 
@@ -66,7 +67,11 @@
 {
     TaskExecution *task = m_jobs.task(command.task);
     const bool isCurrent = task != nullptr && task->run == command.run && task->worker == command.worker.id;
-    if (!isOfThisTerm(command.fencingToken) || !isCurrent || task->phase != TaskPhase::Starting) {
+    if (!isOfThisTerm(command.fencingToken) || !isCurrent) {
+        return;
+    }
+    task->startPending = false;
+    if (task->phase != TaskPhase::Starting) {
         return;
     }
     if (const auto *executed = std::get_if<CommandExecuted>(&result); executed != nullptr && executed->clock.count() > 0) {
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -224,6 +224,11 @@
     worker.durableEndSequence = 0;
     worker.acknowledgedEndSequence = 0;
     ++worker.suspectedRestarts;
+    // The next process may execute a start that is not answered, or has executed one of several.
+    const auto isLost = [&](const TaskExecution &task) {
+        const bool onlyPrevious = task.listed && task.startsSent == 1;
+        return !task.startPending && (onlyPrevious || task.confirmedAt <= confirmedUntil);
+    };
     const auto runs = worker.runs;
     for (const auto &[id, profile] : runs) {
         TaskExecution *task = m_jobs.task(id);
@@ -231,7 +236,7 @@
             worker.removeRun(id);
         } else if (kept.contains({id, task->run})) {
             continue;
-        } else if (task->phase == TaskPhase::Running && (task->listed || task->confirmedAt <= confirmedUntil)) {
+        } else if (task->phase == TaskPhase::Running && isLost(*task)) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now);
         } else if (task->phase != TaskPhase::Assigned) {
             beginStop(id, *task, StopReason::WorkerRestarted, now); // the start command may still reach the restarted worker, or has reached it
@@ -343,7 +348,7 @@
         const bool adopted = task->phase == TaskPhase::Starting && task->startsSent == 0;
         const bool ran = task->phase == TaskPhase::Running && task->confirmedAt <= sentAt;
         const bool stopped = task->phase == TaskPhase::Stopping && task->stopConfirmed && task->confirmedAt <= sentAt;
-        if (adopted || ran || stopped) {
+        if (adopted || ((ran || stopped) && !task->startPending)) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now);
         } else if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
             task->phaseSince = now;
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -26,6 +26,7 @@
     std::string worker; // worker of the open run
     TimePoint phaseSince{};
     int startsSent = 0; // start commands of this run that the worker may execute
+    bool startPending = false; // the last start command was not answered yet, so it may still be executed
     bool startConfirmed = false; // the worker has confirmed the start of this run
     bool listed = false; // a report has listed this run, so its start has not reached a later process
     TimePoint confirmedAt{}; // when the worker last confirmed the start or the stop
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -176,6 +176,11 @@
     });
 }
 
+void DispatchSimulation::replaceProcess(std::size_t index)
+{
+    m_workers[index]->restart(now);
+}
+
 void DispatchSimulation::crashWorker(std::size_t index, Duration downTime)
 {
     SimulatedWorker &worker = *m_workers[index];
@@ -376,6 +381,21 @@
     if (target->unreachable) {
         return;
     }
+    if (!late && faults.slowMessages > 0 && chance(faults.slowMessages)) {
+        const Duration requestTime = std::chrono::milliseconds(random(700));
+        const Duration responseTime = std::chrono::milliseconds(random(700));
+        at(now + requestTime, [=, this] {
+            if (target->unreachable || target->refusesConnections) {
+                unknown();
+                return;
+            }
+            const Outcome result = execute(*target, command, now);
+            const bool isInTime = requestTime + responseTime < CommandTimeout;
+            const Duration untilResult = isInTime ? responseTime : std::max(CommandTimeout - requestTime, Duration(0));
+            deliver(sender, untilResult, [=, this] { done(*sender, command, isInTime ? result : Outcome(CommandUndetermined{"timeout"}), sentAt, now); });
+        });
+        return;
+    }
     const bool lost = chance(faults.lostResponses);
     const int incarnation = target->incarnation(); // a restart of the worker closes the connection
     at(now + transitTime, [=, this] {
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -23,6 +23,7 @@
     double lostResponses = 0; // the command is executed, but its response is lost
     double delayedCommands = 0; // the command is executed 2 to 12 s later, without a response
     double failedRuns = 0;
+    double slowMessages = 0; // the command is in transit for up to 0.7 s, also across restarts of the worker, and so is its response
 };
 
 /// Simulates dispatchers, workers and the job topic with a virtual clock. Checks the scheduling invariants at each start of a
@@ -49,6 +50,9 @@
     /// Crashes the worker and restarts it after @p downTime.
     void restartWorker(std::size_t index, Duration downTime);
 
+    /// Restarts the process of the worker without any downtime; messages in transit reach the new process.
+    void replaceProcess(std::size_t index);
+
     /// Crashes the worker, whose machine refuses connections until the worker restarts after @p downTime.
     void crashWorker(std::size_t index, Duration downTime);
 
--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -77,6 +77,26 @@
     cr_assert_eq(simulation.openRuns(), 0, "seed %u: a run is left", seed);
 }
 
+/// Replaces the processes of workers while messages are slow, so that these reach another process than they were sent to.
+void runSlowScenario(std::uint32_t seed)
+{
+    DispatchSimulation simulation(seed);
+    simulation.faults = {0, 0, 0, 0.3};
+    simulation.claim();
+    for (int job = 0; job < Jobs; ++job) {
+        simulation.submit("job" + std::to_string(job), 1 + simulation.random(3), 1 + simulation.random(8));
+        simulation.run(std::chrono::milliseconds(simulation.random(400)));
+        simulation.replaceProcess(static_cast<std::size_t>(simulation.random(6)));
+    }
+    simulation.faults = {};
+    simulation.run(60s);
+    cr_assert(simulation.violations.empty(), "seed %u: %s", seed, simulation.violations.empty() ? "" : simulation.violations.front().c_str());
+    for (int job = 0; job < Jobs; ++job) {
+        cr_assert(simulation.isComplete("job" + std::to_string(job)), "seed %u: job%d has not completed", seed, job);
+    }
+    cr_assert_eq(simulation.openRuns(), 0, "seed %u: a run is left", seed);
+}
+
 constexpr int ServingJobs = 4;
 constexpr int ServingWidth = 4;
 constexpr int ServingRounds = 30;
@@ -154,6 +174,13 @@
     }
 }
 
+Test(dispatchFaults, slowMessagesAcrossRestartsCauseNoLostOrDuplicateRuns)
+{
+    for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
+        runSlowScenario(seed);
+    }
+}
+
 Test(dispatchFaults, servingTasksOfDepartingWorkersRunExactlyOnce)
 {
     for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
--- a/tests/libs/dispatch/testworkerprocessend.cpp
+++ b/tests/libs/dispatch/testworkerprocessend.cpp
@@ -16,6 +16,26 @@
     harness.advance(SeveralPolls, false);
 }
 
+/// Advances until @p count start commands were sent.
+void waitForStarts(EventHarness &harness, std::size_t count)
+{
+    for (int round = 0; round < 20 && harness.all<StartCommand>().size() < count; ++round) {
+        harness.advance(20ms);
+    }
+    cr_assert_eq(harness.all<StartCommand>().size(), count);
+}
+
+/// Leaves the first copy of the start without a response, and lets the worker list the run. The second copy is in transit.
+void sendTwoCopiesOfTheFirstStart(EventHarness &harness)
+{
+    const StartCommand start = harness.all<StartCommand>().front();
+    const std::size_t count = harness.all<StartCommand>().size();
+    harness.dispatcher.startAnswered(start, CommandUndetermined{"timeout"}, harness.now);
+    waitForStarts(harness, count + 1);
+    harness.runs = {{start.task, start.run, "", 0, 0}};
+    harness.advance(200ms);
+}
+
 } // namespace
 
 Test(workerProcessEnd, aRefusalAtAnotherAddressDoesNotEndTheRunsOfALiveWorker)
@@ -111,9 +131,7 @@
 {
     EventHarness harness(2);
     harness.processStartedAt = 1s;
-    while (harness.all<StartCommand>().size() < 2) {
-        harness.advance(20ms);
-    }
+    waitForStarts(harness, 2);
     // Both starts were executed by the next process; the later response arrives first.
     const auto starts = harness.all<StartCommand>();
     harness.dispatcher.startAnswered(starts[0], CommandExecuted{harness.clock() - 500ms}, harness.now);
@@ -124,3 +142,48 @@
     cr_assert_eq(harness.all<WorkerRestarted>().size(), 1);
     cr_assert(harness.all<RunEnded>().empty(), "a run of the next process counts as ended");
 }
+
+Test(workerProcessEnd, aStoppedRunWhoseStartIsInTransitIsNotEndedBeforeTheStartIsAnswered)
+{
+    EventHarness harness;
+    harness.processStartedAt = 1s;
+    waitForStarts(harness, 1);
+    harness.processStartedAt = 2s;
+    harness.advance(200ms);
+    cr_assert_eq(harness.all<StopCommand>().size(), 1);
+    harness.dispatcher.stopAnswered(harness.all<StopCommand>().front(), CommandExecuted{harness.clock()}, harness.now);
+    harness.advance(400ms);
+    // Yet another process, which does not know of the stop, may execute the start.
+    cr_assert(harness.all<RunEnded>().empty(), "the run counts as ended, but its start may still be executed");
+    harness.dispatcher.startAnswered(harness.all<StartCommand>().front(), CommandRejected{RejectionReason::Superseded, "old"}, harness.now);
+    harness.advance(400ms);
+    cr_assert_eq(harness.all<RunEnded>().size(), 1, "the run is not ended after the response");
+}
+
+Test(workerProcessEnd, aRunWithACopyOfItsStartInTransitIsNotEndedByARestart)
+{
+    EventHarness harness;
+    harness.processStartedAt = 1s;
+    waitForStarts(harness, 1);
+    sendTwoCopiesOfTheFirstStart(harness);
+    harness.processStartedAt = 2s;
+    harness.runs.clear();
+    harness.advance(200ms);
+    cr_assert(harness.all<RunEnded>().empty(), "the run counts as ended, but the next process may start it");
+    cr_assert_eq(harness.all<StopCommand>().size(), 1);
+}
+
+Test(workerProcessEnd, aRunWithTwoCopiesOfItsStartIsNotEndedWhenAClockShowsTheRestart)
+{
+    EventHarness harness(2);
+    harness.processStartedAt = 1s;
+    waitForStarts(harness, 2);
+    sendTwoCopiesOfTheFirstStart(harness);
+    const auto starts = harness.all<StartCommand>();
+    // The next process has executed the second copy, and then the start of the other run.
+    harness.dispatcher.startAnswered(starts.back(), CommandExecuted{harness.clock() - 4s}, harness.now);
+    harness.dispatcher.startAnswered(starts[1], CommandExecuted{harness.clock() - 4s}, harness.now);
+    harness.advance(20ms);
+    cr_assert_eq(harness.all<WorkerRestarted>().size(), 1);
+    cr_assert(harness.all<RunEnded>().empty(), "the run counts as ended, but the next process may have started it");
+}
