Ignore late reports of a process that has ended

Callers: runs of a worker that restarted once were stopped again, and starts were sent with lease ends of a clock that no longer exists.

Cause: the clock in the response to a start shows that the worker has restarted. A report of the previous process that arrives afterwards brought its state back, so the first report of the next process counted as another restart.

Evidence: the new test failed before with "2 restarts are assumed".

Fix: the owner remembers when it learned that a process had ended. A report that names this process or an earlier one, in response to a poll sent before, changes nothing. Reports on later polls are taken whatever start they name, as a machine may set its clock back.

--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -168,6 +168,10 @@
 
 void Dispatcher::handleReport(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
+    if (worker.isLateReport(report.processStartedAt, sentAt)) {
+        worker.nextPoll = now;
+        return;
+    }
     if (worker.isUnreachable()) {
         m_actions.emplace_back(WorkerReachableAgain{worker.info.id, worker.failedPolls, worker.runs.size(), worker.sinceReport(now)});
     }
@@ -223,6 +227,8 @@
     worker.processedEndSequence = 0;
     worker.durableEndSequence = 0;
     worker.acknowledgedEndSequence = 0;
+    worker.endedProcessStartedAt = std::max(worker.endedProcessStartedAt, worker.processStartedAt);
+    worker.processEndKnownAt = now;
     ++worker.suspectedRestarts;
     // The next process may execute a start that is not answered, or has executed one of several.
     const auto isLost = [&](const TaskExecution &task) {
--- a/src/libs/dispatch/workerstate.cpp
+++ b/src/libs/dispatch/workerstate.cpp
@@ -36,6 +36,13 @@
     return registered && !info.draining && clock && failedPolls == 0 && canListMoreEnds && !evacuatedDomains.contains(info.failureDomain);
 }
 
+bool WorkerState::isLateReport(std::chrono::milliseconds reportedProcessStart, TimePoint sentAt) const
+{
+    // A poll that was sent later reaches a later process, even if its machine has set its clock back.
+    const bool isKnown = reportedProcessStart.count() != 0 && endedProcessStartedAt.count() != 0;
+    return isKnown && reportedProcessStart <= endedProcessStartedAt && sentAt < processEndKnownAt;
+}
+
 std::optional<std::chrono::milliseconds> WorkerState::sinceReport(TimePoint now) const
 {
     if (!hasAnswered) {
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -39,6 +39,8 @@
     bool registered = false; // currently registered with the platform
     std::optional<WorkerClock> clock;
     std::chrono::milliseconds processStartedAt{0}; // 0: unknown
+    std::chrono::milliseconds endedProcessStartedAt{0}; // start of the newest process that is known to have ended; 0: none
+    TimePoint processEndKnownAt{}; // since when it is known
     int suspectedRestarts = 0; // known or suspected restarts of the process in this term
     WorkerHealth health;
 
@@ -97,6 +99,9 @@
     /// Returns true if ends are durable that the process may still list.
     bool hasEndsToAcknowledge() const { return durableEndSequence > acknowledgedEndSequence; }
 
+    /// Returns true if a report on a poll sent at @p sentAt may come from a process that has ended, and not from the current one.
+    bool isLateReport(std::chrono::milliseconds reportedProcessStart, TimePoint sentAt) const;
+
     /// Returns the time since the last report, if there was one in this term.
     std::optional<std::chrono::milliseconds> sinceReport(TimePoint now) const;
 
--- a/tests/libs/dispatch/testworkerprocessend.cpp
+++ b/tests/libs/dispatch/testworkerprocessend.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace Hyssop;
 using namespace Hyssop::Testing;
 using namespace std::chrono_literals;
@@ -187,3 +189,31 @@
     cr_assert_eq(harness.all<WorkerRestarted>().size(), 1);
     cr_assert(harness.all<RunEnded>().empty(), "the run counts as ended, but the next process may have started it");
 }
+
+Test(workerProcessEnd, aLateReportOfThePreviousProcessIsNotTakenForAnotherRestart)
+{
+    EventHarness harness(2);
+    harness.processStartedAt = 1s;
+    waitForStarts(harness, 2);
+    const auto starts = harness.all<StartCommand>();
+    harness.dispatcher.startAnswered(starts[0], CommandExecuted{harness.clock()}, harness.now);
+    harness.runs = {{starts[0].task, starts[0].run, "", 0, 0}};
+    harness.advance(200ms);
+    const PollCommand poll = harness.all<PollCommand>().back();
+    const TimePoint polledAt = harness.now;
+    WorkerReport report;
+    report.clock = harness.clock();
+    report.processStartedAt = harness.processStartedAt;
+    report.runs = harness.runs;
+    // The response to the poll is late: the next process has answered a start already.
+    harness.now += 20ms;
+    harness.dispatcher.startAnswered(starts[1], CommandExecuted{harness.clock() - 3s}, harness.now);
+    harness.dispatcher.pollAnswered(poll, report, polledAt, harness.now);
+    harness.processStartedAt = 2s;
+    harness.runs.clear();
+    harness.advance(200ms);
+    cr_assert_eq(harness.all<WorkerRestarted>().size(), 1, "%zu restarts are assumed", harness.all<WorkerRestarted>().size());
+    const auto stops = harness.all<StopCommand>();
+    const bool stopsAsOrphan = std::ranges::any_of(stops, [](const StopCommand &stop) { return stop.reason == StopReason::Orphaned; });
+    cr_assert_not(stopsAsOrphan, "the runs of the previous process count as present");
+}
