--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -148,6 +148,9 @@
     /// Takes into account that the process of @p worker, of which the owner has just learned, may have executed a poll that was sent
     /// to an earlier process. The end of its lease is a time on the clock of that process, so only the platform limits the lease.
     void awaitLeasesOfLatePolls(WorkerState &worker, TimePoint now) const;
+
+    /// Ends the runs of which a report of the previous process of @p worker shows that no other has started them, and those
+    /// confirmed until @p confirmedUntil. Stops the others, except those in @p kept.
     void endRunsOfPreviousProcess(WorkerState &worker, const std::set<std::pair<TaskId, int>> &kept, TimePoint confirmedUntil, TimePoint now);
 
     /// Ends the runs that the process of @p worker has confirmed: the process has ended. A start command that was not
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -282,7 +282,9 @@
     task.worker = worker.info.id;
     task.startsSent = 0;
     task.stopConfirmed = false;
+    task.startPending = false;
     task.startConfirmed = false;
+    task.listed = false;
     task.progressPercent = -1;
     task.progressSince = now;
     task.firstProgressPercent = -1;
