--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -164,6 +164,10 @@
 
 void Dispatcher::handleReport(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
+    if (worker.isLateReport(report.processStartedAt, sentAt)) {
+        worker.nextPoll = now;
+        return;
+    }
     if (worker.isUnreachable()) {
         m_actions.emplace_back(WorkerReachableAgain{worker.info.id, worker.failedPolls, worker.runs.size(), worker.sinceReport(now)});
     }
@@ -180,10 +184,7 @@
     for (const ReportedRun &run : report.runs) {
         handleReportedRun(worker, run, now);
     }
-    const bool listsAllRuns = report.ends.size() < Internal::MaximumReportedEnds && report.malformedRuns == 0;
-    if (listsAllRuns) {
-        findMissingRuns(worker, report, sentAt, now);
-    }
+    findMissingRuns(worker, report, sentAt, now);
     std::erase_if(worker.orphanStops, [&](const auto &item) { return now - item.second > Internal::OrphanStopRetention; });
     adjustSpeeds(worker, report, now);
     worker.nextPoll = now;
@@ -199,7 +200,7 @@
 void Dispatcher::handleWorkerRestart(WorkerState &worker, WorkerTime reading, TimePoint now)
 {
     m_actions.emplace_back(WorkerRestarted{worker.info.id, reading, worker.clock ? worker.clock->readingAt(now) : WorkerTime(0), worker.runs.size()});
-    endRunsOfPreviousProcess(worker, {}, now, now);
+    endRunsOfPreviousProcess(worker, {}, TimePoint(), now); // a start that was confirmed may have been executed by the next process
 }
 
 void Dispatcher::handleWorkerRestart(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
@@ -215,11 +216,24 @@
     endRunsOfPreviousProcess(worker, listed, sentAt, now);
 }
 
+void Dispatcher::awaitLeasesOfLatePolls(WorkerState &worker, TimePoint now) const
+{
+    worker.leaseEnd = std::max(worker.leaseEnd, now + m_limits.maximumLease * 100 / WorkerClock::SlowestPercent);
+}
+
 void Dispatcher::endRunsOfPreviousProcess(WorkerState &worker, const std::set<std::pair<TaskId, int>> &kept, TimePoint confirmedUntil, TimePoint now)
 {
     worker.processedEndSequence = 0;
     worker.durableEndSequence = 0;
+    worker.endedProcessStartedAt = std::max(worker.endedProcessStartedAt, worker.processStartedAt);
+    worker.processEndKnownAt = now;
     ++worker.suspectedRestarts;
+    awaitLeasesOfLatePolls(worker, now);
+    // The next process may execute a start that is not answered, or has executed one of several.
+    const auto isLost = [&](const TaskExecution &task) {
+        const bool onlyPrevious = task.listed && task.startsSent == 1;
+        return !task.startPending && (onlyPrevious || task.confirmedAt <= confirmedUntil);
+    };
     const auto runs = worker.runs;
     for (const auto &[id, profile] : runs) {
         TaskExecution *task = m_jobs.task(id);
@@ -227,7 +241,7 @@
             worker.removeRun(id);
         } else if (kept.contains({id, task->run})) {
             continue;
-        } else if (task->phase == TaskPhase::Running && task->confirmedAt <= confirmedUntil) {
+        } else if (task->phase == TaskPhase::Running && isLost(*task)) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::WorkerRestarted);
         } else if (task->phase != TaskPhase::Assigned) {
             beginStop(id, *task, StopReason::WorkerRestarted, now); // the start command may still reach the restarted worker, or has reached it
@@ -261,6 +275,7 @@
         return;
     }
     task->startConfirmed = true;
+    task->listed = true;
     if (!run.checkpoint.empty()) {
         task->checkpoint = run.checkpoint;
     }
@@ -319,6 +334,7 @@
 
 void Dispatcher::findMissingRuns(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
+    const bool listsAllRuns = report.ends.size() < Internal::MaximumReportedEnds && report.malformedRuns == 0;
     const auto byValue = [](const TaskId *left, const TaskId *right) { return *left < *right; };
     std::set<const TaskId *, decltype(byValue)> present(byValue);
     for (const ReportedRun &run : report.runs) {
@@ -339,7 +355,7 @@
         const bool adopted = task->phase == TaskPhase::Starting && task->startsSent == 0;
         const bool ran = task->phase == TaskPhase::Running && task->confirmedAt <= sentAt;
         const bool stopped = task->phase == TaskPhase::Stopping && task->stopConfirmed && task->confirmedAt <= sentAt;
-        if (adopted || ran || stopped) {
+        if (listsAllRuns && (adopted || ((ran || stopped) && !task->startPending))) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::MissingInReport);
         } else if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
             task->phaseSince = now;
