Write the results that follow the end of the ownership

What callers saw: results of commands that were sent before SIGTERM and answered after the release of the ownership were missing in the log.

Cause: stepping down writes the combined results. Those that follow were written after 1 s or more, two lines in 200 ms, and nothing wrote the rest before the process ended.

Why it works: an instance that isn't the owner writes all its results every 200 ms, and the rest before `stopped`. Only commands that were sent before stepping down are still answered, so the lines are few; the limit of lines bounds them as before. A process that ends because of an exception or SIGKILL still loses what it has combined.

--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -202,6 +202,7 @@
         timer.expires_after(Internal::DrainCheckInterval);
         co_await timer.async_wait(Internal::AsTuple);
     }
+    m_owner.finishLog();
     logMessage(LogLevel::Info, "node", "stopped", {{"open_requests", m_callerServer->openRequests()}});
     m_context.stop();
 }
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -154,7 +154,7 @@
         timer.expires_after(m_term ? Internal::TickInterval : Internal::StandbyInterval);
         co_await timer.async_wait(Internal::AsTuple);
         updateWorkersNeed();
-        m_runLog.writeDue(m_clock.now());
+        writeResults();
         if (!m_term || m_releasing) {
             continue;
         }
@@ -203,6 +203,11 @@
     co_await releaseOwnership("released");
 }
 
+void TopicOwner::finishLog()
+{
+    m_runLog.writeAll(m_clock.now());
+}
+
 bool TopicOwner::ownsNewestClaim() const
 {
     const auto &claim = m_table.claim();
@@ -333,6 +338,16 @@
     logAction(end);
 }
 
+void TopicOwner::writeResults()
+{
+    if (m_term) {
+        m_runLog.writeDue(m_clock.now());
+    } else {
+        // Only the commands sent before stepping down are still answered: few results follow that could be combined.
+        m_runLog.writeAll(m_clock.now());
+    }
+}
+
 void TopicOwner::startAppend(std::vector<KeyedRecord> records, bool isBatch)
 {
     m_appender.append(std::move(records), [this, isBatch](const TopicAppendResult &result, TimePoint sentAt) { appendAnswered(result, isBatch, sentAt); });
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -85,6 +85,9 @@
     /// Releases the topic, so that another instance can claim it immediately. This instance does not claim it again.
     boost::asio::awaitable<void> release();
 
+    /// Writes the results of commands that are not in the log yet. Must be called before the process ends.
+    void finishLog();
+
     bool isOwner() const { return m_term.has_value(); }
     /// Returns true while a recently sent claim may still appear in the topic.
     bool isClaiming() const;
@@ -101,6 +104,7 @@
     void logCommandResult(const char *name, const Command &command, const CommandResult &result);
     void logEvent(const RunEnded &end);
     void logEvent(const JobEnded &end);
+    void writeResults();
     void startAppend(std::vector<KeyedRecord> records, bool isBatch);
     void appendAnswered(const TopicAppendResult &result, bool isBatch, TimePoint sentAt);
     boost::asio::awaitable<void> releaseOwnership(std::string reason);
--- a/tests/libs/node/testnodedaemon.cpp
+++ b/tests/libs/node/testnodedaemon.cpp
@@ -1,9 +1,11 @@
 #include "memorystore.h"
 #include "memorytopics.h"
+#include "support/capturedoutput.h"
 
 #include <jobtopic/jobkeys.h>
 #include <node/nodedaemon.h>
 #include <node/nodesettings.h>
+#include <observability/logging.h>
 #include <ports/adviceservice.h>
 #include <ports/machinedirectory.h>
 #include <ports/platformdecoder.h>
@@ -13,7 +15,9 @@
 
 #include <criterion/criterion.h>
 
+#include <csignal>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -36,20 +40,33 @@
 address = 127.0.0.1:1
 )";
 
-/// Fails every call and collects the ids of the workers that were polled.
+/// Collects the ids of the workers that were polled. Fails every call unless it has a report.
 class PolledWorkers : public WorkerApi
 {
 public:
     asio::awaitable<CommandResult> start(StartCommand) override { co_return CommandNotSent{"no workers"}; }
-    asio::awaitable<CommandResult> stop(StopCommand) override { co_return CommandNotSent{"no workers"}; }
+    asio::awaitable<CommandResult> stop(StopCommand command) override
+    {
+        ++stops;
+        co_await pauseFor(stopTime);
+        answeredStops.insert(command.task.job);
+        co_return CommandNotSent{"no workers"};
+    }
     asio::awaitable<CommandResult> throttle(ThrottleCommand) override { co_return CommandNotSent{"no workers"}; }
     asio::awaitable<PollResult> poll(PollCommand command) override
     {
         ids.insert(command.worker.id);
+        if (report) {
+            co_return *report;
+        }
         co_return CommandNotSent{"no workers"};
     }
 
     std::set<std::string> ids;
+    std::optional<WorkerReport> report;
+    std::chrono::milliseconds stopTime{0};
+    std::set<std::string> answeredStops; // jobs
+    int stops = 0;
 };
 
 class NoAdvice : public AdviceService
@@ -151,6 +168,40 @@
 
 using Ids = std::set<std::string>;
 
+constexpr int OrphanedRuns = 150; // more than may have a line of their own in a second
+
+std::string orphanedJob(int index)
+{
+    return "orphan" + std::to_string(index);
+}
+
+/// Ends the instance with SIGTERM while the commands that stop orphaned runs are not answered.
+void endDuringStops(Fixture &fixture, std::chrono::milliseconds stopTime)
+{
+    WorkerReport report;
+    for (int index = 0; index < OrphanedRuns; ++index) {
+        ReportedRun run;
+        run.task = {orphanedJob(index), 0, 0, 0};
+        run.run = 1;
+        report.runs.push_back(run);
+    }
+    fixture.workers.report = report;
+    fixture.workers.stopTime = stopTime;
+    fixture.putWorker("a");
+    fixture.runUntil([&] { return fixture.workers.stops >= OrphanedRuns; });
+    std::raise(SIGTERM);
+}
+
+/// Returns for how many of @p jobs no result is in @p text.
+int missingResults(const std::string &text, const std::set<std::string> &jobs)
+{
+    int missing = 0;
+    for (const std::string &job : jobs) {
+        missing += text.find("job_id=" + job + " ") == std::string::npos ? 1 : 0;
+    }
+    return missing;
+}
+
 } // namespace
 
 Test(nodeDaemon, standbyInstancesDoNotReadTheWorkersTopic, .timeout = 30)
@@ -276,3 +327,30 @@
     fixture.context.run_for(700ms);
     cr_assert_eq(fixture.copiedKeys(), 1);
 }
+
+Test(nodeDaemon, resultsAfterAStepDownAreWrittenWithoutDelay, .timeout = 30)
+{
+    const CapturedOutput output;
+    initializeLogging(LogLevel::Info, LogFormat::KeyValue, "node");
+    Fixture fixture;
+    endDuringStops(fixture, 600ms);
+    fixture.context.run_for(1500ms);
+    const std::string text = output.text();
+    cr_assert(text.find("ownership released") != std::string::npos);
+    cr_assert_eq(fixture.workers.answeredStops.size(), OrphanedRuns);
+    const int missing = missingResults(text, fixture.workers.answeredStops);
+    cr_assert_eq(missing, 0, "%d results are not written", missing);
+}
+
+Test(nodeDaemon, resultsShortlyBeforeTheEndOfTheProcessAreWritten, .timeout = 30)
+{
+    const CapturedOutput output;
+    initializeLogging(LogLevel::Info, LogFormat::KeyValue, "node");
+    Fixture fixture;
+    endDuringStops(fixture, 2470ms); // the process ends after 2.5 s
+    fixture.runUntil([&] { return fixture.context.stopped(); });
+    const std::string text = output.text();
+    cr_assert(text.find("message=stopped") != std::string::npos);
+    const int missing = missingResults(text, fixture.workers.answeredStops);
+    cr_assert_eq(missing, 0, "%d results are not written", missing);
+}
