Keep the ends of jobs in the log when runs flood it

Cause: it had the priority of exceptional results of single runs, which are many more: when they have used their part of the limit of a second, none of its lines is left for the ends of jobs.

Why it works: `job ended` has a priority of its own, RequestEnd, between the results of runs and the changes of workers. 12 % of the limit (48 of 400 lines) are not available to routine and outcome lines; the parts for changes of workers (15 %) and for essential lines (10 %) stay as they were. Routine lines may use 53 % instead of 60 %, outcomes 63 % instead of 75 %. The limit of lines in a second still bounds all.

Test that failed before: ownerLog/theEndOfAJobIsNotDisplacedByOutcomesOfItsRuns ("40 of 40 ends of jobs are not written"). theEndsOfJobsDisplaceNeitherChangesOfWorkersNorOfTheOwnership guards the new order; it passed before too.

--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -323,7 +323,7 @@
 void logAction(const JobEnded &end)
 {
     const JobHistory &history = end.history;
-    logMessage(LogPriority::Outcome,
+    logMessage(LogPriority::RequestEnd,
                LogLevel::Info,
                "owner",
                "job ended",
--- a/src/libs/observability/logging.cpp
+++ b/src/libs/observability/logging.cpp
@@ -17,7 +17,8 @@
 namespace Internal {
 
 // Parts of the limit that are not available to lines of lower priority.
-constexpr int OutcomeSharePercent = 15;
+constexpr int OutcomeSharePercent = 10;
+constexpr int RequestEndSharePercent = 12;
 constexpr int StateChangeSharePercent = 15;
 constexpr int EssentialSharePercent = 10;
 
@@ -89,24 +90,30 @@
     return result + "\"";
 }
 
-/// Returns how many lines of the limit are reserved for lines of a higher priority.
-static int reservedLines(int linesPerSecond, LogPriority priority)
+/// Returns which part of the limit is reserved for lines of a higher priority.
+static int reservedPercent(LogPriority priority)
 {
-    const int essentialLines = linesPerSecond * EssentialSharePercent / 100;
-    const int stateChangeLines = linesPerSecond * StateChangeSharePercent / 100;
     switch (priority) {
     case LogPriority::Routine:
-        return essentialLines + stateChangeLines + linesPerSecond * OutcomeSharePercent / 100;
+        return EssentialSharePercent + StateChangeSharePercent + RequestEndSharePercent + OutcomeSharePercent;
     case LogPriority::Outcome:
-        return essentialLines + stateChangeLines;
+        return EssentialSharePercent + StateChangeSharePercent + RequestEndSharePercent;
+    case LogPriority::RequestEnd:
+        return EssentialSharePercent + StateChangeSharePercent;
     case LogPriority::StateChange:
-        return essentialLines;
+        return EssentialSharePercent;
     case LogPriority::Essential:
         return 0;
     }
     return 0;
 }
 
+/// Returns how many lines of the limit are reserved for lines of a higher priority.
+static int reservedLines(int linesPerSecond, LogPriority priority)
+{
+    return linesPerSecond * reservedPercent(priority) / 100;
+}
+
 /// Applies the rate limit. Returns false, and counts the line as dropped, if the limit of this second is reached.
 static bool consumeLineBudget(LoggingState &state, LogPriority priority)
 {
--- a/src/libs/observability/logging.h
+++ b/src/libs/observability/logging.h
@@ -17,7 +17,8 @@
 /// Decides which lines are dropped first when the limit of lines is reached.
 enum class LogPriority {
     Routine, // about a single request
-    Outcome, // the end of a request, or an exceptional result of one of its steps
+    Outcome, // an exceptional result of a step of a request
+    RequestEnd,
     StateChange, // of one of many workers; may occur in large numbers
     Essential,
 };
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -6,6 +6,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace Hyssop;
 using Hyssop::Testing::CapturedOutput;
 using namespace std::chrono_literals;
@@ -104,6 +106,39 @@
     cr_assert(text.find("message=\"job ended\" job_id=j outcome=completed after_ms=700") != std::string::npos);
 }
 
+Test(ownerLog, theEndOfAJobIsNotDisplacedByOutcomesOfItsRuns)
+{
+    constexpr int EndedJobs = 40; // in a second
+    const OwnerLog log;
+    for (int line = 0; line < 2 * LineLimit; ++line) {
+        logMessage(LogLevel::Info, "owner", "run results", {{"job_id", "j"}});
+        logAction(RunEnded{{"j", 0, 1, 2}, 4, "w", RunEndReason::LeaseExpired, 0, false, RunEndEvidence::LeaseExpired, 1});
+    }
+    for (int job = 0; job < EndedJobs; ++job) {
+        logAction(JobEnded{"j" + std::to_string(job), "completed", 700ms, true, 0ms, {}});
+    }
+    const std::string text = log.text();
+    int missing = 0;
+    for (int job = 0; job < EndedJobs; ++job) {
+        missing += text.find("message=\"job ended\" job_id=j" + std::to_string(job) + " ") == std::string::npos ? 1 : 0;
+    }
+    cr_assert_eq(missing, 0, "%d of %d ends of jobs are not written", missing, EndedJobs);
+}
+
+Test(ownerLog, theEndsOfJobsDisplaceNeitherChangesOfWorkersNorOfTheOwnership)
+{
+    const OwnerLog log;
+    for (int line = 0; line < 2 * LineLimit; ++line) {
+        logAction(JobEnded{"j", "completed", 700ms, true, 0ms, {}});
+    }
+    logAction(WorkerLeaseExpired{"w", 3, 2});
+    logStepDown(3, "a newer claim exists", {});
+    const std::string text = log.text();
+    cr_assert(text.find("leases of unreachable worker expired") != std::string::npos);
+    cr_assert(text.find("stepped down as owner") != std::string::npos);
+    cr_assert_leq(std::ranges::count(text, '\n'), LineLimit);
+}
+
 Test(ownerLog, theEndOfAJobTellsWhyItWasLate)
 {
     const OwnerLog log;
