Write combined exceptional results with the priority of single ones

What callers saw: when more than 60 exceptional results occur in a second (commands that were refused or not sent, runs that lapsed), the further ones are combined, and their line is dropped first when the log is flooded, before each single result.

Cause: all lines of combined results had the priority of routine lines.

Why it works: a line that contains an exceptional result has the priority of single ones, whatever else is in it. Confirmed stops of batch runs, which are combined too, stay routine. Such lines are bounded like all lines of combined results.

Test that failed before, with RunLog::exceptional() passing its result on to other(): runLog/combinedExceptionalResultsAreNotDisplacedByRoutineLines ("0 lines"). It also checks that a line without exceptional results stays routine.

--- a/src/libs/node/runlog.cpp
+++ b/src/libs/node/runlog.cpp
@@ -67,6 +67,14 @@
     writeIfFull(task, results, now);
 }
 
+void RunLog::exceptional(const std::string &result, const TaskId &task, int run, const std::string &worker, TimePoint now)
+{
+    StepResults &results = resultsOf(task, now);
+    results.hasExceptional = true;
+    results.others[result][worker].push_back({task.index, run});
+    writeIfFull(task, results, now);
+}
+
 void RunLog::writeDue(TimePoint now)
 {
     using Item = std::map<StepKey, StepResults>::const_iterator;
@@ -140,7 +148,8 @@
 void RunLog::write(const StepKey &step, const StepResults &results, TimePoint now)
 {
     const auto &[jobId, occurrence, index] = step;
-    logMessage(LogLevel::Info,
+    logMessage(results.hasExceptional ? LogPriority::Outcome : LogPriority::Routine,
+               LogLevel::Info,
                "owner",
                "run results",
                {{"job_id", jobId},
--- a/src/libs/node/runlog.h
+++ b/src/libs/node/runlog.h
@@ -28,9 +28,12 @@
     /// Returns true if an exceptional result may have a line of its own. Its caller combines the others: they are too many.
     bool takesOwnLine(TimePoint now);
 
-    /// Takes another result, for example "start-unsent".
+    /// Takes another routine result, for example "stop-done".
     void other(const std::string &result, const TaskId &task, int run, const std::string &worker, TimePoint now);
 
+    /// Takes an exceptional result, for example "start-unsent". Its line has the priority of lines with a single exceptional result.
+    void exceptional(const std::string &result, const TaskId &task, int run, const std::string &worker, TimePoint now);
+
     /// Writes the oldest lines that are due.
     void writeDue(TimePoint now);
 
@@ -59,6 +62,7 @@
         std::vector<RunOfTask> completed;
         std::map<std::string, RunsByWorker> others; // by result
         std::size_t count = 0;
+        bool hasExceptional = false;
     };
 
     static std::string toString(const std::vector<RunOfTask> &runs);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -313,10 +313,13 @@
 void TopicOwner::logCommandResult(const char *name, const Command &command, const CommandResult &result)
 {
     const TimePoint now = m_clock.now();
-    if (command.isServing || (!isRoutine(command, result) && m_runLog.takesOwnLine(now))) {
+    const std::string combinedName = std::string(name) + "-" + resultName(result);
+    if (isRoutine(command, result)) {
+        m_runLog.other(combinedName, command.task, command.run, command.worker.id, now);
+    } else if (command.isServing || m_runLog.takesOwnLine(now)) {
         logResult(command, result);
     } else {
-        m_runLog.other(std::string(name) + "-" + resultName(result), command.task, command.run, command.worker.id, now);
+        m_runLog.exceptional(combinedName, command.task, command.run, command.worker.id, now);
     }
 }
 
@@ -328,7 +331,7 @@
     } else if (end.isServing || m_runLog.takesOwnLine(now)) {
         logAction(end);
     } else {
-        m_runLog.other(std::string("run-") + endReasonName(end.endReason), end.task, end.run, end.worker, now);
+        m_runLog.exceptional(std::string("run-") + endReasonName(end.endReason), end.task, end.run, end.worker, now);
     }
 }
 
--- a/tests/libs/node/testrunlog.cpp
+++ b/tests/libs/node/testrunlog.cpp
@@ -155,3 +155,18 @@
                "129,131,133,135,137,139,141,143,145,147,149),start-unsent(w:60,62,64,66,68,70,72,74,76,78,80,82,84,86,88,90,92,94,96,98,100,102,104,106,"
                "108,110,112,114,116,118,120,122,124,126,128,130,132,134,136,138,140,142,144,146,148),stop-done(v:7/2) span_ms=0");
 }
+
+Test(runLog, combinedExceptionalResultsAreNotDisplacedByRoutineLines)
+{
+    const CapturedLog log;
+    RunLog runs;
+    for (int line = 0; line < 2 * LineLimit; ++line) {
+        logMessage(LogLevel::Info, "owner", "routine");
+    }
+    const auto linesBefore = log.lineCount();
+    runs.exceptional("start-unsent", {"j", 0, 1, 7}, 1, "w", Begin);
+    runs.other("stop-done", {"i", 0, 1, 7}, 1, "w", Begin);
+    runs.writeAll(Begin);
+    cr_assert_eq(log.lineCount() - linesBefore, 1, "%d lines", static_cast<int>(log.lineCount() - linesBefore));
+    cr_assert(log.text().find("job_id=j step=0.1 started=\"\" withdrawn=\"\" completed=\"\" other=start-unsent(w:7) span_ms=0") != std::string::npos);
+}
