Bound the number of steps with combined results

Cause: RunLog keeps an entry for each step with results until its line is due and written, at a bounded rate. With more new steps a second than lines, the entries and their results accumulate without limit.

Why it works: at 1000 steps, the oldest line is written before a further step is entered. Each result stays in one line, which is subject to the limit of lines. The search for the oldest one passes over 1000 entries, and only while the limit is reached. No process was seen at this limit: the fault is argued from the code and shown by the test.

Test that failed before: runLog/theNumberOfCombinedStepsIsBoundedAndNoResultIsLost ("0 lines" written of 2000 expected, after 3000 steps).

--- a/src/libs/node/runlog.cpp
+++ b/src/libs/node/runlog.cpp
@@ -14,6 +14,8 @@
 constexpr int MaximumOwnLines = 60; // in a second
 // Bounds the length of a line.
 constexpr std::size_t MaximumResults = 100;
+// Bounds the memory while more steps have results than lines are due.
+constexpr std::size_t MaximumSteps = 1000;
 
 /// Appends "FIRST-LAST" or "FIRST", with "/RUN" unless it is the first run.
 static void appendRange(std::string &text, int first, int last, int run)
@@ -161,9 +163,20 @@
                 {"span_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - results.since).count()}});
 }
 
+void RunLog::writeOldest(TimePoint now)
+{
+    const auto oldest = std::ranges::min_element(m_steps, {}, [](const auto &step) { return step.second.since; });
+    write(oldest->first, oldest->second, now);
+    m_steps.erase(oldest);
+}
+
 RunLog::StepResults &RunLog::resultsOf(const TaskId &task, TimePoint now)
 {
-    StepResults &results = m_steps[StepKey(task.job, task.occurrence, task.step)];
+    const StepKey step(task.job, task.occurrence, task.step);
+    if (m_steps.size() >= Internal::MaximumSteps && !m_steps.contains(step)) {
+        writeOldest(now);
+    }
+    StepResults &results = m_steps[step];
     if (results.count == 0) {
         results.since = now;
     }
--- a/src/libs/node/runlog.h
+++ b/src/libs/node/runlog.h
@@ -12,7 +12,8 @@
 namespace Hyssop {
 
 /// Combines the results of runs into few log lines. Each result is in exactly one line. The lines that are due are written at a
-/// bounded rate, the oldest first; a line that has reached its size limit is written immediately.
+/// bounded rate, the oldest first; a line that has reached its size limit is written immediately, and the oldest one when the
+/// number of steps reaches its limit.
 class RunLog
 {
 public:
@@ -70,6 +71,7 @@
     static std::string toString(const std::map<std::string, RunsByWorker> &others);
     static void write(const StepKey &step, const StepResults &results, TimePoint now);
 
+    void writeOldest(TimePoint now);
     StepResults &resultsOf(const TaskId &task, TimePoint now);
     void writeIfFull(const TaskId &task, StepResults &results, TimePoint now);
 
--- a/tests/libs/node/testrunlog.cpp
+++ b/tests/libs/node/testrunlog.cpp
@@ -170,3 +170,21 @@
     cr_assert_eq(log.lineCount() - linesBefore, 1, "%d lines", static_cast<int>(log.lineCount() - linesBefore));
     cr_assert(log.text().find("job_id=j step=0.1 started=\"\" withdrawn=\"\" completed=\"\" other=start-unsent(w:7) span_ms=0") != std::string::npos);
 }
+
+Test(runLog, theNumberOfCombinedStepsIsBoundedAndNoResultIsLost)
+{
+    constexpr int Steps = 3000;
+    constexpr int MaximumSteps = 1000;
+    const CapturedLog log;
+    setLogLineLimit(0);
+    RunLog runs;
+    for (int job = 0; job < Steps; ++job) {
+        runs.started(start("j" + std::to_string(job), 0, 1, "w"), Begin + std::chrono::microseconds(job));
+    }
+    cr_assert_eq(log.lineCount(), Steps - MaximumSteps, "%d lines", static_cast<int>(log.lineCount()));
+    log.expect("job_id=j0 step=0.1 started=w:0 withdrawn=\"\" completed=\"\" other=\"\" span_ms=1");
+    runs.started(start("j2999", 1, 1, "w"), Begin + 10ms);
+    cr_assert_eq(log.lineCount(), Steps - MaximumSteps, "a result of a known step needs no further entry");
+    runs.writeAll(Begin + 20ms);
+    cr_assert_eq(log.lineCount(), Steps);
+}
