--- a/src/libs/node/runlog.h
+++ b/src/libs/node/runlog.h
@@ -12,7 +12,8 @@
 namespace Hyssop {
 
 /// Combines the results of runs into few log lines. Each result is in exactly one line. The lines that are due are written at a
-/// bounded rate, the oldest first; a line that has reached its size limit is written immediately.
+/// bounded rate, the oldest first; a line that has reached its size limit is written immediately, and the oldest one when the
+/// number of steps reaches its limit.
 class RunLog
 {
 public:
@@ -28,9 +29,12 @@
     /// Returns true if an exceptional result may have a line of its own. Its caller combines the others: they are too many.
     bool takesOwnLine(TimePoint now);
 
-    /// Takes another result, for example "start-unsent".
+    /// Takes another routine result, for example "stop-done".
     void other(const std::string &result, const TaskId &task, int run, const std::string &worker, TimePoint now);
 
+    /// Takes an exceptional result, for example "start-unsent". Its line has the priority of lines with a single exceptional result.
+    void exceptional(const std::string &result, const TaskId &task, int run, const std::string &worker, TimePoint now);
+
     /// Writes the oldest lines that are due.
     void writeDue(TimePoint now);
 
@@ -59,6 +63,7 @@
         std::vector<RunOfTask> completed;
         std::map<std::string, RunsByWorker> others; // by result
         std::size_t count = 0;
+        bool hasExceptional = false;
     };
 
     static std::string toString(const std::vector<RunOfTask> &runs);
@@ -66,6 +71,7 @@
     static std::string toString(const std::map<std::string, RunsByWorker> &others);
     static void write(const StepKey &step, const StepResults &results, TimePoint now);
 
+    void writeOldest(TimePoint now);
     StepResults &resultsOf(const TaskId &task, TimePoint now);
     void writeIfFull(const TaskId &task, StepResults &results, TimePoint now);
 
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -154,7 +154,7 @@
         timer.expires_after(m_term ? Internal::TickInterval : Internal::StandbyInterval);
         co_await timer.async_wait(Internal::AsTuple);
         updateWorkersNeed();
-        m_runLog.writeDue(m_clock.now());
+        writeResults();
         if (!m_term || m_releasing) {
             continue;
         }
@@ -203,6 +203,11 @@
     co_await releaseOwnership("released");
 }
 
+void TopicOwner::finishLog()
+{
+    m_runLog.writeAll(m_clock.now());
+}
+
 bool TopicOwner::ownsNewestClaim() const
 {
     const auto &claim = m_table.claim();
@@ -308,10 +313,13 @@
 void TopicOwner::logCommandResult(const char *name, const Command &command, const CommandResult &result)
 {
     const TimePoint now = m_clock.now();
-    if (command.isServing || (!isRoutine(command, result) && m_runLog.takesOwnLine(now))) {
+    const std::string combinedName = std::string(name) + "-" + resultName(result);
+    if (isRoutine(command, result)) {
+        m_runLog.other(combinedName, command.task, command.run, command.worker.id, now);
+    } else if (command.isServing || m_runLog.takesOwnLine(now)) {
         logResult(command, result);
     } else {
-        m_runLog.other(std::string(name) + "-" + resultName(result), command.task, command.run, command.worker.id, now);
+        m_runLog.exceptional(combinedName, command.task, command.run, command.worker.id, now);
     }
 }
 
@@ -323,7 +331,7 @@
     } else if (end.isServing || m_runLog.takesOwnLine(now)) {
         logAction(end);
     } else {
-        m_runLog.other(std::string("run-") + endReasonName(end.endReason), end.task, end.run, end.worker, now);
+        m_runLog.exceptional(std::string("run-") + endReasonName(end.endReason), end.task, end.run, end.worker, now);
     }
 }
 
@@ -333,6 +341,16 @@
     logAction(end);
 }
 
+void TopicOwner::writeResults()
+{
+    if (m_term) {
+        m_runLog.writeDue(m_clock.now());
+    } else {
+        // Only the commands sent before stepping down are still answered: few results follow that could be combined.
+        m_runLog.writeAll(m_clock.now());
+    }
+}
+
 void TopicOwner::startAppend(std::vector<KeyedRecord> records, bool isBatch)
 {
     m_appender.append(std::move(records), [this, isBatch](const TopicAppendResult &result, TimePoint sentAt) { appendAnswered(result, isBatch, sentAt); });
