Copy the record after one whose append was not confirmed

Cause: RecordCopier skips a record if the store has any copy behind m_copiesEnd, and m_copiesEnd was not updated after undetermined, rejected or fenced appends. The copy of the previous record then counted as the one of the next.

Why it works: the end is unknown from the begin of an append to the response that confirms it, and while it is unknown the record is appended. The store still takes one copy of each record.

Test that failed before: copiedRecordStore/aRecordAfterLostResponsesIsCopied ("2 copies of 3 records").

--- a/src/libs/node/recordcopier.cpp
+++ b/src/libs/node/recordcopier.cpp
@@ -74,7 +74,7 @@
     m_copying = false;
 }
 
-/// Returns true if another instance has written a copy since the last call. Saves the compression; an error is harmless, because
+/// Returns true if another instance has written a copy since the last known one. Saves the compression; an error is harmless, because
 /// the store takes the first copy of a record only, and a reader that misses a copy reads the record itself.
 asio::awaitable<bool> RecordCopier::hasNewCopy()
 {
@@ -90,6 +90,8 @@
 asio::awaitable<void> RecordCopier::appendCopy(KeyedRecord record)
 {
     const KeyedRecord copy = encodeRecordCopy(record);
+    // Without a response with its offset, this copy may be in the store, and would later be taken for one of the next record.
+    m_copiesEnd.reset();
     for (int appends = 1; appends <= Internal::MaximumCopyAppends; ++appends) {
         // One epoch for each record, of which the store takes one first append.
         const TopicAppend append{Topic::OperatorCopies, {copy}, std::nullopt, ProducerPosition{Internal::CopyProducer, record.offset + 1, 0}};
--- a/src/libs/node/recordcopier.h
+++ b/src/libs/node/recordcopier.h
@@ -40,7 +40,7 @@
     double m_processorShare;
     std::minstd_rand m_random;
     std::deque<KeyedRecord> m_records; // not yet copied
-    std::optional<std::int64_t> m_copiesEnd; // of the last response of the store
+    std::optional<std::int64_t> m_copiesEnd; // includes the copy of the last record; unknown if its append was not confirmed
     bool m_copying = false;
 };
 
--- a/tests/libs/node/testcopiedrecordstore.cpp
+++ b/tests/libs/node/testcopiedrecordstore.cpp
@@ -11,7 +11,9 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace Hyssop;
@@ -81,6 +83,47 @@
     std::chrono::milliseconds m_delay;
 };
 
+/// Executes appends, but can lose their responses or fail with an exception; can delay the responses to reads.
+class FaultyStore : public MetadataStore
+{
+public:
+    explicit FaultyStore(MetadataStore &store)
+        : m_store(store)
+    {
+    }
+
+    asio::awaitable<TopicReadResult> read(Topic topic, std::int64_t from, std::chrono::milliseconds wait) override
+    {
+        TopicReadResult result = co_await m_store.read(topic, from, wait);
+        co_await pauseFor(readDelay);
+        co_return result;
+    }
+
+    asio::awaitable<NewestRecordsResult> readNewest(Topic topic, std::string afterKey) override
+    {
+        co_return co_await m_store.readNewest(topic, std::move(afterKey));
+    }
+
+    asio::awaitable<TopicAppendResult> append(TopicAppend append, std::chrono::milliseconds timeout) override
+    {
+        if (std::exchange(throwsOnce, false)) {
+            throw std::runtime_error("append failed");
+        }
+        TopicAppendResult result = co_await m_store.append(std::move(append), timeout);
+        if (losesResponses) {
+            result = TopicAppendUndetermined{"timeout"};
+        }
+        co_return result;
+    }
+
+    std::chrono::milliseconds readDelay{0};
+    bool losesResponses = false;
+    bool throwsOnce = false;
+
+private:
+    MetadataStore &m_store;
+};
+
 struct Fixture
 {
     explicit Fixture(std::chrono::milliseconds delay)
@@ -249,6 +292,23 @@
     cr_assert_lt((f.clock.now() - begin).count(), Duration(1500ms).count());
 }
 
+asio::awaitable<void> aRecordAfterLostResponsesIsCopiedSteps(Fixture &f)
+{
+    FaultyStore faulty(f.memory);
+    RecordCopier copier(f.context.get_executor(), faulty, 1);
+    copier.publish(f.put("config", "1"));
+    co_await pauseFor(300ms);
+    faulty.losesResponses = true;
+    copier.publish(f.put("config", "2"));
+    co_await pauseFor(1000ms);
+    faulty.losesResponses = false;
+    copier.publish(f.put("config", "3"));
+    co_await pauseFor(500ms);
+    const TopicReadResult copies = f.topics.read(Topic::OperatorCopies, 0);
+    const auto end = static_cast<long long>(std::get<RecordPage>(copies).end);
+    cr_assert_eq(end, 3, "%lld copies of 3 records", end);
+}
+
 } // namespace
 
 Test(copiedRecordStore, farInstancesDoNotTransferLargeRecords, .timeout = 30)
@@ -310,3 +370,9 @@
     Fixture fixture(FarDelay);
     runToEnd(fixture.context, severalInstancesWriteOneCopySteps(fixture));
 }
+
+Test(copiedRecordStore, aRecordAfterLostResponsesIsCopied, .timeout = 30)
+{
+    Fixture fixture(NearDelay);
+    runToEnd(fixture.context, aRecordAfterLostResponsesIsCopiedSteps(fixture));
+}
