Measure the distance to the store again, and beside the reads

While the topic of the copies can't be read, each instance gets each record up to 1.5 s late.

Cause: three round trips at the start decided once for all, and reads waited for them, each time anew after a failure.

Why it works: an instance that isn't near measures again every 5 s (a read without records), and the shortest time of all decides, so an instance can become near at any time and never far again. The measurements run beside the reads; until the first succeeds, the records themselves are read.

Fixture::begin of the tests waits for the measurement, which the read no longer does.

Tests that failed before: copiedRecordStore/aBusyStartDoesNotMakeAnInstanceFarForGood ("a near instance remains far"), aFailingMeasurementDoesNotDelayRecords ("read after 1502 ms").

--- a/src/libs/node/copiedrecordstore.cpp
+++ b/src/libs/node/copiedrecordstore.cpp
@@ -1,12 +1,17 @@
 #include "copiedrecordstore.h"
 
+#include "detachedtask.h"
 #include "recordcopy.h"
 #include "topicend.h"
 
 #include <observability/logging.h>
 #include <ports/topicappend.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/this_coro.hpp>
+
 #include <algorithm>
+#include <exception>
 #include <limits>
 #include <utility>
 
@@ -16,7 +21,8 @@
 
 namespace Internal {
 
-constexpr int DistanceMeasurements = 3;
+constexpr int FirstDistanceMeasurements = 3;
+constexpr std::chrono::seconds DistanceInterval{5}; // a few small calls a second of all far instances together
 // Several times the round trip between machines of one region, half of one between regions.
 constexpr std::chrono::milliseconds FarRoundTrip{20};
 constexpr std::chrono::milliseconds NoticeInterval{250};
@@ -33,8 +39,8 @@
 
 asio::awaitable<TopicReadResult> CopiedRecordStore::read(Topic topic, std::int64_t from, std::chrono::milliseconds wait)
 {
-    if (topic == Topic::Operators && !m_isFar) {
-        co_await measureDistance();
+    if (topic == Topic::Operators && !isNear()) {
+        startMeasurement(co_await asio::this_coro::executor);
     }
     if (topic != Topic::Operators || !m_isFar.value_or(false) || m_isOwner()) {
         co_return co_await m_store.read(topic, from, wait);
@@ -57,12 +63,28 @@
     co_return co_await m_store.append(std::move(append), timeout);
 }
 
-/// The shortest of several round trips decides, because a busy store or processor delays single ones.
+/// Measures beside the reads, which a store without response would delay. A read's own time says less: it contains the wait.
+void CopiedRecordStore::startMeasurement(const asio::any_io_executor &executor)
+{
+    const TimePoint now = m_clock.now();
+    if (m_isMeasuring || now < m_nextMeasurement) {
+        return;
+    }
+    m_isMeasuring = true;
+    m_nextMeasurement = now + Internal::DistanceInterval;
+    asio::co_spawn(executor, measureDistance(), [this](const std::exception_ptr &exception) {
+        logException(exception);
+        m_isMeasuring = false;
+    });
+}
+
+/// The shortest of all round trips decides, because a busy store or processor delays single ones, or all at the start.
 asio::awaitable<void> CopiedRecordStore::measureDistance()
 {
-    Duration shortest = Duration::max();
+    Duration shortest = m_shortestRoundTrip;
     std::int64_t end = std::numeric_limits<std::int64_t>::max();
-    for (int measurement = 0; measurement < Internal::DistanceMeasurements; ++measurement) {
+    const int measurements = m_isFar ? 1 : Internal::FirstDistanceMeasurements;
+    for (int measurement = 0; measurement < measurements; ++measurement) {
         const TimePoint sentAt = m_clock.now();
         const TopicReadResult result = co_await readTopicEnd(m_store, Topic::OperatorCopies, std::chrono::milliseconds(0));
         const auto *page = std::get_if<RecordPage>(&result);
@@ -72,12 +94,24 @@
         shortest = std::min(shortest, m_clock.now() - sentAt);
         end = std::min(end, page->end);
     }
-    m_copiesEnd = end;
-    m_isFar = shortest >= Internal::FarRoundTrip;
+    if (!m_isFar) {
+        m_copiesEnd = end;
+    }
+    setDistance(shortest);
+}
+
+void CopiedRecordStore::setDistance(Duration roundTrip)
+{
+    const bool isFar = roundTrip >= Internal::FarRoundTrip;
+    m_shortestRoundTrip = roundTrip;
+    if (m_isFar == isFar) {
+        return;
+    }
+    m_isFar = isFar;
     logMessage(LogLevel::Info,
                "copies",
                "distance measured",
-               {{"far", *m_isFar}, {"round_trip_us", static_cast<long long>(std::chrono::duration_cast<std::chrono::microseconds>(shortest).count())}});
+               {{"far", isFar}, {"round_trip_us", static_cast<long long>(std::chrono::duration_cast<std::chrono::microseconds>(roundTrip).count())}});
 }
 
 /// Returns the records from @p from on whose copies are there, or the records themselves if there is none in time.
--- a/src/libs/node/copiedrecordstore.h
+++ b/src/libs/node/copiedrecordstore.h
@@ -3,6 +3,8 @@
 #include <ports/metadatastore.h>
 #include <utils/clock.h>
 
+#include <boost/asio/any_io_executor.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -12,13 +14,14 @@
 
 /// Store through which an instance that is far from it reads the records of the operators: it takes their compressed copies
 /// (RecordCopier), so that large records do not fill the link that all far instances share with commands to workers. A record
-/// whose copy does not appear soon is read itself. All other calls, and all calls of near instances, are passed on.
+/// whose copy does not appear soon is read itself. All other calls, and all calls of instances that are near or whose distance
+/// is not known yet, are passed on.
 class CopiedRecordStore : public MetadataStore
 {
 public:
     using Condition = std::function<bool()>;
 
-    /// All references must outlive the store.
+    /// All references must outlive the store, and the store must outlive the work of the executors that call it.
     CopiedRecordStore(MetadataStore &store, const Clock &clock);
 
     /// While @p isOwner returns true, records are read themselves: the owner schedules with the configuration.
@@ -32,7 +35,9 @@
     boost::asio::awaitable<TopicAppendResult> append(TopicAppend append, std::chrono::milliseconds timeout) override;
 
 private:
+    void startMeasurement(const boost::asio::any_io_executor &executor);
     boost::asio::awaitable<void> measureDistance();
+    void setDistance(Duration roundTrip);
     boost::asio::awaitable<TopicReadResult> readCopies(std::int64_t from, std::int64_t end);
     boost::asio::awaitable<bool> receiveCopies(std::chrono::milliseconds wait);
     boost::asio::awaitable<bool> receiveNewestCopies();
@@ -41,7 +46,10 @@
     MetadataStore &m_store;
     const Clock &m_clock;
     Condition m_isOwner = [] { return false; };
-    std::optional<bool> m_isFar; // unknown before the distance was measured
+    std::optional<bool> m_isFar; // unknown before the distance was measured; a near instance remains near
+    Duration m_shortestRoundTrip = Duration::max();
+    TimePoint m_nextMeasurement = TimePoint::min();
+    bool m_isMeasuring = false;
     std::int64_t m_copiesEnd = 0; // copies before this offset were received, or were written before the distance was measured
     std::map<std::int64_t, KeyedRecord> m_records; // received copies by offset in the topic of the operators
 };
--- a/tests/libs/node/testcopiedrecordstore.cpp
+++ b/tests/libs/node/testcopiedrecordstore.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t QueueCount = 4200;
 constexpr std::chrono::milliseconds FarDelay{40};
 constexpr std::chrono::milliseconds NearDelay{0};
+constexpr std::chrono::milliseconds ReadTimeout{1500}; // of the store's client
 
 std::string largeConfiguration()
 {
@@ -94,6 +95,10 @@
 
     asio::awaitable<TopicReadResult> read(Topic topic, std::int64_t from, std::chrono::milliseconds wait) override
     {
+        if (topic == unresponsiveTopic) {
+            co_await pauseFor(ReadTimeout);
+            co_return Error{ErrorCode::Unavailable, "down"};
+        }
         TopicReadResult result = co_await m_store.read(topic, from, wait);
         co_await pauseFor(readDelay);
         co_return result;
@@ -117,6 +122,7 @@
     }
 
     std::chrono::milliseconds readDelay{0};
+    std::optional<Topic> unresponsiveTopic;
     bool losesResponses = false;
     bool throwsOnce = false;
 
@@ -154,7 +160,11 @@
     }
 
     /// Lets the store measure the distance, which precedes the first record in a running installation.
-    asio::awaitable<void> begin() { co_await store.read(Topic::Operators, nextOffset, 0ms); }
+    asio::awaitable<void> begin()
+    {
+        co_await store.read(Topic::Operators, nextOffset, 0ms);
+        co_await pauseFor(4 * FarDelay);
+    }
 
     /// Returns how many copies the store has.
     std::size_t copies() const
@@ -328,6 +338,43 @@
     cr_assert_eq(f.copies(), 2, "%zu copies of the records after the exception", f.copies());
 }
 
+asio::awaitable<void> aBusyStartDoesNotMakeAnInstanceFarForGoodSteps(Fixture &f)
+{
+    FaultyStore faulty(f.memory);
+    CopiedRecordStore store(faulty, f.clock);
+    faulty.readDelay = FarDelay;
+    co_await store.read(Topic::Operators, 0, 0ms);
+    co_await pauseFor(4 * FarDelay);
+    cr_assert_not(store.isNear());
+    faulty.readDelay = 0ms;
+    f.clock.pause();
+    f.clock.advance(5s);
+    f.clock.resume();
+    co_await store.read(Topic::Operators, 0, 0ms);
+    co_await pauseFor(100ms);
+    cr_assert(store.isNear(), "a near instance remains far");
+    faulty.readDelay = FarDelay;
+    f.clock.pause();
+    f.clock.advance(5s);
+    f.clock.resume();
+    co_await store.read(Topic::Operators, 0, 0ms);
+    co_await pauseFor(4 * FarDelay);
+    cr_assert(store.isNear(), "a longer time replaces a shorter one");
+}
+
+asio::awaitable<void> aFailingMeasurementDoesNotDelayRecordsSteps(Fixture &f)
+{
+    FaultyStore faulty(f.memory);
+    CopiedRecordStore store(faulty, f.clock);
+    faulty.unresponsiveTopic = Topic::OperatorCopies;
+    f.put("config", "1");
+    const TimePoint begin = f.clock.now();
+    const TopicReadResult result = co_await store.read(Topic::Operators, 0, 0ms);
+    const auto time = std::chrono::floor<std::chrono::milliseconds>(f.clock.now() - begin);
+    cr_assert_eq(std::get<RecordPage>(result).records.size(), 1);
+    cr_assert_lt(time.count(), 500, "read after %lld ms", static_cast<long long>(time.count()));
+}
+
 } // namespace
 
 Test(copiedRecordStore, farInstancesDoNotTransferLargeRecords, .timeout = 30)
@@ -401,3 +448,15 @@
     Fixture fixture(NearDelay);
     runToEnd(fixture.context, recordsAfterAnExceptionAreCopiedSteps(fixture));
 }
+
+Test(copiedRecordStore, aBusyStartDoesNotMakeAnInstanceFarForGood, .timeout = 30)
+{
+    Fixture fixture(NearDelay);
+    runToEnd(fixture.context, aBusyStartDoesNotMakeAnInstanceFarForGoodSteps(fixture));
+}
+
+Test(copiedRecordStore, aFailingMeasurementDoesNotDelayRecords, .timeout = 30)
+{
+    Fixture fixture(NearDelay);
+    runToEnd(fixture.context, aFailingMeasurementDoesNotDelayRecordsSteps(fixture));
+}
