Wait once for several records without copies

Cause: the wait for a copy began anew for each read, though the copies are written in order.

Why it works: after a miss, records up to the end noticed before it are read themselves. Later ones are looked for among the copies again.

Test that failed before: copiedRecordStore/severalRecordsWithoutCopiesCostOneWait ("5 records after 4228 ms").

--- a/src/libs/node/copiedrecordstore.cpp
+++ b/src/libs/node/copiedrecordstore.cpp
@@ -42,7 +42,7 @@
     if (topic == Topic::Operators && !isNear()) {
         startMeasurement(co_await asio::this_coro::executor);
     }
-    if (topic != Topic::Operators || !m_isFar.value_or(false) || m_isOwner()) {
+    if (topic != Topic::Operators || !m_isFar.value_or(false) || m_isOwner() || from < m_directEnd) {
         co_return co_await m_store.read(topic, from, wait);
     }
     const TopicReadResult result = co_await readTopicEnd(m_store, Topic::Operators, std::min(wait, Internal::NoticeInterval));
@@ -136,6 +136,8 @@
         co_return page;
     }
     logMessage(LogLevel::Info, "copies", "copy of a record missing", {{"offset", static_cast<long long>(from)}});
+    // Copies are in order: after a missing one the next ones are late too, and each would cost the same wait.
+    m_directEnd = end;
     co_return co_await m_store.read(Topic::Operators, from, std::chrono::milliseconds(0));
 }
 
--- a/src/libs/node/copiedrecordstore.h
+++ b/src/libs/node/copiedrecordstore.h
@@ -51,6 +51,7 @@
     TimePoint m_nextMeasurement = TimePoint::min();
     bool m_isMeasuring = false;
     std::int64_t m_copiesEnd = 0; // copies before this offset were received, or were written before the distance was measured
+    std::int64_t m_directEnd = 0; // records before this offset are read themselves: a copy was missing
     std::map<std::int64_t, KeyedRecord> m_records; // received copies by offset in the topic of the operators
 };
 
--- a/tests/libs/node/testcopiedrecordstore.cpp
+++ b/tests/libs/node/testcopiedrecordstore.cpp
@@ -375,6 +375,27 @@
     cr_assert_lt(time.count(), 500, "read after %lld ms", static_cast<long long>(time.count()));
 }
 
+asio::awaitable<void> severalRecordsWithoutCopiesCostOneWaitSteps(Fixture &f)
+{
+    co_await f.begin();
+    for (const char *value : {"1", "2", "3", "4", "5"}) {
+        f.put("config", value);
+    }
+    const TimePoint begin = f.clock.now();
+    std::vector<KeyedRecord> records;
+    while (records.size() < 5) {
+        const RecordPage page = co_await f.readRecords(static_cast<std::int64_t>(records.size()));
+        records.insert(records.end(), page.records.begin(), page.records.end());
+    }
+    const auto time = std::chrono::floor<std::chrono::milliseconds>(f.clock.now() - begin);
+    cr_assert(records[4].value == "5");
+    cr_assert_lt(time.count(), 2000, "5 records after %lld ms", static_cast<long long>(time.count()));
+    f.copier.publish(f.put("config", "6"));
+    f.distant.bytes.clear();
+    co_await f.readRecords(5);
+    cr_assert_eq(f.distant.bytes[Topic::Operators], 0, "later copies are not read");
+}
+
 } // namespace
 
 Test(copiedRecordStore, farInstancesDoNotTransferLargeRecords, .timeout = 30)
@@ -460,3 +481,9 @@
     Fixture fixture(NearDelay);
     runToEnd(fixture.context, aFailingMeasurementDoesNotDelayRecordsSteps(fixture));
 }
+
+Test(copiedRecordStore, severalRecordsWithoutCopiesCostOneWait, .timeout = 30)
+{
+    Fixture fixture(FarDelay);
+    runToEnd(fixture.context, severalRecordsWithoutCopiesCostOneWaitSteps(fixture));
+}
