Keep only copies of records that are read soon

An invented offset in a copy was believed for ever: its content was applied as the record with that offset, and any number of such copies stayed in memory.

Cause: CopiedRecordStore::addCopy accepted any offset.

A record whose copy was dropped is read itself.

Test that failed before: copiedRecordStore/copiesFarFromTheRecordsAreNotKept ("invented").

--- a/src/libs/node/copiedrecordstore.cpp
+++ b/src/libs/node/copiedrecordstore.cpp
@@ -28,6 +28,8 @@
 constexpr std::chrono::milliseconds NoticeInterval{250};
 // A copy is usually there when its record is noticed, or after the time in which a near instance reads the record.
 constexpr std::chrono::milliseconds CopyTimeout{1000};
+// Copies of records that were appended after the end was noticed; bounds what invented offsets can take.
+constexpr std::int64_t MaximumCopiesAhead = 16;
 
 } // namespace Internal
 
@@ -119,6 +121,8 @@
 {
     const TimePoint noticedAt = m_clock.now();
     m_records.erase(m_records.begin(), m_records.lower_bound(from));
+    m_firstWanted = from;
+    m_wantedEnd = end + Internal::MaximumCopiesAhead;
     while (!m_records.contains(from) && !m_isOwner()) {
         const Duration left = Internal::CopyTimeout - (m_clock.now() - noticedAt);
         if (left <= Duration::zero() || !co_await receiveCopies(std::chrono::ceil<std::chrono::milliseconds>(left))) {
@@ -178,6 +182,9 @@
 {
     auto decoded = capture([&] { return decodeRecordCopy(copy); });
     if (KeyedRecord *record = valueOf(decoded)) {
+        if (record->offset < m_firstWanted || record->offset >= m_wantedEnd) {
+            return;
+        }
         m_records[record->offset] = std::move(*record);
         return;
     }
--- a/src/libs/node/copiedrecordstore.h
+++ b/src/libs/node/copiedrecordstore.h
@@ -52,6 +52,8 @@
     bool m_isMeasuring = false;
     std::int64_t m_copiesEnd = 0; // copies before this offset were received, or were written before the distance was measured
     std::int64_t m_directEnd = 0; // records before this offset are read themselves: a copy was missing
+    std::int64_t m_firstWanted = 0; // copies of records before it or from m_wantedEnd on are dropped
+    std::int64_t m_wantedEnd = 0;
     std::map<std::int64_t, KeyedRecord> m_records; // received copies by offset in the topic of the operators
 };
 
--- a/tests/libs/node/testcopiedrecordstore.cpp
+++ b/tests/libs/node/testcopiedrecordstore.cpp
@@ -396,6 +396,29 @@
     cr_assert_eq(f.distant.bytes[Topic::Operators], 0, "later copies are not read");
 }
 
+asio::awaitable<void> copiesFarFromTheRecordsAreNotKeptSteps(Fixture &f)
+{
+    constexpr std::int64_t LastRecord = 20;
+    co_await f.begin();
+    const KeyedRecord first = f.put("config", "0");
+    f.topics.put(Topic::OperatorCopies, "config", encodeRecordCopy(first).value);
+    const KeyedRecord invented{LastRecord, "config", "invented"};
+    f.topics.put(Topic::OperatorCopies, "config", encodeRecordCopy(invented).value);
+    co_await f.readRecords(0);
+    while (f.nextOffset < LastRecord) {
+        const KeyedRecord record = f.put("config", std::to_string(f.nextOffset));
+        f.topics.put(Topic::OperatorCopies, "config", encodeRecordCopy(record).value);
+    }
+    std::int64_t next = 1;
+    while (next < LastRecord) {
+        const RecordPage page = co_await f.readRecords(next);
+        next += static_cast<std::int64_t>(page.records.size());
+    }
+    f.put("config", "last");
+    const RecordPage page = co_await f.readRecords(LastRecord);
+    cr_assert(page.records[0].value == "last", "%s", page.records[0].value.value_or("").c_str());
+}
+
 } // namespace
 
 Test(copiedRecordStore, farInstancesDoNotTransferLargeRecords, .timeout = 30)
@@ -487,3 +510,9 @@
     Fixture fixture(FarDelay);
     runToEnd(fixture.context, severalRecordsWithoutCopiesCostOneWaitSteps(fixture));
 }
+
+Test(copiedRecordStore, copiesFarFromTheRecordsAreNotKept, .timeout = 30)
+{
+    Fixture fixture(FarDelay);
+    runToEnd(fixture.context, copiesFarFromTheRecordsAreNotKeptSteps(fixture));
+}
