--- a/src/libs/node/recordcopy.cpp
+++ b/src/libs/node/recordcopy.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t OffsetBytes = 8;
 constexpr std::size_t SizeBytes = 4; // of the value; 0: a tombstone
-constexpr std::size_t MaximumValueBytes = 4 * 1024 * 1024; // bounds the memory that a damaged copy can take
+constexpr std::size_t MaximumValueBytes = 4 * 1024 * 1024; // the largest record that is decoded; bounds what a damaged copy can take
 
 static std::string copyHeader(std::int64_t offset, std::size_t size)
 {
--- a/tests/libs/utils/testcompression.cpp
+++ b/tests/libs/utils/testcompression.cpp
@@ -43,3 +43,13 @@
     cr_assert(isRejected("not compressed", 100));
     cr_assert(isRejected("", 0));
 }
+
+Test(compression, impossibleSizesTakeNoMemory)
+{
+    constexpr std::size_t TooLarge = std::size_t{1} << 60U;
+    auto outcome = capture([&] { return inflated(deflated("x"), TooLarge); });
+    const Error *error = errorOf(outcome);
+    cr_assert_not_null(error);
+    // An allocation that fails is an internal error.
+    cr_assert(error->code == ErrorCode::Malformed, "%s", error->message.c_str());
+}
