Say that a copy is in the store, not who wrote it

The line "record copied" came from each near instance that appended a copy, because the store repeats its first response for the same producer position. "copy of record in store" is true for all of them. The text only; no test reads it.

--- a/src/libs/node/recordcopier.cpp
+++ b/src/libs/node/recordcopier.cpp
@@ -112,7 +112,7 @@
             logMessage(LogPriority::Essential,
                        LogLevel::Info,
                        "copier",
-                       "record copied",
+                       "copy of record in store",
                        {{"key", copy.key}, {"offset", static_cast<long long>(record.offset)}, {"copy_bytes", copy.value->size()}});
             co_return;
         }
