--- a/src/libs/node/topicend.cpp
+++ b/src/libs/node/topicend.cpp
@@ -8,12 +8,12 @@
 
 namespace asio = boost::asio;
 
-// A read behind every possible record has a response without records, which only tells the end.
-constexpr std::int64_t BeyondEnd = 1'000'000'000;
+// No topic gets as many records.
+constexpr std::int64_t OffsetBehindEveryEnd = 1'000'000'000;
 
 asio::awaitable<TopicReadResult> readTopicEnd(MetadataStore &store, Topic topic, std::chrono::milliseconds wait)
 {
-    co_return co_await store.read(topic, BeyondEnd, wait);
+    co_return co_await store.read(topic, OffsetBehindEveryEnd, wait);
 }
 
 } // namespace Hyssop
--- a/src/libs/ports/topic.h
+++ b/src/libs/ports/topic.h
@@ -6,7 +6,7 @@
 enum class Topic {
     Jobs, // written by this system: submissions, cancellations, progress, ownership claims
     Operators, // configuration and requests of the operators
-    OperatorCopies, // compressed copies of the records of Operators, written by the owner of the jobs
+    OperatorCopies, // compressed copies of the records of Operators, written by instances near the store and the owner
     Workers, // worker registrations
     Status, // replies to requests of the operators
 };
