--- a/src/libs/node/recordcopier.cpp
+++ b/src/libs/node/recordcopier.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <string>
 #include <utility>
 
@@ -55,10 +56,21 @@
 void RecordCopier::publish(KeyedRecord record)
 {
     m_records.push_back(std::move(record));
-    if (!m_copying) {
-        m_copying = true;
-        asio::co_spawn(m_executor, copyRecords(), logException);
+    startCopying();
+}
+
+/// An exception ends the copying of one record only: the next ones are copied by a new coroutine.
+void RecordCopier::startCopying()
+{
+    if (m_copying || m_records.empty()) {
+        return;
     }
+    m_copying = true;
+    asio::co_spawn(m_executor, copyRecords(), [this](const std::exception_ptr &exception) {
+        logException(exception);
+        m_copying = false;
+        startCopying();
+    });
 }
 
 asio::awaitable<void> RecordCopier::copyRecords()
@@ -71,10 +83,9 @@
             co_await appendCopy(std::move(record));
         }
     }
-    m_copying = false;
 }
 
-/// Returns true if another instance has written a copy since the last call. Saves the compression; an error is harmless, because
+/// Returns true if another instance has written a copy since the last known one. Saves the compression; an error is harmless, because
 /// the store takes the first copy of a record only, and a reader that misses a copy reads the record itself.
 asio::awaitable<bool> RecordCopier::hasNewCopy()
 {
@@ -90,6 +101,8 @@
 asio::awaitable<void> RecordCopier::appendCopy(KeyedRecord record)
 {
     const KeyedRecord copy = encodeRecordCopy(record);
+    // Without a response with its offset, this copy may be in the store, and would later be taken for one of the next record.
+    m_copiesEnd.reset();
     for (int appends = 1; appends <= Internal::MaximumCopyAppends; ++appends) {
         // One epoch for each record, of which the store takes one first append.
         const TopicAppend append{Topic::OperatorCopies, {copy}, std::nullopt, ProducerPosition{Internal::CopyProducer, record.offset + 1, 0}};
@@ -99,7 +112,7 @@
             logMessage(LogPriority::Essential,
                        LogLevel::Info,
                        "copier",
-                       "record copied",
+                       "copy of record in store",
                        {{"key", copy.key}, {"offset", static_cast<long long>(record.offset)}, {"copy_bytes", copy.value->size()}});
             co_return;
         }
--- a/src/libs/node/runlog.cpp
+++ b/src/libs/node/runlog.cpp
@@ -14,6 +14,8 @@
 constexpr int MaximumOwnLines = 60; // in a second
 // Bounds the length of a line.
 constexpr std::size_t MaximumResults = 100;
+// Bounds the memory while more steps have results than lines are due.
+constexpr std::size_t MaximumSteps = 1000;
 
 /// Appends "FIRST-LAST" or "FIRST", with "/RUN" unless it is the first run.
 static void appendRange(std::string &text, int first, int last, int run)
@@ -67,6 +69,14 @@
     writeIfFull(task, results, now);
 }
 
+void RunLog::exceptional(const std::string &result, const TaskId &task, int run, const std::string &worker, TimePoint now)
+{
+    StepResults &results = resultsOf(task, now);
+    results.hasExceptional = true;
+    results.others[result][worker].push_back({task.index, run});
+    writeIfFull(task, results, now);
+}
+
 void RunLog::writeDue(TimePoint now)
 {
     using Item = std::map<StepKey, StepResults>::const_iterator;
@@ -140,7 +150,8 @@
 void RunLog::write(const StepKey &step, const StepResults &results, TimePoint now)
 {
     const auto &[jobId, occurrence, index] = step;
-    logMessage(LogLevel::Info,
+    logMessage(results.hasExceptional ? LogPriority::Outcome : LogPriority::Routine,
+               LogLevel::Info,
                "owner",
                "run results",
                {{"job_id", jobId},
@@ -152,9 +163,20 @@
                 {"span_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - results.since).count()}});
 }
 
+void RunLog::writeOldest(TimePoint now)
+{
+    const auto oldest = std::ranges::min_element(m_steps, {}, [](const auto &step) { return step.second.since; });
+    write(oldest->first, oldest->second, now);
+    m_steps.erase(oldest);
+}
+
 RunLog::StepResults &RunLog::resultsOf(const TaskId &task, TimePoint now)
 {
-    StepResults &results = m_steps[StepKey(task.job, task.occurrence, task.step)];
+    const StepKey step(task.job, task.occurrence, task.step);
+    if (m_steps.size() >= Internal::MaximumSteps && !m_steps.contains(step)) {
+        writeOldest(now);
+    }
+    StepResults &results = m_steps[step];
     if (results.count == 0) {
         results.since = now;
     }
