--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -65,10 +65,8 @@
     , m_callersAddress(settings.text("instance.callers"))
     , m_readyAddress(settings.text("instance.ready"))
     , m_cluster(decoder, metrics)
-    , m_operatorStore(ports.store, m_clock)
-    , m_copier(context.get_executor(), ports.store, Internal::ownerIdentity(settings).processorShare)
     , m_jobs(context.get_executor(), m_clock, ports.store, Topic::Jobs)
-    , m_operators(context.get_executor(), m_clock, m_operatorStore, Topic::Operators)
+    , m_operators(context.get_executor(), m_clock, ports.store, Topic::Operators)
     , m_workers(context.get_executor(), m_clock, ports.store, Topic::Workers)
     , m_intake(context.get_executor(), m_clock, ports.store, m_table, m_jobs, metrics)
     , m_owner(context.get_executor(), m_clock, ports, m_table, m_jobs, metrics, Internal::dispatchLimits(settings), Internal::ownerIdentity(settings))
@@ -116,13 +114,9 @@
 
 void NodeDaemon::followOperators()
 {
-    m_operatorStore.setOwnerCondition([this] { return m_owner.isOwner(); });
     m_operators.setTiming(Internal::OperatorsTiming);
     m_operators.setHandlers(
         [this](const KeyedRecord &record) {
-            if (m_operators.isLoaded() && (m_operatorStore.isNear() || m_owner.isOwner())) {
-                m_copier.publish(record);
-            }
             if (m_cluster.applyOperatorRecord(record) && m_cluster.config()) {
                 m_owner.applyConfiguration(*m_cluster.config(), m_cluster.evacuatedDomains());
                 applyLimits();
--- a/src/libs/node/nodedaemon.h
+++ b/src/libs/node/nodedaemon.h
@@ -1,9 +1,7 @@
 #pragma once
 
 #include "clusterview.h"
-#include "copiedrecordstore.h"
 #include "jobintake.h"
-#include "recordcopier.h"
 #include "topicfollower.h"
 #include "topicowner.h"
 
@@ -65,8 +63,6 @@
     std::string m_readyAddress;
     ClusterView m_cluster;
     JobTable m_table;
-    CopiedRecordStore m_operatorStore;
-    RecordCopier m_copier;
     TopicFollower m_jobs;
     TopicFollower m_operators;
     TopicFollower m_workers;
--- a/src/libs/ports/topic.h
+++ b/src/libs/ports/topic.h
@@ -6,7 +6,6 @@
 enum class Topic {
     Jobs, // written by this system: submissions, cancellations, progress, ownership claims
     Operators, // configuration and requests of the operators
-    OperatorCopies, // compressed copies of the records of Operators, written by instances near the store and the owner
     Workers, // worker registrations
     Status, // replies to requests of the operators
 };
@@ -19,8 +18,6 @@
         return "jobs";
     case Topic::Operators:
         return "operators";
-    case Topic::OperatorCopies:
-        return "operator-copies";
     case Topic::Workers:
         return "workers";
     case Topic::Status:
