Fence acknowledgements of ends against starts in the next process

Cause: a poll acknowledges run ends by their number in the process that the owner knows. If the worker restarts while the poll is in transit, it reaches the next process, whose ends are numbered from 1 again, and discards ends there that no report has listed.

Change: a poll acknowledges ends only while each open run has been listed, and no start of one may still be executed (12 s after a start without a response). A start that is sent while an acknowledging poll is unanswered carries a higher fencing token, so the process that executes it rejects the poll. Commands that a later one of the same owner overtakes are sent again as the same run. An owner releases the topic before the token of a worker could reach the next term. A worker with 300 ends that are not acknowledged gets no more runs.

Ruled out: naming the process in the poll (the header holds the worker's id, which the next process keeps).

--- /dev/null
+++ b/src/libs/dispatch/dispatchacknowledgements.cpp
@@ -0,0 +1,47 @@
+#include "dispatcher.h"
+
+#include <algorithm>
+
+namespace Hyssop {
+
+namespace Internal {
+
+// Upper bound of the time after which a command without a response is executed.
+constexpr std::chrono::milliseconds MaximumCommandDelay{12000};
+
+} // namespace Internal
+
+bool Dispatcher::canAcknowledgeEnds(const WorkerState &worker, TimePoint now)
+{
+    if (!worker.hasEndsToAcknowledge() || worker.failedPolls > 0) {
+        return false;
+    }
+    // A worker that lists as many ends as it can shows the others only after an acknowledgement.
+    return !worker.listsAllEnds() || !mayHaveUnlistedRun(worker, now);
+}
+
+bool Dispatcher::mayHaveUnlistedRun(const WorkerState &worker, TimePoint now)
+{
+    return std::ranges::any_of(worker.runs, [&](const auto &run) {
+        const TaskExecution *task = m_jobs.task(run.first);
+        if (task == nullptr || task->phase == TaskPhase::Assigned) {
+            return false;
+        }
+        return !task->listed || task->startPending || now < task->startOutstandingUntil;
+    });
+}
+
+void Dispatcher::expectLateStart(TaskExecution &task, TimePoint now)
+{
+    task.startOutstandingUntil = now + Internal::MaximumCommandDelay;
+}
+
+void Dispatcher::fenceAcknowledgement(WorkerState &worker)
+{
+    if (worker.acknowledgementPending) {
+        raiseToken(worker);
+        worker.acknowledgementPending = false;
+    }
+}
+
+} // namespace Hyssop
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -14,7 +14,8 @@
 
 namespace Internal {
 
-constexpr int TokensPerTerm = 1000;
+// The token of a worker can rise a few times a second. The tokens of the highest term that is decoded do not overflow.
+constexpr std::int64_t TokensPerTerm = 1'000'000;
 
 template<typename Function>
 static void forEachTask(JobExecution &job, Function function)
@@ -48,7 +49,8 @@
     m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claim.readAt, afterHandover);
     m_jobs.clear();
     m_workers.clear();
-    m_removedWorkersRestarts = RestartCounts();
+    m_removedWorkersRises = TokenRises();
+    m_tokensExhausted = false;
     m_tickets = TicketCache();
     m_colocation.restore(table.learnedTails());
     m_tailsStoredAt = claim.readAt;
@@ -200,7 +202,7 @@
         entry->second.info.id = worker;
         entry->second.leaseEnd = m_earlierLeasesEnd;
         // A worker that was removed in this term rejects tokens below those that it has seen.
-        entry->second.suspectedRestarts = m_removedWorkersRestarts.countOf(worker);
+        entry->second.tokenRises = m_removedWorkersRises.countOf(worker);
     }
     return entry->second;
 }
@@ -218,7 +220,19 @@
 
 std::int64_t Dispatcher::tokenFor(const WorkerState &worker) const
 {
-    return m_term * Internal::TokensPerTerm + std::min(worker.suspectedRestarts, Internal::TokensPerTerm - 1);
+    return m_term * Internal::TokensPerTerm + std::min(worker.tokenRises, Internal::TokensPerTerm - 1);
+}
+
+void Dispatcher::raiseToken(WorkerState &worker)
+{
+    ++worker.tokenRises;
+    m_tokensExhausted = m_tokensExhausted || worker.tokenRises >= Internal::TokensPerTerm / 2;
+}
+
+bool Dispatcher::isOvertaken(const std::string &workerId, std::int64_t fencingToken, const CommandRejected &rejection)
+{
+    const WorkerState *worker = findWorker(workerId);
+    return rejection.reason == RejectionReason::Fenced && worker != nullptr && fencingToken < tokenFor(*worker);
 }
 
 bool Dispatcher::isOfThisTerm(std::int64_t fencingToken) const
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -6,9 +6,9 @@
 #include "dispatchsummary.h"
 #include "jobregistry.h"
 #include "leasepolicy.h"
-#include "restartcounts.h"
 #include "shorttaskreserve.h"
 #include "ticketcache.h"
+#include "tokenrises.h"
 #include "workerstate.h"
 
 #include <ports/clusterconfig.h>
@@ -70,6 +70,9 @@
     /// Returns true if no task is started at present, whatever its worker.
     bool areStartsWithheld() const { return m_startsWithheldSince.has_value(); }
 
+    /// Returns true if the term has to end soon, because the fencing token of a worker can't rise much further in it.
+    bool areTokensExhausted() const { return m_tokensExhausted; }
+
     void startAnswered(const StartCommand &command, const CommandResult &result, TimePoint now);
     void stopAnswered(const StopCommand &command, const CommandResult &result, TimePoint now);
     void throttleAnswered(const ThrottleCommand &command, const CommandResult &result, TimePoint now);
@@ -114,9 +117,15 @@
     WorkerState *findWorker(const std::string &worker);
     WorkerAddress addressOf(const WorkerState &worker) const;
 
-    /// Returns the fencing token for commands to @p worker. It increases with each term and with each restart of the
-    /// worker process, so that a worker rejects delayed commands that were meant for an earlier incarnation.
+    /// Returns the fencing token for commands to @p worker. It increases with each term, with each restart of the worker process, so
+    /// that a worker rejects delayed commands that were meant for an earlier incarnation, and with starts that follow acknowledgements.
     std::int64_t tokenFor(const WorkerState &worker) const;
+
+    void raiseToken(WorkerState &worker);
+
+    /// Returns true if the worker has rejected a command with @p fencingToken, and later ones of this owner have a higher token, so that
+    /// one of them may have overtaken it.
+    bool isOvertaken(const std::string &workerId, std::int64_t fencingToken, const CommandRejected &rejection);
     bool isOfThisTerm(std::int64_t fencingToken) const;
 
     void adoptOpenRuns(JobExecution &job);
@@ -138,7 +147,21 @@
     void pollWorkers(TimePoint now);
     void moveRunsOffDrainingWorkers(TimePoint now);
 
-    void handleReport(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
+    /// Returns true if the next poll may acknowledge the ends of @p worker that are durable. A poll names the worker and not its
+    /// process, so it may reach the next process, which numbers its ends from 1 again. That process must have no end that the poll
+    /// would acknowledge unseen.
+    bool canAcknowledgeEnds(const WorkerState &worker, TimePoint now);
+
+    /// Returns true if an open run of @p worker may have begun, or may yet begin, in a process that has not reported it.
+    bool mayHaveUnlistedRun(const WorkerState &worker, TimePoint now);
+
+    /// Takes into account that a start command of @p task without a response may still be executed.
+    static void expectLateStart(TaskExecution &task, TimePoint now);
+
+    /// Makes a process that executes the next start command to @p worker reject an acknowledgement that is in transit.
+    void fenceAcknowledgement(WorkerState &worker);
+
+    void handleReport(WorkerState &worker, const PollCommand &poll, const WorkerReport &report, TimePoint sentAt, TimePoint now);
     /// Ends or stops the runs of the previous process of @p worker, which has restarted.
     void handleWorkerRestart(WorkerState &worker, WorkerTime reading, TimePoint now);
 
@@ -247,7 +270,8 @@
     std::optional<std::int64_t> m_termWallMs; // Unix time of the first advance() of the term
     JobRegistry m_jobs;
     std::map<std::string, WorkerState> m_workers;
-    RestartCounts m_removedWorkersRestarts; // suspected restarts in this term of workers that were removed
+    bool m_tokensExhausted = false;
+    TokenRises m_removedWorkersRises; // of workers that were removed in this term
     ClusterConfig m_config;
     std::set<std::string> m_evacuated;
     TicketCache m_tickets;
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -285,6 +285,7 @@
     task.startPending = false;
     task.startConfirmed = false;
     task.listed = false;
+    task.startOutstandingUntil = TimePoint();
     task.progressPercent = -1;
     task.progressSince = now;
     task.firstProgressPercent = -1;
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -79,6 +79,7 @@
         const auto ticket = tickets->find(task.worker);
         command.ticket = ticket != tickets->end() ? ticket->second : std::string();
     }
+    fenceAcknowledgement(*worker);
     command.fencingToken = tokenFor(*worker);
     command.leaseEnd = worker->clock->readingAt(m_leasePolicy.latestLeaseEnd(now, m_confirmedAt));
     worker->leaseEnd = std::max(worker->leaseEnd, worker->clock->latestTimeOf(command.leaseEnd));
@@ -136,6 +137,9 @@
         return;
     }
     task->startPending = false;
+    if (std::holds_alternative<CommandUndetermined>(result)) {
+        expectLateStart(*task, now);
+    }
     if (task->phase != TaskPhase::Starting) {
         return;
     }
@@ -157,7 +161,12 @@
                    },
                    [&](const CommandRejected &rejection) {
                        handleFencing(command.worker.id, command.fencingToken, rejection);
-                       handleStartRejection(command.task, *task, rejection, now);
+                       if (isOvertaken(command.worker.id, command.fencingToken, rejection)) {
+                           --task->startsSent;
+                           sendStart(command.task, *task, now);
+                       } else {
+                           handleStartRejection(command.task, *task, rejection, now);
+                       }
                    },
                    [&](const CommandNotSent &) {
                        if (WorkerState *worker = findWorker(task->worker)) {
@@ -277,6 +286,10 @@
     if (!isOfThisTerm(command.fencingToken) || !isCurrent || task->phase != TaskPhase::Stopping) {
         return;
     }
+    if (const auto *rejection = std::get_if<CommandRejected>(&result);
+        rejection != nullptr && isOvertaken(command.worker.id, command.fencingToken, *rejection)) {
+        sendStop(command.task, *task);
+    }
     if (std::holds_alternative<CommandExecuted>(result)) {
         task->stopConfirmed = true;
         task->confirmedAt = now;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -15,8 +15,9 @@
 constexpr std::chrono::milliseconds FailedPollBackoff{200};
 // A refused connection proves that the process has ended only if an earlier poll failed too.
 constexpr int FailuresUntilRefusalCounts = 2;
-// Run ends are reported again until they are durable and acknowledged, so a poll before that is useless.
+// Run ends are listed again until they are durable and acknowledged, so a poll before that does not wait for the next end.
 constexpr std::chrono::milliseconds PendingEndsInterval{80};
+constexpr std::chrono::milliseconds DelayedAcknowledgementInterval{150};
 constexpr std::chrono::milliseconds StopRepeatInterval{400};
 constexpr std::chrono::milliseconds StallTimeout{4000};
 constexpr int StallEstimateDivisor = 10;
@@ -31,8 +32,6 @@
 constexpr std::chrono::milliseconds MaximumTimeOverTarget{1200};
 // A checkpointable run that is paused for this long is stopped, to resume on another worker.
 constexpr std::chrono::milliseconds MaximumPause{700};
-// A worker reports at most this many run ends at once. If it reports as many, missing runs may have ended as well.
-constexpr std::size_t MaximumReportedEnds = 500;
 // Registrations in this time after the beginning of a term were made earlier and are not reported.
 constexpr std::chrono::milliseconds WorkerListingTime{2000};
 
@@ -69,7 +68,7 @@
         const WorkerState &worker = item.second;
         const bool isRemovable = !worker.registered && worker.runs.empty() && !worker.pollPending;
         if (isRemovable) {
-            m_removedWorkersRestarts.record(item.first, worker.suspectedRestarts);
+            m_removedWorkersRises.record(item.first, worker.tokenRises);
         }
         return isRemovable;
     });
@@ -106,14 +105,15 @@
         PollCommand poll;
         poll.worker = addressOf(worker);
         poll.fencingToken = tokenFor(worker);
-        // After a restart, the worker numbers run ends from 1 again; these must not be acknowledged unseen.
-        poll.acknowledgedSequence = worker.failedPolls == 0 ? worker.durableEndSequence : 0;
+        worker.acknowledgementPending = canAcknowledgeEnds(worker, now);
+        poll.acknowledgedSequence = worker.acknowledgementPending ? worker.durableEndSequence : 0;
         // The lease of a worker that does not answer is not renewed, so that its runs end after a bounded time.
         if (worker.clock && worker.failedPolls == 0) {
             const WorkerTime leaseEnd = worker.clock->readingAt(m_leasePolicy.latestLeaseEnd(now, m_confirmedAt));
             poll.leaseEnd = leaseEnd;
             worker.leaseEnd = std::max(worker.leaseEnd, worker.clock->latestTimeOf(leaseEnd));
-            const bool waits = worker.hasAnswered && !worker.runs.empty() && worker.processedEndSequence == worker.durableEndSequence;
+            const bool listsNewEndsOnly = worker.acknowledgementPending || !worker.hasEndsToAcknowledge();
+            const bool waits = worker.hasAnswered && !worker.runs.empty() && worker.processedEndSequence == worker.durableEndSequence && listsNewEndsOnly;
             const auto maximumWait = worker.overTargetSince ? Internal::MaximumOverTargetPollWait : Internal::MaximumPollWait;
             poll.wait = waits ? maximumWait : std::chrono::milliseconds(0);
         }
@@ -129,22 +129,27 @@
         return;
     }
     worker->pollPending = false;
+    worker->acknowledgementPending = false;
     // An entry of another writer may name any address; what answers there says nothing about this worker.
     const bool isReportedAddress = command.worker.address == worker->reportedAddress;
     const auto failed = [&](const std::string &reason) {
         if (worker->failedPolls++ == 0) {
             reportUnreachable(*worker, reason, now);
             // The worker may be restarting: its next incarnation has to reject commands that were sent to this one.
-            ++worker->suspectedRestarts;
+            raiseToken(*worker);
         }
         worker->nextPoll = now + Internal::FailedPollBackoff;
     };
     std::visit(Overloaded{
                    [&](const WorkerReport &report) {
                        worker->reportedAddress = command.worker.address;
-                       handleReport(*worker, report, sentAt, now);
+                       handleReport(*worker, command, report, sentAt, now);
                    },
                    [&](const CommandRejected &rejection) {
+                       if (isOvertaken(command.worker.id, command.fencingToken, rejection)) {
+                           worker->nextPoll = now; // the worker responds, and the next poll has a higher token
+                           return;
+                       }
                        handleFencing(command.worker.id, command.fencingToken, rejection);
                        if (rejection.reason == RejectionReason::WrongWorker && isReportedAddress) {
                            worker->leaseEnd = TimePoint(); // the address belongs to another worker now: this one is gone
@@ -162,7 +167,7 @@
                result);
 }
 
-void Dispatcher::handleReport(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
+void Dispatcher::handleReport(WorkerState &worker, const PollCommand &poll, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
     if (worker.isLateReport(report.processStartedAt, sentAt)) {
         worker.nextPoll = now;
@@ -178,6 +183,8 @@
     }
     worker.processStartedAt = report.processStartedAt;
     worker.clock = WorkerClock{report.clock, now};
+    worker.listedEnds = report.ends.size();
+    worker.acknowledgedEndSequence = std::min(std::max(worker.acknowledgedEndSequence, poll.acknowledgedSequence), worker.durableEndSequence);
     for (const ReportedRunEnd &end : report.ends) {
         handleEndedRun(worker, end, now);
     }
@@ -192,6 +199,8 @@
         worker.hasAnswered = true;
     } else if (worker.processedEndSequence != worker.durableEndSequence) {
         worker.nextPoll = now + Internal::PendingEndsInterval;
+    } else if (worker.hasEndsToAcknowledge() && !canAcknowledgeEnds(worker, now)) {
+        worker.nextPoll = now + Internal::DelayedAcknowledgementInterval;
     } else if (worker.runs.empty()) {
         worker.nextPoll = now + Internal::IdlePollInterval;
     }
@@ -225,9 +234,10 @@
 {
     worker.processedEndSequence = 0;
     worker.durableEndSequence = 0;
+    worker.acknowledgedEndSequence = 0;
     worker.endedProcessStartedAt = std::max(worker.endedProcessStartedAt, worker.processStartedAt);
     worker.processEndKnownAt = now;
-    ++worker.suspectedRestarts;
+    raiseToken(worker);
     awaitLeasesOfLatePolls(worker, now);
     // The next process may execute a start that is not answered, or has executed one of several.
     const auto isLost = [&](const TaskExecution &task) {
@@ -239,9 +249,14 @@
         TaskExecution *task = m_jobs.task(id);
         if (task == nullptr) {
             worker.removeRun(id);
-        } else if (kept.contains({id, task->run})) {
             continue;
-        } else if (task->phase == TaskPhase::Running && isLost(*task)) {
+        }
+        const bool isLostRun = isLost(*task);
+        task->listed = kept.contains({id, task->run});
+        if (task->listed) {
+            continue;
+        }
+        if (task->phase == TaskPhase::Running && isLostRun) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::WorkerRestarted);
         } else if (task->phase != TaskPhase::Assigned) {
             beginStop(id, *task, StopReason::WorkerRestarted, now); // the start command may still reach the restarted worker, or has reached it
@@ -334,7 +349,7 @@
 
 void Dispatcher::findMissingRuns(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
-    const bool listsAllRuns = report.ends.size() < Internal::MaximumReportedEnds && report.malformedRuns == 0;
+    const bool listsAllRuns = worker.listsAllEnds() && report.malformedRuns == 0;
     const auto byValue = [](const TaskId *left, const TaskId *right) { return *left < *right; };
     std::set<const TaskId *, decltype(byValue)> present(byValue);
     for (const ReportedRun &run : report.runs) {
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -28,8 +28,9 @@
     TimePoint phaseSince{};
     int startsSent = 0; // start commands of this run that the worker may execute
     bool startPending = false; // the last start command was not answered yet, so it may still be executed
+    TimePoint startOutstandingUntil{}; // until then, a start command without a response may be executed
     bool startConfirmed = false; // the worker has confirmed the start of this run
-    bool listed = false; // a report has listed this run, so its start has not reached a later process
+    bool listed = false; // a report of the current process has listed this run
     TimePoint confirmedAt{}; // when the worker last confirmed the start or the stop
     StopReason stopReason = StopReason::JobEnded; // of the last stop
     bool stopConfirmed = false;
--- a/src/libs/dispatch/restartcounts.cpp
+++ b/src/libs/dispatch/tokenrises.cpp
@@ -1,10 +1,10 @@
-#include "restartcounts.h"
+#include "tokenrises.h"
 
 #include <algorithm>
 
 namespace Hyssop {
 
-void RestartCounts::record(const std::string &worker, int count)
+void TokenRises::record(const std::string &worker, std::int64_t count)
 {
     if (count <= m_minimum) {
         return;
@@ -18,7 +18,7 @@
     m_counts[worker] = std::max(m_counts[worker], count);
 }
 
-int RestartCounts::countOf(const std::string &worker) const
+std::int64_t TokenRises::countOf(const std::string &worker) const
 {
     const auto count = m_counts.find(worker);
     return count != m_counts.end() ? std::max(count->second, m_minimum) : m_minimum;
--- a/src/libs/dispatch/workerstate.cpp
+++ b/src/libs/dispatch/workerstate.cpp
@@ -4,6 +4,10 @@
 
 // Mean share of its declared processor time that a best-effort task uses.
 constexpr double BestEffortUse = 0.85;
+// A worker lists at most this many ends. If it lists as many, it may have others.
+constexpr std::size_t MaximumListedEnds = 500;
+// With so many ends that are not acknowledged, a worker gets no more runs: it must be able to list the ends of those it has.
+constexpr std::int64_t MaximumUnacknowledgedEnds = 300;
 
 void WorkerState::addRun(const TaskId &task, const RunProfile &profile)
 {
@@ -30,7 +34,13 @@
 
 bool WorkerState::isSchedulable(const std::set<std::string> &evacuatedDomains) const
 {
-    return registered && !info.draining && clock && failedPolls == 0 && !evacuatedDomains.contains(info.failureDomain);
+    const bool canListMoreEnds = processedEndSequence - acknowledgedEndSequence < MaximumUnacknowledgedEnds;
+    return registered && !info.draining && clock && failedPolls == 0 && canListMoreEnds && !evacuatedDomains.contains(info.failureDomain);
+}
+
+bool WorkerState::listsAllEnds() const
+{
+    return listedEnds < MaximumListedEnds;
 }
 
 bool WorkerState::isLateReport(std::chrono::milliseconds reportedProcessStart, TimePoint sentAt) const
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -41,7 +41,7 @@
     std::chrono::milliseconds processStartedAt{0}; // 0: unknown
     std::chrono::milliseconds endedProcessStartedAt{0}; // start of the newest process that is known to have ended; 0: none
     TimePoint processEndKnownAt{}; // since when it is known
-    int suspectedRestarts = 0; // known or suspected restarts of the process in this term
+    std::int64_t tokenRises = 0; // how often the fencing token for this worker has risen in this term
     WorkerHealth health;
 
     bool pollPending = false;
@@ -57,6 +57,9 @@
 
     std::int64_t processedEndSequence = 0; // sequence number of the newest run end that was processed
     std::int64_t durableEndSequence = 0; // all run ends up to this sequence number are durable
+    std::int64_t acknowledgedEndSequence = 0; // the process has answered a poll that acknowledged the ends up to this one
+    bool acknowledgementPending = false; // a poll that acknowledges ends was sent after the last start command, and is not answered
+    std::size_t listedEnds = 0; // in the last report
 
     std::map<TaskId, RunProfile> runs; // open runs
     Resources committed; // reserved resources of the open runs
@@ -84,12 +87,18 @@
     /// Returns true if the last poll of this owner was answered.
     bool isResponding() const { return hasAnswered && failedPolls == 0; }
 
-    /// Returns true if the worker is registered, answers, is not draining, and its failure domain is not evacuated.
+    /// Returns true if the worker is registered, answers, can list more ends, is not draining, and its failure domain is not evacuated.
     bool isSchedulable(const std::set<std::string> &evacuatedDomains) const;
 
     /// Returns true if the last poll failed.
     bool isUnreachable() const { return failedPolls > 0; }
 
+    /// Returns true if the process may still list ends that are durable.
+    bool hasEndsToAcknowledge() const { return durableEndSequence > acknowledgedEndSequence; }
+
+    /// Returns true if the last report contained all ends that are not acknowledged.
+    bool listsAllEnds() const;
+
     /// Returns true if a report on a poll sent at @p sentAt may come from a process that has ended, and not from the current one.
     bool isLateReport(std::chrono::milliseconds reportedProcessStart, TimePoint sentAt) const;
 
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -169,6 +169,10 @@
             co_await releaseOwnership("reading lags behind the growth of the job topic");
             continue;
         }
+        if (m_term && m_dispatcher.areTokensExhausted() && !m_appender.isAppending()) {
+            co_await releaseOwnership("the fencing tokens of the term are used up");
+            continue;
+        }
         if (m_term && !m_appender.isAppending() && now - m_appender.lastAppend() >= Internal::ClaimRenewalInterval) {
             startAppend({claimRecord(false)}, false);
         }
--- a/tests/libs/dispatch/testacknowledgements.cpp
+++ b/tests/libs/dispatch/testacknowledgements.cpp
@@ -110,6 +110,15 @@
         dispatcher.jobChanged(jobId, table.find(jobId), now, wall());
     }
 
+    /// Cancels a job of one task.
+    void cancel(const std::string &jobId)
+    {
+        JobTable table;
+        table.apply({0, submissionKey(jobId), encode(jobOf(1))});
+        table.apply({1, cancellationKey(jobId), "1"});
+        dispatcher.jobChanged(jobId, table.find(jobId), now, wall());
+    }
+
     Dispatcher dispatcher{DispatchLimits()};
     TimePoint now = Begin;
     SimulatedWorker worker;
@@ -262,6 +271,84 @@
     cr_assert_not(harness.acknowledgedDone.empty(), "no end was acknowledged while tasks were started");
 }
 
+Test(acknowledgements, anAcknowledgementThatAStartOvertakesIsSentAgain)
+{
+    DeliveryHarness harness;
+    completeFirstTask(harness);
+    harness.tickUntil([&] { return harness.poll && harness.poll->acknowledgedSequence > 0; });
+    harness.submit("k");
+    harness.tickUntil([&] { return !harness.starts.empty(); });
+    const StartCommand start = harness.starts.front();
+    harness.starts.clear();
+    cr_assert_gt(start.fencingToken, harness.poll->fencingToken);
+    harness.dispatcher.startAnswered(start, harness.worker.start(start, harness.now), harness.now);
+    const PollCommand overtaken = *std::exchange(harness.poll, std::nullopt);
+    harness.dispatcher.pollAnswered(overtaken, harness.worker.poll(overtaken, harness.now), harness.polledAt, harness.now);
+    harness.tick();
+    cr_assert(harness.poll.has_value(), "the worker responds, so it is polled again at once");
+    cr_assert(harness.poll->leaseEnd.has_value(), "the lease of a worker that responds is renewed");
+    harness.deliverFor(3s);
+    cr_assert_eq(harness.acknowledgedDone.size(), 2);
+}
+
+Test(acknowledgements, aStartThatALaterStartOvertakesIsSentAgainAsTheSameRun)
+{
+    DeliveryHarness harness;
+    completeFirstTask(harness);
+    harness.submit("k");
+    harness.tickUntil([&] { return !harness.starts.empty(); });
+    StartCommand overtaken = harness.starts.front();
+    harness.starts.clear();
+    // Meanwhile the worker has executed a command of this owner with a higher token.
+    harness.dispatcher.pollAnswered(*std::exchange(harness.poll, std::nullopt), CommandUndetermined{"timeout"}, harness.polledAt, harness.now);
+    harness.tickUntil([&] { return harness.poll.has_value(); });
+    const PollCommand poll = *std::exchange(harness.poll, std::nullopt);
+    cr_assert_gt(poll.fencingToken, overtaken.fencingToken);
+    harness.dispatcher.pollAnswered(poll, harness.worker.poll(poll, harness.now), harness.polledAt, harness.now);
+    harness.dispatcher.startAnswered(overtaken, harness.worker.start(overtaken, harness.now), harness.now);
+    harness.tickUntil([&] { return !harness.starts.empty(); });
+    cr_assert_eq(harness.starts.front().run, overtaken.run);
+    cr_assert_eq(harness.starts.front().task, overtaken.task);
+}
+
+Test(acknowledgements, aStopThatALaterCommandOvertakesIsSentAgainAtOnce)
+{
+    DeliveryHarness harness;
+    harness.worker.plan = [](const TaskId &) { return SimulatedWorker::Run{0, TimePoint(10s), RunEndReason::Completed, 0}; };
+    harness.submit("k");
+    harness.deliverFor(1s);
+    harness.tickUntil([&] { return harness.poll.has_value(); });
+    harness.cancel("k");
+    harness.tickUntil([&] { return !harness.stops.empty(); });
+    const StopCommand overtaken = harness.stops.front();
+    harness.stops.clear();
+    harness.dispatcher.pollAnswered(*std::exchange(harness.poll, std::nullopt), CommandUndetermined{"timeout"}, harness.polledAt, harness.now);
+    harness.dispatcher.stopAnswered(overtaken, CommandRejected{RejectionReason::Fenced, "fence"}, harness.now);
+    harness.tick();
+    cr_assert_not(harness.stops.empty());
+    cr_assert_gt(harness.stops.front().fencingToken, overtaken.fencingToken);
+}
+
+Test(acknowledgements, theTermEndsBeforeTheTokensOfAWorkerAreUsedUp)
+{
+    constexpr int MostFailures = 1'000'000;
+    DeliveryHarness harness;
+    harness.deliverFor(100ms);
+    WorkerReport report;
+    PollCommand poll;
+    poll.worker.id = "w";
+    int failures = 0;
+    while (failures < MostFailures && !harness.dispatcher.areTokensExhausted()) {
+        ++failures;
+        harness.tickUntil([&] { return harness.poll.has_value(); });
+        const PollCommand poll = *std::exchange(harness.poll, std::nullopt);
+        harness.dispatcher.pollAnswered(poll, CommandUndetermined{"timeout"}, harness.now, harness.now);
+        harness.dispatcher.pollAnswered(poll, report, harness.now, harness.now);
+    }
+    cr_assert(harness.dispatcher.areTokensExhausted());
+    cr_assert_gt(failures, MostFailures / 10, "the term ends after %d restarts of a worker", failures);
+}
+
 Test(acknowledgements, aWorkerWithManyUnacknowledgedEndsGetsNoMoreTasks)
 {
     constexpr std::int64_t AlmostAllThatAreListed = 400;
--- a/tests/libs/dispatch/testworkerregistration.cpp
+++ b/tests/libs/dispatch/testworkerregistration.cpp
@@ -1,7 +1,7 @@
 #include "dispatchsimulation.h"
 #include "eventharness.h"
 
-#include <dispatch/restartcounts.h>
+#include <dispatch/tokenrises.h>
 
 #include <criterion/criterion.h>
 
@@ -36,14 +36,14 @@
     cr_assert(simulation.violations.empty());
 }
 
-Test(workerRegistration, restartCountsNeverDecrease)
+Test(workerRegistration, tokenRisesNeverDecrease)
 {
-    RestartCounts counts;
+    TokenRises counts;
     counts.record("w", 3);
     counts.record("w", 2);
     cr_assert_eq(counts.countOf("w"), 3);
     cr_assert_eq(counts.countOf("unknown"), 0);
-    for (std::size_t index = 0; index < RestartCounts::MaximumWorkers; ++index) {
+    for (std::size_t index = 0; index < TokenRises::MaximumWorkers; ++index) {
         counts.record("w" + std::to_string(index), 1);
     }
     cr_assert_geq(counts.countOf("w"), 3);
