Find restarts of workers that report no start time by the clock in their reports

Callers: seconds of a task that a restarted worker no longer runs, and ends of its next process that are ignored.

Cause: without a start time, only the clock in the answer to a start showed a restart; the next process numbers its ends from 1, and those up to the last number of the previous process were ignored. A batch that became durable after such a restart marked ends of the next process as durable, and polls acknowledged them.

Change: a report whose clock is behind the last one comes from another process. Stored ends name the process by its count.

Evidence: two tests of workerProcessEnd; the first failed before, the second fails with the first change alone.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -100,7 +100,7 @@
     /// Newest run end of a worker that a batch makes durable.
     struct StoredEnd
     {
-        std::chrono::milliseconds processStartedAt{0}; // the sequence numbers restart with the worker process
+        int endedProcesses = 0; // of the worker, when it was reported: the sequence numbers restart with each process
         std::int64_t sequence = 0;
     };
 
@@ -168,6 +168,9 @@
     /// Does the same on the first @p report of the new process, and keeps the runs that it lists.
     void handleWorkerRestart(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
 
+    /// Returns true if @p report comes from another process of @p worker than the last one.
+    static bool isFromNextProcess(const WorkerState &worker, const WorkerReport &report);
+
     /// Takes into account that the process of @p worker, of which the owner has just learned, may have executed a poll that was sent
     /// to an earlier process. The end of its lease is a time on the clock of that process, so only the platform limits the lease.
     void awaitLeasesOfLatePolls(WorkerState &worker, TimePoint now) const;
--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -96,7 +96,7 @@
     m_passEnds.clear();
     for (const auto &[id, worker] : m_workers) {
         if (worker.processedEndSequence > worker.durableEndSequence) {
-            m_passEnds[id] = {worker.processStartedAt, worker.processedEndSequence};
+            m_passEnds[id] = {worker.endedProcesses, worker.processedEndSequence};
         }
     }
 }
@@ -125,7 +125,7 @@
     const PendingBatch stored = std::exchange(m_batch, PendingBatch());
     for (const auto &[id, end] : stored.ends) {
         WorkerState *worker = findWorker(id);
-        if (worker != nullptr && worker->processStartedAt == end.processStartedAt) {
+        if (worker != nullptr && worker->endedProcesses == end.endedProcesses) {
             worker->durableEndSequence = end.sequence;
         }
     }
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -178,7 +178,7 @@
     }
     worker.failedPolls = 0;
     worker.lastReportAt = now;
-    if (report.processStartedAt != worker.processStartedAt && worker.processStartedAt.count() != 0 && report.processStartedAt.count() != 0) {
+    if (isFromNextProcess(worker, report)) {
         handleWorkerRestart(worker, report, sentAt, now);
     }
     worker.processStartedAt = report.processStartedAt;
@@ -206,6 +206,15 @@
     }
 }
 
+bool Dispatcher::isFromNextProcess(const WorkerState &worker, const WorkerReport &report)
+{
+    if (worker.processStartedAt.count() != 0 && report.processStartedAt.count() != 0) {
+        return report.processStartedAt != worker.processStartedAt;
+    }
+    // The clock of a process never goes back, and the reports of a worker arrive in their order.
+    return worker.clock && report.clock < worker.clock->reading;
+}
+
 void Dispatcher::handleWorkerRestart(WorkerState &worker, WorkerTime reading, TimePoint now)
 {
     m_actions.emplace_back(WorkerRestarted{worker.info.id, reading, worker.clock ? worker.clock->readingAt(now) : WorkerTime(0), worker.runs.size()});
@@ -237,6 +246,7 @@
     worker.acknowledgedEndSequence = 0;
     worker.endedProcessStartedAt = std::max(worker.endedProcessStartedAt, worker.processStartedAt);
     worker.processEndKnownAt = now;
+    ++worker.endedProcesses;
     raiseToken(worker);
     awaitLeasesOfLatePolls(worker, now);
     // The next process may execute a start that is not answered, or has executed one of several.
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -41,6 +41,7 @@
     std::chrono::milliseconds processStartedAt{0}; // 0: unknown
     std::chrono::milliseconds endedProcessStartedAt{0}; // start of the newest process that is known to have ended; 0: none
     TimePoint processEndKnownAt{}; // since when it is known
+    int endedProcesses = 0; // processes of this worker that are known to have ended in this term
     std::int64_t tokenRises = 0; // how often the fencing token for this worker has risen in this term
     WorkerHealth health;
 
--- a/tests/libs/dispatch/eventharness.cpp
+++ b/tests/libs/dispatch/eventharness.cpp
@@ -10,7 +10,6 @@
 namespace Hyssop::Testing {
 
 constexpr std::chrono::milliseconds StepInterval{20};
-constexpr TimePoint Begin{std::chrono::seconds(1000)};
 constexpr int MaximumStartRounds = 20;
 
 EventHarness::EventHarness(int tasks, bool longRunning)
@@ -100,8 +99,7 @@
 
 WorkerTime EventHarness::clock() const
 {
-    constexpr WorkerTime ClockOffset{5000};
-    return std::chrono::duration_cast<WorkerTime>(now - Begin) + ClockOffset;
+    return std::chrono::duration_cast<WorkerTime>(now - clockBegin);
 }
 
 } // namespace Hyssop::Testing
--- a/tests/libs/dispatch/eventharness.h
+++ b/tests/libs/dispatch/eventharness.h
@@ -43,6 +43,7 @@
 
     Dispatcher dispatcher{DispatchLimits()};
     TimePoint now{std::chrono::seconds(1000)};
+    TimePoint clockBegin{now - std::chrono::seconds(5)}; // the clock of the worker counts from then
     std::vector<DispatchAction> actions;
     std::vector<ReportedRun> runs; // in the next reports of the worker
     std::vector<ReportedRunEnd> ends; // in the next reports of the worker
--- a/tests/libs/dispatch/testworkerprocessend.cpp
+++ b/tests/libs/dispatch/testworkerprocessend.cpp
@@ -247,3 +247,48 @@
     const bool stopsAsOrphan = std::ranges::any_of(stops, [](const StopCommand &stop) { return stop.reason == StopReason::Orphaned; });
     cr_assert_not(stopsAsOrphan, "the runs of the previous process count as present");
 }
+
+Test(workerProcessEnd, aRestartOfAWorkerThatReportsNoStartTimeIsFoundByItsClock)
+{
+    EventHarness harness;
+    harness.startAllTasks();
+    harness.advance(1s);
+    const TaskId task = harness.runs.front().task;
+    harness.runs.clear();
+    harness.ends = {{1, {"other", 0, 0, 0}, 1, RunEndReason::Stopped, ""}};
+    harness.advance(1s);
+    // The next process numbers its ends from 1 again.
+    harness.clockBegin = harness.now;
+    harness.ends = {{1, task, 2, RunEndReason::Completed, ""}};
+    harness.advance(1s);
+    cr_assert_eq(harness.all<WorkerRestarted>().size(), 1);
+    cr_assert_eq(harness.all<JobEnded>().size(), 1, "the end that the next process reports was ignored");
+}
+
+Test(workerProcessEnd, endsOfThePreviousProcessThatAreStoredLateAreNotAcknowledgedToTheNext)
+{
+    EventHarness harness(2);
+    harness.startAllTasks();
+    harness.advance(1s);
+    harness.ends = {{7, harness.runs.front().task, 1, RunEndReason::Completed, ""}};
+    harness.runs.erase(harness.runs.begin());
+    // The worker, which reports no start time, restarts before the batch with the end becomes durable. It has the other run again.
+    bool isRestarted = false;
+    harness.beforeRecordsStored = [&] {
+        if (harness.all<RunEnded>().empty() || isRestarted) {
+            return;
+        }
+        isRestarted = true;
+        harness.clockBegin = harness.now - 1s;
+        harness.ends.clear();
+        WorkerReport report;
+        report.clock = harness.clock();
+        report.runs = harness.runs;
+        harness.dispatcher.pollAnswered(harness.all<PollCommand>().back(), report, harness.now, harness.now);
+    };
+    harness.advance(1s);
+    cr_assert(isRestarted);
+    const std::vector<PollCommand> polls = harness.all<PollCommand>();
+    const bool acknowledges = std::ranges::any_of(polls, [](const PollCommand &poll) { return poll.acknowledgedSequence > 0; });
+    cr_assert_not(acknowledges, "an end of the previous process was acknowledged to the next one");
+}
