Apply the header timeout, and close only the connection whose handler has failed

Cause: the configuration's header timeout was decoded and not used, so half a header held a connection for the idle timeout. An exception of a request handler was discarded with the connection left open and the request counted as open: the caller waited for its timeout, and a shutdown for its whole grace. It did not end the process.

Change: a connection waits for the first byte up to the idle timeout, then for the header up to the header timeout. A failed handler is logged, and its connection closed without a response, because it is unknown what the handler has done.

--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -24,6 +24,7 @@
 namespace Internal {
 
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
+constexpr std::size_t FirstReadSize = 512; // bytes; many connections wait for a request
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
 struct HttpServerState
@@ -36,6 +37,7 @@
 
     asio::ip::tcp::acceptor acceptor;
     HttpServer::Handler handler;
+    HttpServer::FailureHandler failureHandler = [](const std::exception_ptr &) {};
     std::list<beast::tcp_stream> connections;
     HttpServerLimits limits;
     std::size_t openRequests = 0;
@@ -54,15 +56,58 @@
     co_await http::async_write(stream, response, AsTuple);
 }
 
+using RequestParser = http::request_parser<http::string_body>;
+
+/// Waits for the first byte of a request, unless the buffer contains bytes that the caller has sent ahead.
+static asio::awaitable<boost::system::error_code> waitForRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::chrono::milliseconds timeout)
+{
+    if (buffer.size() > 0) {
+        co_return boost::system::error_code();
+    }
+    stream.expires_after(timeout);
+    const auto [error, size] = co_await stream.async_read_some(buffer.prepare(FirstReadSize), AsTuple);
+    buffer.commit(size);
+    co_return error == asio::error::eof ? boost::system::error_code(http::error::end_of_stream) : error;
+}
+
+static asio::awaitable<boost::system::error_code>
+readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, RequestParser &parser, const HttpServerLimits &limits)
+{
+    if (const auto error = co_await waitForRequest(stream, buffer, limits.idleTimeout)) {
+        co_return error;
+    }
+    stream.expires_after(limits.headerTimeout);
+    const auto [headerError, headerSize] = co_await http::async_read_header(stream, buffer, parser, AsTuple);
+    if (headerError) {
+        co_return headerError;
+    }
+    stream.expires_after(limits.idleTimeout);
+    const auto [bodyError, bodySize] = co_await http::async_read(stream, buffer, parser, AsTuple);
+    co_return bodyError;
+}
+
+/// Returns the response of the handler, or one with status 0 if it has failed.
+static asio::awaitable<HttpResponse> handleRequest(HttpServerStatePtr state, const HttpRequest &request)
+{
+    try {
+        co_return co_await state->handler(request);
+    } catch (...) {
+        state->failureHandler(std::current_exception());
+    }
+    HttpResponse none;
+    none.result(0U);
+    co_return none;
+}
+
 static asio::awaitable<void> serveRequests(HttpServerStatePtr state, beast::tcp_stream &stream)
 {
     beast::flat_buffer buffer;
     while (!state->stopped) {
-        http::request_parser<http::string_body> parser;
+        RequestParser parser;
         parser.header_limit(state->limits.headerBytes);
         parser.body_limit(state->limits.bodyBytes);
-        stream.expires_after(state->limits.idleTimeout);
-        const auto [readError, readSize] = co_await http::async_read(stream, buffer, parser, AsTuple);
+        const HttpServerLimits limits = state->limits;
+        const boost::system::error_code readError = co_await readRequest(stream, buffer, parser, limits);
         if (readError) {
             if (readError.category() == http::make_error_code(http::error::end_of_stream).category() && readError != http::error::end_of_stream) {
                 co_await sendBadRequest(stream, readError);
@@ -71,7 +116,7 @@
         }
         stream.expires_never();
         ++state->openRequests;
-        HttpResponse response = co_await state->handler(parser.get());
+        HttpResponse response = co_await handleRequest(state, parser.get());
         if (response.result_int() == 0) {
             --state->openRequests;
             co_return;
@@ -132,6 +177,11 @@
     asio::co_spawn(m_state->acceptor.get_executor(), Internal::acceptConnections(m_state), asio::detached);
 }
 
+void HttpServer::setFailureHandler(FailureHandler onFailure)
+{
+    m_state->failureHandler = std::move(onFailure);
+}
+
 void HttpServer::setLimits(const HttpServerLimits &limits)
 {
     m_state->limits = limits;
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <memory>
 
@@ -27,7 +28,8 @@
     std::uint32_t headerBytes = 16 * 1024;
     std::uint64_t bodyBytes = 4 * 1024 * 1024;
     std::size_t connections = 1024;
-    std::chrono::milliseconds idleTimeout{60000};
+    std::chrono::milliseconds idleTimeout{60000}; // until the first byte of a request, and for each body and response
+    std::chrono::milliseconds headerTimeout{10000}; // from the first byte to the end of the header
 };
 
 /// HTTP/1.1 server. Bodies are read into memory completely.
@@ -38,6 +40,10 @@
     /// injection in test servers).
     using Handler = std::function<boost::asio::awaitable<HttpResponse>(const HttpRequest &)>;
 
+    /// Called with an exception that a handler has thrown. The connection of the request is closed without a response, because it
+    /// is unknown what the handler has done.
+    using FailureHandler = std::function<void(const std::exception_ptr &)>;
+
     /// Binds and listens at once. Throws boost::system::system_error if the address is in use.
     HttpServer(boost::asio::any_io_executor executor, const boost::asio::ip::tcp::endpoint &endpoint, Handler handler);
     ~HttpServer();
@@ -45,6 +51,8 @@
     /// Starts accepting connections.
     void start();
 
+    void setFailureHandler(FailureHandler onFailure);
+
     /// Sets the limits for requests and connections from now on.
     void setLimits(const HttpServerLimits &limits);
 
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -83,6 +83,8 @@
     auto readyEndpoint = capture([&] { return parseEndpoint(m_readyAddress); });
     m_callerServer = std::make_unique<HttpServer>(executor, *valueOf(callersEndpoint), std::move(callers));
     m_readinessServer = std::make_unique<HttpServer>(executor, *valueOf(readyEndpoint), std::move(readiness));
+    m_callerServer->setFailureHandler(logException);
+    m_readinessServer->setFailureHandler(logException);
     applyLimits();
     m_callerServer->start();
     m_readinessServer->start();
@@ -159,6 +161,7 @@
     server.headerBytes = static_cast<std::uint32_t>(limits.headerBytes);
     server.bodyBytes = limits.bodyBytes;
     server.idleTimeout = limits.idleTimeout;
+    server.headerTimeout = limits.headerTimeout;
     server.connections = Internal::MaximumCallerConnections;
     m_callerServer->setLimits(server);
 }
