Reload the settings file that the command line names in any form

Cause: the file for a reload was the last argument, whatever it was.

Change: the parsed options tell the file.

--- a/src/libs/instance/programoptions.cpp
+++ b/src/libs/instance/programoptions.cpp
@@ -11,7 +11,7 @@
 constexpr const char *Version = "0.1.0";
 constexpr int UsageError = 2;
 
-static std::variant<Settings, EarlyExit> loadSettings(const std::string &file, bool checkOnly, const std::vector<SettingSpec> &specs)
+static std::variant<ProgramSettings, EarlyExit> loadSettings(const std::string &file, bool checkOnly, const std::vector<SettingSpec> &specs)
 {
     auto loaded = Settings::load(file, specs);
     if (const auto *errors = std::get_if<std::vector<SettingError>>(&loaded)) {
@@ -24,12 +24,12 @@
         std::cout << file << ": no faults\n";
         return EarlyExit{0};
     }
-    return std::get<Settings>(std::move(loaded));
+    return ProgramSettings{std::get<Settings>(std::move(loaded)), file};
 }
 
 } // namespace Internal
 
-std::variant<Settings, EarlyExit> parseProgramOptions(int argc, char **argv, const std::string &program, const std::vector<SettingSpec> &specs)
+std::variant<ProgramSettings, EarlyExit> parseProgramOptions(int argc, char **argv, const std::string &program, const std::vector<SettingSpec> &specs)
 {
     namespace po = boost::program_options;
     po::options_description options("Usage: " + program + " --config FILE");
--- a/src/tools/hyssop-gateway/main.cpp
+++ b/src/tools/hyssop-gateway/main.cpp
@@ -26,7 +26,7 @@
         return code->value;
     }
     try {
-        return runDaemon(std::get<Settings>(parsed));
+        return runDaemon(std::get<ProgramSettings>(parsed).settings);
     } catch (const std::exception &error) {
         std::cerr << "hyssop-gateway: " << error.what() << "\n";
         return 1;
--- a/src/tools/hyssop-node/main.cpp
+++ b/src/tools/hyssop-node/main.cpp
@@ -93,7 +93,8 @@
         return code->value;
     }
     try {
-        return runDaemon(std::get<Settings>(parsed), arguments.back());
+        const auto &[settings, file] = std::get<ProgramSettings>(parsed);
+        return runDaemon(settings, file);
     } catch (const std::exception &error) {
         std::cerr << "hyssop-node: " << error.what() << "\n";
         return 1;
