Confirm reads of a topic that grows as fast as it is read

An owner that reads at the rate at which the job topic grows withheld all starts, and an instance answered no state, however short its lag was.

Cause: only a response that reaches the end of the topic confirmed a read, and each response was truncated again.

Change: a truncated read is confirmed, as of the time when it was sent, once the records up to the end that it saw have been applied.

Evidence: topicFollower/readsOfATopicThatGrowsAsFastAsItIsReadAreConfirmed fails without it ("no read is confirmed").

--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -94,6 +94,7 @@
 
 asio::awaitable<bool> TopicFollower::load()
 {
+    m_truncatedRead.reset();
     std::set<std::string> presentKeys;
     std::string after;
     std::int64_t firstEnd = -1;
@@ -155,8 +156,13 @@
         m_next = record.offset + 1;
     }
     if (m_next < page.end && !page.records.empty()) {
-        co_return; // the response was truncated: later records may supersede those read so far
+        confirmTruncatedRead();
+        if (!m_truncatedRead) {
+            m_truncatedRead = TruncatedRead{sentAt, page.end};
+        }
+        co_return; // later records may supersede those read so far
     }
+    m_truncatedRead.reset();
     confirmRead(sentAt);
     co_await sleep(m_timing.interval);
 }
@@ -212,6 +218,14 @@
     m_readHandler(sentAt);
 }
 
+void TopicFollower::confirmTruncatedRead()
+{
+    if (m_truncatedRead && m_next >= m_truncatedRead->end) {
+        confirmRead(m_truncatedRead->sentAt);
+        m_truncatedRead.reset();
+    }
+}
+
 asio::awaitable<void> TopicFollower::waitAfterFailure(Error error)
 {
     if (!m_failingSince) {
--- a/src/libs/node/topicfollower.h
+++ b/src/libs/node/topicfollower.h
@@ -69,12 +69,20 @@
     bool isStoreResponsive() const;
 
 private:
+    /// A read whose response did not contain all records that existed when it was sent.
+    struct TruncatedRead
+    {
+        TimePoint sentAt{};
+        std::int64_t end = 0; // of the topic then
+    };
+
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<void> readNext();
     void removeMissingKeys(const std::set<std::string> &presentKeys, std::int64_t offset);
     void applyRecord(const KeyedRecord &record);
     void recordResponse();
     void confirmRead(TimePoint sentAt);
+    void confirmTruncatedRead();
     boost::asio::awaitable<void> waitAfterFailure(Error error);
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds time);
     boost::asio::awaitable<void> waitForResume();
@@ -88,6 +96,7 @@
     FollowTiming m_timing;
     std::set<std::string> m_keys;
     std::int64_t m_next = 0;
+    std::optional<TruncatedRead> m_truncatedRead; // the oldest one that is not confirmed
     TimePoint m_lastConfirmedReadAt{};
     bool m_loaded = false;
     TimePoint m_lastResponseAt{}; // arrival of the last response that was not an error
--- a/tests/libs/node/testtopicfollower.cpp
+++ b/tests/libs/node/testtopicfollower.cpp
@@ -36,6 +36,9 @@
         if (from < first) {
             co_return RecordsExpired{};
         }
+        for (int record = 0; record < growth; ++record) {
+            put("growing", std::to_string(records.size()));
+        }
         RecordPage page;
         page.end = static_cast<std::int64_t>(records.size());
         for (std::int64_t offset = from; offset < page.end && offset < from + 2; ++offset) {
@@ -83,6 +86,7 @@
     std::chrono::milliseconds pageTime{0};
     int reads = 0;
     int newestReads = 0;
+    int growth = 0; // records that are added before each read
     int failedNewestInterval = 0; // each read of newest records with a multiple of this number fails
     int openCalls = 0;
     int mostCallsAtOnce = 0;
@@ -158,6 +162,23 @@
     }
 }
 
+Test(topicFollower, readsOfATopicThatGrowsAsFastAsItIsReadAreConfirmed)
+{
+    Fixture fixture;
+    fixture.store.put("a", "1");
+    fixture.run(50ms);
+    for (int record = 0; record < 10; ++record) {
+        fixture.store.put("backlog", std::to_string(record));
+    }
+    fixture.store.growth = 2; // as many as a response contains
+    fixture.keysAtReads.clear();
+    fixture.run(200ms);
+    cr_assert_not(fixture.keysAtReads.empty(), "no read is confirmed while records come as fast as they are read");
+    fixture.store.put("b", "2");
+    fixture.run(200ms);
+    cr_assert_geq(fixture.keysAtReads.back(), 4);
+}
+
 Test(topicFollower, keysRemovedWhileRecordsExpiredAreRemoved)
 {
     Fixture fixture;
