Acknowledge nothing while any start is unanswered, and poll sooner until runs are listed

Cause: a worker whose runs were not all listed was polled again after 150 ms, without waiting for ends, after each of its starts.

Change: it is polled after 20 ms, which lists the runs; 150 ms remain after a start without a response. So nothing is acknowledged while a start is unanswered, also one of an ended run.

Evidence: all 127 tests of test-dispatch.

--- a/src/libs/dispatch/dispatchacknowledgements.cpp
+++ b/src/libs/dispatch/dispatchacknowledgements.cpp
@@ -8,12 +8,15 @@
 
 // Upper bound of the time after which a command without a response is executed.
 constexpr std::chrono::milliseconds MaximumCommandDelay{12000};
+// A run whose start has a response is listed by the next report.
+constexpr std::chrono::milliseconds UnlistedRunInterval{20};
+constexpr std::chrono::milliseconds OutstandingStartInterval{150};
 
 } // namespace Internal
 
 bool Dispatcher::canAcknowledgeEnds(const WorkerState &worker, TimePoint now)
 {
-    if (!worker.hasEndsToAcknowledge() || worker.failedPolls > 0) {
+    if (!worker.hasEndsToAcknowledge() || worker.failedPolls > 0 || worker.pendingStarts > 0) {
         return false;
     }
     // A worker that lists as many ends as it can shows the others only after an acknowledgement.
@@ -27,10 +30,19 @@
         if (task == nullptr || task->phase == TaskPhase::Assigned) {
             return false;
         }
-        return !task->listed || task->startPending || now < task->startOutstandingUntil;
+        return !task->listed || now < task->startOutstandingUntil;
     });
 }
 
+std::chrono::milliseconds Dispatcher::acknowledgementDelay(const WorkerState &worker, TimePoint now)
+{
+    const bool isOutstanding = std::ranges::any_of(worker.runs, [&](const auto &run) {
+        const TaskExecution *task = m_jobs.task(run.first);
+        return task != nullptr && now < task->startOutstandingUntil;
+    });
+    return isOutstanding ? Internal::OutstandingStartInterval : Internal::UnlistedRunInterval;
+}
+
 void Dispatcher::expectLateStart(TaskExecution &task, TimePoint now)
 {
     task.startOutstandingUntil = now + Internal::MaximumCommandDelay;
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -155,6 +155,9 @@
     /// Returns true if an open run of @p worker may have begun, or may yet begin, in a process that has not reported it.
     bool mayHaveUnlistedRun(const WorkerState &worker, TimePoint now);
 
+    /// Returns after which time it is worth polling @p worker again if its ends can't be acknowledged yet.
+    std::chrono::milliseconds acknowledgementDelay(const WorkerState &worker, TimePoint now);
+
     /// Takes into account that a start command of @p task without a response may still be executed.
     static void expectLateStart(TaskExecution &task, TimePoint now);
 
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -86,6 +86,7 @@
     task.phase = TaskPhase::Starting;
     task.phaseSince = now;
     ++task.startsSent;
+    ++worker->pendingStarts;
     task.startPending = true;
     m_actions.emplace_back(std::move(command));
 }
@@ -130,6 +131,9 @@
 {
     if (isOfThisTerm(command.fencingToken)) {
         recordStartResult(command, result);
+        if (WorkerState *worker = findWorker(command.worker.id)) {
+            worker->pendingStarts = std::max(worker->pendingStarts - 1, 0); // 0: the worker was removed and added meanwhile
+        }
     }
     TaskExecution *task = m_jobs.task(command.task);
     const bool isCurrent = task != nullptr && task->run == command.run && task->worker == command.worker.id;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -17,7 +17,6 @@
 constexpr int FailuresUntilRefusalCounts = 2;
 // Run ends are listed again until they are durable and acknowledged, so a poll before that does not wait for the next end.
 constexpr std::chrono::milliseconds PendingEndsInterval{80};
-constexpr std::chrono::milliseconds DelayedAcknowledgementInterval{150};
 constexpr std::chrono::milliseconds StopRepeatInterval{400};
 constexpr std::chrono::milliseconds StallTimeout{4000};
 constexpr int StallEstimateDivisor = 10;
@@ -200,7 +199,7 @@
     } else if (worker.processedEndSequence != worker.durableEndSequence) {
         worker.nextPoll = now + Internal::PendingEndsInterval;
     } else if (worker.hasEndsToAcknowledge() && !canAcknowledgeEnds(worker, now)) {
-        worker.nextPoll = now + Internal::DelayedAcknowledgementInterval;
+        worker.nextPoll = now + acknowledgementDelay(worker, now);
     } else if (worker.runs.empty()) {
         worker.nextPoll = now + Internal::IdlePollInterval;
     }
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -59,6 +59,7 @@
     std::int64_t processedEndSequence = 0; // sequence number of the newest run end that was processed
     std::int64_t durableEndSequence = 0; // all run ends up to this sequence number are durable
     std::int64_t acknowledgedEndSequence = 0; // the process has answered a poll that acknowledged the ends up to this one
+    int pendingStarts = 0; // start commands that are not answered, also of runs that have ended meanwhile
     bool acknowledgementPending = false; // a poll that acknowledges ends was sent after the last start command, and is not answered
     std::size_t listedEnds = 0; // in the last report
 
