--- a/tests/libs/observability/testlogging.cpp
+++ b/tests/libs/observability/testlogging.cpp
@@ -4,7 +4,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <fcntl.h>
 #include <string>
+#include <unistd.h>
 
 using namespace Hyssop;
 using Hyssop::Testing::CapturedOutput;
@@ -31,6 +34,26 @@
 
 } // namespace
 
+Test(logging, aLineLongerThanAFullPipeTakesDoesNotBlock, .timeout = 10)
+{
+    constexpr std::size_t PipeSize = 4096;
+    int ends[2] = {-1, -1};
+    cr_assert_eq(::pipe(ends), 0);
+    cr_assert_geq(::fcntl(ends[0], F_SETPIPE_SZ, static_cast<int>(PipeSize)), 0);
+    const int original = ::dup(STDOUT_FILENO);
+    ::dup2(ends[1], STDOUT_FILENO);
+    initializeLogging(LogLevel::Info, LogFormat::KeyValue, "front");
+    logMessage(LogLevel::Info, "owner", std::string(16 * PipeSize, 'x'));
+    std::string received(PipeSize, '\0');
+    cr_assert_gt(::read(ends[0], received.data(), received.size()), 0);
+    logMessage(LogLevel::Info, "owner", "next");
+    received.resize(static_cast<std::size_t>(std::max<ssize_t>(::read(ends[0], received.data(), received.size()), 0)));
+    ::dup2(original, STDOUT_FILENO);
+    cr_assert(received.starts_with("\n"), "the next line is appended to the part of the long one");
+    cr_assert_eq(count(received, "log lines dropped"), 1);
+    cr_assert_eq(count(received, "message=next"), 1);
+}
+
 Test(logging, warningsAreNotDroppedBecauseOfRoutineLines)
 {
     const CapturedOutput output;
