Limit the total time of a list of machines

Callers of serving tasks: while a list comes in many slow pages, no other is requested, so tasks of a lost worker wait.

Cause: each page had a timeout, the list had none: up to 100 pages of 1.5 s.

Change: a list that takes more than 5 s is an error, after which the owner asks again.

--- a/src/tools/hyssop-node/main.cpp
+++ b/src/tools/hyssop-node/main.cpp
@@ -68,7 +68,7 @@
     const auto adviceAddresses = settings.list("advice.address");
     Platform::AdviceClient advice(http, adviceAddresses.empty() ? std::string() : adviceAddresses.front());
     const auto machineAddresses = settings.list("machines.address");
-    Platform::MachineClient machines(http, machineAddresses.empty() ? std::string() : machineAddresses.front());
+    Platform::MachineClient machines(http, clock, machineAddresses.empty() ? std::string() : machineAddresses.front());
     Platform::RecordDecoder decoder;
     NodeDaemon daemon(context, settings, {store, workers, advice, machines}, decoder, metrics, [file] { reloadSettings(file); });
     Platform::JobEndpoint endpoint(daemon.intake(), daemon.table(), daemon.cluster());
--- a/tests/platform/testmachineclient.cpp
+++ b/tests/platform/testmachineclient.cpp
@@ -23,13 +23,14 @@
     Fixture()
         : server(context.get_executor(), anyLoopbackPort(), [this](const HttpRequest &request) { return respond(request); })
         , httpClient(context.get_executor())
-        , client(httpClient, formatEndpoint(server.localEndpoint()))
+        , client(httpClient, clock, formatEndpoint(server.localEndpoint()))
     {
         server.start();
     }
 
     asio::awaitable<HttpResponse> respond(const HttpRequest &request)
     {
+        clock.advance(pageTime);
         const auto body = bodies.find(std::string(request.target().data(), request.target().size()));
         HttpResponse response(body != bodies.end() ? http::status::ok : http::status::service_unavailable, request.version());
         response.keep_alive(request.keep_alive());
@@ -39,6 +40,8 @@
     }
 
     std::map<std::string, std::string> bodies;
+    std::chrono::milliseconds pageTime{0}; // by which each request advances the clock
+    Clock clock;
     asio::io_context context{1};
     HttpServer server;
     HttpClient httpClient;
@@ -73,7 +76,7 @@
         }
         cr_assert(std::holds_alternative<Error>(co_await f.client.liveWorkers()), "second page: %s", second);
     }
-    Platform::MachineClient unconfigured(f.httpClient, "");
+    Platform::MachineClient unconfigured(f.httpClient, f.clock, "");
     cr_assert(std::holds_alternative<Error>(co_await unconfigured.liveWorkers()));
 }
 
@@ -82,3 +85,20 @@
     Fixture fixture;
     runToEnd(fixture.context, ::incompleteListsAreErrorsSteps(fixture));
 }
+
+static asio::awaitable<void> aSlowListIsGivenUpSteps(Fixture &f)
+{
+    f.clock.pause();
+    f.pageTime = std::chrono::seconds(2);
+    f.bodies["/v1/machines"] = R"({"machines":[],"nextToken":"x"})";
+    f.bodies["/v1/machines?pageToken=x"] = R"({"machines":[],"nextToken":"x"})";
+    const TimePoint begin = f.clock.now();
+    cr_assert(std::holds_alternative<Error>(co_await f.client.liveWorkers()));
+    cr_assert_leq((f.clock.now() - begin) / std::chrono::seconds(1), 6, "the owner waits for one list at a time");
+}
+
+Test(machineClient, aListThatComesInManySlowPagesIsGivenUp)
+{
+    Fixture fixture;
+    runToEnd(fixture.context, ::aSlowListIsGivenUpSteps(fixture));
+}
