Refuse a job whose serving tasks can't all run at the same time

Callers: a job of more than 3,000 tasks that run until it is cancelled was accepted and never ran whole: the progress of more started tasks doesn't fit into a record of the store.

Change: such a submission is refused at once (400, with the limit). Jobs that are stored already keep running as far as they did.

Evidence: jobCodec/invalidSubmissionsAreRejected.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -3,6 +3,8 @@
 #include "schedulingkey.h"
 #include "workerranking.h"
 
+#include <jobtopic/joblimits.h>
+
 #include <algorithm>
 #include <optional>
 
@@ -14,8 +16,6 @@
 constexpr std::size_t MaximumAdviceCandidates = 30;
 // The reserve for short tasks delays the first run of a serving task by at most this time.
 constexpr std::chrono::milliseconds MaximumReserveDelay{1800};
-// The store limits the size of a record, and the progress of a job is one: started tasks have an entry in it until they are done.
-constexpr std::size_t MaximumStartedTasks = 3000; // of a job
 
 struct PendingStep
 {
@@ -72,13 +72,13 @@
     }
 }
 
-static std::size_t startedTasks(const JobExecution &job)
+static std::int64_t startedTasks(const JobExecution &job)
 {
     const auto isStarted = [](const TaskExecution &task) { return task.run > 0 && task.phase != TaskPhase::Done; };
-    std::size_t count = 0;
+    std::int64_t count = 0;
     for (const auto &[occurrence, steps] : job.occurrences) {
         for (const StepExecution &step : steps) {
-            count += static_cast<std::size_t>(std::ranges::count_if(step.tasks, isStarted));
+            count += std::ranges::count_if(step.tasks, isStarted);
         }
     }
     return count;
@@ -169,13 +169,13 @@
         request.rack = racks.empty() ? std::string() : racks.front();
     }
     std::vector<WorkerRanking::Candidate> candidates = ranking.rankCandidates(request);
-    std::size_t started = Internal::startedTasks(job);
+    std::int64_t started = Internal::startedTasks(job);
     for (std::size_t index = 0; index < execution.tasks.size() && !candidates.empty(); ++index) {
         TaskExecution &task = execution.tasks[index];
         if (task.phase != TaskPhase::Pending || task.notBefore > now) {
             continue;
         }
-        if (task.run == 0 && started >= Internal::MaximumStartedTasks) {
+        if (task.run == 0 && started >= MaximumStartedTasks) {
             continue;
         }
         const bool isDeferrable =
--- a/src/libs/jobtopic/joblimits.cpp
+++ b/src/libs/jobtopic/joblimits.cpp
@@ -57,6 +57,18 @@
 
 } // namespace Internal
 
+Result<void> checkServingTasks(const Wire::StepJob &job)
+{
+    std::int64_t tasks = 0;
+    for (const Wire::TaskStep &step : job.steps) {
+        tasks += step.longRunning ? step.taskCount : 0;
+    }
+    if (tasks > MaximumStartedTasks) {
+        return fail(ErrorCode::InvalidArgument, "the job has more than " + std::to_string(MaximumStartedTasks) + " tasks that run until it is cancelled");
+    }
+    return {};
+}
+
 Result<void> checkLimits(const Wire::StepJob &job)
 {
     std::int64_t tasks = 0;
--- a/tests/platform/testcodecs.cpp
+++ b/tests/platform/testcodecs.cpp
@@ -221,5 +221,8 @@
     cr_assert(fails([] { return decodeJob(R"({"steps":[{"count":0}]})", 1000); }, ErrorCode::InvalidArgument));
     cr_assert(fails([] { return decodeJob(R"({"steps":[{"count":1,"after":[0]}]})", 1000); }, ErrorCode::InvalidArgument));
     cr_assert(fails([] { return decodeJob(R"({"steps":[{"count":"1"}]})", 1000); }));
+    cr_assert(fails([] { return decodeJob(R"({"steps":[{"count":2000,"longRunning":true},{"count":1001,"longRunning":true}]})", 1000); },
+                    ErrorCode::InvalidArgument));
+    cr_assert_not(fails([] { return decodeJob(R"({"steps":[{"count":3000,"longRunning":true},{"count":3000}]})", 1000); }));
     cr_assert(fails([] { return decodeJob(R"({"spec":"0123456789"})", 10); }, ErrorCode::TooLarge));
 }
