Keep the runs of jobs in a topic of their own

Cause: every instance read every intent and every end of a run, because the progress of a job was one record in the topic that all follow.

Change: the job topic has the phase of a job, written when it changes; the runs are in a topic that only an instance reads whose claim was read back. It fences the topic with its epoch, loads it, and then owns. The phase decides whether a job has ended, and runs are removed only after it is durable.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -14,10 +14,12 @@
 
 namespace Hyssop {
 
-/// Appends records to the job topic at the owner's next sequence number.
+/// Appends records to the job topic and to the runs topic, each at the owner's next sequence number there. Either may be empty. They are
+/// durable together when both appends are.
 struct AppendRecords
 {
     std::vector<KeyedRecord> records;
+    std::vector<KeyedRecord> runs;
 };
 
 /// Asks the advice service which of the workers may run a step.
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -57,6 +57,7 @@
     m_actions.clear();
     m_newIntents.clear();
     m_batch = PendingBatch();
+    m_obsoleteRuns = table.jobsWithObsoleteRuns();
     m_batchPending = false;
     m_isPassOpen = false;
     m_passEnds.clear();
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -110,6 +110,7 @@
     {
         Intents intents;
         StoredEnds ends;
+        std::vector<std::string> endedJobs; // whose runs are obsolete then
     };
 
     RunProfile runProfile(const Wire::TaskStep &step, int run);
@@ -251,16 +252,22 @@
     void composeBatch(TimePoint now, WallTime wall);
 
     /// Adds jobs with urgent changes, and then those of the open pass, as far as they fit into a batch. Returns the size in bytes.
-    std::size_t addChangedJobs(std::vector<KeyedRecord> &records);
+    std::size_t addChangedJobs(AppendRecords &append);
+
+    /// Adds what has changed of @p job to @p append.
+    void addChanges(JobExecution &job, AppendRecords &append);
+
+    /// Removes the runs of jobs whose end is durable. Before that, the next owner would find the job without its runs and its end.
+    void removeObsoleteRuns(AppendRecords &append);
 
     /// Begins to store all changes, in as many batches as they need. A run end counts as durable only when everything that it
     /// changed is durable, so the ends that were processed by now are durable with the last of these batches.
     void beginPass(TimePoint now);
-    void finishPass(std::vector<KeyedRecord> &records, TimePoint now, WallTime wall);
+    void finishPass(AppendRecords &append, TimePoint now, WallTime wall);
 
     /// Moves the intents whose jobs are in the batch from the new ones to the batch.
     void takeStoredIntents();
-    void storeLearnedTails(std::vector<KeyedRecord> &records, TimePoint now);
+    void storeLearnedTails(std::vector<KeyedRecord> &runs, TimePoint now);
     void removeExpiredJobs(std::vector<KeyedRecord> &records, WallTime wall);
 
     DispatchLimits m_limits;
@@ -286,6 +293,7 @@
     std::vector<DispatchAction> m_actions;
     Intents m_newIntents; // not yet in a batch
     PendingBatch m_batch; // being appended
+    std::vector<std::string> m_obsoleteRuns; // jobs whose record in the runs topic is to be removed
     bool m_batchPending = false;
     TimePoint m_batchAt{};
     bool m_isPassOpen = false; // all changes are being stored
--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -13,8 +13,7 @@
 
 namespace Internal {
 
-// Every instance reads every batch. The more runs there are, the longer the intervals, so that changes that are not urgent
-// are combined into fewer records.
+// The more runs there are, the longer the intervals, so that changes that are not urgent are combined into fewer records.
 constexpr std::chrono::milliseconds MinimumBatchInterval{25};
 constexpr std::size_t RunsPerUrgentMillisecond = 150;
 constexpr std::size_t RunsPerFullMillisecond = 30;
@@ -32,9 +31,13 @@
     return std::min(MinimumBatchInterval + std::chrono::milliseconds(openRuns / runsPerMillisecond), MaximumBatchInterval);
 }
 
-static std::size_t storedSize(const KeyedRecord &record)
+static std::size_t storedSize(const std::vector<KeyedRecord> &records)
 {
-    return RecordOverhead + record.key.size() + (record.value ? record.value->size() : 0);
+    std::size_t size = 0;
+    for (const KeyedRecord &record : records) {
+        size += RecordOverhead + record.key.size() + (record.value ? record.value->size() : 0);
+    }
+    return size;
 }
 
 } // namespace Internal
@@ -50,12 +53,13 @@
         beginPass(now);
     }
     AppendRecords append;
-    const std::size_t size = addChangedJobs(append.records);
+    const std::size_t size = addChangedJobs(append);
     if (m_isPassOpen && size < Internal::MaximumBatchBytes && !m_jobs.isPassUnfinished()) {
-        finishPass(append.records, now, wall);
+        finishPass(append, now, wall);
     }
+    removeObsoleteRuns(append);
     takeStoredIntents();
-    if (append.records.empty()) {
+    if (append.records.empty() && append.runs.empty()) {
         if (!m_batch.ends.empty()) {
             recordsStored(now); // the ends changed nothing that is stored
         }
@@ -66,10 +70,9 @@
     m_actions.emplace_back(std::move(append));
 }
 
-std::size_t Dispatcher::addChangedJobs(std::vector<KeyedRecord> &records)
+std::size_t Dispatcher::addChangedJobs(AppendRecords &append)
 {
-    std::size_t size = 0;
-    while (size < Internal::MaximumBatchBytes) {
+    while (Internal::storedSize(append.records) + Internal::storedSize(append.runs) < Internal::MaximumBatchBytes) {
         JobExecution *job = m_jobs.takeUrgent();
         if (job == nullptr && m_isPassOpen) {
             job = m_jobs.takeNextOfPass();
@@ -77,15 +80,48 @@
         if (job == nullptr) {
             break;
         }
-        records.push_back({0, progressKey(job->id), encode(progressOf(*job))});
-        size += Internal::storedSize(records.back());
-        if (job->isEnded() && !job->submissionCompacted && !hasOpenRuns(*job)) {
-            job->submissionCompacted = true;
-            records.push_back({0, submissionKey(job->id), encode(compactedSubmission(*job))});
-            size += Internal::storedSize(records.back());
-        }
+        addChanges(*job, append);
     }
-    return size;
+    return Internal::storedSize(append.records) + Internal::storedSize(append.runs);
+}
+
+void Dispatcher::addChanges(JobExecution &job, AppendRecords &append)
+{
+    const Wire::JobProgress progress = progressOf(job);
+    const Wire::JobProgress phase = phaseOf(progress);
+    if (std::exchange(job.hasRunsInJobTopic, false)) {
+        // The next record of the phase replaces these runs, so they have to be durable in the runs topic before.
+        job.hasStoredRuns = true;
+        append.runs.push_back({0, progressKey(job.id), encode(progress)});
+        m_jobs.markChanged(job);
+        return;
+    }
+    if (job.storedPhase != phase) {
+        job.storedPhase = phase;
+        append.records.push_back({0, progressKey(job.id), encode(phase)});
+    }
+    if (!job.isEnded() || hasOpenRuns(job)) {
+        job.hasStoredRuns = true;
+        append.runs.push_back({0, progressKey(job.id), encode(progress)});
+        return;
+    }
+    if (!job.submissionCompacted) {
+        job.submissionCompacted = true;
+        append.records.push_back({0, submissionKey(job.id), encode(compactedSubmission(job))});
+    }
+    if (std::exchange(job.hasStoredRuns, false)) {
+        m_batch.endedJobs.push_back(job.id);
+    }
+}
+
+void Dispatcher::removeObsoleteRuns(AppendRecords &append)
+{
+    const std::size_t count = std::min(m_obsoleteRuns.size(), Internal::MaximumRemovals);
+    const auto first = m_obsoleteRuns.end() - static_cast<std::ptrdiff_t>(count);
+    for (auto jobId = first; jobId != m_obsoleteRuns.end(); ++jobId) {
+        append.runs.push_back({0, progressKey(*jobId), std::nullopt});
+    }
+    m_obsoleteRuns.erase(first, m_obsoleteRuns.end());
 }
 
 void Dispatcher::beginPass(TimePoint now)
@@ -101,13 +137,13 @@
     }
 }
 
-void Dispatcher::finishPass(std::vector<KeyedRecord> &records, TimePoint now, WallTime wall)
+void Dispatcher::finishPass(AppendRecords &append, TimePoint now, WallTime wall)
 {
     m_isPassOpen = false;
     m_batch.ends = std::exchange(m_passEnds, {});
-    removeExpiredJobs(records, wall);
-    if (!records.empty()) {
-        storeLearnedTails(records, now);
+    removeExpiredJobs(append.records, wall);
+    if (!append.runs.empty()) {
+        storeLearnedTails(append.runs, now);
     }
 }
 
@@ -129,6 +165,7 @@
             worker->durableEndSequence = end.sequence;
         }
     }
+    m_obsoleteRuns.insert(m_obsoleteRuns.end(), stored.endedJobs.begin(), stored.endedJobs.end());
     for (const auto &[id, run] : stored.intents) {
         TaskExecution *task = m_jobs.task(id);
         if (task != nullptr && task->phase == TaskPhase::Assigned && task->run == run) {
@@ -137,13 +174,13 @@
     }
 }
 
-void Dispatcher::storeLearnedTails(std::vector<KeyedRecord> &records, TimePoint now)
+void Dispatcher::storeLearnedTails(std::vector<KeyedRecord> &runs, TimePoint now)
 {
     if (now - m_tailsStoredAt < Internal::LearnedTailsInterval) {
         return;
     }
     m_tailsStoredAt = now;
-    records.push_back({0, learnedTailsKey(), encode(m_colocation.learnedTails())});
+    runs.push_back({0, learnedTailsKey(), encode(m_colocation.learnedTails())});
 }
 
 void Dispatcher::removeExpiredJobs(std::vector<KeyedRecord> &records, WallTime wall)
--- a/src/libs/dispatch/jobexecution.h
+++ b/src/libs/dispatch/jobexecution.h
@@ -6,6 +6,7 @@
 #include "hyssop_types.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,9 @@
     bool hasStarted = false; // a worker has confirmed a run
     bool submissionCompacted = false; // the submission of the ended job was, or is being, replaced by its compacted form
     std::int64_t endedAtMs = 0; // Unix time; 0: not ended
+    std::optional<Wire::JobProgress> storedPhase; // newest record in the job topic, or being written; none: no record
+    bool hasRunsInJobTopic = false; // where an earlier version has written them
+    bool hasStoredRuns = false; // a record in the runs topic exists or is being written
     JobHistory history;
 
     bool isEnded() const { return cancelled || failed || completed; }
--- a/src/libs/dispatch/jobprogress.cpp
+++ b/src/libs/dispatch/jobprogress.cpp
@@ -146,13 +146,18 @@
     job.id = jobId;
     job.submission = *entry.submission;
     job.acceptedAt = WallTime(std::chrono::milliseconds(job.submission.acceptedAtMs));
-    job.finishedOccurrences = entry.progress.finishedOccurrences;
+    // An end is in the job topic before the runs are removed from the other one, so the phase there decides.
+    const Wire::JobProgress &progress = entry.runs ? *entry.runs : entry.progress;
+    job.finishedOccurrences = std::max(entry.progress.finishedOccurrences, progress.finishedOccurrences);
     job.completed = entry.progress.phase == Wire::JobPhase::Completed;
     job.failed = entry.progress.phase == Wire::JobPhase::Failed;
     job.cancelled = entry.phase() == Wire::JobPhase::Cancelled;
-    job.hasStarted = entry.progress.phase != Wire::JobPhase::Pending;
+    job.hasStarted = entry.progress.phase != Wire::JobPhase::Pending || progress.phase != Wire::JobPhase::Pending;
     job.endedAtMs = entry.progress.endedAtMs;
-    for (const Wire::StepMarks &marks : entry.progress.steps) {
+    job.storedPhase = phaseOf(entry.progress);
+    job.hasStoredRuns = entry.runs.has_value();
+    job.hasRunsInJobTopic = !entry.runs && !entry.progress.steps.empty();
+    for (const Wire::StepMarks &marks : progress.steps) {
         Internal::restoreOccurrence(job, marks);
     }
     return job;
@@ -173,6 +178,15 @@
     return submission;
 }
 
+Wire::JobProgress phaseOf(const Wire::JobProgress &progress)
+{
+    Wire::JobProgress phase;
+    phase.phase = progress.phase;
+    phase.endedAtMs = progress.endedAtMs;
+    phase.finishedOccurrences = progress.finishedOccurrences;
+    return phase;
+}
+
 Wire::JobProgress progressOf(const JobExecution &job)
 {
     Wire::JobProgress progress;
--- a/src/libs/dispatch/jobprogress.h
+++ b/src/libs/dispatch/jobprogress.h
@@ -9,7 +9,7 @@
 struct TopicJob;
 struct JobExecution;
 
-/// Restores the execution state of a job from the job topic. Open runs become TaskPhase::Starting, until the reports of
+/// Restores the execution state of a job from the job topic and the runs topic. Open runs become TaskPhase::Starting, until the reports of
 /// their workers tell their state.
 JobExecution restoreJob(const std::string &jobId, const TopicJob &entry);
 
@@ -26,6 +26,9 @@
 /// Returns the progress of a job to store. For an ended job without open runs this is the phase only.
 Wire::JobProgress progressOf(const JobExecution &job);
 
+/// Returns the part of the progress that every instance reads.
+Wire::JobProgress phaseOf(const Wire::JobProgress &progress);
+
 /// Returns the submission of an ended job, reduced to what callers can still query.
 Wire::StepJob compactedSubmission(const JobExecution &job);
 
--- a/src/libs/jobtopic/jobtable.cpp
+++ b/src/libs/jobtopic/jobtable.cpp
@@ -59,6 +59,50 @@
     return key;
 }
 
+void JobTable::applyRuns(const KeyedRecord &record)
+{
+    const JobKey key = parseJobKey(record.key);
+    if (key.kind == JobKeyKind::LearnedTails) {
+        applyLearnedTails(record);
+        return;
+    }
+    if (key.kind != JobKeyKind::Progress || !record.value) {
+        return;
+    }
+    const auto entry = m_jobs.find(key.jobId);
+    if (entry == m_jobs.end() || !entry->second.submission) {
+        m_unknownRuns.push_back(key.jobId); // submissions precede runs, so the job was removed
+        return;
+    }
+    auto decoded = capture([&] { return withinLimits(decodeJobProgress(*record.value)); });
+    if (auto *progress = valueOf(decoded)) {
+        entry->second.runs = std::move(*progress);
+    } else {
+        ++m_malformedRecords;
+    }
+}
+
+void JobTable::clearRuns()
+{
+    m_unknownRuns.clear();
+    for (auto &[id, entry] : m_jobs) {
+        entry.runs.reset();
+    }
+}
+
+std::vector<std::string> JobTable::jobsWithObsoleteRuns() const
+{
+    const auto isOpen = [](const Wire::TaskMark &mark) { return !mark.worker.empty(); };
+    const auto hasOpenRun = [&](const Wire::StepMarks &step) { return std::ranges::any_of(step.marks, isOpen); };
+    std::vector<std::string> obsolete = m_unknownRuns;
+    for (const auto &[id, entry] : m_jobs) {
+        if (entry.runs && entry.isEnded() && std::ranges::none_of(entry.runs->steps, hasOpenRun)) {
+            obsolete.push_back(id);
+        }
+    }
+    return obsolete;
+}
+
 const TopicJob *JobTable::find(const std::string &jobId) const
 {
     const auto entry = m_jobs.find(jobId);
--- a/src/libs/jobtopic/jobtable.h
+++ b/src/libs/jobtopic/jobtable.h
@@ -8,16 +8,18 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Hyssop {
 
 struct KeyedRecord;
 
-/// State of a job according to the job topic.
+/// State of a job according to the job topic and, during a takeover, the runs topic.
 struct TopicJob
 {
     std::optional<Wire::StepJob> submission; // none: only a cancellation or progress has been read so far; no steps: the job has ended and was reduced
-    Wire::JobProgress progress;
+    Wire::JobProgress progress; // without steps, unless an earlier version has written it
+    std::optional<Wire::JobProgress> runs; // according to the runs topic, while a takeover reads that
     std::int64_t progressOffset = -1;
     bool cancelled = false;
 
@@ -34,6 +36,15 @@
     /// Applies a record and returns its decoded key. Records that cannot be decoded are counted and otherwise ignored.
     JobKey apply(const KeyedRecord &record);
 
+    /// Applies a record of the runs topic.
+    void applyRuns(const KeyedRecord &record);
+
+    /// Forgets what applyRuns() has added, except for what was learned about tail latencies.
+    void clearRuns();
+
+    /// Returns the jobs in the runs topic that no longer have runs there that matter.
+    std::vector<std::string> jobsWithObsoleteRuns() const;
+
     const TopicJob *find(const std::string &jobId) const;
     const std::map<std::string, TopicJob> &jobs() const { return m_jobs; }
 
@@ -59,6 +70,7 @@
     std::optional<Wire::TopicClaim> m_claim;
     std::int64_t m_claimOffset = -1;
     Wire::LearnedTails m_learnedTails;
+    std::vector<std::string> m_unknownRuns; // jobs that are in the runs topic only
     std::uint64_t m_malformedRecords = 0;
 };
 
--- a/src/libs/node/ownerappender.cpp
+++ b/src/libs/node/ownerappender.cpp
@@ -26,18 +26,19 @@
 
 } // namespace Internal
 
-OwnerAppender::OwnerAppender(asio::any_io_executor executor, const Clock &clock, MetadataStore &store, MetricsRegistry &metrics)
+OwnerAppender::OwnerAppender(asio::any_io_executor executor, const Clock &clock, MetadataStore &store, MetricsRegistry &metrics, Topic topic)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_store(store)
     , m_metrics(metrics)
+    , m_topic(topic)
 {
 }
 
-void OwnerAppender::beginTerm(std::int64_t term, std::int64_t claimSequence)
+void OwnerAppender::beginTerm(std::int64_t term, std::int64_t nextSequence)
 {
     m_term = term;
-    m_sequence = claimSequence + 1;
+    m_sequence = nextSequence;
     m_lastAppend = m_clock.now();
     m_appending = false;
 }
@@ -67,7 +68,7 @@
     m_appending = true;
     while (m_term == term) {
         const TimePoint sentAt = m_clock.now();
-        TopicAppend append{Topic::Jobs, records, std::nullopt, position()};
+        TopicAppend append{m_topic, records, std::nullopt, position()};
         const TopicAppendResult result = co_await m_store.append(std::move(append), Internal::OwnerAppendTimeout);
         m_metrics.observe("hyssop_owner_append_seconds", m_clock.now() - sentAt);
         if (m_term != term) {
--- a/src/libs/node/ownerappender.h
+++ b/src/libs/node/ownerappender.h
@@ -2,6 +2,7 @@
 
 #include <ports/keyedrecord.h>
 #include <ports/storeresults.h>
+#include <ports/topic.h>
 #include <utils/clock.h>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -18,7 +19,7 @@
 class MetricsRegistry;
 struct ProducerPosition;
 
-/// Appends records of the owner to the job topic, one append at a time, under the producer position of its term. An append whose
+/// Appends records of the owner to a topic, one append at a time, under the producer position of its term. An append whose
 /// outcome is unknown is repeated with the same position, which the store executes only once.
 class OwnerAppender
 {
@@ -30,10 +31,10 @@
     /// TopicAppendRejected nor TopicAppendUndetermined.
     using ResultHandler = std::function<void(const TopicAppendResult &result, TimePoint sentAt)>;
 
-    OwnerAppender(boost::asio::any_io_executor executor, const Clock &clock, MetadataStore &store, MetricsRegistry &metrics);
+    OwnerAppender(boost::asio::any_io_executor executor, const Clock &clock, MetadataStore &store, MetricsRegistry &metrics, Topic topic);
 
-    /// Begins a term, whose claim has the number @p claimSequence.
-    void beginTerm(std::int64_t term, std::int64_t claimSequence);
+    /// Begins a term, whose next append has the number @p nextSequence.
+    void beginTerm(std::int64_t term, std::int64_t nextSequence);
 
     /// Ends the term. Appends that have not been sent are dropped, and the results of others are ignored.
     void endTerm() { m_term.reset(); }
@@ -57,6 +58,7 @@
     const Clock &m_clock;
     MetadataStore &m_store;
     MetricsRegistry &m_metrics;
+    Topic m_topic;
     std::optional<std::int64_t> m_term; // none: not the owner
     std::int64_t m_sequence = 0; // of the next append
     TimePoint m_lastAppend{};
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -32,6 +32,8 @@
 constexpr std::chrono::milliseconds TickInterval{20};
 constexpr std::chrono::milliseconds StandbyInterval{200};
 constexpr std::chrono::milliseconds ClaimRenewalInterval{500};
+constexpr std::chrono::milliseconds TakeoverCheckInterval{5};
+constexpr std::chrono::milliseconds LoadRetryDelay{100};
 constexpr std::chrono::milliseconds LoadReportInterval{2000};
 constexpr std::chrono::milliseconds ClaimTimeout{1500};
 constexpr std::chrono::milliseconds ReleaseTimeout{1000};
@@ -51,7 +53,7 @@
 TopicOwner::TopicOwner(asio::any_io_executor executor,
                        const Clock &clock,
                        OwnerPorts ports,
-                       const JobTable &table,
+                       JobTable &table,
                        const TopicFollower &jobs,
                        MetricsRegistry &metrics,
                        const DispatchLimits &limits,
@@ -66,7 +68,8 @@
     , m_processorShare(identity.processorShare)
     , m_incarnation(Internal::randomNumber(std::numeric_limits<std::int64_t>::max()))
     , m_claimPolicy(std::chrono::milliseconds(Internal::randomNumber(Internal::MaximumClaimJitterMs)), identity.processorShare)
-    , m_appender(m_executor, clock, ports.store, metrics)
+    , m_appender(m_executor, clock, ports.store, metrics, Topic::Jobs)
+    , m_runsAppender(m_executor, clock, ports.store, metrics, Topic::Runs)
     , m_dispatcher(limits)
 {
 }
@@ -101,8 +104,12 @@
         return;
     }
     if (ownsNewestClaim()) {
-        becomeOwner(sentAt);
-    } else if (!m_claiming && m_claimPolicy.shouldClaim(m_ownerObservation, now)) {
+        m_claimReadAt = sentAt;
+        beginTakeover();
+        return;
+    }
+    endTakeover();
+    if (!m_claiming && m_claimPolicy.shouldClaim(m_ownerObservation, now)) {
         m_claiming = true;
         m_cleanHandover = m_ownerObservation.released && m_table.claim()->settled;
         m_claimSentAt = now;
@@ -155,6 +162,9 @@
         co_await timer.async_wait(Internal::AsTuple);
         updateWorkersNeed();
         writeResults();
+        if (m_takeoverTerm) {
+            renewClaim(m_clock.now());
+        }
         if (!m_term || m_releasing) {
             continue;
         }
@@ -165,16 +175,16 @@
         reportLoad(now);
         countWithheldTime(now);
         const bool isReadLagging = m_dispatcher.readLag(now) > Internal::MaximumReadLag && now - m_appender.lastAppend() < Internal::ClaimRenewalInterval;
-        if (m_term && isReadLagging && !m_appender.isAppending()) {
+        if (m_term && isReadLagging && !isAppending()) {
             co_await releaseOwnership("reading lags behind the growth of the job topic");
             continue;
         }
-        if (m_term && m_dispatcher.areTokensExhausted() && !m_appender.isAppending()) {
+        if (m_term && m_dispatcher.areTokensExhausted() && !isAppending()) {
             co_await releaseOwnership("the fencing tokens of the term are used up");
             continue;
         }
-        if (m_term && !m_appender.isAppending() && now - m_appender.lastAppend() >= Internal::ClaimRenewalInterval) {
-            startAppend({claimRecord(false)}, false);
+        if (m_term) {
+            renewClaim(now);
         }
     }
 }
@@ -182,7 +192,9 @@
 asio::awaitable<void> TopicOwner::releaseOwnership(std::string reason)
 {
     m_claimPolicy.recordOverload(m_clock.now());
-    TopicAppend append{Topic::Jobs, {claimRecord(true)}, std::nullopt, m_appender.position()};
+    const std::int64_t term = m_term ? *m_term : *m_takeoverTerm;
+    TopicAppend append{Topic::Jobs, {claimRecord(term, true)}, std::nullopt, m_appender.position()};
+    endTakeover();
     stepDown(reason);
     const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::ReleaseTimeout);
     logMessage(LogPriority::Essential, LogLevel::Info, "owner", "ownership released", {{"durable", std::holds_alternative<TopicAppended>(result)}});
@@ -191,16 +203,17 @@
 asio::awaitable<void> TopicOwner::release()
 {
     m_releasing = true;
-    if (!m_term) {
+    if (!m_term && !m_takeoverTerm) {
         co_return;
     }
     const TimePoint deadline = m_clock.now() + Internal::ReleaseTimeout;
     asio::steady_timer timer(m_executor);
-    while (m_appender.isAppending() && m_clock.now() < deadline) {
+    while (isAppending() && m_clock.now() < deadline) {
         timer.expires_after(Internal::TickInterval);
         co_await timer.async_wait(Internal::AsTuple);
     }
-    if (!m_term || m_appender.isAppending()) {
+    if ((!m_term && !m_takeoverTerm) || m_appender.isAppending()) {
+        endTakeover();
         stepDown("shutdown while the store is not responding");
         co_return;
     }
@@ -218,14 +231,96 @@
     return claim && claim->instance == m_instance && claim->incarnation == m_incarnation && !claim->released && claim->term >= m_minimumTerm;
 }
 
-void TopicOwner::becomeOwner(TimePoint readSentAt)
+void TopicOwner::beginTakeover()
 {
-    const TimePoint now = m_clock.now();
-    m_term = m_table.claim()->term;
+    if (m_takeoverTerm) {
+        return;
+    }
+    m_takeoverTerm = m_table.claim()->term;
+    m_takeoverBeganAt = m_clock.now();
     m_claimSentAt = TimePoint(); // the claim has appeared
-    m_appender.beginTerm(*m_term, m_table.claim()->sequence);
-    m_dispatcher.beginTerm(*m_term, m_table, {now, readSentAt}, m_cleanHandover);
-    m_lastTick = now;
+    m_appender.beginTerm(*m_takeoverTerm, m_table.claim()->sequence + 1);
+    m_runsAppender.beginTerm(*m_takeoverTerm, 0);
+    updateWorkersNeed();
+    asio::co_spawn(m_executor, takeOver(*m_takeoverTerm), endProcessOnException);
+}
+
+void TopicOwner::endTakeover()
+{
+    if (m_takeoverTerm) {
+        logMessage(LogPriority::Essential, LogLevel::Info, "owner", "takeover ended", {{"epoch", static_cast<long long>(*m_takeoverTerm)}});
+        m_minimumTerm = *m_takeoverTerm + 1;
+        m_takeoverTerm.reset();
+        m_appender.endTerm();
+        m_runsAppender.endTerm();
+        m_table.clearRuns();
+        updateWorkersNeed();
+    }
+}
+
+asio::awaitable<void> TopicOwner::takeOver(std::int64_t term)
+{
+    const bool isReady = co_await fenceRuns(term) && co_await loadRuns(term);
+    if (isReady) {
+        becomeOwner();
+    }
+}
+
+asio::awaitable<bool> TopicOwner::fenceRuns(std::int64_t term)
+{
+    bool isDone = false;
+    bool isFenced = false;
+    m_runsAppender.append({claimRecord(term, false)}, [&](const TopicAppendResult &result, TimePoint) {
+        isDone = true;
+        isFenced = std::holds_alternative<TopicAppended>(result);
+    });
+    asio::steady_timer timer(m_executor);
+    while (!isDone && m_takeoverTerm == term) {
+        timer.expires_after(Internal::TakeoverCheckInterval);
+        co_await timer.async_wait(Internal::AsTuple);
+    }
+    if (m_takeoverTerm == term && !isFenced) {
+        endTakeover(); // a later claim exists, or this incarnation has fenced the topic before
+    }
+    co_return m_takeoverTerm == term;
+}
+
+asio::awaitable<bool> TopicOwner::loadRuns(std::int64_t term)
+{
+    asio::steady_timer timer(m_executor);
+    std::string after;
+    std::size_t keys = 0;
+    while (m_takeoverTerm == term) {
+        const NewestRecordsResult result = co_await m_ports.store.readNewest(Topic::Runs, after);
+        if (m_takeoverTerm != term) {
+            break;
+        }
+        const auto *page = std::get_if<NewestRecordsPage>(&result);
+        if (page == nullptr) {
+            timer.expires_after(Internal::LoadRetryDelay);
+            co_await timer.async_wait(Internal::AsTuple);
+            continue;
+        }
+        for (const KeyedRecord &record : page->records) {
+            m_table.applyRuns(record);
+            after = record.key;
+        }
+        keys += page->records.size();
+        if (!page->more || page->records.empty()) {
+            logMessage(LogPriority::Essential, LogLevel::Info, "owner", "runs loaded", {{"epoch", static_cast<long long>(term)}, {"keys", keys}});
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+void TopicOwner::becomeOwner()
+{
+    m_term = std::exchange(m_takeoverTerm, std::nullopt);
+    m_batchAppends = 0;
+    m_dispatcher.beginTerm(*m_term, m_table, {m_takeoverBeganAt, m_claimReadAt}, m_cleanHandover);
+    m_table.clearRuns();
+    m_lastTick = m_clock.now();
     m_dispatcher.applyConfiguration(m_config, m_evacuatedDomains);
     if (m_workersReadAt) {
         m_dispatcher.confirmWorkersRead(*m_workersReadAt);
@@ -254,6 +349,7 @@
     }
     m_term.reset();
     m_appender.endTerm();
+    m_runsAppender.endTerm();
     m_metrics.set("hyssop_is_owner", 0);
     m_ownerObservation.lastRecordAt = m_clock.now();
     updateWorkersNeed();
@@ -261,7 +357,7 @@
 
 void TopicOwner::updateWorkersNeed()
 {
-    const bool isNeeded = m_term || m_claiming || isClaiming();
+    const bool isNeeded = m_term || m_takeoverTerm || m_claiming || isClaiming();
     if (isNeeded != m_needsWorkers) {
         m_needsWorkers = isNeeded;
         m_workersReadAt.reset();
@@ -303,7 +399,7 @@
                    [&](PollCommand &command) { asio::co_spawn(m_executor, sendPoll(std::move(command)), logException); },
                    [&](RequestAdvice &request) { asio::co_spawn(m_executor, sendAdvice(std::move(request)), logException); },
                    [&](const ListLiveWorkers &) { asio::co_spawn(m_executor, listLiveWorkers(), logException); },
-                   [&](AppendRecords &append) { startAppend(std::move(append.records), true); },
+                   [&](AppendRecords &append) { startBatch(std::move(append)); },
                    [&](const StepDown &rejection) { stepDown("a worker has seen a newer owner", rejection); },
                    [&](const RunEnded &end) { logEvent(end); },
                    [&](const JobEnded &end) { logEvent(end); },
@@ -355,34 +451,64 @@
     }
 }
 
-void TopicOwner::startAppend(std::vector<KeyedRecord> records, bool isBatch)
+void TopicOwner::startBatch(AppendRecords batch)
 {
-    m_appender.append(std::move(records), [this, isBatch](const TopicAppendResult &result, TimePoint sentAt) { appendAnswered(result, isBatch, sentAt); });
+    m_batchAppends = (batch.records.empty() ? 0 : 1) + (batch.runs.empty() ? 0 : 1);
+    if (!batch.records.empty()) {
+        m_appender.append(std::move(batch.records), [this](const TopicAppendResult &result, TimePoint sentAt) {
+            if (std::holds_alternative<TopicAppended>(result)) {
+                m_dispatcher.confirmOwnership(sentAt);
+            }
+            batchAppended(result);
+        });
+    }
+    if (!batch.runs.empty()) {
+        // This doesn't prove the ownership: the next owner fences this topic only after it has claimed the other one.
+        m_runsAppender.append(std::move(batch.runs), [this](const TopicAppendResult &result, TimePoint) { batchAppended(result); });
+    }
+}
+
+void TopicOwner::batchAppended(const TopicAppendResult &result)
+{
+    if (checkAppend(result) && --m_batchAppends == 0) {
+        m_dispatcher.recordsStored(m_clock.now());
+    }
 }
 
-void TopicOwner::appendAnswered(const TopicAppendResult &result, bool isBatch, TimePoint sentAt)
+void TopicOwner::renewClaim(TimePoint now)
 {
-    if (!std::holds_alternative<TopicAppended>(result)) {
-        const auto *fenced = std::get_if<ProducerFenced>(&result);
-        stepDown("the store rejected an append: " + (fenced != nullptr ? fenced->reason : std::string("unexpected end of the topic")));
+    const std::optional<std::int64_t> term = m_term ? m_term : m_takeoverTerm;
+    if (!term || m_appender.isAppending() || now - m_appender.lastAppend() < Internal::ClaimRenewalInterval) {
         return;
     }
-    m_dispatcher.confirmOwnership(sentAt);
-    if (isBatch) {
-        m_dispatcher.recordsStored(m_clock.now());
+    m_appender.append({claimRecord(*term, false)}, [this](const TopicAppendResult &result, TimePoint sentAt) {
+        if (checkAppend(result) && m_term) {
+            m_dispatcher.confirmOwnership(sentAt);
+        }
+    });
+}
+
+bool TopicOwner::checkAppend(const TopicAppendResult &result)
+{
+    if (std::holds_alternative<TopicAppended>(result)) {
+        return true;
     }
+    const auto *fenced = std::get_if<ProducerFenced>(&result);
+    endTakeover();
+    stepDown("the store rejected an append: " + (fenced != nullptr ? fenced->reason : std::string("unexpected end of the topic")));
+    return false;
 }
 
-KeyedRecord TopicOwner::claimRecord(bool released) const
+KeyedRecord TopicOwner::claimRecord(std::int64_t term, bool released) const
 {
     Wire::TopicClaim claim;
     claim.instance = m_instance;
     claim.incarnation = m_incarnation;
-    claim.term = *m_term;
+    claim.term = term;
     claim.sequence = m_appender.position().sequence;
     claim.released = released;
     claim.processorShare = m_processorShare;
-    claim.settled = m_dispatcher.earlierLeasesExpired(m_clock.now());
+    claim.settled = m_term && m_dispatcher.earlierLeasesExpired(m_clock.now());
     return {0, claimKey(), encode(claim)};
 }
 
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -56,7 +56,7 @@
     TopicOwner(boost::asio::any_io_executor executor,
                const Clock &clock,
                OwnerPorts ports,
-               const JobTable &table,
+               JobTable &table,
                const TopicFollower &jobs,
                MetricsRegistry &metrics,
                const DispatchLimits &limits,
@@ -95,7 +95,19 @@
 
 private:
     bool ownsNewestClaim() const;
-    void becomeOwner(TimePoint readSentAt);
+
+    /// Begins the takeover after the own claim was read.
+    void beginTakeover();
+
+    void endTakeover();
+
+    /// Fences the previous owners in the runs topic and loads that. Then this instance is the owner, unless its claim has been replaced.
+    boost::asio::awaitable<void> takeOver(std::int64_t term);
+
+    /// Returns false if the takeover of @p term has ended meanwhile.
+    boost::asio::awaitable<bool> fenceRuns(std::int64_t term);
+    boost::asio::awaitable<bool> loadRuns(std::int64_t term);
+    void becomeOwner();
     void stepDown(const std::string &reason, const StepDown &rejection = {});
     void updateWorkersNeed();
     boost::asio::awaitable<void> claim();
@@ -105,10 +117,15 @@
     void logEvent(const RunEnded &end);
     void logEvent(const JobEnded &end);
     void writeResults();
-    void startAppend(std::vector<KeyedRecord> records, bool isBatch);
-    void appendAnswered(const TopicAppendResult &result, bool isBatch, TimePoint sentAt);
+    void startBatch(AppendRecords batch);
+    void renewClaim(TimePoint now);
+
+    /// Returns true if the append has succeeded, and steps down otherwise.
+    bool checkAppend(const TopicAppendResult &result);
+    void batchAppended(const TopicAppendResult &result);
+    bool isAppending() const { return m_appender.isAppending() || m_runsAppender.isAppending(); }
     boost::asio::awaitable<void> releaseOwnership(std::string reason);
-    KeyedRecord claimRecord(bool released) const;
+    KeyedRecord claimRecord(std::int64_t term, bool released) const;
     void reportLoad(TimePoint now);
     void countWithheldTime(TimePoint now);
     boost::asio::awaitable<void> sendStart(StartCommand command);
@@ -121,7 +138,7 @@
     boost::asio::any_io_executor m_executor;
     const Clock &m_clock;
     OwnerPorts m_ports;
-    const JobTable &m_table;
+    JobTable &m_table;
     const TopicFollower &m_jobs;
     MetricsRegistry &m_metrics;
     std::string m_instance;
@@ -129,7 +146,8 @@
     std::int64_t m_incarnation;
     ClaimPolicy m_claimPolicy;
     OwnerObservation m_ownerObservation;
-    OwnerAppender m_appender;
+    OwnerAppender m_appender; // to the job topic
+    OwnerAppender m_runsAppender;
     Dispatcher m_dispatcher;
     RunLog m_runLog;
     WorkersNeedHandler m_workersNeedHandler;
@@ -139,6 +157,10 @@
     ClusterConfig m_config;
     std::set<std::string> m_evacuatedDomains;
     std::optional<std::int64_t> m_term; // set while this instance is the owner
+    std::optional<std::int64_t> m_takeoverTerm; // set while the runs topic is loaded
+    TimePoint m_takeoverBeganAt{}; // when the own claim was read
+    TimePoint m_claimReadAt{}; // when the newest read that contained the own claim was sent
+    int m_batchAppends = 0; // of the batch that are not durable
     std::int64_t m_minimumTerm = 0; // terms below this one are not resumed after stepping down
     TimePoint m_lastLoadReport{};
     TimePoint m_lastTick{}; // while this instance is the owner
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -139,7 +139,11 @@
     record.term = static_cast<std::int64_t>(m_owners.size()) + 1;
     append({0, claimKey(), encode(record)});
     auto owner = std::make_shared<Owner>(record.term, m_limits);
+    for (const auto &[key, runs] : m_runs) {
+        m_table.applyRuns(runs);
+    }
     owner->dispatcher.beginTerm(record.term, m_table, {now, now});
+    m_table.clearRuns();
     const auto loadWorkers = [this, owner] {
         owner->knowsWorkers = true;
         for (const auto &worker : m_workers) {
@@ -436,16 +440,35 @@
 {
     const auto sender = *std::ranges::find_if(m_owners, [&](const auto &entry) { return entry.get() == &owner; });
     const TimePoint arrivesAt = std::max(now, owner.partitionedUntil) + 6ms;
-    at(arrivesAt, [=, this] {
-        if (sender->term != m_owners.back()->term) {
-            sender->steppedDown = true; // the store rejects appends with an earlier epoch
-            return;
-        }
-        for (const KeyedRecord &record : records.records) {
-            append(record);
-        }
-        deliver(sender, 2ms, [=, this] { sender->dispatcher.recordsStored(now); });
-    });
+    const auto appends = std::make_shared<int>(2); // that are not durable
+    const auto appendAt = [=, this](TimePoint time, std::vector<KeyedRecord> part, void (DispatchSimulation::*appendRecord)(const KeyedRecord &)) {
+        at(time, [=, this] {
+            if (sender->term != m_owners.back()->term) {
+                sender->steppedDown = true; // the store rejects appends with an earlier epoch
+                return;
+            }
+            for (const KeyedRecord &record : part) {
+                (this->*appendRecord)(record);
+            }
+            if (--*appends == 0) {
+                deliver(sender, 2ms, [=, this] { sender->dispatcher.recordsStored(now); });
+            }
+        });
+    };
+    // Another instance may claim between the two appends.
+    const bool isJobTopicFirst = random(2) == 0;
+    const Duration delay = std::chrono::milliseconds(random(40));
+    appendAt(arrivesAt + (isJobTopicFirst ? Duration(0) : delay), records.records, &DispatchSimulation::append);
+    appendAt(arrivesAt + (isJobTopicFirst ? delay : Duration(0)), records.runs, &DispatchSimulation::appendRuns);
+}
+
+void DispatchSimulation::appendRuns(const KeyedRecord &record)
+{
+    if (record.value) {
+        m_runs[record.key] = record;
+    } else {
+        m_runs.erase(record.key);
+    }
 }
 
 void DispatchSimulation::append(const KeyedRecord &record)
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -104,6 +104,7 @@
     void store(Owner &owner, AppendRecords records);
     void listWorkers(Owner &owner);
     void append(const KeyedRecord &record);
+    void appendRuns(const KeyedRecord &record);
     void checkStart(const TaskId &task, int run, const std::string &worker);
     bool chance(double share);
     WallTime wall() const;
@@ -115,6 +116,7 @@
     std::vector<std::shared_ptr<Owner>> m_owners;
     std::multimap<TimePoint, Event> m_events;
     JobTable m_table;
+    std::map<std::string, KeyedRecord> m_runs; // newest record of each key of the runs topic
     std::int64_t m_offset = 0;
     std::map<TaskId, std::string> m_running; // tasks with a run, and its worker
     std::set<TaskId> m_acknowledgedDone;
--- a/tests/libs/dispatch/teststoredbatches.cpp
+++ b/tests/libs/dispatch/teststoredbatches.cpp
@@ -156,16 +156,22 @@
     }
 
     void store(const AppendRecords &append)
+    {
+        addRecords(append.records);
+        addRecords(append.runs);
+        dispatcher.recordsStored(now);
+    }
+
+    void addRecords(const std::vector<KeyedRecord> &records)
     {
         std::size_t size = 0;
-        for (const KeyedRecord &record : append.records) {
+        for (const KeyedRecord &record : records) {
             const std::size_t recordSize = LengthBytes + record.key.size() + (record.value ? record.value->size() : 0);
             size += recordSize;
             largestRecord = std::max(largestRecord, recordSize);
             storedJobs.insert(parseJobKey(record.key).jobId);
         }
         largestAppend = std::max(largestAppend, size);
-        dispatcher.recordsStored(now);
     }
 
     std::vector<ReportedRun> m_runs;
--- a/tests/libs/node/memorytopics.cpp
+++ b/tests/libs/node/memorytopics.cpp
@@ -7,7 +7,7 @@
 TopicAppendResult MemoryTopics::append(const TopicAppend &append)
 {
     if (append.position) {
-        Producer &producer = m_producers[append.position->producer];
+        Producer &producer = m_producers[{append.topic, append.position->producer}];
         if (append.position->epoch > producer.epoch) {
             producer = {append.position->epoch, 0};
         }
--- a/tests/libs/node/memorytopics.h
+++ b/tests/libs/node/memorytopics.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Hyssop::Testing {
@@ -34,7 +35,7 @@
 
     std::map<Topic, std::vector<KeyedRecord>> m_records;
     std::map<Topic, std::int64_t> m_first;
-    std::map<std::string, Producer> m_producers;
+    std::map<std::pair<Topic, std::string>, Producer> m_producers; // positions apply to one topic
 };
 
 } // namespace Hyssop::Testing
