Bound the start commands in flight by the times of their responses

Cause: an owner sent every start as soon as its intent was durable. When its link was full, polls waited behind starts until they timed out; workers then counted as silent, and the stops and repeated starts that followed filled the link further.

Change: CommandWindow bounds the starts that are not answered. It shrinks by a third for each 0.2 s in which most responses took more than 0.3 s or were missing, and grows by a quarter otherwise; a few slow workers don't change it. Starts that have to wait are sent in their order, nothing is placed meanwhile, and workers are polled less often.

Considered: delays relative to the fastest response of each worker. A term that begins in congestion has no fast response to compare with (91 unreachable workers in the test).

Evidence: narrowLink/aBurstOfStartsDoesNotMakeWorkersUnreachable (120 workers behind a link that carries 500 commands a second, 3,000 tasks at once), commandWindow/*.

--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -166,12 +166,8 @@
         }
     }
     m_obsoleteRuns.insert(m_obsoleteRuns.end(), stored.endedJobs.begin(), stored.endedJobs.end());
-    for (const auto &[id, run] : stored.intents) {
-        TaskExecution *task = m_jobs.task(id);
-        if (task != nullptr && task->phase == TaskPhase::Assigned && task->run == run) {
-            sendStart(id, *task, now);
-        }
-    }
+    m_unsentStarts.insert(m_unsentStarts.end(), stored.intents.begin(), stored.intents.end());
+    sendStarts(now);
 }
 
 void Dispatcher::storeLearnedTails(std::vector<KeyedRecord> &runs, TimePoint now)
