--- a/tests/libs/dispatch/testrunstopic.cpp
+++ b/tests/libs/dispatch/testrunstopic.cpp
@@ -63,8 +63,8 @@
     void endRuns(std::size_t count)
     {
         for (std::size_t index = 0; index < count; ++index) {
-            ends.push_back({static_cast<std::int64_t>(ends.size()) + 1, runs.back().task, runs.back().run, RunEndReason::Completed, ""});
-            runs.pop_back();
+            m_ends.push_back({static_cast<std::int64_t>(m_ends.size()) + 1, m_runs.back().task, m_runs.back().run, RunEndReason::Completed, ""});
+            m_runs.pop_back();
         }
     }
 
@@ -100,7 +100,7 @@
     void answer(const StartCommand &start)
     {
         ++starts;
-        runs.push_back({start.task, start.run, "", 0, 0});
+        m_runs.push_back({start.task, start.run, "", 0, 0});
         dispatcher.startAnswered(start, CommandExecuted{clock()}, now);
     }
 
@@ -108,11 +108,11 @@
     {
         WorkerReport report;
         report.clock = clock();
-        for (ReportedRun &run : runs) {
+        for (ReportedRun &run : m_runs) {
             run.progressPercent = (run.progressPercent + 1) % 99;
         }
-        report.runs = runs;
-        report.ends = ends;
+        report.runs = m_runs;
+        report.ends = m_ends;
         dispatcher.pollAnswered(poll, report, now, now);
     }
 
@@ -135,8 +135,8 @@
         dispatcher.recordsStored(now);
     }
 
-    std::vector<ReportedRun> runs;
-    std::vector<ReportedRunEnd> ends;
+    std::vector<ReportedRun> m_runs;
+    std::vector<ReportedRunEnd> m_ends;
 };
 
 } // namespace
--- a/tests/libs/instance/testprogramoptions.cpp
+++ b/tests/libs/instance/testprogramoptions.cpp
@@ -32,6 +32,7 @@
 std::variant<ProgramSettings, EarlyExit> parse(std::vector<std::string> arguments)
 {
     std::vector<char *> pointers;
+    pointers.reserve(arguments.size());
     for (std::string &argument : arguments) {
         pointers.push_back(argument.data());
     }
