Test what the gateway promises beside load

KNOWN-RED.txt lists six tests of test-gateway that fail beside load.

- callersGetTheirOwnResponses counted a response as wrong that ended early.
Trace: 16,843 of 95,246 and 82,378 of 115,755 bytes, the right ones, ended after 196 and 249 ms, where the service's timeout is 100 ms and two attempts are allowed.
Ending a response at the timeout is what the contract says.
The check is now: the bytes are the caller's own, and all of them unless the timeout had passed.
- drainTruncatesNoResponse waited 50 ms for its own callers, which read in the same event loop.
It waits 5 s now and asserts the same.

--- a/tests/libs/gateway/testgatewayproperties.cpp
+++ b/tests/libs/gateway/testgatewayproperties.cpp
@@ -34,6 +34,8 @@
 
 } // namespace
 
+constexpr milliseconds OwnResponsesTimeout{100}; // of the service
+
 static asio::awaitable<void> callAndCompare(GatewayFixture &fixture, int number, int requests, CallerStats &stats)
 {
     std::mt19937_64 random(number);
@@ -43,11 +45,16 @@
         const std::size_t kind = random() % 10;
         if (kind == 0) {
             const std::size_t size = 20000 + random() % 100000;
+            const auto begin = std::chrono::steady_clock::now();
             const CallerResult result = co_await caller.send("GET", "/cascadia/sales/huge/" + std::to_string(size), id);
-            stats.wrongResponses += result.response.result_int() == 200 && (result.error || result.response.body() != patternBody(size)) ? 1 : 0;
+            const bool isOwn = patternBody(size).starts_with(result.response.body());
+            // At the service's timeout, the gateway ends a response that it has begun.
+            const bool mayBeTruncated = std::chrono::steady_clock::now() - begin >= OwnResponsesTimeout;
+            const bool isWhole = !result.error && result.response.body().size() == size;
+            stats.wrongResponses += result.response.result_int() == 200 && !(isOwn && (isWhole || mayBeTruncated)) ? 1 : 0;
             continue;
         }
-        // Some responses arrive after the service's timeout of 100 ms, when their connection must no longer be used.
+        // Some responses arrive after the service's timeout, when their connection must no longer be used.
         const int delay = kind < 3 ? 100 + static_cast<int>(random() % 60) : static_cast<int>(random() % 20);
         const CallerResult result = co_await caller.send("POST", "/cascadia/sales/delay/" + std::to_string(delay), id);
         stats.incompleteResponses += result.error ? 1 : 0;
@@ -81,7 +88,7 @@
 {
     GatewayFixture fixture(3);
     Contract contract = GatewayFixture::defaultContract();
-    contract.services[0].timeout = milliseconds(100);
+    contract.services[0].timeout = OwnResponsesTimeout;
     fixture.gateway->setContracts({contract});
     fixture.run(checkOwnResponses(fixture));
 }
@@ -371,7 +378,10 @@
     asio::co_spawn(executor, connectDuringDrain(fixture, stats), asio::detached);
     const int remaining = co_await fixture.gateway->drain(milliseconds(400), milliseconds(10000));
     cr_assert_eq(remaining, 0);
-    co_await pauseFor(milliseconds(50));
+    // The gateway has sent everything; the callers of this process may not have read it yet.
+    for (int wait = 0; wait < 500 && stats.finished < CallerCount + 2; ++wait) {
+        co_await pauseFor(milliseconds(10));
+    }
     cr_assert_eq(stats.finished, CallerCount + 2);
     cr_assert_eq(stats.incompleteResponses, 0, "%d responses incomplete, %d complete", stats.incompleteResponses, stats.known);
 }
