--- a/src/libs/routing/concurrencylimit.h
+++ b/src/libs/routing/concurrencylimit.h
@@ -28,7 +28,7 @@
     /// Releases a slot. @p latency is the time to the first byte of the response.
     void releaseAfterResponse(std::chrono::microseconds latency, TimePoint now);
 
-    /// Releases a slot after a timeout, a lost connection or a 503 response of a target.
+    /// Releases a slot after a timeout or a 503 response of a target.
     void releaseAfterOverload(TimePoint now);
 
     int limit() const;
