--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::uint32_t Seeds = 200;
+constexpr std::uint32_t ManySeeds = 3000;
 constexpr int Jobs = 30;
 constexpr std::chrono::milliseconds WorkerLoadTimeStep{100}; // up to 20 s with all seeds
 
@@ -181,6 +182,13 @@
     }
 }
 
+Test(dispatchFaults, slowMessagesAcrossRestartsWithManySeedsCauseNoLostOrDuplicateRuns)
+{
+    for (std::uint32_t seed = Seeds + 1; seed <= ManySeeds; ++seed) {
+        runSlowScenario(seed);
+    }
+}
+
 Test(dispatchFaults, servingTasksOfDepartingWorkersRunExactlyOnce)
 {
     for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
