--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -18,7 +18,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -250,17 +249,7 @@
 
     void placePendingTasks(TimePoint now, WallTime wall);
     void recordShortTaskDemand(TimePoint now);
-    /// Returns the pools of which at least half of the capacity is not reserved.
-    std::set<std::string> poolsWithSpareCapacity(TimePoint now) const;
-
-    /// Assigns pending tasks of the step, at most @p maximum unless they are a gang.
-    void placeStep(JobExecution &job,
-                   int occurrence,
-                   int step,
-                   WorkerRanking &ranking,
-                   const QueueInfo &queue,
-                   TimePoint now,
-                   std::size_t maximum = std::numeric_limits<std::size_t>::max());
+    void placeStep(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now);
     void placeGang(JobExecution &job, int occurrence, int step, const WorkerRanking &ranking, PlacementRequest &request, TimePoint now);
     bool awaitsAdvice(const TaskId &step, const QueueInfo &queue, PlacementRequest &request, TimePoint now);
     void assignRun(JobExecution &job, const TaskId &id, TaskExecution &task, WorkerState &worker, int run, TimePoint now);
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -1,6 +1,5 @@
 #include "dispatcher.h"
 
-#include "jobprogress.h"
 #include "schedulingkey.h"
 #include "workerranking.h"
 
@@ -18,9 +17,6 @@
 // The reserve for short tasks delays the first run of a serving task by at most this time.
 constexpr std::chrono::milliseconds MaximumReserveDelay{1800};
 
-// A job without a run for this time gets one before others get further runs, unless counted capacity is scarce.
-constexpr std::chrono::milliseconds MaximumTimeWithoutRun{1000};
-
 struct PendingStep
 {
     SchedulingKey key;
@@ -76,17 +72,6 @@
     }
 }
 
-/// Updates since when @p job has no run, and returns true if that is too long.
-static bool isStarved(JobExecution &job, TimePoint now)
-{
-    if (hasOpenRuns(job)) {
-        job.withoutRunSince.reset();
-        return false;
-    }
-    job.withoutRunSince = job.withoutRunSince.value_or(now);
-    return now - *job.withoutRunSince >= MaximumTimeWithoutRun;
-}
-
 static std::int64_t startedTasks(const JobExecution &job)
 {
     const auto isStarted = [](const TaskExecution &task) { return task.run > 0 && task.phase != TaskPhase::Done; };
@@ -135,35 +120,11 @@
     }
     WorkerRanking ranking(std::move(workers), m_evacuated, m_colocation, now);
     std::ranges::sort(pending, [](const Internal::PendingStep &left, const Internal::PendingStep &right) { return left.key < right.key; });
-    const std::set<std::string> sparePools = poolsWithSpareCapacity(now);
-    for (const Internal::PendingStep &item : pending) {
-        const QueueInfo &queue = m_config.queues.at(item.job->submission.queue);
-        if (Internal::isStarved(*item.job, now) && sparePools.contains(queue.workerPool)) {
-            placeStep(*item.job, item.occurrence, item.step, ranking, queue, now, 1);
-        }
-    }
     for (const Internal::PendingStep &item : pending) {
         placeStep(*item.job, item.occurrence, item.step, ranking, m_config.queues.at(item.job->submission.queue), now);
     }
 }
 
-std::set<std::string> Dispatcher::poolsWithSpareCapacity(TimePoint now) const
-{
-    std::map<std::string, std::int64_t> balances; // free capacity less reserved capacity
-    for (const auto &[id, worker] : m_workers) {
-        if (canStartOn(worker, now)) {
-            balances[worker.info.workerPool] += worker.freeCapacity().milliCores - worker.committed.milliCores;
-        }
-    }
-    std::set<std::string> pools;
-    for (const auto &[workerPool, balance] : balances) {
-        if (balance >= 0) {
-            pools.insert(workerPool);
-        }
-    }
-    return pools;
-}
-
 void Dispatcher::recordShortTaskDemand(TimePoint now)
 {
     std::map<std::string, std::int64_t> demand;
@@ -186,7 +147,7 @@
     }
 }
 
-void Dispatcher::placeStep(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now, std::size_t maximum)
+void Dispatcher::placeStep(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now)
 {
     StepExecution &execution = job.occurrences.at(occurrence)[static_cast<std::size_t>(step)];
     std::map<std::string, int> perWorker = Internal::openTasksByWorker(execution);
@@ -209,8 +170,7 @@
     }
     std::vector<WorkerRanking::Candidate> candidates = ranking.rankCandidates(request);
     std::int64_t started = Internal::startedTasks(job);
-    std::size_t assigned = 0;
-    for (std::size_t index = 0; index < execution.tasks.size() && !candidates.empty() && assigned < maximum; ++index) {
+    for (std::size_t index = 0; index < execution.tasks.size() && !candidates.empty(); ++index) {
         TaskExecution &task = execution.tasks[index];
         if (task.phase != TaskPhase::Pending || task.notBefore > now) {
             continue;
@@ -228,7 +188,6 @@
             return;
         }
         started += task.run == 0 ? 1 : 0;
-        ++assigned;
         assignRun(job, {job.id, occurrence, step, static_cast<int>(index)}, task, *worker, task.run + 1, now);
         ++perWorker[worker->info.id];
     }
--- a/src/libs/dispatch/jobexecution.h
+++ b/src/libs/dispatch/jobexecution.h
@@ -20,7 +20,6 @@
     WallTime acceptedAt{};
     std::map<int, std::vector<StepExecution>> occurrences; // steps of the released occurrences from finishedOccurrences on
     int finishedOccurrences = 0; // all occurrences below this number are done
-    std::optional<TimePoint> withoutRunSince; // it has pending tasks and no open run since then
     bool cancelled = false;
     bool failed = false;
     bool completed = false;
