--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -52,8 +52,6 @@
     m_removedWorkersRises = TokenRises();
     m_tokensExhausted = false;
     m_tickets = TicketCache();
-    m_commandWindow = CommandWindow();
-    m_unsentStarts.clear();
     m_colocation.restore(table.learnedTails());
     m_tailsStoredAt = claim.readAt;
     m_actions.clear();
@@ -149,7 +147,6 @@
     findDepartedWorkers(now);
     removeUnregisteredWorkers();
     moveRunsOffDrainingWorkers(now);
-    sendStarts(now);
     placePendingTasks(now, wall);
     composeBatch(now, wall);
     pollWorkers(now);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "colocationpolicy.h"
-#include "commandwindow.h"
 #include "dispatchactions.h"
 #include "dispatchlimits.h"
 #include "dispatchsummary.h"
@@ -16,7 +15,6 @@
 #include <ports/commandresults.h>
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -212,9 +210,6 @@
     bool migratePausedRun(const TaskId &id, TimePoint now);
     void adjustSpeeds(WorkerState &worker, const WorkerReport &report, TimePoint now);
 
-    /// Sends the start commands of runs whose intent is durable, as far as the window permits.
-    void sendStarts(TimePoint now);
-    void updateCommandWindow(const TaskExecution &task, const CommandResult &result, TimePoint now);
     void sendStart(const TaskId &id, TaskExecution &task, TimePoint now);
     /// Notes when the run of @p task was last known to exist.
     void recordRunLoss(TaskExecution &task, std::optional<RunEndEvidence> evidence, TimePoint now);
@@ -295,8 +290,6 @@
     TicketCache m_tickets;
     ColocationPolicy m_colocation;
     ShortTaskReserve m_shortTaskReserve;
-    CommandWindow m_commandWindow;
-    std::deque<std::pair<TaskId, int>> m_unsentStarts; // runs whose intent is durable, in the order of their start commands
     std::vector<DispatchAction> m_actions;
     Intents m_newIntents; // not yet in a batch
     PendingBatch m_batch; // being appended
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -99,8 +99,8 @@
 
 void Dispatcher::placePendingTasks(TimePoint now, WallTime wall)
 {
-    if (!canStart(now) || !m_unsentStarts.empty()) {
-        return; // what waits is placed by its order then, and not behind runs that can't be sent yet
+    if (!canStart(now)) {
+        return;
     }
     std::vector<Internal::PendingStep> pending;
     for (JobExecution *job : m_jobs.activeJobs()) {
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -57,34 +57,6 @@
     return worker.isSchedulable(m_evacuated) && canStart(now);
 }
 
-void Dispatcher::sendStarts(TimePoint now)
-{
-    if (m_unsentStarts.empty()) {
-        return;
-    }
-    std::size_t outstanding = 0;
-    for (const auto &[id, worker] : m_workers) {
-        outstanding += static_cast<std::size_t>(worker.pendingStarts);
-    }
-    for (std::size_t room = m_commandWindow.room(outstanding); room > 0 && !m_unsentStarts.empty(); --room) {
-        const auto [id, run] = m_unsentStarts.front();
-        m_unsentStarts.pop_front();
-        TaskExecution *task = m_jobs.task(id);
-        if (task != nullptr && task->phase == TaskPhase::Assigned && task->run == run) {
-            sendStart(id, *task, now);
-        }
-    }
-}
-
-void Dispatcher::updateCommandWindow(const TaskExecution &task, const CommandResult &result, TimePoint now)
-{
-    if (std::holds_alternative<CommandExecuted>(result)) {
-        m_commandWindow.recordResponse(now - task.phaseSince, now);
-    } else if (std::holds_alternative<CommandUndetermined>(result)) {
-        m_commandWindow.recordTimeout(now);
-    }
-}
-
 void Dispatcher::sendStart(const TaskId &id, TaskExecution &task, TimePoint now)
 {
     const JobExecution *job = m_jobs.find(id.job);
@@ -175,7 +147,6 @@
     if (task->phase != TaskPhase::Starting) {
         return;
     }
-    updateCommandWindow(*task, result, now);
     if (const auto *executed = std::get_if<CommandExecuted>(&result); executed != nullptr && executed->clock.count() > 0) {
         detectClockRegression(command.worker.id, executed->clock, now);
     }
--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -166,8 +166,12 @@
         }
     }
     m_obsoleteRuns.insert(m_obsoleteRuns.end(), stored.endedJobs.begin(), stored.endedJobs.end());
-    m_unsentStarts.insert(m_unsentStarts.end(), stored.intents.begin(), stored.intents.end());
-    sendStarts(now);
+    for (const auto &[id, run] : stored.intents) {
+        TaskExecution *task = m_jobs.task(id);
+        if (task != nullptr && task->phase == TaskPhase::Assigned && task->run == run) {
+            sendStart(id, *task, now);
+        }
+    }
 }
 
 void Dispatcher::storeLearnedTails(std::vector<KeyedRecord> &runs, TimePoint now)
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -13,7 +13,6 @@
 constexpr std::chrono::milliseconds MaximumOverTargetPollWait{400};
 constexpr std::chrono::milliseconds IdlePollInterval{1000};
 constexpr std::chrono::milliseconds FailedPollBackoff{200};
-constexpr std::chrono::milliseconds CongestedPollInterval{250};
 // A refused connection proves that the process has ended only if an earlier poll failed too.
 constexpr int FailuresUntilRefusalCounts = 2;
 // Run ends are listed again until they are durable and acknowledged, so a poll before that does not wait for the next end.
@@ -204,9 +203,6 @@
     } else if (worker.runs.empty()) {
         worker.nextPoll = now + Internal::IdlePollInterval;
     }
-    if (m_commandWindow.isCongested()) {
-        worker.nextPoll = std::max(worker.nextPoll, now + Internal::CongestedPollInterval);
-    }
 }
 
 bool Dispatcher::isFromNextProcess(const WorkerState &worker, const WorkerReport &report)
