Count the size of a batch once for each record

Cause: since the runs have a topic of their own, the size of the whole batch was computed again after each job that was added to it, so a batch of n records cost n squared in the owner's tick.

The limit of a batch is the same.

Evidence: 128 tests of test-dispatch without the random faults, storedBatches and runsTopic among them.

--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -31,10 +31,12 @@
     return std::min(MinimumBatchInterval + std::chrono::milliseconds(openRuns / runsPerMillisecond), MaximumBatchInterval);
 }
 
-static std::size_t storedSize(const std::vector<KeyedRecord> &records)
+/// Returns the size of the records from index @p first on.
+static std::size_t storedSize(const std::vector<KeyedRecord> &records, std::size_t first)
 {
     std::size_t size = 0;
-    for (const KeyedRecord &record : records) {
+    for (std::size_t index = first; index < records.size(); ++index) {
+        const KeyedRecord &record = records[index];
         size += RecordOverhead + record.key.size() + (record.value ? record.value->size() : 0);
     }
     return size;
@@ -72,7 +74,8 @@
 
 std::size_t Dispatcher::addChangedJobs(AppendRecords &append)
 {
-    while (Internal::storedSize(append.records) + Internal::storedSize(append.runs) < Internal::MaximumBatchBytes) {
+    std::size_t size = 0;
+    while (size < Internal::MaximumBatchBytes) {
         JobExecution *job = m_jobs.takeUrgent();
         if (job == nullptr && m_isPassOpen) {
             job = m_jobs.takeNextOfPass();
@@ -80,9 +83,12 @@
         if (job == nullptr) {
             break;
         }
+        const std::size_t firstRecord = append.records.size();
+        const std::size_t firstRuns = append.runs.size();
         addChanges(*job, append);
+        size += Internal::storedSize(append.records, firstRecord) + Internal::storedSize(append.runs, firstRuns);
     }
-    return Internal::storedSize(append.records) + Internal::storedSize(append.runs);
+    return size;
 }
 
 void Dispatcher::addChanges(JobExecution &job, AppendRecords &append)
