--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -315,6 +315,21 @@
         return 200, json.dumps({"clockMs": self.clock(), "born": self.born, "running": running, "finished": self.ends[:500]})
 
 
+class Advice:
+    """The service that knows which workers the policy of a queue allows."""
+
+    def __init__(self, record, allowed):
+        self.record, self.allowed = record, allowed
+        self.http = HttpServer(self.handle)
+
+    async def handle(self, method, target, headers, body):
+        command = json.loads(body)
+        await asyncio.sleep((50 + 2 * len(command["workers"])) / 1000)
+        good = [[worker, f"{worker}-{command['step']}"] for worker in command["workers"] if worker in self.allowed]
+        self.record(f"advice for {command['step']}: {len(good)} of {len(command['workers'])} workers are allowed")
+        return 200, json.dumps({"good": good, "validMs": 3000})
+
+
 async def call(address, method, path, host="queue.example", body=None, timeout=3.0):
     """One HTTP call. Returns (status, object), or (None, reason) without a complete response."""
     try:
@@ -358,14 +373,14 @@
 class Node:
     """A hyssop-node process, started with the command of the deploy file and settings from its template."""
 
-    def __init__(self, index, store_address, folder, record):
+    def __init__(self, index, store_address, advice_address, folder, record):
         self.host = f"127.0.{random.randint(10, 250)}.{index + 1}"
         self.name = f"front-a-{index + 1}"
         self.folder, self.record, self.process = folder, record, None
         self.front = f"{self.host}:{free_port(self.host)}"
         self.ready = f"{self.host}:{free_port(self.host)}"
         values = {"nodeName": self.name, "zone": "a", "listen.front": self.front, "listen.ready": self.ready, "ip": self.host, "limits.cpuShare": "0.1",
-                  "platform.address": store_address, "advice": "127.0.0.1:1", "cloudApi.address": "127.0.0.1:1"}
+                  "platform.address": store_address, "advice": advice_address, "cloudApi.address": "127.0.0.1:1"}
         values.update({"bounds." + name: str(value) for name, value in BOUNDS.items()})
         text = open(os.path.join(REPOSITORY, "deploy", "hyssop-node.ini")).read()
         for name, value in values.items():
@@ -408,12 +423,12 @@
         self.workers = [Worker(f"i-{index}", record, milli_cores) for index in range(workers)]
         self.tasks = []
 
-    async def start(self, config):
+    async def start(self, config, advice="127.0.0.1:1"):
         self.store = Store()
         address = await self.store.http.start()
         self.store.put("keyed.op", "config", config)
         self.tasks = [asyncio.create_task(worker.run(self.store)) for worker in self.workers]
-        self.nodes = [Node(index, address, self.folder, self.record) for index in range(self.node_count)]
+        self.nodes = [Node(index, address, advice, self.folder, self.record) for index in range(self.node_count)]
         for node in self.nodes:
             await node.start()
         for node in self.nodes:
