--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -364,17 +364,36 @@
 
 
 def free_port(host):
+    """A free port below the range from which the system takes ports for outgoing connections."""
     import socket
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.randint(12000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+                return port
+            except OSError:
+                continue
+
+
+def free_host():
+    """A loopback address on which the metrics port of the settings is free."""
+    import socket
+    while True:
+        host = f"127.{random.randint(1, 254)}.{random.randint(1, 254)}.{random.randint(1, 254)}"
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, 9464))
+                return host
+            except OSError:
+                continue
 
 
 class Node:
     """A hyssop-node process, started with the command of the deploy file and settings from its template."""
 
     def __init__(self, index, store_address, advice_address, folder, record):
-        self.host = f"127.0.{random.randint(10, 250)}.{index + 1}"
+        self.host = free_host()
         self.name = f"front-a-{index + 1}"
         self.folder, self.record, self.process = folder, record, None
         self.front = f"{self.host}:{free_port(self.host)}"
@@ -482,9 +501,11 @@
         if not os.access(os.path.join(REPOSITORY, "target/src/hyssop-node"), os.X_OK):
             raise RuntimeError("target/src/hyssop-node is not built")
         with tempfile.TemporaryDirectory() as temporary:
-            held = asyncio.run(asyncio.wait_for(test(record, temporary, trouble), 118))
-            if os.environ.get("KEEP_LOGS"):
-                os.system(f"cp {temporary}/*.log {os.environ['KEEP_LOGS']}/")
+            try:
+                held = asyncio.run(asyncio.wait_for(test(record, temporary, trouble), 118))
+            finally:
+                if os.environ.get("KEEP_LOGS"):
+                    os.system(f"cp {temporary}/*.log {os.environ['KEEP_LOGS']}/")
         record("the rule held" if held else "the rule was broken")
         print("the rule held" if held else "the rule was broken")
         sys.exit(0 if held else 1)
