--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -189,6 +189,7 @@
         self.service, self.labels, self.zone = service, list(labels), zone
         self.state = "ready"
         self.failing = False  # every run that it starts fails
+        self.behind_proxy = False  # registers the address of a proxy
         self.born = now_ms()
         self.began = time.monotonic()
         self.token = 0
@@ -212,6 +213,9 @@
 
     async def run(self, store):
         self.address = await self.http.start()
+        if self.behind_proxy:
+            self.proxy = Proxy(self.address)
+            self.address = await self.proxy.open()
         beat = 0
         while True:
             if time.monotonic() >= beat:
@@ -315,6 +319,44 @@
         return 200, json.dumps({"clockMs": self.clock(), "born": self.born, "running": running, "finished": self.ends[:500]})
 
 
+class Proxy:
+    """The path to a worker. While it is cut, connections are reset and new ones are refused; the worker runs on."""
+
+    def __init__(self, target):
+        self.target, self.port, self.server, self.writers = target, 0, None, set()
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port or free_port("127.0.0.1"))
+        self.port = self.server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{self.port}"
+
+    def cut(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        host, _, port = self.target.rpartition(":")
+        try:
+            back_reader, back_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        self.writers |= {writer, back_writer}
+        await asyncio.gather(self.copy(reader, back_writer), self.copy(back_reader, writer))
+        self.writers -= {writer, back_writer}
+
+    @staticmethod
+    async def copy(reader, writer):
+        try:
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        writer.close()
+
+
 class Advice:
     """The service that knows which workers the policy of a queue allows."""
 
