--- a/review/standin/standin.py
+++ b/review/standin.py
@@ -17,7 +17,7 @@
 import urllib.parse
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-REPOSITORY = os.path.dirname(os.path.dirname(HERE))
+REPOSITORY = os.path.dirname(HERE)
 BOUNDS = {"maxHoldMs": 6000, "stopGraceMs": 900, "graceS": 6, "status_s": 120}
 
 
