Runs of a worker end with its process, not with a refused connection

Cause: pollAnswered took the second refused connection in a row as proof that the process had ended. The log shows `worker process has ended` failed_polls=2 ended_runs=9 at 8.695 s, 0.7 s into the partition, with more than 5 s of the lease left.

Change: a refused connection is a reason to read the platform's list of machines at once. A process has ended if it is missing in a list that was read after the refusal, if another process of the worker reports, if its address belongs to another worker, or if the lease has passed. One function ends the runs on such a proof. It keeps runs with a start that may still be executed and runs that were confirmed after the proof was sent. The answer of another worker at the address used to expire the lease instead, which also ended runs with outstanding starts; it takes the same path now.

Tests: workerProcessEnd/refusedConnectionsAloneDoNotEndTheRunsOfAWorker, aListThatIsOlderThanTheRefusalDoesNotEndRuns, anAddressThatBelongsToAnotherWorkerEndsOnlyRunsWithoutAnOutstandingStart and workerLoss/runsOfAWorkerThatIsCutOffWithResetsAreNotReplacedWhileTheyRun failed before. Three tests that took a refusal as proof give the list as well; theReasonOfARejectedPollIsReported checks that the run ends with evidence, as the end of the lease is not changed any more.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -48,7 +48,7 @@
     Report, // a worker reported the end
     MissingInReport, // the worker's report did not list the run any more
     WorkerRestarted, // another process of the worker reported
-    ProcessEnded, // the worker refused connections, or is not in the list of live workers
+    ProcessEnded, // the worker is not in the list of live workers, or its address belongs to another one
     StopConfirmed, // the stop was confirmed by a worker that did not report afterwards
     LeaseExpired, // none: the lease must have expired
 };
@@ -102,7 +102,7 @@
     std::size_t openRuns = 0;
 };
 
-/// Log event: the process of a worker has ended; the runs that it had confirmed have ended with it.
+/// Log event: the process of a worker is proved to have ended, and runs that it had confirmed have ended with it.
 struct WorkerProcessEnded
 {
     std::string worker;
--- a/src/libs/dispatch/dispatchdepartures.cpp
+++ b/src/libs/dispatch/dispatchdepartures.cpp
@@ -9,6 +9,8 @@
 // A registration that lapsed although the worker lives is usually back within this time.
 constexpr std::chrono::milliseconds MissingTime{1000};
 constexpr std::chrono::milliseconds WorkerListInterval{1000};
+// The same if a worker is missing that no list has covered yet.
+constexpr std::chrono::milliseconds FirstWorkerListInterval{200};
 
 // Longer than the timeout of a command, so that one stop of a run is outstanding at a time.
 constexpr std::chrono::milliseconds UnreachableStopInterval{1000};
@@ -20,6 +22,12 @@
     return task.startsSent > 1 || (task.startsSent == 1 && !task.startConfirmed);
 }
 
+/// Returns from when on a list of live workers shows whether the missing @p worker has ended.
+static TimePoint listingTime(const WorkerState &worker)
+{
+    return *worker.missingSince + (worker.refusesConnections ? Duration(0) : Duration(MissingTime));
+}
+
 } // namespace Internal
 
 std::vector<TaskId> Dispatcher::runsWith(const WorkerState &worker, const std::function<bool(const TaskId &, const TaskExecution &)> &property)
@@ -68,30 +76,18 @@
     }
 }
 
-void Dispatcher::endConfirmedRuns(WorkerState &worker, TimePoint now)
-{
-    const auto runs = runsWith(worker, [](const TaskId &, const TaskExecution &task) {
-        const bool isActive = task.phase == TaskPhase::Running || task.phase == TaskPhase::Stopping;
-        return isActive && task.startConfirmed && task.startsSent == 1; // not adopted: starts of earlier owners are unknown
-    });
-    endRunsOfEndedProcess(worker, runs, now);
-}
-
-void Dispatcher::endServingRuns(WorkerState &worker, TimePoint now)
+void Dispatcher::endRunsOfEndedProcess(const WorkerState &worker, TimePoint provedAt, TimePoint now)
 {
-    const auto runs = runsWith(worker, [this](const TaskId &id, const TaskExecution &task) {
-        return task.phase != TaskPhase::Assigned && !Internal::isStartOutstanding(task) && isServingTask(id);
+    const auto runs = runsWith(worker, [&](const TaskId &id, const TaskExecution &task) {
+        // Starts of earlier owners are unknown; serving tasks are not left without a run for that.
+        const bool isStartKnown = task.startsSent > 0 || isServingTask(id);
+        return task.phase != TaskPhase::Assigned && isStartKnown && !Internal::isStartOutstanding(task) && task.confirmedAt <= provedAt;
     });
-    endRunsOfEndedProcess(worker, runs, now);
-}
-
-void Dispatcher::endRunsOfEndedProcess(const WorkerState &worker, const std::vector<TaskId> &runs, TimePoint now)
-{
     if (!runs.empty()) {
         m_actions.emplace_back(WorkerProcessEnded{worker.info.id, worker.failedPolls, runs.size()});
     }
     for (const TaskId &id : runs) {
-        endRun(id, *m_jobs.task(id), RunEndReason::LeaseExpired, {}, now);
+        endRun(id, *m_jobs.task(id), RunEndReason::LeaseExpired, {}, now, RunEndEvidence::ProcessEnded);
     }
 }
 
@@ -104,17 +100,20 @@
 void Dispatcher::findDepartedWorkers(TimePoint now)
 {
     bool isListNeeded = false;
+    bool isUncovered = false; // by the last list
     for (auto &[id, worker] : m_workers) {
-        const bool isMissing = !worker.registered && !worker.isResponding() && !worker.runs.empty();
+        const bool isMissing = (!worker.registered || worker.refusesConnections) && !worker.isResponding() && !worker.runs.empty();
         if (!isMissing) {
             worker.missingSince.reset();
             continue;
         }
         worker.missingSince = worker.missingSince.value_or(now);
-        const bool hasServingRun = std::ranges::any_of(worker.runs, [this](const auto &run) { return isServingTask(run.first); });
-        isListNeeded = isListNeeded || (hasServingRun && now - *worker.missingSince >= Internal::MissingTime);
+        const TimePoint listingTime = Internal::listingTime(worker);
+        isListNeeded = isListNeeded || now >= listingTime;
+        isUncovered = isUncovered || (now >= listingTime && listingTime > m_workersListedAt);
     }
-    if (isListNeeded && !m_listingWorkers && now - m_workersListedAt >= Internal::WorkerListInterval) {
+    const auto interval = isUncovered ? Internal::FirstWorkerListInterval : Internal::WorkerListInterval;
+    if (isListNeeded && !m_listingWorkers && now - m_workersListedAt >= interval) {
         m_listingWorkers = true;
         m_workersListedAt = now;
         m_actions.emplace_back(ListLiveWorkers{});
@@ -125,9 +124,9 @@
 {
     m_listingWorkers = false;
     for (auto &[id, worker] : m_workers) {
-        const bool wasMissing = worker.missingSince && sentAt - *worker.missingSince >= Internal::MissingTime;
-        if (wasMissing && !worker.registered && !worker.isResponding() && !workers.contains(id)) {
-            endServingRuns(worker, now);
+        const bool wasMissing = worker.missingSince && sentAt >= Internal::listingTime(worker);
+        if (wasMissing && !worker.isResponding() && !workers.contains(id)) {
+            endRunsOfEndedProcess(worker, sentAt, now);
         }
     }
 }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -183,17 +183,13 @@
     /// confirmed until @p confirmedUntil. Stops the others, except those in @p kept.
     void endRunsOfPreviousProcess(WorkerState &worker, const std::set<std::pair<TaskId, int>> &kept, TimePoint confirmedUntil, TimePoint now);
 
-    /// Ends the runs that the process of @p worker has confirmed: the process has ended. A start command that was not
-    /// confirmed may still reach the next process.
-    void endConfirmedRuns(WorkerState &worker, TimePoint now);
-
-    /// Requests the list of live workers if serving tasks may have lost their run with a worker that is no longer registered.
+    /// Requests the list of live workers if a worker with runs may have ended: it does not respond, and is no longer registered or
+    /// refuses connections. Neither proves the end, because a partition of the network can cause both.
     void findDepartedWorkers(TimePoint now);
 
-    /// Ends the runs of serving tasks on @p worker, which does not exist any more.
-    void endServingRuns(WorkerState &worker, TimePoint now);
-
-    void endRunsOfEndedProcess(const WorkerState &worker, const std::vector<TaskId> &runs, TimePoint now);
+    /// Ends the runs of the process of @p worker, which had ended at some time after @p provedAt. Runs that a start command may
+    /// begin in the next process are kept.
+    void endRunsOfEndedProcess(const WorkerState &worker, TimePoint provedAt, TimePoint now);
     bool isServingTask(const TaskId &id);
 
     /// Returns the open runs of @p worker that have @p property.
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -13,8 +13,6 @@
 constexpr std::chrono::milliseconds MaximumOverTargetPollWait{400};
 constexpr std::chrono::milliseconds IdlePollInterval{1000};
 constexpr std::chrono::milliseconds FailedPollBackoff{200};
-// A refused connection proves that the process has ended only if an earlier poll failed too.
-constexpr int FailuresUntilRefusalCounts = 2;
 // Run ends are listed again until they are durable and acknowledged, so a poll before that does not wait for the next end.
 constexpr std::chrono::milliseconds PendingEndsInterval{80};
 constexpr std::chrono::milliseconds StopRepeatInterval{400};
@@ -150,16 +148,14 @@
                            return;
                        }
                        handleFencing(command.worker.id, command.fencingToken, rejection);
+                       failed(rejection.detail);
                        if (rejection.reason == RejectionReason::WrongWorker && isReportedAddress) {
-                           worker->leaseEnd = TimePoint(); // the address belongs to another worker now: this one is gone
+                           endRunsOfEndedProcess(*worker, sentAt, now); // the address belongs to another worker now: this one is gone
                        }
-                       failed(rejection.detail);
                    },
                    [&](const WorkerNotListening &refusal) {
                        failed(refusal.reason);
-                       if (worker->failedPolls >= Internal::FailuresUntilRefusalCounts && isReportedAddress) {
-                           endConfirmedRuns(*worker, now);
-                       }
+                       worker->refusesConnections = isReportedAddress;
                    },
                    [&](const auto &undelivered) { failed(undelivered.reason); },
                },
@@ -176,6 +172,7 @@
         m_actions.emplace_back(WorkerReachableAgain{worker.info.id, worker.failedPolls, worker.runs.size(), worker.sinceReport(now)});
     }
     worker.failedPolls = 0;
+    worker.refusesConnections = false;
     worker.lastReportAt = now;
     if (isFromNextProcess(worker, report)) {
         handleWorkerRestart(worker, report, sentAt, now);
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -53,7 +53,8 @@
     int failedPolls = 0; // consecutive
     bool toldRegistered = false; // as in the last log event
     bool toldDraining = false;
-    std::optional<TimePoint> missingSince; // since then neither registered nor responding
+    bool refusesConnections = false; // as the last poll that reached its machine; its process may have ended
+    std::optional<TimePoint> missingSince; // since then not responding, and not registered or refusing connections
     TimePoint leaseEnd{}; // unless the lease is renewed, all runs have ended by then
 
     std::int64_t processedEndSequence = 0; // sequence number of the newest run end that was processed
--- a/src/libs/ports/commandresults.h
+++ b/src/libs/ports/commandresults.h
@@ -87,7 +87,7 @@
     std::size_t malformedRuns = 0; // runs of the worker that are not in the list because they cannot be decoded
 };
 
-/// Nothing listens at the worker's address: its process has ended, and with it all its runs.
+/// The connection to the worker was refused. Its process may have ended, but a network partition that resets connections looks the same.
 struct WorkerNotListening
 {
     std::string reason;
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -192,12 +192,21 @@
     SimulatedWorker &worker = *m_workers[index];
     worker.restart(now);
     worker.refusesConnections = true;
+    worker.hasEnded = true;
     at(now + downTime, [this, &worker] {
         worker.restart(now);
         worker.refusesConnections = false;
+        worker.hasEnded = false;
     });
 }
 
+void DispatchSimulation::cutOffWithResets(std::size_t index, Duration time)
+{
+    SimulatedWorker &worker = *m_workers[index];
+    worker.refusesConnections = true;
+    at(now + time, [&worker] { worker.refusesConnections = false; });
+}
+
 void DispatchSimulation::drainWorker(std::size_t index)
 {
     WorkerInfo info = m_workers[index]->info();
@@ -428,7 +437,7 @@
     const auto sender = *std::ranges::find_if(m_owners, [&](const auto &entry) { return entry.get() == &owner; });
     std::set<std::string> ids;
     for (const auto &worker : m_workers) {
-        if (!worker->refusesConnections && !m_removedMachines.contains(worker->info().id)) {
+        if (!worker->hasEnded && !m_removedMachines.contains(worker->info().id)) {
             ids.insert(worker->info().id);
         }
     }
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -56,6 +56,9 @@
     /// Crashes the worker, whose machine refuses connections until the worker restarts after @p downTime.
     void crashWorker(std::size_t index, Duration downTime);
 
+    /// Resets all connections to the worker and refuses new ones for @p time; the worker continues to run.
+    void cutOffWithResets(std::size_t index, Duration time);
+
     /// Lets the worker announce that it leaves; it continues to run.
     void drainWorker(std::size_t index);
 
--- a/tests/libs/dispatch/simulatedworker.h
+++ b/tests/libs/dispatch/simulatedworker.h
@@ -48,7 +48,8 @@
     std::map<TaskId, Run> &runs() { return m_runs; }
 
     bool unreachable = false; // no message reaches the worker
-    bool refusesConnections = false; // the process has ended, and nothing listens at its address
+    bool refusesConnections = false; // connections to its address are refused
+    bool hasEnded = false; // the process has ended, and no other one has begun
 
 private:
     struct End
--- a/tests/libs/dispatch/testownerevents.cpp
+++ b/tests/libs/dispatch/testownerevents.cpp
@@ -86,13 +86,16 @@
 Test(ownerEvents, theReasonOfARejectedPollIsReported)
 {
     EventHarness harness;
+    harness.startAllTasks();
     harness.advance(100ms);
     harness.pollFailure = CommandRejected{RejectionReason::WrongWorker, "a different worker"};
-    harness.advance(3s, false);
+    harness.advance(1s, false);
     const auto events = harness.all<WorkerUnreachable>();
     cr_assert_eq(events.size(), 1);
     cr_assert_eq(events[0].reason, "a different worker");
-    cr_assert(events[0].untilLeaseEnd == 0ms, "no run of this worker exists any more");
+    const auto ends = harness.all<RunEnded>();
+    cr_assert_eq(ends.size(), 1, "no run of this worker exists any more");
+    cr_assert(ends[0].evidence == RunEndEvidence::ProcessEnded);
 }
 
 Test(ownerEvents, aWorkerThatReportsAgainIsReportedOnce)
@@ -238,13 +241,15 @@
     cr_assert(events[2].evidence == RunEndEvidence::LeaseExpired);
 }
 
-Test(ownerEvents, theEndOfARunNamesTheRefusedConnection)
+Test(ownerEvents, theEndOfARunNamesTheEndOfTheProcess)
 {
     EventHarness harness;
     harness.startAllTasks();
     harness.advance(1s);
     harness.pollFailure = WorkerNotListening{"connection refused"};
     harness.advance(1s, false);
+    harness.dispatcher.liveWorkersListed({}, harness.now, harness.now);
+    harness.advance(20ms, false);
     const auto events = harness.all<RunEnded>();
     cr_assert_eq(events.size(), 1);
     cr_assert(events[0].evidence == RunEndEvidence::ProcessEnded);
@@ -257,7 +262,9 @@
     cr_assert_not(harness.all<StartCommand>()[0].withoutRun.has_value());
     harness.advance(1s);
     harness.pollFailure = WorkerNotListening{"connection refused"};
-    harness.advance(1s, false);
+    harness.advance(500ms, false);
+    harness.dispatcher.liveWorkersListed({}, harness.now, harness.now);
+    harness.advance(500ms, false);
     harness.runs.clear();
     harness.processStartedAt = 2s;
     harness.advance(2s);
--- a/tests/libs/dispatch/testworkerloss.cpp
+++ b/tests/libs/dispatch/testworkerloss.cpp
@@ -83,6 +83,21 @@
     cr_assert(simulation.violations.empty());
 }
 
+// Guards against second runs of tasks whose worker is cut off by a partition that answers with resets.
+Test(workerLoss, runsOfAWorkerThatIsCutOffWithResetsAreNotReplacedWhileTheyRun)
+{
+    DispatchSimulation simulation(1, 2);
+    startServingJob(simulation);
+    const std::size_t cutOff = busyWorker(simulation);
+    const std::size_t startsBefore = simulation.starts.size();
+    simulation.cutOffWithResets(cutOff, 4s);
+    simulation.run(3s);
+    cr_assert_eq(simulation.starts.size(), startsBefore, "%zu starts elsewhere", simulation.starts.size() - startsBefore);
+    simulation.run(10s);
+    cr_assert_eq(simulation.openRuns(), Tasks);
+    cr_assert(simulation.violations.empty(), "%s", simulation.violations.front().c_str());
+}
+
 Test(workerLoss, runsStoppedByALeavingWorkerAreReplacedBeforeTheirLeaseEnds)
 {
     DispatchSimulation simulation(1, 2);
--- a/tests/libs/dispatch/testworkerprocessend.cpp
+++ b/tests/libs/dispatch/testworkerprocessend.cpp
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <set>
+#include <string>
 
 using namespace Hyssop;
 using namespace Hyssop::Testing;
@@ -18,6 +20,14 @@
     harness.advance(SeveralPolls, false);
 }
 
+/// Answers the last request for the list of live workers, as of now.
+void listLiveWorkers(EventHarness &harness, const std::set<std::string> &workers)
+{
+    cr_assert_not(harness.all<ListLiveWorkers>().empty(), "the list was not requested");
+    harness.dispatcher.liveWorkersListed(workers, harness.now, harness.now);
+    harness.advance(20ms, false);
+}
+
 /// Advances until @p count start commands were sent.
 void waitForStarts(EventHarness &harness, std::size_t count)
 {
@@ -50,6 +60,8 @@
     info.address = "127.0.0.1:2";
     harness.dispatcher.updateWorker(info);
     refusePolls(harness);
+    harness.dispatcher.liveWorkersListed({"w"}, harness.now, harness.now);
+    harness.advance(SeveralPolls, false);
     cr_assert(harness.all<RunEnded>().empty(), "a run of a live worker counts as ended");
 }
 
@@ -65,6 +77,7 @@
     cr_assert_eq(harness.all<StartCommand>().size(), 2);
     harness.dispatcher.startAnswered(harness.all<StartCommand>().back(), CommandExecuted{harness.clock()}, harness.now);
     refusePolls(harness);
+    listLiveWorkers(harness, {});
     cr_assert(harness.all<RunEnded>().empty(), "the run counts as ended, but a command may start it again");
 }
 
@@ -74,9 +87,73 @@
     harness.startAllTasks();
     harness.advance(1s);
     refusePolls(harness);
+    listLiveWorkers(harness, {});
     cr_assert_eq(harness.all<RunEnded>().size(), 1);
 }
 
+// Guards against runs that are started elsewhere while a network partition that resets connections hides their live worker.
+Test(workerProcessEnd, refusedConnectionsAloneDoNotEndTheRunsOfAWorker)
+{
+    EventHarness harness;
+    harness.startAllTasks();
+    harness.advance(1s);
+    refusePolls(harness);
+    cr_assert(harness.all<RunEnded>().empty(), "a refused connection counts as the end of the process");
+    listLiveWorkers(harness, {"w"});
+    harness.advance(SeveralPolls, false);
+    cr_assert(harness.all<RunEnded>().empty(), "the run of a listed worker counts as ended");
+}
+
+// The list was read before the polls failed, so it tells nothing about the time after.
+Test(workerProcessEnd, aListThatIsOlderThanTheRefusalDoesNotEndRuns)
+{
+    EventHarness harness;
+    harness.startAllTasks();
+    harness.advance(1s);
+    const TimePoint before = harness.now;
+    refusePolls(harness);
+    harness.dispatcher.liveWorkersListed({}, before, harness.now);
+    harness.advance(20ms, false);
+    cr_assert(harness.all<RunEnded>().empty());
+}
+
+Test(workerProcessEnd, aRunThatWasConfirmedAfterTheListWasReadDoesNotEnd)
+{
+    EventHarness harness(2);
+    waitForStarts(harness, 2);
+    const auto starts = harness.all<StartCommand>();
+    harness.dispatcher.startAnswered(starts[0], CommandExecuted{harness.clock()}, harness.now);
+    harness.runs = {{starts[0].task, starts[0].run, "", 0, 0}};
+    harness.advance(200ms);
+    refusePolls(harness);
+    const TimePoint listedAt = harness.now;
+    harness.now += 20ms;
+    // The next process has confirmed the second start since then.
+    harness.dispatcher.startAnswered(starts[1], CommandExecuted{harness.clock()}, harness.now);
+    harness.dispatcher.liveWorkersListed({}, listedAt, harness.now);
+    harness.advance(20ms, false);
+    const auto ends = harness.all<RunEnded>();
+    cr_assert_eq(ends.size(), 1, "%zu runs count as ended", ends.size());
+    cr_assert_eq(ends.front().task.index, starts[0].task.index);
+}
+
+// An address that answers for another worker shows that the process has ended, but not what became of a start command without a response.
+Test(workerProcessEnd, anAddressThatBelongsToAnotherWorkerEndsOnlyRunsWithoutAnOutstandingStart)
+{
+    EventHarness harness(2);
+    waitForStarts(harness, 2);
+    sendTwoCopiesOfTheFirstStart(harness);
+    const auto starts = harness.all<StartCommand>();
+    harness.dispatcher.startAnswered(starts[1], CommandExecuted{harness.clock()}, harness.now);
+    harness.runs.push_back({starts[1].task, starts[1].run, "", 0, 0});
+    harness.advance(200ms);
+    harness.pollFailure = CommandRejected{RejectionReason::WrongWorker, "other worker"};
+    harness.advance(SeveralPolls, false);
+    const auto ends = harness.all<RunEnded>();
+    cr_assert_eq(ends.size(), 1, "%zu runs count as ended", ends.size());
+    cr_assert_eq(ends.front().task.index, starts[1].task.index);
+}
+
 Test(workerProcessEnd, aStopThatWasNotSentIsRepeatedWhilePollsFail)
 {
     EventHarness harness(1, true);
