Log lines for quarantines of workers and their end

`worker quarantined` and `worker sound again` are written when the owner changes its belief.

Test: ownerEvents/aQuarantineIsReportedOnce.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -155,6 +155,22 @@
     std::optional<std::chrono::milliseconds> sinceReport; // none: this is its first report in this term
 };
 
+/// Log event: a worker has failed or stalled what it was given and gets no task for some time.
+struct WorkerQuarantined
+{
+    std::string worker;
+    int count = 0; // consecutive quarantines
+    std::chrono::milliseconds remaining{0};
+    std::size_t openRuns = 0;
+};
+
+/// Log event: a quarantined worker counts as sound again.
+struct WorkerSoundAgain
+{
+    std::string worker;
+    std::size_t openRuns = 0;
+};
+
 /// Log event: no task is started from now on, because reading a topic lags behind.
 struct StartsWithheld
 {
@@ -187,6 +203,8 @@
                                     WorkerUnregistered,
                                     WorkerUnreachable,
                                     WorkerReachableAgain,
+                                    WorkerQuarantined,
+                                    WorkerSoundAgain,
                                     StartsWithheld,
                                     StartsResumed>;
 
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -132,7 +132,7 @@
     void adoptOpenRuns(JobExecution &job);
     void releaseDueOccurrences(JobExecution &job, WallTime wall);
 
-    /// Reports registrations, drains and withdrawals since the last call as log events.
+    /// Reports registrations, drains, withdrawals and quarantines since the last call as log events.
     void reportWorkerChanges(TimePoint now);
     void reportWithheldStarts(TimePoint now);
     void reportUnreachable(const WorkerState &worker, const std::string &reason, TimePoint now);
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -47,8 +47,16 @@
         if (!worker.registered && worker.toldRegistered) {
             m_actions.emplace_back(WorkerUnregistered{id, worker.failedPolls, worker.runs.size(), worker.sinceReport(now)});
         }
+        const int quarantines = worker.health.consecutiveQuarantines();
+        if (quarantines > worker.toldQuarantines) {
+            const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(worker.health.blockedUntil() - now);
+            m_actions.emplace_back(WorkerQuarantined{id, quarantines, remaining, worker.runs.size()});
+        } else if (quarantines < worker.toldQuarantines) {
+            m_actions.emplace_back(WorkerSoundAgain{id, worker.runs.size()});
+        }
         worker.toldRegistered = worker.registered;
         worker.toldDraining = isDraining;
+        worker.toldQuarantines = quarantines;
     }
 }
 
--- a/src/libs/dispatch/workerhealth.h
+++ b/src/libs/dispatch/workerhealth.h
@@ -29,6 +29,12 @@
     /// Returns true if another task may be started beside @p openRuns open runs.
     bool acceptsTask(TimePoint now, std::size_t openRuns) const;
 
+    /// Returns how often the worker was quarantined without having proved sound meanwhile.
+    int consecutiveQuarantines() const { return m_quarantineCount; }
+
+    /// Returns until when no task is started.
+    TimePoint blockedUntil() const { return m_blockedUntil; }
+
 private:
     void quarantine(TimePoint now);
 
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -242,6 +242,17 @@
         {{"worker", worker.worker}, {"open_runs", worker.openRuns}, {"failed_polls", worker.failedPolls}, timeField("since_report_ms", worker.sinceReport)});
 }
 
+void logAction(const WorkerQuarantined &worker)
+{
+    logWorkerChange("worker quarantined",
+                    {{"worker", worker.worker}, {"count", worker.count}, {"remaining_ms", worker.remaining.count()}, {"open_runs", worker.openRuns}});
+}
+
+void logAction(const WorkerSoundAgain &worker)
+{
+    logWorkerChange("worker sound again", {{"worker", worker.worker}, {"open_runs", worker.openRuns}});
+}
+
 void logAction(const StartsWithheld &withheld)
 {
     logMessage(LogLevel::Warning,
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -26,6 +26,8 @@
 void logAction(const WorkerUnregistered &worker);
 void logAction(const WorkerUnreachable &worker);
 void logAction(const WorkerReachableAgain &worker);
+void logAction(const WorkerQuarantined &worker);
+void logAction(const WorkerSoundAgain &worker);
 void logAction(const StartsWithheld &withheld);
 void logAction(const StartsResumed &resumed);
 
--- a/tests/libs/dispatch/testownerevents.cpp
+++ b/tests/libs/dispatch/testownerevents.cpp
@@ -273,3 +273,18 @@
     cr_assert(starts[1].isServing);
     cr_assert(starts[1].withoutRun > 500ms && starts[1].withoutRun < 1500ms);
 }
+
+Test(ownerEvents, aQuarantineIsReportedOnce)
+{
+    EventHarness harness;
+    harness.startAllTasks();
+    harness.advance(100ms);
+    harness.makesProgress = false;
+    harness.advance(70s); // a tenth of the estimate of the task, and more
+    const auto quarantines = harness.all<WorkerQuarantined>();
+    cr_assert_eq(quarantines.size(), 1);
+    cr_assert_eq(quarantines[0].worker, "w");
+    cr_assert_eq(quarantines[0].count, 1);
+    cr_assert(quarantines[0].remaining > 2s && quarantines[0].remaining <= 3s);
+    cr_assert(harness.all<WorkerSoundAgain>().empty());
+}
