Probe quarantined workers whatever else runs on them

Cause: after a quarantine a worker accepted a task only without open runs, and only a completed task ended the suspicion. A task that lasts never ends.

Change: tasks that are started after a quarantine are probes, one at a time or one each 0.3 s, beside whatever runs there. Only probes decide; runs from before say nothing. A serving task counts as success when it serves. The longest quarantine is 6 s, not 12 s.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -75,7 +75,7 @@
         if (!task.isOpen()) {
             return;
         }
-        stateOf(task.worker).addRun(id, runProfile(job.step(id.step), task.run));
+        stateOf(task.worker).addRun(id, runProfile(job.step(id.step), task.run), m_termBeganAt);
         if (job.isEnded()) {
             task.phase = TaskPhase::Stopping;
         }
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -222,7 +222,7 @@
                 break;
             }
             const TaskId id{job.id, occurrence, step, static_cast<int>(index)};
-            worker->addRun(id, *request.profile);
+            worker->addRun(id, *request.profile, now);
             ++perWorker[worker->info.id];
             placed.emplace_back(id, worker);
         }
@@ -290,7 +290,7 @@
     task.progressSince = now;
     task.firstProgressPercent = -1;
     task.speedPercent = 100;
-    worker.addRun(id, runProfile(job.step(id.step), run));
+    worker.addRun(id, runProfile(job.step(id.step), run), now);
     m_jobs.markUrgent(job);
     m_newIntents.emplace_back(id, run);
 }
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -340,7 +340,7 @@
         task.checkpoint = checkpoint;
     }
     if (WorkerState *worker = findWorker(task.worker); worker != nullptr && endReason == RunEndReason::Completed) {
-        worker->health.reportSuccess();
+        worker->health.reportSuccess(id);
     }
     if (endReason == RunEndReason::Failed) {
         recordFailedRun(id, task, now);
@@ -409,7 +409,7 @@
     ++task.failures;
     task.notBefore = now + Internal::FailureBackoff;
     if (WorkerState *worker = findWorker(task.worker)) {
-        worker->health.reportFailure(id.job, now);
+        worker->health.reportFailure(id, now);
     }
 }
 
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -326,13 +326,16 @@
 {
     task.load = run.load;
     updateExpectedEnd(worker, run, task, now);
+    const JobExecution *job = m_jobs.find(run.task.job);
+    const Wire::TaskStep &step = job->step(run.task.step);
     if (run.progressPercent != task.progressPercent) {
         task.progressPercent = run.progressPercent;
         task.progressSince = now;
+        if (step.longRunning && run.progressPercent >= 100) {
+            worker.health.reportSuccess(run.task); // a serving task never completes
+        }
         return;
     }
-    const JobExecution *job = m_jobs.find(run.task.job);
-    const Wire::TaskStep &step = job->step(run.task.step);
     const bool servesAtFullSpeed = step.longRunning && run.progressPercent >= 100;
     const bool isThrottled = task.speedPercent < 100;
     // Progress is reported in percent, and a long task needs longer for each.
@@ -340,7 +343,7 @@
     if (servesAtFullSpeed || isThrottled || task.phase != TaskPhase::Running || now - task.progressSince < stallTimeout) {
         return;
     }
-    worker.health.reportStall(now);
+    worker.health.reportStall(run.task, now);
     beginStop(run.task, task, StopReason::Stalled, now);
 }
 
--- a/src/libs/dispatch/workerhealth.cpp
+++ b/src/libs/dispatch/workerhealth.cpp
@@ -8,22 +8,42 @@
 constexpr int FailuresUntilQuarantine = 2;
 constexpr std::chrono::milliseconds InitialQuarantine{3000}; // doubles with each consecutive quarantine
 constexpr std::chrono::milliseconds RejectionBackoff{500};
-constexpr int MaximumDoublings = 2;
+constexpr int MaximumDoublings = 1;
+// A probe that takes longer than this does not delay the next one.
+constexpr std::chrono::milliseconds ProbeInterval{300};
 
-void WorkerHealth::reportFailure(const std::string &jobId, TimePoint now)
+void WorkerHealth::handleRunAdded(const TaskId &task, TimePoint now)
 {
-    if (jobId != m_lastFailedJob) {
+    if (m_quarantineCount > 0) {
+        m_probes.insert(task);
+        m_probedAt = now;
+    }
+}
+
+void WorkerHealth::handleRunRemoved(const TaskId &task)
+{
+    m_probes.erase(task);
+}
+
+void WorkerHealth::reportFailure(const TaskId &task, TimePoint now)
+{
+    if (!isSignificant(task)) {
+        return;
+    }
+    if (task.job != m_lastFailedJob) {
         ++m_consecutiveFailures;
-        m_lastFailedJob = jobId;
+        m_lastFailedJob = task.job;
     }
-    if (m_probing || m_consecutiveFailures >= FailuresUntilQuarantine) {
+    if (m_quarantineCount > 0 || m_consecutiveFailures >= FailuresUntilQuarantine) {
         quarantine(now);
     }
 }
 
-void WorkerHealth::reportStall(TimePoint now)
+void WorkerHealth::reportStall(const TaskId &task, TimePoint now)
 {
-    quarantine(now);
+    if (isSignificant(task)) {
+        quarantine(now);
+    }
 }
 
 void WorkerHealth::reportRejection(TimePoint now)
@@ -31,30 +51,27 @@
     m_blockedUntil = std::max(m_blockedUntil, now + RejectionBackoff);
 }
 
-void WorkerHealth::reportSuccess()
+void WorkerHealth::reportSuccess(const TaskId &task)
 {
+    if (!isSignificant(task)) {
+        return;
+    }
     m_consecutiveFailures = 0;
     m_quarantineCount = 0;
-    m_probing = false;
+    m_probes.clear();
     m_lastFailedJob.clear();
 }
 
-bool WorkerHealth::acceptsTask(TimePoint now, std::size_t openRuns) const
+bool WorkerHealth::acceptsTask(TimePoint now) const
 {
-    if (now < m_blockedUntil) {
-        return false;
-    }
-    return !m_probing || openRuns == 0;
+    return now >= m_blockedUntil && (m_probes.empty() || now - m_probedAt >= ProbeInterval);
 }
 
 void WorkerHealth::quarantine(TimePoint now)
 {
-    if (now < m_blockedUntil && m_probing) {
-        return; // these runs were started before the quarantine
-    }
     m_blockedUntil = now + InitialQuarantine * (1 << std::min(m_quarantineCount, MaximumDoublings));
     ++m_quarantineCount;
-    m_probing = true;
+    m_probes.clear();
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerhealth.h
+++ b/src/libs/dispatch/workerhealth.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <ports/taskid.h>
 #include <utils/clock.h>
 
+#include <set>
 #include <string>
 
 namespace Hyssop {
@@ -10,24 +12,30 @@
 ///
 /// Load pattern: some workers report themselves healthy but fail or stall everything that they start, and a job fails after
 /// a few failed runs of one task. A worker that fails tasks of several jobs in a row is therefore quarantined for a delay
-/// that doubles, and is then probed with a single task. Repeated failures of one job say nothing about the worker.
+/// that doubles. After it, single tasks are started as probes, whatever else runs on the worker, until one of them shows that
+/// the worker is sound. The result of a run from before the quarantine says nothing about the worker after it. Repeated failures
+/// of one job say nothing about the worker.
 class WorkerHealth
 {
 public:
-    /// Records a failed run of a task of @p jobId.
-    void reportFailure(const std::string &jobId, TimePoint now);
+    /// Notes that a run of @p task was added, which is a probe after a quarantine, or that it was removed with or without a result.
+    void handleRunAdded(const TaskId &task, TimePoint now);
+    void handleRunRemoved(const TaskId &task);
 
-    /// Records a run that made no progress, which quarantines the worker at once.
-    void reportStall(TimePoint now);
+    /// Records a failed run of @p task.
+    void reportFailure(const TaskId &task, TimePoint now);
+
+    /// Records a run of @p task that made no progress, which quarantines the worker at once.
+    void reportStall(const TaskId &task, TimePoint now);
 
     /// Records a start command that the worker rejected or that could not be sent; nothing is started for a short time.
     void reportRejection(TimePoint now);
 
-    /// Records a completed run: the worker is no longer probed, and the next quarantine is short again.
-    void reportSuccess();
+    /// Records a run of @p task that has completed, or serves.
+    void reportSuccess(const TaskId &task);
 
-    /// Returns true if another task may be started beside @p openRuns open runs.
-    bool acceptsTask(TimePoint now, std::size_t openRuns) const;
+    /// Returns true if another task may be started.
+    bool acceptsTask(TimePoint now) const;
 
     /// Returns how often the worker was quarantined without having proved sound meanwhile.
     int consecutiveQuarantines() const { return m_quarantineCount; }
@@ -36,12 +44,16 @@
     TimePoint blockedUntil() const { return m_blockedUntil; }
 
 private:
+    /// Returns true if the result of a run of @p task says something about the worker: it was started after the last quarantine.
+    bool isSignificant(const TaskId &task) const { return m_quarantineCount == 0 || m_probes.contains(task); }
+
     void quarantine(TimePoint now);
 
     std::string m_lastFailedJob;
     int m_consecutiveFailures = 0;
     int m_quarantineCount = 0; // consecutive
-    bool m_probing = false;
+    std::set<TaskId> m_probes; // open runs that were started after the last quarantine
+    TimePoint m_probedAt{}; // when the last probe was started
     TimePoint m_blockedUntil{};
 };
 
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -30,7 +30,7 @@
     if (!worker.isSchedulable(evacuatedDomains) || now - worker.lastReportAt > WorkerTimeout) {
         return false;
     }
-    return worker.health.acceptsTask(now, worker.runs.size());
+    return worker.health.acceptsTask(now);
 }
 
 static bool hasLabel(const WorkerState &worker, const std::string &label)
@@ -238,7 +238,7 @@
     if (!request.profile->reserved.fitsIn(worker.freeCapacity())) {
         return false;
     }
-    if (worker.info.workerPool != request.workerPool || !worker.health.acceptsTask(m_now, worker.runs.size())) {
+    if (worker.info.workerPool != request.workerPool || !worker.health.acceptsTask(m_now)) {
         return false;
     }
     if ((!request.rack.empty() && worker.info.rack != request.rack) || !Internal::hasLabel(worker, step.label)) {
--- a/src/libs/dispatch/workerstate.cpp
+++ b/src/libs/dispatch/workerstate.cpp
@@ -9,10 +9,11 @@
 // With so many ends that are not acknowledged, a worker gets no more runs: it must be able to list the ends of those it has.
 constexpr std::int64_t MaximumUnacknowledgedEnds = 300;
 
-void WorkerState::addRun(const TaskId &task, const RunProfile &profile)
+void WorkerState::addRun(const TaskId &task, const RunProfile &profile, TimePoint now)
 {
     removeRun(task);
     runs.emplace(task, profile);
+    health.handleRunAdded(task, now);
     committed += profile.reserved;
     bestEffortCommitted += profile.bestEffortMilliCores;
     servingCommitted += profile.servingMilliCores;
@@ -29,6 +30,7 @@
     bestEffortCommitted -= run->second.bestEffortMilliCores;
     servingCommitted -= run->second.servingMilliCores;
     runs.erase(run);
+    health.handleRunRemoved(task);
     forecast.at = TimePoint();
 }
 
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -85,7 +85,7 @@
     ServingForecast forecast;
 
     /// Adds or removes an open run with the resources that it commits.
-    void addRun(const TaskId &task, const RunProfile &profile);
+    void addRun(const TaskId &task, const RunProfile &profile, TimePoint now);
     void removeRun(const TaskId &task);
 
     /// Returns true if the last poll of this owner was answered.
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -56,12 +56,16 @@
     logAction(WorkerUnreachable{"w", "timeout", 2, 90ms, 9000ms});
     logAction(WorkerReachableAgain{"w", 4, 2, 900ms});
     logAction(WorkerUnregistered{"w", 0, 2, std::nullopt});
+    logAction(WorkerQuarantined{"w", 2, 6000ms, 1});
+    logAction(WorkerSoundAgain{"w", 1});
     const std::string text = log.text();
     expectLine(text, "message=\"worker registered\" worker=w address=127.0.0.1:1 failure_domain=east open_runs=0");
     expectLine(text, "message=\"worker draining\" worker=w remaining_ms=7000 open_runs=2");
     expectLine(text, "message=\"worker unreachable\" worker=w error=timeout open_runs=2 since_report_ms=90 lease_end_in_ms=9000");
     expectLine(text, "message=\"worker reachable again\" worker=w open_runs=2 failed_polls=4 since_report_ms=900");
     expectLine(text, "message=\"worker unregistered\" worker=w open_runs=2 failed_polls=0 since_report_ms=unknown");
+    expectLine(text, "message=\"worker quarantined\" worker=w count=2 remaining_ms=6000 open_runs=1");
+    expectLine(text, "message=\"worker sound again\" worker=w open_runs=1");
 }
 
 Test(ownerLog, resultsOfCommands)
