Ask the advice service about each worker, not about the same ones again

Cause: each request named the 30 workers with most free capacity. If none was allowed, the next request named the same ones. The log has `advice request result` workers=30 allowed=0 twice a second for 40 s.

Change: TicketCache keeps which workers a step may use and which it may not, and decides who is asked about next: allowed workers whose ticket has expired, then unknown ones, never excluded ones. Further workers are also asked about while those with valid tickets are full; before, any valid ticket prevented that. A request without a usable result, or a rejected ticket, delays the next one by 0.5 s.

Tests: advice/aStepFindsTheAllowedWorkersHoweverManyOthersHaveMoreRoom, noWorkerIsAskedAboutAgainOnceThePolicyHasExcludedIt and furtherWorkersAreAskedAboutWhileTicketsOfFullOnesAreValid failed before. ticketCache/returnsTicketsWhileTheyAreValid checks the same with the new signatures.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -12,8 +12,6 @@
 
 namespace Internal {
 
-// Workers per request to the advice service, which needs time for each of them.
-constexpr std::size_t MaximumAdviceCandidates = 30;
 // The reserve for short tasks delays the first run of a serving task by at most this time.
 constexpr std::chrono::milliseconds MaximumReserveDelay{1800};
 
@@ -157,15 +155,29 @@
     const RunProfile profile = runProfile(*request.step, 0);
     request.profile = &profile;
     request.stepTasksByWorker = &perWorker;
-    if (awaitsAdvice({job.id, occurrence, step, 0}, queue, request, now)) {
-        return;
+    const TaskId stepId{job.id, occurrence, step, 0};
+    if (queue.advice) {
+        request.tickets = m_tickets.tickets(stepId, now);
+    }
+    if (!queue.advice || request.tickets != nullptr) {
+        placeTasks(job, stepId, ranking, request, perWorker, now);
+    }
+    if (queue.advice && Internal::hasPendingTask(execution, now)) {
+        requestAdvice(stepId, ranking, request, now);
     }
+}
+
+void Dispatcher::placeTasks(
+    JobExecution &job, const TaskId &step, WorkerRanking &ranking, PlacementRequest &request, std::map<std::string, int> &perWorker, TimePoint now)
+{
     if (request.step->gang) {
-        placeGang(job, occurrence, step, ranking, request, now);
+        placeGang(job, step.occurrence, step.step, ranking, request, now);
         return;
     }
+    StepExecution &execution = job.occurrences.at(step.occurrence)[static_cast<std::size_t>(step.step)];
+    const RunProfile &profile = *request.profile;
     if (request.step->sameRack) {
-        const auto racks = ranking.racksByFreeCapacity(queue.workerPool);
+        const auto racks = ranking.racksByFreeCapacity(request.workerPool);
         request.rack = racks.empty() ? std::string() : racks.front();
     }
     std::vector<WorkerRanking::Candidate> candidates = ranking.rankCandidates(request);
@@ -180,7 +192,7 @@
         }
         const bool isDeferrable =
             request.step->longRunning && task.run == 0 && m_wallMs - sinceEpoch(job.acceptedAt).count() < Internal::MaximumReserveDelay.count();
-        if (isDeferrable && !ranking.leavesShortTaskReserve(queue.workerPool, profile, m_shortTaskReserve)) {
+        if (isDeferrable && !ranking.leavesShortTaskReserve(request.workerPool, profile, m_shortTaskReserve)) {
             return;
         }
         WorkerState *worker = ranking.bestCandidate(candidates, request);
@@ -188,7 +200,7 @@
             return;
         }
         started += task.run == 0 ? 1 : 0;
-        assignRun(job, {job.id, occurrence, step, static_cast<int>(index)}, task, *worker, task.run + 1, now);
+        assignRun(job, {job.id, step.occurrence, step.step, static_cast<int>(index)}, task, *worker, task.run + 1, now);
         ++perWorker[worker->info.id];
     }
 }
@@ -241,36 +253,21 @@
     }
 }
 
-bool Dispatcher::awaitsAdvice(const TaskId &step, const QueueInfo &queue, PlacementRequest &request, TimePoint now)
+void Dispatcher::requestAdvice(const TaskId &step, const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now)
 {
-    if (!queue.advice) {
-        return false;
-    }
-    request.tickets = m_tickets.tickets(step, now);
-    if (request.tickets != nullptr) {
-        return false;
+    if (!m_tickets.canRequest(step, now)) {
+        return;
     }
-    if (m_tickets.beginRequest(step, now)) {
-        RequestAdvice adviceRequest{step, {}};
-        std::vector<const WorkerState *> candidates;
-        for (const auto &[id, worker] : m_workers) {
-            if (worker.info.workerPool == queue.workerPool && canStartOn(worker, now)) {
-                candidates.push_back(&worker);
-            }
-        }
-        std::ranges::sort(candidates, std::ranges::greater(), [](const WorkerState *worker) { return worker->freeCapacity().milliCores; });
-        for (std::size_t index = 0; index < candidates.size() && index < Internal::MaximumAdviceCandidates; ++index) {
-            adviceRequest.workers.push_back(candidates[index]->info.id);
-        }
+    RequestAdvice adviceRequest{step, m_tickets.beginRequest(step, ranking.adviceCandidates(request), now)};
+    if (!adviceRequest.workers.empty()) {
         m_actions.emplace_back(std::move(adviceRequest));
     }
-    return true;
 }
 
 void Dispatcher::adviceAnswered(const RequestAdvice &adviceRequest, const AdviceResult &result, TimePoint sentAt, TimePoint now)
 {
     if (m_jobs.stepOf(adviceRequest.step) != nullptr) {
-        m_tickets.handleResult(adviceRequest.step, result, sentAt, now);
+        m_tickets.handleResult(adviceRequest.step, adviceRequest.workers, result, sentAt, now);
     }
 }
 
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -233,7 +233,7 @@
         task.confirmedAt = now;
         return;
     case RejectionReason::MissingTicket:
-        m_tickets.discard(id, task.worker);
+        m_tickets.discard(id, task.worker, now);
         break;
     case RejectionReason::Invalid:
         task.notBefore = now + Internal::InvalidCommandBackoff;
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -158,6 +158,25 @@
     return nullptr;
 }
 
+std::vector<std::string> WorkerRanking::adviceCandidates(PlacementRequest request) const
+{
+    request.tickets = nullptr;
+    std::vector<std::pair<bool, WorkerState *>> candidates; // whether there is room
+    for (WorkerState *worker : m_workers) {
+        if (worker->info.workerPool == request.workerPool && Internal::hasLabel(*worker, request.step->label)) {
+            candidates.emplace_back(fits(*worker, request), worker);
+        }
+    }
+    std::ranges::stable_sort(
+        candidates, std::ranges::greater(), [](const auto &candidate) { return std::pair(candidate.first, candidate.second->freeCapacity().milliCores); });
+    std::vector<std::string> ids;
+    ids.reserve(candidates.size());
+    for (const auto &[hasRoom, worker] : candidates) {
+        ids.push_back(worker->info.id);
+    }
+    return ids;
+}
+
 bool WorkerRanking::isUnschedulable(const PlacementRequest &request) const
 {
     return std::ranges::any_of(m_unschedulable, [&](const UnschedulableRequest &known) {
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -64,6 +64,10 @@
     /// Returns the racks by decreasing free processor capacity.
     std::vector<std::string> racksByFreeCapacity(const std::string &workerPool) const;
 
+    /// Returns the ids of the workers that could run a task of @p request if the advice service allows it: those that have room for
+    /// it now, and then the others, each by decreasing free processor capacity.
+    std::vector<std::string> adviceCandidates(PlacementRequest request) const;
+
 private:
     bool fits(WorkerState &worker, const PlacementRequest &request) const;
     bool canColocate(WorkerState &worker, const PlacementRequest &request) const;
--- /dev/null
+++ b/tests/libs/dispatch/testadvice.cpp
@@ -0,0 +1,204 @@
+#include "hyssop_types.h"
+
+#include <dispatch/claimtimes.h>
+#include <dispatch/dispatcher.h>
+#include <jobtopic/jobkeys.h>
+#include <jobtopic/jobtable.h>
+#include <ports/keyedrecord.h>
+#include <utils/overloaded.h>
+#include <wire/codec.h>
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace Hyssop;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto Tick = 20ms;
+constexpr int Workers = 75;
+constexpr std::int64_t SmallWorker = 8000; // thousandths of a core
+constexpr auto TicketValidity = 3s;
+
+std::string workerName(int index)
+{
+    return "w" + std::to_string(index);
+}
+
+/// A queue whose policy is known to an advice service, and workers that report and start what they are told to.
+class QueueWithAdvice
+{
+public:
+    /// Begins a term with the job "j" of @p tasks tasks. Each of @p freeMilliCores is what a worker has.
+    QueueWithAdvice(int tasks, const std::map<std::string, std::int64_t> &freeMilliCores)
+    {
+        QueueInfo queue;
+        queue.name = "policy";
+        queue.workerPool = "hall";
+        queue.advice = AdviceParameters();
+        ClusterConfig config;
+        config.queues["policy"] = queue;
+        dispatcher.applyConfiguration(config, {});
+        Wire::StepJob job;
+        job.queue = "policy";
+        job.steps.resize(1);
+        job.steps[0].taskCount = tasks;
+        job.steps[0].milliCores = 1000;
+        job.steps[0].estimateMs = 600'000;
+        JobTable table;
+        table.apply({0, submissionKey("j"), encode(job)});
+        dispatcher.beginTerm(1, table, {now, now}, true);
+        for (const auto &[id, milliCores] : freeMilliCores) {
+            WorkerInfo worker;
+            worker.id = id;
+            worker.workerPool = "hall";
+            worker.address = "127.0.0.1:1";
+            worker.capacity.milliCores = milliCores;
+            dispatcher.updateWorker(worker);
+        }
+    }
+
+    void run(Duration time)
+    {
+        for (const TimePoint until = now + time; now < until; now += Tick) {
+            dispatcher.confirmRead(now);
+            dispatcher.confirmWorkersRead(now);
+            const WallTime wall(std::chrono::duration_cast<WallTime::duration>(now.time_since_epoch()));
+            for (const DispatchAction &action : dispatcher.advance(now, wall)) {
+                std::visit(Overloaded{[this](const PollCommand &poll) { answer(poll); },
+                                      [this](const StartCommand &start) { answer(start); },
+                                      [this](const RequestAdvice &request) { answer(request); },
+                                      [this](const AppendRecords &) { dispatcher.recordsStored(now); },
+                                      [](const auto &) {}},
+                           action);
+            }
+        }
+    }
+
+    Dispatcher dispatcher{DispatchLimits()};
+    TimePoint now{1000s};
+    std::set<std::string> allowed; // workers on which the policy allows the step
+    bool rejectsTickets = false;
+    bool isAdviceAvailable = true;
+    std::vector<RequestAdvice> requests;
+    std::vector<StartCommand> starts;
+
+private:
+    WorkerTime clock() const { return std::chrono::duration_cast<WorkerTime>(now - TimePoint(900s)); }
+
+    void answer(const PollCommand &poll)
+    {
+        WorkerReport report;
+        report.clock = clock();
+        for (ReportedRun &run : m_runs[poll.worker.id]) {
+            run.progressPercent = (run.progressPercent + 1) % 99;
+        }
+        report.runs = m_runs[poll.worker.id];
+        dispatcher.pollAnswered(poll, report, now, now);
+    }
+
+    void answer(const StartCommand &start)
+    {
+        starts.push_back(start);
+        if (rejectsTickets || start.ticket.empty()) {
+            dispatcher.startAnswered(start, CommandRejected{RejectionReason::MissingTicket, "ticket"}, now);
+            return;
+        }
+        m_runs[start.worker.id].push_back({start.task, start.run, "", 0, 0});
+        dispatcher.startAnswered(start, CommandExecuted{clock()}, now);
+    }
+
+    void answer(const RequestAdvice &request)
+    {
+        requests.push_back(request);
+        if (!isAdviceAvailable) {
+            dispatcher.adviceAnswered(request, Error{ErrorCode::Timeout, "timeout"}, now, now);
+            return;
+        }
+        PlacementAdvice advice;
+        advice.validity = TicketValidity;
+        for (const std::string &worker : request.workers) {
+            if (allowed.contains(worker)) {
+                advice.tickets[worker] = "ticket-" + worker;
+            }
+        }
+        dispatcher.adviceAnswered(request, advice, now, now);
+    }
+
+    std::map<std::string, std::vector<ReportedRun>> m_runs;
+};
+
+/// The last of the workers are half loaded, so they are the last that are asked about.
+std::map<std::string, std::int64_t> workersWithLessRoomAtTheEnd()
+{
+    std::map<std::string, std::int64_t> workers;
+    for (int index = 0; index < Workers; ++index) {
+        workers[workerName(index)] = index < Workers - 5 ? SmallWorker : SmallWorker / 2;
+    }
+    return workers;
+}
+
+} // namespace
+
+// Guards against a step that waits for good while workers that its policy allows have room: only the ones with most room were asked about.
+Test(advice, aStepFindsTheAllowedWorkersHoweverManyOthersHaveMoreRoom)
+{
+    QueueWithAdvice queue(2, workersWithLessRoomAtTheEnd());
+    queue.allowed = {workerName(Workers - 1), workerName(Workers - 2)};
+    queue.run(3s);
+    cr_assert_eq(queue.starts.size(), 2, "%zu tasks have started", queue.starts.size());
+}
+
+Test(advice, noWorkerIsAskedAboutAgainOnceThePolicyHasExcludedIt)
+{
+    QueueWithAdvice queue(2, workersWithLessRoomAtTheEnd());
+    queue.run(20s);
+    std::map<std::string, int> asked;
+    for (const RequestAdvice &request : queue.requests) {
+        cr_assert_leq(request.workers.size(), 100);
+        for (const std::string &worker : request.workers) {
+            ++asked[worker];
+        }
+    }
+    cr_assert_eq(asked.size(), Workers, "%zu workers were asked about", asked.size());
+    for (const auto &[worker, count] : asked) {
+        cr_expect_eq(count, 1, "%s was asked about %d times", worker.c_str(), count);
+    }
+}
+
+// The allowed workers that are known first have room for a part of the step only.
+Test(advice, furtherWorkersAreAskedAboutWhileTicketsOfFullOnesAreValid)
+{
+    QueueWithAdvice queue(12, workersWithLessRoomAtTheEnd());
+    queue.allowed = {workerName(0), workerName(Workers - 1)};
+    queue.run(2s);
+    cr_assert_eq(queue.starts.size(), 12, "%zu tasks have started", queue.starts.size());
+}
+
+Test(advice, allowedWorkersAreAskedAboutAgainWhenTheirTicketsHaveExpired)
+{
+    QueueWithAdvice queue(12, {{"w", SmallWorker}});
+    queue.allowed = {"w"};
+    queue.run(10s);
+    cr_assert_eq(queue.starts.size(), 8);
+    cr_assert_geq(queue.requests.size(), 3, "%zu requests in 10 s", queue.requests.size());
+    cr_assert_leq(queue.requests.size(), 5, "%zu requests in 10 s", queue.requests.size());
+}
+
+Test(advice, requestsAreRareWhileTheServiceFailsOrTicketsAreRejected)
+{
+    QueueWithAdvice unavailable(2, {{"w", SmallWorker}});
+    unavailable.isAdviceAvailable = false;
+    unavailable.run(10s);
+    cr_assert_leq(unavailable.requests.size(), 20, "%zu requests in 10 s", unavailable.requests.size());
+    QueueWithAdvice rejecting(2, {{"w", SmallWorker}});
+    rejecting.allowed = {"w"};
+    rejecting.rejectsTickets = true;
+    rejecting.run(10s);
+    cr_assert_leq(rejecting.requests.size(), 20, "%zu requests in 10 s", rejecting.requests.size());
+}
--- a/tests/libs/dispatch/testpolicies.cpp
+++ b/tests/libs/dispatch/testpolicies.cpp
@@ -268,11 +268,25 @@
 {
     TicketCache cache;
     const TaskId task{"job", 0, 1, 5};
-    cr_assert(cache.beginRequest(task, Begin));
-    cr_assert_not(cache.beginRequest(task, Begin), "one request at a time");
-    cache.handleResult({"job", 0, 1, 0}, PlacementAdvice{{{"w", "t"}}, 3s}, Begin, Begin + 100ms);
+    cr_assert_eq(cache.beginRequest(task, {"w"}, Begin).size(), 1);
+    cr_assert(cache.beginRequest(task, {"w"}, Begin).empty(), "one request at a time");
+    cache.handleResult({"job", 0, 1, 0}, {"w"}, PlacementAdvice{{{"w", "t"}}, 3s}, Begin, Begin + 100ms);
     cr_assert_eq(cache.tickets(task, Begin + 1s)->at("w"), "t");
-    cr_assert_null(cache.tickets(task, Begin + 3s));
-    cache.discard(task, "w");
+    cache.discard(task, "w", Begin + 1s);
     cr_assert_null(cache.tickets(task, Begin + 1s));
+    cr_assert_not(cache.canRequest(task, Begin + 1s), "a rejected ticket is replaced after a delay");
+    cr_assert_eq(cache.beginRequest(task, {"w"}, Begin + 2s).size(), 1);
+    cache.handleResult(task, {"w"}, PlacementAdvice{{{"w", "t"}}, 3s}, Begin + 2s, Begin + 2s);
+    cr_assert_null(cache.tickets(task, Begin + 5s));
+}
+
+Test(ticketCache, asksAboutAllowedWorkersFirstAndNeverAboutExcludedOnes)
+{
+    TicketCache cache;
+    const TaskId task{"job", 0, 1, 5};
+    cr_assert_eq(cache.beginRequest(task, {"a", "b"}, Begin).size(), 2);
+    cache.handleResult(task, {"a", "b"}, PlacementAdvice{{{"b", "t"}}, 1s}, Begin, Begin);
+    const std::vector<std::string> next = cache.beginRequest(task, {"a", "new", "b"}, Begin + 2s);
+    cr_assert_null(cache.tickets(task, Begin + 2s));
+    cr_assert_eq(next, (std::vector<std::string>{"b", "new"}));
 }
