An end of a job that either topic tells is final

Cause: the end of a job is stored by two independent appends. The runs topic had the second failure, no open run and the phase Failed; restoreJob took the phase from the job topic only, and nothing but endRun compared failures with the limit.

Change: restoreJob takes an end from either record, and the new owner stores it in the job topic at once. isOutOfAttempts is the one comparison with the limit, asked at the end of a run and before a step is placed. A job that was cancelled during a takeover takes the same path; its end was never stored, so it was never removed.

Tests: runsTopic/aFailureThatOnlyTheRunsTopicTellsEndsTheJob, aTaskWithoutFurtherAttemptsIsNotStarted and theEndOfAJobThatWasCancelledBeforeATakeoverIsStored failed before.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -63,8 +63,13 @@
     m_passEnds.clear();
     m_listingWorkers = false;
     for (const auto &[jobId, entry] : table.jobs()) {
-        if (entry.submission) {
-            adoptOpenRuns(m_jobs.add(jobId, entry));
+        if (!entry.submission) {
+            continue;
+        }
+        JobExecution &job = m_jobs.add(jobId, entry);
+        adoptOpenRuns(job);
+        if (job.isEnded() && job.storedPhase != phaseOf(progressOf(job))) {
+            m_jobs.markUrgent(job); // the earlier owner has not stored the end in the job topic
         }
     }
 }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -233,6 +233,10 @@
     void markDone(const TaskId &id, TaskExecution &task);
     void finishOccurrences(JobExecution &job);
     void recordFailedRun(const TaskId &id, TaskExecution &task, TimePoint now);
+    /// Returns true if a run of @p task must not be started, because earlier ones have failed too often.
+    static bool isOutOfAttempts(const TaskExecution &task, const Wire::TaskStep &step, const QueueInfo &queue);
+
+    void failJob(JobExecution &job, TimePoint now);
     void reportEnd(const JobExecution &job);
     void endJob(JobExecution &job, TimePoint now);
     bool canStart(TimePoint now) const;
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -147,7 +147,16 @@
 
 void Dispatcher::placeStep(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now)
 {
+    if (job.isEnded()) {
+        return; // another step has failed in this pass
+    }
     StepExecution &execution = job.occurrences.at(occurrence)[static_cast<std::size_t>(step)];
+    // An earlier owner may have stored the last failure and not the end of the job.
+    const auto isExhausted = [&](const TaskExecution &task) { return task.phase == TaskPhase::Pending && isOutOfAttempts(task, job.step(step), queue); };
+    if (std::ranges::any_of(execution.tasks, isExhausted)) {
+        failJob(job, now);
+        return;
+    }
     std::map<std::string, int> perWorker = Internal::openTasksByWorker(execution);
     PlacementRequest request;
     request.step = &job.step(step);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -355,11 +355,22 @@
         return;
     }
     requeue(id, task, now);
-    const QueueInfo *queue = m_config.queues.contains(job->submission.queue) ? &m_config.queues.at(job->submission.queue) : nullptr;
-    const bool exhausted = queue != nullptr && !isLongRunning && task.failures >= queue->maximumFailures;
-    if (exhausted && !job->isEnded()) {
-        job->failed = true;
-        endJob(*job, now);
+    const auto queue = m_config.queues.find(job->submission.queue);
+    if (queue != m_config.queues.end() && isOutOfAttempts(task, job->step(id.step), queue->second)) {
+        failJob(*job, now);
+    }
+}
+
+bool Dispatcher::isOutOfAttempts(const TaskExecution &task, const Wire::TaskStep &step, const QueueInfo &queue)
+{
+    return !step.longRunning && task.failures >= queue.maximumFailures;
+}
+
+void Dispatcher::failJob(JobExecution &job, TimePoint now)
+{
+    if (!job.isEnded()) {
+        job.failed = true;
+        endJob(job, now);
     }
 }
 
--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -93,6 +93,9 @@
 
 void Dispatcher::addChanges(JobExecution &job, AppendRecords &append)
 {
+    if (job.isEnded() && job.endedAtMs == 0) {
+        job.endedAtMs = m_wallMs; // cancelled during a takeover
+    }
     const Wire::JobProgress progress = progressOf(job);
     const Wire::JobProgress phase = phaseOf(progress);
     if (std::exchange(job.hasRunsInJobTopic, false)) {
--- a/src/libs/dispatch/jobprogress.cpp
+++ b/src/libs/dispatch/jobprogress.cpp
@@ -146,14 +146,15 @@
     job.id = jobId;
     job.submission = *entry.submission;
     job.acceptedAt = WallTime(std::chrono::milliseconds(job.submission.acceptedAtMs));
-    // An end is in the job topic before the runs are removed from the other one, so the phase there decides.
+    // The two topics are appended to independently, so an earlier owner may have stored the end of the job in either. It is final.
     const Wire::JobProgress &progress = entry.runs ? *entry.runs : entry.progress;
+    const auto hasPhase = [&](Wire::JobPhase::type phase) { return entry.progress.phase == phase || progress.phase == phase; };
     job.finishedOccurrences = std::max(entry.progress.finishedOccurrences, progress.finishedOccurrences);
-    job.completed = entry.progress.phase == Wire::JobPhase::Completed;
-    job.failed = entry.progress.phase == Wire::JobPhase::Failed;
-    job.cancelled = entry.phase() == Wire::JobPhase::Cancelled;
+    job.completed = hasPhase(Wire::JobPhase::Completed);
+    job.failed = !job.completed && hasPhase(Wire::JobPhase::Failed);
+    job.cancelled = !job.completed && !job.failed && (entry.cancelled || hasPhase(Wire::JobPhase::Cancelled));
     job.hasStarted = entry.progress.phase != Wire::JobPhase::Pending || progress.phase != Wire::JobPhase::Pending;
-    job.endedAtMs = entry.progress.endedAtMs;
+    job.endedAtMs = std::max(entry.progress.endedAtMs, progress.endedAtMs);
     job.storedPhase = phaseOf(entry.progress);
     job.hasStoredRuns = entry.runs.has_value();
     job.hasRunsInJobTopic = !entry.runs && !entry.progress.steps.empty();
--- a/tests/libs/dispatch/testrunstopic.cpp
+++ b/tests/libs/dispatch/testrunstopic.cpp
@@ -59,15 +59,28 @@
         }
     }
 
-    /// Reports the runs as completed in the next reports.
-    void endRuns(std::size_t count)
+    /// Reports the runs as ended in the next reports.
+    void endRuns(std::size_t count, RunEndReason endReason = RunEndReason::Completed)
     {
         for (std::size_t index = 0; index < count; ++index) {
-            m_ends.push_back({static_cast<std::int64_t>(m_ends.size()) + 1, m_runs.back().task, m_runs.back().run, RunEndReason::Completed, ""});
+            m_ends.push_back({static_cast<std::int64_t>(m_ends.size()) + 1, m_runs.back().task, m_runs.back().run, endReason, ""});
             m_runs.pop_back();
         }
     }
 
+    /// Begins the term of another owner that finds what is durable.
+    void takeOver()
+    {
+        losesJobAppends = false;
+        dispatcher.beginTerm(2, loadedTable(), {now, now}, true);
+        WorkerInfo worker;
+        worker.id = "w";
+        worker.workerPool = "hall";
+        worker.address = "127.0.0.1:1";
+        worker.capacity.milliCores = 64'000;
+        dispatcher.updateWorker(worker);
+    }
+
     /// Returns the table of an instance that takes over with what is durable.
     JobTable loadedTable() const
     {
@@ -190,6 +203,56 @@
     cr_assert_eq(next.openRuns(), Tasks, "the next owner would start tasks again that are done");
 }
 
+// Guards against a start beyond the allowed failures when an owner dies between its appends to the two topics.
+Test(runsTopic, aFailureThatOnlyTheRunsTopicTellsEndsTheJob)
+{
+    TwoTopics topics;
+    topics.run(1s);
+    topics.losesJobAppends = true;
+    topics.endRuns(1, RunEndReason::Failed);
+    topics.run(2s);
+    cr_assert_not(topics.loadedTable().find("j")->isEnded());
+    topics.takeOver();
+    topics.run(10s);
+    cr_assert_eq(topics.starts, Tasks, "a task was started again after its last allowed failure");
+    cr_assert(topics.loadedTable().find("j")->phase() == Wire::JobPhase::Failed, "callers don't learn the end");
+}
+
+// The previous owner did not know the limit, because the queue was not in its configuration.
+Test(runsTopic, aTaskWithoutFurtherAttemptsIsNotStarted)
+{
+    TwoTopics topics;
+    topics.run(1s);
+    Wire::JobProgress progress;
+    progress.phase = Wire::JobPhase::Running;
+    Wire::StepMarks marks;
+    marks.marks.resize(1);
+    marks.marks[0].run = 1;
+    marks.marks[0].failures = 1;
+    progress.steps = {marks};
+    topics.runsTopic[progressKey("j")] = {0, progressKey("j"), encode(progress)};
+    topics.takeOver();
+    topics.run(10s);
+    cr_assert_eq(topics.starts, Tasks, "a task was started again after its last allowed failure");
+    cr_assert(topics.loadedTable().find("j")->phase() == Wire::JobPhase::Failed);
+}
+
+// A job that was cancelled during a takeover must be removed some time, like any other job that has ended.
+Test(runsTopic, theEndOfAJobThatWasCancelledBeforeATakeoverIsStored)
+{
+    TwoTopics topics;
+    topics.run(1s);
+    topics.endRuns(Tasks);
+    topics.jobs.push_back({static_cast<std::int64_t>(topics.jobs.size()), cancellationKey("j"), "1"});
+    topics.runsTopic.clear();
+    topics.takeOver();
+    topics.run(2s);
+    const JobTable table = topics.loadedTable();
+    const TopicJob *job = table.find("j");
+    cr_assert(job->progress.phase == Wire::JobPhase::Cancelled);
+    cr_assert_gt(job->progress.endedAtMs, 0);
+}
+
 Test(runsTopic, runsOfEndedOrRemovedJobsAreRemovedByTheNextOwner)
 {
     TwoTopics topics;
