An expired lease does not tell how a run ended

Cause: the owner couldn't reach a worker for longer than a lease and took its runs for lost. The worker lived; one of its runs had completed before. The task was assigned again, so the end in the next report was ignored and acknowledged.

Change: an end that is listed late counts unless a later run has been started, and withdraws one that is only assigned. A late failure counts too (BUDGET). Tasks of a worker that does not respond but is registered are given up 6 s after its lease; serving tasks never complete and are replaced at once as before. An end that comes after the next start is logged. The line about expired leases is not repeated each tick any more while a run is only assigned there.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -66,6 +66,16 @@
     int startsSent = 0; // start commands that the worker may have executed; 0: sent by an earlier owner
 };
 
+/// Log event: a worker has listed the end of a run that was considered lost, after another run of the task was started.
+struct LateEndIgnored
+{
+    TaskId task;
+    int run = 0;
+    std::string worker;
+    int newestRun = 0;
+    std::string newestWorker;
+};
+
 /// Log event: a job has ended.
 struct JobEnded
 {
@@ -193,6 +203,7 @@
                                     ListLiveWorkers,
                                     StepDown,
                                     RunEnded,
+                                    LateEndIgnored,
                                     JobEnded,
                                     StartWithdrawn,
                                     WorkerRestarted,
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -195,6 +195,13 @@
     /// Returns the open runs of @p worker that have @p property.
     std::vector<TaskId> runsWith(const WorkerState &worker, const std::function<bool(const TaskId &, const TaskExecution &)> &property);
     void handleEndedRun(WorkerState &worker, const ReportedRunEnd &end, TimePoint now);
+
+    /// Returns true if no run of @p task after @p endedRun was started. The end of that run counts then, although it was considered lost:
+    /// an expired lease proves that a run has ended, but not that it has not completed or failed before.
+    static bool isWithoutLaterStart(const TaskExecution &task, int endedRun);
+
+    /// Ends the run of @p task that @p worker has listed after it was considered lost, and withdraws the next one.
+    void acceptLateEnd(WorkerState &worker, const ReportedRunEnd &end, TaskExecution &task, TimePoint now);
     void handleReportedRun(WorkerState &worker, const ReportedRun &run, TimePoint now);
     void updateProgress(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now);
     void updateExpectedEnd(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -345,6 +345,9 @@
     if (endReason == RunEndReason::Failed) {
         recordFailedRun(id, task, now);
     }
+    if (endReason == RunEndReason::LeaseExpired) {
+        task.unreportedRun = task.run;
+    }
     recordEndedBestEffortRun(id, task, now);
     recordRunLoss(task, evidence, now);
     recordRunEnd(job->history, id, task, endReason, now);
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds MaximumTimeOverTarget{1200};
 // A checkpointable run that is paused for this long is stopped, to resume on another worker.
 constexpr std::chrono::milliseconds MaximumPause{700};
+// Longest wait for the report of a worker that lives after its lease has expired. A run that has ended by then may have completed.
+constexpr std::chrono::milliseconds ReportGrace{6000};
 // Registrations in this time after the beginning of a term were made earlier and are not reported.
 constexpr std::chrono::milliseconds WorkerListingTime{2000};
 
@@ -86,18 +88,25 @@
         if (worker.isResponding() || now <= worker.leaseEnd) {
             continue;
         }
-        if (!worker.runs.empty()) {
-            m_actions.emplace_back(WorkerLeaseExpired{id, worker.failedPolls, worker.runs.size()});
+        // Its entry shows that the worker lives, so it is likely to report soon how its runs have ended.
+        const bool awaitsReport = worker.registered && now - worker.leaseEnd <= Internal::ReportGrace;
+        const auto runs = runsWith(
+            worker, [&](const TaskId &task, const TaskExecution &run) { return run.phase != TaskPhase::Assigned && (!awaitsReport || isServingTask(task)); });
+        if (!runs.empty()) {
+            m_actions.emplace_back(WorkerLeaseExpired{id, worker.failedPolls, runs.size()});
         }
-        const auto runs = worker.runs; // copied because requeue() modifies the map
-        for (const auto &[task, profile] : runs) {
-            TaskExecution *run = m_jobs.task(task);
-            if (run == nullptr) {
-                worker.removeRun(task);
-            } else if (run->phase != TaskPhase::Assigned) {
-                endRun(task, *run, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::LeaseExpired);
+        for (const TaskId &task : runs) {
+            endRun(task, *m_jobs.task(task), RunEndReason::LeaseExpired, {}, now, RunEndEvidence::LeaseExpired);
+        }
+        std::vector<TaskId> unknown;
+        for (const auto &[task, profile] : worker.runs) {
+            if (m_jobs.task(task) == nullptr) {
+                unknown.push_back(task);
             }
         }
+        for (const TaskId &task : unknown) {
+            worker.removeRun(task);
+        }
     }
 }
 
@@ -285,14 +294,37 @@
     }
     worker.processedEndSequence = end.sequence;
     TaskExecution *task = m_jobs.task(end.task);
-    if (task != nullptr && task->phase == TaskPhase::Pending && task->run == end.run && end.endReason == RunEndReason::Completed) {
-        task->worker = worker.info.id; // the run was considered lost too early
-        endRun(end.task, *task, end.endReason, end.checkpoint, now, RunEndEvidence::Report);
+    if (task == nullptr || task->phase == TaskPhase::Done) {
         return;
     }
-    if (task != nullptr && task->isOpen() && task->worker == worker.info.id && task->run == end.run) {
+    if (task->isOpen() && task->worker == worker.info.id && task->run == end.run) {
         endRun(end.task, *task, end.endReason, end.checkpoint, now, RunEndEvidence::Report);
+        return;
+    }
+    // An earlier owner may have counted a failure that is still listed.
+    const bool counts = end.endReason == RunEndReason::Completed || (end.endReason == RunEndReason::Failed && end.run == task->unreportedRun);
+    if (counts && isWithoutLaterStart(*task, end.run)) {
+        acceptLateEnd(worker, end, *task, now);
+    } else if (counts && end.run < task->run) {
+        m_actions.emplace_back(LateEndIgnored{end.task, end.run, worker.info.id, task->run, task->worker});
+    }
+}
+
+bool Dispatcher::isWithoutLaterStart(const TaskExecution &task, int endedRun)
+{
+    const bool isAssignedAgain = task.phase == TaskPhase::Assigned && endedRun < task.run;
+    return isAssignedAgain || (task.phase == TaskPhase::Pending && endedRun <= task.run);
+}
+
+void Dispatcher::acceptLateEnd(WorkerState &worker, const ReportedRunEnd &end, TaskExecution &task, TimePoint now)
+{
+    if (task.phase == TaskPhase::Assigned) {
+        m_actions.emplace_back(StartWithdrawn{end.task, task.run, task.worker});
+        requeue(end.task, task, now);
     }
+    task.unreportedRun = 0;
+    task.worker = worker.info.id;
+    endRun(end.task, task, end.endReason, end.checkpoint, now, RunEndEvidence::Report);
 }
 
 void Dispatcher::handleReportedRun(WorkerState &worker, const ReportedRun &run, TimePoint now)
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -193,6 +193,19 @@
                {{"worker", worker.worker}, {"failed_polls", worker.failedPolls}, {"open_runs", worker.openRuns}});
 }
 
+void logAction(const LateEndIgnored &end)
+{
+    logMessage(LogLevel::Warning,
+               "owner",
+               "late run end ignored",
+               {{"job_id", end.task.job},
+                {"task", end.task.toString()},
+                {"run", end.run},
+                {"worker", end.worker},
+                {"newest_run", end.newestRun},
+                {"newest_worker", end.newestWorker}});
+}
+
 void logAction(const WorkerProcessEnded &worker)
 {
     logMessage(LogPriority::StateChange,
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -17,6 +17,7 @@
 
 /// Logs an action of the dispatcher that changes the owner's state.
 void logAction(const RunEnded &end);
+void logAction(const LateEndIgnored &end);
 void logAction(const JobEnded &end);
 void logAction(const WorkerRestarted &worker);
 void logAction(const WorkerLeaseExpired &worker);
