Name the question about late ends after what it asks, and separate declarations

Found when reading the diff: the end of a lost run also counts if a later run has been started and has ended without a result. Names and comments only.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -196,9 +196,9 @@
     std::vector<TaskId> runsWith(const WorkerState &worker, const std::function<bool(const TaskId &, const TaskExecution &)> &property);
     void handleEndedRun(WorkerState &worker, const ReportedRunEnd &end, TimePoint now);
 
-    /// Returns true if no run of @p task after @p endedRun was started. The end of that run counts then, although it was considered lost:
-    /// an expired lease proves that a run has ended, but not that it has not completed or failed before.
-    static bool isWithoutLaterStart(const TaskExecution &task, int endedRun);
+    /// Returns true if no run of @p task after @p endedRun may be running. The end of that run counts then, although it was considered
+    /// lost: an expired lease proves that a run has ended, but not that it has not completed or failed before.
+    static bool isWithoutLaterRun(const TaskExecution &task, int endedRun);
 
     /// Ends the run of @p task that @p worker has listed after it was considered lost, and withdraws the next one.
     void acceptLateEnd(WorkerState &worker, const ReportedRunEnd &end, TaskExecution &task, TimePoint now);
@@ -240,6 +240,7 @@
     void markDone(const TaskId &id, TaskExecution &task);
     void finishOccurrences(JobExecution &job);
     void recordFailedRun(const TaskId &id, TaskExecution &task, TimePoint now);
+
     /// Returns true if a run of @p task must not be started, because earlier ones have failed too often.
     static bool isOutOfAttempts(const TaskExecution &task, const Wire::TaskStep &step, const QueueInfo &queue);
 
@@ -253,6 +254,7 @@
     void recordShortTaskDemand(TimePoint now);
     void placeStep(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now);
     void placeGang(JobExecution &job, int occurrence, int step, const WorkerRanking &ranking, PlacementRequest &request, TimePoint now);
+
     /// Assigns runs of the pending tasks of @p step, of which each worker has as many as @p perWorker says.
     void
     placeTasks(JobExecution &job, const TaskId &step, WorkerRanking &ranking, PlacementRequest &request, std::map<std::string, int> &perWorker, TimePoint now);
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -303,14 +303,14 @@
     }
     // An earlier owner may have counted a failure that is still listed.
     const bool counts = end.endReason == RunEndReason::Completed || (end.endReason == RunEndReason::Failed && end.run == task->unreportedRun);
-    if (counts && isWithoutLaterStart(*task, end.run)) {
+    if (counts && isWithoutLaterRun(*task, end.run)) {
         acceptLateEnd(worker, end, *task, now);
     } else if (counts && end.run < task->run) {
         m_actions.emplace_back(LateEndIgnored{end.task, end.run, worker.info.id, task->run, task->worker});
     }
 }
 
-bool Dispatcher::isWithoutLaterStart(const TaskExecution &task, int endedRun)
+bool Dispatcher::isWithoutLaterRun(const TaskExecution &task, int endedRun)
 {
     const bool isAssignedAgain = task.phase == TaskPhase::Assigned && endedRun < task.run;
     return isAssignedAgain || (task.phase == TaskPhase::Pending && endedRun <= task.run);
