--- a/src/libs/dispatch/dispatchdepartures.cpp
+++ b/src/libs/dispatch/dispatchdepartures.cpp
@@ -71,7 +71,7 @@
             return isStopped && now - task.confirmedAt >= stopDuration && isServingTask(id);
         });
         for (const TaskId &id : stopped) {
-            endRun(id, *m_jobs.task(id), RunEndReason::Stopped, {}, now);
+            endRun(id, *m_jobs.task(id), RunEndReason::Stopped, {}, now, RunEndEvidence::StopConfirmed);
         }
     }
 }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -231,12 +231,7 @@
     void sendStop(const TaskId &id, const TaskExecution &task);
     void abandonRun(const TaskId &id, TaskExecution &task, TimePoint now);
     void requeue(const TaskId &id, TaskExecution &task, TimePoint now);
-    void endRun(const TaskId &id,
-                TaskExecution &task,
-                RunEndReason endReason,
-                const std::string &checkpoint,
-                TimePoint now,
-                std::optional<RunEndEvidence> evidence = {});
+    void endRun(const TaskId &id, TaskExecution &task, RunEndReason endReason, const std::string &checkpoint, TimePoint now, RunEndEvidence evidence);
     void markDone(const TaskId &id, TaskExecution &task);
     void finishOccurrences(JobExecution &job);
     void recordFailedRun(const TaskId &id, TaskExecution &task, TimePoint now);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -18,12 +18,6 @@
 // Upper bound of the time by which responses are reordered.
 constexpr std::chrono::milliseconds ReorderingTolerance{1000};
 
-/// Returns the evidence of an end that neither a report nor a lease has told.
-static RunEndEvidence evidenceWithoutReport(RunEndReason endReason)
-{
-    return endReason == RunEndReason::Stopped ? RunEndEvidence::StopConfirmed : RunEndEvidence::ProcessEnded;
-}
-
 } // namespace Internal
 
 bool Dispatcher::canStart(TimePoint now) const
@@ -328,8 +322,7 @@
     }
 }
 
-void Dispatcher::endRun(
-    const TaskId &id, TaskExecution &task, RunEndReason endReason, const std::string &checkpoint, TimePoint now, std::optional<RunEndEvidence> evidence)
+void Dispatcher::endRun(const TaskId &id, TaskExecution &task, RunEndReason endReason, const std::string &checkpoint, TimePoint now, RunEndEvidence evidence)
 {
     JobExecution *job = m_jobs.find(id.job);
     if (endReason == RunEndReason::Completed || endReason == RunEndReason::Failed) {
@@ -351,8 +344,7 @@
     recordEndedBestEffortRun(id, task, now);
     recordRunLoss(task, evidence, now);
     recordRunEnd(job->history, id, task, endReason, now);
-    m_actions.emplace_back(RunEnded{
-        id, task.run, task.worker, endReason, task.failures, isLongRunning, evidence.value_or(Internal::evidenceWithoutReport(endReason)), task.startsSent});
+    m_actions.emplace_back(RunEnded{id, task.run, task.worker, endReason, task.failures, isLongRunning, evidence, task.startsSent});
     if (endReason == RunEndReason::Completed && !isLongRunning) {
         markDone(id, task);
         return;
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -54,7 +54,7 @@
     bool toldRegistered = false; // as in the last log event
     bool toldDraining = false;
     int toldQuarantines = 0;
-    bool refusesConnections = false; // the last poll was refused; its process may have ended
+    bool refusesConnections = false; // a poll since the last report was refused; its process may have ended
     std::optional<TimePoint> missingSince; // since then not responding, and not registered or refusing connections
     TimePoint leaseEnd{}; // unless the lease is renewed, all runs have ended by then
 
--- a/tests/libs/dispatch/testrunstopic.cpp
+++ b/tests/libs/dispatch/testrunstopic.cpp
@@ -73,6 +73,11 @@
     {
         losesJobAppends = false;
         dispatcher.beginTerm(2, loadedTable(), {now, now}, true);
+        registerWorker();
+    }
+
+    void registerWorker()
+    {
         WorkerInfo worker;
         worker.id = "w";
         worker.workerPool = "hall";
@@ -284,12 +289,7 @@
     topics.runsTopic.clear();
     topics.appends.clear();
     topics.dispatcher.beginTerm(2, table, {topics.now, topics.now}, true);
-    WorkerInfo worker;
-    worker.id = "w";
-    worker.workerPool = "hall";
-    worker.address = "127.0.0.1:1";
-    worker.capacity.milliCores = 64'000;
-    topics.dispatcher.updateWorker(worker);
+    topics.registerWorker();
     topics.run(1s);
     topics.endRuns(Tasks);
     topics.run(2s);
