Log lines for tasks that wait and for free places of each size

Change: every two seconds the owner logs the waiting tasks by kind and size, and for the step that has waited longest the number of workers by the obstacle that keeps the task away. 'load' has the number of workers by unreserved capacity. WorkerRanking::fits() follows from the same function, so that the line can't differ from the decision. isReady(), openTasksByWorker() and releaseTime() move to the state that they read.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -167,33 +167,6 @@
     return count;
 }
 
-DispatchSummary Dispatcher::summary(TimePoint now)
-{
-    DispatchSummary summary;
-    summary.openRuns = openRuns();
-    for (const auto &[id, worker] : m_workers) {
-        summary.registeredWorkers += worker.registered ? 1 : 0;
-        summary.drainingWorkers += worker.registered && worker.info.draining ? 1 : 0;
-        summary.unreachableWorkers += worker.isUnreachable() ? 1 : 0;
-        summary.unreachableRuns += worker.isUnreachable() || !worker.registered ? worker.runs.size() : 0;
-        if (!canStartOn(worker, now)) {
-            continue;
-        }
-        ++summary.workers;
-        summary.milliCores += worker.info.capacity.milliCores;
-        summary.freeMilliCores += worker.freeCapacity().milliCores;
-        summary.idleMilliCores += worker.expectedIdleMilliCores(m_colocation.forecast(worker, now));
-    }
-    for (JobExecution *job : m_jobs.activeJobs()) {
-        Internal::forEachTask(*job, [&](const TaskId &id, const TaskExecution &task) {
-            const Wire::TaskStep &step = job->step(id.step);
-            std::size_t &count = step.longRunning ? summary.pendingServing : step.fillsIdle ? summary.pendingBestEffort : summary.pendingReserved;
-            count += task.phase == TaskPhase::Pending ? 1 : 0;
-        });
-    }
-    return summary;
-}
-
 RunProfile Dispatcher::runProfile(const Wire::TaskStep &step, int run)
 {
     RunProfile profile = profileOf(step, run);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -245,6 +245,12 @@
     bool canStart(TimePoint now) const;
     bool canStartOn(const WorkerState &worker, TimePoint now) const;
 
+    /// Adds which tasks wait, and why.
+    void addWaitingTasks(DispatchSummary &summary, TimePoint now);
+
+    /// Counts in @p waiting the workers that can take a task of @p stepId, and the others by why they can't.
+    void addObstacles(WaitingTasks &waiting, const WorkerRanking &ranking, const TaskId &stepId, const StepExecution &execution, TimePoint now);
+
     void placePendingTasks(TimePoint now, WallTime wall);
     void recordShortTaskDemand(TimePoint now);
     void placeStep(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now);
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -23,30 +23,14 @@
     int step = 0;
 };
 
-static bool isReady(const std::vector<StepExecution> &steps, const Wire::TaskStep &step)
-{
-    return std::ranges::all_of(step.after, [&](std::int32_t earlier) {
-        const auto index = static_cast<std::size_t>(earlier);
-        return index >= steps.size() || steps[index].isDone();
-    });
-}
-
 static bool hasPendingTask(const StepExecution &step, TimePoint now)
 {
     return std::ranges::any_of(step.tasks, [&](const TaskExecution &task) { return task.phase == TaskPhase::Pending && task.notBefore <= now; });
 }
 
-static WallTime releaseTimeOf(const JobExecution &job, int occurrence)
-{
-    if (job.submission.repeatCount == 0) {
-        return job.acceptedAt;
-    }
-    return WallTime(std::chrono::milliseconds(job.submission.startAtMs + occurrence * job.submission.intervalMs));
-}
-
 static PendingWork pendingWork(const JobExecution &job, int occurrence, const std::vector<StepExecution> &steps)
 {
-    PendingWork work{job.id, job.submission, releaseTimeOf(job, occurrence), {}, false};
+    PendingWork work{job.id, job.submission, job.releaseTime(occurrence), {}, false};
     for (const StepExecution &step : steps) {
         work.doneSteps.push_back(step.isDone());
         work.isStarted = work.isStarted || std::ranges::any_of(step.tasks, [](const TaskExecution &task) { return task.run > 0; });
@@ -82,17 +66,6 @@
     return count;
 }
 
-static std::map<std::string, int> openTasksByWorker(const StepExecution &step)
-{
-    std::map<std::string, int> counts;
-    for (const TaskExecution &task : step.tasks) {
-        if (task.isOpen()) {
-            ++counts[task.worker];
-        }
-    }
-    return counts;
-}
-
 } // namespace Internal
 
 void Dispatcher::placePendingTasks(TimePoint now, WallTime wall)
@@ -134,7 +107,7 @@
         for (const auto &[occurrence, steps] : job->occurrences) {
             for (std::size_t index = 0; index < steps.size(); ++index) {
                 const Wire::TaskStep &step = job->submission.steps[index];
-                if (!step.longRunning && !step.fillsIdle && Internal::isReady(steps, step)) {
+                if (!step.longRunning && !step.fillsIdle && isReady(steps, step)) {
                     demand[queue->second.workerPool] += step.milliCores * (step.taskCount - steps[index].done);
                 }
             }
@@ -157,7 +130,7 @@
         failJob(job, now);
         return;
     }
-    std::map<std::string, int> perWorker = Internal::openTasksByWorker(execution);
+    std::map<std::string, int> perWorker = openTasksByWorker(execution);
     PlacementRequest request;
     request.step = &job.step(step);
     request.workerPool = queue.workerPool;
--- a/src/libs/dispatch/dispatchsummary.h
+++ b/src/libs/dispatch/dispatchsummary.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "waitingtasks.h"
+
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <vector>
 
 namespace Hyssop {
 
@@ -20,6 +24,8 @@
     std::int64_t milliCores = 0; // capacity of the workers counted above
     std::int64_t freeMilliCores = 0;
     std::int64_t idleMilliCores = 0; // capacity that all tasks are expected to leave idle
+    std::map<std::int64_t, std::size_t> workersByFreeMilliCores; // number of workers with at least as much unreserved capacity
+    std::vector<WaitingTasks> waiting; // tasks that could start now, if they had a worker
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/jobexecution.h
+++ b/src/libs/dispatch/jobexecution.h
@@ -33,6 +33,13 @@
 
     bool isEnded() const { return cancelled || failed || completed; }
     int occurrenceCount() const { return submission.repeatCount > 0 ? submission.repeatCount : 1; }
+
+    /// Returns from when on the tasks of @p occurrence may run.
+    WallTime releaseTime(int occurrence) const
+    {
+        return submission.repeatCount == 0 ? acceptedAt : WallTime(std::chrono::milliseconds(submission.startAtMs + occurrence * submission.intervalMs));
+    }
+
     const Wire::TaskStep &step(int index) const { return submission.steps[static_cast<std::size_t>(index)]; }
 };
 
--- /dev/null
+++ b/src/libs/dispatch/placementobstacle.h
@@ -0,0 +1,21 @@
+#pragma once
+
+namespace Hyssop {
+
+/// Why a worker can't take a task.
+enum class PlacementObstacle {
+    Unavailable, // not registered, unreachable, draining, evacuated, or its last report is too old
+    Quarantine, // it has failed tasks
+    WorkerPool,
+    ProcessorCapacity,
+    Memory,
+    Accelerators,
+    RackOrLabel,
+    TasksPerWorker, // it runs as many tasks of the step as the step allows
+    Advice,
+    OverTarget, // a serving task exceeds its target, so no best-effort task starts
+    IdleProcessorTime,
+    Headroom, // a best-effort task would bring a serving task over its target
+};
+
+} // namespace Hyssop
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -25,14 +25,6 @@
 // serving runs of another image gets the negative score.
 constexpr std::int64_t SameImageBonus = 1'000'000;
 
-static bool acceptsTasks(const WorkerState &worker, const std::set<std::string> &evacuatedDomains, TimePoint now)
-{
-    if (!worker.isSchedulable(evacuatedDomains) || now - worker.lastReportAt > WorkerTimeout) {
-        return false;
-    }
-    return worker.health.acceptsTask(now);
-}
-
 static bool hasLabel(const WorkerState &worker, const std::string &label)
 {
     return label.empty() || std::ranges::find(worker.info.labels, label) != worker.info.labels.end();
@@ -66,10 +58,16 @@
                              const ColocationPolicy &colocationPolicy,
                              TimePoint now)
     : m_workers(std::move(workers))
+    , m_evacuatedDomains(evacuatedDomains)
     , m_colocation(colocationPolicy)
     , m_now(now)
 {
-    std::erase_if(m_workers, [&](const WorkerState *worker) { return !Internal::acceptsTasks(*worker, evacuatedDomains, now); });
+    std::erase_if(m_workers, [&](const WorkerState *worker) { return !isAvailable(*worker) || !worker->health.acceptsTask(now); });
+}
+
+bool WorkerRanking::isAvailable(const WorkerState &worker) const
+{
+    return worker.isSchedulable(m_evacuatedDomains) && m_now - worker.lastReportAt <= Internal::WorkerTimeout;
 }
 
 WorkerState *WorkerRanking::choose(const PlacementRequest &request) const
@@ -238,38 +236,53 @@
     return worker.forecast;
 }
 
-bool WorkerRanking::canColocate(WorkerState &worker, const PlacementRequest &request) const
+std::optional<PlacementObstacle> WorkerRanking::colocationObstacle(WorkerState &worker, const PlacementRequest &request) const
 {
     const ServingForecast &forecast = forecastOf(worker);
-    if (worker.overTargetSince || worker.expectedIdleMilliCores(forecast) * 100 < request.step->milliCores * Internal::MinimumIdlePercent) {
-        return false;
+    if (worker.overTargetSince) {
+        return PlacementObstacle::OverTarget;
+    }
+    if (worker.expectedIdleMilliCores(forecast) * 100 < request.step->milliCores * Internal::MinimumIdlePercent) {
+        return PlacementObstacle::IdleProcessorTime;
     }
     const bool isShort = request.step->estimateMs <= ServingForecast::ShortHorizon.count();
-    return std::ranges::all_of(forecast.headrooms, [&](const ServingForecast::Headroom &headroom) {
+    const bool hasHeadroom = std::ranges::all_of(forecast.headrooms, [&](const ServingForecast::Headroom &headroom) {
         const double added = m_colocation.addedUtilization(headroom.image, *request.profile, worker.info.capacity.milliCores);
         return added < ColocationPolicy::NegligibleUtilization || added < (isShort ? headroom.shortTerm : headroom.longTerm);
     });
+    return hasHeadroom ? std::nullopt : std::optional(PlacementObstacle::Headroom);
 }
 
-bool WorkerRanking::fits(WorkerState &worker, const PlacementRequest &request) const
+std::optional<PlacementObstacle> WorkerRanking::obstacle(WorkerState &worker, const PlacementRequest &request) const
 {
     const Wire::TaskStep &step = *request.step;
-    if (!request.profile->reserved.fitsIn(worker.freeCapacity())) {
-        return false;
+    const Resources &needed = request.profile->reserved;
+    const Resources free = worker.freeCapacity();
+    if (needed.milliCores > free.milliCores) {
+        return PlacementObstacle::ProcessorCapacity;
+    }
+    if (needed.memoryBytes > free.memoryBytes) {
+        return PlacementObstacle::Memory;
+    }
+    if (!needed.fitsIn(free)) {
+        return PlacementObstacle::Accelerators;
+    }
+    if (worker.info.workerPool != request.workerPool) {
+        return PlacementObstacle::WorkerPool;
     }
-    if (worker.info.workerPool != request.workerPool || !worker.health.acceptsTask(m_now)) {
-        return false;
+    if (!worker.health.acceptsTask(m_now)) {
+        return PlacementObstacle::Quarantine;
     }
     if ((!request.rack.empty() && worker.info.rack != request.rack) || !Internal::hasLabel(worker, step.label)) {
-        return false;
+        return PlacementObstacle::RackOrLabel;
     }
     if (step.perWorker > 0 && Internal::openTasks(request, worker.info.id) >= step.perWorker) {
-        return false;
+        return PlacementObstacle::TasksPerWorker;
     }
     if (request.tickets != nullptr && !request.tickets->contains(worker.info.id)) {
-        return false;
+        return PlacementObstacle::Advice;
     }
-    return !step.fillsIdle || canColocate(worker, request);
+    return step.fillsIdle ? colocationObstacle(worker, request) : std::nullopt;
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "placementobstacle.h"
 #include "workerstate.h"
 
 #include "hyssop_types.h"
@@ -7,6 +8,7 @@
 #include <utils/clock.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -40,8 +42,7 @@
 class WorkerRanking
 {
 public:
-    /// Selects the workers on which tasks can be started at @p now. The workers and @p colocationPolicy must outlive this
-    /// object.
+    /// Selects the workers on which tasks can be started at @p now. The arguments must outlive this object.
     WorkerRanking(std::vector<WorkerState *> workers, const std::set<std::string> &evacuatedDomains, const ColocationPolicy &colocationPolicy, TimePoint now);
 
     /// Returns the worker with the highest score, or a null pointer if none is suitable.
@@ -68,9 +69,15 @@
     /// it now, and then the others, each by decreasing free processor capacity.
     std::vector<std::string> adviceCandidates(PlacementRequest request) const;
 
+    /// Returns true if @p worker can take tasks, unless it is quarantined.
+    bool isAvailable(const WorkerState &worker) const;
+
+    /// Returns why @p worker can't take a task of @p request, or nothing if it can.
+    std::optional<PlacementObstacle> obstacle(WorkerState &worker, const PlacementRequest &request) const;
+
 private:
-    bool fits(WorkerState &worker, const PlacementRequest &request) const;
-    bool canColocate(WorkerState &worker, const PlacementRequest &request) const;
+    bool fits(WorkerState &worker, const PlacementRequest &request) const { return !obstacle(worker, request); }
+    std::optional<PlacementObstacle> colocationObstacle(WorkerState &worker, const PlacementRequest &request) const;
 
     std::int64_t score(WorkerState &worker, const PlacementRequest &request) const;
     std::int64_t servingScore(const WorkerState &worker, const PlacementRequest &request) const;
@@ -90,6 +97,7 @@
     void recordUnschedulable(const PlacementRequest &request);
 
     std::vector<WorkerState *> m_workers;
+    const std::set<std::string> &m_evacuatedDomains;
     std::vector<UnschedulableRequest> m_unschedulable;
     const ColocationPolicy &m_colocation;
     TimePoint m_now;
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -3,6 +3,7 @@
 #include <dispatch/dispatchsummary.h>
 #include <observability/logging.h>
 #include <utils/overloaded.h>
+#include <utils/resources.h>
 
 namespace Hyssop {
 
@@ -307,6 +308,82 @@
     logMessage(LogPriority::StateChange, LogLevel::Info, "owner", "live workers listed", {{"workers", std::get<std::set<std::string>>(result).size()}});
 }
 
+/// Returns "MILLICORES:WORKERS" for each size, with the number of workers that have as much unreserved capacity.
+static std::string workersByFreeCapacity(const DispatchSummary &load)
+{
+    std::string text;
+    for (const auto &[milliCores, workers] : load.workersByFreeMilliCores) {
+        text += (text.empty() ? "" : ",") + std::to_string(milliCores) + ":" + std::to_string(workers);
+    }
+    return text;
+}
+
+static const char *kindName(TaskKind kind)
+{
+    switch (kind) {
+    case TaskKind::Reserved:
+        return "counted";
+    case TaskKind::BestEffort:
+        return "filling";
+    case TaskKind::Serving:
+        return "serving";
+    }
+    return "unknown";
+}
+
+static const char *obstacleName(PlacementObstacle obstacle)
+{
+    switch (obstacle) {
+    case PlacementObstacle::Unavailable:
+        return "unavailable";
+    case PlacementObstacle::Quarantine:
+        return "quarantine";
+    case PlacementObstacle::WorkerPool:
+        return "pool";
+    case PlacementObstacle::ProcessorCapacity:
+        return "cores";
+    case PlacementObstacle::Memory:
+        return "memory";
+    case PlacementObstacle::Accelerators:
+        return "accelerators";
+    case PlacementObstacle::RackOrLabel:
+        return "rack";
+    case PlacementObstacle::TasksPerWorker:
+        return "apart";
+    case PlacementObstacle::Advice:
+        return "advice";
+    case PlacementObstacle::OverTarget:
+        return "over_target";
+    case PlacementObstacle::IdleProcessorTime:
+        return "idle_time";
+    case PlacementObstacle::Headroom:
+        return "headroom";
+    }
+    return "unknown";
+}
+
+static void logWaitingTasks(const WaitingTasks &waiting)
+{
+    std::string obstacles;
+    for (const auto &[obstacle, workers] : waiting.workers) {
+        obstacles += (obstacles.empty() ? "" : ",") + std::string(obstacleName(obstacle)) + ":" + std::to_string(workers);
+    }
+    logMessage(LogPriority::Essential,
+               LogLevel::Info,
+               "owner",
+               "tasks waiting",
+               {{"kind", kindName(waiting.kind)},
+                {"up_to_millicores", static_cast<long long>(waiting.maximumMilliCores)},
+                {"tasks", waiting.tasks},
+                {"steps", waiting.steps},
+                {"job_id", waiting.jobId},
+                {"since_release_ms", static_cast<long long>(waiting.sinceRelease.count())},
+                {"millicores", static_cast<long long>(waiting.milliCores)},
+                {"memory_mb", static_cast<long long>(waiting.memoryBytes / BytesPerMegabyte)},
+                {"suitable_workers", waiting.suitableWorkers},
+                {"obstacles", obstacles}});
+}
+
 void logLoad(std::int64_t term, const DispatchSummary &load)
 {
     logMessage(LogPriority::Essential,
@@ -325,7 +402,11 @@
                 {"waiting_serving", load.pendingServing},
                 {"millicores", static_cast<long long>(load.milliCores)},
                 {"free_millicores", static_cast<long long>(load.freeMilliCores)},
-                {"idle_millicores", static_cast<long long>(load.idleMilliCores)}});
+                {"idle_millicores", static_cast<long long>(load.idleMilliCores)},
+                {"workers_by_free_millicores", workersByFreeCapacity(load)}});
+    for (const WaitingTasks &waiting : load.waiting) {
+        logWaitingTasks(waiting);
+    }
 }
 
 /// Returns a field with the time from the acceptance of a job to its first start.
