Serving tasks leave places for the largest short tasks

What callers saw: on a full fleet short tasks of 12 to 36 cores never start, although thousands of cores are free.

Cause: the reserve for short tasks is a sum over all workers. Serving tasks leave it in pieces of a few cores on each worker, in which no such task finds room.

Change: ShortTaskPlaces counts only workers where the largest short task of the last 10 to 20 s fits beside the serving tasks. A serving task that would break the reserve waits as before (1.8 s at most), now for each worker: it may start where it takes no place. Restarts, and tasks after 1.8 s, prefer such workers as well. The obstacle short_task_reserve is reported.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher.h"
 
 #include "schedulingkey.h"
+#include "shorttaskplaces.h"
 #include "workerranking.h"
 
 #include <jobtopic/joblimits.h>
@@ -54,6 +55,19 @@
     }
 }
 
+/// Returns the indexes of the tasks that may start, restarts first.
+static std::vector<std::size_t> startableTasks(const StepExecution &step, TimePoint now)
+{
+    std::vector<std::size_t> indexes;
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        if (step.tasks[index].phase == TaskPhase::Pending && step.tasks[index].notBefore <= now) {
+            indexes.push_back(index);
+        }
+    }
+    std::ranges::stable_partition(indexes, [&](std::size_t index) { return step.tasks[index].run > 0; });
+    return indexes;
+}
+
 static std::int64_t startedTasks(const JobExecution &job)
 {
     const auto isStarted = [](const TaskExecution &task) { return task.run > 0 && task.phase != TaskPhase::Done; };
@@ -98,7 +112,7 @@
 
 void Dispatcher::recordShortTaskDemand(TimePoint now)
 {
-    std::map<std::string, std::int64_t> demand;
+    std::map<std::string, ShortTaskReserve::Demand> demands;
     for (JobExecution *job : m_jobs.activeJobs()) {
         const auto queue = m_config.queues.find(job->submission.queue);
         if (queue == m_config.queues.end()) {
@@ -107,14 +121,16 @@
         for (const auto &[occurrence, steps] : job->occurrences) {
             for (std::size_t index = 0; index < steps.size(); ++index) {
                 const Wire::TaskStep &step = job->submission.steps[index];
-                if (!step.longRunning && !step.fillsIdle && isReady(steps, step)) {
-                    demand[queue->second.workerPool] += step.milliCores * (step.taskCount - steps[index].done);
+                if (!step.longRunning && !step.fillsIdle && !steps[index].isDone() && isReady(steps, step)) {
+                    ShortTaskReserve::Demand &demand = demands[queue->second.workerPool];
+                    demand.milliCores += step.milliCores * (step.taskCount - steps[index].done);
+                    demand.largestTask = std::max<std::int64_t>(demand.largestTask, step.milliCores);
                 }
             }
         }
     }
-    for (const auto &[workerPool, milliCores] : demand) {
-        m_shortTaskReserve.recordDemand(workerPool, milliCores, now);
+    for (const auto &[workerPool, demand] : demands) {
+        m_shortTaskReserve.recordDemand(workerPool, demand, now);
     }
 }
 
@@ -162,25 +178,27 @@
         const auto racks = ranking.racksByFreeCapacity(request.workerPool);
         request.rack = racks.empty() ? std::string() : racks.front();
     }
+    std::optional<ShortTaskPlaces> places;
+    if (request.step->longRunning) {
+        places.emplace(ranking.workers(), request.workerPool, m_shortTaskReserve);
+        request.shortTaskPlaces = &*places;
+    }
     std::vector<WorkerRanking::Candidate> candidates = ranking.rankCandidates(request);
     std::int64_t started = Internal::startedTasks(job);
-    for (std::size_t index = 0; index < execution.tasks.size() && !candidates.empty(); ++index) {
+    const bool canWait = m_wallMs - sinceEpoch(job.acceptedAt).count() < Internal::MaximumReserveDelay.count();
+    for (const std::size_t index : Internal::startableTasks(execution, now)) {
         TaskExecution &task = execution.tasks[index];
-        if (task.phase != TaskPhase::Pending || task.notBefore > now) {
-            continue;
-        }
         if (task.run == 0 && started >= MaximumStartedTasks) {
             continue;
         }
-        const bool isDeferrable =
-            request.step->longRunning && task.run == 0 && m_wallMs - sinceEpoch(job.acceptedAt).count() < Internal::MaximumReserveDelay.count();
-        if (isDeferrable && !ranking.leavesShortTaskReserve(request.workerPool, profile, m_shortTaskReserve)) {
-            return;
-        }
+        request.mustLeavePlaces = request.step->longRunning && task.run == 0 && canWait;
         WorkerState *worker = ranking.bestCandidate(candidates, request);
         if (worker == nullptr) {
             return;
         }
+        if (places) {
+            places->handleServingTask(*worker, profile.servingMilliCores);
+        }
         started += task.run == 0 ? 1 : 0;
         assignRun(job, {job.id, step.occurrence, step.step, static_cast<int>(index)}, task, *worker, task.run + 1, now);
         ++perWorker[worker->info.id];
--- a/src/libs/dispatch/shorttaskreserve.h
+++ b/src/libs/dispatch/shorttaskreserve.h
@@ -12,21 +12,34 @@
 ///
 /// Load pattern: long-running serving tasks fill the capacity, and bursts of short jobs then miss their deadlines. The
 /// reserve follows the recent peak demand of running and pending short tasks, and decays slowly after a burst, so that
-/// serving tasks get the capacity when short tasks don't need it.
+/// serving tasks get the capacity when short tasks don't need it. Capacity in pieces that are smaller than the largest short
+/// task of late doesn't count as reserved: that task would find no worker.
 class ShortTaskReserve
 {
 public:
-    /// Records that running and pending short tasks of @p workerPool need @p demand thousandths of a core.
-    void recordDemand(const std::string &workerPool, std::int64_t demand, TimePoint now);
+    /// Running and pending short tasks of a worker pool, in thousandths of a core.
+    struct Demand
+    {
+        std::int64_t milliCores = 0;
+        std::int64_t largestTask = 0;
+    };
+
+    void recordDemand(const std::string &workerPool, const Demand &demand, TimePoint now);
 
     /// Returns the reserve of @p workerPool, which has a total capacity of @p capacity, in thousandths of a core.
     std::int64_t milliCores(const std::string &workerPool, std::int64_t capacity) const;
 
+    /// Returns the size of the largest short task of @p workerPool in the last seconds, in thousandths of a core.
+    std::int64_t placeSize(const std::string &workerPool) const;
+
 private:
     struct Peak
     {
         double demand = 0;
         TimePoint at{};
+        std::int64_t largestTask = 0; // since sizesSince
+        std::int64_t previousLargestTask = 0; // in the period before
+        TimePoint sizesSince{};
     };
 
     std::map<std::string, Peak> m_peaks; // by worker pool
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -1,7 +1,7 @@
 #include "workerranking.h"
 
 #include "colocationpolicy.h"
-#include "shorttaskreserve.h"
+#include "shorttaskplaces.h"
 #include "workerstate.h"
 
 #include <algorithm>
@@ -24,6 +24,8 @@
 // Score of serving tasks for a worker whose serving runs all have the same image, in thousandths of a core; a worker with
 // serving runs of another image gets the negative score.
 constexpr std::int64_t SameImageBonus = 1'000'000;
+// Score penalty of serving tasks for taking a reserved place, in thousandths of a core; it outweighs a different image.
+constexpr std::int64_t ReservedPlacePenalty = 3'000'000;
 
 static bool hasLabel(const WorkerState &worker, const std::string &label)
 {
@@ -87,19 +89,6 @@
     return best;
 }
 
-bool WorkerRanking::leavesShortTaskReserve(const std::string &workerPool, const RunProfile &profile, const ShortTaskReserve &reserve) const
-{
-    std::int64_t capacity = 0;
-    std::int64_t free = -profile.reserved.milliCores;
-    for (const WorkerState *worker : m_workers) {
-        if (worker->info.workerPool == workerPool) {
-            capacity += worker->info.capacity.milliCores;
-            free += worker->info.capacity.milliCores - worker->servingCommitted;
-        }
-    }
-    return free >= reserve.milliCores(workerPool, capacity);
-}
-
 std::vector<std::string> WorkerRanking::racksByFreeCapacity(const std::string &workerPool) const
 {
     std::map<std::string, std::int64_t> freeByRack;
@@ -187,7 +176,7 @@
 
 void WorkerRanking::recordUnschedulable(const PlacementRequest &request)
 {
-    const bool hasNoOtherConditions = request.step->perWorker == 0 && request.tickets == nullptr && request.rack.empty();
+    const bool hasNoOtherConditions = request.step->perWorker == 0 && request.tickets == nullptr && request.rack.empty() && !request.mustLeavePlaces;
     if (hasNoOtherConditions && m_unschedulable.size() < Internal::MaximumUnschedulable) {
         m_unschedulable.push_back({request.workerPool, request.step->label, *request.profile});
     }
@@ -215,7 +204,8 @@
             }
         }
     }
-    return imageMatch * Internal::SameImageBonus - worker.freeCapacity().milliCores;
+    const bool sparesPlaces = request.shortTaskPlaces == nullptr || request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores);
+    return imageMatch * Internal::SameImageBonus - (sparesPlaces ? 0 : Internal::ReservedPlacePenalty) - worker.freeCapacity().milliCores;
 }
 
 std::int64_t WorkerRanking::bestEffortScore(WorkerState &worker, const PlacementRequest &request) const
@@ -282,6 +272,9 @@
     if (request.tickets != nullptr && !request.tickets->contains(worker.info.id)) {
         return PlacementObstacle::Advice;
     }
+    if (request.mustLeavePlaces && !request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores)) {
+        return PlacementObstacle::ShortTaskReserve;
+    }
     return step.fillsIdle ? colocationObstacle(worker, request) : std::nullopt;
 }
 
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -17,7 +17,7 @@
 namespace Hyssop {
 
 class ColocationPolicy;
-class ShortTaskReserve;
+class ShortTaskPlaces;
 
 /// Requirements of a task on its worker.
 struct PlacementRequest
@@ -28,6 +28,8 @@
     const std::map<std::string, std::string> *tickets = nullptr; // by id of the allowed workers; null: all are allowed
     const RunProfile *profile = nullptr; // resources that the task needs
     const std::map<std::string, int> *stepTasksByWorker = nullptr; // number of open tasks of the same step
+    const ShortTaskPlaces *shortTaskPlaces = nullptr; // that a serving task has to spare where possible; null: unknown
+    bool mustLeavePlaces = false; // the task waits rather than take a reserved place
 };
 
 /// Returns the resources that a run of a task of @p step uses.
@@ -58,9 +60,8 @@
     /// Returns the best of @p candidates after updating outdated scores, or a null pointer. The worker stays in the heap.
     WorkerState *bestCandidate(std::vector<Candidate> &candidates, const PlacementRequest &request) const;
 
-    /// Returns true if the capacity reserved for short tasks stays free of serving tasks after the start of one that needs
-    /// @p profile.
-    bool leavesShortTaskReserve(const std::string &workerPool, const RunProfile &profile, const ShortTaskReserve &reserve) const;
+    /// Returns the workers on which tasks can be started.
+    const std::vector<WorkerState *> &workers() const { return m_workers; }
 
     /// Returns the racks by decreasing free processor capacity.
     std::vector<std::string> racksByFreeCapacity(const std::string &workerPool) const;
