Reserve workers for large tasks that find no room

What callers saw: of a kind of short job the largest tenth is served at a third of the rate of all; large jobs never start while smaller ones of the same queue run all the time.

Cause: tasks are placed in order, but each only where it fits now. A piece that becomes free is taken at once by a smaller task that comes later, so the room of a large one is never in one piece.

Change: RoomReservations decides, without I/O, for which of the first steps in the order workers are kept: those that lack least of the room beside their serving tasks, at most a quarter of the suitable ones. Less urgent tasks (class, priority, deadline) start there only where they leave the reserved room; that a job was started before doesn't count, or started jobs would take each piece. A reservation ends with the pass that does not renew it. Expired jobs and the smallest tasks reserve nothing.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatchsummary.h"
 #include "jobregistry.h"
 #include "leasepolicy.h"
+#include "roomreservations.h"
 #include "shorttaskreserve.h"
 #include "ticketcache.h"
 #include "tokenrises.h"
@@ -28,6 +29,7 @@
 class WorkerRanking;
 struct ClaimTimes;
 struct PlacementRequest;
+struct SchedulingKey;
 
 /// Scheduler of the instance that owns the job topic. It performs no I/O: its inputs are records, results of commands and the time, its
 /// outputs are actions.
@@ -253,13 +255,16 @@
 
     void placePendingTasks(TimePoint now, WallTime wall);
     void recordShortTaskDemand(TimePoint now);
-    void placeStep(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now);
+    void placeStep(JobExecution &job, const TaskId &stepId, const SchedulingKey &key, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now);
     void placeGang(JobExecution &job, int occurrence, int step, const WorkerRanking &ranking, PlacementRequest &request, TimePoint now);
 
     /// Assigns runs of the pending tasks of @p step, of which each worker has as many as @p perWorker says.
     void
     placeTasks(JobExecution &job, const TaskId &step, WorkerRanking &ranking, PlacementRequest &request, std::map<std::string, int> &perWorker, TimePoint now);
 
+    /// Returns true if room may be reserved for the tasks of @p request. The smallest tasks need none: nothing takes their room.
+    bool canReserveRoom(const PlacementRequest &request) const;
+
     /// Asks the advice service about workers that could run the pending tasks of @p step, unless it knows enough or is being asked.
     void requestAdvice(const TaskId &step, const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now);
     void assignRun(JobExecution &job, const TaskId &id, TaskExecution &task, WorkerState &worker, int run, TimePoint now);
@@ -305,6 +310,7 @@
     TicketCache m_tickets;
     ColocationPolicy m_colocation;
     ShortTaskReserve m_shortTaskReserve;
+    RoomReservations m_reservations;
     std::vector<DispatchAction> m_actions;
     Intents m_newIntents; // not yet in a batch
     PendingBatch m_batch; // being appended
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -105,8 +105,9 @@
     }
     WorkerRanking ranking(std::move(workers), m_evacuated, m_colocation, now);
     std::ranges::sort(pending, [](const Internal::PendingStep &left, const Internal::PendingStep &right) { return left.key < right.key; });
+    m_reservations.beginPass();
     for (const Internal::PendingStep &item : pending) {
-        placeStep(*item.job, item.occurrence, item.step, ranking, m_config.queues.at(item.job->submission.queue), now);
+        placeStep(*item.job, {item.job->id, item.occurrence, item.step, 0}, item.key, ranking, m_config.queues.at(item.job->submission.queue), now);
     }
 }
 
@@ -124,6 +125,7 @@
                 if (!step.longRunning && !step.fillsIdle && !steps[index].isDone() && isReady(steps, step)) {
                     ShortTaskReserve::Demand &demand = demands[queue->second.workerPool];
                     demand.milliCores += step.milliCores * (step.taskCount - steps[index].done);
+                    demand.smallestTask = demand.largestTask == 0 ? step.milliCores : std::min<std::int64_t>(demand.smallestTask, step.milliCores);
                     demand.largestTask = std::max<std::int64_t>(demand.largestTask, step.milliCores);
                 }
             }
@@ -134,12 +136,13 @@
     }
 }
 
-void Dispatcher::placeStep(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now)
+void Dispatcher::placeStep(JobExecution &job, const TaskId &stepId, const SchedulingKey &key, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now)
 {
     if (job.isEnded()) {
         return; // another step has failed in this pass
     }
-    StepExecution &execution = job.occurrences.at(occurrence)[static_cast<std::size_t>(step)];
+    const int step = stepId.step;
+    StepExecution &execution = job.occurrences.at(stepId.occurrence)[static_cast<std::size_t>(step)];
     // An earlier owner may have stored the last failure and not the end of the job.
     const auto isExhausted = [&](const TaskExecution &task) { return task.phase == TaskPhase::Pending && isOutOfAttempts(task, job.step(step), queue); };
     if (std::ranges::any_of(execution.tasks, isExhausted)) {
@@ -153,7 +156,9 @@
     const RunProfile profile = runProfile(*request.step, 0);
     request.profile = &profile;
     request.stepTasksByWorker = &perWorker;
-    const TaskId stepId{job.id, occurrence, step, 0};
+    request.stepId = &stepId;
+    request.key = &key;
+    request.reservations = &m_reservations;
     if (queue.advice) {
         request.tickets = m_tickets.tickets(stepId, now);
     }
@@ -194,7 +199,7 @@
         request.mustLeavePlaces = request.step->longRunning && task.run == 0 && canWait;
         WorkerState *worker = ranking.bestCandidate(candidates, request);
         if (worker == nullptr) {
-            return;
+            break;
         }
         if (places) {
             places->handleServingTask(*worker, profile.servingMilliCores);
@@ -203,6 +208,16 @@
         assignRun(job, {job.id, step.occurrence, step.step, static_cast<int>(index)}, task, *worker, task.run + 1, now);
         ++perWorker[worker->info.id];
     }
+    const std::size_t left = Internal::startableTasks(execution, now).size();
+    if (left > 0 && canReserveRoom(request)) {
+        m_reservations.reserve(ranking, request, left);
+    }
+}
+
+bool Dispatcher::canReserveRoom(const PlacementRequest &request) const
+{
+    const bool isCounted = !request.step->longRunning && !request.step->fillsIdle;
+    return isCounted && !request.key->isExpired() && request.step->milliCores > m_shortTaskReserve.smallestTask(request.workerPool);
 }
 
 void Dispatcher::placeGang(JobExecution &job, int occurrence, int step, const WorkerRanking &ranking, PlacementRequest &request, TimePoint now)
--- a/src/libs/dispatch/placementobstacle.h
+++ b/src/libs/dispatch/placementobstacle.h
@@ -13,6 +13,7 @@
     RackOrLabel,
     TasksPerWorker, // it runs as many tasks of the step as the step allows
     Advice,
+    Reserved, // its room is reserved for a task that comes before
     ShortTaskReserve, // a serving task would take places that are reserved for short tasks
     OverTarget, // a serving task exceeds its target, so no best-effort task starts
     IdleProcessorTime,
--- /dev/null
+++ b/src/libs/dispatch/roomreservations.cpp
@@ -0,0 +1,108 @@
+#include "roomreservations.h"
+
+#include "workerranking.h"
+#include "workerstate.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace Hyssop {
+
+namespace Internal {
+
+constexpr int MaximumSearches = 8; // in a pass
+// Of the workers on which a task could run, one in so many is reserved at the same time.
+constexpr std::size_t ReservedWorkersDivisor = 4;
+
+struct ReservationCandidate
+{
+    bool isOwn = false; // reserved for the same step
+    std::int64_t free = 0;
+    WorkerState *worker = nullptr;
+
+    bool operator>(const ReservationCandidate &other) const { return std::tie(isOwn, free) > std::tie(other.isOwn, other.free); }
+};
+
+static bool isSameStep(const TaskId &left, const TaskId &right)
+{
+    return left.job == right.job && left.occurrence == right.occurrence && left.step == right.step;
+}
+
+/// Returns true if a task that needs @p task has room beside the serving tasks of @p worker.
+static bool fitsBesideServing(const WorkerState &worker, const Resources &task)
+{
+    return task.milliCores <= worker.info.capacity.milliCores - worker.servingCommitted && task.memoryBytes <= worker.info.capacity.memoryBytes;
+}
+
+} // namespace Internal
+
+void RoomReservations::beginPass()
+{
+    ++m_pass;
+    m_previousSteps = std::exchange(m_steps, {});
+    m_reserved = 0;
+    m_searches = 0;
+}
+
+void RoomReservations::reserve(const WorkerRanking &ranking, const PlacementRequest &request, std::size_t tasks)
+{
+    if (m_searches >= Internal::MaximumSearches || request.stepId == nullptr) {
+        return;
+    }
+    ++m_searches;
+    std::size_t suitable = 0;
+    std::vector<Internal::ReservationCandidate> candidates;
+    for (WorkerState *worker : ranking.workers()) {
+        const auto obstacle = ranking.obstacle(*worker, request);
+        const bool lacksRoom = obstacle == PlacementObstacle::ProcessorCapacity || obstacle == PlacementObstacle::Memory;
+        if (!lacksRoom || worker->info.workerPool != request.workerPool || !Internal::fitsBesideServing(*worker, request.profile->reserved)) {
+            continue;
+        }
+        ++suitable;
+        const bool isReserved = holds(*worker);
+        const bool isOwn = isReserved && Internal::isSameStep(worker->reservation->step, *request.stepId);
+        if (!isReserved || isOwn || request.key->isMoreUrgentThan(worker->reservation->key)) {
+            candidates.push_back({isOwn, worker->freeCapacity().milliCores, worker});
+        }
+    }
+    const std::size_t most = std::max<std::size_t>(suitable / Internal::ReservedWorkersDivisor, 1);
+    const std::size_t count = std::min({candidates.size(), tasks, most - std::min(most, m_reserved)});
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(candidates.begin(), end, candidates.end(), std::greater<>());
+    for (auto candidate = candidates.begin(); candidate != end; ++candidate) {
+        candidate->worker->reservation = RoomReservation{*request.stepId, *request.key, request.profile->reserved, m_pass};
+    }
+    m_reserved += count;
+    if (count > 0) {
+        m_steps.push_back(*request.stepId);
+    }
+}
+
+bool RoomReservations::hasReservation(const PlacementRequest &request) const
+{
+    const auto isOwn = [&](const TaskId &step) { return request.stepId != nullptr && Internal::isSameStep(step, *request.stepId); };
+    return std::ranges::any_of(m_steps, isOwn) || std::ranges::any_of(m_previousSteps, isOwn);
+}
+
+bool RoomReservations::allows(const WorkerState &worker, const PlacementRequest &request) const
+{
+    if (!holds(worker) || request.stepId == nullptr) {
+        return true;
+    }
+    if (Internal::isSameStep(worker.reservation->step, *request.stepId) || request.key->isMoreUrgentThan(worker.reservation->key)) {
+        return true;
+    }
+    const Resources &kept = worker.reservation->task;
+    const Resources left = worker.freeCapacity() - request.profile->reserved;
+    return kept.memoryBytes <= left.memoryBytes && (request.step->fillsIdle || kept.milliCores <= left.milliCores);
+}
+
+bool RoomReservations::holds(const WorkerState &worker) const
+{
+    return worker.reservation && worker.reservation->pass + 1 >= m_pass;
+}
+
+} // namespace Hyssop
--- a/src/libs/dispatch/schedulingkey.cpp
+++ b/src/libs/dispatch/schedulingkey.cpp
@@ -44,6 +44,11 @@
     return std::chrono::milliseconds(longest);
 }
 
+bool SchedulingKey::isExpired() const
+{
+    return priorityClass == Internal::Expired;
+}
+
 SchedulingKey schedulingKey(const PendingWork &work, const QueueInfo &queue, WallTime now)
 {
     const int notStarted = work.isStarted ? 0 : 1;
--- a/src/libs/dispatch/schedulingkey.h
+++ b/src/libs/dispatch/schedulingkey.h
@@ -22,6 +22,15 @@
     WallTime deadline{};
     std::string jobId; // tie-breaker that makes the order total
 
+    /// Returns true if the result of the job is worthless to its caller by now.
+    bool isExpired() const;
+
+    /// Returns true if the job comes before @p other by class, priority and deadline. Whether it was started doesn't count.
+    bool isMoreUrgentThan(const SchedulingKey &other) const
+    {
+        return std::tie(priorityClass, priority, deadline) < std::tie(other.priorityClass, other.priority, other.deadline);
+    }
+
     bool operator<(const SchedulingKey &other) const
     {
         return std::tie(priorityClass, priority, notStarted, deadline, jobId)
--- a/src/libs/dispatch/shorttaskreserve.cpp
+++ b/src/libs/dispatch/shorttaskreserve.cpp
@@ -29,6 +29,7 @@
         peak.largestTask = 0;
         peak.sizesSince = now;
     }
+    peak.smallestTask = demand.smallestTask;
     peak.largestTask = std::max(peak.largestTask, demand.largestTask);
 }
 
@@ -46,4 +47,10 @@
     return peak != m_peaks.end() ? std::max(peak->second.largestTask, peak->second.previousLargestTask) : 0;
 }
 
+std::int64_t ShortTaskReserve::smallestTask(const std::string &workerPool) const
+{
+    const auto peak = m_peaks.find(workerPool);
+    return peak != m_peaks.end() ? peak->second.smallestTask : 0;
+}
+
 } // namespace Hyssop
--- a/src/libs/dispatch/shorttaskreserve.h
+++ b/src/libs/dispatch/shorttaskreserve.h
@@ -22,6 +22,7 @@
     {
         std::int64_t milliCores = 0;
         std::int64_t largestTask = 0;
+        std::int64_t smallestTask = 0;
     };
 
     void recordDemand(const std::string &workerPool, const Demand &demand, TimePoint now);
@@ -32,6 +33,9 @@
     /// Returns the size of the largest short task of @p workerPool in the last seconds, in thousandths of a core.
     std::int64_t placeSize(const std::string &workerPool) const;
 
+    /// Returns the size of the smallest short task of @p workerPool that runs or is pending, in thousandths of a core.
+    std::int64_t smallestTask(const std::string &workerPool) const;
+
 private:
     struct Peak
     {
@@ -40,6 +44,7 @@
         std::int64_t largestTask = 0; // since sizesSince
         std::int64_t previousLargestTask = 0; // in the period before
         TimePoint sizesSince{};
+        std::int64_t smallestTask = 0;
     };
 
     std::map<std::string, Peak> m_peaks; // by worker pool
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -1,6 +1,7 @@
 #include "workerranking.h"
 
 #include "colocationpolicy.h"
+#include "roomreservations.h"
 #include "shorttaskplaces.h"
 #include "workerstate.h"
 
@@ -109,7 +110,9 @@
 std::vector<WorkerRanking::Candidate> WorkerRanking::rankCandidates(const PlacementRequest &request)
 {
     std::vector<Candidate> candidates;
-    if (isUnschedulable(request)) {
+    // A smaller task may have been kept from the workers that are reserved for this one.
+    const bool hasReservation = request.reservations != nullptr && request.reservations->hasReservation(request);
+    if (!hasReservation && isUnschedulable(request)) {
         return candidates;
     }
     for (WorkerState *worker : m_workers) {
@@ -272,6 +275,9 @@
     if (request.tickets != nullptr && !request.tickets->contains(worker.info.id)) {
         return PlacementObstacle::Advice;
     }
+    if (request.reservations != nullptr && !request.reservations->allows(worker, request)) {
+        return PlacementObstacle::Reserved;
+    }
     if (request.mustLeavePlaces && !request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores)) {
         return PlacementObstacle::ShortTaskReserve;
     }
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -17,7 +17,9 @@
 namespace Hyssop {
 
 class ColocationPolicy;
+class RoomReservations;
 class ShortTaskPlaces;
+struct SchedulingKey;
 
 /// Requirements of a task on its worker.
 struct PlacementRequest
@@ -29,6 +31,9 @@
     const RunProfile *profile = nullptr; // resources that the task needs
     const std::map<std::string, int> *stepTasksByWorker = nullptr; // number of open tasks of the same step
     const ShortTaskPlaces *shortTaskPlaces = nullptr; // that a serving task has to spare where possible; null: unknown
+    const TaskId *stepId = nullptr; // of the task; null: unknown
+    const SchedulingKey *key = nullptr; // order in which the step is scheduled; null: unknown
+    const RoomReservations *reservations = nullptr; // that hold now; null: none
     bool mustLeavePlaces = false; // the task waits rather than take a reserved place
 };
 
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "roomreservation.h"
 #include "servingforecast.h"
 #include "workerclock.h"
 #include "workerhealth.h"
@@ -69,6 +70,7 @@
     Resources committed; // reserved resources of the open runs
     std::int64_t bestEffortCommitted = 0;
     std::int64_t servingCommitted = 0;
+    std::optional<RoomReservation> reservation; // for tasks that found no room
     std::map<TaskId, TimePoint> orphanStops; // when an orphaned run was last told to stop
 
     struct EndedBestEffortRun
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -352,6 +352,8 @@
         return "apart";
     case PlacementObstacle::Advice:
         return "advice";
+    case PlacementObstacle::Reserved:
+        return "reserved";
     case PlacementObstacle::ShortTaskReserve:
         return "short_task_reserve";
     case PlacementObstacle::OverTarget:
--- a/tests/libs/dispatch/testshorttaskreserve.cpp
+++ b/tests/libs/dispatch/testshorttaskreserve.cpp
@@ -18,7 +18,7 @@
     const std::int64_t quiet = reserve.milliCores("hall", Capacity);
     cr_assert_gt(quiet, 0, "a minimum is kept free for the first burst");
     for (Duration passed = 0s; passed < 5s; passed += 20ms) {
-        reserve.recordDemand("hall", {150'000, 1000}, Begin + passed);
+        reserve.recordDemand("hall", {150'000, 1000, 1000}, Begin + passed);
     }
     const std::int64_t duringBurst = reserve.milliCores("hall", Capacity);
     cr_assert_gt(duringBurst, 150'000, "free capacity is fragmented");
@@ -32,6 +32,6 @@
 Test(shortTaskReserve, leavesMostOfTheCapacityToServingTasks)
 {
     ShortTaskReserve reserve;
-    reserve.recordDemand("hall", {10 * Capacity, 1000}, Begin);
+    reserve.recordDemand("hall", {10 * Capacity, 1000, 1000}, Begin);
     cr_assert_leq(reserve.milliCores("hall", Capacity), Capacity / 4);
 }
