Refuse serving jobs for which there is no room

Cause: serving jobs are accepted without a limit. The reserve for short tasks only delays the first run of a serving task by 1.8 s, after which serving tasks take it for good.

Change: the owner publishes the room for serving tasks of each worker pool in the job topic (key `room`): capacity of the workers that stay, minus the reserve, minus what all accepted serving jobs need. ServingAdmission subtracts the submissions after the offset in the record and the own ones that are not read yet; JobIntake answers "not accepted" with a Retry-After of 2 to 5 s if a job needs more. Before that it reads the topic up to the arrival of the request, so that a resent job that was recorded is answered as accepted. Without a record of the current owner that was read within 5 s everything is accepted as before. Short and best-effort jobs are not asked.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -28,6 +28,7 @@
 class WorkerRanking;
 struct ClaimTimes;
 struct PlacementRequest;
+struct ServingRoom;
 
 /// Scheduler of the instance that owns the job topic. It performs no I/O: its inputs are records, results of commands and the time, its
 /// outputs are actions.
@@ -94,6 +95,11 @@
     std::size_t openRuns() const;
     DispatchSummary summary(TimePoint now);
 
+    /// Returns for each worker pool with capacity how much of it further serving tasks may reserve: all but the reserve for short
+    /// tasks and what the accepted serving jobs need, whether their tasks run or not. Returns nothing until the registered workers
+    /// are known.
+    std::vector<ServingRoom> servingRoom();
+
 private:
     using Intents = std::vector<std::pair<TaskId, int>>; // task and number of the run
 
--- /dev/null
+++ b/src/libs/dispatch/dispatchservingroom.cpp
@@ -0,0 +1,61 @@
+#include "dispatcher.h"
+
+#include "servingroom.h"
+
+#include <jobtopic/servingdemand.h>
+
+namespace Hyssop {
+
+namespace Internal {
+
+/// Returns what the serving tasks of @p job reserve or will reserve, wherever they run.
+static std::int64_t unfinishedServingDemand(const JobExecution &job)
+{
+    if (job.occurrences.empty()) {
+        return servingDemand(job.submission); // the first occurrence is not released yet
+    }
+    std::int64_t milliCores = 0;
+    for (const auto &[occurrence, steps] : job.occurrences) {
+        for (std::size_t index = 0; index < steps.size(); ++index) {
+            const Wire::TaskStep &step = job.submission.steps[index];
+            milliCores += isServingStep(step) ? (step.taskCount - steps[index].done) * step.milliCores : 0;
+        }
+    }
+    return milliCores;
+}
+
+} // namespace Internal
+
+std::vector<ServingRoom> Dispatcher::servingRoom()
+{
+    if (!m_workersReadAt) {
+        return {};
+    }
+    std::map<std::string, ServingRoom> rooms;
+    for (const auto &[id, worker] : m_workers) {
+        // A worker whose last poll has failed counts, because its runs do as well.
+        const bool isStaying = worker.registered && !worker.info.draining && !m_evacuated.contains(worker.info.failureDomain);
+        if (isStaying && worker.info.capacity.milliCores > 0) {
+            rooms[worker.info.workerPool].capacity += worker.info.capacity.milliCores;
+        }
+    }
+    for (auto &[workerPool, room] : rooms) {
+        room.workerPool = workerPool;
+        room.milliCores = room.capacity - m_shortTaskReserve.milliCores(workerPool, room.capacity);
+    }
+    for (const JobExecution *job : m_jobs.activeJobs()) {
+        const auto queue = m_config.queues.find(job->submission.queue);
+        const auto room = queue != m_config.queues.end() ? rooms.find(queue->second.workerPool) : rooms.end();
+        if (room != rooms.end()) {
+            room->second.milliCores -= Internal::unfinishedServingDemand(*job);
+        }
+    }
+    std::vector<ServingRoom> result;
+    result.reserve(rooms.size());
+    for (auto &[workerPool, room] : rooms) {
+        result.push_back(std::move(room));
+    }
+    return result;
+}
+
+} // namespace Hyssop
--- a/src/libs/jobtopic/jobkeys.cpp
+++ b/src/libs/jobtopic/jobkeys.cpp
@@ -9,6 +9,7 @@
 constexpr std::string_view ProgressPrefix = "p/";
 constexpr std::string_view ClaimKey = "owner";
 constexpr std::string_view LearnedTailsKey = "tails";
+constexpr std::string_view ServingRoomKey = "room";
 
 static std::string prefixedKey(std::string_view prefix, std::string_view jobId)
 {
@@ -42,6 +43,11 @@
     return std::string(Internal::LearnedTailsKey);
 }
 
+std::string servingRoomKey()
+{
+    return std::string(Internal::ServingRoomKey);
+}
+
 JobKey parseJobKey(std::string_view key)
 {
     if (key == Internal::LearnedTailsKey) {
@@ -50,6 +56,9 @@
     if (key == Internal::ClaimKey) {
         return {JobKeyKind::Claim, {}};
     }
+    if (key == Internal::ServingRoomKey) {
+        return {JobKeyKind::ServingRoom, {}};
+    }
     const std::string_view prefix = key.substr(0, Internal::SubmissionPrefix.size());
     const std::string jobId(key.substr(prefix.size()));
     if (prefix == Internal::SubmissionPrefix) {
--- a/src/libs/jobtopic/jobkeys.h
+++ b/src/libs/jobtopic/jobkeys.h
@@ -12,6 +12,7 @@
     Progress, // Wire::JobProgress, written by the owner
     Claim, // Wire::TopicClaim, written to acquire, renew or release the ownership
     LearnedTails, // Wire::LearnedTails, written by the owner
+    ServingRoom, // Wire::ServingRoom, written by the owner
     Unknown,
 };
 
@@ -27,6 +28,7 @@
 std::string progressKey(std::string_view jobId);
 std::string claimKey();
 std::string learnedTailsKey();
+std::string servingRoomKey();
 
 JobKey parseJobKey(std::string_view key);
 
--- a/src/libs/jobtopic/joblimits.cpp
+++ b/src/libs/jobtopic/joblimits.cpp
@@ -22,6 +22,8 @@
 constexpr std::int64_t MaximumNumber = 1'000'000'000; // of a run, an occurrence or failures; the next one is representable
 constexpr std::int64_t MaximumTerm = 1'000'000'000'000; // tokens are multiples of the term
 constexpr double MaximumModelValue = 1e9;
+constexpr std::size_t MaximumPools = 1000; // with published room
+constexpr std::int64_t MaximumRoom = 1'000'000'000'000'000; // thousandths of a core
 
 static bool isWithin(std::int64_t value, std::int64_t maximum)
 {
@@ -127,4 +129,16 @@
     return {};
 }
 
+Result<void> checkLimits(const Wire::ServingRoom &room)
+{
+    const auto isUsableRoom = [](const Wire::PoolServingRoom &pool) {
+        return pool.milliCores >= -Internal::MaximumRoom && pool.milliCores <= Internal::MaximumRoom;
+    };
+    const bool hasUsablePosition = Internal::isWithin(room.term, Internal::MaximumTerm) && room.readUpTo >= 0;
+    if (!hasUsablePosition || room.pools.size() > Internal::MaximumPools || !std::ranges::all_of(room.pools, isUsableRoom)) {
+        return fail(ErrorCode::Malformed, "room for serving tasks is out of range");
+    }
+    return {};
+}
+
 } // namespace Hyssop
--- a/src/libs/jobtopic/joblimits.h
+++ b/src/libs/jobtopic/joblimits.h
@@ -20,5 +20,6 @@
 Result<void> checkLimits(const Wire::JobProgress &progress);
 Result<void> checkLimits(const Wire::TopicClaim &claim);
 Result<void> checkLimits(const Wire::LearnedTails &tails);
+Result<void> checkLimits(const Wire::ServingRoom &room);
 
 } // namespace Hyssop
--- a/src/libs/jobtopic/jobtable.cpp
+++ b/src/libs/jobtopic/jobtable.cpp
@@ -1,6 +1,7 @@
 #include "jobtable.h"
 
 #include "joblimits.h"
+#include "servingdemand.h"
 
 #include <ports/keyedrecord.h>
 #include <utils/result.h>
@@ -10,6 +11,13 @@
 
 namespace Hyssop {
 
+namespace Internal {
+
+// A published room is not used for longer than it takes to submit that many jobs.
+constexpr std::size_t MaximumServingSubmissions = 4096;
+
+} // namespace Internal
+
 /// Turns a decoded value that is out of the limits into a failure.
 template<typename Value>
 static Result<Value> withinLimits(Result<Value> decoded)
@@ -52,6 +60,9 @@
     case JobKeyKind::LearnedTails:
         applyLearnedTails(record);
         break;
+    case JobKeyKind::ServingRoom:
+        applyServingRoom(record);
+        break;
     case JobKeyKind::Unknown:
         ++m_malformedRecords;
         break;
@@ -129,6 +140,7 @@
     if (job == nullptr) {
         ++m_malformedRecords;
     } else if (!entry.submission || job->steps.empty()) {
+        addServingSubmission(*job, record.offset);
         entry.submission = std::move(*job); // a second submission with steps is a resend and is ignored
     }
 }
@@ -187,4 +199,37 @@
     }
 }
 
+void JobTable::applyServingRoom(const KeyedRecord &record)
+{
+    if (record.offset <= m_servingRoomOffset) {
+        return;
+    }
+    if (!record.value) {
+        m_servingRoom.reset();
+        return;
+    }
+    auto decoded = capture([&] { return withinLimits(decodeServingRoom(*record.value)); });
+    auto *room = valueOf(decoded);
+    if (room == nullptr) {
+        ++m_malformedRecords;
+        return;
+    }
+    m_servingRoom = std::move(*room);
+    m_servingRoomOffset = record.offset;
+    m_servingSubmissions.erase(m_servingSubmissions.begin(), m_servingSubmissions.lower_bound(m_servingRoom->readUpTo));
+}
+
+void JobTable::addServingSubmission(const Wire::StepJob &job, std::int64_t offset)
+{
+    const std::int64_t milliCores = servingDemand(job);
+    const bool isInRoom = m_servingRoom && offset < m_servingRoom->readUpTo;
+    if (milliCores == 0 || isInRoom) {
+        return;
+    }
+    m_servingSubmissions[offset] = {job.queue, milliCores};
+    if (m_servingSubmissions.size() > Internal::MaximumServingSubmissions) {
+        m_servingSubmissions.erase(m_servingSubmissions.begin());
+    }
+}
+
 } // namespace Hyssop
--- a/src/libs/jobtopic/jobtable.h
+++ b/src/libs/jobtopic/jobtable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobkeys.h"
+#include "servingsubmission.h"
 
 #include "hyssop_types.h"
 
@@ -54,6 +55,13 @@
     /// Returns what previous owners have learned about tail latencies.
     const Wire::LearnedTails &learnedTails() const { return m_learnedTails; }
 
+    /// Returns the room for serving tasks that an owner has published last.
+    const std::optional<Wire::ServingRoom> &servingRoom() const { return m_servingRoom; }
+
+    /// Returns the submissions with serving tasks that the published room does not take into account, by offset. Only the newest ones
+    /// are kept if there are many.
+    const std::map<std::int64_t, ServingSubmission> &servingSubmissionsSinceRoom() const { return m_servingSubmissions; }
+
     /// Returns the number of accepted jobs of @p queue for which no task has started. Jobs with a start time are not counted.
     std::size_t pendingJobCount(const std::string &queue) const;
 
@@ -65,11 +73,16 @@
     void applyProgress(const JobKey &key, const KeyedRecord &record);
     void applyClaim(const KeyedRecord &record);
     void applyLearnedTails(const KeyedRecord &record);
+    void applyServingRoom(const KeyedRecord &record);
+    void addServingSubmission(const Wire::StepJob &job, std::int64_t offset);
 
     std::map<std::string, TopicJob> m_jobs;
     std::optional<Wire::TopicClaim> m_claim;
     std::int64_t m_claimOffset = -1;
     Wire::LearnedTails m_learnedTails;
+    std::optional<Wire::ServingRoom> m_servingRoom;
+    std::int64_t m_servingRoomOffset = -1;
+    std::map<std::int64_t, ServingSubmission> m_servingSubmissions;
     std::vector<std::string> m_unknownRuns; // jobs that are in the runs topic only
     std::uint64_t m_malformedRecords = 0;
 };
--- a/src/libs/node/jobintake.cpp
+++ b/src/libs/node/jobintake.cpp
@@ -1,5 +1,6 @@
 #include "jobintake.h"
 
+#include "clusterview.h"
 #include "topicfollower.h"
 
 #include <jobtopic/jobkeys.h>
@@ -35,6 +36,8 @@
 constexpr std::chrono::milliseconds AppliedCheckInterval{20};
 // An older table is not evidence that a job does not exist.
 constexpr std::chrono::milliseconds MaximumTableAge{2500};
+// Only a short part of the time that a caller waits, because most refused callers could have been refused at once.
+constexpr std::chrono::milliseconds MaximumReadWait{1000};
 constexpr std::size_t MaximumBatchBytes = 1024 * 1024;
 
 struct PendingRecord
@@ -55,15 +58,22 @@
 
 } // namespace Internal
 
-JobIntake::JobIntake(
-    asio::any_io_executor executor, const Clock &clock, MetadataStore &store, const JobTable &table, const TopicFollower &follower, MetricsRegistry &metrics)
+JobIntake::JobIntake(asio::any_io_executor executor,
+                     const Clock &clock,
+                     MetadataStore &store,
+                     const JobTable &table,
+                     const TopicFollower &follower,
+                     const ClusterView &cluster,
+                     MetricsRegistry &metrics)
     : m_executor(std::move(executor))
     , m_wake(m_executor)
     , m_clock(clock)
     , m_store(store)
     , m_table(table)
     , m_follower(follower)
+    , m_cluster(cluster)
     , m_metrics(metrics)
+    , m_admission(table)
 {
 }
 
@@ -77,7 +87,13 @@
         co_return JobNotAccepted{};
     }
     const TimePoint begin = m_clock.now();
-    auto pending = std::make_shared<Internal::PendingRecord>(m_executor, KeyedRecord{0, submissionKey(jobId), encode(job)}, timeout - Internal::ResponseMargin);
+    if (const std::optional<SubmitResult> result = co_await checkServingRoom(jobId, job, timeout)) {
+        co_return *result;
+    }
+    const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - begin);
+    auto pending =
+        std::make_shared<Internal::PendingRecord>(m_executor, KeyedRecord{0, submissionKey(jobId), encode(job)}, timeout - passed - Internal::ResponseMargin);
+    m_admission.beginSubmission(jobId, job, m_clock.now());
     co_await store(pending);
     m_metrics.observe("hyssop_intake_seconds", m_clock.now() - begin);
     const char *outcome = pending->offset ? "accepted" : pending->maybeAppended ? "undetermined" : "refused";
@@ -92,9 +108,60 @@
     if (pending->maybeAppended) {
         co_return JobUndetermined{};
     }
+    m_admission.withdrawSubmission(jobId);
     co_return JobNotAccepted{};
 }
 
+asio::awaitable<std::optional<SubmitResult>> JobIntake::checkServingRoom(const std::string &jobId, const Wire::StepJob &job, std::chrono::milliseconds timeout)
+{
+    const TimePoint begin = m_clock.now();
+    if (m_admission.isSubmitted(jobId, begin)) {
+        co_return std::nullopt; // an earlier attempt may have been recorded
+    }
+    AdmissionDecision decision = decideOnServing(jobId, job);
+    if (decision.isRefused()) {
+        // An earlier attempt through another instance may have been recorded and not yet read.
+        const bool isCurrent = co_await waitUntilRead(begin, std::min(timeout / 2, Internal::MaximumReadWait));
+        if (m_table.find(jobId) != nullptr) {
+            co_return JobAccepted{};
+        }
+        decision = decideOnServing(jobId, job);
+        if (!isCurrent) {
+            decision.retryAfter.reset();
+        }
+    }
+    recordAdmission(jobId, decision);
+    co_return decision.isRefused() ? std::optional<SubmitResult>(JobNotAccepted{*decision.retryAfter}) : std::nullopt;
+}
+
+AdmissionDecision JobIntake::decideOnServing(const std::string &jobId, const Wire::StepJob &job) const
+{
+    const auto &config = m_cluster.config();
+    return m_admission.decide(jobId, job, config ? &*config : nullptr, m_clock.now());
+}
+
+void JobIntake::recordAdmission(const std::string &jobId, const AdmissionDecision &decision)
+{
+    if (decision.needed == 0) {
+        return;
+    }
+    const char *outcome = decision.isRefused() ? "refused" : decision.publishedRoom ? "accepted" : "room-unknown";
+    m_metrics.add("hyssop_serving_admissions_total", {{"outcome", outcome}});
+    if (!decision.publishedRoom) {
+        return;
+    }
+    logMessage(LogLevel::Info,
+               "intake",
+               "serving job admission",
+               {{"job_id", jobId},
+                {"outcome", outcome},
+                {"needed_millicores", static_cast<long long>(decision.needed)},
+                {"room_millicores", static_cast<long long>(*decision.publishedRoom)},
+                {"submitted_since_millicores", static_cast<long long>(decision.submittedSince)},
+                {"room_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(decision.roomAge).count()},
+                {"retry_after_s", decision.retryAfter.value_or(std::chrono::seconds(0)).count()}});
+}
+
 asio::awaitable<CancelResult> JobIntake::cancel(std::string jobId, std::chrono::milliseconds timeout)
 {
     const TopicJob *entry = m_table.find(jobId);
@@ -226,6 +293,19 @@
     return !m_pending.empty();
 }
 
+asio::awaitable<bool> JobIntake::waitUntilRead(TimePoint since, std::chrono::milliseconds timeout) const
+{
+    const TimePoint deadline = m_clock.now() + timeout;
+    while (m_clock.now() - m_follower.age() < since) {
+        if (m_clock.now() >= deadline) {
+            co_return false;
+        }
+        asio::steady_timer timer(m_executor, Internal::AppliedCheckInterval);
+        co_await timer.async_wait(Internal::AsTuple);
+    }
+    co_return true;
+}
+
 asio::awaitable<bool> JobIntake::waitUntilApplied(std::int64_t offset, std::chrono::milliseconds timeout) const
 {
     const TimePoint deadline = m_clock.now() + timeout;
--- a/src/libs/node/jobintake.h
+++ b/src/libs/node/jobintake.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "servingadmission.h"
+
 #include "hyssop_types.h"
 
 #include <ports/keyedrecord.h>
@@ -12,12 +14,14 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 namespace Hyssop {
 
+class ClusterView;
 class JobTable;
 class MetadataStore;
 class MetricsRegistry;
@@ -53,7 +57,7 @@
 }
 
 /// Writes submissions and cancellations of callers to the job topic, batched into few appends. A resent job has the same key, so
-/// an append whose response was lost can be repeated safely.
+/// an append whose response was lost can be repeated safely. Jobs with serving tasks are accepted only if there is room for them.
 class JobIntake
 {
 public:
@@ -62,8 +66,12 @@
               MetadataStore &store,
               const JobTable &table,
               const TopicFollower &follower,
+              const ClusterView &cluster,
               MetricsRegistry &metrics);
 
+    /// Must be called after a record of the job topic was applied to the table.
+    void jobRecordApplied(const JobKey &key) { m_admission.jobRecordApplied(key, m_clock.now()); }
+
     /// @p timeout is the time that the caller waits for the result.
     boost::asio::awaitable<SubmitResult> submit(std::string jobId, Wire::StepJob job, std::chrono::milliseconds timeout);
     boost::asio::awaitable<CancelResult> cancel(std::string jobId, std::chrono::milliseconds timeout);
@@ -76,9 +84,17 @@
     using PendingPtr = std::shared_ptr<Internal::PendingRecord>;
 
     void recordImmediateRejection(const std::string &jobId, const char *requestKind);
+
+    /// Returns the result if @p job is to be submitted no further: it has serving tasks without room, or proves to be recorded.
+    boost::asio::awaitable<std::optional<SubmitResult>> checkServingRoom(const std::string &jobId, const Wire::StepJob &job, std::chrono::milliseconds timeout);
+    AdmissionDecision decideOnServing(const std::string &jobId, const Wire::StepJob &job) const;
+    void recordAdmission(const std::string &jobId, const AdmissionDecision &decision);
     boost::asio::awaitable<void> store(PendingPtr pending);
     boost::asio::awaitable<void> writeBatch();
     bool requeueUnfinished(const std::vector<PendingPtr> &batch);
+
+    /// Waits until all records that existed at @p since have been read.
+    boost::asio::awaitable<bool> waitUntilRead(TimePoint since, std::chrono::milliseconds timeout) const;
     boost::asio::awaitable<bool> waitUntilApplied(std::int64_t offset, std::chrono::milliseconds timeout) const;
 
     boost::asio::any_io_executor m_executor;
@@ -87,8 +103,10 @@
     MetadataStore &m_store;
     const JobTable &m_table;
     const TopicFollower &m_follower;
+    const ClusterView &m_cluster;
     MetricsRegistry &m_metrics;
     std::vector<PendingPtr> m_pending;
+    ServingAdmission m_admission;
 };
 
 } // namespace Hyssop
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -68,7 +68,7 @@
     , m_jobs(context.get_executor(), m_clock, ports.store, Topic::Jobs)
     , m_operators(context.get_executor(), m_clock, ports.store, Topic::Operators)
     , m_workers(context.get_executor(), m_clock, ports.store, Topic::Workers)
-    , m_intake(context.get_executor(), m_clock, ports.store, m_table, m_jobs, metrics)
+    , m_intake(context.get_executor(), m_clock, ports.store, m_table, m_jobs, m_cluster, metrics)
     , m_owner(context.get_executor(), m_clock, ports, m_table, m_jobs, metrics, Internal::dispatchLimits(settings), Internal::ownerIdentity(settings))
     , m_admin(context.get_executor(), endpointSetting(settings, "instance.admin"), metrics, [this] { return isReady(); })
     , m_callerServer(nullptr)
@@ -106,11 +106,16 @@
 void NodeDaemon::followJobs()
 {
     m_jobs.setTiming(Internal::StandbyJobsTiming);
-    m_jobs.setHandlers([this](const KeyedRecord &record) { m_owner.jobRecordApplied(m_table.apply(record)); },
-                       [this](TimePoint sentAt) {
-                           m_owner.jobsRead(sentAt);
-                           m_jobs.setTiming(m_owner.isOwner() || m_owner.isClaiming() ? Internal::OwnerJobsTiming : Internal::StandbyJobsTiming);
-                       });
+    m_jobs.setHandlers(
+        [this](const KeyedRecord &record) {
+            const JobKey key = m_table.apply(record);
+            m_intake.jobRecordApplied(key);
+            m_owner.jobRecordApplied(key);
+        },
+        [this](TimePoint sentAt) {
+            m_owner.jobsRead(sentAt);
+            m_jobs.setTiming(m_owner.isOwner() || m_owner.isClaiming() ? Internal::OwnerJobsTiming : Internal::StandbyJobsTiming);
+        });
     asio::co_spawn(m_context, m_jobs.run(), endProcessOnException);
 }
 
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -5,6 +5,7 @@
 #include "topicfollower.h"
 
 #include <dispatch/claimtimes.h>
+#include <dispatch/servingroom.h>
 #include <jobtopic/jobtable.h>
 #include <observability/logging.h>
 #include <observability/metricsregistry.h>
@@ -78,7 +79,7 @@
 {
     if (key.kind == JobKeyKind::Progress || key.kind == JobKeyKind::Claim) {
         m_ownerObservation.lastRecordAt = m_clock.now();
-    } else if (m_term && key.kind != JobKeyKind::Unknown) {
+    } else if (m_term && !key.jobId.empty()) {
         m_dispatcher.jobChanged(key.jobId, m_table.find(key.jobId), m_clock.now(), std::chrono::system_clock::now());
     }
 }
@@ -318,6 +319,7 @@
 {
     m_term = std::exchange(m_takeoverTerm, std::nullopt);
     m_batchAppends = 0;
+    m_servingRoomSchedule = {};
     m_dispatcher.beginTerm(*m_term, m_table, {m_takeoverBeganAt, m_claimReadAt}, m_cleanHandover);
     m_table.clearRuns();
     m_lastTick = m_clock.now();
@@ -455,6 +457,7 @@
 {
     m_batchAppends = (batch.records.empty() ? 0 : 1) + (batch.runs.empty() ? 0 : 1);
     if (!batch.records.empty()) {
+        addServingRoom(batch.records);
         m_appender.append(std::move(batch.records), [this](const TopicAppendResult &result, TimePoint sentAt) {
             if (std::holds_alternative<TopicAppended>(result)) {
                 m_dispatcher.confirmOwnership(sentAt);
@@ -481,7 +484,9 @@
     if (!term || m_appender.isAppending() || now - m_appender.lastAppend() < Internal::ClaimRenewalInterval) {
         return;
     }
-    m_appender.append({claimRecord(*term, false)}, [this](const TopicAppendResult &result, TimePoint sentAt) {
+    std::vector<KeyedRecord> records{claimRecord(*term, false)};
+    addServingRoom(records);
+    m_appender.append(std::move(records), [this](const TopicAppendResult &result, TimePoint sentAt) {
         if (checkAppend(result) && m_term) {
             m_dispatcher.confirmOwnership(sentAt);
         }
@@ -512,6 +517,28 @@
     return {0, claimKey(), encode(claim)};
 }
 
+void TopicOwner::addServingRoom(std::vector<KeyedRecord> &records)
+{
+    const TimePoint now = m_clock.now();
+    if (!m_term || !m_servingRoomSchedule.isCheckDue(now)) {
+        return;
+    }
+    const std::vector<ServingRoom> rooms = m_dispatcher.servingRoom();
+    if (!m_servingRoomSchedule.shouldPublish(rooms, now)) {
+        return;
+    }
+    Wire::ServingRoom record;
+    record.term = *m_term;
+    record.readUpTo = m_jobs.end();
+    for (const ServingRoom &room : rooms) {
+        Wire::PoolServingRoom &pool = record.pools.emplace_back();
+        pool.workerPool = room.workerPool;
+        pool.milliCores = room.milliCores;
+        m_metrics.set("hyssop_serving_room_millicores", static_cast<double>(room.milliCores), {{"pool", room.workerPool}});
+    }
+    records.push_back({0, servingRoomKey(), encode(record)});
+}
+
 void TopicOwner::reportLoad(TimePoint now)
 {
     if (now - m_lastLoadReport < Internal::LoadReportInterval) {
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -3,6 +3,7 @@
 #include "claimpolicy.h"
 #include "ownerappender.h"
 #include "runlog.h"
+#include "servingroomschedule.h"
 
 #include <dispatch/dispatcher.h>
 #include <ports/storeresults.h>
@@ -126,6 +127,9 @@
     bool isAppending() const { return m_appender.isAppending() || m_runsAppender.isAppending(); }
     boost::asio::awaitable<void> releaseOwnership(std::string reason);
     KeyedRecord claimRecord(std::int64_t term, bool released) const;
+
+    /// Adds the room for serving tasks to @p records, which are appended to the job topic, if it has to be published again.
+    void addServingRoom(std::vector<KeyedRecord> &records);
     void reportLoad(TimePoint now);
     void countWithheldTime(TimePoint now);
     boost::asio::awaitable<void> sendStart(StartCommand command);
@@ -150,6 +154,7 @@
     OwnerAppender m_runsAppender;
     Dispatcher m_dispatcher;
     RunLog m_runLog;
+    ServingRoomSchedule m_servingRoomSchedule;
     WorkersNeedHandler m_workersNeedHandler;
     bool m_needsWorkers = false;
     std::map<std::string, WorkerInfo> m_workers; // empty unless they are needed
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -82,6 +82,11 @@
     return Internal::encodeValue(tails);
 }
 
+std::string encode(const Wire::ServingRoom &room)
+{
+    return Internal::encodeValue(room);
+}
+
 Result<Wire::Envelope> decodeEnvelope(std::string_view bytes)
 {
     return Internal::decodeValue<Wire::Envelope>(bytes);
@@ -112,4 +117,9 @@
     return Internal::decodeValue<Wire::LearnedTails>(bytes);
 }
 
+Result<Wire::ServingRoom> decodeServingRoom(std::string_view bytes)
+{
+    return Internal::decodeValue<Wire::ServingRoom>(bytes);
+}
+
 } // namespace Hyssop
--- a/src/libs/wire/codec.h
+++ b/src/libs/wire/codec.h
@@ -20,6 +20,7 @@
 std::string encode(const Wire::JobProgress &progress);
 std::string encode(const Wire::TopicClaim &claim);
 std::string encode(const Wire::LearnedTails &tails);
+std::string encode(const Wire::ServingRoom &room);
 
 /// Decodes with the Thrift compact protocol. Fails with ErrorCode::TooLarge above MaximumWireMessageSize and with
 /// ErrorCode::Malformed if @p bytes are not exactly one encoded value of the type.
@@ -29,5 +30,6 @@
 Result<Wire::JobProgress> decodeJobProgress(std::string_view bytes);
 Result<Wire::TopicClaim> decodeTopicClaim(std::string_view bytes);
 Result<Wire::LearnedTails> decodeLearnedTails(std::string_view bytes);
+Result<Wire::ServingRoom> decodeServingRoom(std::string_view bytes);
 
 } // namespace Hyssop
--- a/src/libs/wire/hyssop.thrift
+++ b/src/libs/wire/hyssop.thrift
@@ -259,6 +259,19 @@
   7: double processorShare = 0,  // cores that the owner may use; 0: unknown
 }
 
+/* Processor capacity of a worker pool that further serving tasks may reserve; negative: they have reserved more than that. */
+struct PoolServingRoom {
+  1: string workerPool,
+  2: i64 milliCores = 0,
+}
+
+/* Room for serving tasks, published by the owner for the instances that accept jobs. */
+struct ServingRoom {
+  1: i64 term = 0,               // of the owner
+  2: i64 readUpTo = 0,           // jobs that were submitted from this offset on are not taken into account
+  3: list<PoolServingRoom> pools,
+}
+
 union Record {
   1: ConfigChange configChange,
   2: ConfigSnapshot configSnapshot,
--- /dev/null
+++ b/tests/libs/node/testjobintake.cpp
@@ -0,0 +1,218 @@
+#include "memorystore.h"
+#include "memorytopics.h"
+
+#include <jobtopic/jobkeys.h>
+#include <jobtopic/jobtable.h>
+#include <node/clusterview.h>
+#include <node/jobintake.h>
+#include <node/topicfollower.h>
+#include <observability/metricsregistry.h>
+#include <ports/platformdecoder.h>
+#include <support/coroutines.h>
+#include <utils/clock.h>
+#include <wire/codec.h>
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <variant>
+
+using namespace Hyssop;
+using namespace Hyssop::Testing;
+using namespace std::chrono_literals;
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::int64_t JobDemand = 24 * 13'000;
+
+/// Has one queue, "web", for the pool "hall".
+class OneQueueDecoder : public PlatformDecoder
+{
+public:
+    OperatorKey operatorKey(std::string_view) const override { return {OperatorKey::Kind::Configuration, {}}; }
+    Result<ClusterConfig> configuration(std::string_view) const override
+    {
+        ClusterConfig config;
+        config.queues["web"].name = "web";
+        config.queues["web"].workerPool = "hall";
+        return config;
+    }
+    Result<WorkerInfo> worker(std::string_view, std::string_view) const override { return WorkerInfo(); }
+};
+
+Wire::StepJob servingJob()
+{
+    Wire::StepJob job;
+    job.queue = "web";
+    job.steps.resize(1);
+    job.steps[0].taskCount = 24;
+    job.steps[0].milliCores = 13'000;
+    job.steps[0].longRunning = true;
+    return job;
+}
+
+/// An instance that accepts jobs while another one owns the topic.
+struct Fixture
+{
+    Fixture()
+    {
+        cluster.applyOperatorRecord({0, "config", ""});
+        follower.setTiming({20ms, 0ms});
+        follower.setHandlers([this](const KeyedRecord &record) { intake.jobRecordApplied(table.apply(record)); }, [](TimePoint) {});
+        Wire::TopicClaim claim;
+        claim.term = 1;
+        topics.put(Topic::Jobs, claimKey(), encode(claim));
+        asio::co_spawn(context, follower.run(), asio::detached);
+        asio::co_spawn(context, intake.run(), asio::detached);
+    }
+
+    void publishRoom(std::int64_t milliCores)
+    {
+        Wire::ServingRoom room;
+        room.term = 1;
+        room.readUpTo = follower.end();
+        room.pools.resize(1);
+        room.pools[0].workerPool = "hall";
+        room.pools[0].milliCores = milliCores;
+        topics.put(Topic::Jobs, servingRoomKey(), encode(room));
+        context.run_for(60ms);
+    }
+
+    SubmitResult submit(const std::string &jobId, const Wire::StepJob &job = servingJob(), std::chrono::milliseconds timeout = 3s)
+    {
+        SubmitResult result;
+        runToEnd(context, [&]() -> asio::awaitable<void> { result = co_await intake.submit(jobId, job, timeout); }());
+        return result;
+    }
+
+    asio::awaitable<void> submitAndCount(std::string jobId)
+    {
+        const SubmitResult result = co_await intake.submit(std::move(jobId), servingJob(), 3s);
+        accepted += std::holds_alternative<JobAccepted>(result) ? 1 : 0;
+        notAccepted += std::holds_alternative<JobNotAccepted>(result) ? 1 : 0;
+    }
+
+    bool isRecorded(const std::string &jobId)
+    {
+        context.run_for(60ms);
+        return table.find(jobId) != nullptr;
+    }
+
+    double refusals() const { return metrics.value("hyssop_serving_admissions_total", {{"outcome", "refused"}}); }
+
+    asio::io_context context{1};
+    Clock clock;
+    MetricsRegistry metrics;
+    MemoryTopics topics;
+    MemoryStore store{topics};
+    OneQueueDecoder decoder;
+    ClusterView cluster{decoder, metrics};
+    JobTable table;
+    TopicFollower follower{context.get_executor(), clock, store, Topic::Jobs};
+    JobIntake intake{context.get_executor(), clock, store, table, follower, cluster, metrics};
+    int accepted = 0;
+    int notAccepted = 0;
+};
+
+} // namespace
+
+/// Accepted without room, serving jobs take the reserve of the short tasks for good.
+Test(jobIntake, aServingJobWithoutRoomIsRefusedAndNotRecorded, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.publishRoom(JobDemand - 1);
+    const SubmitResult result = fixture.submit("job");
+    const auto *refused = std::get_if<JobNotAccepted>(&result);
+    cr_assert_not_null(refused);
+    cr_assert(refused->retryAfter >= 2s);
+    cr_assert_not(fixture.isRecorded("job"));
+    cr_assert_eq(fixture.refusals(), 1);
+}
+
+Test(jobIntake, servingJobsAreAcceptedWhileThereIsRoom, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.publishRoom(2 * JobDemand);
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("first")));
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("second")));
+    cr_assert(std::holds_alternative<JobNotAccepted>(fixture.submit("third")));
+    fixture.publishRoom(JobDemand);
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("third")), "a refused job may come again");
+}
+
+/// Requests that arrive at the same time must not all take the same room.
+Test(jobIntake, concurrentServingJobsDoNotShareTheRoom, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.publishRoom(2 * JobDemand);
+    for (int number = 0; number < 5; ++number) {
+        asio::co_spawn(fixture.context, fixture.submitAndCount("job" + std::to_string(number)), asio::detached);
+    }
+    fixture.context.run_for(2s);
+    cr_assert_eq(fixture.accepted, 2);
+    cr_assert_eq(fixture.notAccepted, 3);
+}
+
+Test(jobIntake, shortJobsAreAcceptedWithoutRoomForServingTasks, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.publishRoom(0);
+    Wire::StepJob job = servingJob();
+    job.steps[0].longRunning = false;
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("job", job)));
+}
+
+Test(jobIntake, servingJobsAreAcceptedWhileTheRoomIsUnknown, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.context.run_for(60ms);
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("job")));
+    cr_assert_eq(fixture.refusals(), 0);
+}
+
+/// An accepted job is never taken back, so a resent one must not be answered as if it had not been accepted.
+Test(jobIntake, aResentServingJobThatWasAcceptedIsNotRefused, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.publishRoom(JobDemand);
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("job")));
+    fixture.publishRoom(0);
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("job")));
+}
+
+/// The caller may resend the job to an instance that has not read its record yet.
+Test(jobIntake, aServingJobThatAnotherInstanceHasJustAcceptedIsNotRefused, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.follower.setTiming({300ms, 0ms});
+    fixture.publishRoom(0);
+    fixture.topics.put(Topic::Jobs, submissionKey("job"), encode(servingJob()));
+    cr_assert_null(fixture.table.find("job"));
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("job")));
+    cr_assert_eq(fixture.refusals(), 0);
+}
+
+/// An append without a response may have recorded the job, so "not accepted" would not be true.
+Test(jobIntake, aServingJobWithAnUndeterminedAttemptIsNotRefused, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.publishRoom(JobDemand);
+    fixture.store.appendTime = 600ms;
+    cr_assert(std::holds_alternative<JobUndetermined>(fixture.submit("job", servingJob(), 300ms)));
+    fixture.publishRoom(0);
+    cr_assert_not(std::holds_alternative<JobNotAccepted>(fixture.submit("job")));
+}
+
+/// Without a read after the request it is not known whether the job was recorded before.
+Test(jobIntake, aServingJobIsNotRefusedOnAnOldTable, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.publishRoom(0);
+    fixture.follower.setTiming({5s, 0ms});
+    fixture.context.run_for(60ms);
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("job")));
+}
--- a/tests/libs/node/testnodedaemon.cpp
+++ b/tests/libs/node/testnodedaemon.cpp
@@ -92,6 +92,8 @@
         WorkerInfo info;
         info.id = id;
         info.address = bytes;
+        info.workerPool = "hall";
+        info.capacity.milliCores = 64000;
         return info;
     }
 };
@@ -333,3 +335,38 @@
     const int missing = missingResults(text, fixture.workers.answeredStops);
     cr_assert_eq(missing, 0, "%d results are not written", missing);
 }
+
+/// Instances that accept serving jobs rely on this record. A new owner publishes the room of its own term.
+Test(nodeDaemon, theOwnerPublishesTheRoomForServingTasks, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.putWorker("a");
+    const auto &room = fixture.daemon.table().servingRoom();
+    fixture.runUntil([&] { return room.has_value(); });
+    cr_assert_eq(room->term, fixture.daemon.table().claim()->term);
+    cr_assert_eq(room->pools.size(), 1);
+    cr_assert_eq(room->pools[0].workerPool, "hall");
+    cr_assert(room->pools[0].milliCores > 32000 && room->pools[0].milliCores < 64000);
+    fixture.putWorker("b");
+    fixture.runUntil([&] { return room->pools[0].milliCores > 64000; });
+}
+
+/// Each record is read by every instance.
+Test(nodeDaemon, anUnchangedRoomForServingTasksIsWrittenSeldom, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.putWorker("a");
+    fixture.runUntil([&] { return fixture.daemon.table().servingRoom().has_value(); });
+    const auto countRooms = [&] {
+        const auto page = std::get<RecordPage>(fixture.topics.read(Topic::Jobs, 0));
+        std::int64_t rooms = 0;
+        for (std::int64_t offset = 0; offset < page.end; ++offset) {
+            rooms += std::get<RecordPage>(fixture.topics.read(Topic::Jobs, offset)).records.front().key == servingRoomKey() ? 1 : 0;
+        }
+        return rooms;
+    };
+    const std::int64_t before = countRooms();
+    fixture.context.run_for(5s);
+    const std::int64_t written = countRooms() - before;
+    cr_assert(written >= 1 && written <= 3, "%ld records", static_cast<long>(written));
+}
--- a/tests/platform/testjobendpoint.cpp
+++ b/tests/platform/testjobendpoint.cpp
@@ -1,6 +1,7 @@
 #include <jobendpoint.h>
 #include <recorddecoder.h>
 
+#include <jobtopic/jobkeys.h>
 #include <jobtopic/jobtable.h>
 #include <node/clusterview.h>
 #include <node/topicfollower.h>
@@ -8,6 +9,7 @@
 #include <ports/metadatastore.h>
 #include <ports/topicappend.h>
 #include <support/coroutines.h>
+#include <wire/codec.h>
 
 #include <criterion/criterion.h>
 
@@ -64,9 +66,36 @@
         if (!timeout.empty()) {
             request.set("X-Hyssopferry-Request-Deadline", timeout);
         }
-        http::status status = http::status::unknown;
-        runToEnd(context, [&]() -> asio::awaitable<void> { status = (co_await endpoint.handle(request)).result(); }());
-        return status;
+        return respond(request).result();
+    }
+
+    HttpResponse submitServing(const std::string &jobId)
+    {
+        HttpRequest request(http::verb::post, "/p/" + jobId, 11);
+        request.set(http::field::host, "h");
+        request.body() = R"({"spec":"s","steps":[{"count":2,"cpu":1000,"longRunning":true}]})";
+        return respond(request);
+    }
+
+    HttpResponse respond(const HttpRequest &request)
+    {
+        HttpResponse response;
+        runToEnd(context, [&]() -> asio::awaitable<void> { response = co_await endpoint.handle(request); }());
+        return response;
+    }
+
+    /// Lets an owner publish @p milliCores as the room for serving tasks of the queue.
+    void publishRoom(std::int64_t milliCores)
+    {
+        Wire::TopicClaim claim;
+        claim.term = 1;
+        table.apply({0, claimKey(), encode(claim)});
+        Wire::ServingRoom room;
+        room.term = 1;
+        room.pools.resize(1);
+        room.pools[0].workerPool = "s";
+        room.pools[0].milliCores = milliCores;
+        intake.jobRecordApplied(table.apply({1, servingRoomKey(), encode(room)}));
     }
 
     asio::io_context context{1};
@@ -77,7 +106,7 @@
     Platform::RecordDecoder decoder;
     ClusterView cluster{decoder, metrics};
     TopicFollower follower{context.get_executor(), clock, store, Topic::Jobs};
-    JobIntake intake{context.get_executor(), clock, store, table, follower, metrics};
+    JobIntake intake{context.get_executor(), clock, store, table, follower, cluster, metrics};
     Platform::JobEndpoint endpoint{intake, table, cluster};
 };
 
@@ -102,3 +131,22 @@
     cr_expect(fixture.store.keys.empty());
     cr_expect_eq(fixture.submit(std::string(100, 'a')), http::status::ok);
 }
+
+/// The platform takes a 503 as the promise that the job never runs, and the caller returns after the delay.
+Test(jobEndpoint, aServingJobWithoutRoomGets503WithRetryAfter)
+{
+    Fixture fixture;
+    fixture.publishRoom(1999);
+    const HttpResponse response = fixture.submitServing("5c0e7a21d94b36f8");
+    cr_assert_eq(response.result(), http::status::service_unavailable);
+    cr_assert_geq(std::stoi(std::string(response[http::field::retry_after])), 2);
+    cr_assert(fixture.store.keys.empty());
+    cr_assert_eq(fixture.submit("5c0e7a21d94b36f9"), http::status::ok, "not a serving job");
+}
+
+Test(jobEndpoint, aServingJobWithRoomIsAccepted)
+{
+    Fixture fixture;
+    fixture.publishRoom(2000);
+    cr_assert_eq(fixture.submitServing("5c0e7a21d94b36f8").result(), http::status::ok);
+}
