An earlier undetermined attempt keeps a serving job from being refused

Cause: an attempt that the store rejects withdrew the note about all attempts to submit the job. If the append of an earlier one had taken effect and was not read yet, the next attempt could be refused although the job runs.

Change: ServingAdmission counts the attempts that are not withdrawn.

--- a/src/libs/node/servingadmission.cpp
+++ b/src/libs/node/servingadmission.cpp
@@ -75,7 +75,18 @@
 {
     std::erase_if(m_submissions, [&](const auto &item) { return now - item.second.at > Internal::MaximumSubmissionTime; });
     if (const std::int64_t milliCores = servingDemand(job); milliCores > 0) {
-        m_submissions[jobId] = {{job.queue, milliCores}, now};
+        Submission &submission = m_submissions[jobId];
+        submission.job = {job.queue, milliCores};
+        submission.at = now;
+        ++submission.attempts;
+    }
+}
+
+void ServingAdmission::withdrawSubmission(const std::string &jobId)
+{
+    const auto submission = m_submissions.find(jobId);
+    if (submission != m_submissions.end() && --submission->second.attempts == 0) {
+        m_submissions.erase(submission);
     }
 }
 
--- a/src/libs/node/servingadmission.h
+++ b/src/libs/node/servingadmission.h
@@ -40,8 +40,8 @@
     /// Notes that @p job is being submitted. It counts until its record has been read or an instance would have read it.
     void beginSubmission(const std::string &jobId, const Wire::StepJob &job, TimePoint now);
 
-    /// Notes that the submission was not recorded and never will be.
-    void withdrawSubmission(const std::string &jobId) { m_submissions.erase(jobId); }
+    /// Notes that the last attempt to submit the job was not recorded and never will be.
+    void withdrawSubmission(const std::string &jobId);
 
     /// Returns true if the job was submitted through this instance and its record may exist, although it has not been read.
     bool isSubmitted(const std::string &jobId, TimePoint now) const;
@@ -50,7 +50,8 @@
     struct Submission
     {
         ServingSubmission job;
-        TimePoint at{};
+        TimePoint at{}; // of the last attempt
+        int attempts = 0; // that are not withdrawn
     };
 
     /// Returns the room of @p workerPool according to the current owner, if it is known.
--- a/tests/libs/node/testservingadmission.cpp
+++ b/tests/libs/node/testservingadmission.cpp
@@ -292,6 +292,19 @@
     cr_assert_not(instance.refuses(servingJob(), Begin));
 }
 
+/// "Not accepted" would not be true if the append of an earlier attempt has taken effect.
+Test(servingAdmission, aRejectedAttemptDoesNotHideAnEarlierUndeterminedOne)
+{
+    Instance instance(JobDemand);
+    instance.admission.beginSubmission("job", servingJob(), Begin);
+    instance.admission.beginSubmission("job", servingJob(), Begin + 1s);
+    cr_assert(instance.refuses(servingJob(), Begin + 1s, "other"));
+    instance.admission.withdrawSubmission("job");
+    cr_assert(instance.admission.isSubmitted("job", Begin + 1s));
+    instance.admission.withdrawSubmission("job");
+    cr_assert_not(instance.admission.isSubmitted("job", Begin + 1s));
+}
+
 /// A submission whose append never took effect must not take room for good.
 Test(servingAdmission, aSubmissionThatIsNeverReadStopsToCount)
 {
