The room for serving jobs counts places of the size in demand

Cause: the published room was the sum of free capacity minus the reserve, which pieces of a few cores fulfil.

Change: it is at most what ShortTaskPlaces leaves, less the serving tasks that wait.

--- a/src/libs/dispatch/dispatchservingroom.cpp
+++ b/src/libs/dispatch/dispatchservingroom.cpp
@@ -1,9 +1,13 @@
 #include "dispatcher.h"
 
 #include "servingroom.h"
+#include "shorttaskplaces.h"
 
 #include <jobtopic/servingdemand.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace Hyssop {
 
 namespace Internal {
@@ -32,11 +36,15 @@
         return {};
     }
     std::map<std::string, ServingRoom> rooms;
-    for (const auto &[id, worker] : m_workers) {
+    std::vector<WorkerState *> staying;
+    std::map<std::string, std::int64_t> placed; // capacity that serving runs have reserved, by worker pool
+    for (auto &[id, worker] : m_workers) {
         // A worker whose last poll has failed counts, because its runs do as well.
         const bool isStaying = worker.registered && !worker.info.draining && !m_evacuated.contains(worker.info.failureDomain);
         if (isStaying && worker.info.capacity.milliCores > 0) {
             rooms[worker.info.workerPool].capacity += worker.info.capacity.milliCores;
+            placed[worker.info.workerPool] += worker.servingCommitted;
+            staying.push_back(&worker);
         }
     }
     for (auto &[workerPool, room] : rooms) {
@@ -53,6 +61,10 @@
     std::vector<ServingRoom> result;
     result.reserve(rooms.size());
     for (auto &[workerPool, room] : rooms) {
+        const std::int64_t reserve = m_shortTaskReserve.milliCores(workerPool, room.capacity);
+        const std::int64_t demand = room.capacity - reserve - room.milliCores;
+        const std::int64_t notPlaced = std::max<std::int64_t>(demand - placed[workerPool], 0);
+        room.milliCores = std::min(room.milliCores, ShortTaskPlaces(staying, workerPool, m_shortTaskReserve).available() - notPlaced);
         result.push_back(std::move(room));
     }
     return result;
