Don't stop a run whose start has no response before a report decides

Cause: a start command without a response was stopped at once if it could not be sent again, because starts were withheld or a poll of the worker had failed, and after the third attempt. The run may be at work, and the same delay of the owner causes all three.

Change: such a start is kept. The next report that was requested later decides: a run that it lists goes on, another one is started again or, after the last attempt, stopped. Without a report it ends with the lease, as before.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -218,6 +218,13 @@
     void recordRunLoss(TaskExecution &task, std::optional<RunEndEvidence> evidence, TimePoint now);
     void withdrawStart(const TaskId &id, TaskExecution &task, TimePoint now);
 
+    /// Sends the start of @p task again, as the same run. If none may be sent, the run is kept until a report shows whether it exists: a
+    /// response that is late or lost is no reason to stop a run.
+    void handleUndeterminedStart(const TaskId &id, TaskExecution &task, TimePoint now);
+
+    /// Sends the start of @p task again, of which a later report does not list the run, or stops the run after the last attempt.
+    void handleUnlistedStart(const TaskId &id, TaskExecution &task, TimePoint now);
+
     /// Counts what the log line about the end of the job says.
     void recordStartResult(const StartCommand &command, const CommandResult &result);
     static void recordRunEnd(JobHistory &history, const TaskId &id, const TaskExecution &task, RunEndReason endReason, TimePoint now);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -173,17 +173,32 @@
                        --task->startsSent;
                        abandonRun(command.task, *task, now);
                    },
-                   [&](const CommandUndetermined &) {
-                       if (task->startsSent < Internal::MaximumStartSends) {
-                           sendStart(command.task, *task, now);
-                       } else {
-                           beginStop(command.task, *task, StopReason::StartUndetermined, now);
-                       }
-                   },
+                   [&](const CommandUndetermined &) { handleUndeterminedStart(command.task, *task, now); },
                },
                result);
 }
 
+void Dispatcher::handleUndeterminedStart(const TaskId &id, TaskExecution &task, TimePoint now)
+{
+    const WorkerState *worker = findWorker(task.worker);
+    const bool isWithheld = !canStart(now) || (worker != nullptr && worker->isUnreachable());
+    if (isWithheld || task.startsSent >= Internal::MaximumStartSends) {
+        // The run may exist. The next report of the worker, or the end of its lease, tells.
+        task.phaseSince = now;
+        return;
+    }
+    sendStart(id, task, now);
+}
+
+void Dispatcher::handleUnlistedStart(const TaskId &id, TaskExecution &task, TimePoint now)
+{
+    if (task.startsSent < Internal::MaximumStartSends) {
+        sendStart(id, task, now);
+    } else {
+        beginStop(id, task, StopReason::StartUndetermined, now); // a start command may still be executed
+    }
+}
+
 void Dispatcher::markStarted(const TaskId &id)
 {
     JobExecution *job = m_jobs.find(id.job);
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -417,10 +417,13 @@
             continue;
         }
         const bool adopted = task->phase == TaskPhase::Starting && task->startsSent == 0;
+        const bool undetermined = task->phase == TaskPhase::Starting && !adopted && !task->startPending && task->phaseSince <= sentAt;
         const bool ran = task->phase == TaskPhase::Running && task->confirmedAt <= sentAt;
         const bool stopped = task->phase == TaskPhase::Stopping && task->stopConfirmed && task->confirmedAt <= sentAt;
         if (listsAllRuns && (adopted || ((ran || stopped) && !task->startPending))) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::MissingInReport);
+        } else if (undetermined) {
+            handleUnlistedStart(id, *task, now);
         } else if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
             task->phaseSince = now;
             sendStop(id, *task);
