Wait longer for responses while most of them are late

Cause: an owner that handles responses more than 0.9 s late counts all its polls as failed. It discards the responses, takes the workers for unreachable and renews none of their leases, so runs end on workers that respond, and all at once.

Change: ResponseTimeoutPolicy extends the timeouts of polls and starts to 2.5 s (less with short leases) while at least half of the results of the last second are slow or missing, and for the first poll of each worker in a term, when all open a connection at once. A failed poll still means what it did, no lease is longer, and the loss of a region (fewer than half of the results) is noticed as fast as before.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -34,6 +34,7 @@
 Dispatcher::Dispatcher(const DispatchLimits &limits)
     : m_limits(limits)
     , m_leasePolicy(limits.maximumLease)
+    , m_responseTimeouts(limits.maximumLease)
 {
 }
 
@@ -47,6 +48,7 @@
     m_termBeganAt = claim.readAt;
     m_termWallMs.reset();
     m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claim.readAt, afterHandover);
+    m_responseTimeouts = ResponseTimeoutPolicy(m_limits.maximumLease);
     m_jobs.clear();
     m_workers.clear();
     m_removedWorkersRises = TokenRises();
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatchsummary.h"
 #include "jobregistry.h"
 #include "leasepolicy.h"
+#include "responsetimeoutpolicy.h"
 #include "shorttaskreserve.h"
 #include "ticketcache.h"
 #include "tokenrises.h"
@@ -294,6 +295,7 @@
 
     DispatchLimits m_limits;
     LeasePolicy m_leasePolicy;
+    ResponseTimeoutPolicy m_responseTimeouts;
     std::int64_t m_term = 0;
     TimePoint m_confirmedAt{}; // ownership was confirmed as of then
     TimePoint m_readAt{}; // all records up to then were read
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -75,6 +75,7 @@
     }
     fenceAcknowledgement(*worker);
     command.fencingToken = tokenFor(*worker);
+    command.responseTimeout = m_responseTimeouts.startTimeout(now);
     command.leaseEnd = worker->clock->readingAt(m_leasePolicy.latestLeaseEnd(now, m_confirmedAt));
     worker->leaseEnd = std::max(worker->leaseEnd, worker->clock->latestTimeOf(command.leaseEnd));
     task.phase = TaskPhase::Starting;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -131,6 +131,7 @@
             const auto maximumWait = worker.overTargetSince ? Internal::MaximumOverTargetPollWait : Internal::MaximumPollWait;
             poll.wait = waits ? maximumWait : std::chrono::milliseconds(0);
         }
+        poll.responseTimeout = m_responseTimeouts.pollTimeout(!worker.hasAnswered, now);
         worker.pollPending = true;
         m_actions.emplace_back(std::move(poll));
     }
@@ -144,6 +145,7 @@
     }
     worker->pollPending = false;
     worker->acknowledgementPending = false;
+    m_responseTimeouts.recordResult(now - sentAt - command.wait, now);
     // An entry of another writer may name any address; what answers there says nothing about this worker.
     const bool isReportedAddress = command.worker.address == worker->reportedAddress;
     const auto failed = [&](const std::string &reason) {
--- a/src/libs/ports/workercommands.h
+++ b/src/libs/ports/workercommands.h
@@ -31,6 +31,7 @@
     std::int64_t fencingToken = 0;
     WorkerTime leaseEnd{0}; // the worker rejects the command after this time
     bool isServing = false; // a serving task; for logs and metrics, not sent to the worker
+    std::chrono::milliseconds responseTimeout{800}; // how long to wait for the response; not sent to the worker
     std::optional<std::chrono::milliseconds> withoutRun{}; // time since a run of a serving task was last known; none: its first run; not sent either
 };
 
@@ -75,6 +76,7 @@
     std::int64_t acknowledgedSequence = 0; // the worker may discard ends up to this sequence number
     std::optional<WorkerTime> leaseEnd; // none: the lease is not renewed
     std::chrono::milliseconds wait{0}; // how long the worker may delay the response until a run ends (long poll)
+    std::chrono::milliseconds responseTimeout{900}; // how long to wait for the response beyond that; not sent to the worker
 };
 
 } // namespace Hyssop
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -21,6 +21,17 @@
 constexpr auto ConnectionTime = 2ms;
 constexpr int MaximumFailures = 3;
 
+/// Returns how long the owner waits for the response to @p command. Simulated workers answer polls at once.
+template<typename Command>
+std::chrono::milliseconds timeoutOf(const Command &command)
+{
+    if constexpr (requires { command.responseTimeout; }) {
+        return command.responseTimeout;
+    } else {
+        return CommandTimeout;
+    }
+}
+
 /// Returns the result of a command whose connection was refused.
 template<typename Outcome>
 Outcome refusal()
@@ -381,11 +392,10 @@
     using Outcome = decltype(execute(**worker, command, now));
     SimulatedWorker *target = worker->get();
     const TimePoint sentAt = now;
+    const Duration timeout = timeoutOf(command);
     const bool late = chance(faults.delayedCommands);
     const Duration transitTime = late ? Duration(2s + std::chrono::milliseconds(random(10000))) : Duration(std::chrono::milliseconds(1 + random(20)));
-    const auto unknown = [=, this] {
-        deliver(sender, CommandTimeout, [=, this] { done(*sender, command, Outcome(CommandUndetermined{"timeout"}), sentAt, now); });
-    };
+    const auto unknown = [=, this] { deliver(sender, timeout, [=, this] { done(*sender, command, Outcome(CommandUndetermined{"timeout"}), sentAt, now); }); };
     if (target->refusesConnections) {
         deliver(sender, ConnectionTime, [=, this] { done(*sender, command, refusal<Outcome>(), sentAt, now); });
         return;
@@ -405,8 +415,8 @@
                 return;
             }
             const Outcome result = execute(*target, command, now);
-            const bool isInTime = requestTime + responseTime < CommandTimeout;
-            const Duration untilResult = isInTime ? responseTime : std::max(CommandTimeout - requestTime, Duration(0));
+            const bool isInTime = requestTime + responseTime < timeout;
+            const Duration untilResult = isInTime ? responseTime : std::max(timeout - requestTime, Duration(0));
             deliver(sender, untilResult, [=, this] { done(*sender, command, isInTime ? result : Outcome(CommandUndetermined{"timeout"}), sentAt, now); });
         });
         return;
@@ -427,7 +437,10 @@
         if (lost) {
             unknown();
         } else {
-            deliver(sender, std::chrono::milliseconds(1 + random(10)), [=, this] { done(*sender, command, result, sentAt, now); });
+            const Duration responseTime = std::chrono::milliseconds(1 + random(10)) + responseDelay;
+            const bool isInTime = now - sentAt + responseTime < timeout;
+            const Duration untilResult = isInTime ? responseTime : std::max(timeout - (now - sentAt), Duration(0));
+            deliver(sender, untilResult, [=, this] { done(*sender, command, isInTime ? result : Outcome(CommandUndetermined{"timeout"}), sentAt, now); });
         }
     });
 }
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -85,6 +85,7 @@
     int random(int maximum) { return static_cast<int>(m_random() % static_cast<std::uint32_t>(maximum)); }
 
     DispatchFaults faults;
+    Duration responseDelay{0}; // by which the owners handle each response later; from the timeout of the command on it is lost
     Duration workerLoadTime{0}; // from a claim until its owner knows the registered workers
     ClusterConfig config;
     std::set<std::string> evacuated;
