--- a/tests/libs/dispatch/testresponsetimeouts.cpp
+++ b/tests/libs/dispatch/testresponsetimeouts.cpp
@@ -5,6 +5,8 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <string>
 
 using namespace Hyssop;
 using namespace Hyssop::Testing;
@@ -14,6 +16,8 @@
 
 constexpr std::size_t Workers = 12;
 constexpr std::size_t Tasks = 24;
+constexpr std::uint32_t Seeds = 100;
+constexpr int Jobs = 20;
 constexpr TimePoint Begin{1000s};
 constexpr std::chrono::milliseconds MaximumLease{6000};
 constexpr std::chrono::milliseconds OrdinaryPollTimeout{900};
@@ -43,6 +47,19 @@
     return now;
 }
 
+/// Replaces the owner, restarts a worker, or does nothing.
+void injectFault(DispatchSimulation &simulation)
+{
+    const int kind = simulation.random(6);
+    if (kind == 0) {
+        simulation.pauseOwner(std::chrono::milliseconds(500 + simulation.random(9000)));
+        simulation.claim();
+    } else if (kind == 1) {
+        const auto index = static_cast<std::size_t>(simulation.random(Workers));
+        simulation.restartWorker(index, std::chrono::milliseconds(1500 + simulation.random(4000)));
+    }
+}
+
 std::size_t busyWorker(DispatchSimulation &simulation)
 {
     std::size_t index = 0;
@@ -105,6 +122,30 @@
     cr_expect(simulation.violations.empty());
 }
 
+// Guards against concurrent or repeated runs while the owner's delay comes and goes, beside takeovers and restarts of workers.
+Test(responseTimeouts, aDelayThatComesAndGoesCausesNoLostOrDuplicateRuns)
+{
+    for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
+        DispatchSimulation simulation(seed, Workers);
+        simulation.faults = {0.03, 0.03};
+        simulation.claim();
+        for (int job = 0; job < Jobs; ++job) {
+            simulation.submit("job" + std::to_string(job), 1 + simulation.random(3), 1 + simulation.random(8));
+            simulation.responseDelay = std::chrono::milliseconds(simulation.random(2) * simulation.random(3000));
+            simulation.run(std::chrono::milliseconds(simulation.random(1500)));
+            injectFault(simulation);
+        }
+        simulation.faults = {};
+        simulation.responseDelay = Duration::zero();
+        simulation.run(60s);
+        cr_assert(simulation.violations.empty(), "seed %u: %s", seed, simulation.violations.empty() ? "" : simulation.violations.front().c_str());
+        for (int job = 0; job < Jobs; ++job) {
+            cr_assert(simulation.isComplete("job" + std::to_string(job)), "seed %u: job%d has not completed", seed, job);
+        }
+        cr_assert_eq(simulation.openRuns(), 0, "seed %u: a run is left", seed);
+    }
+}
+
 Test(responseTimeouts, areExtendedWhileMostResultsAreLate)
 {
     ResponseTimeoutPolicy policy(MaximumLease);
