--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -131,6 +131,7 @@
             const auto maximumWait = worker.overTargetSince ? Internal::MaximumOverTargetPollWait : Internal::MaximumPollWait;
             poll.wait = waits ? maximumWait : std::chrono::milliseconds(0);
         }
+        poll.responseTimeout = m_responseTimeouts.pollTimeout(!worker.hasAnswered, now);
         worker.pollPending = true;
         m_actions.emplace_back(std::move(poll));
     }
@@ -144,6 +145,7 @@
     }
     worker->pollPending = false;
     worker->acknowledgementPending = false;
+    m_responseTimeouts.recordResult(now - sentAt - command.wait, now);
     // An entry of another writer may name any address; what answers there says nothing about this worker.
     const bool isReportedAddress = command.worker.address == worker->reportedAddress;
     const auto failed = [&](const std::string &reason) {
@@ -417,10 +419,13 @@
             continue;
         }
         const bool adopted = task->phase == TaskPhase::Starting && task->startsSent == 0;
+        const bool undetermined = task->phase == TaskPhase::Starting && !adopted && !task->startPending && task->phaseSince <= sentAt;
         const bool ran = task->phase == TaskPhase::Running && task->confirmedAt <= sentAt;
         const bool stopped = task->phase == TaskPhase::Stopping && task->stopConfirmed && task->confirmedAt <= sentAt;
         if (listsAllRuns && (adopted || ((ran || stopped) && !task->startPending))) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::MissingInReport);
+        } else if (undetermined) {
+            handleUnlistedStart(id, *task, now);
         } else if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
             task->phaseSince = now;
             sendStop(id, *task);
