DispatchLog writes the lines about dispatched runs and workers

TopicOwner decided itself which results are combined. A class of its own can be fed by tests without an owner, and the limit of log lines uses the clock that tests pause and advance. No line changes.

--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -222,7 +222,7 @@
 
 void TopicOwner::finishLog()
 {
-    m_runLog.writeAll(m_clock.now());
+    m_log.writeAll(m_clock.now());
 }
 
 bool TopicOwner::ownsNewestClaim() const
@@ -342,7 +342,7 @@
 void TopicOwner::stepDown(const std::string &reason, const StepDown &rejection)
 {
     if (m_term) {
-        m_runLog.writeAll(m_clock.now());
+        m_log.writeAll(m_clock.now());
         logStepDown(*m_term, reason, rejection);
         m_metrics.add("hyssop_step_downs_total", {{"reason", reason.substr(0, reason.find(':'))}});
         m_minimumTerm = *m_term + 1;
@@ -401,53 +401,18 @@
                    [&](const ListLiveWorkers &) { asio::co_spawn(m_executor, listLiveWorkers(), logException); },
                    [&](AppendRecords &append) { startBatch(std::move(append)); },
                    [&](const StepDown &rejection) { stepDown("a worker has seen a newer owner", rejection); },
-                   [&](const RunEnded &end) { logEvent(end); },
-                   [&](const JobEnded &end) { logEvent(end); },
-                   [&](const StartWithdrawn &start) { m_runLog.withdrawn(start, m_clock.now()); },
-                   [](const auto &event) { logAction(event); },
+                   [&](const auto &event) { m_log.write(event, m_clock.now()); },
                },
                action);
 }
 
-template<typename Command>
-void TopicOwner::logCommandResult(const char *name, const Command &command, const CommandResult &result)
-{
-    const TimePoint now = m_clock.now();
-    const std::string combinedName = std::string(name) + "-" + resultName(result);
-    if (isRoutine(command, result)) {
-        m_runLog.other(combinedName, command.task, command.run, command.worker.id, now);
-    } else if (command.isServing || m_runLog.takesOwnLine(now)) {
-        logResult(command, result);
-    } else {
-        m_runLog.exceptional(combinedName, command.task, command.run, command.worker.id, now);
-    }
-}
-
-void TopicOwner::logEvent(const RunEnded &end)
-{
-    const TimePoint now = m_clock.now();
-    if (isRoutine(end)) {
-        m_runLog.completed(end, now);
-    } else if (end.isServing || m_runLog.takesOwnLine(now)) {
-        logAction(end);
-    } else {
-        m_runLog.exceptional(std::string("run-") + endReasonName(end.endReason), end.task, end.run, end.worker, now);
-    }
-}
-
-void TopicOwner::logEvent(const JobEnded &end)
-{
-    m_runLog.writeJob(end.jobId, m_clock.now());
-    logAction(end);
-}
-
 void TopicOwner::writeResults()
 {
     if (m_term) {
-        m_runLog.writeDue(m_clock.now());
+        m_log.writeDue(m_clock.now());
     } else {
         // Only the commands sent before stepping down are still answered: few results follow that could be combined.
-        m_runLog.writeAll(m_clock.now());
+        m_log.writeAll(m_clock.now());
     }
 }
 
@@ -540,11 +505,7 @@
 {
     const TimePoint sentAt = m_clock.now();
     const CommandResult result = co_await m_ports.workers.start(command);
-    if (isRoutine(command, result)) {
-        m_runLog.started(command, m_clock.now());
-    } else {
-        logCommandResult("start", command, result);
-    }
+    m_log.write(command, result, m_clock.now());
     m_metrics.observe("hyssop_start_seconds", m_clock.now() - sentAt);
     if (command.withoutRun && std::holds_alternative<CommandExecuted>(result)) {
         m_metrics.observe("hyssop_serving_gap_seconds", *command.withoutRun);
@@ -558,7 +519,7 @@
 asio::awaitable<void> TopicOwner::sendStop(StopCommand command)
 {
     const CommandResult result = co_await m_ports.workers.stop(command);
-    logCommandResult("stop", command, result);
+    m_log.write(command, result, m_clock.now());
     m_metrics.add("hyssop_stops_total", {{"outcome", resultName(result)}});
     m_metrics.add("hyssop_stop_reasons_total", {{"reason", stopReasonName(command.reason)}});
     if (m_term) {
@@ -569,7 +530,7 @@
 asio::awaitable<void> TopicOwner::sendThrottle(ThrottleCommand command)
 {
     const CommandResult result = co_await m_ports.workers.throttle(command);
-    logResult(command, result);
+    m_log.write(command, result, m_clock.now());
     m_metrics.add("hyssop_paces_total", {{"outcome", resultName(result)}});
     if (m_term) {
         m_dispatcher.throttleAnswered(command, result, m_clock.now());
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "claimpolicy.h"
+#include "dispatchlog.h"
 #include "ownerappender.h"
-#include "runlog.h"
 
 #include <dispatch/dispatcher.h>
 #include <ports/storeresults.h>
@@ -112,10 +112,6 @@
     void updateWorkersNeed();
     boost::asio::awaitable<void> claim();
     void execute(DispatchAction action);
-    template<typename Command>
-    void logCommandResult(const char *name, const Command &command, const CommandResult &result);
-    void logEvent(const RunEnded &end);
-    void logEvent(const JobEnded &end);
     void writeResults();
     void startBatch(AppendRecords batch);
     void renewClaim(TimePoint now);
@@ -149,7 +145,7 @@
     OwnerAppender m_appender; // to the job topic
     OwnerAppender m_runsAppender;
     Dispatcher m_dispatcher;
-    RunLog m_runLog;
+    DispatchLog m_log;
     WorkersNeedHandler m_workersNeedHandler;
     bool m_needsWorkers = false;
     std::map<std::string, WorkerInfo> m_workers; // empty unless they are needed
--- a/src/libs/observability/logging.cpp
+++ b/src/libs/observability/logging.cpp
@@ -2,6 +2,8 @@
 
 #include "outputappender.h"
 
+#include <utils/clock.h>
+
 #include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -30,7 +32,7 @@
     int linesPerSecond = 0; // 0: no limit
     int remainingLines = 0;
     long droppedLines = 0;
-    std::chrono::steady_clock::time_point secondStartedAt{};
+    TimePoint secondStartedAt{};
 };
 
 static std::unique_ptr<LoggingState> &loggingState()
@@ -39,6 +41,13 @@
     return state;
 }
 
+static const Clock *&logClock()
+{
+    static const Clock systemClock;
+    static const Clock *clock = &systemClock;
+    return clock;
+}
+
 static log4cplus::LogLevel toLibraryLevel(LogLevel level)
 {
     switch (level) {
@@ -120,7 +129,7 @@
     if (state.linesPerSecond == 0) {
         return true;
     }
-    const auto now = std::chrono::steady_clock::now();
+    const TimePoint now = logClock()->now();
     if (now - state.secondStartedAt >= std::chrono::seconds(1)) {
         state.secondStartedAt = now;
         state.remainingLines = state.linesPerSecond;
@@ -223,6 +232,11 @@
     }
 }
 
+void setLogClock(const Clock &clock)
+{
+    Internal::logClock() = &clock;
+}
+
 LogLevel parseLogLevel(std::string_view name)
 {
     for (const LogLevel level : {LogLevel::Debug, LogLevel::Warning, LogLevel::Error}) {
--- a/src/libs/observability/logging.h
+++ b/src/libs/observability/logging.h
@@ -7,6 +7,8 @@
 
 namespace Hyssop {
 
+class Clock;
+
 enum class LogLevel {
     Debug,
     Info,
@@ -52,6 +54,9 @@
 /// field dropped_lines. A part of the limit is reserved for each priority above LogPriority::Routine.
 void setLogLineLimit(int linesPerSecond);
 
+/// Sets the clock that measures the seconds of the limit of lines. It must outlive all further log lines.
+void setLogClock(const Clock &clock);
+
 /// Parses "debug", "info", "warning" or "error"; returns LogLevel::Info for any other text.
 LogLevel parseLogLevel(std::string_view name);
 
