Log lines use what is reserved for their priority first

Cause: a line of a higher priority took from the part that routine lines may use, although its own part was unused. Change: a line is written if this leaves what is reserved for each higher priority.

--- a/src/libs/observability/logging.cpp
+++ b/src/libs/observability/logging.cpp
@@ -10,27 +10,35 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdio>
 #include <memory>
+#include <numeric>
 
 namespace Hyssop {
 
 namespace Internal {
 
 // Parts of the limit that are not available to lines of lower priority.
-constexpr int OutcomeSharePercent = 10;
-constexpr int RequestEndSharePercent = 12;
-constexpr int StateChangeSharePercent = 15;
+constexpr int OutcomeSharePercent = 8;
+constexpr int RequestEndSharePercent = 19;
+constexpr int StateChangeSharePercent = 10;
 constexpr int EssentialSharePercent = 10;
 
+constexpr std::array Priorities{LogPriority::Routine, LogPriority::Outcome, LogPriority::RequestEnd, LogPriority::StateChange, LogPriority::Essential};
+
+/// Numbers of lines by priority.
+using LineCounts = std::array<long, Priorities.size()>;
+
 struct LoggingState
 {
     log4cplus::Initializer initializer;
     LogFormat format = LogFormat::KeyValue;
     std::string instance;
     int linesPerSecond = 0; // 0: no limit
-    int remainingLines = 0;
+    LineCounts writtenLines{}; // in this second
     long droppedLines = 0;
     TimePoint secondStartedAt{};
 };
@@ -123,6 +131,20 @@
     return linesPerSecond * reservedPercent(priority) / 100;
 }
 
+/// Returns true if a line may be written without using what is reserved for a higher priority. Lines of a higher priority use what is
+/// reserved for them first.
+static bool hasLinesLeft(const LoggingState &state, LogPriority priority)
+{
+    long written = 0; // lines of this or a lower priority
+    for (const LogPriority other : Priorities) {
+        written += state.writtenLines[static_cast<std::size_t>(other)];
+        if (other >= priority && written >= state.linesPerSecond - reservedLines(state.linesPerSecond, other)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /// Applies the rate limit. Returns false, and counts the line as dropped, if the limit of this second is reached.
 static bool consumeLineBudget(LoggingState &state, LogPriority priority)
 {
@@ -132,13 +154,13 @@
     const TimePoint now = logClock()->now();
     if (now - state.secondStartedAt >= std::chrono::seconds(1)) {
         state.secondStartedAt = now;
-        state.remainingLines = state.linesPerSecond;
+        state.writtenLines.fill(0);
     }
-    if (state.remainingLines <= reservedLines(state.linesPerSecond, priority)) {
+    if (!hasLinesLeft(state, priority)) {
         ++state.droppedLines;
         return false;
     }
-    --state.remainingLines;
+    ++state.writtenLines[static_cast<std::size_t>(priority)];
     return true;
 }
 
@@ -259,6 +281,11 @@
 }
 
 void logMessage(LogPriority priority, LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields)
+{
+    logMessage(priority, level, component, message, std::span(fields.begin(), fields.size()));
+}
+
+void logMessage(LogPriority priority, LogLevel level, std::string_view component, std::string_view message, std::span<const LogField> fields)
 {
     const auto &state = Internal::loggingState();
     if (!state) {
--- a/src/libs/observability/logging.h
+++ b/src/libs/observability/logging.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -69,5 +70,6 @@
 
 /// Writes one structured log line with an explicit priority.
 void logMessage(LogPriority priority, LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields = {});
+void logMessage(LogPriority priority, LogLevel level, std::string_view component, std::string_view message, std::span<const LogField> fields);
 
 } // namespace Hyssop
--- a/tests/libs/observability/testlogging.cpp
+++ b/tests/libs/observability/testlogging.cpp
@@ -106,3 +106,20 @@
     cr_assert_eq(count(text, "message=unreachable"), 1);
     cr_assert_eq(count(text, "message=stepped"), 1);
 }
+
+// Guards against lines about requests that take the part of the routine lines while the part reserved for them is unused.
+Test(logging, linesOfAHigherPriorityUseWhatIsReservedForThemFirst)
+{
+    constexpr int RoutineShare = 53;
+    constexpr int RequestEnds = 19;
+    const CapturedOutput output;
+    initializeLogging(LogLevel::Info, LogFormat::KeyValue, "front");
+    setLogLineLimit(LineLimit);
+    for (int line = 0; line < RequestEnds; ++line) {
+        logMessage(LogPriority::RequestEnd, LogLevel::Info, "owner", "ended");
+    }
+    logRepeatedly(LogLevel::Info, "routine");
+    cr_assert_eq(count(output.text(), "message=routine"), RoutineShare, "%d lines", count(output.text(), "message=routine"));
+    logRepeatedly(LogLevel::Warning, "stepped");
+    cr_assert_eq(count(output.text(), "\n"), LineLimit);
+}
