Starts of serving tasks and changes of many workers are combined in the log

Cause: each start of a serving task, each exceptional result of one, and each change of a worker had a line of its own. When an ownership begins with thousands of serving tasks, or hundreds of workers become unreachable and reachable again, these lines exceed the limit and are dropped. Change: RunLog combines the first starts of serving tasks and the stops of ended serving jobs as those of other tasks; their exceptional results have a line each up to 60 a second, and then keep the reason of the stop, the evidence of the end and the time without a run in 'run results'. Lines that are due make way for those of ended jobs, and the lines left at the end of an ownership are written in parts.

--- a/src/libs/node/dispatchlog.cpp
+++ b/src/libs/node/dispatchlog.cpp
@@ -2,17 +2,38 @@
 
 #include "ownerlog.h"
 
+#include <algorithm>
+#include <cstddef>
+#include <initializer_list>
 #include <string>
+#include <variant>
 
 namespace Hyssop {
 
+namespace Internal {
+
+constexpr std::size_t LinesAtTermEnd = 100;
+constexpr std::size_t RemainingLines = 20; // in a call
+
+/// Returns @p parts, joined by hyphens instead of spaces.
+static std::string combinedName(std::initializer_list<std::string> parts)
+{
+    std::string name;
+    for (const std::string &part : parts) {
+        name += (name.empty() ? "" : "-") + part;
+    }
+    std::ranges::replace(name, ' ', '-');
+    return name;
+}
+
+} // namespace Internal
+
 template<typename Command>
-void DispatchLog::writeResult(const char *name, const Command &command, const CommandResult &result, TimePoint now)
+void DispatchLog::writeResult(const std::string &combinedName, const Command &command, const CommandResult &result, TimePoint now)
 {
-    const std::string combinedName = std::string(name) + "-" + resultName(result);
     if (isRoutine(command, result)) {
         m_runs.other(combinedName, command.task, command.run, command.worker.id, now);
-    } else if (command.isServing || m_runs.takesOwnLine(now)) {
+    } else if (m_runs.takesOwnLine(now)) {
         logResult(command, result);
     } else {
         m_runs.exceptional(combinedName, command.task, command.run, command.worker.id, now);
@@ -21,16 +42,18 @@
 
 void DispatchLog::write(const StartCommand &command, const CommandResult &result, TimePoint now)
 {
-    if (isRoutine(command, result)) {
-        m_runs.started(command, now);
+    if (!std::holds_alternative<CommandExecuted>(result)) {
+        writeResult(Internal::combinedName({"start", resultName(result)}), command, result, now);
+    } else if (!isRoutine(command, result) && m_runs.takesOwnLine(now)) {
+        logResult(command, result);
     } else {
-        writeResult("start", command, result, now);
+        m_runs.started(command, now);
     }
 }
 
 void DispatchLog::write(const StopCommand &command, const CommandResult &result, TimePoint now)
 {
-    writeResult("stop", command, result, now);
+    writeResult(Internal::combinedName({"stop", resultName(result), stopReasonName(command.reason)}), command, result, now);
 }
 
 void DispatchLog::write(const ThrottleCommand &command, const CommandResult &result, TimePoint)
@@ -42,10 +65,10 @@
 {
     if (isRoutine(end)) {
         m_runs.completed(end, now);
-    } else if (end.isServing || m_runs.takesOwnLine(now)) {
+    } else if (m_runs.takesOwnLine(now)) {
         logAction(end);
     } else {
-        m_runs.exceptional(std::string("run-") + endReasonName(end.endReason), end.task, end.run, end.worker, now);
+        m_runs.exceptional(Internal::combinedName({"run", endReasonName(end.endReason), evidenceName(end.evidence)}), end.task, end.run, end.worker, now);
     }
 }
 
@@ -75,19 +98,33 @@
     logAction(resumed);
 }
 
-void DispatchLog::write(const WorkerEvent &event, TimePoint)
+void DispatchLog::write(const WorkerEvent &event, TimePoint now)
 {
-    std::visit([](const auto &change) { logAction(change); }, event);
+    m_workers.add(event, now);
 }
 
 void DispatchLog::writeDue(TimePoint now)
 {
     m_runs.writeDue(now);
+    m_workers.writeDue(now);
+}
+
+void DispatchLog::writeRemaining(TimePoint now)
+{
+    m_runs.writeOldest(Internal::RemainingLines, now);
+    m_workers.writeAll(now);
+}
+
+void DispatchLog::endTerm(TimePoint now)
+{
+    m_runs.writeOldest(Internal::LinesAtTermEnd, now);
+    m_workers.writeAll(now);
 }
 
 void DispatchLog::writeAll(TimePoint now)
 {
     m_runs.writeAll(now);
+    m_workers.writeAll(now);
 }
 
 } // namespace Hyssop
--- a/src/libs/node/dispatchlog.h
+++ b/src/libs/node/dispatchlog.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "runlog.h"
-#include "workerevent.h"
+#include "workereventlog.h"
 
 #include <dispatch/dispatchactions.h>
 
@@ -28,14 +28,23 @@
     /// Writes the lines that are due. Must be called regularly.
     void writeDue(TimePoint now);
 
+    /// Writes some of the lines, due or not. Must be called regularly after the end of the ownership, when few results follow that
+    /// could be combined.
+    void writeRemaining(TimePoint now);
+
+    /// Writes the lines about workers and many of those about runs; writeRemaining() writes the others.
+    void endTerm(TimePoint now);
+
     /// Writes all lines.
     void writeAll(TimePoint now);
 
 private:
+    /// @p combinedName is what the result is called in a combined line.
     template<typename Command>
-    void writeResult(const char *name, const Command &command, const CommandResult &result, TimePoint now);
+    void writeResult(const std::string &combinedName, const Command &command, const CommandResult &result, TimePoint now);
 
     RunLog m_runs;
+    WorkerEventLog m_workers;
 };
 
 } // namespace Hyssop
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -1,5 +1,7 @@
 #include "ownerlog.h"
 
+#include "logfields.h"
+
 #include <dispatch/dispatchsummary.h>
 #include <observability/logging.h>
 #include <utils/overloaded.h>
@@ -72,12 +74,13 @@
 
 bool isRoutine(const StartCommand &command, const CommandResult &result)
 {
-    return !command.isServing && std::holds_alternative<CommandExecuted>(result);
+    return !command.withoutRun && std::holds_alternative<CommandExecuted>(result);
 }
 
 bool isRoutine(const StopCommand &command, const CommandResult &result)
 {
-    return !command.isServing && command.reason != StopReason::Orphaned && std::holds_alternative<CommandExecuted>(result);
+    const bool isExpected = command.isServing ? command.reason == StopReason::JobEnded : command.reason != StopReason::Orphaned;
+    return isExpected && std::holds_alternative<CommandExecuted>(result);
 }
 
 bool isRoutine(const RunEnded &end)
@@ -85,12 +88,6 @@
     return !end.isServing && end.endReason == RunEndReason::Completed;
 }
 
-/// Returns a field with @p time in milliseconds, or "unknown".
-static LogField timeField(const char *key, const std::optional<std::chrono::milliseconds> &time)
-{
-    return time ? LogField(key, static_cast<long long>(time->count())) : LogField(key, "unknown");
-}
-
 /// Logs the result of a command about a run. @p input is its characteristic parameter.
 template<typename Command>
 static void logRunCommand(LogLevel level, const char *message, const Command &command, const LogField &input, const CommandResult &result)
@@ -140,7 +137,7 @@
     logRunCommand(LogLevel::Debug, "throttle command result", command, {"percent", command.speedPercent}, result);
 }
 
-static const char *evidenceName(RunEndEvidence evidence)
+const char *evidenceName(RunEndEvidence evidence)
 {
     switch (evidence) {
     case RunEndEvidence::Report:
@@ -175,25 +172,6 @@
                 {"starts", end.startsSent}});
 }
 
-void logAction(const WorkerRestarted &worker)
-{
-    logMessage(
-        LogPriority::StateChange,
-        LogLevel::Warning,
-        "owner",
-        "worker restarted",
-        {{"worker", worker.worker}, {"clock_ms", worker.clock.count()}, {"expected_clock_ms", worker.expectedClock.count()}, {"open_runs", worker.openRuns}});
-}
-
-void logAction(const WorkerLeaseExpired &worker)
-{
-    logMessage(LogPriority::StateChange,
-               LogLevel::Warning,
-               "owner",
-               "leases of unreachable worker expired",
-               {{"worker", worker.worker}, {"failed_polls", worker.failedPolls}, {"open_runs", worker.openRuns}});
-}
-
 void logAction(const LateEndIgnored &end)
 {
     logMessage(LogLevel::Warning,
@@ -207,66 +185,6 @@
                 {"newest_worker", end.newestWorker}});
 }
 
-void logAction(const WorkerProcessEnded &worker)
-{
-    logMessage(LogPriority::StateChange,
-               LogLevel::Warning,
-               "owner",
-               "worker process has ended",
-               {{"worker", worker.worker}, {"failed_polls", worker.failedPolls}, {"ended_runs", worker.endedRuns}});
-}
-
-static void logWorkerChange(const char *message, std::initializer_list<LogField> fields)
-{
-    logMessage(LogPriority::StateChange, LogLevel::Info, "owner", message, fields);
-}
-
-void logAction(const WorkerRegistered &worker)
-{
-    logWorkerChange("worker registered",
-                    {{"worker", worker.worker}, {"address", worker.address}, {"failure_domain", worker.failureDomain}, {"open_runs", worker.openRuns}});
-}
-
-void logAction(const WorkerDraining &worker)
-{
-    logWorkerChange("worker draining", {{"worker", worker.worker}, timeField("remaining_ms", worker.remaining), {"open_runs", worker.openRuns}});
-}
-
-void logAction(const WorkerUnregistered &worker)
-{
-    logWorkerChange(
-        "worker unregistered",
-        {{"worker", worker.worker}, {"open_runs", worker.openRuns}, {"failed_polls", worker.failedPolls}, timeField("since_report_ms", worker.sinceReport)});
-}
-
-void logAction(const WorkerUnreachable &worker)
-{
-    logWorkerChange("worker unreachable",
-                    {{"worker", worker.worker},
-                     {"error", worker.reason},
-                     {"open_runs", worker.openRuns},
-                     timeField("since_report_ms", worker.sinceReport),
-                     {"lease_end_in_ms", worker.untilLeaseEnd.count()}});
-}
-
-void logAction(const WorkerReachableAgain &worker)
-{
-    logWorkerChange(
-        "worker reachable again",
-        {{"worker", worker.worker}, {"open_runs", worker.openRuns}, {"failed_polls", worker.failedPolls}, timeField("since_report_ms", worker.sinceReport)});
-}
-
-void logAction(const WorkerQuarantined &worker)
-{
-    logWorkerChange("worker quarantined",
-                    {{"worker", worker.worker}, {"count", worker.count}, {"remaining_ms", worker.remaining.count()}, {"open_runs", worker.openRuns}});
-}
-
-void logAction(const WorkerSoundAgain &worker)
-{
-    logWorkerChange("worker sound again", {{"worker", worker.worker}, {"open_runs", worker.openRuns}});
-}
-
 void logAction(const StartsWithheld &withheld)
 {
     logMessage(LogLevel::Warning,
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -19,16 +19,6 @@
 void logAction(const RunEnded &end);
 void logAction(const LateEndIgnored &end);
 void logAction(const JobEnded &end);
-void logAction(const WorkerRestarted &worker);
-void logAction(const WorkerLeaseExpired &worker);
-void logAction(const WorkerProcessEnded &worker);
-void logAction(const WorkerRegistered &worker);
-void logAction(const WorkerDraining &worker);
-void logAction(const WorkerUnregistered &worker);
-void logAction(const WorkerUnreachable &worker);
-void logAction(const WorkerReachableAgain &worker);
-void logAction(const WorkerQuarantined &worker);
-void logAction(const WorkerSoundAgain &worker);
 void logAction(const StartsWithheld &withheld);
 void logAction(const StartsResumed &resumed);
 
@@ -52,6 +42,9 @@
 /// Returns the way in which a run has ended for logs.
 const char *endReasonName(RunEndReason endReason);
 
+/// Returns how the end of a run was learned for logs.
+const char *evidenceName(RunEndEvidence evidence);
+
 /// Returns @p reason for logs and metrics.
 const char *stopReasonName(StopReason reason);
 
--- a/src/libs/node/runlog.cpp
+++ b/src/libs/node/runlog.cpp
@@ -11,6 +11,10 @@
 
 constexpr std::chrono::milliseconds MinimumDelay{1000};
 constexpr std::size_t MaximumDueLines = 2; // in a call
+constexpr std::size_t MinimumDueLines = 1; // in a call, while many other lines are written
+// While fewer lines were written in a second, those that are due take what is left. Leaves a part of the limit for routine lines to
+// requests of callers.
+constexpr int MaximumLines = 180;
 constexpr int MaximumOwnLines = 60; // in a second
 // Bounds the length of a line.
 constexpr std::size_t MaximumResults = 100;
@@ -36,6 +40,11 @@
 {
     StepResults &results = resultsOf(command.task, now);
     results.started[command.worker.id].push_back({command.task.index, command.run});
+    if (command.withoutRun) {
+        Internal::appendRange(results.withoutRun, command.task.index, command.task.index, command.run);
+        results.withoutRun += ":" + std::to_string(command.withoutRun->count());
+        results.hasExceptional = true;
+    }
     writeIfFull(command.task, results, now);
 }
 
@@ -53,12 +62,18 @@
     writeIfFull(end.task, results, now);
 }
 
-bool RunLog::takesOwnLine(TimePoint now)
+void RunLog::beginSecond(TimePoint now)
 {
     if (now - m_secondStartedAt >= std::chrono::seconds(1)) {
         m_secondStartedAt = now;
         m_ownLines = 0;
+        m_lines = 0;
     }
+}
+
+bool RunLog::takesOwnLine(TimePoint now)
+{
+    beginSecond(now);
     return m_ownLines++ < Internal::MaximumOwnLines;
 }
 
@@ -79,17 +94,32 @@
 
 void RunLog::writeDue(TimePoint now)
 {
-    using Item = std::map<StepKey, StepResults>::const_iterator;
-    std::vector<Item> due;
-    for (Item item = m_steps.cbegin(); item != m_steps.cend(); ++item) {
+    std::vector<std::map<StepKey, StepResults>::iterator> due;
+    for (auto item = m_steps.begin(); item != m_steps.end(); ++item) {
         if (now - item->second.since >= Internal::MinimumDelay) {
             due.push_back(item);
         }
     }
-    std::ranges::sort(due, {}, [](const Item &item) { return item->second.since; });
-    for (std::size_t index = 0; index < due.size() && index < Internal::MaximumDueLines; ++index) {
-        write(due[index]->first, due[index]->second, now);
-        m_steps.erase(due[index]);
+    beginSecond(now);
+    writeOldestOf(std::move(due), m_lines < Internal::MaximumLines ? Internal::MaximumDueLines : Internal::MinimumDueLines, now);
+}
+
+void RunLog::writeOldest(std::size_t most, TimePoint now)
+{
+    std::vector<std::map<StepKey, StepResults>::iterator> all;
+    for (auto item = m_steps.begin(); item != m_steps.end(); ++item) {
+        all.push_back(item);
+    }
+    writeOldestOf(std::move(all), most, now);
+}
+
+void RunLog::writeOldestOf(std::vector<std::map<StepKey, StepResults>::iterator> items, std::size_t most, TimePoint now)
+{
+    std::ranges::sort(items, {}, [](const auto &item) { return item->second.since; });
+    items.resize(std::min(items.size(), most));
+    for (const auto &item : items) {
+        write(item->first, item->second, now);
+        m_steps.erase(item);
     }
 }
 
@@ -150,31 +180,26 @@
 void RunLog::write(const StepKey &step, const StepResults &results, TimePoint now)
 {
     const auto &[jobId, occurrence, index] = step;
-    logMessage(results.hasExceptional ? LogPriority::Outcome : LogPriority::Routine,
-               LogLevel::Info,
-               "owner",
-               "run results",
-               {{"job_id", jobId},
-                {"step", std::to_string(occurrence) + "." + std::to_string(index)},
-                {"started", toString(results.started)},
-                {"withdrawn", toString(results.withdrawn)},
-                {"completed", toString(results.completed)},
-                {"other", toString(results.others)},
-                {"span_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - results.since).count()}});
-}
-
-void RunLog::writeOldest(TimePoint now)
-{
-    const auto oldest = std::ranges::min_element(m_steps, {}, [](const auto &step) { return step.second.since; });
-    write(oldest->first, oldest->second, now);
-    m_steps.erase(oldest);
+    std::vector<LogField> fields{{"job_id", jobId},
+                                 {"step", std::to_string(occurrence) + "." + std::to_string(index)},
+                                 {"started", toString(results.started)},
+                                 {"withdrawn", toString(results.withdrawn)},
+                                 {"completed", toString(results.completed)},
+                                 {"other", toString(results.others)},
+                                 {"span_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - results.since).count()}};
+    if (!results.withoutRun.empty()) {
+        fields.emplace_back("without_run_ms", results.withoutRun);
+    }
+    logMessage(results.hasExceptional ? LogPriority::Outcome : LogPriority::Routine, LogLevel::Info, "owner", "run results", fields);
+    beginSecond(now);
+    ++m_lines;
 }
 
 RunLog::StepResults &RunLog::resultsOf(const TaskId &task, TimePoint now)
 {
     const StepKey step(task.job, task.occurrence, task.step);
     if (m_steps.size() >= Internal::MaximumSteps && !m_steps.contains(step)) {
-        writeOldest(now);
+        writeOldest(1, now);
     }
     StepResults &results = m_steps[step];
     if (results.count == 0) {
--- a/src/libs/node/runlog.h
+++ b/src/libs/node/runlog.h
@@ -12,12 +12,13 @@
 namespace Hyssop {
 
 /// Combines the results of runs into few log lines. Each result is in exactly one line. The lines that are due are written at a
-/// bounded rate, the oldest first; a line that has reached its size limit is written immediately, and the oldest one when the
-/// number of steps reaches its limit.
+/// bounded rate, the oldest first, and at a lower one while many others are written; a line that has reached its size limit is
+/// written immediately, and the oldest one when the number of steps reaches its limit.
 class RunLog
 {
 public:
-    /// Takes the result of a start command that a worker has executed.
+    /// Takes the result of a start command that a worker has executed. If the task had a run before, its line tells for how long
+    /// it had none.
     void started(const StartCommand &command, TimePoint now);
 
     /// Takes a start that was decided and not sent.
@@ -41,6 +42,9 @@
     /// Writes the lines about @p jobId.
     void writeJob(const std::string &jobId, TimePoint now);
 
+    /// Writes the oldest @p most lines, due or not.
+    void writeOldest(std::size_t most, TimePoint now);
+
     /// Writes all lines.
     void writeAll(TimePoint now);
 
@@ -62,6 +66,7 @@
         RunsByWorker withdrawn;
         std::vector<RunOfTask> completed;
         std::map<std::string, RunsByWorker> others; // by result
+        std::string withoutRun; // time without a run of started tasks: INDEX/RUN:MILLISECONDS
         std::size_t count = 0;
         bool hasExceptional = false;
     };
@@ -69,15 +74,18 @@
     static std::string toString(const std::vector<RunOfTask> &runs);
     static std::string toString(const RunsByWorker &runsByWorker);
     static std::string toString(const std::map<std::string, RunsByWorker> &others);
-    static void write(const StepKey &step, const StepResults &results, TimePoint now);
 
-    void writeOldest(TimePoint now);
+    /// Writes the oldest of the lines in @p items, at most @p most.
+    void writeOldestOf(std::vector<std::map<StepKey, StepResults>::iterator> items, std::size_t most, TimePoint now);
+    void write(const StepKey &step, const StepResults &results, TimePoint now);
+    void beginSecond(TimePoint now);
     StepResults &resultsOf(const TaskId &task, TimePoint now);
     void writeIfFull(const TaskId &task, StepResults &results, TimePoint now);
 
     std::map<StepKey, StepResults> m_steps;
     TimePoint m_secondStartedAt{};
     int m_ownLines = 0; // in this second
+    int m_lines = 0; // with combined results, in this second
 };
 
 } // namespace Hyssop
--- a/tests/libs/node/testrunlog.cpp
+++ b/tests/libs/node/testrunlog.cpp
@@ -188,3 +188,52 @@
     runs.writeAll(Begin + 20ms);
     cr_assert_eq(log.lineCount(), Steps);
 }
+
+Test(runLog, aCombinedRestartTellsHowLongTheTaskHadNoRun)
+{
+    const CapturedLog log;
+    RunLog runs;
+    runs.started(start("j", 0, 1, "w"), Begin);
+    StartCommand restart = start("j", 4, 2, "w");
+    restart.withoutRun = 10080ms;
+    runs.started(restart, Begin);
+    restart = start("j", 7, 3, "v");
+    restart.withoutRun = 900ms;
+    runs.started(restart, Begin);
+    runs.writeAll(Begin);
+    log.expect("job_id=j step=0.1 started=v:7/3;w:0,4/2 withdrawn=\"\" completed=\"\" other=\"\" span_ms=0 without_run_ms=4/2:10080,7/3:900");
+}
+
+// Guards against due lines that displace those which cannot wait.
+Test(runLog, dueLinesAreFewerWhileManyOthersAreWritten)
+{
+    const CapturedLog log;
+    RunLog runs;
+    for (int job = 0; job < 100; ++job) {
+        runs.started(start("due" + std::to_string(job), 0, 1, "w"), Begin);
+    }
+    for (int job = 0; job < 180; ++job) {
+        runs.started(start("ended", 0, 1, "w"), Begin + 2s);
+        runs.writeJob("ended", Begin + 2s);
+    }
+    const auto before = log.lineCount();
+    runs.writeDue(Begin + 2s);
+    cr_assert_eq(log.lineCount() - before, 1);
+    runs.writeDue(Begin + 3s);
+    cr_assert_eq(log.lineCount() - before, 3);
+}
+
+// Guards against a burst beyond the limit of lines when the ownership ends.
+Test(runLog, theLinesLeftAtTheEndOfTheOwnershipCanBeWrittenInParts)
+{
+    const CapturedLog log;
+    RunLog runs;
+    for (int job = 0; job < 30; ++job) {
+        runs.started(start("j" + std::to_string(job), 0, 1, "w"), Begin + std::chrono::milliseconds(30 - job));
+    }
+    runs.writeOldest(20, Begin + 40ms);
+    cr_assert_eq(log.lineCount(), 20);
+    log.expect("job_id=j29 step=0.1 started=w:0 withdrawn=\"\" completed=\"\" other=\"\" span_ms=39");
+    runs.writeOldest(20, Begin + 40ms);
+    cr_assert_eq(log.lineCount(), 30);
+}
