Dropped log lines are counted by priority

Cause: 'dropped_lines' did not tell whether routine lines or ends of jobs were missing, and no metric did. Change: the next line also has dropped_routine, dropped_outcome, dropped_request_end, dropped_state_change and dropped_essential, and hyssop-node counts hyssop_dropped_log_lines_total by priority. Tests: theNextLineTellsHowManyLinesOfWhichPriorityWereDropped and droppedLinesAreCountedByPriority failed on the former code with an empty setLogMetrics (build/tests/test-observability).

--- a/src/libs/observability/logging.cpp
+++ b/src/libs/observability/logging.cpp
@@ -1,5 +1,6 @@
 #include "logging.h"
 
+#include "metricsregistry.h"
 #include "outputappender.h"
 
 #include <utils/clock.h>
@@ -39,7 +40,8 @@
     std::string instance;
     int linesPerSecond = 0; // 0: no limit
     LineCounts writtenLines{}; // in this second
-    long droppedLines = 0;
+    LineCounts droppedLines{}; // since the last written line
+    MetricsRegistry *metrics = nullptr;
     TimePoint secondStartedAt{};
 };
 
@@ -86,6 +88,23 @@
     return "info";
 }
 
+static const char *priorityName(LogPriority priority)
+{
+    switch (priority) {
+    case LogPriority::Routine:
+        return "routine";
+    case LogPriority::Outcome:
+        return "outcome";
+    case LogPriority::RequestEnd:
+        return "request_end";
+    case LogPriority::StateChange:
+        return "state_change";
+    case LogPriority::Essential:
+        return "essential";
+    }
+    return "unknown";
+}
+
 /// Quotes and escapes @p text for both formats; JSON escapes are also valid in quoted key=value text.
 static std::string quoted(std::string_view text)
 {
@@ -131,6 +150,14 @@
     return linesPerSecond * reservedPercent(priority) / 100;
 }
 
+static void countDroppedLine(LoggingState &state, LogPriority priority)
+{
+    ++state.droppedLines[static_cast<std::size_t>(priority)];
+    if (state.metrics != nullptr) {
+        state.metrics->add("hyssop_dropped_log_lines_total", {{"priority", priorityName(priority)}});
+    }
+}
+
 /// Returns true if a line may be written without using what is reserved for a higher priority. Lines of a higher priority use what is
 /// reserved for them first.
 static bool hasLinesLeft(const LoggingState &state, LogPriority priority)
@@ -157,7 +184,7 @@
         state.writtenLines.fill(0);
     }
     if (!hasLinesLeft(state, priority)) {
-        ++state.droppedLines;
+        countDroppedLine(state, priority);
         return false;
     }
     ++state.writtenLines[static_cast<std::size_t>(priority)];
@@ -179,6 +206,22 @@
     line += " " + field.key + "=" + (field.isText && needsQuotes(field.value) ? quoted(field.value) : field.value);
 }
 
+/// Appends how many lines were dropped, in total and by priority, and resets these numbers.
+static void appendDroppedLines(std::string &line, LoggingState &state)
+{
+    const long total = std::accumulate(state.droppedLines.begin(), state.droppedLines.end(), 0L);
+    if (total == 0) {
+        return;
+    }
+    appendField(line, state.format, LogField("dropped_lines", total));
+    for (const LogPriority priority : Priorities) {
+        if (const long dropped = state.droppedLines[static_cast<std::size_t>(priority)]; dropped > 0) {
+            appendField(line, state.format, LogField("dropped_" + std::string(priorityName(priority)), dropped));
+        }
+    }
+    state.droppedLines.fill(0);
+}
+
 } // namespace Internal
 
 LogField::LogField(std::string_view fieldKey, std::string_view text)
@@ -254,6 +297,13 @@
     }
 }
 
+void setLogMetrics(MetricsRegistry *metrics)
+{
+    if (auto &state = Internal::loggingState()) {
+        state->metrics = metrics;
+    }
+}
+
 void setLogClock(const Clock &clock)
 {
     Internal::logClock() = &clock;
@@ -308,10 +358,7 @@
     for (const LogField &field : fields) {
         Internal::appendField(line, state->format, field);
     }
-    if (state->droppedLines > 0) {
-        Internal::appendField(line, state->format, LogField("dropped_lines", state->droppedLines));
-        state->droppedLines = 0;
-    }
+    Internal::appendDroppedLines(line, *state);
     root.log(libraryLevel, line);
 }
 
--- a/src/libs/observability/logging.h
+++ b/src/libs/observability/logging.h
@@ -9,6 +9,7 @@
 namespace Hyssop {
 
 class Clock;
+class MetricsRegistry;
 
 enum class LogLevel {
     Debug,
@@ -52,9 +53,14 @@
 void initializeLogging(LogLevel level, LogFormat format, const std::string &instance);
 
 /// Limits the number of lines per second. Further lines are dropped; the next written line has their number in the
-/// field dropped_lines. A part of the limit is reserved for each priority above LogPriority::Routine.
+/// field dropped_lines, and by priority in dropped_routine, dropped_outcome, dropped_request_end, dropped_state_change and
+/// dropped_essential. A part of the limit is reserved for each priority above LogPriority::Routine.
 void setLogLineLimit(int linesPerSecond);
 
+/// Counts dropped lines by priority in @p metrics from now on, until this is called with a null pointer. Requires
+/// initializeLogging().
+void setLogMetrics(MetricsRegistry *metrics);
+
 /// Sets the clock that measures the seconds of the limit of lines. It must outlive all further log lines.
 void setLogClock(const Clock &clock);
 
--- a/src/tools/hyssop-node/main.cpp
+++ b/src/tools/hyssop-node/main.cpp
@@ -60,6 +60,7 @@
     setUpLogging(settings);
     boost::asio::io_context context(1);
     MetricsRegistry metrics;
+    setLogMetrics(&metrics);
     HttpClient http(context.get_executor());
     const Clock clock;
     Platform::StoreClient storeClient(http, settings.text("store.address"));
@@ -75,6 +76,7 @@
     daemon.start([&](const HttpRequest &request) { return endpoint.handle(request); },
                  [&](const HttpRequest &request) { return Platform::handleReadiness(request, daemon.isReady()); });
     context.run();
+    setLogMetrics(nullptr);
     return 0;
 }
 
--- a/tests/libs/observability/testlogging.cpp
+++ b/tests/libs/observability/testlogging.cpp
@@ -1,6 +1,8 @@
 #include "support/capturedoutput.h"
 
 #include <observability/logging.h>
+#include <observability/metricsregistry.h>
+#include <utils/clock.h>
 
 #include <criterion/criterion.h>
 
@@ -11,6 +13,7 @@
 
 using namespace Hyssop;
 using Hyssop::Testing::CapturedOutput;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -107,6 +110,63 @@
     cr_assert_eq(count(text, "message=stepped"), 1);
 }
 
+// Guards against a number of dropped lines that does not tell whether any of them mattered.
+Test(logging, theNextLineTellsHowManyLinesOfWhichPriorityWereDropped)
+{
+    constexpr int RoutineLines = 200;
+    constexpr int OutcomeLines = 150;
+    const CapturedOutput output;
+    Clock clock;
+    clock.pause();
+    initializeLogging(LogLevel::Info, LogFormat::KeyValue, "front");
+    setLogLineLimit(LineLimit);
+    setLogClock(clock);
+    for (int line = 0; line < RoutineLines; ++line) {
+        logMessage(LogLevel::Info, "owner", "routine");
+    }
+    const int writtenRoutine = count(output.text(), "message=routine");
+    for (int line = 0; line < OutcomeLines; ++line) {
+        logMessage(LogPriority::Outcome, LogLevel::Info, "owner", "ended");
+    }
+    const int writtenOutcome = count(output.text(), "message=ended");
+    logMessage(LogPriority::StateChange, LogLevel::Info, "owner", "unreachable");
+    const std::string text = output.text();
+    const int droppedRoutine = RoutineLines - writtenRoutine;
+    const int droppedOutcome = OutcomeLines - writtenOutcome;
+    cr_assert_gt(droppedRoutine, 0);
+    cr_assert_gt(droppedOutcome, 0);
+    cr_assert_eq(count(text, "message=ended dropped_lines=" + std::to_string(droppedRoutine) + " dropped_routine=" + std::to_string(droppedRoutine) + "\n"), 1);
+    cr_assert_eq(
+        count(text, "message=unreachable dropped_lines=" + std::to_string(droppedOutcome) + " dropped_outcome=" + std::to_string(droppedOutcome) + "\n"), 1);
+    logMessage(LogLevel::Warning, "owner", "stepped");
+    cr_assert_eq(count(output.text(), "message=stepped\n"), 1, "each dropped line is reported once");
+}
+
+Test(logging, droppedLinesAreCountedByPriority)
+{
+    constexpr int RoutineLines = 200;
+    const CapturedOutput output;
+    MetricsRegistry metrics;
+    Clock clock;
+    clock.pause();
+    initializeLogging(LogLevel::Info, LogFormat::KeyValue, "front");
+    setLogLineLimit(LineLimit);
+    setLogClock(clock);
+    setLogMetrics(&metrics);
+    for (int line = 0; line < RoutineLines; ++line) {
+        logMessage(LogLevel::Info, "owner", "routine");
+    }
+    const auto dropped = static_cast<int>(metrics.value("hyssop_dropped_log_lines_total", {{"priority", "routine"}}));
+    cr_assert_eq(dropped, RoutineLines - count(output.text(), "message=routine"));
+    cr_assert_eq(metrics.value("hyssop_dropped_log_lines_total", {{"priority", "outcome"}}), 0);
+    setLogMetrics(nullptr);
+    logMessage(LogLevel::Info, "owner", "routine");
+    cr_assert_eq(static_cast<int>(metrics.value("hyssop_dropped_log_lines_total", {{"priority", "routine"}})), dropped);
+    clock.advance(1s);
+    logMessage(LogLevel::Info, "owner", "routine");
+    cr_assert_eq(count(output.text(), "message=routine"), RoutineLines - dropped + 1, "the limit is that of a second");
+}
+
 // Guards against lines about requests that take the part of the routine lines while the part reserved for them is unused.
 Test(logging, linesOfAHigherPriorityUseWhatIsReservedForThemFirst)
 {
