The load line tells what serving tasks and others have reserved

Cause: 'load' had the free capacity only, so that an engineer could not tell what holds the rest. Change: serving_millicores and counted_millicores in 'load'. The tests of the new fields do not compile on the former code; those of the other fields pass on it.

--- a/src/libs/dispatch/dispatchreport.cpp
+++ b/src/libs/dispatch/dispatchreport.cpp
@@ -76,6 +76,8 @@
         }
         ++summary.workers;
         summary.milliCores += worker.info.capacity.milliCores;
+        summary.servingMilliCores += worker.servingCommitted;
+        summary.countedMilliCores += worker.committed.milliCores - worker.servingCommitted;
         summary.freeMilliCores += worker.freeCapacity().milliCores;
         summary.idleMilliCores += worker.expectedIdleMilliCores(m_colocation.forecast(worker, now));
         for (const std::int64_t bound : Internal::SizeBounds) {
--- a/src/libs/dispatch/dispatchsummary.h
+++ b/src/libs/dispatch/dispatchsummary.h
@@ -22,7 +22,9 @@
     std::size_t pendingBestEffort = 0; // tasks that use idle processor time
     std::size_t pendingServing = 0;
     std::int64_t milliCores = 0; // capacity of the workers counted above
-    std::int64_t freeMilliCores = 0;
+    std::int64_t servingMilliCores = 0; // reserved by serving tasks
+    std::int64_t countedMilliCores = 0; // reserved by other tasks
+    std::int64_t freeMilliCores = 0; // reserved by none
     std::int64_t idleMilliCores = 0; // capacity that all tasks are expected to leave idle
     std::map<std::int64_t, std::size_t> workersByFreeMilliCores; // number of workers with at least as much unreserved capacity
     std::vector<WaitingTasks> waiting; // tasks that could start now, if they had a worker
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -319,6 +319,8 @@
                 {"waiting_filling", load.pendingBestEffort},
                 {"waiting_serving", load.pendingServing},
                 {"millicores", static_cast<long long>(load.milliCores)},
+                {"serving_millicores", static_cast<long long>(load.servingMilliCores)},
+                {"counted_millicores", static_cast<long long>(load.countedMilliCores)},
                 {"free_millicores", static_cast<long long>(load.freeMilliCores)},
                 {"idle_millicores", static_cast<long long>(load.idleMilliCores)},
                 {"workers_by_free_millicores", workersByFreeCapacity(load)}});
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -3,6 +3,7 @@
 #include <dispatch/dispatchsummary.h>
 #include <node/ownerlog.h>
 #include <observability/logging.h>
+#include <utils/resources.h>
 
 #include <criterion/criterion.h>
 
@@ -190,3 +191,63 @@
     expectLine(log.text(), "task=j.0.1.2 run=4 worker=w epoch=3001 outcome=done detail=\"\" without_run_ms=\"first run\"");
     expectLine(log.text(), "task=j.0.1.2 run=4 worker=w epoch=3001 outcome=done detail=\"\" without_run_ms=10080");
 }
+
+Test(ownerLog, theLoadTellsWhoHoldsTheCapacityAndWhatIsFreeInOnePiece)
+{
+    const OwnerLog log;
+    DispatchSummary load;
+    load.workers = 3;
+    load.registeredWorkers = 4;
+    load.unreachableWorkers = 1;
+    load.openRuns = 5;
+    load.pendingServing = 2;
+    load.milliCores = 48'000;
+    load.servingMilliCores = 30'000;
+    load.countedMilliCores = 6'000;
+    load.freeMilliCores = 12'000;
+    load.idleMilliCores = -500;
+    load.workersByFreeMilliCores = {{4'000, 2}, {8'000, 0}};
+    logLoad(3, load);
+    expectLine(log.text(),
+               "message=load epoch=3 workers=3 registered=4 draining=0 unreachable=1 open_runs=5 unreachable_runs=0 waiting_counted=0 waiting_filling=0 "
+               "waiting_serving=2 millicores=48000 serving_millicores=30000 counted_millicores=6000 free_millicores=12000 idle_millicores=-500 "
+               "workers_by_free_millicores=4000:2,8000:0");
+}
+
+Test(ownerLog, tasksThatWaitNameWhatEachWorkerLacks)
+{
+    const OwnerLog log;
+    DispatchSummary load;
+    WaitingTasks waiting;
+    waiting.kind = TaskKind::Reserved;
+    waiting.maximumMilliCores = 16'000;
+    waiting.tasks = 7;
+    waiting.steps = 2;
+    waiting.sinceRelease = 1500ms;
+    waiting.jobId = "j";
+    waiting.milliCores = 12'000;
+    waiting.memoryBytes = 100 * BytesPerMegabyte;
+    waiting.workers = {{PlacementObstacle::Unavailable, 4}, {PlacementObstacle::ProcessorCapacity, 1096}};
+    load.waiting.push_back(waiting);
+    waiting.kind = TaskKind::BestEffort;
+    waiting.suitableWorkers = 9;
+    waiting.workers = {{PlacementObstacle::OverTarget, 1}, {PlacementObstacle::IdleProcessorTime, 2}, {PlacementObstacle::Headroom, 3}};
+    load.waiting.push_back(waiting);
+    waiting.kind = TaskKind::Serving;
+    waiting.workers = {{PlacementObstacle::Quarantine, 1},
+                       {PlacementObstacle::WorkerPool, 2},
+                       {PlacementObstacle::Memory, 3},
+                       {PlacementObstacle::Accelerators, 4},
+                       {PlacementObstacle::RackOrLabel, 5},
+                       {PlacementObstacle::TasksPerWorker, 6},
+                       {PlacementObstacle::Advice, 7}};
+    load.waiting.push_back(waiting);
+    logLoad(3, load);
+    const std::string text = log.text();
+    expectLine(text,
+               "message=\"tasks waiting\" kind=counted up_to_millicores=16000 tasks=7 steps=2 job_id=j since_release_ms=1500 millicores=12000 memory_mb=100 "
+               "suitable_workers=0 obstacles=unavailable:4,cores:1096");
+    cr_assert(text.find("kind=filling") != std::string::npos);
+    expectLine(text, "memory_mb=100 suitable_workers=9 obstacles=over_target:1,idle_time:2,headroom:3");
+    expectLine(text, "obstacles=quarantine:1,pool:2,memory:3,accelerators:4,rack:5,apart:6,advice:7");
+}
