Lines with starts tell a slow response, and due lines need no full sort

Cause: since first starts of serving tasks are combined, the log did not tell whether a start waited for the owner or for its worker. Change: 'run results' has start_response_ms if the slowest response took 100 ms or longer. Only the lines that are written are sorted. Test: aSlowResponseToAStartIsNamed; RunLog::started() takes the time of sending, so it does not compile on the former code.

--- a/src/libs/node/dispatchlog.cpp
+++ b/src/libs/node/dispatchlog.cpp
@@ -40,14 +40,14 @@
     }
 }
 
-void DispatchLog::write(const StartCommand &command, const CommandResult &result, TimePoint now)
+void DispatchLog::write(const StartCommand &command, const CommandResult &result, TimePoint sentAt, TimePoint now)
 {
     if (!std::holds_alternative<CommandExecuted>(result)) {
         writeResult(Internal::combinedName({"start", resultName(result)}), command, result, now);
     } else if (!isRoutine(command, result) && m_runs.takesOwnLine(now)) {
         logResult(command, result);
     } else {
-        m_runs.started(command, now);
+        m_runs.started(command, sentAt, now);
     }
 }
 
--- a/src/libs/node/dispatchlog.h
+++ b/src/libs/node/dispatchlog.h
@@ -11,8 +11,8 @@
 class DispatchLog
 {
 public:
-    /// Takes the result of a command.
-    void write(const StartCommand &command, const CommandResult &result, TimePoint now);
+    /// Takes the result of a command; a start command was sent at @p sentAt.
+    void write(const StartCommand &command, const CommandResult &result, TimePoint sentAt, TimePoint now);
     void write(const StopCommand &command, const CommandResult &result, TimePoint now);
     void write(const ThrottleCommand &command, const CommandResult &result, TimePoint now);
 
--- a/src/libs/node/runlog.cpp
+++ b/src/libs/node/runlog.cpp
@@ -10,6 +10,7 @@
 namespace Internal {
 
 constexpr std::chrono::milliseconds MinimumDelay{1000};
+constexpr std::chrono::milliseconds SlowResponse{100}; // lines tell longer times
 constexpr std::size_t MaximumDueLines = 2; // in a call
 constexpr std::size_t MinimumDueLines = 1; // in a call, while many other lines are written
 // While fewer lines were written in a second, those that are due take what is left. Leaves a part of the limit for routine lines to
@@ -36,10 +37,11 @@
 
 } // namespace Internal
 
-void RunLog::started(const StartCommand &command, TimePoint now)
+void RunLog::started(const StartCommand &command, TimePoint sentAt, TimePoint now)
 {
     StepResults &results = resultsOf(command.task, now);
     results.started[command.worker.id].push_back({command.task.index, command.run});
+    results.slowestStart = std::max(results.slowestStart, now - sentAt);
     if (command.withoutRun) {
         Internal::appendRange(results.withoutRun, command.task.index, command.task.index, command.run);
         results.withoutRun += ":" + std::to_string(command.withoutRun->count());
@@ -115,8 +117,9 @@
 
 void RunLog::writeOldestOf(std::vector<std::map<StepKey, StepResults>::iterator> items, std::size_t most, TimePoint now)
 {
-    std::ranges::sort(items, {}, [](const auto &item) { return item->second.since; });
-    items.resize(std::min(items.size(), most));
+    const std::size_t count = std::min(items.size(), most);
+    std::ranges::partial_sort(items, items.begin() + static_cast<std::ptrdiff_t>(count), {}, [](const auto &item) { return item->second.since; });
+    items.resize(count);
     for (const auto &item : items) {
         write(item->first, item->second, now);
         m_steps.erase(item);
@@ -187,6 +190,9 @@
                                  {"completed", toString(results.completed)},
                                  {"other", toString(results.others)},
                                  {"span_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - results.since).count()}};
+    if (results.slowestStart >= Internal::SlowResponse) {
+        fields.emplace_back("start_response_ms", std::chrono::duration_cast<std::chrono::milliseconds>(results.slowestStart).count());
+    }
     if (!results.withoutRun.empty()) {
         fields.emplace_back("without_run_ms", results.withoutRun);
     }
--- a/src/libs/node/runlog.h
+++ b/src/libs/node/runlog.h
@@ -17,9 +17,9 @@
 class RunLog
 {
 public:
-    /// Takes the result of a start command that a worker has executed. If the task had a run before, its line tells for how long
-    /// it had none.
-    void started(const StartCommand &command, TimePoint now);
+    /// Takes the result of a start command that was sent at @p sentAt and that a worker has executed. Its line tells how long the
+    /// response took if that was long, and for how long the task had no run if it had one before.
+    void started(const StartCommand &command, TimePoint sentAt, TimePoint now);
 
     /// Takes a start that was decided and not sent.
     void withdrawn(const StartWithdrawn &start, TimePoint now);
@@ -66,6 +66,7 @@
         RunsByWorker withdrawn;
         std::vector<RunOfTask> completed;
         std::map<std::string, RunsByWorker> others; // by result
+        Duration slowestStart{0}; // from sending a start command to its response
         std::string withoutRun; // time without a run of started tasks: INDEX/RUN:MILLISECONDS
         std::size_t count = 0;
         bool hasExceptional = false;
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -504,7 +504,7 @@
 {
     const TimePoint sentAt = m_clock.now();
     const CommandResult result = co_await m_ports.workers.start(command);
-    m_log.write(command, result, m_clock.now());
+    m_log.write(command, result, sentAt, m_clock.now());
     m_metrics.observe("hyssop_start_seconds", m_clock.now() - sentAt);
     if (command.withoutRun && std::holds_alternative<CommandExecuted>(result)) {
         m_metrics.observe("hyssop_serving_gap_seconds", *command.withoutRun);
--- a/tests/libs/node/testlogload.cpp
+++ b/tests/libs/node/testlogload.cpp
@@ -198,7 +198,7 @@
             command.task = servingTask(number);
             command.run = 1;
             command.isServing = true;
-            log.write(command, CommandExecuted{}, now());
+            log.write(command, CommandExecuted{}, now(), now());
         }
     }
 
@@ -229,7 +229,7 @@
             command.worker.id = workerName(tick * StepsPerJob * TasksPerStep + index);
             command.task = task;
             command.run = 1;
-            log.write(command, CommandExecuted{}, now());
+            log.write(command, CommandExecuted{}, now(), now());
             m_running.push_back(task);
         }
         constexpr std::size_t RunningJobs = TicksPerSecond / 2;
--- a/tests/libs/node/testrunlog.cpp
+++ b/tests/libs/node/testrunlog.cpp
@@ -60,7 +60,7 @@
     const CapturedLog log;
     RunLog runs;
     for (int index = 0; index < 50; ++index) {
-        runs.started(start("j", index, 1, index < 20 ? "v" : "w"), Begin);
+        runs.started(start("j", index, 1, index < 20 ? "v" : "w"), Begin, Begin);
     }
     runs.writeDue(Begin + 900ms);
     cr_assert_eq(log.lineCount(), 0);
@@ -75,9 +75,9 @@
     const CapturedLog log;
     RunLog runs;
     for (const int index : {3, 0, 1, 7}) {
-        runs.started(start("j", index, 1, "w"), Begin);
+        runs.started(start("j", index, 1, "w"), Begin, Begin);
     }
-    runs.started(start("j", 2, 2, "w"), Begin);
+    runs.started(start("j", 2, 2, "w"), Begin, Begin);
     runs.withdrawn({{"j", 0, 1, 1}, 1, "w"}, Begin);
     runs.withdrawn({{"j", 0, 1, 1}, 2, "v"}, Begin);
     runs.completed(completion("j", 5, 1), Begin + 100ms);
@@ -90,9 +90,9 @@
 {
     const CapturedLog log;
     RunLog runs;
-    runs.started(start("j", 0, 1, "w"), Begin);
-    runs.started(start("i", 0, 1, "w"), Begin);
-    runs.started(start("k", 0, 1, "w"), Begin);
+    runs.started(start("j", 0, 1, "w"), Begin, Begin);
+    runs.started(start("i", 0, 1, "w"), Begin, Begin);
+    runs.started(start("k", 0, 1, "w"), Begin, Begin);
     runs.writeJob("j", Begin + 20ms);
     cr_assert_eq(log.lineCount(), 1);
     log.expect("job_id=j step=0.1 started=w:0 withdrawn=\"\" completed=\"\" other=\"\" span_ms=20");
@@ -107,7 +107,7 @@
     const CapturedLog log;
     RunLog runs;
     for (int index = 0; index < 250; ++index) {
-        runs.started(start("j", 2 * index, 1, "w"), Begin);
+        runs.started(start("j", 2 * index, 1, "w"), Begin, Begin);
     }
     cr_assert_eq(log.lineCount(), 2);
     runs.writeAll(Begin);
@@ -123,7 +123,7 @@
     const CapturedLog log;
     RunLog runs;
     for (int job = 0; job < 10; ++job) {
-        runs.started(start("j" + std::to_string(job), 0, 1, "w"), Begin + std::chrono::milliseconds(10 - job));
+        runs.started(start("j" + std::to_string(job), 0, 1, "w"), Begin + std::chrono::milliseconds(10 - job), Begin + std::chrono::milliseconds(10 - job));
     }
     runs.writeDue(Begin + 2s);
     cr_assert_eq(log.lineCount(), 2);
@@ -179,11 +179,11 @@
     setLogLineLimit(0);
     RunLog runs;
     for (int job = 0; job < Steps; ++job) {
-        runs.started(start("j" + std::to_string(job), 0, 1, "w"), Begin + std::chrono::microseconds(job));
+        runs.started(start("j" + std::to_string(job), 0, 1, "w"), Begin + std::chrono::microseconds(job), Begin + std::chrono::microseconds(job));
     }
     cr_assert_eq(log.lineCount(), Steps - MaximumSteps, "%d lines", static_cast<int>(log.lineCount()));
     log.expect("job_id=j0 step=0.1 started=w:0 withdrawn=\"\" completed=\"\" other=\"\" span_ms=1");
-    runs.started(start("j2999", 1, 1, "w"), Begin + 10ms);
+    runs.started(start("j2999", 1, 1, "w"), Begin + 10ms, Begin + 10ms);
     cr_assert_eq(log.lineCount(), Steps - MaximumSteps, "a result of a known step needs no further entry");
     runs.writeAll(Begin + 20ms);
     cr_assert_eq(log.lineCount(), Steps);
@@ -193,13 +193,13 @@
 {
     const CapturedLog log;
     RunLog runs;
-    runs.started(start("j", 0, 1, "w"), Begin);
+    runs.started(start("j", 0, 1, "w"), Begin, Begin);
     StartCommand restart = start("j", 4, 2, "w");
     restart.withoutRun = 10080ms;
-    runs.started(restart, Begin);
+    runs.started(restart, Begin, Begin);
     restart = start("j", 7, 3, "v");
     restart.withoutRun = 900ms;
-    runs.started(restart, Begin);
+    runs.started(restart, Begin, Begin);
     runs.writeAll(Begin);
     log.expect("job_id=j step=0.1 started=v:7/3;w:0,4/2 withdrawn=\"\" completed=\"\" other=\"\" span_ms=0 without_run_ms=4/2:10080,7/3:900");
 }
@@ -210,10 +210,10 @@
     const CapturedLog log;
     RunLog runs;
     for (int job = 0; job < 100; ++job) {
-        runs.started(start("due" + std::to_string(job), 0, 1, "w"), Begin);
+        runs.started(start("due" + std::to_string(job), 0, 1, "w"), Begin, Begin);
     }
     for (int job = 0; job < 180; ++job) {
-        runs.started(start("ended", 0, 1, "w"), Begin + 2s);
+        runs.started(start("ended", 0, 1, "w"), Begin + 2s, Begin + 2s);
         runs.writeJob("ended", Begin + 2s);
     }
     const auto before = log.lineCount();
@@ -229,7 +229,7 @@
     const CapturedLog log;
     RunLog runs;
     for (int job = 0; job < 30; ++job) {
-        runs.started(start("j" + std::to_string(job), 0, 1, "w"), Begin + std::chrono::milliseconds(30 - job));
+        runs.started(start("j" + std::to_string(job), 0, 1, "w"), Begin + std::chrono::milliseconds(30 - job), Begin + std::chrono::milliseconds(30 - job));
     }
     runs.writeOldest(20, Begin + 40ms);
     cr_assert_eq(log.lineCount(), 20);
@@ -237,3 +237,16 @@
     runs.writeOldest(20, Begin + 40ms);
     cr_assert_eq(log.lineCount(), 30);
 }
+
+// Guards against a slow worker that cannot be told from an owner that sends late.
+Test(runLog, aSlowResponseToAStartIsNamed)
+{
+    const CapturedLog log;
+    RunLog runs;
+    runs.started(start("j", 0, 1, "w"), Begin, Begin + 350ms);
+    runs.started(start("j", 1, 1, "w"), Begin + 300ms, Begin + 400ms);
+    runs.started(start("i", 0, 1, "w"), Begin, Begin + 99ms);
+    runs.writeAll(Begin + 500ms);
+    log.expect("job_id=j step=0.1 started=w:0-1 withdrawn=\"\" completed=\"\" other=\"\" span_ms=150 start_response_ms=350");
+    log.expect("job_id=i step=0.1 started=w:0 withdrawn=\"\" completed=\"\" other=\"\" span_ms=401");
+}
