--- a/src/libs/observability/logging.cpp
+++ b/src/libs/observability/logging.cpp
@@ -1,36 +1,48 @@
 #include "logging.h"
 
+#include "metricsregistry.h"
 #include "outputappender.h"
 
+#include <utils/clock.h>
+
 #include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdio>
 #include <memory>
+#include <numeric>
 
 namespace Hyssop {
 
 namespace Internal {
 
 // Parts of the limit that are not available to lines of lower priority.
-constexpr int OutcomeSharePercent = 10;
-constexpr int RequestEndSharePercent = 12;
-constexpr int StateChangeSharePercent = 15;
+constexpr int OutcomeSharePercent = 8;
+constexpr int RequestEndSharePercent = 19;
+constexpr int StateChangeSharePercent = 10;
 constexpr int EssentialSharePercent = 10;
 
+constexpr std::array Priorities{LogPriority::Routine, LogPriority::Outcome, LogPriority::RequestEnd, LogPriority::StateChange, LogPriority::Essential};
+
+/// Numbers of lines by priority.
+using LineCounts = std::array<long, Priorities.size()>;
+
 struct LoggingState
 {
     log4cplus::Initializer initializer;
     LogFormat format = LogFormat::KeyValue;
     std::string instance;
     int linesPerSecond = 0; // 0: no limit
-    int remainingLines = 0;
-    long droppedLines = 0;
-    std::chrono::steady_clock::time_point secondStartedAt{};
+    LineCounts writtenLines{}; // in this second
+    LineCounts droppedLines{}; // since the last written line
+    MetricsRegistry *metrics = nullptr;
+    TimePoint secondStartedAt{};
 };
 
 static std::unique_ptr<LoggingState> &loggingState()
@@ -39,6 +51,13 @@
     return state;
 }
 
+static const Clock *&logClock()
+{
+    static const Clock systemClock;
+    static const Clock *clock = &systemClock;
+    return clock;
+}
+
 static log4cplus::LogLevel toLibraryLevel(LogLevel level)
 {
     switch (level) {
@@ -69,6 +88,23 @@
     return "info";
 }
 
+static const char *priorityName(LogPriority priority)
+{
+    switch (priority) {
+    case LogPriority::Routine:
+        return "routine";
+    case LogPriority::Outcome:
+        return "outcome";
+    case LogPriority::RequestEnd:
+        return "request_end";
+    case LogPriority::StateChange:
+        return "state_change";
+    case LogPriority::Essential:
+        return "essential";
+    }
+    return "unknown";
+}
+
 /// Quotes and escapes @p text for both formats; JSON escapes are also valid in quoted key=value text.
 static std::string quoted(std::string_view text)
 {
@@ -114,22 +150,44 @@
     return linesPerSecond * reservedPercent(priority) / 100;
 }
 
+static void countDroppedLine(LoggingState &state, LogPriority priority)
+{
+    ++state.droppedLines[static_cast<std::size_t>(priority)];
+    if (state.metrics != nullptr) {
+        state.metrics->add("hyssop_dropped_log_lines_total", {{"priority", priorityName(priority)}});
+    }
+}
+
+/// Returns true if a line may be written without using what is reserved for a higher priority. Lines of a higher priority use what is
+/// reserved for them first.
+static bool hasLinesLeft(const LoggingState &state, LogPriority priority)
+{
+    long written = 0; // lines of this or a lower priority
+    for (const LogPriority other : Priorities) {
+        written += state.writtenLines[static_cast<std::size_t>(other)];
+        if (other >= priority && written >= state.linesPerSecond - reservedLines(state.linesPerSecond, other)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /// Applies the rate limit. Returns false, and counts the line as dropped, if the limit of this second is reached.
 static bool consumeLineBudget(LoggingState &state, LogPriority priority)
 {
     if (state.linesPerSecond == 0) {
         return true;
     }
-    const auto now = std::chrono::steady_clock::now();
+    const TimePoint now = logClock()->now();
     if (now - state.secondStartedAt >= std::chrono::seconds(1)) {
         state.secondStartedAt = now;
-        state.remainingLines = state.linesPerSecond;
+        state.writtenLines.fill(0);
     }
-    if (state.remainingLines <= reservedLines(state.linesPerSecond, priority)) {
-        ++state.droppedLines;
+    if (!hasLinesLeft(state, priority)) {
+        countDroppedLine(state, priority);
         return false;
     }
-    --state.remainingLines;
+    ++state.writtenLines[static_cast<std::size_t>(priority)];
     return true;
 }
 
@@ -148,6 +206,22 @@
     line += " " + field.key + "=" + (field.isText && needsQuotes(field.value) ? quoted(field.value) : field.value);
 }
 
+/// Appends how many lines were dropped, in total and by priority, and resets these numbers.
+static void appendDroppedLines(std::string &line, LoggingState &state)
+{
+    const long total = std::accumulate(state.droppedLines.begin(), state.droppedLines.end(), 0L);
+    if (total == 0) {
+        return;
+    }
+    appendField(line, state.format, LogField("dropped_lines", total));
+    for (const LogPriority priority : Priorities) {
+        if (const long dropped = state.droppedLines[static_cast<std::size_t>(priority)]; dropped > 0) {
+            appendField(line, state.format, LogField("dropped_" + std::string(priorityName(priority)), dropped));
+        }
+    }
+    state.droppedLines.fill(0);
+}
+
 } // namespace Internal
 
 LogField::LogField(std::string_view fieldKey, std::string_view text)
@@ -223,6 +297,18 @@
     }
 }
 
+void setLogMetrics(MetricsRegistry *metrics)
+{
+    if (auto &state = Internal::loggingState()) {
+        state->metrics = metrics;
+    }
+}
+
+void setLogClock(const Clock &clock)
+{
+    Internal::logClock() = &clock;
+}
+
 LogLevel parseLogLevel(std::string_view name)
 {
     for (const LogLevel level : {LogLevel::Debug, LogLevel::Warning, LogLevel::Error}) {
@@ -245,6 +331,11 @@
 }
 
 void logMessage(LogPriority priority, LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields)
+{
+    logMessage(priority, level, component, message, std::span(fields.begin(), fields.size()));
+}
+
+void logMessage(LogPriority priority, LogLevel level, std::string_view component, std::string_view message, std::span<const LogField> fields)
 {
     const auto &state = Internal::loggingState();
     if (!state) {
@@ -267,10 +358,7 @@
     for (const LogField &field : fields) {
         Internal::appendField(line, state->format, field);
     }
-    if (state->droppedLines > 0) {
-        Internal::appendField(line, state->format, LogField("dropped_lines", state->droppedLines));
-        state->droppedLines = 0;
-    }
+    Internal::appendDroppedLines(line, *state);
     root.log(libraryLevel, line);
 }
 
--- a/src/libs/observability/logging.h
+++ b/src/libs/observability/logging.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
 
 namespace Hyssop {
 
+class Clock;
+class MetricsRegistry;
+
 enum class LogLevel {
     Debug,
     Info,
@@ -49,9 +53,17 @@
 void initializeLogging(LogLevel level, LogFormat format, const std::string &instance);
 
 /// Limits the number of lines per second. Further lines are dropped; the next written line has their number in the
-/// field dropped_lines. A part of the limit is reserved for each priority above LogPriority::Routine.
+/// field dropped_lines, and by priority in dropped_routine, dropped_outcome, dropped_request_end, dropped_state_change and
+/// dropped_essential. A part of the limit is reserved for each priority above LogPriority::Routine.
 void setLogLineLimit(int linesPerSecond);
 
+/// Counts dropped lines by priority in @p metrics from now on, until this is called with a null pointer. Requires
+/// initializeLogging().
+void setLogMetrics(MetricsRegistry *metrics);
+
+/// Sets the clock that measures the seconds of the limit of lines. It must outlive all further log lines.
+void setLogClock(const Clock &clock);
+
 /// Parses "debug", "info", "warning" or "error"; returns LogLevel::Info for any other text.
 LogLevel parseLogLevel(std::string_view name);
 
@@ -64,5 +76,6 @@
 
 /// Writes one structured log line with an explicit priority.
 void logMessage(LogPriority priority, LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields = {});
+void logMessage(LogPriority priority, LogLevel level, std::string_view component, std::string_view message, std::span<const LogField> fields);
 
 } // namespace Hyssop
