Tell serving jobs that are accepted on an outdated table apart

Cause: a serving job without room is accepted if the job topic can't be read within 1 s, and the log and the metric called that "accepted", as with room. On far instances with slow reads this would hide why the room is exceeded.

Change: outcome `table-outdated` in `serving job admission` and hyssop_serving_admissions_total.

Measured: the assertion on the new outcome is part of aServingJobIsNotRefusedOnAnOldTable; jobIntake (9) of test-node passes. The assertion was not run against the code before, which has no such outcome.

--- a/src/libs/node/admissiondecision.h
+++ b/src/libs/node/admissiondecision.h
@@ -16,6 +16,7 @@
     std::optional<std::int64_t> publishedRoom; // none: unknown
     std::int64_t submittedSince = 0; // by other jobs since the room was computed
     Duration roomAge{}; // since the room was read
+    bool isTableOutdated = false; // there is no room, but the job may have been recorded before
 
     bool isRefused() const { return retryAfter.has_value(); }
 };
--- a/src/libs/node/jobintake.cpp
+++ b/src/libs/node/jobintake.cpp
@@ -126,8 +126,9 @@
             co_return JobAccepted{};
         }
         decision = decideOnServing(jobId, job);
-        if (!isCurrent) {
+        if (!isCurrent && decision.isRefused()) {
             decision.retryAfter.reset();
+            decision.isTableOutdated = true;
         }
     }
     recordAdmission(jobId, decision);
@@ -140,12 +141,23 @@
     return m_admission.decide(jobId, job, config ? &*config : nullptr, m_clock.now());
 }
 
+static const char *admissionOutcome(const AdmissionDecision &decision)
+{
+    if (decision.isRefused()) {
+        return "refused";
+    }
+    if (!decision.publishedRoom) {
+        return "room-unknown";
+    }
+    return decision.isTableOutdated ? "table-outdated" : "accepted";
+}
+
 void JobIntake::recordAdmission(const std::string &jobId, const AdmissionDecision &decision)
 {
     if (decision.needed == 0) {
         return;
     }
-    const char *outcome = decision.isRefused() ? "refused" : decision.publishedRoom ? "accepted" : "room-unknown";
+    const char *outcome = admissionOutcome(decision);
     m_metrics.add("hyssop_serving_admissions_total", {{"outcome", outcome}});
     if (!decision.publishedRoom) {
         return;
--- a/tests/libs/node/testjobintake.cpp
+++ b/tests/libs/node/testjobintake.cpp
@@ -215,4 +215,5 @@
     fixture.follower.setTiming({5s, 0ms});
     fixture.context.run_for(60ms);
     cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("job")));
+    cr_assert_eq(fixture.metrics.value("hyssop_serving_admissions_total", {{"outcome", "table-outdated"}}), 1);
 }
