--- a/src/libs/node/dispatchlog.cpp
+++ b/src/libs/node/dispatchlog.cpp
@@ -3,7 +3,6 @@
 #include "ownerlog.h"
 
 #include <algorithm>
-#include <cstddef>
 #include <initializer_list>
 #include <string>
 #include <variant>
@@ -12,9 +11,6 @@
 
 namespace Internal {
 
-constexpr std::size_t LinesAtTermEnd = 100;
-constexpr std::size_t RemainingLines = 20; // in a call
-
 /// Returns @p parts, joined by hyphens instead of spaces.
 static std::string combinedName(std::initializer_list<std::string> parts)
 {
@@ -111,13 +107,7 @@
 
 void DispatchLog::writeRemaining(TimePoint now)
 {
-    m_runs.writeOldest(Internal::RemainingLines, now);
-    m_workers.writeAll(now);
-}
-
-void DispatchLog::endTerm(TimePoint now)
-{
-    m_runs.writeOldest(Internal::LinesAtTermEnd, now);
+    m_runs.writeRemaining(now);
     m_workers.writeAll(now);
 }
 
--- a/src/libs/node/dispatchlog.h
+++ b/src/libs/node/dispatchlog.h
@@ -28,13 +28,10 @@
     /// Writes the lines that are due. Must be called regularly.
     void writeDue(TimePoint now);
 
-    /// Writes some of the lines, due or not. Must be called regularly after the end of the ownership, when few results follow that
-    /// could be combined.
+    /// Writes the lines about workers, and those about runs at a bounded rate, due or not. Must be called at the end of the
+    /// ownership, and regularly afterwards.
     void writeRemaining(TimePoint now);
 
-    /// Writes the lines about workers and many of those about runs; writeRemaining() writes the others.
-    void endTerm(TimePoint now);
-
     /// Writes all lines.
     void writeAll(TimePoint now);
 
--- a/src/libs/node/runlog.cpp
+++ b/src/libs/node/runlog.cpp
@@ -16,6 +16,7 @@
 // While fewer lines were written in a second, those that are due take what is left. Leaves a part of the limit for routine lines to
 // requests of callers.
 constexpr int MaximumLines = 180;
+constexpr std::size_t MaximumRemainingLines = 20; // in a call after the ownership
 constexpr int MaximumOwnLines = 60; // in a second
 // Bounds the length of a line.
 constexpr std::size_t MaximumResults = 100;
@@ -106,6 +107,14 @@
     writeOldestOf(std::move(due), m_lines < Internal::MaximumLines ? Internal::MaximumDueLines : Internal::MinimumDueLines, now);
 }
 
+void RunLog::writeRemaining(TimePoint now)
+{
+    beginSecond(now);
+    if (m_lines < Internal::MaximumLines) {
+        writeOldest(Internal::MaximumRemainingLines, now);
+    }
+}
+
 void RunLog::writeOldest(std::size_t most, TimePoint now)
 {
     std::vector<std::map<StepKey, StepResults>::iterator> all;
--- a/src/libs/node/runlog.h
+++ b/src/libs/node/runlog.h
@@ -42,8 +42,9 @@
     /// Writes the lines about @p jobId.
     void writeJob(const std::string &jobId, TimePoint now);
 
-    /// Writes the oldest @p most lines, due or not.
-    void writeOldest(std::size_t most, TimePoint now);
+    /// Writes the oldest lines, due or not, at a bounded rate. For the time after the ownership, when few results follow that could
+    /// be combined.
+    void writeRemaining(TimePoint now);
 
     /// Writes all lines.
     void writeAll(TimePoint now);
@@ -79,6 +80,7 @@
     /// Writes the oldest of the lines in @p items, at most @p most.
     void writeOldestOf(std::vector<std::map<StepKey, StepResults>::iterator> items, std::size_t most, TimePoint now);
     void write(const StepKey &step, const StepResults &results, TimePoint now);
+    void writeOldest(std::size_t most, TimePoint now);
     void beginSecond(TimePoint now);
     StepResults &resultsOf(const TaskId &task, TimePoint now);
     void writeIfFull(const TaskId &task, StepResults &results, TimePoint now);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -342,7 +342,7 @@
 void TopicOwner::stepDown(const std::string &reason, const StepDown &rejection)
 {
     if (m_term) {
-        m_log.endTerm(m_clock.now());
+        m_log.writeRemaining(m_clock.now());
         logStepDown(*m_term, reason, rejection);
         m_metrics.add("hyssop_step_downs_total", {{"reason", reason.substr(0, reason.find(':'))}});
         m_minimumTerm = *m_term + 1;
--- a/tests/libs/node/testlogload.cpp
+++ b/tests/libs/node/testlogload.cpp
@@ -164,9 +164,20 @@
             m_clock.advance(TickInterval);
             log.writeDue(m_clock.now());
         }
-        const std::string text = m_output.text().substr(before.size());
-        m_mostLines = std::max(m_mostLines, std::ranges::count(text, '\n'));
-        m_mostBytes = std::max(m_mostBytes, static_cast<std::ptrdiff_t>(text.size()));
+        measure(m_output.text().substr(before.size()));
+    }
+
+    /// A second after the end of the ownership, in which the log is asked each @p interval ticks to write what remains.
+    void standbySecond(int interval)
+    {
+        const std::string before = m_output.text();
+        for (int tick = 0; tick < TicksPerSecond; ++tick) {
+            if (tick % interval == 0) {
+                log.writeRemaining(now());
+            }
+            m_clock.advance(TickInterval);
+        }
+        measure(m_output.text().substr(before.size()));
     }
 
     void idle(int seconds)
@@ -260,6 +271,12 @@
     DispatchLog log;
 
 private:
+    void measure(const std::string &text)
+    {
+        m_mostLines = std::max(m_mostLines, std::ranges::count(text, '\n'));
+        m_mostBytes = std::max(m_mostBytes, static_cast<std::ptrdiff_t>(text.size()));
+    }
+
     Clock m_clock;
     CapturedOutput m_output;
     std::vector<TaskId> m_running;
@@ -390,3 +407,24 @@
     cr_assert_eq(findings.droppedLines, 0);
     load.expectBounds();
 }
+
+// Guards against a burst beyond the limit of lines when an owner steps down under load.
+Test(logLoad, resultsLeftAtTheEndOfTheOwnershipAreNotDropped)
+{
+    constexpr int StandbyInterval = 10; // in ticks
+    Load load;
+    load.second([&](int tick) { load.runJobs(0, tick); });
+    load.second([&](int tick) {
+        load.runJobs(1, tick);
+        load.startServingTasks(tick);
+    });
+    for (int number = 0; number < 4; ++number) {
+        load.standbySecond(StandbyInterval);
+    }
+    load.endAllJobs();
+    const Findings findings = load.findings();
+    expectServingStarts(findings);
+    expectJobs(findings, 2);
+    cr_assert_eq(findings.droppedLines, 0);
+    load.expectBounds();
+}
--- a/tests/libs/node/testrunlog.cpp
+++ b/tests/libs/node/testrunlog.cpp
@@ -231,10 +231,10 @@
     for (int job = 0; job < 30; ++job) {
         runs.started(start("j" + std::to_string(job), 0, 1, "w"), Begin + std::chrono::milliseconds(30 - job), Begin + std::chrono::milliseconds(30 - job));
     }
-    runs.writeOldest(20, Begin + 40ms);
+    runs.writeRemaining(Begin + 40ms);
     cr_assert_eq(log.lineCount(), 20);
     log.expect("job_id=j29 step=0.1 started=w:0 withdrawn=\"\" completed=\"\" other=\"\" span_ms=39");
-    runs.writeOldest(20, Begin + 40ms);
+    runs.writeRemaining(Begin + 40ms);
     cr_assert_eq(log.lineCount(), 30);
 }
 
