--- a/src/libs/node/runlog.cpp
+++ b/src/libs/node/runlog.cpp
@@ -97,7 +97,7 @@
 
 void RunLog::writeDue(TimePoint now)
 {
-    std::vector<std::map<StepKey, StepResults>::iterator> due;
+    std::vector<Steps::iterator> due;
     for (auto item = m_steps.begin(); item != m_steps.end(); ++item) {
         if (now - item->second.since >= Internal::MinimumDelay) {
             due.push_back(item);
@@ -117,14 +117,14 @@
 
 void RunLog::writeOldest(std::size_t most, TimePoint now)
 {
-    std::vector<std::map<StepKey, StepResults>::iterator> all;
+    std::vector<Steps::iterator> all;
     for (auto item = m_steps.begin(); item != m_steps.end(); ++item) {
         all.push_back(item);
     }
     writeOldestOf(std::move(all), most, now);
 }
 
-void RunLog::writeOldestOf(std::vector<std::map<StepKey, StepResults>::iterator> items, std::size_t most, TimePoint now)
+void RunLog::writeOldestOf(std::vector<Steps::iterator> items, std::size_t most, TimePoint now)
 {
     const std::size_t count = std::min(items.size(), most);
     std::ranges::partial_sort(items, items.begin() + static_cast<std::ptrdiff_t>(count), {}, [](const auto &item) { return item->second.since; });
--- a/src/libs/node/runlog.h
+++ b/src/libs/node/runlog.h
@@ -73,19 +73,21 @@
         bool hasExceptional = false;
     };
 
+    using Steps = std::map<StepKey, StepResults>;
+
     static std::string toString(const std::vector<RunOfTask> &runs);
     static std::string toString(const RunsByWorker &runsByWorker);
     static std::string toString(const std::map<std::string, RunsByWorker> &others);
 
     /// Writes the oldest of the lines in @p items, at most @p most.
-    void writeOldestOf(std::vector<std::map<StepKey, StepResults>::iterator> items, std::size_t most, TimePoint now);
+    void writeOldestOf(std::vector<Steps::iterator> items, std::size_t most, TimePoint now);
     void write(const StepKey &step, const StepResults &results, TimePoint now);
     void writeOldest(std::size_t most, TimePoint now);
     void beginSecond(TimePoint now);
     StepResults &resultsOf(const TaskId &task, TimePoint now);
     void writeIfFull(const TaskId &task, StepResults &results, TimePoint now);
 
-    std::map<StepKey, StepResults> m_steps;
+    Steps m_steps;
     TimePoint m_secondStartedAt{};
     int m_ownLines = 0; // in this second
     int m_lines = 0; // with combined results, in this second
