--- a/src/libs/node/runlog.cpp
+++ b/src/libs/node/runlog.cpp
@@ -16,6 +16,7 @@
 // While fewer lines were written in a second, those that are due take what is left. Leaves a part of the limit for routine lines to
 // requests of callers.
 constexpr int MaximumLines = 180;
+constexpr std::size_t MaximumRemainingLines = 20; // in a call after the ownership
 constexpr int MaximumOwnLines = 60; // in a second
 // Bounds the length of a line.
 constexpr std::size_t MaximumResults = 100;
@@ -96,7 +97,7 @@
 
 void RunLog::writeDue(TimePoint now)
 {
-    std::vector<std::map<StepKey, StepResults>::iterator> due;
+    std::vector<Steps::iterator> due;
     for (auto item = m_steps.begin(); item != m_steps.end(); ++item) {
         if (now - item->second.since >= Internal::MinimumDelay) {
             due.push_back(item);
@@ -106,16 +107,24 @@
     writeOldestOf(std::move(due), m_lines < Internal::MaximumLines ? Internal::MaximumDueLines : Internal::MinimumDueLines, now);
 }
 
+void RunLog::writeRemaining(TimePoint now)
+{
+    beginSecond(now);
+    if (m_lines < Internal::MaximumLines) {
+        writeOldest(Internal::MaximumRemainingLines, now);
+    }
+}
+
 void RunLog::writeOldest(std::size_t most, TimePoint now)
 {
-    std::vector<std::map<StepKey, StepResults>::iterator> all;
+    std::vector<Steps::iterator> all;
     for (auto item = m_steps.begin(); item != m_steps.end(); ++item) {
         all.push_back(item);
     }
     writeOldestOf(std::move(all), most, now);
 }
 
-void RunLog::writeOldestOf(std::vector<std::map<StepKey, StepResults>::iterator> items, std::size_t most, TimePoint now)
+void RunLog::writeOldestOf(std::vector<Steps::iterator> items, std::size_t most, TimePoint now)
 {
     const std::size_t count = std::min(items.size(), most);
     std::ranges::partial_sort(items, items.begin() + static_cast<std::ptrdiff_t>(count), {}, [](const auto &item) { return item->second.since; });
