Benchmark of the owner's processor time by stage

bench-ownercost drives Dispatcher in virtual time with 1,100 workers, serving jobs on 80 % of the capacity and 50 short jobs a second. Dispatcher::setStageObserver() splits the time of advance().

--- /dev/null
+++ b/bench/ownercost/modelfleet.cpp
@@ -0,0 +1,277 @@
+#include "modelfleet.h"
+
+#include <dispatch/claimtimes.h>
+#include <jobtopic/jobkeys.h>
+#include <utils/overloaded.h>
+#include <wire/codec.h>
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace Hyssop::Bench {
+
+constexpr std::chrono::milliseconds Tick{20};
+constexpr std::chrono::milliseconds TransitTime{2};
+constexpr std::chrono::milliseconds StoreTime{25};
+constexpr std::int64_t WorkerMilliCores = 74'600;
+constexpr std::int64_t ServingMilliCores = 13'000;
+constexpr int ServingTasks = 24;
+constexpr int ServingPercent = 80; // of the capacity
+constexpr int BestEffortPercent = 60; // of the other jobs
+constexpr int Images = 40;
+constexpr int EstimateMs = 1500;
+constexpr int RackSize = 20;
+
+// Ids have the length of real ones.
+static std::string idOf(const char *prefix, std::int64_t number)
+{
+    std::array<char, 32> text{};
+    const std::uint64_t spread = static_cast<std::uint64_t>(number) * 2654435761U;
+    std::snprintf(text.data(), text.size(), "%s%014llx", prefix, static_cast<unsigned long long>(spread));
+    return text.data();
+}
+
+ModelFleet::ModelFleet(const FleetOptions &options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_dispatcher(DispatchLimits())
+    , m_nextJob(m_now)
+{
+    ClusterConfig config;
+    QueueInfo queue;
+    queue.name = "batch";
+    queue.workerPool = "hall";
+    queue.maximumFailures = 3;
+    queue.deadlineFactor = 2;
+    queue.deadlineMargin = std::chrono::seconds(30);
+    config.queues[queue.name] = queue;
+    m_dispatcher.applyConfiguration(config, {});
+    m_dispatcher.beginTerm(1, m_table, {m_now, m_now}, true);
+    for (int index = 0; index < options.workers; ++index) {
+        WorkerInfo info;
+        info.id = idOf("aa", index);
+        info.workerPool = queue.workerPool;
+        info.address = "127.0.0.1:" + std::to_string(1 + index);
+        info.failureDomain = index % 2 == 0 ? "a" : "b";
+        info.rack = "r" + std::to_string(index / RackSize);
+        info.capacity.milliCores = WorkerMilliCores;
+        info.capacity.memoryBytes = 1'000'000'000'000;
+        m_workers.emplace(info.id, ModelWorker(info, m_now - std::chrono::seconds(100)));
+        m_dispatcher.updateWorker(info);
+    }
+    m_dispatcher.setStageObserver([this](DispatchStage stage) {
+        switch (stage) {
+        case DispatchStage::Workers:
+            return m_times.end("advance, workers");
+        case DispatchStage::Placement:
+            return m_times.end("advance, placement");
+        case DispatchStage::Batch:
+            return m_times.end("advance, batch");
+        case DispatchStage::Polls:
+            return m_times.end("advance, polls");
+        }
+    });
+    submitServingJobs();
+}
+
+void ModelFleet::run(std::chrono::milliseconds time)
+{
+    for (const TimePoint until = m_now + time; m_now < until; m_now += Tick) {
+        while (m_nextJob <= m_now) {
+            m_nextJob += std::chrono::milliseconds(1000) / m_options.jobsPerSecond;
+            submit(shortJob());
+        }
+        runEvents();
+        tick();
+    }
+}
+
+void ModelFleet::clearCounts()
+{
+    m_times.clear();
+    m_counts.clear();
+}
+
+void ModelFleet::print(std::chrono::milliseconds simulated) const
+{
+    m_times.print(simulated);
+    for (const auto &[event, count] : m_counts) {
+        std::printf("%-30s %12.1f a second\n", event.c_str(), static_cast<double>(count) * 1000 / static_cast<double>(simulated.count()));
+    }
+    std::printf("open runs at the end: %zu\n", m_dispatcher.openRuns());
+}
+
+void ModelFleet::runEvents()
+{
+    const TimePoint tickAt = m_now;
+    while (!m_events.empty() && m_events.begin()->first <= tickAt) {
+        m_now = m_events.begin()->first;
+        const Event event = std::move(m_events.begin()->second);
+        m_events.erase(m_events.begin());
+        event();
+    }
+    m_now = tickAt;
+}
+
+void ModelFleet::submit(const Wire::StepJob &job)
+{
+    const std::string id = idOf("bb", m_jobs++);
+    m_table.apply({m_jobs, submissionKey(id), encode(job)});
+    const TopicJob *entry = m_table.find(id);
+    ++m_counts["jobs"];
+    m_times.begin();
+    m_dispatcher.jobChanged(id, entry, m_now, wall());
+    m_times.end("accepted");
+}
+
+void ModelFleet::submitServingJobs()
+{
+    const std::int64_t capacity = m_options.workers * WorkerMilliCores;
+    const std::int64_t jobs = capacity * ServingPercent / 100 / (ServingMilliCores * ServingTasks);
+    for (std::int64_t job = 0; job < jobs; ++job) {
+        submit(servingJob());
+    }
+}
+
+Wire::StepJob ModelFleet::servingJob() const
+{
+    Wire::StepJob job;
+    job.queue = "batch";
+    job.payload = std::string(60, 'p');
+    job.acceptedAtMs = sinceEpoch(wall()).count();
+    Wire::TaskStep step;
+    step.taskCount = ServingTasks;
+    step.milliCores = ServingMilliCores;
+    step.memoryMb = 1000;
+    step.longRunning = true;
+    step.tailTargetMs = 200;
+    step.image = "serving-" + std::to_string(m_jobs % Images);
+    job.steps.push_back(step);
+    return job;
+}
+
+Wire::StepJob ModelFleet::shortJob()
+{
+    Wire::StepJob job;
+    job.queue = "batch";
+    job.payload = std::string(60, 'p');
+    job.acceptedAtMs = sinceEpoch(wall()).count();
+    const bool isBestEffort = random(1, 100) <= BestEffortPercent;
+    const int steps = random(1, 4);
+    for (int index = 0; index < steps; ++index) {
+        Wire::TaskStep step;
+        step.taskCount = random(13, 40);
+        step.milliCores = isBestEffort ? 1500 : 2000;
+        step.memoryMb = 500;
+        step.estimateMs = EstimateMs;
+        step.fillsIdle = isBestEffort;
+        step.checkpointable = isBestEffort;
+        step.image = isBestEffort ? "batch-" + std::to_string(m_jobs % Images) : "";
+        if (index > 0) {
+            step.after.push_back(index - 1);
+        }
+        job.steps.push_back(step);
+    }
+    return job;
+}
+
+void ModelFleet::tick()
+{
+    m_dispatcher.confirmRead(m_now);
+    m_dispatcher.confirmWorkersRead(m_now);
+    m_times.begin();
+    std::vector<DispatchAction> actions = m_dispatcher.advance(m_now, wall());
+    for (DispatchAction &action : actions) {
+        perform(std::move(action));
+    }
+}
+
+void ModelFleet::perform(DispatchAction action)
+{
+    std::visit(Overloaded{
+                   [this](StartCommand &command) { perform(std::move(command)); },
+                   [this](StopCommand &command) { perform(std::move(command)); },
+                   [this](ThrottleCommand &command) { perform(std::move(command)); },
+                   [this](PollCommand &command) { perform(std::move(command)); },
+                   [this](const AppendRecords &append) { perform(append); },
+                   [this](const JobEnded &) { ++m_counts["job ends"]; },
+                   [this](const RunEnded &) { ++m_counts["run ends"]; },
+                   [](const auto &) {},
+               },
+               action);
+}
+
+void ModelFleet::perform(StartCommand command)
+{
+    ++m_counts["starts"];
+    at(m_now + TransitTime, [this, command = std::move(command)] {
+        const bool isServing = command.isServing;
+        const auto endsAt = isServing ? std::nullopt : std::optional(m_now + std::chrono::milliseconds(random(1000, 2000)));
+        const CommandResult result = workerOf(command.worker).start(command, endsAt, m_now);
+        m_times.begin();
+        m_dispatcher.startAnswered(command, result, m_now);
+        m_times.end("start answered");
+    });
+}
+
+void ModelFleet::perform(StopCommand command)
+{
+    ++m_counts["stops"];
+    at(m_now + TransitTime, [this, command = std::move(command)] {
+        const CommandResult result = workerOf(command.worker).stop(command, m_now);
+        m_times.begin();
+        m_dispatcher.stopAnswered(command, result, m_now);
+        m_times.end("stop answered");
+    });
+}
+
+void ModelFleet::perform(ThrottleCommand command)
+{
+    ++m_counts["throttles"];
+    at(m_now + TransitTime, [this, command = std::move(command)] {
+        m_times.begin();
+        m_dispatcher.throttleAnswered(command, CommandExecuted{WorkerTime(0)}, m_now);
+        m_times.end("throttle answered");
+    });
+}
+
+void ModelFleet::perform(PollCommand command)
+{
+    ++m_counts["polls"];
+    m_counts["polls that wait"] += command.wait.count() > 0 ? 1 : 0;
+    const TimePoint sentAt = m_now;
+    at(m_now + TransitTime / 2, [this, sentAt, command = std::move(command)] {
+        const TimePoint respondsAt = workerOf(command.worker).beginPoll(command, m_now);
+        at(respondsAt, [this, sentAt, command] {
+            const WorkerReport report = workerOf(command.worker).report(m_now);
+            m_counts["reported runs"] += static_cast<std::int64_t>(report.runs.size());
+            at(m_now + TransitTime / 2, [this, sentAt, command, report] {
+                m_times.begin();
+                m_dispatcher.pollAnswered(command, report, sentAt, m_now);
+                m_times.end("poll answered");
+            });
+        });
+    });
+}
+
+void ModelFleet::perform(const AppendRecords &append)
+{
+    m_counts["records of jobs"] += static_cast<std::int64_t>(append.records.size());
+    m_counts["records of runs"] += static_cast<std::int64_t>(append.runs.size());
+    for (const KeyedRecord &record : append.runs) {
+        m_counts["bytes of runs"] += static_cast<std::int64_t>(record.value ? record.value->size() : 0);
+    }
+    at(m_now + StoreTime, [this] {
+        m_times.begin();
+        m_dispatcher.recordsStored(m_now);
+        m_times.end("batch stored");
+    });
+}
+
+WallTime ModelFleet::wall() const
+{
+    return WallTime(std::chrono::seconds(1'700'000'000) + std::chrono::duration_cast<WallTime::duration>(m_now.time_since_epoch()));
+}
+
+} // namespace Hyssop::Bench
--- /dev/null
+++ b/bench/ownercost/modelfleet.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "modelworker.h"
+#include "stagetimes.h"
+
+#include <dispatch/dispatcher.h>
+#include <jobtopic/jobtable.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Hyssop::Bench {
+
+/// Size and load of a ModelFleet.
+struct FleetOptions
+{
+    int workers = 1100;
+    int jobsPerSecond = 50;
+    std::uint32_t seed = 1;
+};
+
+/// A Dispatcher with workers and the store in virtual time. Serving jobs reserve 80 % of the capacity; best-effort and other jobs
+/// arrive at a constant rate.
+class ModelFleet
+{
+public:
+    explicit ModelFleet(const FleetOptions &options);
+
+    /// Advances the virtual time and measures the calls of the dispatcher.
+    void run(std::chrono::milliseconds time);
+
+    void clearCounts();
+    void print(std::chrono::milliseconds simulated) const;
+
+private:
+    using Event = std::function<void()>;
+
+    void at(TimePoint time, Event event) { m_events.emplace(time, std::move(event)); }
+    void runEvents();
+    void submit(const Wire::StepJob &job);
+    void submitServingJobs();
+    Wire::StepJob servingJob() const;
+    Wire::StepJob shortJob();
+    void tick();
+    void perform(DispatchAction action);
+    void perform(StartCommand command);
+    void perform(StopCommand command);
+    void perform(ThrottleCommand command);
+    void perform(PollCommand command);
+    void perform(const AppendRecords &append);
+    ModelWorker &workerOf(const WorkerAddress &address) { return m_workers.at(address.id); }
+    int random(int minimum, int maximum) { return std::uniform_int_distribution<int>(minimum, maximum)(m_random); }
+    WallTime wall() const;
+
+    FleetOptions m_options;
+    std::mt19937 m_random;
+    TimePoint m_now{std::chrono::seconds(1000)};
+    Dispatcher m_dispatcher;
+    JobTable m_table;
+    std::map<std::string, ModelWorker> m_workers; // by id
+    std::multimap<TimePoint, Event> m_events;
+    TimePoint m_nextJob{};
+    std::int64_t m_jobs = 0;
+    std::map<std::string, std::int64_t> m_counts; // by event
+    StageTimes m_times;
+};
+
+} // namespace Hyssop::Bench
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -152,12 +152,23 @@
     findDepartedWorkers(now);
     removeUnregisteredWorkers();
     moveRunsOffDrainingWorkers(now);
+    reportStage(DispatchStage::Workers);
     placePendingTasks(now, wall);
+    reportStage(DispatchStage::Placement);
     composeBatch(now, wall);
+    reportStage(DispatchStage::Batch);
     pollWorkers(now);
+    reportStage(DispatchStage::Polls);
     return std::exchange(m_actions, {});
 }
 
+void Dispatcher::reportStage(DispatchStage stage) const
+{
+    if (m_stageObserver) {
+        m_stageObserver(stage);
+    }
+}
+
 std::size_t Dispatcher::openRuns() const
 {
     std::size_t count = 0;
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include "colocationpolicy.h"
 #include "dispatchactions.h"
 #include "dispatchlimits.h"
+#include "dispatchstage.h"
 #include "dispatchsummary.h"
 #include "jobregistry.h"
 #include "leasepolicy.h"
@@ -20,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Hyssop {
@@ -91,6 +93,9 @@
     /// Advances the time and returns the actions that are due.
     std::vector<DispatchAction> advance(TimePoint now, WallTime wall);
 
+    /// Lets advance() call @p observer at the end of each stage.
+    void setStageObserver(std::function<void(DispatchStage)> observer) { m_stageObserver = std::move(observer); }
+
     std::size_t openRuns() const;
     DispatchSummary summary(TimePoint now);
 
@@ -135,6 +140,7 @@
     /// Reports registrations, drains, withdrawals and quarantines since the last call as log events.
     void reportWorkerChanges(TimePoint now);
     void reportWithheldStarts(TimePoint now);
+    void reportStage(DispatchStage stage) const;
     void reportUnreachable(const WorkerState &worker, const std::string &reason, TimePoint now);
     void removeUnregisteredWorkers();
     void expireLeases(TimePoint now);
@@ -286,6 +292,7 @@
     void removeExpiredJobs(std::vector<KeyedRecord> &records, WallTime wall);
 
     DispatchLimits m_limits;
+    std::function<void(DispatchStage)> m_stageObserver;
     LeasePolicy m_leasePolicy;
     std::int64_t m_term = 0;
     TimePoint m_confirmedAt{}; // ownership was confirmed as of then
