--- a/bench/ownercost/main.cpp
+++ b/bench/ownercost/main.cpp
@@ -1,4 +1,5 @@
 #include "modelfleet.h"
+#include "transportcost.h"
 
 #include <boost/program_options.hpp>
 
@@ -14,6 +15,7 @@
     FleetOptions fleetOptions;
     int warmUpSeconds = 6;
     int seconds = 6;
+    int messages = 20000;
     auto add = description.add_options();
     add("help", "print this help");
     add("workers", po::value(&fleetOptions.workers)->default_value(fleetOptions.workers), "number of workers");
@@ -21,6 +23,7 @@
     add("seed", po::value(&fleetOptions.seed)->default_value(fleetOptions.seed), "seed of the load");
     add("warm-up", po::value(&warmUpSeconds)->default_value(warmUpSeconds), "simulated seconds before the measurement");
     add("seconds", po::value(&seconds)->default_value(seconds), "simulated seconds of the measurement");
+    add("messages", po::value(&messages)->default_value(messages), "messages of each kind for the codec and for HTTP");
     po::variables_map options;
     po::store(po::parse_command_line(argc, argv, description), options);
     po::notify(options);
@@ -33,5 +36,10 @@
     fleet.clearCounts();
     fleet.run(std::chrono::seconds(seconds));
     fleet.print(std::chrono::seconds(seconds));
+
+    StageTimes transport;
+    measureCodec(transport, messages);
+    measureExchanges(transport, messages);
+    transport.print(std::chrono::seconds(1));
     return 0;
 }
