HttpClient: fewer system calls for an exchange

Cause: each request on an open connection set the socket to non-blocking mode again for its check (an ioctl), and read the response in pieces of 512 bytes, the header first: 4 to 5 receive calls for a report of 900 bytes, each with a timer of its own.

Change: the check asks for a call that does not block; one read takes the header and as much of the body as arrives, into a buffer of 1.5 KB. Longer bodies and slow ones are read as before.

systemCalls/fewForAnExchangeOnAnOpenConnection counts the calls and failed before (receive calls above 3 an exchange).

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -12,10 +12,14 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <cerrno>
 #include <map>
 #include <utility>
 #include <vector>
 
+#include <sys/socket.h>
+#include <sys/types.h>
+
 namespace Hyssop {
 
 namespace asio = boost::asio;
@@ -32,6 +36,8 @@
 constexpr std::size_t BodyPieceSize = 64 * 1024;
 // Larger bodies get a buffer of their size. Small ones keep the small buffer, because an owner has hundreds of requests open.
 constexpr std::size_t MaximumSmallBody = 4096;
+// Larger than most reports of workers. Each open request has such a buffer.
+constexpr std::size_t ResponseBufferSize = 1536;
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
@@ -74,11 +80,9 @@
     static bool isUsable(beast::tcp_stream &stream)
     {
         // No response is outstanding on an idle connection, so a readable one is closed or has sent unexpected bytes.
-        boost::system::error_code error;
         char byte = 0;
-        stream.socket().non_blocking(true, error);
-        stream.socket().receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
-        return error == asio::error::would_block;
+        const ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
     asio::any_io_executor m_executor;
@@ -146,9 +150,17 @@
 static asio::awaitable<boost::system::error_code>
 readResponse(beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser, const HttpClient::Timeout &timeout)
 {
-    const auto [headerError, headerSize] = co_await http::async_read_header(stream, buffer, parser, AsTuple);
-    if (headerError) {
-        co_return headerError;
+    // Most responses are so short that one read takes the header and the body.
+    buffer.reserve(ResponseBufferSize);
+    parser.eager(true);
+    while (!parser.is_header_done()) {
+        const auto [error, size] = co_await http::async_read_some(stream, buffer, parser, AsTuple);
+        if (error) {
+            co_return error;
+        }
+    }
+    if (parser.is_done()) {
+        co_return boost::system::error_code();
     }
     reserveForBody(buffer, parser);
     if (const auto *timeouts = std::get_if<HttpTimeouts>(&timeout)) {
--- /dev/null
+++ b/tests/libs/http/testsystemcalls.cpp
@@ -0,0 +1,107 @@
+#include <http/httpclient.h>
+#include <support/coroutines.h>
+
+#include <criterion/criterion.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cstdarg>
+#include <string>
+#include <thread>
+
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+using namespace Hyssop;
+using namespace std::chrono_literals;
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+thread_local int receiveCalls = 0;
+thread_local int controlCalls = 0;
+
+} // namespace
+
+// These definitions replace those of the C library in this program, and count the calls of each thread.
+extern "C" ssize_t recv(int socket, void *buffer, size_t size, int flags)
+{
+    ++receiveCalls;
+    return syscall(SYS_recvfrom, socket, buffer, size, flags, nullptr, nullptr);
+}
+
+extern "C" ssize_t recvmsg(int socket, struct msghdr *message, int flags)
+{
+    ++receiveCalls;
+    return syscall(SYS_recvmsg, socket, message, flags);
+}
+
+extern "C" int ioctl(int file, unsigned long request, ...) noexcept
+{
+    ++controlCalls;
+    va_list arguments;
+    va_start(arguments, request);
+    void *argument = va_arg(arguments, void *);
+    va_end(arguments);
+    return static_cast<int>(syscall(SYS_ioctl, file, request, argument));
+}
+
+namespace {
+
+constexpr int Exchanges = 20;
+constexpr std::size_t ReportSize = 900; // of a worker with a dozen runs
+constexpr int ConnectionCalls = 2; // that prepare the socket of the only connection
+
+/// Answers the requests of one connection.
+void serve(Tcp::acceptor &acceptor)
+{
+    Tcp::socket socket = acceptor.accept();
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(ReportSize) + "\r\n\r\n" + std::string(ReportSize, 'x');
+    std::string request;
+    boost::system::error_code error;
+    while (!error) {
+        const std::size_t size = asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
+        if (!error) {
+            request.erase(0, size);
+            asio::write(socket, asio::buffer(response), error);
+        }
+    }
+}
+
+asio::awaitable<void> exchangeAll(HttpClient &client, const std::string &address)
+{
+    for (int exchange = 0; exchange < Exchanges; ++exchange) {
+        auto outcome = co_await client.send(address, boost::beast::http::verb::get, "/", {}, 5s);
+        cr_assert_null(errorOf(outcome));
+        cr_assert_eq(valueOf(outcome)->body().size(), ReportSize);
+    }
+}
+
+} // namespace
+
+// Guards against system calls that add nothing: an owner sends thousands of requests a second on open connections.
+Test(systemCalls, fewForAnExchangeOnAnOpenConnection)
+{
+    asio::io_context serverContext;
+    Tcp::acceptor acceptor(serverContext, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    std::thread server([&] { serve(acceptor); });
+    asio::io_context context(1);
+    {
+        HttpClient client(context.get_executor());
+        receiveCalls = 0;
+        controlCalls = 0;
+        runToEnd(context, exchangeAll(client, address));
+    }
+    server.join();
+    // The check of the idle connection, the attempt before the response arrives, and the response.
+    cr_assert_leq(receiveCalls, 3 * Exchanges);
+    cr_assert_leq(controlCalls, ConnectionCalls);
+}
