Reports: look up each listed run once

Cause: for each run in a report the owner searched its jobs by id three to four times and the runs of the worker three times, built a set of all listed tasks to find missing ones, copied job ids, and forecast the load of serving jobs twice although no best-effort task runs beside them or is throttled.

Change: ListedRun keeps what one search has found while the report is processed; a run notes the report that listed it last. Speeds are computed only if there is a best-effort run, and with the margin for unthrottling only if one is throttled. The tail model skips images without a correlation.

--- a/src/libs/dispatch/colocationpolicy.cpp
+++ b/src/libs/dispatch/colocationpolicy.cpp
@@ -109,7 +109,15 @@
 
 std::vector<int> ColocationPolicy::speeds(const std::vector<ColocatedRun> &runs, std::int64_t capacity, TimePoint now) const
 {
-    const std::vector<int> needed = speedsWithinTargets(runs, capacity, now, now + Internal::ThrottleHorizon, Internal::ThrottleMargin);
+    const auto isBestEffort = [](const ColocatedRun &run) { return run.profile->isBestEffort; };
+    if (std::ranges::none_of(runs, isBestEffort)) {
+        return std::vector<int>(runs.size(), 100);
+    }
+    std::vector<int> needed = speedsWithinTargets(runs, capacity, now, now + Internal::ThrottleHorizon, Internal::ThrottleMargin);
+    const auto isThrottled = [&](const ColocatedRun &run) { return isBestEffort(run) && run.speedPercent < 100; };
+    if (std::ranges::none_of(runs, isThrottled)) {
+        return needed;
+    }
     const std::vector<int> safe = speedsWithinTargets(runs, capacity, now, now + Internal::UnthrottleHorizon, Internal::UnthrottleMargin);
     std::vector<int> speeds;
     speeds.reserve(runs.size());
--- a/src/libs/dispatch/colocationpolicy.h
+++ b/src/libs/dispatch/colocationpolicy.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Hyssop {
@@ -23,7 +24,7 @@
 struct ColocatedRun
 {
     const RunProfile *profile = nullptr;
-    std::string jobId;
+    std::string_view jobId; // must outlive this object
     double load = 0; // serving run: tail latency in ms; other runs: thousandths of a core in use
     int speedPercent = 100; // speed of a best-effort run, as last confirmed by the worker
 };
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -29,6 +29,7 @@
 class JobTable;
 class WorkerRanking;
 struct ClaimTimes;
+struct ListedRun;
 struct PlacementRequest;
 
 /// Scheduler of the instance that owns the job topic. It performs no I/O: its inputs are records, results of commands and the time, its
@@ -208,16 +209,21 @@
 
     /// Ends the run of @p task that @p worker has listed after it was considered lost, and withdraws the next one.
     void acceptLateEnd(WorkerState &worker, const ReportedRunEnd &end, TaskExecution &task, TimePoint now);
-    void handleReportedRun(WorkerState &worker, const ReportedRun &run, TimePoint now);
-    void updateProgress(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now);
-    void updateExpectedEnd(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now);
+
+    /// Returns what is known about @p run, and marks it as listed. The members are null pointers as far as nothing is known.
+    ListedRun listedRun(WorkerState &worker, const ReportedRun &run);
+    void handleReportedRun(WorkerState &worker, const ListedRun &run, TimePoint now);
+    void updateProgress(WorkerState &worker, const ListedRun &run, TimePoint now);
+    static void updateExpectedEnd(const ListedRun &run, TimePoint now);
+
+    /// Ends the runs of @p worker that the last report, @p report, does not list.
     void findMissingRuns(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
     void stopOrphan(WorkerState &worker, const ReportedRun &run, TimePoint now);
     std::vector<NeighbourLoad> endedNeighbourLoads(WorkerState &worker, TimePoint now);
     void recordEndedBestEffortRun(const TaskId &id, const TaskExecution &task, TimePoint now);
     void updateTargetState(WorkerState &worker, const std::vector<ColocatedRun> &runs, TimePoint now);
     bool migratePausedRun(const TaskId &id, TimePoint now);
-    void adjustSpeeds(WorkerState &worker, const WorkerReport &report, TimePoint now);
+    void adjustSpeeds(WorkerState &worker, const std::vector<ListedRun> &listed, TimePoint now);
 
     void sendStart(const TaskId &id, TaskExecution &task, TimePoint now);
     /// Notes when the run of @p task was last known to exist.
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -1,5 +1,7 @@
 #include "dispatcher.h"
 
+#include "listedrun.h"
+
 #include <utils/overloaded.h>
 
 #include <algorithm>
@@ -201,12 +203,16 @@
     for (const ReportedRunEnd &end : report.ends) {
         handleEndedRun(worker, end, now);
     }
+    ++worker.reports;
+    std::vector<ListedRun> listed;
+    listed.reserve(report.runs.size());
     for (const ReportedRun &run : report.runs) {
-        handleReportedRun(worker, run, now);
+        listed.push_back(listedRun(worker, run));
+        handleReportedRun(worker, listed.back(), now);
     }
     findMissingRuns(worker, report, sentAt, now);
     std::erase_if(worker.orphanStops, [&](const auto &item) { return now - item.second > Internal::OrphanStopRetention; });
-    adjustSpeeds(worker, report, now);
+    adjustSpeeds(worker, listed, now);
     worker.nextPoll = now;
     if (!worker.hasAnswered) {
         worker.hasAnswered = true;
@@ -327,86 +333,100 @@
     endRun(end.task, task, end.endReason, end.checkpoint, now, RunEndEvidence::Report);
 }
 
-void Dispatcher::handleReportedRun(WorkerState &worker, const ReportedRun &run, TimePoint now)
+ListedRun Dispatcher::listedRun(WorkerState &worker, const ReportedRun &run)
 {
-    TaskExecution *task = m_jobs.task(run.task);
-    const bool isExpected = task != nullptr && task->isOpen() && task->worker == worker.info.id && task->run == run.run;
+    ListedRun listed;
+    listed.report = &run;
+    if (JobExecution *job = m_jobs.find(run.task.job)) {
+        listed.task = job->findTask(run.task);
+        listed.step = listed.task != nullptr ? &job->step(run.task.step) : nullptr;
+    }
+    const auto profile = worker.runs.find(run.task);
+    if (profile != worker.runs.end()) {
+        profile->second.listedIn = worker.reports;
+        listed.profile = &profile->second;
+    }
+    return listed;
+}
+
+void Dispatcher::handleReportedRun(WorkerState &worker, const ListedRun &run, TimePoint now)
+{
+    const ReportedRun &report = *run.report;
+    TaskExecution *task = run.task;
+    const bool isExpected = task != nullptr && task->isOpen() && task->worker == worker.info.id && task->run == report.run;
     if (!isExpected) {
-        stopOrphan(worker, run, now);
+        stopOrphan(worker, report, now);
         return;
     }
     task->startConfirmed = true;
     task->listed = true;
-    if (!run.checkpoint.empty()) {
-        task->checkpoint = run.checkpoint;
+    if (!report.checkpoint.empty()) {
+        task->checkpoint = report.checkpoint;
     }
     if (task->phase == TaskPhase::Starting) {
         task->phase = TaskPhase::Running;
         task->phaseSince = now;
         task->confirmedAt = now;
         task->withoutRunSince.reset();
-        markStarted(run.task);
+        markStarted(report.task);
     }
     if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
         task->phaseSince = now;
-        sendStop(run.task, *task);
+        sendStop(report.task, *task);
     }
-    updateProgress(worker, run, *task, now);
+    updateProgress(worker, run, now);
 }
 
-void Dispatcher::updateProgress(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now)
+void Dispatcher::updateProgress(WorkerState &worker, const ListedRun &run, TimePoint now)
 {
-    task.load = run.load;
-    updateExpectedEnd(worker, run, task, now);
-    const JobExecution *job = m_jobs.find(run.task.job);
-    const Wire::TaskStep &step = job->step(run.task.step);
-    if (run.progressPercent != task.progressPercent) {
-        task.progressPercent = run.progressPercent;
+    const ReportedRun &report = *run.report;
+    const Wire::TaskStep &step = *run.step;
+    TaskExecution &task = *run.task;
+    task.load = report.load;
+    updateExpectedEnd(run, now);
+    if (report.progressPercent != task.progressPercent) {
+        task.progressPercent = report.progressPercent;
         task.progressSince = now;
-        if (step.longRunning && run.progressPercent >= 100) {
-            worker.health.reportSuccess(run.task); // a serving task never completes
+        if (step.longRunning && report.progressPercent >= 100) {
+            worker.health.reportSuccess(report.task); // a serving task never completes
         }
         return;
     }
-    const bool servesAtFullSpeed = step.longRunning && run.progressPercent >= 100;
+    const bool servesAtFullSpeed = step.longRunning && report.progressPercent >= 100;
     const bool isThrottled = task.speedPercent < 100;
     // Progress is reported in percent, and a long task needs longer for each.
     const auto stallTimeout = std::max(Internal::StallTimeout, std::chrono::milliseconds(step.estimateMs / Internal::StallEstimateDivisor));
     if (servesAtFullSpeed || isThrottled || task.phase != TaskPhase::Running || now - task.progressSince < stallTimeout) {
         return;
     }
-    worker.health.reportStall(run.task, now);
-    beginStop(run.task, task, StopReason::Stalled, now);
+    worker.health.reportStall(report.task, now);
+    beginStop(report.task, task, StopReason::Stalled, now);
 }
 
-void Dispatcher::updateExpectedEnd(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now)
+void Dispatcher::updateExpectedEnd(const ListedRun &run, TimePoint now)
 {
-    const auto profile = worker.runs.find(run.task);
-    if (profile == worker.runs.end() || !profile->second.isBestEffort) {
+    if (run.profile == nullptr || !run.profile->isBestEffort) {
         return;
     }
-    profile->second.expectedEnd = TimePoint();
+    TaskExecution &task = *run.task;
+    const int progressPercent = run.report->progressPercent;
+    run.profile->expectedEnd = TimePoint();
     if (task.firstProgressPercent < 0) {
-        task.firstProgressPercent = run.progressPercent;
+        task.firstProgressPercent = progressPercent;
         task.firstProgressAt = now;
     }
-    const int progress = run.progressPercent - task.firstProgressPercent;
+    const int progress = progressPercent - task.firstProgressPercent;
     if (progress >= Internal::MinimumProgress && task.phase == TaskPhase::Running && task.speedPercent == 100) {
-        profile->second.expectedEnd = now + (now - task.firstProgressAt) * (100 - run.progressPercent) / progress;
+        run.profile->expectedEnd = now + (now - task.firstProgressAt) * (100 - progressPercent) / progress;
     }
 }
 
 void Dispatcher::findMissingRuns(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
     const bool listsAllRuns = worker.listsAllEnds() && report.malformedRuns == 0;
-    const auto byValue = [](const TaskId *left, const TaskId *right) { return *left < *right; };
-    std::set<const TaskId *, decltype(byValue)> present(byValue);
-    for (const ReportedRun &run : report.runs) {
-        present.insert(&run.task);
-    }
     std::vector<TaskId> missing;
     for (const auto &[id, profile] : worker.runs) {
-        if (!present.contains(&id)) {
+        if (profile.listedIn != worker.reports) {
             missing.push_back(id);
         }
     }
@@ -453,26 +473,27 @@
     return neighbourLoads;
 }
 
-void Dispatcher::adjustSpeeds(WorkerState &worker, const WorkerReport &report, TimePoint now)
+void Dispatcher::adjustSpeeds(WorkerState &worker, const std::vector<ListedRun> &listed, TimePoint now)
 {
     std::vector<ColocatedRun> runs;
-    std::vector<const ReportedRun *> reportedRuns;
-    for (const ReportedRun &run : report.runs) {
-        const auto profile = worker.runs.find(run.task);
-        const TaskExecution *task = m_jobs.task(run.task);
-        const bool isServing = profile != worker.runs.end() && profile->second.tailTargetMs > 0;
-        if (profile == worker.runs.end() || task == nullptr || task->phase != TaskPhase::Running || (isServing && run.progressPercent < 100)) {
+    std::vector<const ListedRun *> listedRuns;
+    runs.reserve(listed.size());
+    listedRuns.reserve(listed.size());
+    for (const ListedRun &run : listed) {
+        // The profile of a run that has ended since it was listed does not exist any more.
+        const bool isRunning = run.profile != nullptr && run.task != nullptr && run.task->phase == TaskPhase::Running;
+        if (!isRunning || (run.profile->tailTargetMs > 0 && run.report->progressPercent < 100)) {
             continue;
         }
-        runs.push_back({&profile->second, run.task.job, run.load, task->speedPercent});
-        reportedRuns.push_back(&run);
+        runs.push_back({run.profile, run.report->task.job, run.report->load, run.task->speedPercent});
+        listedRuns.push_back(&run);
     }
     const std::int64_t capacity = worker.info.capacity.milliCores;
     std::vector<NeighbourLoad> colocated = ColocationPolicy::neighbourLoadsOf(runs, capacity);
     std::ranges::copy(endedNeighbourLoads(worker, now), std::back_inserter(colocated));
     m_colocation.observe(runs, colocated, now);
     for (std::size_t index = 0; index < runs.size(); ++index) {
-        worker.runs.at(reportedRuns[index]->task).residualUtilization = m_colocation.residualUtilization(runs[index], colocated, now);
+        listedRuns[index]->profile->residualUtilization = m_colocation.residualUtilization(runs[index], colocated, now);
     }
     updateTargetState(worker, runs, now);
     const bool pauseAll = worker.overTargetSince && now - *worker.overTargetSince >= Internal::MaximumTimeOverTarget;
@@ -481,12 +502,13 @@
     }
     const std::vector<int> speeds = pauseAll ? std::vector<int>(runs.size(), 0) : m_colocation.speeds(runs, capacity, now);
     for (std::size_t index = 0; index < runs.size(); ++index) {
-        if (!runs[index].profile->isBestEffort || (speeds[index] == 0 && migratePausedRun(reportedRuns[index]->task, now))) {
+        if (!runs[index].profile->isBestEffort || (speeds[index] == 0 && migratePausedRun(listedRuns[index]->report->task, now))) {
             continue;
         }
         if (speeds[index] != runs[index].speedPercent) {
             worker.speedChangedAt = now;
-            m_actions.emplace_back(ThrottleCommand{addressOf(worker), reportedRuns[index]->task, reportedRuns[index]->run, speeds[index], tokenFor(worker)});
+            const ReportedRun &report = *listedRuns[index]->report;
+            m_actions.emplace_back(ThrottleCommand{addressOf(worker), report.task, report.run, speeds[index], tokenFor(worker)});
         }
     }
 }
--- a/src/libs/dispatch/jobexecution.h
+++ b/src/libs/dispatch/jobexecution.h
@@ -12,6 +12,8 @@
 
 namespace Hyssop {
 
+struct TaskId;
+
 /// Execution state of a job, as the owner knows it.
 struct JobExecution
 {
@@ -41,6 +43,9 @@
     }
 
     const Wire::TaskStep &step(int index) const { return submission.steps[static_cast<std::size_t>(index)]; }
+
+    /// Returns the task of @p id, which belongs to this job, or a null pointer if it does not exist (any more).
+    TaskExecution *findTask(const TaskId &id);
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/taillatencymodel.cpp
+++ b/src/libs/dispatch/taillatencymodel.cpp
@@ -51,6 +51,9 @@
         variance += gain[indices[entry]] * colocated[entry].load;
     }
     for (std::size_t row = 0; row < size; ++row) {
+        if (gain[row] == 0) {
+            continue; // the image neither ran beside the serving task nor is correlated with one that did
+        }
         m_coefficients[row] += gain[row] / variance * error;
         for (std::size_t column = 0; column < size; ++column) {
             m_covariance[row][column] -= gain[row] * gain[column] / variance;
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -30,6 +30,7 @@
     double residualUtilization = 0; // part of a serving task's utilization that the model does not explain
     bool isBestEffort = false; // fillsIdle of the step
     TimePoint expectedEnd{}; // of a best-effort run; default: unknown
+    std::uint64_t listedIn = 0; // number of the newest report of the worker that lists the task
 };
 
 /// What the owner knows about a worker.
@@ -64,6 +65,7 @@
     int pendingStarts = 0; // start commands that are not answered, also of runs that have ended meanwhile
     bool acknowledgementPending = false; // a poll that acknowledges ends was sent after the last start command, and is not answered
     std::size_t listedEnds = 0; // in the last report
+    std::uint64_t reports = 0; // processed reports
 
     std::map<TaskId, RunProfile> runs; // open runs
     Resources committed; // reserved resources of the open runs
