--- a/bench/ownercost/modelfleet.cpp
+++ b/bench/ownercost/modelfleet.cpp
@@ -5,6 +5,7 @@
 #include <utils/overloaded.h>
 #include <wire/codec.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -91,6 +92,9 @@
 {
     m_times.clear();
     m_counts.clear();
+    m_knownEnds = 0;
+    m_endDelay = Duration(0);
+    m_longestEndDelay = Duration(0);
 }
 
 void ModelFleet::print(std::chrono::milliseconds simulated) const
@@ -99,6 +103,9 @@
     for (const auto &[event, count] : m_counts) {
         std::printf("%-30s %12.1f a second\n", event.c_str(), static_cast<double>(count) * 1000 / static_cast<double>(simulated.count()));
     }
+    const auto milliseconds = [](Duration time) { return std::chrono::duration<double, std::milli>(time).count(); };
+    const double meanDelay = m_knownEnds > 0 ? milliseconds(m_endDelay) / static_cast<double>(m_knownEnds) : 0;
+    std::printf("ends known after: mean %.1f ms, longest %.1f ms\n", meanDelay, milliseconds(m_longestEndDelay));
     std::printf("open runs at the end: %zu\n", m_dispatcher.openRuns());
 }
 
@@ -196,7 +203,7 @@
                    [this](PollCommand &command) { perform(std::move(command)); },
                    [this](const AppendRecords &append) { perform(append); },
                    [this](const JobEnded &) { ++m_counts["job ends"]; },
-                   [this](const RunEnded &) { ++m_counts["run ends"]; },
+                   [this](const RunEnded &end) { perform(end); },
                    [](const auto &) {},
                },
                action);
@@ -208,6 +215,9 @@
     at(m_now + TransitTime, [this, command = std::move(command)] {
         const bool isServing = command.isServing;
         const auto endsAt = isServing ? std::nullopt : std::optional(m_now + std::chrono::milliseconds(random(1000, 2000)));
+        if (endsAt) {
+            m_runEnds[command.task] = *endsAt;
+        }
         const CommandResult result = workerOf(command.worker).start(command, endsAt, m_now);
         m_times.begin();
         m_dispatcher.startAnswered(command, result, m_now);
@@ -269,6 +279,19 @@
     });
 }
 
+void ModelFleet::perform(const RunEnded &end)
+{
+    ++m_counts["run ends"];
+    const auto run = m_runEnds.find(end.task);
+    if (run != m_runEnds.end()) {
+        const Duration delay = m_now - run->second;
+        ++m_knownEnds;
+        m_endDelay += delay;
+        m_longestEndDelay = std::max(m_longestEndDelay, delay);
+        m_runEnds.erase(run);
+    }
+}
+
 WallTime ModelFleet::wall() const
 {
     return WallTime(std::chrono::seconds(1'700'000'000) + std::chrono::duration_cast<WallTime::duration>(m_now.time_since_epoch()));
--- a/bench/ownercost/modelfleet.h
+++ b/bench/ownercost/modelfleet.h
@@ -52,6 +52,7 @@
     void perform(ThrottleCommand command);
     void perform(PollCommand command);
     void perform(const AppendRecords &append);
+    void perform(const RunEnded &end);
     ModelWorker &workerOf(const WorkerAddress &address) { return m_workers.at(address.id); }
     int random(int minimum, int maximum) { return std::uniform_int_distribution<int>(minimum, maximum)(m_random); }
     WallTime wall() const;
@@ -65,6 +66,10 @@
     std::multimap<TimePoint, Event> m_events;
     TimePoint m_nextJob{};
     std::int64_t m_jobs = 0;
+    std::map<TaskId, TimePoint> m_runEnds; // when the run of a task ends
+    std::int64_t m_knownEnds = 0;
+    Duration m_endDelay{0}; // sum of the times from the ends until the dispatcher reports them
+    Duration m_longestEndDelay{0};
     std::map<std::string, std::int64_t> m_counts; // by event
     StageTimes m_times;
 };
