Polls: wait for the next expected end while ends are not durable

Cause: a worker whose last ends are not durable answers every poll at once, and was polled every 80 ms. At 2,900 ends a second more than half of all polls were such ones, and most of them told nothing new.

Change: the next poll is sent when the first of the worker's runs is expected to end, by its progress or its estimate, at the earliest after 80 ms as before and at the latest after 180 ms. Serving tasks are not expected to end; if the worker may have runs that its report does not list, the interval stays 80 ms. When ends may be acknowledged has not changed.

acknowledgements/aStartThatALaterStartOvertakesIsSentAgainAsTheSameRun took the poll in transit without waiting for one; it now waits until one is sent. What it checks has not changed.

--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds FailedPollBackoff{200};
 // Run ends are listed again until they are durable and acknowledged, so a poll before that does not wait for the next end.
 constexpr std::chrono::milliseconds PendingEndsInterval{80};
+// The same if no run is expected to end before.
+constexpr std::chrono::milliseconds LongPendingEndsInterval{180};
 constexpr std::chrono::milliseconds StopRepeatInterval{400};
 constexpr std::chrono::milliseconds StallTimeout{4000};
 constexpr int StallEstimateDivisor = 10;
@@ -36,6 +38,33 @@
 // Registrations in this time after the beginning of a term were made earlier and are not reported.
 constexpr std::chrono::milliseconds WorkerListingTime{2000};
 
+/// Returns the time until @p run is expected to end, according to the report at @p now that lists it.
+static Duration timeToExpectedEnd(const ListedRun &run, TimePoint now)
+{
+    if (run.task == nullptr || run.task->phase != TaskPhase::Running) {
+        return Duration(0); // it is being stopped, or nothing is known about it
+    }
+    if (run.step->longRunning) {
+        return Duration::max();
+    }
+    const int progress = std::clamp(run.report->progressPercent, 0, 100);
+    const bool hasRate = progress >= MinimumProgress;
+    return hasRate ? (now - run.task->confirmedAt) * (100 - progress) / progress : std::chrono::milliseconds(run.step->estimateMs) * (100 - progress) / 100;
+}
+
+/// Returns after which time a worker that lists ends that are not durable is polled again.
+static Duration pendingEndsInterval(const WorkerState &worker, const std::vector<ListedRun> &listed, TimePoint now)
+{
+    if (worker.runs.size() > listed.size()) {
+        return PendingEndsInterval; // nothing is known about the progress of the others
+    }
+    Duration untilNextEnd = LongPendingEndsInterval;
+    for (const ListedRun &run : listed) {
+        untilNextEnd = std::min(untilNextEnd, timeToExpectedEnd(run, now));
+    }
+    return std::max(untilNextEnd, Duration(PendingEndsInterval));
+}
+
 } // namespace Internal
 
 void Dispatcher::reportWorkerChanges(TimePoint now)
@@ -217,7 +246,7 @@
     if (!worker.hasAnswered) {
         worker.hasAnswered = true;
     } else if (worker.processedEndSequence != worker.durableEndSequence) {
-        worker.nextPoll = now + Internal::PendingEndsInterval;
+        worker.nextPoll = now + Internal::pendingEndsInterval(worker, listed, now);
     } else if (worker.hasEndsToAcknowledge() && !canAcknowledgeEnds(worker, now)) {
         worker.nextPoll = now + acknowledgementDelay(worker, now);
     } else if (worker.runs.empty()) {
--- a/tests/libs/dispatch/testacknowledgements.cpp
+++ b/tests/libs/dispatch/testacknowledgements.cpp
@@ -299,6 +299,7 @@
     harness.tickUntil([&] { return !harness.starts.empty(); });
     StartCommand overtaken = harness.starts.front();
     harness.starts.clear();
+    harness.tickUntil([&] { return harness.poll.has_value(); });
     // Meanwhile the worker has executed a command of this owner with a higher token.
     harness.dispatcher.pollAnswered(*std::exchange(harness.poll, std::nullopt), CommandUndetermined{"timeout"}, harness.polledAt, harness.now);
     harness.tickUntil([&] { return harness.poll.has_value(); });
