--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include "colocationpolicy.h"
 #include "dispatchactions.h"
 #include "dispatchlimits.h"
+#include "dispatchstage.h"
 #include "dispatchsummary.h"
 #include "jobregistry.h"
 #include "leasepolicy.h"
@@ -22,6 +23,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Hyssop {
@@ -29,6 +31,7 @@
 class JobTable;
 class WorkerRanking;
 struct ClaimTimes;
+struct ListedRun;
 struct PlacementRequest;
 struct SchedulingKey;
 struct ServingRoom;
@@ -95,6 +98,9 @@
     /// Advances the time and returns the actions that are due.
     std::vector<DispatchAction> advance(TimePoint now, WallTime wall);
 
+    /// Lets advance() call @p observer at the end of each stage.
+    void setStageObserver(std::function<void(DispatchStage)> observer) { m_stageObserver = std::move(observer); }
+
     std::size_t openRuns() const;
     DispatchSummary summary(TimePoint now);
 
@@ -144,6 +150,7 @@
     /// Reports registrations, drains, withdrawals and quarantines since the last call as log events.
     void reportWorkerChanges(TimePoint now);
     void reportWithheldStarts(TimePoint now);
+    void reportStage(DispatchStage stage) const;
     void reportUnreachable(const WorkerState &worker, const std::string &reason, TimePoint now);
     void removeUnregisteredWorkers();
     void expireLeases(TimePoint now);
@@ -211,16 +218,21 @@
 
     /// Ends the run of @p task that @p worker has listed after it was considered lost, and withdraws the next one.
     void acceptLateEnd(WorkerState &worker, const ReportedRunEnd &end, TaskExecution &task, TimePoint now);
-    void handleReportedRun(WorkerState &worker, const ReportedRun &run, TimePoint now);
-    void updateProgress(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now);
-    void updateExpectedEnd(WorkerState &worker, const ReportedRun &run, TaskExecution &task, TimePoint now);
+
+    /// Returns what is known about @p run, and marks it as listed. The members are null pointers as far as nothing is known.
+    ListedRun listedRun(WorkerState &worker, const ReportedRun &run);
+    void handleReportedRun(WorkerState &worker, const ListedRun &run, TimePoint now);
+    void updateProgress(WorkerState &worker, const ListedRun &run, TimePoint now);
+    static void updateExpectedEnd(const ListedRun &run, TimePoint now);
+
+    /// Ends the runs of @p worker that the last report, @p report, does not list.
     void findMissingRuns(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
     void stopOrphan(WorkerState &worker, const ReportedRun &run, TimePoint now);
     std::vector<NeighbourLoad> endedNeighbourLoads(WorkerState &worker, TimePoint now);
     void recordEndedBestEffortRun(const TaskId &id, const TaskExecution &task, TimePoint now);
     void updateTargetState(WorkerState &worker, const std::vector<ColocatedRun> &runs, TimePoint now);
     bool migratePausedRun(const TaskId &id, TimePoint now);
-    void adjustSpeeds(WorkerState &worker, const WorkerReport &report, TimePoint now);
+    void adjustSpeeds(WorkerState &worker, const std::vector<ListedRun> &listed, TimePoint now);
 
     void sendStart(const TaskId &id, TaskExecution &task, TimePoint now);
     /// Notes when the run of @p task was last known to exist.
@@ -305,6 +317,7 @@
     void removeExpiredJobs(std::vector<KeyedRecord> &records, WallTime wall);
 
     DispatchLimits m_limits;
+    std::function<void(DispatchStage)> m_stageObserver;
     LeasePolicy m_leasePolicy;
     ResponseTimeoutPolicy m_responseTimeouts;
     std::int64_t m_term = 0;
