Benchmark of placement passes with tasks that find no room

bench-placementcost drives a Dispatcher directly: 1,100 workers, 13,000 open runs (6,000 of them serving), 2,000 active jobs, and 0, 300 or 3,000 tasks that find no room, with no event or with 50 ended runs a tick. PlacementWork counts the operations of placement passes, so that tests can bound them without a clock. No change of logic.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatchsummary.h"
 #include "jobregistry.h"
 #include "leasepolicy.h"
+#include "placementwork.h"
 #include "shorttaskreserve.h"
 #include "ticketcache.h"
 #include "tokenrises.h"
@@ -94,6 +95,9 @@
     std::size_t openRuns() const;
     DispatchSummary summary(TimePoint now);
 
+    /// Returns the work of all placement passes so far.
+    const PlacementWork &placementWork() const { return m_placementWork; }
+
 private:
     using Intents = std::vector<std::pair<TaskId, int>>; // task and number of the run
 
@@ -303,6 +307,7 @@
     ClusterConfig m_config;
     std::set<std::string> m_evacuated;
     TicketCache m_tickets;
+    PlacementWork m_placementWork;
     ColocationPolicy m_colocation;
     ShortTaskReserve m_shortTaskReserve;
     std::vector<DispatchAction> m_actions;
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -94,6 +94,8 @@
     for (const Internal::PendingStep &item : pending) {
         placeStep(*item.job, item.occurrence, item.step, ranking, m_config.queues.at(item.job->submission.queue), now);
     }
+    ++m_placementWork.passes;
+    m_placementWork.examinedWorkers += ranking.examinedWorkers();
 }
 
 void Dispatcher::recordShortTaskDemand(TimePoint now)
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -255,6 +255,7 @@
 
 std::optional<PlacementObstacle> WorkerRanking::obstacle(WorkerState &worker, const PlacementRequest &request) const
 {
+    ++m_examinedWorkers;
     const Wire::TaskStep &step = *request.step;
     const Resources &needed = request.profile->reserved;
     const Resources free = worker.freeCapacity();
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -7,6 +7,8 @@
 
 #include <utils/clock.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -75,6 +77,9 @@
     /// Returns why @p worker can't take a task of @p request, or nothing if it can.
     std::optional<PlacementObstacle> obstacle(WorkerState &worker, const PlacementRequest &request) const;
 
+    /// Returns how often a worker was examined for a request.
+    std::size_t examinedWorkers() const { return m_examinedWorkers; }
+
 private:
     bool fits(WorkerState &worker, const PlacementRequest &request) const { return !obstacle(worker, request); }
     std::optional<PlacementObstacle> colocationObstacle(WorkerState &worker, const PlacementRequest &request) const;
@@ -101,6 +106,7 @@
     std::vector<UnschedulableRequest> m_unschedulable;
     const ColocationPolicy &m_colocation;
     TimePoint m_now;
+    mutable std::size_t m_examinedWorkers = 0;
 };
 
 } // namespace Hyssop
--- /dev/null
+++ b/tests/libs/dispatch/dispatchfleet.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "hyssop_types.h"
+
+#include <dispatch/dispatcher.h>
+#include <ports/commandresults.h>
+#include <ports/workerinfo.h>
+#include <utils/clock.h>
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Hyssop::Testing {
+
+/// A dispatcher with many workers that execute each command at once, without network, store and faults.
+class DispatchFleet
+{
+public:
+    static constexpr std::chrono::milliseconds TickInterval{20};
+
+    DispatchFleet(int workers, std::int64_t milliCores);
+
+    /// Adds an empty worker, or changes the entry of the one with number @p index.
+    void addWorker(std::int64_t milliCores);
+    void setCapacity(std::size_t index, std::int64_t milliCores);
+    void setDraining(std::size_t index, bool isDraining);
+
+    /// Submits a job that consists of @p step and, unless @p blockedTasks is 0, of a step with as many such tasks after it.
+    void submit(const Wire::TaskStep &step, int blockedTasks = 0);
+
+    void advance(Duration time);
+
+    /// Lets @p count runs of tasks that do not serve complete, in turn on all workers. Larger runs than @p maximumMilliCores go on.
+    void completeRuns(int count, std::int64_t maximumMilliCores = std::numeric_limits<std::int64_t>::max());
+
+    std::size_t openRuns() const { return m_dispatcher.openRuns(); }
+    std::size_t starts() const { return m_starts; }
+
+    /// Returns the number of started tasks that need @p milliCores.
+    std::size_t startsOf(std::int64_t milliCores) const;
+    const PlacementWork &placementWork() const { return m_dispatcher.placementWork(); }
+
+    /// Returns the processor time of Dispatcher::advance() so far.
+    std::chrono::nanoseconds advanceTime() const { return m_advanceTime; }
+
+private:
+    struct Worker
+    {
+        WorkerInfo info;
+        std::map<TaskId, ReportedRun> runs;
+        std::set<TaskId> completableRuns;
+        std::vector<ReportedRunEnd> ends; // not acknowledged
+        std::int64_t lastEndSequence = 0;
+        std::optional<std::pair<PollCommand, TimePoint>> poll; // not answered, and when it was sent
+    };
+
+    void tick();
+    void perform(DispatchAction &action);
+    void startRun(const StartCommand &command);
+    bool completeRun(Worker &worker, std::int64_t maximumMilliCores);
+    void answerPoll(Worker &worker);
+    Worker &workerOf(const std::string &id) { return m_workers[m_indexes.at(id)]; }
+    std::int64_t milliCoresOf(const TaskId &task) const { return m_milliCores.at(task.job); }
+    WorkerTime clock() const;
+    WallTime wall() const;
+
+    Dispatcher m_dispatcher{DispatchLimits()};
+    TimePoint m_now{std::chrono::seconds(1000)};
+    std::vector<Worker> m_workers;
+    std::map<std::string, std::size_t> m_indexes; // by id
+    std::map<std::string, std::int64_t> m_milliCores; // of the tasks, by job
+    std::map<std::int64_t, std::size_t> m_startsBySize;
+    std::size_t m_nextCompletion = 0; // index of the worker
+    std::size_t m_starts = 0;
+    std::chrono::nanoseconds m_advanceTime{0};
+};
+
+} // namespace Hyssop::Testing
