Placement passes remember which requests find no worker

Cause: each pass of 20 ms searched all workers for each pending step that has no room; requests that had failed were remembered within a pass only, and only 100 of them. Change: UnschedulableRequests keeps them across passes. The next pass examines only workers that have gained room or become selectable, and all workers after 500 ms (best-effort tasks: 100 ms, the age of forecasts). A request with a limit per worker, tickets or a rack counts too if no worker has room without these.

On the code before the tests stepsWithoutRoomAreNotSearchedForInEachPass and theEndOfARunLeadsToASearchOnItsWorkerOnly fail (compiled against its library); the random comparison with a search of all workers and the tests of new room pass or don't exist there.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -52,6 +52,7 @@
     m_removedWorkersRises = TokenRises();
     m_tokensExhausted = false;
     m_tickets = TicketCache();
+    m_unschedulable.clear();
     m_colocation.restore(table.learnedTails());
     m_tailsStoredAt = claim.readAt;
     m_actions.clear();
@@ -96,7 +97,10 @@
 void Dispatcher::updateWorker(const WorkerInfo &info)
 {
     WorkerState &worker = stateOf(info.id);
-    worker.info = info;
+    if (worker.info != info) {
+        worker.info = info;
+        ++worker.roomVersion;
+    }
     worker.registered = true;
 }
 
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include "shorttaskreserve.h"
 #include "ticketcache.h"
 #include "tokenrises.h"
+#include "unschedulablerequests.h"
 #include "workerstate.h"
 
 #include <ports/clusterconfig.h>
@@ -307,6 +308,7 @@
     ClusterConfig m_config;
     std::set<std::string> m_evacuated;
     TicketCache m_tickets;
+    UnschedulableRequests m_unschedulable;
     PlacementWork m_placementWork;
     ColocationPolicy m_colocation;
     ShortTaskReserve m_shortTaskReserve;
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -90,6 +90,7 @@
         workers.push_back(&worker);
     }
     WorkerRanking ranking(std::move(workers), m_evacuated, m_colocation, now);
+    m_unschedulable.beginPass(ranking, now);
     std::ranges::sort(pending, [](const Internal::PendingStep &left, const Internal::PendingStep &right) { return left.key < right.key; });
     for (const Internal::PendingStep &item : pending) {
         placeStep(*item.job, item.occurrence, item.step, ranking, m_config.queues.at(item.job->submission.queue), now);
@@ -132,18 +133,22 @@
         failJob(job, now);
         return;
     }
-    std::map<std::string, int> perWorker = openTasksByWorker(execution);
     PlacementRequest request;
     request.step = &job.step(step);
     request.workerPool = queue.workerPool;
     const RunProfile profile = runProfile(*request.step, 0);
     request.profile = &profile;
+    const bool isUnschedulable = m_unschedulable.contains(request);
+    if (isUnschedulable && !queue.advice) {
+        return;
+    }
+    std::map<std::string, int> perWorker = openTasksByWorker(execution);
     request.stepTasksByWorker = &perWorker;
     const TaskId stepId{job.id, occurrence, step, 0};
     if (queue.advice) {
         request.tickets = m_tickets.tickets(stepId, now);
     }
-    if (!queue.advice || request.tickets != nullptr) {
+    if (!isUnschedulable && (!queue.advice || request.tickets != nullptr)) {
         placeTasks(job, stepId, ranking, request, perWorker, now);
     }
     if (queue.advice && Internal::hasPendingTask(execution, now)) {
@@ -165,6 +170,9 @@
         request.rack = racks.empty() ? std::string() : racks.front();
     }
     std::vector<WorkerRanking::Candidate> candidates = ranking.rankCandidates(request);
+    if (candidates.empty() && !ranking.hasRoom(request)) {
+        m_unschedulable.record(request, now);
+    }
     std::int64_t started = Internal::startedTasks(job);
     for (std::size_t index = 0; index < execution.tasks.size() && !candidates.empty(); ++index) {
         TaskExecution &task = execution.tasks[index];
@@ -234,6 +242,10 @@
         if (complete) {
             return;
         }
+        if (placed.empty() && !ranking.hasRoom(request)) {
+            m_unschedulable.record(request, now);
+            return;
+        }
     }
 }
 
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -12,7 +12,6 @@
 
 // No task is placed on a worker without a report for this long.
 constexpr std::chrono::milliseconds WorkerTimeout{2500};
-constexpr std::size_t MaximumUnschedulable = 100;
 // Forecasts for the serving runs on a worker are recomputed after this time.
 constexpr std::chrono::milliseconds MaximumForecastAge{100};
 // A best-effort task is placed where at least this share of its processor time is expected to be idle.
@@ -117,24 +116,26 @@
     return racks;
 }
 
-std::vector<WorkerRanking::Candidate> WorkerRanking::rankCandidates(const PlacementRequest &request)
+std::vector<WorkerRanking::Candidate> WorkerRanking::rankCandidates(const PlacementRequest &request) const
 {
     std::vector<Candidate> candidates;
-    if (isUnschedulable(request)) {
-        return candidates;
-    }
     for (WorkerState *worker : m_workers) {
         if (fits(*worker, request)) {
             candidates.emplace_back(score(*worker, request), worker);
         }
     }
-    if (candidates.empty()) {
-        recordUnschedulable(request);
-    }
     std::ranges::make_heap(candidates);
     return candidates;
 }
 
+bool WorkerRanking::hasRoom(PlacementRequest request) const
+{
+    request.rack.clear();
+    request.tickets = nullptr;
+    request.stepTasksByWorker = nullptr;
+    return std::ranges::any_of(m_workers, [&](WorkerState *worker) { return fits(*worker, request); });
+}
+
 WorkerState *WorkerRanking::bestCandidate(std::vector<Candidate> &candidates, const PlacementRequest &request) const
 {
     while (!candidates.empty()) {
@@ -175,24 +176,6 @@
     return ids;
 }
 
-bool WorkerRanking::isUnschedulable(const PlacementRequest &request) const
-{
-    return std::ranges::any_of(m_unschedulable, [&](const UnschedulableRequest &known) {
-        const bool isSimilar = known.workerPool == request.workerPool && known.label == request.step->label && known.profile.image == request.profile->image
-            && known.profile.isBestEffort == request.profile->isBestEffort;
-        return isSimilar && known.profile.reserved.fitsIn(request.profile->reserved)
-            && known.profile.bestEffortMilliCores <= request.profile->bestEffortMilliCores;
-    });
-}
-
-void WorkerRanking::recordUnschedulable(const PlacementRequest &request)
-{
-    const bool hasNoOtherConditions = request.step->perWorker == 0 && request.tickets == nullptr && request.rack.empty();
-    if (hasNoOtherConditions && m_unschedulable.size() < Internal::MaximumUnschedulable) {
-        m_unschedulable.push_back({request.workerPool, request.step->label, *request.profile});
-    }
-}
-
 std::int64_t WorkerRanking::score(WorkerState &worker, const PlacementRequest &request) const
 {
     const Wire::TaskStep &step = *request.step;
@@ -236,6 +219,11 @@
     return worker.forecast;
 }
 
+bool WorkerRanking::isShort(const Wire::TaskStep &step)
+{
+    return step.estimateMs <= ServingForecast::ShortHorizon.count();
+}
+
 std::optional<PlacementObstacle> WorkerRanking::colocationObstacle(WorkerState &worker, const PlacementRequest &request) const
 {
     const ServingForecast &forecast = forecastOf(worker);
@@ -245,10 +233,10 @@
     if (worker.expectedIdleMilliCores(forecast) * 100 < request.step->milliCores * Internal::MinimumIdlePercent) {
         return PlacementObstacle::IdleProcessorTime;
     }
-    const bool isShort = request.step->estimateMs <= ServingForecast::ShortHorizon.count();
+    const bool isShortTask = isShort(*request.step);
     const bool hasHeadroom = std::ranges::all_of(forecast.headrooms, [&](const ServingForecast::Headroom &headroom) {
         const double added = m_colocation.addedUtilization(headroom.image, *request.profile, worker.info.capacity.milliCores);
-        return added < ColocationPolicy::NegligibleUtilization || added < (isShort ? headroom.shortTerm : headroom.longTerm);
+        return added < ColocationPolicy::NegligibleUtilization || added < (isShortTask ? headroom.shortTerm : headroom.longTerm);
     });
     return hasHeadroom ? std::nullopt : std::optional(PlacementObstacle::Headroom);
 }
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -53,9 +53,11 @@
     /// A suitable worker with its score.
     using Candidate = std::pair<std::int64_t, WorkerState *>;
 
-    /// Returns all suitable workers as a heap. A request that is at least as large as a similar one that was unschedulable
-    /// in this pass gets no candidates, without a search.
-    std::vector<Candidate> rankCandidates(const PlacementRequest &request);
+    /// Returns all suitable workers as a heap.
+    std::vector<Candidate> rankCandidates(const PlacementRequest &request) const;
+
+    /// Returns true if a worker could take a task of @p request, but for its rack, tickets and limit per worker.
+    bool hasRoom(PlacementRequest request) const;
 
     /// Returns the best of @p candidates after updating outdated scores, or a null pointer. The worker stays in the heap.
     WorkerState *bestCandidate(std::vector<Candidate> &candidates, const PlacementRequest &request) const;
@@ -76,12 +78,18 @@
 
     /// Returns why @p worker can't take a task of @p request, or nothing if it can.
     std::optional<PlacementObstacle> obstacle(WorkerState &worker, const PlacementRequest &request) const;
+    bool fits(WorkerState &worker, const PlacementRequest &request) const { return !obstacle(worker, request); }
+
+    /// Returns true if a best-effort task of @p step needs headroom for a short time only.
+    static bool isShort(const Wire::TaskStep &step);
+
+    /// Returns the workers on which tasks can be started.
+    const std::vector<WorkerState *> &workers() const { return m_workers; }
 
     /// Returns how often a worker was examined for a request.
     std::size_t examinedWorkers() const { return m_examinedWorkers; }
 
 private:
-    bool fits(WorkerState &worker, const PlacementRequest &request) const { return !obstacle(worker, request); }
     std::optional<PlacementObstacle> colocationObstacle(WorkerState &worker, const PlacementRequest &request) const;
 
     std::int64_t score(WorkerState &worker, const PlacementRequest &request) const;
@@ -91,19 +99,8 @@
     /// Returns the forecast for the worker's serving runs, recomputed if it is out of date.
     const ServingForecast &forecastOf(WorkerState &worker) const;
 
-    /// A request for which no worker was suitable, and whose only requirements are worker pool, label and resources.
-    struct UnschedulableRequest
-    {
-        std::string workerPool;
-        std::string label;
-        RunProfile profile;
-    };
-    bool isUnschedulable(const PlacementRequest &request) const;
-    void recordUnschedulable(const PlacementRequest &request);
-
     std::vector<WorkerState *> m_workers;
     const std::set<std::string> &m_evacuatedDomains;
-    std::vector<UnschedulableRequest> m_unschedulable;
     const ColocationPolicy &m_colocation;
     TimePoint m_now;
     mutable std::size_t m_examinedWorkers = 0;
--- a/src/libs/dispatch/workerstate.cpp
+++ b/src/libs/dispatch/workerstate.cpp
@@ -30,6 +30,7 @@
     bestEffortCommitted -= run->second.bestEffortMilliCores;
     servingCommitted -= run->second.servingMilliCores;
     runs.erase(run);
+    ++roomVersion;
     health.handleRunRemoved(task);
     forecast.at = TimePoint();
 }
--- /dev/null
+++ b/tests/libs/dispatch/plainranking.cpp
@@ -0,0 +1,47 @@
+#include "plainranking.h"
+
+#include <dispatch/workerranking.h>
+#include <dispatch/workerstate.h>
+
+#include <algorithm>
+
+namespace Hyssop::Testing {
+
+namespace Internal {
+
+constexpr std::int64_t DataRackBonus = 1'000'000;
+constexpr std::int64_t SameImageBonus = 1'000'000;
+
+static std::int64_t servingScore(const WorkerState &worker, const PlacementRequest &request)
+{
+    std::int64_t imageMatch = 0;
+    for (const auto &[id, run] : worker.runs) {
+        if (run.tailTargetMs > 0) {
+            imageMatch = run.image == request.profile->image && imageMatch >= 0 ? 1 : -1;
+        }
+    }
+    return imageMatch * SameImageBonus - worker.freeCapacity().milliCores;
+}
+
+} // namespace Internal
+
+std::int64_t plainScore(const WorkerState &worker, const PlacementRequest &request)
+{
+    const Wire::TaskStep &step = *request.step;
+    const std::int64_t bonus = !step.dataRack.empty() && worker.info.rack == step.dataRack ? Internal::DataRackBonus : 0;
+    return bonus + (step.longRunning ? Internal::servingScore(worker, request) : worker.freeCapacity().milliCores);
+}
+
+WorkerState *plainChoice(const std::vector<WorkerState *> &workers, const WorkerRanking &ranking, const PlacementRequest &request)
+{
+    WorkerState *best = nullptr;
+    for (WorkerState *worker : workers) {
+        const bool isSuitable = ranking.isAvailable(*worker) && !ranking.obstacle(*worker, request);
+        if (isSuitable && (best == nullptr || plainScore(*worker, request) > plainScore(*best, request))) {
+            best = worker;
+        }
+    }
+    return best;
+}
+
+} // namespace Hyssop::Testing
