Tasks with reserved capacity find their worker through an index

Cause: each step with room scored all workers, and each of its tasks took the best from a heap of them. Change: FreeCapacityIndex keeps the workers of a pool in the order of their free cores for a pass. Tasks of a step that don't serve take the first suitable one from its end, serving tasks from its beginning, where one with serving tasks of the same image goes first; WorkerState counts these. The decisions are those of the former score (random comparison with a search of all workers in plainranking.cpp), but equal workers are now taken in the order of their ids instead of their addresses.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -259,12 +259,15 @@
     void placePendingTasks(TimePoint now, WallTime wall);
     void recordShortTaskDemand(TimePoint now);
     void placeStep(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now);
-    void placeGang(JobExecution &job, int occurrence, int step, const WorkerRanking &ranking, PlacementRequest &request, TimePoint now);
+    void placeGang(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, PlacementRequest &request, TimePoint now);
 
     /// Assigns runs of the pending tasks of @p step, of which each worker has as many as @p perWorker says.
     void
     placeTasks(JobExecution &job, const TaskId &step, WorkerRanking &ranking, PlacementRequest &request, std::map<std::string, int> &perWorker, TimePoint now);
 
+    /// Remembers @p request, for which no worker is suitable, unless that is due to its rack, its tickets or its limit per worker.
+    void recordUnschedulable(const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now);
+
     /// Asks the advice service about workers that could run the pending tasks of @p step, unless it knows enough or is being asked.
     void requestAdvice(const TaskId &step, const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now);
     void assignRun(JobExecution &job, const TaskId &id, TaskExecution &task, WorkerState &worker, int run, TimePoint now);
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -169,12 +169,17 @@
         const auto racks = ranking.racksByFreeCapacity(request.workerPool);
         request.rack = racks.empty() ? std::string() : racks.front();
     }
-    std::vector<WorkerRanking::Candidate> candidates = ranking.rankCandidates(request);
-    if (candidates.empty() && !ranking.hasRoom(request)) {
-        m_unschedulable.record(request, now);
+    const bool isBestEffort = request.step->fillsIdle;
+    std::vector<WorkerRanking::Candidate> candidates;
+    if (isBestEffort) {
+        candidates = ranking.rankCandidates(request);
+    }
+    if (isBestEffort ? candidates.empty() : ranking.choose(request) == nullptr) {
+        recordUnschedulable(ranking, request, now);
+        return;
     }
     std::int64_t started = Internal::startedTasks(job);
-    for (std::size_t index = 0; index < execution.tasks.size() && !candidates.empty(); ++index) {
+    for (std::size_t index = 0; index < execution.tasks.size(); ++index) {
         TaskExecution &task = execution.tasks[index];
         if (task.phase != TaskPhase::Pending || task.notBefore > now) {
             continue;
@@ -187,17 +192,26 @@
         if (isDeferrable && !ranking.leavesShortTaskReserve(request.workerPool, profile, m_shortTaskReserve)) {
             return;
         }
-        WorkerState *worker = ranking.bestCandidate(candidates, request);
+        WorkerState *worker = isBestEffort ? ranking.bestCandidate(candidates, request) : ranking.choose(request);
         if (worker == nullptr) {
+            recordUnschedulable(ranking, request, now);
             return;
         }
         started += task.run == 0 ? 1 : 0;
         assignRun(job, {job.id, step.occurrence, step.step, static_cast<int>(index)}, task, *worker, task.run + 1, now);
+        ranking.capacityChanged(*worker);
         ++perWorker[worker->info.id];
     }
 }
 
-void Dispatcher::placeGang(JobExecution &job, int occurrence, int step, const WorkerRanking &ranking, PlacementRequest &request, TimePoint now)
+void Dispatcher::recordUnschedulable(const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now)
+{
+    if (!ranking.hasRoom(request)) {
+        m_unschedulable.record(request, now);
+    }
+}
+
+void Dispatcher::placeGang(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, PlacementRequest &request, TimePoint now)
 {
     StepExecution &execution = job.occurrences.at(occurrence)[static_cast<std::size_t>(step)];
     if (!std::ranges::all_of(execution.tasks, [&](const TaskExecution &task) { return task.phase == TaskPhase::Pending && task.notBefore <= now; })) {
@@ -227,6 +241,7 @@
             }
             const TaskId id{job.id, occurrence, step, static_cast<int>(index)};
             worker->addRun(id, *request.profile, now);
+            ranking.capacityChanged(*worker);
             ++perWorker[worker->info.id];
             placed.emplace_back(id, worker);
         }
@@ -238,13 +253,13 @@
                 task.checkpoint = checkpoint;
                 assignRun(job, id, task, *worker, run, now);
             }
+            ranking.capacityChanged(*worker);
         }
         if (complete) {
             return;
         }
-        if (placed.empty() && !ranking.hasRoom(request)) {
-            m_unschedulable.record(request, now);
-            return;
+        if (placed.empty()) {
+            recordUnschedulable(ranking, request, now);
         }
     }
 }
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -16,14 +16,10 @@
 constexpr std::chrono::milliseconds MaximumForecastAge{100};
 // A best-effort task is placed where at least this share of its processor time is expected to be idle.
 constexpr int MinimumIdlePercent = 80;
-// Score for the rack that holds the data, in thousandths of a core of free capacity.
+// Score of a best-effort task for the rack that holds the data, in thousandths of a core that is expected to be idle.
 constexpr std::int64_t DataRackBonus = 1'000'000;
 // Score penalty for a utilization of 1 that is added to a serving task, in thousandths of a core.
 constexpr double InterferenceWeight = 200'000;
-// Score of serving tasks for a worker whose serving runs all have the same image, in thousandths of a core; a worker with
-// serving runs of another image gets the negative score.
-constexpr std::int64_t SameImageBonus = 1'000'000;
-
 static bool hasLabel(const WorkerState &worker, const std::string &label)
 {
     return label.empty() || std::ranges::find(worker.info.labels, label) != worker.info.labels.end();
@@ -38,6 +34,33 @@
     return count != request.stepTasksByWorker->end() ? count->second : 0;
 }
 
+static bool isInDataRack(const WorkerState &worker, const Wire::TaskStep &step)
+{
+    return !step.dataRack.empty() && worker.info.rack == step.dataRack;
+}
+
+/// Returns 1 if all serving runs of @p worker have @p image, 0 if it has none, and -1 if some have another one.
+static int imageMatch(const WorkerState &worker, std::uint32_t image)
+{
+    if (worker.servingRunsByImage.empty()) {
+        return 0;
+    }
+    return worker.servingRunsByImage.size() == 1 && worker.servingRunsByImage.contains(image) ? 1 : -1;
+}
+
+/// Returns how well @p worker suits a task with reserved capacity, before its free capacity counts.
+static int preference(const WorkerState &worker, const PlacementRequest &request)
+{
+    const int rack = isInDataRack(worker, *request.step) ? 1 : 0;
+    return request.step->longRunning ? rack + imageMatch(worker, request.profile->image) : rack;
+}
+
+/// Returns an upper bound of preference() for tasks of @p step.
+static int maximumPreference(const Wire::TaskStep &step)
+{
+    return (step.dataRack.empty() ? 0 : 1) + (step.longRunning ? 1 : 0);
+}
+
 } // namespace Internal
 
 RunProfile profileOf(const Wire::TaskStep &step, int run)
@@ -70,6 +93,39 @@
 }
 
 WorkerState *WorkerRanking::choose(const PlacementRequest &request) const
+{
+    return request.step->fillsIdle ? chooseForBestEffort(request) : chooseForReserved(request);
+}
+
+WorkerState *WorkerRanking::chooseForReserved(const PlacementRequest &request) const
+{
+    const Wire::TaskStep &step = *request.step;
+    const int maximumPreference = Internal::maximumPreference(step);
+    WorkerState *best = nullptr;
+    int bestPreference = 0;
+    const auto visit = [&](WorkerState &worker) {
+        const int preference = Internal::preference(worker, request);
+        const bool isBetter = best == nullptr || preference > bestPreference;
+        if (!isBetter || !fits(worker, request)) {
+            return true;
+        }
+        best = &worker;
+        bestPreference = preference;
+        return preference < maximumPreference;
+    };
+    if (!m_index) {
+        m_index.emplace(m_workers);
+    }
+    const std::int64_t needed = request.profile->reserved.milliCores;
+    if (step.longRunning) {
+        m_index->visitAscending(request.workerPool, needed, visit);
+    } else {
+        m_index->visitDescending(request.workerPool, needed, visit);
+    }
+    return best;
+}
+
+WorkerState *WorkerRanking::chooseForBestEffort(const PlacementRequest &request) const
 {
     WorkerState *best = nullptr;
     std::int64_t bestScore = 0;
@@ -77,7 +133,7 @@
         if (!fits(*worker, request)) {
             continue;
         }
-        const std::int64_t workerScore = score(*worker, request);
+        const std::int64_t workerScore = bestEffortScore(*worker, request);
         if (best == nullptr || workerScore > bestScore) {
             best = worker;
             bestScore = workerScore;
@@ -86,6 +142,13 @@
     return best;
 }
 
+void WorkerRanking::capacityChanged(WorkerState &worker)
+{
+    if (m_index) {
+        m_index->update(worker);
+    }
+}
+
 bool WorkerRanking::leavesShortTaskReserve(const std::string &workerPool, const RunProfile &profile, const ShortTaskReserve &reserve) const
 {
     std::int64_t capacity = 0;
@@ -121,7 +184,7 @@
     std::vector<Candidate> candidates;
     for (WorkerState *worker : m_workers) {
         if (fits(*worker, request)) {
-            candidates.emplace_back(score(*worker, request), worker);
+            candidates.emplace_back(bestEffortScore(*worker, request), worker);
         }
     }
     std::ranges::make_heap(candidates);
@@ -133,6 +196,9 @@
     request.rack.clear();
     request.tickets = nullptr;
     request.stepTasksByWorker = nullptr;
+    if (!request.step->fillsIdle) {
+        return chooseForReserved(request) != nullptr;
+    }
     return std::ranges::any_of(m_workers, [&](WorkerState *worker) { return fits(*worker, request); });
 }
 
@@ -145,7 +211,7 @@
             candidates.pop_back();
             continue;
         }
-        const std::int64_t currentScore = score(*worker, request);
+        const std::int64_t currentScore = bestEffortScore(*worker, request);
         const bool isBest = currentScore >= knownScore || candidates.size() == 1 || currentScore >= candidates.front().first;
         knownScore = currentScore;
         WorkerState *best = worker;
@@ -176,31 +242,6 @@
     return ids;
 }
 
-std::int64_t WorkerRanking::score(WorkerState &worker, const PlacementRequest &request) const
-{
-    const Wire::TaskStep &step = *request.step;
-    const std::int64_t bonus = !step.dataRack.empty() && worker.info.rack == step.dataRack ? Internal::DataRackBonus : 0;
-    if (step.fillsIdle) {
-        return bonus + bestEffortScore(worker, request);
-    }
-    const std::int64_t free = worker.freeCapacity().milliCores;
-    return bonus + (step.longRunning ? servingScore(worker, request) : free);
-}
-
-std::int64_t WorkerRanking::servingScore(const WorkerState &worker, const PlacementRequest &request) const
-{
-    std::int64_t imageMatch = 0;
-    for (const auto &[id, run] : worker.runs) {
-        if (run.tailTargetMs > 0) {
-            imageMatch = run.image == request.profile->image ? std::max<std::int64_t>(imageMatch, 1) : -1;
-            if (imageMatch < 0) {
-                break;
-            }
-        }
-    }
-    return imageMatch * Internal::SameImageBonus - worker.freeCapacity().milliCores;
-}
-
 std::int64_t WorkerRanking::bestEffortScore(WorkerState &worker, const PlacementRequest &request) const
 {
     const ServingForecast &forecast = forecastOf(worker);
@@ -208,7 +249,8 @@
     for (const ServingForecast::Headroom &headroom : forecast.headrooms) {
         maximum = std::max(maximum, m_colocation.addedUtilization(headroom.image, *request.profile, worker.info.capacity.milliCores));
     }
-    return worker.expectedIdleMilliCores(forecast) - static_cast<std::int64_t>(maximum * Internal::InterferenceWeight);
+    const std::int64_t bonus = Internal::isInDataRack(worker, *request.step) ? Internal::DataRackBonus : 0;
+    return bonus + worker.expectedIdleMilliCores(forecast) - static_cast<std::int64_t>(maximum * Internal::InterferenceWeight);
 }
 
 const ServingForecast &WorkerRanking::forecastOf(WorkerState &worker) const
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "freecapacityindex.h"
 #include "placementobstacle.h"
 #include "workerstate.h"
 
@@ -47,13 +48,16 @@
     /// Selects the workers on which tasks can be started at @p now. The arguments must outlive this object.
     WorkerRanking(std::vector<WorkerState *> workers, const std::set<std::string> &evacuatedDomains, const ColocationPolicy &colocationPolicy, TimePoint now);
 
-    /// Returns the worker with the highest score, or a null pointer if none is suitable.
+    /// Returns the best worker, or a null pointer if none is suitable.
     WorkerState *choose(const PlacementRequest &request) const;
 
+    /// Takes into account that a run was added to @p worker or removed from it. Other changes count from the next pass on.
+    void capacityChanged(WorkerState &worker);
+
     /// A suitable worker with its score.
     using Candidate = std::pair<std::int64_t, WorkerState *>;
 
-    /// Returns all suitable workers as a heap.
+    /// Returns all workers that are suitable for a best-effort task as a heap.
     std::vector<Candidate> rankCandidates(const PlacementRequest &request) const;
 
     /// Returns true if a worker could take a task of @p request, but for its rack, tickets and limit per worker.
@@ -92,14 +96,19 @@
 private:
     std::optional<PlacementObstacle> colocationObstacle(WorkerState &worker, const PlacementRequest &request) const;
 
-    std::int64_t score(WorkerState &worker, const PlacementRequest &request) const;
-    std::int64_t servingScore(const WorkerState &worker, const PlacementRequest &request) const;
+    /// Returns the best worker for a task with reserved capacity, or a null pointer.
+    WorkerState *chooseForReserved(const PlacementRequest &request) const;
+
+    /// Returns the best worker for a best-effort task, or a null pointer.
+    WorkerState *chooseForBestEffort(const PlacementRequest &request) const;
+
     std::int64_t bestEffortScore(WorkerState &worker, const PlacementRequest &request) const;
 
     /// Returns the forecast for the worker's serving runs, recomputed if it is out of date.
     const ServingForecast &forecastOf(WorkerState &worker) const;
 
     std::vector<WorkerState *> m_workers;
+    mutable std::optional<FreeCapacityIndex> m_index; // of m_workers, built when it is first needed
     const std::set<std::string> &m_evacuatedDomains;
     const ColocationPolicy &m_colocation;
     TimePoint m_now;
--- a/src/libs/dispatch/workerstate.cpp
+++ b/src/libs/dispatch/workerstate.cpp
@@ -17,6 +17,9 @@
     committed += profile.reserved;
     bestEffortCommitted += profile.bestEffortMilliCores;
     servingCommitted += profile.servingMilliCores;
+    if (profile.tailTargetMs > 0) {
+        ++servingRunsByImage[profile.image];
+    }
     forecast.at = TimePoint();
 }
 
@@ -29,6 +32,10 @@
     committed -= run->second.reserved;
     bestEffortCommitted -= run->second.bestEffortMilliCores;
     servingCommitted -= run->second.servingMilliCores;
+    const auto sameImage = run->second.tailTargetMs > 0 ? servingRunsByImage.find(run->second.image) : servingRunsByImage.end();
+    if (sameImage != servingRunsByImage.end() && --sameImage->second == 0) {
+        servingRunsByImage.erase(sameImage);
+    }
     runs.erase(run);
     ++roomVersion;
     health.handleRunRemoved(task);
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -69,6 +69,7 @@
     Resources committed; // reserved resources of the open runs
     std::int64_t bestEffortCommitted = 0;
     std::int64_t servingCommitted = 0;
+    std::map<std::uint32_t, int> servingRunsByImage; // number of open runs with a tail latency target
     std::uint64_t roomVersion = 0; // rises when the worker may have gained room
     std::uint64_t examinedRoomVersion = 0; // as of the last placement pass in which the worker was selectable
     std::uint64_t selectableInPass = 0; // number of that pass
--- a/tests/libs/dispatch/testplacementcost.cpp
+++ b/tests/libs/dispatch/testplacementcost.cpp
@@ -8,6 +8,7 @@
 #include <criterion/criterion.h>
 
 #include <deque>
+#include <map>
 #include <random>
 #include <set>
 #include <string>
@@ -122,6 +123,20 @@
     cr_assert_eq(fleet.starts(), before + 1);
 }
 
+Test(placementCost, theChoiceOfAWorkerExaminesFewWorkers)
+{
+    constexpr int Jobs = 20;
+    constexpr int TasksPerJob = 5;
+    DispatchFleet fleet = fullFleet();
+    const PlacementWork before = fleet.placementWork();
+    for (int job = 0; job < Jobs; ++job) {
+        fleet.submit(stepOf(TasksPerJob, 1'000));
+    }
+    fleet.advance(StartTime);
+    cr_assert_eq(fleet.startsOf(1'000), Jobs * TasksPerJob);
+    cr_assert_lt(fleet.placementWork().examinedWorkers - before.examinedWorkers, 2U * Jobs * TasksPerJob);
+}
+
 namespace {
 
 /// Workers that change at random, and the requests that are remembered as unschedulable.
@@ -134,6 +149,7 @@
         for (int number = 0; number < 12; ++number) {
             WorkerState &worker = m_workers.emplace_back();
             worker.info.id = "w" + std::to_string(number);
+            worker.info.rack = "rack-" + std::to_string(number / 3);
             worker.info.workerPool = number % 3 == 0 ? "hall" : "yard";
             worker.info.capacity.milliCores = 16'000;
             worker.info.capacity.memoryBytes = 16 * BytesPerMegabyte;
@@ -154,7 +170,7 @@
         for (WorkerState &worker : m_workers) {
             worker.lastReportAt = m_now;
         }
-        const WorkerRanking ranking(m_all, m_evacuated, m_policy, m_now);
+        WorkerRanking ranking(m_all, m_evacuated, m_policy, m_now);
         m_unschedulable.beginPass(ranking, m_now);
         int saved = 0;
         for (int request = 0; request < 10; ++request) {
@@ -180,26 +196,47 @@
         }
     }
 
-    bool placeRequest(const WorkerRanking &ranking)
+    bool placeRequest(WorkerRanking &ranking)
     {
         Wire::TaskStep step = stepOf(1, 1'000 + 1'000 * chance(16));
         step.memoryMb = chance(8);
         step.longRunning = chance(3) == 0;
+        step.tailTargetMs = step.longRunning ? 10 : 0;
         step.label = chance(4) == 0 ? "fast" : "";
-        const RunProfile profile = profileOf(step, 0);
+        step.dataRack = chance(3) == 0 ? "rack-1" : "";
+        step.perWorker = chance(4) == 0 ? 1 : 0;
+        RunProfile profile = profileOf(step, 0);
+        m_policy.setColocationTraits(chance(2) == 0 ? "first" : "second", step.tailTargetMs, false, profile);
+        const std::map<std::string, int> tasksByWorker{{"w1", 1}, {"w3", 1}};
+        const std::map<std::string, std::string> tickets{{"w0", "t"}, {"w1", "t"}, {"w2", "t"}};
         PlacementRequest request;
         request.step = &step;
         request.workerPool = chance(2) == 0 ? "hall" : "yard";
         request.profile = &profile;
-        WorkerState *worker = plainChoice(m_all, ranking, request);
+        request.stepTasksByWorker = &tasksByWorker;
+        request.tickets = chance(5) == 0 ? &tickets : nullptr;
+        request.rack = chance(5) == 0 ? "rack-2" : "";
+        return placeAsOnAllWorkers(ranking, request);
+    }
+
+    /// Returns true if the search was saved.
+    bool placeAsOnAllWorkers(WorkerRanking &ranking, const PlacementRequest &request)
+    {
+        WorkerState *expected = plainChoice(m_all, ranking, request);
+        WorkerState *chosen = ranking.choose(request);
+        cr_assert_eq(chosen == nullptr, expected == nullptr);
+        if (chosen != nullptr) {
+            cr_assert_eq(plainScore(*chosen, request), plainScore(*expected, request));
+        }
         if (m_unschedulable.contains(request)) {
-            cr_assert_null(worker, "%s has room", worker->info.id.c_str());
+            cr_assert_null(chosen, "%s has room", chosen->info.id.c_str());
             return true;
         }
-        if (worker == nullptr) {
+        if (chosen != nullptr) {
+            chosen->addRun({"j", 0, 0, m_runs++}, *request.profile, m_now);
+            ranking.capacityChanged(*chosen);
+        } else if (!ranking.hasRoom(request)) {
             m_unschedulable.record(request, m_now);
-        } else {
-            worker->addRun({"j", 0, 0, m_runs++}, profile, m_now);
         }
         return false;
     }
@@ -216,7 +253,7 @@
 
 } // namespace
 
-Test(placementCost, noRequestIsRememberedAsUnschedulableThatASearchWouldPlace)
+Test(placementCost, eachTaskGetsAWorkerAsASearchOfAllWorkersFindsIt)
 {
     int saved = 0;
     for (std::uint32_t seed = 1; seed <= 50; ++seed) {
