Placement passes visit only jobs with pending tasks

Cause: each pass walked all active jobs twice, looked each up by id, and walked the tasks of their steps to find pending ones, started ones and the demand of short tasks. Change: StepExecution counts its pending, done and started tasks where phases and run numbers change (setPhase(), setRun(), setFailures()). PendingJobs keeps the jobs with a pending task in a ready step or an unreleased occurrence, and the demand of short tasks by queue; a job is examined again when it is marked as changed. In builds with assertions each pass compares both with a walk over all jobs, so the tests with random faults check them.

jobsWithoutPendingTasksAreNotVisited fails if the pass walks all active jobs (trial: that one line changed back).

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -238,6 +238,7 @@
             return;
         }
         addOccurrence(job, occurrence);
+        m_jobs.markReleased(job);
     }
 }
 
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -23,17 +23,12 @@
     int step = 0;
 };
 
-static bool hasPendingTask(const StepExecution &step, TimePoint now)
-{
-    return std::ranges::any_of(step.tasks, [&](const TaskExecution &task) { return task.phase == TaskPhase::Pending && task.notBefore <= now; });
-}
-
 static PendingWork pendingWork(const JobExecution &job, int occurrence, const std::vector<StepExecution> &steps)
 {
     PendingWork work{job.id, job.submission, job.releaseTime(occurrence), {}, false};
     for (const StepExecution &step : steps) {
         work.doneSteps.push_back(step.isDone());
-        work.isStarted = work.isStarted || std::ranges::any_of(step.tasks, [](const TaskExecution &task) { return task.run > 0; });
+        work.isStarted = work.isStarted || step.hasBegun;
     }
     return work;
 }
@@ -43,7 +38,7 @@
     for (auto &[occurrence, steps] : job.occurrences) {
         std::optional<SchedulingKey> key;
         for (std::size_t index = 0; index < steps.size(); ++index) {
-            if (!hasPendingTask(steps[index], now) || !isReady(steps, job.submission.steps[index])) {
+            if (!steps[index].hasPendingTask(now) || !isReady(steps, job.submission.steps[index])) {
                 continue;
             }
             if (!key) {
@@ -56,11 +51,10 @@
 
 static std::int64_t startedTasks(const JobExecution &job)
 {
-    const auto isStarted = [](const TaskExecution &task) { return task.run > 0 && task.phase != TaskPhase::Done; };
     std::int64_t count = 0;
     for (const auto &[occurrence, steps] : job.occurrences) {
         for (const StepExecution &step : steps) {
-            count += std::ranges::count_if(step.tasks, isStarted);
+            count += step.started;
         }
     }
     return count;
@@ -74,7 +68,8 @@
         return;
     }
     std::vector<Internal::PendingStep> pending;
-    for (JobExecution *job : m_jobs.activeJobs()) {
+    for (JobExecution *job : m_jobs.pendingJobs().jobs()) {
+        ++m_placementWork.visitedJobs;
         const auto queue = m_config.queues.find(job->submission.queue);
         if (queue != m_config.queues.end()) {
             releaseDueOccurrences(*job, wall);
@@ -101,19 +96,11 @@
 
 void Dispatcher::recordShortTaskDemand(TimePoint now)
 {
-    std::map<std::string, std::int64_t> demand;
-    for (JobExecution *job : m_jobs.activeJobs()) {
-        const auto queue = m_config.queues.find(job->submission.queue);
-        if (queue == m_config.queues.end()) {
-            continue;
-        }
-        for (const auto &[occurrence, steps] : job->occurrences) {
-            for (std::size_t index = 0; index < steps.size(); ++index) {
-                const Wire::TaskStep &step = job->submission.steps[index];
-                if (!step.longRunning && !step.fillsIdle && isReady(steps, step)) {
-                    demand[queue->second.workerPool] += step.milliCores * (step.taskCount - steps[index].done);
-                }
-            }
+    std::map<std::string, std::int64_t> demand; // by worker pool
+    for (const auto &[name, queueDemand] : m_jobs.pendingJobs().shortTaskDemand()) {
+        const auto queue = m_config.queues.find(name);
+        if (queue != m_config.queues.end()) {
+            demand[queue->second.workerPool] += queueDemand.milliCores;
         }
     }
     for (const auto &[workerPool, milliCores] : demand) {
@@ -129,7 +116,8 @@
     StepExecution &execution = job.occurrences.at(occurrence)[static_cast<std::size_t>(step)];
     // An earlier owner may have stored the last failure and not the end of the job.
     const auto isExhausted = [&](const TaskExecution &task) { return task.phase == TaskPhase::Pending && isOutOfAttempts(task, job.step(step), queue); };
-    if (std::ranges::any_of(execution.tasks, isExhausted)) {
+    const bool mayBeExhausted = execution.maximumFailures >= queue.maximumFailures;
+    if (mayBeExhausted && std::ranges::any_of(execution.tasks, isExhausted)) {
         failJob(job, now);
         return;
     }
@@ -151,7 +139,7 @@
     if (!isUnschedulable && (!queue.advice || request.tickets != nullptr)) {
         placeTasks(job, stepId, ranking, request, perWorker, now);
     }
-    if (queue.advice && Internal::hasPendingTask(execution, now)) {
+    if (queue.advice && execution.hasPendingTask(now)) {
         requestAdvice(stepId, ranking, request, now);
     }
 }
@@ -284,8 +272,9 @@
 
 void Dispatcher::assignRun(JobExecution &job, const TaskId &id, TaskExecution &task, WorkerState &worker, int run, TimePoint now)
 {
-    task.run = run;
-    task.phase = TaskPhase::Assigned;
+    StepExecution &execution = job.occurrences.at(id.occurrence)[static_cast<std::size_t>(id.step)];
+    execution.setRun(task, run);
+    execution.setPhase(task, TaskPhase::Assigned);
     task.phaseSince = now;
     task.worker = worker.info.id;
     task.startsSent = 0;
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -311,12 +311,12 @@
     if (WorkerState *worker = findWorker(task.worker)) {
         worker->removeRun(id);
     }
-    task.phase = TaskPhase::Pending;
+    task.notBefore = std::max(task.notBefore, now);
+    m_jobs.stepOf(id)->setPhase(task, TaskPhase::Pending);
     task.phaseSince = now;
     task.worker.clear();
     task.progressPercent = -1;
     task.speedPercent = 100;
-    task.notBefore = std::max(task.notBefore, now);
     if (JobExecution *job = m_jobs.find(id.job)) {
         m_jobs.markChanged(*job);
     }
@@ -412,7 +412,7 @@
 
 void Dispatcher::recordFailedRun(const TaskId &id, TaskExecution &task, TimePoint now)
 {
-    ++task.failures;
+    m_jobs.stepOf(id)->setFailures(task, task.failures + 1);
     task.notBefore = now + Internal::FailureBackoff;
     if (WorkerState *worker = findWorker(task.worker)) {
         worker->health.reportFailure(id, now);
@@ -427,9 +427,8 @@
         if (WorkerState *worker = findWorker(finished.worker)) {
             worker->removeRun(taskId);
         }
-        finished.phase = TaskPhase::Done;
+        step->setPhase(finished, TaskPhase::Done);
         finished.worker.clear();
-        ++step->done;
     };
     finish(id, task);
     if (job->step(id.step).gang) {
--- a/src/libs/dispatch/jobprogress.cpp
+++ b/src/libs/dispatch/jobprogress.cpp
@@ -32,14 +32,14 @@
     return mask;
 }
 
-static void restoreTask(TaskExecution &task, const Wire::TaskMark &mark)
+static void restoreTask(StepExecution &step, TaskExecution &task, const Wire::TaskMark &mark)
 {
-    task.run = mark.run;
-    task.failures = mark.failures;
+    step.setRun(task, mark.run);
+    step.setFailures(task, mark.failures);
     task.checkpoint = mark.checkpoint;
     task.worker = mark.worker;
     if (!mark.worker.empty() && task.phase != TaskPhase::Done) {
-        task.phase = TaskPhase::Starting;
+        step.setPhase(task, TaskPhase::Starting);
     }
 }
 
@@ -47,13 +47,12 @@
 {
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         if (hasBit(marks.doneMask, index) && step.tasks[index].phase != TaskPhase::Done) {
-            step.tasks[index].phase = TaskPhase::Done;
-            ++step.done;
+            step.setPhase(step.tasks[index], TaskPhase::Done);
         }
     }
     for (const Wire::TaskMark &mark : marks.marks) {
         if (mark.index >= 0 && mark.index < static_cast<int>(step.tasks.size())) {
-            restoreTask(step.tasks[static_cast<std::size_t>(mark.index)], mark);
+            restoreTask(step, step.tasks[static_cast<std::size_t>(mark.index)], mark);
         }
     }
 }
@@ -135,7 +134,7 @@
 {
     std::vector<StepExecution> steps(job.submission.steps.size());
     for (std::size_t index = 0; index < steps.size(); ++index) {
-        steps[index].tasks.resize(static_cast<std::size_t>(std::max(job.submission.steps[index].taskCount, 0)));
+        steps[index].addTasks(static_cast<std::size_t>(std::max(job.submission.steps[index].taskCount, 0)));
     }
     job.occurrences[occurrence] = std::move(steps);
 }
--- a/src/libs/dispatch/jobregistry.cpp
+++ b/src/libs/dispatch/jobregistry.cpp
@@ -5,12 +5,16 @@
 #include <jobtopic/jobtable.h>
 #include <ports/taskid.h>
 
+#include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace Hyssop {
 
 void JobRegistry::clear()
 {
+    m_pendingJobs.clear();
+    m_pendingChanges.clear();
     m_jobs.clear();
     m_active.clear();
     m_changed.clear();
@@ -26,12 +30,17 @@
     JobExecution &job = m_jobs.emplace(jobId, restoreJob(jobId, entry)).first->second;
     if (!job.isEnded()) {
         m_active.insert(jobId);
+        m_pendingChanges.insert(&job);
     }
     return job;
 }
 
 void JobRegistry::remove(const std::string &jobId)
 {
+    if (JobExecution *job = find(jobId)) {
+        m_pendingJobs.remove(*job);
+        m_pendingChanges.erase(job);
+    }
     m_jobs.erase(jobId);
     m_active.erase(jobId);
     m_changed.erase(jobId);
@@ -70,6 +79,7 @@
 void JobRegistry::markChanged(JobExecution &job)
 {
     m_changed.insert(job.id);
+    m_pendingChanges.insert(&job);
 }
 
 void JobRegistry::markUrgent(JobExecution &job)
@@ -102,6 +112,29 @@
     return find(m_pass.extract(m_pass.begin()).value());
 }
 
+const PendingJobs &JobRegistry::pendingJobs()
+{
+    for (JobExecution *job : std::exchange(m_pendingChanges, {})) {
+        m_pendingJobs.update(*job);
+    }
+    assert(arePendingJobsConsistent());
+    return m_pendingJobs;
+}
+
+bool JobRegistry::arePendingJobsConsistent()
+{
+    PendingJobs expected;
+    for (JobExecution *job : activeJobs()) {
+        for (const auto &[occurrence, steps] : job->occurrences) {
+            if (!std::ranges::all_of(steps, &StepExecution::isConsistent)) {
+                return false;
+            }
+        }
+        expected.update(*job);
+    }
+    return m_pendingJobs == expected;
+}
+
 std::vector<JobExecution *> JobRegistry::activeJobs()
 {
     std::vector<JobExecution *> active;
--- a/src/libs/dispatch/jobregistry.h
+++ b/src/libs/dispatch/jobregistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobexecution.h"
+#include "pendingjobs.h"
 
 #include <map>
 #include <set>
@@ -49,13 +50,24 @@
     /// Returns true if the pass has jobs left.
     bool isPassUnfinished() const { return !m_pass.empty(); }
 
+    /// Returns the jobs that a placement pass has to visit, as of now.
+    const PendingJobs &pendingJobs();
+
+    /// Takes into account that an occurrence of @p job was released.
+    void markReleased(JobExecution &job) { m_pendingChanges.insert(&job); }
+
     /// Returns the jobs that have not ended.
     std::vector<JobExecution *> activeJobs();
 
     std::map<std::string, JobExecution> &jobs() { return m_jobs; }
 
 private:
+    /// Returns true if the counters of all steps and the jobs with pending tasks are as a search in all jobs finds them.
+    bool arePendingJobsConsistent();
+
     std::map<std::string, JobExecution> m_jobs;
+    PendingJobs m_pendingJobs;
+    std::set<JobExecution *> m_pendingChanges; // changed since m_pendingJobs was up to date
     std::set<std::string> m_active;
     std::set<std::string> m_changed; // since the begin of the pass
     std::set<std::string> m_urgent; // each is also changed or in the pass
--- a/src/libs/dispatch/placementwork.h
+++ b/src/libs/dispatch/placementwork.h
@@ -8,6 +8,7 @@
 struct PlacementWork
 {
     std::uint64_t passes = 0;
+    std::uint64_t visitedJobs = 0;
     std::uint64_t examinedWorkers = 0; // for one request each
 };
 
--- a/src/libs/dispatch/stepexecution.h
+++ b/src/libs/dispatch/stepexecution.h
@@ -12,11 +12,30 @@
 class TaskStep;
 }
 
-/// Execution state of a step in one occurrence of a job.
+/// Execution state of a step in one occurrence of a job. The phase and the run number of a task are changed with setPhase() and
+/// setRun(), except for changes between open phases.
 struct StepExecution
 {
     std::vector<TaskExecution> tasks;
     int done = 0;
+    int pending = 0;
+    int started = 0; // tasks that had a run and are not done
+    bool hasBegun = false; // a task had a run
+    int maximumFailures = 0; // of a task
+    TimePoint latestNotBefore{}; // from then on, no pending task is held back by its notBefore
+
+    /// Adds the tasks, which are pending.
+    void addTasks(std::size_t count);
+
+    void setPhase(TaskExecution &task, TaskPhase phase);
+    void setRun(TaskExecution &task, int run);
+    void setFailures(TaskExecution &task, int failures);
+
+    /// Returns true if a pending task may be started at @p now.
+    bool hasPendingTask(TimePoint now) const;
+
+    /// Returns true if the counters agree with the tasks.
+    bool isConsistent() const;
 
     bool isDone() const { return done == static_cast<int>(tasks.size()); }
 };
--- a/tests/libs/dispatch/testplacementcost.cpp
+++ b/tests/libs/dispatch/testplacementcost.cpp
@@ -137,6 +137,31 @@
     cr_assert_lt(fleet.placementWork().examinedWorkers - before.examinedWorkers, 2U * Jobs * TasksPerJob);
 }
 
+Test(placementCost, jobsWithoutPendingTasksAreNotVisited)
+{
+    constexpr int RunningJobs = 100;
+    DispatchFleet fleet = fullFleet();
+    for (int job = 0; job < RunningJobs; ++job) {
+        fleet.submit(stepOf(2, 1'000), 20);
+    }
+    fleet.submit(stepOf(1, 20'000));
+    fleet.advance(StartTime);
+    const PlacementWork before = fleet.placementWork();
+    fleet.advance(Passes * DispatchFleet::TickInterval);
+    cr_assert_eq(fleet.placementWork().visitedJobs - before.visitedJobs, Passes, "only the job that waits");
+}
+
+Test(placementCost, aStepStartsWhenTheEarlierOneIsDone)
+{
+    DispatchFleet fleet = fullFleet();
+    fleet.submit(stepOf(1, 1'000), 3);
+    fleet.advance(StartTime);
+    cr_assert_eq(fleet.startsOf(1'000), 1);
+    fleet.completeRuns(1, 1'000);
+    fleet.advance(StartTime);
+    cr_assert_eq(fleet.startsOf(1'000), 4);
+}
+
 namespace {
 
 /// Workers that change at random, and the requests that are remembered as unschedulable.
