--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -34,7 +34,7 @@
 Dispatcher::Dispatcher(const DispatchLimits &limits)
     : m_limits(limits)
     , m_leasePolicy(limits.maximumLease)
-    , m_responseTimeouts(limits.maximumLease)
+    , m_responseTimeouts(m_leasePolicy.leaseDuration())
 {
 }
 
@@ -48,12 +48,13 @@
     m_termBeganAt = claim.readAt;
     m_termWallMs.reset();
     m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claim.readAt, afterHandover);
-    m_responseTimeouts = ResponseTimeoutPolicy(m_limits.maximumLease);
+    m_responseTimeouts = ResponseTimeoutPolicy(m_leasePolicy.leaseDuration());
     m_jobs.clear();
     m_workers.clear();
     m_removedWorkersRises = TokenRises();
     m_tokensExhausted = false;
     m_tickets = TicketCache();
+    m_unschedulable.clear();
     m_colocation.restore(table.learnedTails());
     m_tailsStoredAt = claim.readAt;
     m_actions.clear();
@@ -98,7 +99,10 @@
 void Dispatcher::updateWorker(const WorkerInfo &info)
 {
     WorkerState &worker = stateOf(info.id);
-    worker.info = info;
+    if (worker.info != info) {
+        worker.info = info;
+        ++worker.roomVersion;
+    }
     worker.registered = true;
 }
 
@@ -247,6 +251,7 @@
             return;
         }
         addOccurrence(job, occurrence);
+        m_jobs.markReleased(job);
     }
 }
 
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -7,11 +7,13 @@
 #include "dispatchsummary.h"
 #include "jobregistry.h"
 #include "leasepolicy.h"
-#include "roomreservations.h"
+#include "placementwork.h"
 #include "responsetimeoutpolicy.h"
+#include "roomreservations.h"
 #include "shorttaskreserve.h"
 #include "ticketcache.h"
 #include "tokenrises.h"
+#include "unschedulablerequests.h"
 #include "workerstate.h"
 
 #include <ports/clusterconfig.h>
@@ -109,6 +111,9 @@
     /// are known.
     std::vector<ServingRoom> servingRoom();
 
+    /// Returns the work of all placement passes so far.
+    const PlacementWork &placementWork() const { return m_placementWork; }
+
 private:
     using Intents = std::vector<std::pair<TaskId, int>>; // task and number of the run
 
@@ -282,14 +287,18 @@
     void placePendingTasks(TimePoint now, WallTime wall);
     void recordShortTaskDemand(TimePoint now);
     void placeStep(JobExecution &job, const TaskId &stepId, const SchedulingKey &key, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now);
-    void placeGang(JobExecution &job, int occurrence, int step, const WorkerRanking &ranking, PlacementRequest &request, TimePoint now);
+    void placeGang(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, PlacementRequest &request, TimePoint now);
 
     /// Assigns runs of the pending tasks of @p step, of which each worker has as many as @p perWorker says.
     void
     placeTasks(JobExecution &job, const TaskId &step, WorkerRanking &ranking, PlacementRequest &request, std::map<std::string, int> &perWorker, TimePoint now);
 
-    /// Returns true if room may be reserved for the tasks of @p request. The smallest tasks need none: nothing takes their room.
-    bool canReserveRoom(const PlacementRequest &request) const;
+    /// Reserves room for the tasks of @p request that wait, where that may help them.
+    void reserveRoom(const StepExecution &execution, const WorkerRanking &ranking, const PlacementRequest &request);
+
+    /// Remembers @p request, for which no worker is suitable, unless that is due to its rack, its tickets, its limit per worker or to room
+    /// that is reserved.
+    void recordUnschedulable(const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now);
 
     /// Asks the advice service about workers that could run the pending tasks of @p step, unless it knows enough or is being asked.
     void requestAdvice(const TaskId &step, const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now);
@@ -336,6 +345,8 @@
     ClusterConfig m_config;
     std::set<std::string> m_evacuated;
     TicketCache m_tickets;
+    UnschedulableRequests m_unschedulable;
+    PlacementWork m_placementWork;
     ColocationPolicy m_colocation;
     ShortTaskReserve m_shortTaskReserve;
     RoomReservations m_reservations;
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -24,17 +24,12 @@
     int step = 0;
 };
 
-static bool hasPendingTask(const StepExecution &step, TimePoint now)
-{
-    return std::ranges::any_of(step.tasks, [&](const TaskExecution &task) { return task.phase == TaskPhase::Pending && task.notBefore <= now; });
-}
-
 static PendingWork pendingWork(const JobExecution &job, int occurrence, const std::vector<StepExecution> &steps)
 {
     PendingWork work{job.id, job.submission, job.releaseTime(occurrence), {}, false};
     for (const StepExecution &step : steps) {
         work.doneSteps.push_back(step.isDone());
-        work.isStarted = work.isStarted || std::ranges::any_of(step.tasks, [](const TaskExecution &task) { return task.run > 0; });
+        work.isStarted = work.isStarted || step.hasBegun;
     }
     return work;
 }
@@ -44,7 +39,7 @@
     for (auto &[occurrence, steps] : job.occurrences) {
         std::optional<SchedulingKey> key;
         for (std::size_t index = 0; index < steps.size(); ++index) {
-            if (!hasPendingTask(steps[index], now) || !isReady(steps, job.submission.steps[index])) {
+            if (!steps[index].hasPendingTask(now) || !isReady(steps, job.submission.steps[index])) {
                 continue;
             }
             if (!key) {
@@ -70,11 +65,10 @@
 
 static std::int64_t startedTasks(const JobExecution &job)
 {
-    const auto isStarted = [](const TaskExecution &task) { return task.run > 0 && task.phase != TaskPhase::Done; };
     std::int64_t count = 0;
     for (const auto &[occurrence, steps] : job.occurrences) {
         for (const StepExecution &step : steps) {
-            count += std::ranges::count_if(step.tasks, isStarted);
+            count += step.started;
         }
     }
     return count;
@@ -88,7 +82,8 @@
         return;
     }
     std::vector<Internal::PendingStep> pending;
-    for (JobExecution *job : m_jobs.activeJobs()) {
+    for (JobExecution *job : m_jobs.pendingJobs().jobs()) {
+        ++m_placementWork.visitedJobs;
         const auto queue = m_config.queues.find(job->submission.queue);
         if (queue != m_config.queues.end()) {
             releaseDueOccurrences(*job, wall);
@@ -104,31 +99,23 @@
         workers.push_back(&worker);
     }
     WorkerRanking ranking(std::move(workers), m_evacuated, m_colocation, now);
+    m_unschedulable.beginPass(ranking, now);
     std::ranges::sort(pending, [](const Internal::PendingStep &left, const Internal::PendingStep &right) { return left.key < right.key; });
     m_reservations.beginPass();
     for (const Internal::PendingStep &item : pending) {
         placeStep(*item.job, {item.job->id, item.occurrence, item.step, 0}, item.key, ranking, m_config.queues.at(item.job->submission.queue), now);
     }
+    ++m_placementWork.passes;
+    m_placementWork.examinedWorkers += ranking.examinedWorkers();
 }
 
 void Dispatcher::recordShortTaskDemand(TimePoint now)
 {
-    std::map<std::string, ShortTaskReserve::Demand> demands;
-    for (JobExecution *job : m_jobs.activeJobs()) {
-        const auto queue = m_config.queues.find(job->submission.queue);
-        if (queue == m_config.queues.end()) {
-            continue;
-        }
-        for (const auto &[occurrence, steps] : job->occurrences) {
-            for (std::size_t index = 0; index < steps.size(); ++index) {
-                const Wire::TaskStep &step = job->submission.steps[index];
-                if (!step.longRunning && !step.fillsIdle && !steps[index].isDone() && isReady(steps, step)) {
-                    ShortTaskReserve::Demand &demand = demands[queue->second.workerPool];
-                    demand.milliCores += step.milliCores * (step.taskCount - steps[index].done);
-                    demand.smallestTask = demand.largestTask == 0 ? step.milliCores : std::min<std::int64_t>(demand.smallestTask, step.milliCores);
-                    demand.largestTask = std::max<std::int64_t>(demand.largestTask, step.milliCores);
-                }
-            }
+    std::map<std::string, ShortTaskReserve::Demand> demands; // by worker pool
+    for (const auto &[name, queueDemand] : m_jobs.pendingJobs().shortTaskDemand()) {
+        const auto queue = m_config.queues.find(name);
+        if (queue != m_config.queues.end()) {
+            demands[queue->second.workerPool].add(queueDemand.milliCores, queueDemand.smallestTask(), queueDemand.largestTask());
         }
     }
     for (const auto &[workerPool, demand] : demands) {
@@ -145,27 +132,35 @@
     StepExecution &execution = job.occurrences.at(stepId.occurrence)[static_cast<std::size_t>(step)];
     // An earlier owner may have stored the last failure and not the end of the job.
     const auto isExhausted = [&](const TaskExecution &task) { return task.phase == TaskPhase::Pending && isOutOfAttempts(task, job.step(step), queue); };
-    if (std::ranges::any_of(execution.tasks, isExhausted)) {
+    const bool mayBeExhausted = execution.maximumFailures >= queue.maximumFailures;
+    if (mayBeExhausted && std::ranges::any_of(execution.tasks, isExhausted)) {
         failJob(job, now);
         return;
     }
-    std::map<std::string, int> perWorker = openTasksByWorker(execution);
     PlacementRequest request;
     request.step = &job.step(step);
     request.workerPool = queue.workerPool;
     const RunProfile profile = runProfile(*request.step, 0);
     request.profile = &profile;
-    request.stepTasksByWorker = &perWorker;
     request.stepId = &stepId;
     request.key = &key;
     request.reservations = &m_reservations;
+    const bool isUnschedulable = m_unschedulable.contains(request);
+    if (isUnschedulable && !queue.advice) {
+        if (request.step->perWorker == 0) {
+            reserveRoom(execution, ranking, request);
+        }
+        return;
+    }
+    std::map<std::string, int> perWorker = openTasksByWorker(execution);
+    request.stepTasksByWorker = &perWorker;
     if (queue.advice) {
         request.tickets = m_tickets.tickets(stepId, now);
     }
-    if (!queue.advice || request.tickets != nullptr) {
+    if (!isUnschedulable && (!queue.advice || request.tickets != nullptr)) {
         placeTasks(job, stepId, ranking, request, perWorker, now);
     }
-    if (queue.advice && Internal::hasPendingTask(execution, now)) {
+    if (queue.advice && execution.hasPendingTask(now)) {
         requestAdvice(stepId, ranking, request, now);
     }
 }
@@ -188,7 +183,11 @@
         places.emplace(ranking.workers(), request.workerPool, m_shortTaskReserve);
         request.shortTaskPlaces = &*places;
     }
-    std::vector<WorkerRanking::Candidate> candidates = ranking.rankCandidates(request);
+    const bool isBestEffort = request.step->fillsIdle;
+    std::vector<WorkerRanking::Candidate> candidates;
+    if (isBestEffort) {
+        candidates = ranking.rankCandidates(request);
+    }
     std::int64_t started = Internal::startedTasks(job);
     const bool canWait = m_wallMs - sinceEpoch(job.acceptedAt).count() < Internal::MaximumReserveDelay.count();
     for (const std::size_t index : Internal::startableTasks(execution, now)) {
@@ -197,8 +196,9 @@
             continue;
         }
         request.mustLeavePlaces = request.step->longRunning && task.run == 0 && canWait;
-        WorkerState *worker = ranking.bestCandidate(candidates, request);
+        WorkerState *worker = isBestEffort ? ranking.bestCandidate(candidates, request) : ranking.choose(request);
         if (worker == nullptr) {
+            recordUnschedulable(ranking, request, now);
             break;
         }
         if (places) {
@@ -206,21 +206,30 @@
         }
         started += task.run == 0 ? 1 : 0;
         assignRun(job, {job.id, step.occurrence, step.step, static_cast<int>(index)}, task, *worker, task.run + 1, now);
+        ranking.capacityChanged(*worker);
         ++perWorker[worker->info.id];
     }
-    const std::size_t left = Internal::startableTasks(execution, now).size();
-    if (left > 0 && canReserveRoom(request)) {
-        m_reservations.reserve(ranking, request, left);
+    reserveRoom(execution, ranking, request);
+}
+
+void Dispatcher::reserveRoom(const StepExecution &execution, const WorkerRanking &ranking, const PlacementRequest &request)
+{
+    const bool isCounted = !request.step->longRunning && !request.step->fillsIdle && !request.step->gang;
+    // The smallest tasks need no reservation: nothing takes their room.
+    const bool isLarge = request.step->milliCores > m_shortTaskReserve.smallestTask(request.workerPool);
+    if (isCounted && isLarge && execution.pending > 0 && !request.key->isExpired()) {
+        m_reservations.reserve(ranking, request, static_cast<std::size_t>(execution.pending));
     }
 }
 
-bool Dispatcher::canReserveRoom(const PlacementRequest &request) const
+void Dispatcher::recordUnschedulable(const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now)
 {
-    const bool isCounted = !request.step->longRunning && !request.step->fillsIdle;
-    return isCounted && !request.key->isExpired() && request.step->milliCores > m_shortTaskReserve.smallestTask(request.workerPool);
+    if (!ranking.hasRoom(request)) {
+        m_unschedulable.record(request, now);
+    }
 }
 
-void Dispatcher::placeGang(JobExecution &job, int occurrence, int step, const WorkerRanking &ranking, PlacementRequest &request, TimePoint now)
+void Dispatcher::placeGang(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, PlacementRequest &request, TimePoint now)
 {
     StepExecution &execution = job.occurrences.at(occurrence)[static_cast<std::size_t>(step)];
     if (!std::ranges::all_of(execution.tasks, [&](const TaskExecution &task) { return task.phase == TaskPhase::Pending && task.notBefore <= now; })) {
@@ -250,6 +259,7 @@
             }
             const TaskId id{job.id, occurrence, step, static_cast<int>(index)};
             worker->addRun(id, *request.profile, now);
+            ranking.capacityChanged(*worker);
             ++perWorker[worker->info.id];
             placed.emplace_back(id, worker);
         }
@@ -261,10 +271,14 @@
                 task.checkpoint = checkpoint;
                 assignRun(job, id, task, *worker, run, now);
             }
+            ranking.capacityChanged(*worker);
         }
         if (complete) {
             return;
         }
+        if (placed.empty()) {
+            recordUnschedulable(ranking, request, now);
+        }
     }
 }
 
@@ -288,8 +302,9 @@
 
 void Dispatcher::assignRun(JobExecution &job, const TaskId &id, TaskExecution &task, WorkerState &worker, int run, TimePoint now)
 {
-    task.run = run;
-    task.phase = TaskPhase::Assigned;
+    StepExecution &execution = job.occurrences.at(id.occurrence)[static_cast<std::size_t>(id.step)];
+    execution.setRun(task, run);
+    execution.setPhase(task, TaskPhase::Assigned);
     task.phaseSince = now;
     task.worker = worker.info.id;
     task.startsSent = 0;
--- a/src/libs/dispatch/dispatchservingroom.cpp
+++ b/src/libs/dispatch/dispatchservingroom.cpp
@@ -12,6 +12,9 @@
 
 namespace Internal {
 
+// Serving tasks may have this part of a worker pool, also if the largest short tasks need whole workers.
+constexpr std::int64_t MinimumServingDivisor = 2;
+
 /// Returns what the serving tasks of @p job reserve or will reserve, wherever they run.
 static std::int64_t unfinishedServingDemand(const JobExecution &job)
 {
@@ -64,7 +67,9 @@
         const std::int64_t reserve = m_shortTaskReserve.milliCores(workerPool, room.capacity);
         const std::int64_t demand = room.capacity - reserve - room.milliCores;
         const std::int64_t notPlaced = std::max<std::int64_t>(demand - placed[workerPool], 0);
-        room.milliCores = std::min(room.milliCores, ShortTaskPlaces(staying, workerPool, m_shortTaskReserve).available() - notPlaced);
+        const std::int64_t inPlaces = ShortTaskPlaces(staying, workerPool, m_shortTaskReserve).available() - notPlaced;
+        const std::int64_t minimum = room.capacity / Internal::MinimumServingDivisor - demand;
+        room.milliCores = std::min(room.milliCores, std::max(inPlaces, minimum));
         result.push_back(std::move(room));
     }
     return result;
--- a/src/libs/dispatch/leasepolicy.h
+++ b/src/libs/dispatch/leasepolicy.h
@@ -14,6 +14,9 @@
 public:
     explicit LeasePolicy(std::chrono::milliseconds maximumLease);
 
+    /// Returns the length of a lease.
+    std::chrono::milliseconds leaseDuration() const { return m_leaseDuration; }
+
     /// Returns the latest end of a lease that is granted at @p now. @p confirmedAt is when the request was sent whose response
     /// last proved the ownership.
     TimePoint latestLeaseEnd(TimePoint now, TimePoint confirmedAt) const;
--- a/src/libs/dispatch/responsetimeoutpolicy.cpp
+++ b/src/libs/dispatch/responsetimeoutpolicy.cpp
@@ -5,7 +5,6 @@
 namespace Hyssop {
 
 constexpr std::chrono::milliseconds PollTimeout{900};
-constexpr std::chrono::milliseconds StartTimeout{800};
 constexpr std::chrono::milliseconds MaximumTimeout{2500};
 // A lease has to outlast two responses, the first of which also delays the reading of the worker's clock, and the wait of a poll.
 constexpr std::chrono::milliseconds LongestPollWait{1000};
@@ -17,8 +16,8 @@
 constexpr int LateShareDivisor = 2;
 constexpr std::chrono::milliseconds DelayMemory{3000};
 
-ResponseTimeoutPolicy::ResponseTimeoutPolicy(std::chrono::milliseconds maximumLease)
-    : m_extendedTimeout(std::clamp((maximumLease - LongestPollWait) / ResponsesPerLease, PollTimeout, MaximumTimeout))
+ResponseTimeoutPolicy::ResponseTimeoutPolicy(std::chrono::milliseconds leaseDuration)
+    : m_extendedTimeout(std::clamp((leaseDuration - LongestPollWait) / ResponsesPerLease, PollTimeout, MaximumTimeout))
 {
 }
 
@@ -27,11 +26,6 @@
     return isFirstContact || isDelayed(now) ? m_extendedTimeout : PollTimeout;
 }
 
-std::chrono::milliseconds ResponseTimeoutPolicy::startTimeout(TimePoint now) const
-{
-    return isDelayed(now) ? m_extendedTimeout : StartTimeout;
-}
-
 void ResponseTimeoutPolicy::recordResult(Duration responseTime, TimePoint now)
 {
     const bool isLate = responseTime >= SlowResponseTime;
--- a/src/libs/dispatch/responsetimeoutpolicy.h
+++ b/src/libs/dispatch/responsetimeoutpolicy.h
@@ -11,13 +11,12 @@
 /// Load pattern: an owner whose processor share or link is used up handles the responses of most workers late. With a short timeout it
 /// discards them, opens new connections, sends the commands again, and takes its own delay for the loss of workers, whose leases it
 /// then no longer renews. So the timeout is extended while most results of a second are late. A failure that hits few
-/// workers, or those of one region, is noticed as fast as before. Leases don't
-/// depend on it: each timeout ends before the lease that was renewed with the command.
+/// workers, or those of one region, is noticed as fast as before. Each timeout ends before the lease that was renewed with the command.
 class ResponseTimeoutPolicy
 {
 public:
-    /// @p maximumLease is the longest lease that workers accept.
-    explicit ResponseTimeoutPolicy(std::chrono::milliseconds maximumLease);
+    /// @p leaseDuration is the length of the leases that the owner grants.
+    explicit ResponseTimeoutPolicy(std::chrono::milliseconds leaseDuration);
 
     /// Records that a command got a response, or none until its timeout, after @p responseTime. The time for which the worker was asked
     /// to wait does not count.
@@ -27,9 +26,6 @@
     /// first polls of a term are sent to all workers at once, and each opens a connection.
     std::chrono::milliseconds pollTimeout(bool isFirstContact, TimePoint now) const;
 
-    /// Returns how long to wait for the response to a start command.
-    std::chrono::milliseconds startTimeout(TimePoint now) const;
-
 private:
     struct Results
     {
--- a/src/libs/dispatch/roomreservations.cpp
+++ b/src/libs/dispatch/roomreservations.cpp
@@ -13,7 +13,9 @@
 
 namespace Internal {
 
-constexpr int MaximumSearches = 8; // in a pass
+// In a pass; steps for which no worker is suitable count for the second limit only.
+constexpr int MaximumSteps = 8;
+constexpr int MaximumSearches = 32;
 // Of the workers on which a task could run, one in so many is reserved at the same time.
 constexpr std::size_t ReservedWorkersDivisor = 4;
 
@@ -34,7 +36,8 @@
 /// Returns true if a task that needs @p task has room beside the serving tasks of @p worker.
 static bool fitsBesideServing(const WorkerState &worker, const Resources &task)
 {
-    return task.milliCores <= worker.info.capacity.milliCores - worker.servingCommitted && task.memoryBytes <= worker.info.capacity.memoryBytes;
+    const Resources &capacity = worker.info.capacity;
+    return task.milliCores <= capacity.milliCores - worker.servingCommitted && task.memoryBytes <= capacity.memoryBytes - worker.servingMemoryBytes;
 }
 
 } // namespace Internal
@@ -43,22 +46,21 @@
 {
     ++m_pass;
     m_previousSteps = std::exchange(m_steps, {});
-    m_reserved = 0;
+    m_reserved.clear();
     m_searches = 0;
+    m_searchedSteps = 0;
 }
 
 void RoomReservations::reserve(const WorkerRanking &ranking, const PlacementRequest &request, std::size_t tasks)
 {
-    if (m_searches >= Internal::MaximumSearches || request.stepId == nullptr) {
+    if (m_searches >= Internal::MaximumSearches || m_searchedSteps >= Internal::MaximumSteps || request.stepId == nullptr) {
         return;
     }
     ++m_searches;
     std::size_t suitable = 0;
     std::vector<Internal::ReservationCandidate> candidates;
     for (WorkerState *worker : ranking.workers()) {
-        const auto obstacle = ranking.obstacle(*worker, request);
-        const bool lacksRoom = obstacle == PlacementObstacle::ProcessorCapacity || obstacle == PlacementObstacle::Memory;
-        if (!lacksRoom || worker->info.workerPool != request.workerPool || !Internal::fitsBesideServing(*worker, request.profile->reserved)) {
+        if (!Internal::fitsBesideServing(*worker, request.profile->reserved) || !ranking.lacksOnlyRoom(*worker, request)) {
             continue;
         }
         ++suitable;
@@ -68,14 +70,16 @@
             candidates.push_back({isOwn, worker->freeCapacity().milliCores, worker});
         }
     }
+    m_searchedSteps += suitable > 0 ? 1 : 0;
+    std::size_t &reserved = m_reserved[request.workerPool];
     const std::size_t most = std::max<std::size_t>(suitable / Internal::ReservedWorkersDivisor, 1);
-    const std::size_t count = std::min({candidates.size(), tasks, most - std::min(most, m_reserved)});
+    const std::size_t count = std::min({candidates.size(), tasks, most - std::min(most, reserved)});
     const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
     std::partial_sort(candidates.begin(), end, candidates.end(), std::greater<>());
     for (auto candidate = candidates.begin(); candidate != end; ++candidate) {
         candidate->worker->reservation = RoomReservation{*request.stepId, *request.key, request.profile->reserved, m_pass};
     }
-    m_reserved += count;
+    reserved += count;
     if (count > 0) {
         m_steps.push_back(*request.stepId);
     }
--- a/src/libs/dispatch/roomreservations.h
+++ b/src/libs/dispatch/roomreservations.h
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace Hyssop {
@@ -44,8 +46,9 @@
     std::uint64_t m_pass = 0;
     std::vector<TaskId> m_steps; // with reserved workers, in this pass
     std::vector<TaskId> m_previousSteps; // in the last pass
-    std::size_t m_reserved = 0; // workers, in this pass
+    std::map<std::string, std::size_t> m_reserved; // number of workers by pool, in this pass
     int m_searches = 0; // in this pass
+    int m_searchedSteps = 0; // for which a worker was suitable
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/shorttaskreserve.cpp
+++ b/src/libs/dispatch/shorttaskreserve.cpp
@@ -18,6 +18,13 @@
 
 } // namespace Internal
 
+void ShortTaskReserve::Demand::add(std::int64_t taskMilliCores, std::int64_t smallest, std::int64_t largest)
+{
+    smallestTask = largestTask == 0 ? smallest : std::min(smallestTask, smallest);
+    largestTask = std::max(largestTask, largest);
+    milliCores += taskMilliCores;
+}
+
 void ShortTaskReserve::recordDemand(const std::string &workerPool, const Demand &demand, TimePoint now)
 {
     Peak &peak = m_peaks[workerPool];
--- a/src/libs/dispatch/shorttaskreserve.h
+++ b/src/libs/dispatch/shorttaskreserve.h
@@ -23,6 +23,9 @@
         std::int64_t milliCores = 0;
         std::int64_t largestTask = 0;
         std::int64_t smallestTask = 0;
+
+        /// Adds @p taskMilliCores of tasks whose sizes are between @p smallest and @p largest.
+        void add(std::int64_t taskMilliCores, std::int64_t smallest, std::int64_t largest);
     };
 
     void recordDemand(const std::string &workerPool, const Demand &demand, TimePoint now);
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -13,20 +13,16 @@
 
 // No task is placed on a worker without a report for this long.
 constexpr std::chrono::milliseconds WorkerTimeout{2500};
-constexpr std::size_t MaximumUnschedulable = 100;
 // Forecasts for the serving runs on a worker are recomputed after this time.
 constexpr std::chrono::milliseconds MaximumForecastAge{100};
 // A best-effort task is placed where at least this share of its processor time is expected to be idle.
 constexpr int MinimumIdlePercent = 80;
-// Score for the rack that holds the data, in thousandths of a core of free capacity.
+// Score of a best-effort task for the rack that holds the data, in thousandths of a core that is expected to be idle.
 constexpr std::int64_t DataRackBonus = 1'000'000;
 // Score penalty for a utilization of 1 that is added to a serving task, in thousandths of a core.
 constexpr double InterferenceWeight = 200'000;
-// Score of serving tasks for a worker whose serving runs all have the same image, in thousandths of a core; a worker with
-// serving runs of another image gets the negative score.
-constexpr std::int64_t SameImageBonus = 1'000'000;
-// Score penalty of serving tasks for taking a reserved place, in thousandths of a core; it outweighs a different image.
-constexpr std::int64_t ReservedPlacePenalty = 3'000'000;
+// Loss of preference of serving tasks for taking a reserved place. It outweighs a different image and the data rack.
+constexpr int ReservedPlacePenalty = 4;
 
 static bool hasLabel(const WorkerState &worker, const std::string &label)
 {
@@ -42,6 +38,37 @@
     return count != request.stepTasksByWorker->end() ? count->second : 0;
 }
 
+static bool isInDataRack(const WorkerState &worker, const Wire::TaskStep &step)
+{
+    return !step.dataRack.empty() && worker.info.rack == step.dataRack;
+}
+
+/// Returns 1 if all serving runs of @p worker have @p image, 0 if it has none, and -1 if some have another one.
+static int imageMatch(const WorkerState &worker, std::uint32_t image)
+{
+    if (worker.servingRunsByImage.empty()) {
+        return 0;
+    }
+    return worker.servingRunsByImage.size() == 1 && worker.servingRunsByImage.contains(image) ? 1 : -1;
+}
+
+/// Returns how well @p worker suits a task with reserved capacity, before its free capacity counts.
+static int preference(const WorkerState &worker, const PlacementRequest &request)
+{
+    const int rack = isInDataRack(worker, *request.step) ? 1 : 0;
+    if (!request.step->longRunning) {
+        return rack;
+    }
+    const bool sparesPlaces = request.shortTaskPlaces == nullptr || request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores);
+    return rack + imageMatch(worker, request.profile->image) - (sparesPlaces ? 0 : ReservedPlacePenalty);
+}
+
+/// Returns an upper bound of preference() for tasks of @p step.
+static int maximumPreference(const Wire::TaskStep &step)
+{
+    return (step.dataRack.empty() ? 0 : 1) + (step.longRunning ? 1 : 0);
+}
+
 } // namespace Internal
 
 RunProfile profileOf(const Wire::TaskStep &step, int run)
@@ -74,6 +101,39 @@
 }
 
 WorkerState *WorkerRanking::choose(const PlacementRequest &request) const
+{
+    return request.step->fillsIdle ? chooseForBestEffort(request) : chooseForReserved(request);
+}
+
+WorkerState *WorkerRanking::chooseForReserved(const PlacementRequest &request) const
+{
+    const Wire::TaskStep &step = *request.step;
+    const int maximumPreference = Internal::maximumPreference(step);
+    WorkerState *best = nullptr;
+    int bestPreference = 0;
+    const auto visit = [&](WorkerState &worker) {
+        const int preference = Internal::preference(worker, request);
+        const bool isBetter = best == nullptr || preference > bestPreference;
+        if (!isBetter || !fits(worker, request)) {
+            return true;
+        }
+        best = &worker;
+        bestPreference = preference;
+        return preference < maximumPreference;
+    };
+    if (!m_index) {
+        m_index.emplace(m_workers);
+    }
+    const std::int64_t needed = request.profile->reserved.milliCores;
+    if (step.longRunning) {
+        m_index->visitAscending(request.workerPool, needed, visit);
+    } else {
+        m_index->visitDescending(request.workerPool, needed, visit);
+    }
+    return best;
+}
+
+WorkerState *WorkerRanking::chooseForBestEffort(const PlacementRequest &request) const
 {
     WorkerState *best = nullptr;
     std::int64_t bestScore = 0;
@@ -81,7 +141,7 @@
         if (!fits(*worker, request)) {
             continue;
         }
-        const std::int64_t workerScore = score(*worker, request);
+        const std::int64_t workerScore = bestEffortScore(*worker, request);
         if (best == nullptr || workerScore > bestScore) {
             best = worker;
             bestScore = workerScore;
@@ -90,6 +150,13 @@
     return best;
 }
 
+void WorkerRanking::capacityChanged(WorkerState &worker)
+{
+    if (m_index) {
+        m_index->update(worker);
+    }
+}
+
 std::vector<std::string> WorkerRanking::racksByFreeCapacity(const std::string &workerPool) const
 {
     std::map<std::string, std::int64_t> freeByRack;
@@ -107,26 +174,31 @@
     return racks;
 }
 
-std::vector<WorkerRanking::Candidate> WorkerRanking::rankCandidates(const PlacementRequest &request)
+std::vector<WorkerRanking::Candidate> WorkerRanking::rankCandidates(const PlacementRequest &request) const
 {
     std::vector<Candidate> candidates;
-    // A smaller task may have been kept from the workers that are reserved for this one.
-    const bool hasReservation = request.reservations != nullptr && request.reservations->hasReservation(request);
-    if (!hasReservation && isUnschedulable(request)) {
-        return candidates;
-    }
     for (WorkerState *worker : m_workers) {
         if (fits(*worker, request)) {
-            candidates.emplace_back(score(*worker, request), worker);
+            candidates.emplace_back(bestEffortScore(*worker, request), worker);
         }
     }
-    if (candidates.empty()) {
-        recordUnschedulable(request);
-    }
     std::ranges::make_heap(candidates);
     return candidates;
 }
 
+bool WorkerRanking::hasRoom(PlacementRequest request) const
+{
+    request.rack.clear();
+    request.tickets = nullptr;
+    request.stepTasksByWorker = nullptr;
+    request.reservations = nullptr;
+    request.mustLeavePlaces = false;
+    if (!request.step->fillsIdle) {
+        return chooseForReserved(request) != nullptr;
+    }
+    return std::ranges::any_of(m_workers, [&](WorkerState *worker) { return fits(*worker, request); });
+}
+
 WorkerState *WorkerRanking::bestCandidate(std::vector<Candidate> &candidates, const PlacementRequest &request) const
 {
     while (!candidates.empty()) {
@@ -136,7 +208,7 @@
             candidates.pop_back();
             continue;
         }
-        const std::int64_t currentScore = score(*worker, request);
+        const std::int64_t currentScore = bestEffortScore(*worker, request);
         const bool isBest = currentScore >= knownScore || candidates.size() == 1 || currentScore >= candidates.front().first;
         knownScore = currentScore;
         WorkerState *best = worker;
@@ -167,50 +239,6 @@
     return ids;
 }
 
-bool WorkerRanking::isUnschedulable(const PlacementRequest &request) const
-{
-    return std::ranges::any_of(m_unschedulable, [&](const UnschedulableRequest &known) {
-        const bool isSimilar = known.workerPool == request.workerPool && known.label == request.step->label && known.profile.image == request.profile->image
-            && known.profile.isBestEffort == request.profile->isBestEffort;
-        return isSimilar && known.profile.reserved.fitsIn(request.profile->reserved)
-            && known.profile.bestEffortMilliCores <= request.profile->bestEffortMilliCores;
-    });
-}
-
-void WorkerRanking::recordUnschedulable(const PlacementRequest &request)
-{
-    const bool hasNoOtherConditions = request.step->perWorker == 0 && request.tickets == nullptr && request.rack.empty() && !request.mustLeavePlaces;
-    if (hasNoOtherConditions && m_unschedulable.size() < Internal::MaximumUnschedulable) {
-        m_unschedulable.push_back({request.workerPool, request.step->label, *request.profile});
-    }
-}
-
-std::int64_t WorkerRanking::score(WorkerState &worker, const PlacementRequest &request) const
-{
-    const Wire::TaskStep &step = *request.step;
-    const std::int64_t bonus = !step.dataRack.empty() && worker.info.rack == step.dataRack ? Internal::DataRackBonus : 0;
-    if (step.fillsIdle) {
-        return bonus + bestEffortScore(worker, request);
-    }
-    const std::int64_t free = worker.freeCapacity().milliCores;
-    return bonus + (step.longRunning ? servingScore(worker, request) : free);
-}
-
-std::int64_t WorkerRanking::servingScore(const WorkerState &worker, const PlacementRequest &request) const
-{
-    std::int64_t imageMatch = 0;
-    for (const auto &[id, run] : worker.runs) {
-        if (run.tailTargetMs > 0) {
-            imageMatch = run.image == request.profile->image ? std::max<std::int64_t>(imageMatch, 1) : -1;
-            if (imageMatch < 0) {
-                break;
-            }
-        }
-    }
-    const bool sparesPlaces = request.shortTaskPlaces == nullptr || request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores);
-    return imageMatch * Internal::SameImageBonus - (sparesPlaces ? 0 : Internal::ReservedPlacePenalty) - worker.freeCapacity().milliCores;
-}
-
 std::int64_t WorkerRanking::bestEffortScore(WorkerState &worker, const PlacementRequest &request) const
 {
     const ServingForecast &forecast = forecastOf(worker);
@@ -218,7 +246,8 @@
     for (const ServingForecast::Headroom &headroom : forecast.headrooms) {
         maximum = std::max(maximum, m_colocation.addedUtilization(headroom.image, *request.profile, worker.info.capacity.milliCores));
     }
-    return worker.expectedIdleMilliCores(forecast) - static_cast<std::int64_t>(maximum * Internal::InterferenceWeight);
+    const std::int64_t bonus = Internal::isInDataRack(worker, *request.step) ? Internal::DataRackBonus : 0;
+    return bonus + worker.expectedIdleMilliCores(forecast) - static_cast<std::int64_t>(maximum * Internal::InterferenceWeight);
 }
 
 const ServingForecast &WorkerRanking::forecastOf(WorkerState &worker) const
@@ -229,6 +258,11 @@
     return worker.forecast;
 }
 
+bool WorkerRanking::isShort(const Wire::TaskStep &step)
+{
+    return step.estimateMs <= ServingForecast::ShortHorizon.count();
+}
+
 std::optional<PlacementObstacle> WorkerRanking::colocationObstacle(WorkerState &worker, const PlacementRequest &request) const
 {
     const ServingForecast &forecast = forecastOf(worker);
@@ -238,28 +272,17 @@
     if (worker.expectedIdleMilliCores(forecast) * 100 < request.step->milliCores * Internal::MinimumIdlePercent) {
         return PlacementObstacle::IdleProcessorTime;
     }
-    const bool isShort = request.step->estimateMs <= ServingForecast::ShortHorizon.count();
+    const bool isShortTask = isShort(*request.step);
     const bool hasHeadroom = std::ranges::all_of(forecast.headrooms, [&](const ServingForecast::Headroom &headroom) {
         const double added = m_colocation.addedUtilization(headroom.image, *request.profile, worker.info.capacity.milliCores);
-        return added < ColocationPolicy::NegligibleUtilization || added < (isShort ? headroom.shortTerm : headroom.longTerm);
+        return added < ColocationPolicy::NegligibleUtilization || added < (isShortTask ? headroom.shortTerm : headroom.longTerm);
     });
     return hasHeadroom ? std::nullopt : std::optional(PlacementObstacle::Headroom);
 }
 
-std::optional<PlacementObstacle> WorkerRanking::obstacle(WorkerState &worker, const PlacementRequest &request) const
+std::optional<PlacementObstacle> WorkerRanking::conditionObstacle(const WorkerState &worker, const PlacementRequest &request) const
 {
     const Wire::TaskStep &step = *request.step;
-    const Resources &needed = request.profile->reserved;
-    const Resources free = worker.freeCapacity();
-    if (needed.milliCores > free.milliCores) {
-        return PlacementObstacle::ProcessorCapacity;
-    }
-    if (needed.memoryBytes > free.memoryBytes) {
-        return PlacementObstacle::Memory;
-    }
-    if (!needed.fitsIn(free)) {
-        return PlacementObstacle::Accelerators;
-    }
     if (worker.info.workerPool != request.workerPool) {
         return PlacementObstacle::WorkerPool;
     }
@@ -275,13 +298,43 @@
     if (request.tickets != nullptr && !request.tickets->contains(worker.info.id)) {
         return PlacementObstacle::Advice;
     }
+    return std::nullopt;
+}
+
+std::optional<PlacementObstacle> WorkerRanking::roomObstacle(const WorkerState &worker, const PlacementRequest &request)
+{
+    const Resources &needed = request.profile->reserved;
+    const Resources free = worker.freeCapacity();
+    if (needed.milliCores > free.milliCores) {
+        return PlacementObstacle::ProcessorCapacity;
+    }
+    if (needed.memoryBytes > free.memoryBytes) {
+        return PlacementObstacle::Memory;
+    }
+    return needed.fitsIn(free) ? std::nullopt : std::optional(PlacementObstacle::Accelerators);
+}
+
+bool WorkerRanking::lacksOnlyRoom(const WorkerState &worker, const PlacementRequest &request) const
+{
+    return !conditionObstacle(worker, request) && roomObstacle(worker, request) && request.profile->reserved.fitsIn(worker.info.capacity);
+}
+
+std::optional<PlacementObstacle> WorkerRanking::obstacle(WorkerState &worker, const PlacementRequest &request) const
+{
+    ++m_examinedWorkers;
+    if (const auto condition = conditionObstacle(worker, request)) {
+        return condition;
+    }
+    if (const auto room = roomObstacle(worker, request)) {
+        return room;
+    }
     if (request.reservations != nullptr && !request.reservations->allows(worker, request)) {
         return PlacementObstacle::Reserved;
     }
     if (request.mustLeavePlaces && !request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores)) {
         return PlacementObstacle::ShortTaskReserve;
     }
-    return step.fillsIdle ? colocationObstacle(worker, request) : std::nullopt;
+    return request.step->fillsIdle ? colocationObstacle(worker, request) : std::nullopt;
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "freecapacityindex.h"
 #include "placementobstacle.h"
 #include "workerstate.h"
 
@@ -7,6 +8,8 @@
 
 #include <utils/clock.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -52,22 +55,24 @@
     /// Selects the workers on which tasks can be started at @p now. The arguments must outlive this object.
     WorkerRanking(std::vector<WorkerState *> workers, const std::set<std::string> &evacuatedDomains, const ColocationPolicy &colocationPolicy, TimePoint now);
 
-    /// Returns the worker with the highest score, or a null pointer if none is suitable.
+    /// Returns the best worker, or a null pointer if none is suitable.
     WorkerState *choose(const PlacementRequest &request) const;
 
+    /// Takes into account that a run was added to @p worker or removed from it. Other changes count from the next pass on.
+    void capacityChanged(WorkerState &worker);
+
     /// A suitable worker with its score.
     using Candidate = std::pair<std::int64_t, WorkerState *>;
 
-    /// Returns all suitable workers as a heap. A request that is at least as large as a similar one that was unschedulable
-    /// in this pass gets no candidates, without a search.
-    std::vector<Candidate> rankCandidates(const PlacementRequest &request);
+    /// Returns all workers that are suitable for a best-effort task as a heap.
+    std::vector<Candidate> rankCandidates(const PlacementRequest &request) const;
+
+    /// Returns true if a worker could take a task of @p request, but for its rack, tickets and limit per worker.
+    bool hasRoom(PlacementRequest request) const;
 
     /// Returns the best of @p candidates after updating outdated scores, or a null pointer. The worker stays in the heap.
     WorkerState *bestCandidate(std::vector<Candidate> &candidates, const PlacementRequest &request) const;
 
-    /// Returns the workers on which tasks can be started.
-    const std::vector<WorkerState *> &workers() const { return m_workers; }
-
     /// Returns the racks by decreasing free processor capacity.
     std::vector<std::string> racksByFreeCapacity(const std::string &workerPool) const;
 
@@ -80,33 +85,46 @@
 
     /// Returns why @p worker can't take a task of @p request, or nothing if it can.
     std::optional<PlacementObstacle> obstacle(WorkerState &worker, const PlacementRequest &request) const;
+    bool fits(WorkerState &worker, const PlacementRequest &request) const { return !obstacle(worker, request); }
+
+    /// Returns true if @p worker could take a task of @p request if fewer others ran there.
+    bool lacksOnlyRoom(const WorkerState &worker, const PlacementRequest &request) const;
+
+    /// Returns true if a best-effort task of @p step needs headroom for a short time only.
+    static bool isShort(const Wire::TaskStep &step);
+
+    /// Returns the workers on which tasks can be started.
+    const std::vector<WorkerState *> &workers() const { return m_workers; }
+
+    /// Returns how often a worker was examined for a request.
+    std::size_t examinedWorkers() const { return m_examinedWorkers; }
 
 private:
-    bool fits(WorkerState &worker, const PlacementRequest &request) const { return !obstacle(worker, request); }
+    /// Returns why @p worker can't take a task of @p request however much room it has.
+    std::optional<PlacementObstacle> conditionObstacle(const WorkerState &worker, const PlacementRequest &request) const;
+
+    /// Returns which resource @p worker lacks.
+    static std::optional<PlacementObstacle> roomObstacle(const WorkerState &worker, const PlacementRequest &request);
+
     std::optional<PlacementObstacle> colocationObstacle(WorkerState &worker, const PlacementRequest &request) const;
 
-    std::int64_t score(WorkerState &worker, const PlacementRequest &request) const;
-    std::int64_t servingScore(const WorkerState &worker, const PlacementRequest &request) const;
+    /// Returns the best worker for a task with reserved capacity, or a null pointer.
+    WorkerState *chooseForReserved(const PlacementRequest &request) const;
+
+    /// Returns the best worker for a best-effort task, or a null pointer.
+    WorkerState *chooseForBestEffort(const PlacementRequest &request) const;
+
     std::int64_t bestEffortScore(WorkerState &worker, const PlacementRequest &request) const;
 
     /// Returns the forecast for the worker's serving runs, recomputed if it is out of date.
     const ServingForecast &forecastOf(WorkerState &worker) const;
 
-    /// A request for which no worker was suitable, and whose only requirements are worker pool, label and resources.
-    struct UnschedulableRequest
-    {
-        std::string workerPool;
-        std::string label;
-        RunProfile profile;
-    };
-    bool isUnschedulable(const PlacementRequest &request) const;
-    void recordUnschedulable(const PlacementRequest &request);
-
     std::vector<WorkerState *> m_workers;
+    mutable std::optional<FreeCapacityIndex> m_index; // of m_workers, built when it is first needed
     const std::set<std::string> &m_evacuatedDomains;
-    std::vector<UnschedulableRequest> m_unschedulable;
     const ColocationPolicy &m_colocation;
     TimePoint m_now;
+    mutable std::size_t m_examinedWorkers = 0;
 };
 
 } // namespace Hyssop
