Admission: check again for another attempt after waiting; names of obstacles in the log follow the code

Finding of the review: an attempt of the same job through this instance that went on while another one waited counted against that one, which was then refused although the job could have been recorded. The names in 'tasks waiting' are those of TaskKind and PlacementObstacle now.

--- a/src/libs/node/jobintake.cpp
+++ b/src/libs/node/jobintake.cpp
@@ -125,6 +125,9 @@
         if (m_table.find(jobId) != nullptr) {
             co_return JobAccepted{};
         }
+        if (m_admission.isSubmitted(jobId, m_clock.now())) {
+            co_return std::nullopt; // by another attempt through this instance meanwhile
+        }
         decision = decideOnServing(jobId, job);
         if (!isCurrent && decision.isRefused()) {
             decision.retryAfter.reset();
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -240,9 +240,9 @@
 {
     switch (kind) {
     case TaskKind::Reserved:
-        return "counted";
+        return "reserved";
     case TaskKind::BestEffort:
-        return "filling";
+        return "best_effort";
     case TaskKind::Serving:
         return "serving";
     }
@@ -259,15 +259,15 @@
     case PlacementObstacle::WorkerPool:
         return "pool";
     case PlacementObstacle::ProcessorCapacity:
-        return "cores";
+        return "processor_capacity";
     case PlacementObstacle::Memory:
         return "memory";
     case PlacementObstacle::Accelerators:
         return "accelerators";
     case PlacementObstacle::RackOrLabel:
-        return "rack";
+        return "rack_or_label";
     case PlacementObstacle::TasksPerWorker:
-        return "apart";
+        return "tasks_per_worker";
     case PlacementObstacle::Advice:
         return "advice";
     case PlacementObstacle::Reserved:
