Small tasks with reserved capacity go to the best fit

Change: they go where the least free capacity is left that suffices; the rack with the data still goes first. A worker that fails its runs would soon be the best fit again for the same task, so workers whose last significant result was a failure come after all sound ones (WorkerHealth::isSuspect()). Quarantine and probes stay as they are.

The reference of the random comparison has the new order, and its workers fail runs.

--- a/src/libs/dispatch/freecapacityindex.h
+++ b/src/libs/dispatch/freecapacityindex.h
@@ -20,25 +20,13 @@
     /// Restores the order after the free capacity of @p worker has changed.
     void update(WorkerState &worker);
 
-    /// Calls @p visit with the workers of @p workerPool that have at least @p milliCores free, from the least to the most free
+    /// Calls @p visitor with the workers of @p workerPool that have at least @p milliCores free, from the least to the most free
     /// capacity, until it returns false.
-    template<typename Visit>
-    void visitAscending(const std::string &workerPool, std::int64_t milliCores, Visit visit) const
+    template<typename Visitor>
+    void visit(const std::string &workerPool, std::int64_t milliCores, Visitor visitor) const
     {
         for (const Entry &entry : entriesFrom(workerPool, milliCores)) {
-            if (!visit(*entry.worker)) {
-                return;
-            }
-        }
-    }
-
-    /// Does the same from the most to the least free capacity.
-    template<typename Visit>
-    void visitDescending(const std::string &workerPool, std::int64_t milliCores, Visit visit) const
-    {
-        const std::span<const Entry> entries = entriesFrom(workerPool, milliCores);
-        for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
-            if (!visit(*entry->worker)) {
+            if (!visitor(*entry.worker)) {
                 return;
             }
         }
--- a/src/libs/dispatch/workerhealth.h
+++ b/src/libs/dispatch/workerhealth.h
@@ -37,6 +37,9 @@
     /// Returns true if another task may be started.
     bool acceptsTask(TimePoint now) const;
 
+    /// Returns true if the last significant result was a failure, so that other workers are to be preferred.
+    bool isSuspect() const { return m_consecutiveFailures > 0 || m_quarantineCount > 0; }
+
     /// Returns how often the worker was quarantined without having proved sound meanwhile.
     int consecutiveQuarantines() const { return m_quarantineCount; }
 
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -20,6 +20,9 @@
 constexpr std::int64_t DataRackBonus = 1'000'000;
 // Score penalty for a utilization of 1 that is added to a serving task, in thousandths of a core.
 constexpr double InterferenceWeight = 200'000;
+// More than the preference for the rack that holds the data.
+constexpr int SoundWorkerPreference = 2;
+
 static bool hasLabel(const WorkerState &worker, const std::string &label)
 {
     return label.empty() || std::ranges::find(worker.info.labels, label) != worker.info.labels.end();
@@ -52,13 +55,17 @@
 static int preference(const WorkerState &worker, const PlacementRequest &request)
 {
     const int rack = isInDataRack(worker, *request.step) ? 1 : 0;
-    return request.step->longRunning ? rack + imageMatch(worker, request.profile->image) : rack;
+    if (request.step->longRunning) {
+        return rack + imageMatch(worker, request.profile->image);
+    }
+    // A worker that fails its runs soon has room again, and would be the best fit for the same task.
+    return rack + (worker.health.isSuspect() ? 0 : SoundWorkerPreference);
 }
 
 /// Returns an upper bound of preference() for tasks of @p step.
 static int maximumPreference(const Wire::TaskStep &step)
 {
-    return (step.dataRack.empty() ? 0 : 1) + (step.longRunning ? 1 : 0);
+    return (step.dataRack.empty() ? 0 : 1) + (step.longRunning ? 1 : SoundWorkerPreference);
 }
 
 } // namespace Internal
@@ -116,12 +123,7 @@
     if (!m_index) {
         m_index.emplace(m_workers);
     }
-    const std::int64_t needed = request.profile->reserved.milliCores;
-    if (step.longRunning) {
-        m_index->visitAscending(request.workerPool, needed, visit);
-    } else {
-        m_index->visitDescending(request.workerPool, needed, visit);
-    }
+    m_index->visit(request.workerPool, request.profile->reserved.milliCores, visit);
     return best;
 }
 
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -38,9 +38,10 @@
 
 /// Filters and scores the workers for a task, for one scheduling pass.
 ///
-/// Load pattern: serving tasks reserve most of the capacity, and best-effort tasks use what these leave idle. Other tasks
-/// with reserved capacity are spread to the workers with the most free capacity. Serving tasks are packed onto few workers,
-/// which leaves other workers to the best-effort tasks that interfere with them. Best-effort tasks go to the workers with
+/// Load pattern: serving tasks reserve most of the capacity, and best-effort tasks use what these leave idle. Tasks with
+/// reserved capacity go where the least free capacity is left that suffices, because many small tasks would otherwise take the
+/// places that few large ones need; a worker whose last runs failed comes last. Serving tasks prefer workers with serving tasks of
+/// the same image, which leaves other workers to the best-effort tasks that interfere with them. Best-effort tasks go to the workers with
 /// the most idle processor time where no serving task comes near its target.
 class WorkerRanking
 {
--- a/tests/libs/dispatch/plainranking.cpp
+++ b/tests/libs/dispatch/plainranking.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::int64_t DataRackBonus = 1'000'000;
 constexpr std::int64_t SameImageBonus = 1'000'000;
+constexpr std::int64_t SoundWorkerBonus = 2'000'000;
 
 static std::int64_t servingScore(const WorkerState &worker, const PlacementRequest &request)
 {
@@ -29,7 +30,10 @@
 {
     const Wire::TaskStep &step = *request.step;
     const std::int64_t bonus = !step.dataRack.empty() && worker.info.rack == step.dataRack ? Internal::DataRackBonus : 0;
-    return bonus + (step.longRunning ? Internal::servingScore(worker, request) : worker.freeCapacity().milliCores);
+    if (step.longRunning) {
+        return bonus + Internal::servingScore(worker, request);
+    }
+    return bonus + (worker.health.isSuspect() ? 0 : Internal::SoundWorkerBonus) - worker.freeCapacity().milliCores;
 }
 
 WorkerState *plainChoice(const std::vector<WorkerState *> &workers, const WorkerRanking &ranking, const PlacementRequest &request)
--- a/tests/libs/dispatch/testplacementcost.cpp
+++ b/tests/libs/dispatch/testplacementcost.cpp
@@ -209,13 +209,17 @@
 
     void changeWorker(WorkerState &worker)
     {
-        const int kind = chance(10);
+        const int kind = chance(12);
         if (kind == 0) {
             worker.info.draining = !worker.info.draining;
         } else if (kind == 1) {
             worker.failedPolls = worker.failedPolls == 0 ? 1 : 0;
         } else if (kind == 2) {
             worker.health.reportRejection(m_now);
+        } else if (kind == 3 && !worker.runs.empty()) {
+            worker.health.reportFailure(worker.runs.begin()->first, m_now);
+        } else if (kind == 4 && !worker.runs.empty()) {
+            worker.health.reportSuccess(worker.runs.begin()->first);
         } else if (!worker.runs.empty()) {
             worker.removeRun(worker.runs.begin()->first);
         }
