Scheduling keys without copies of ids and steps

Cause: for each pending step and pass the key copied the id of its job, twice, and vectors of the done steps and of the ends of steps were allocated; sorting moved the strings, and the queue was looked up again. Change: the key refers to the id, which the job owns, jobs of up to 8 steps need no allocation, and a pending step keeps its queue. Steps with equal keys are now placed by occurrence and number instead of in any order. The keys are the same (schedulingOrder tests unchanged).

theKeyOfAPendingStepDoesNotCopyTheIdOfItsJob does not pass with a copied id.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <tuple>
 
 namespace Hyssop {
 
@@ -19,8 +20,11 @@
 {
     SchedulingKey key;
     JobExecution *job = nullptr;
+    const QueueInfo *queue = nullptr;
     int occurrence = 0;
     int step = 0;
+
+    bool operator<(const PendingStep &other) const { return std::tie(key, occurrence, step) < std::tie(other.key, other.occurrence, other.step); }
 };
 
 static PendingWork pendingWork(const JobExecution &job, int occurrence, const std::vector<StepExecution> &steps)
@@ -44,7 +48,7 @@
             if (!key) {
                 key = schedulingKey(pendingWork(job, occurrence, steps), queue, wall);
             }
-            pending.push_back({*key, &job, occurrence, static_cast<int>(index)});
+            pending.push_back({*key, &job, &queue, occurrence, static_cast<int>(index)});
         }
     }
 }
@@ -86,9 +90,9 @@
     }
     WorkerRanking ranking(std::move(workers), m_evacuated, m_colocation, now);
     m_unschedulable.beginPass(ranking, now);
-    std::ranges::sort(pending, [](const Internal::PendingStep &left, const Internal::PendingStep &right) { return left.key < right.key; });
+    std::sort(pending.begin(), pending.end());
     for (const Internal::PendingStep &item : pending) {
-        placeStep(*item.job, item.occurrence, item.step, ranking, m_config.queues.at(item.job->submission.queue), now);
+        placeStep(*item.job, item.occurrence, item.step, ranking, *item.queue, now);
     }
     ++m_placementWork.passes;
     m_placementWork.examinedWorkers += ranking.examinedWorkers();
--- a/src/libs/dispatch/schedulingkey.cpp
+++ b/src/libs/dispatch/schedulingkey.cpp
@@ -3,7 +3,6 @@
 #include <ports/clusterconfig.h>
 
 #include <algorithm>
-#include <vector>
 
 namespace Hyssop {
 
@@ -26,9 +25,9 @@
 
 } // namespace Internal
 
-std::chrono::milliseconds criticalPathLength(const Wire::StepJob &job, const std::vector<bool> &doneSteps)
+std::chrono::milliseconds criticalPathLength(const Wire::StepJob &job, const DoneSteps &doneSteps)
 {
-    std::vector<std::int64_t> ends(job.steps.size(), 0);
+    boost::container::small_vector<std::int64_t, 8> ends(job.steps.size(), 0);
     std::int64_t longest = 0;
     for (std::size_t index = 0; index < job.steps.size(); ++index) {
         std::int64_t begin = 0;
--- a/src/libs/dispatch/schedulingkey.h
+++ b/src/libs/dispatch/schedulingkey.h
@@ -4,10 +4,11 @@
 
 #include <utils/clock.h>
 
+#include <boost/container/small_vector.hpp>
+
 #include <chrono>
-#include <string>
+#include <string_view>
 #include <tuple>
-#include <vector>
 
 namespace Hyssop {
 
@@ -20,7 +21,7 @@
     int priority = 0;
     int notStarted = 0; // 0: a task of the occurrence was started before
     WallTime deadline{};
-    std::string jobId; // tie-breaker that makes the order total
+    std::string_view jobId; // tie-breaker that makes the order total; owned by the job
 
     bool operator<(const SchedulingKey &other) const
     {
@@ -29,18 +30,21 @@
     }
 };
 
+/// Whether each step of an occurrence is done. Most jobs have few steps.
+using DoneSteps = boost::container::small_vector<bool, 8>;
+
 /// An occurrence of a job with pending steps.
 struct PendingWork
 {
-    std::string jobId;
+    std::string_view jobId; // owned by the job
     const Wire::StepJob &job;
     WallTime releaseTime{};
-    std::vector<bool> doneSteps; // by step
+    DoneSteps doneSteps;
     bool isStarted = false; // a task was started before
 };
 
 /// Returns the estimated duration of the job's critical path; @p doneSteps take no time.
-std::chrono::milliseconds criticalPathLength(const Wire::StepJob &job, const std::vector<bool> &doneSteps = {});
+std::chrono::milliseconds criticalPathLength(const Wire::StepJob &job, const DoneSteps &doneSteps = {});
 
 /// Returns the scheduling key of @p work.
 ///
--- a/tests/libs/dispatch/testpolicies.cpp
+++ b/tests/libs/dispatch/testpolicies.cpp
@@ -112,6 +112,14 @@
     cr_assert(late < expiredJob);
 }
 
+Test(schedulingOrder, theKeyOfAPendingStepDoesNotCopyTheIdOfItsJob)
+{
+    const std::string id = "j";
+    const Wire::StepJob job = jobOf(1000);
+    const SchedulingKey key = schedulingKey({id, job, WallTime(1s), {}, false}, queueOf(0), WallTime(1s));
+    cr_assert_eq(key.jobId.data(), id.data());
+}
+
 Test(schedulingOrder, priorityThenDeadline)
 {
     const WallTime now{100000s};
