--- a/src/libs/dispatch/roomreservation.h
+++ b/src/libs/dispatch/roomreservation.h
@@ -13,7 +13,7 @@
 struct RoomReservation
 {
     TaskId step; // the task index is unused
-    SchedulingKey key; // of the step
+    SchedulingKey key; // of the step, without the id of the job
     Resources task; // what the task needs
     std::uint64_t pass = 0; // scheduling pass in which the room was last reserved
 };
--- a/src/libs/dispatch/roomreservations.cpp
+++ b/src/libs/dispatch/roomreservations.cpp
@@ -76,8 +76,10 @@
     const std::size_t count = std::min({candidates.size(), tasks, most - std::min(most, reserved)});
     const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
     std::partial_sort(candidates.begin(), end, candidates.end(), std::greater<>());
+    SchedulingKey key = *request.key;
+    key.jobId = {}; // the job may be removed before the reservation
     for (auto candidate = candidates.begin(); candidate != end; ++candidate) {
-        candidate->worker->reservation = RoomReservation{*request.stepId, *request.key, request.profile->reserved, m_pass};
+        candidate->worker->reservation = RoomReservation{*request.stepId, key, request.profile->reserved, m_pass};
     }
     reserved += count;
     if (count > 0) {
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -23,6 +23,8 @@
 constexpr double InterferenceWeight = 200'000;
 // Loss of preference of serving tasks for taking a reserved place. It outweighs a different image and the data rack.
 constexpr int ReservedPlacePenalty = 4;
+// More than the preference for the rack that holds the data.
+constexpr int SoundWorkerPreference = 2;
 
 static bool hasLabel(const WorkerState &worker, const std::string &label)
 {
@@ -56,17 +58,18 @@
 static int preference(const WorkerState &worker, const PlacementRequest &request)
 {
     const int rack = isInDataRack(worker, *request.step) ? 1 : 0;
-    if (!request.step->longRunning) {
-        return rack;
+    if (request.step->longRunning) {
+        const bool sparesPlaces = request.shortTaskPlaces == nullptr || request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores);
+        return rack + imageMatch(worker, request.profile->image) - (sparesPlaces ? 0 : ReservedPlacePenalty);
     }
-    const bool sparesPlaces = request.shortTaskPlaces == nullptr || request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores);
-    return rack + imageMatch(worker, request.profile->image) - (sparesPlaces ? 0 : ReservedPlacePenalty);
+    // A worker that fails its runs soon has room again, and would be the best fit for the same task.
+    return rack + (worker.health.isSuspect() ? 0 : SoundWorkerPreference);
 }
 
 /// Returns an upper bound of preference() for tasks of @p step.
 static int maximumPreference(const Wire::TaskStep &step)
 {
-    return (step.dataRack.empty() ? 0 : 1) + (step.longRunning ? 1 : 0);
+    return (step.dataRack.empty() ? 0 : 1) + (step.longRunning ? 1 : SoundWorkerPreference);
 }
 
 } // namespace Internal
@@ -124,12 +127,7 @@
     if (!m_index) {
         m_index.emplace(m_workers);
     }
-    const std::int64_t needed = request.profile->reserved.milliCores;
-    if (step.longRunning) {
-        m_index->visitAscending(request.workerPool, needed, visit);
-    } else {
-        m_index->visitDescending(request.workerPool, needed, visit);
-    }
+    m_index->visit(request.workerPool, request.profile->reserved.milliCores, visit);
     return best;
 }
 
