--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -63,7 +63,7 @@
             indexes.push_back(index);
         }
     }
-    std::ranges::stable_partition(indexes, [&](std::size_t index) { return step.tasks[index].run > 0; });
+    std::stable_partition(indexes.begin(), indexes.end(), [&](std::size_t index) { return step.tasks[index].run > 0; });
     return indexes;
 }
 
