--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -218,10 +218,10 @@
 
 void Dispatcher::reserveRoom(const StepExecution &execution, const WorkerRanking &ranking, const PlacementRequest &request)
 {
-    const bool isCounted = !request.step->longRunning && !request.step->fillsIdle && !request.step->gang;
+    const bool takesCapacity = !request.step->longRunning && !request.step->fillsIdle && !request.step->gang;
     // The smallest tasks need no reservation: nothing takes their room.
     const bool isLarge = request.step->milliCores > m_shortTaskReserve.smallestTask(request.workerPool);
-    if (isCounted && isLarge && execution.pending > 0 && !request.key->isExpired()) {
+    if (takesCapacity && isLarge && execution.pending > 0 && !request.key->isExpired()) {
         m_reservations.reserve(ranking, request, static_cast<std::size_t>(execution.pending));
     }
 }
--- a/src/libs/dispatch/roomreservations.cpp
+++ b/src/libs/dispatch/roomreservations.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <functional>
 #include <tuple>
-#include <utility>
 #include <vector>
 
 namespace Hyssop {
@@ -45,7 +44,6 @@
 void RoomReservations::beginPass()
 {
     ++m_pass;
-    m_previousSteps = std::exchange(m_steps, {});
     m_reserved.clear();
     m_searches = 0;
     m_searchedSteps = 0;
@@ -82,15 +80,6 @@
         candidate->worker->reservation = RoomReservation{*request.stepId, key, request.profile->reserved, m_pass};
     }
     reserved += count;
-    if (count > 0) {
-        m_steps.push_back(*request.stepId);
-    }
-}
-
-bool RoomReservations::hasReservation(const PlacementRequest &request) const
-{
-    const auto isOwn = [&](const TaskId &step) { return request.stepId != nullptr && Internal::isSameStep(step, *request.stepId); };
-    return std::ranges::any_of(m_steps, isOwn) || std::ranges::any_of(m_previousSteps, isOwn);
 }
 
 bool RoomReservations::allows(const WorkerState &worker, const PlacementRequest &request) const
--- a/src/libs/dispatch/roomreservations.h
+++ b/src/libs/dispatch/roomreservations.h
@@ -1,12 +1,9 @@
 #pragma once
 
-#include <ports/taskid.h>
-
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
-#include <vector>
 
 namespace Hyssop {
 
@@ -33,9 +30,6 @@
     /// preferably those of the last pass, and only a few steps are considered in a pass.
     void reserve(const WorkerRanking &ranking, const PlacementRequest &request, std::size_t tasks);
 
-    /// Returns true if a worker is reserved for the step of @p request.
-    bool hasReservation(const PlacementRequest &request) const;
-
     /// Returns true if a task of @p request may take room of @p worker.
     bool allows(const WorkerState &worker, const PlacementRequest &request) const;
 
@@ -44,8 +38,6 @@
     bool holds(const WorkerState &worker) const;
 
     std::uint64_t m_pass = 0;
-    std::vector<TaskId> m_steps; // with reserved workers, in this pass
-    std::vector<TaskId> m_previousSteps; // in the last pass
     std::map<std::string, std::size_t> m_reserved; // number of workers by pool, in this pass
     int m_searches = 0; // in this pass
     int m_searchedSteps = 0; // for which a worker was suitable
