One lookup for the tasks of a job

Cause: the lookup of a task by step and index stood in JobRegistry and, since reports look up each job once, in JobExecution as well.

Change: JobRegistry::task() and stepOf() find the job and ask it. Behaviour is the same.

--- a/src/libs/dispatch/jobexecution.h
+++ b/src/libs/dispatch/jobexecution.h
@@ -44,8 +44,9 @@
 
     const Wire::TaskStep &step(int index) const { return submission.steps[static_cast<std::size_t>(index)]; }
 
-    /// Returns the task of @p id, which belongs to this job, or a null pointer if it does not exist (any more).
+    /// Returns the task of @p id, which belongs to this job, or its step, or a null pointer if it does not exist (any more).
     TaskExecution *findTask(const TaskId &id);
+    StepExecution *findStep(const TaskId &id);
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/jobregistry.cpp
+++ b/src/libs/dispatch/jobregistry.cpp
@@ -57,23 +57,13 @@
 StepExecution *JobRegistry::stepOf(const TaskId &id)
 {
     JobExecution *job = find(id.job);
-    if (job == nullptr) {
-        return nullptr;
-    }
-    const auto steps = job->occurrences.find(id.occurrence);
-    if (steps == job->occurrences.end() || id.step < 0 || id.step >= static_cast<int>(steps->second.size())) {
-        return nullptr;
-    }
-    return &steps->second[static_cast<std::size_t>(id.step)];
+    return job != nullptr ? job->findStep(id) : nullptr;
 }
 
 TaskExecution *JobRegistry::task(const TaskId &id)
 {
-    StepExecution *step = stepOf(id);
-    if (step == nullptr || id.index < 0 || id.index >= static_cast<int>(step->tasks.size())) {
-        return nullptr;
-    }
-    return &step->tasks[static_cast<std::size_t>(id.index)];
+    JobExecution *job = find(id.job);
+    return job != nullptr ? job->findTask(id) : nullptr;
 }
 
 void JobRegistry::markChanged(JobExecution &job)
