Saturated tail latencies do not lower learned effects

Cause: utilization is inferred as 1 - base / tail, which stays below 1 however far the load exceeds the capacity. The fit took that value as exact.

Change: an observation at 0.9 or more is a lower bound. It is skipped where the model expects as much or more, and still raises coefficients otherwise.

The test saturationDoesNotLowerEffects failed before: "it has fallen to 0.056481", of 0.22. The other one passed before.

--- a/src/libs/dispatch/taillatencymodel.cpp
+++ b/src/libs/dispatch/taillatencymodel.cpp
@@ -17,6 +17,8 @@
 constexpr double MaximumVariance = 4.0;
 constexpr double MinimumOwnWeight = 0.002; // weight of an observation in m_ownUtilization
 constexpr double MaximumUtilization = 0.995;
+// The inferred utilization stays below 1 however far the load exceeds the capacity, so from here on it is a lower bound.
+constexpr double SaturatedUtilization = 0.9;
 
 } // namespace Internal
 
@@ -27,8 +29,12 @@
     }
     m_baseMs = m_baseMs == 0 ? tailMs : std::min(m_baseMs, tailMs);
     const double utilization = utilizationOf(tailMs);
+    const double added = addedUtilization(colocated);
+    if (utilization >= Internal::SaturatedUtilization && utilization < own.utilization + added) {
+        return;
+    }
     ++m_observations;
-    m_ownUtilization += std::max(Internal::MinimumOwnWeight, 1.0 / m_observations) * (utilization - addedUtilization(colocated) - m_ownUtilization);
+    m_ownUtilization += std::max(Internal::MinimumOwnWeight, 1.0 / m_observations) * (utilization - added - m_ownUtilization);
     fit(utilization - own.utilization, own.variance, colocated);
 }
 
--- a/src/libs/dispatch/taillatencymodel.h
+++ b/src/libs/dispatch/taillatencymodel.h
@@ -20,6 +20,7 @@
 /// The tail latency of a server with utilization u grows as base / (1 - u), so the utilization is inferred as
 /// 1 - base / tail. It is modelled as the load of the job itself plus, for each neighbouring image, a coefficient times the
 /// load of that image. The coefficients are fitted by recursive least squares. The base is the lowest tail latency seen.
+/// Near saturation the inferred utilization is a lower bound, so it can raise coefficients, but does not lower them.
 class TailLatencyModel
 {
 public:
--- a/tests/libs/dispatch/testcolocation.cpp
+++ b/tests/libs/dispatch/testcolocation.cpp
@@ -126,6 +126,42 @@
     cr_assert_float_eq(model.ownUtilization(), 1 - 0.58 * 5 / 4, 0.1);
 }
 
+// Fails if the tail latency of a saturated server is taken as exact: the effects then fall until their sum is just below 1.
+Test(tailLatencyModel, saturationDoesNotLowerEffects)
+{
+    constexpr double Own = 0.5;
+    constexpr double Coefficient = 2.2;
+    constexpr double LoadOfOne = 0.1;
+    TailLatencyModel model;
+    model.observe(BaseMs, {0, 0.004}, {});
+    for (int sample = 0; sample < 200; ++sample) {
+        const double load = sample % 2 * LoadOfOne;
+        model.observe(tailOf(Own, Coefficient * load), {Own, 0.004}, {{1, load}});
+    }
+    cr_assert_float_eq(model.addedUtilization({1, LoadOfOne}), Coefficient * LoadOfOne, 0.03);
+    for (int sample = 0; sample < 20; ++sample) {
+        const std::vector<NeighbourLoad> colocated(10, {1, LoadOfOne});
+        model.observe(tailOf(Own, Coefficient * LoadOfOne * 10), {Own, 0.004}, colocated);
+    }
+    cr_assert_gt(model.addedUtilization({1, LoadOfOne}), 0.8 * Coefficient * LoadOfOne, "it has fallen to %f", model.addedUtilization({1, LoadOfOne}));
+}
+
+// Saturation still shows that effects are higher than learned.
+Test(tailLatencyModel, saturationRaisesEffects)
+{
+    constexpr double Own = 0.5;
+    TailLatencyModel model;
+    model.observe(BaseMs, {0, 0.004}, {});
+    for (int sample = 0; sample < 40; ++sample) {
+        model.observe(tailOf(Own, 0), {Own, 0.004}, {{1, sample % 2 * 0.1}});
+    }
+    cr_assert_lt(model.addedUtilization({1, 0.1}), 0.03);
+    for (int sample = 0; sample < 40; ++sample) {
+        model.observe(tailOf(Own, 1), {Own, 0.004}, {{1, 0.1}});
+    }
+    cr_assert_gt(model.addedUtilization({1, 0.1}), 0.1, "it is %f", model.addedUtilization({1, 0.1}));
+}
+
 Test(tailLatencyModel, learnedEffectsSurviveAFailover)
 {
     TailLatencyModel model;
