Best-effort tasks run beside serving tasks at the speed that the targets allow

Callers saw LOST: accepted best-effort work did not start for up to 101 s beside idle workers.

Cause: a task was started only where its whole effect fits beside the peak of the serving load within 2 or 4 s. Images that interfere with all serving images never fit on a worker with serving runs, although speeds are adjusted each 250 ms once a task runs. The workers without serving runs, a fifth of the fleet, could not keep up with what arrives, and nothing bounded the wait.

Change: IdleCapacityPolicy, one class, decides which best-effort task gets idle processor time. A task needs headroom until its speed can be adjusted (1 s). A step of which no task has run for 5 s is overdue; one task of it starts where 0.3 of its effect fits, on the worker with the most headroom left. The forecast has one horizon for headroom instead of two, which the speeds use as well.

--- a/src/libs/dispatch/colocationpolicy.cpp
+++ b/src/libs/dispatch/colocationpolicy.cpp
@@ -14,8 +14,6 @@
 // Time from the placement decision until the task runs.
 constexpr std::chrono::milliseconds StartLatency{200};
 constexpr double PlacementMargin = 0.05; // utilization
-// Speeds stay in effect until the next report of the worker.
-constexpr std::chrono::milliseconds ThrottleHorizon{1000};
 constexpr std::chrono::milliseconds UnthrottleHorizon{1800};
 constexpr double ThrottleMargin = 0.0;
 constexpr double UnthrottleMargin = 0.02;
@@ -86,8 +84,8 @@
         if (serving.servingMilliCores == 0) {
             continue;
         }
-        const double shortTerm = m_loadForecast.maximum(id.job, now, now + ServingForecast::ShortHorizon);
-        forecast.milliCores += static_cast<std::int64_t>(shortTerm * static_cast<double>(serving.servingMilliCores));
+        const double use = m_loadForecast.maximum(id.job, now, now + ServingForecast::ProcessorHorizon);
+        forecast.milliCores += static_cast<std::int64_t>(use * static_cast<double>(serving.servingMilliCores));
         if (model == nullptr) {
             continue;
         }
@@ -95,8 +93,8 @@
         for (const auto &[bestEffortId, bestEffort] : worker.runs) {
             headroom -= bestEffort.isBestEffort && !isEnding(bestEffort) ? Internal::effectOf(*model, bestEffort, worker.info.capacity.milliCores) : 0;
         }
-        const double longTerm = m_loadForecast.maximum(id.job, now, now + ServingForecast::LongHorizon);
-        forecast.add({serving.image, headroom - shortTerm, headroom - longTerm});
+        const double load = m_loadForecast.maximum(id.job, now, now + ServingForecast::ControlHorizon);
+        forecast.add({serving.image, headroom - load});
     }
     return forecast;
 }
@@ -113,7 +111,7 @@
     if (std::ranges::none_of(runs, isBestEffort)) {
         return std::vector<int>(runs.size(), 100);
     }
-    std::vector<int> needed = speedsWithinTargets(runs, capacity, now, now + Internal::ThrottleHorizon, Internal::ThrottleMargin);
+    std::vector<int> needed = speedsWithinTargets(runs, capacity, now, now + ServingForecast::ControlHorizon, Internal::ThrottleMargin);
     const auto isThrottled = [&](const ColocatedRun &run) { return isBestEffort(run) && run.speedPercent < 100; };
     if (std::ranges::none_of(runs, isThrottled)) {
         return needed;
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -149,6 +149,8 @@
     request.stepId = &stepId;
     request.key = &key;
     request.reservations = &m_reservations;
+    execution.updateWaiting(now);
+    request.isOverdue = request.step->fillsIdle && IdleCapacityPolicy::isOverdue(execution, now);
     const bool isUnschedulable = m_unschedulable.contains(request);
     if (isUnschedulable && !queue.advice) {
         if (request.step->perWorker == 0) {
@@ -212,6 +214,10 @@
         assignRun(job, {job.id, step.occurrence, step.step, static_cast<int>(index)}, task, *worker, task.run + 1, now);
         ranking.capacityChanged(*worker);
         ++perWorker[worker->info.id];
+        if (request.isOverdue) {
+            request.isOverdue = false; // a task of the step runs now
+            candidates = ranking.rankCandidates(request);
+        }
     }
     reserveRoom(execution, ranking, request);
 }
--- a/src/libs/dispatch/dispatchreport.cpp
+++ b/src/libs/dispatch/dispatchreport.cpp
@@ -135,6 +135,7 @@
     request.workerPool = queue->second.workerPool;
     request.profile = &profile;
     request.stepTasksByWorker = &perWorker;
+    request.isOverdue = request.step->fillsIdle && IdleCapacityPolicy::isOverdue(execution, now);
     request.tickets = queue->second.advice ? m_tickets.tickets(stepId, now) : nullptr;
     for (auto &[id, worker] : m_workers) {
         const auto obstacle = ranking.isAvailable(worker) ? ranking.obstacle(worker, request) : PlacementObstacle::Unavailable;
--- /dev/null
+++ b/src/libs/dispatch/idlecapacitypolicy.cpp
@@ -0,0 +1,69 @@
+#include "idlecapacitypolicy.h"
+
+#include "colocationpolicy.h"
+#include "stepexecution.h"
+#include "workerstate.h"
+
+#include <algorithm>
+
+namespace Hyssop {
+
+namespace Internal {
+
+// A best-effort task is placed where at least this share of its processor time is expected to be idle.
+constexpr int MinimumIdlePercent = 80;
+// An overdue task is started where it can run at this share of its speed, which leaves a margin for the time until it is slowed down.
+constexpr double MinimumSpeedShare = 0.3;
+// Score penalty for a utilization of 1 that is added to a serving task, in thousandths of a core.
+constexpr double InterferenceWeight = 200'000;
+// Score of a utilization of 1 that an overdue task leaves to the serving tasks.
+constexpr double RemainingHeadroomWeight = 1'000'000;
+
+} // namespace Internal
+
+IdleCapacityPolicy::IdleCapacityPolicy(const ColocationPolicy &colocationPolicy)
+    : m_colocation(colocationPolicy)
+{
+}
+
+bool IdleCapacityPolicy::isOverdue(const StepExecution &step, TimePoint now)
+{
+    return step.waitingSince && now - *step.waitingSince >= MaximumWait;
+}
+
+std::optional<PlacementObstacle> IdleCapacityPolicy::obstacle(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const
+{
+    if (worker.overTargetSince) {
+        return PlacementObstacle::OverTarget;
+    }
+    if (worker.expectedIdleMilliCores(forecast) * 100 < task.profile->bestEffortMilliCores * Internal::MinimumIdlePercent) {
+        return PlacementObstacle::IdleProcessorTime;
+    }
+    return hasHeadroom(worker, forecast, task) ? std::nullopt : std::optional(PlacementObstacle::Headroom);
+}
+
+bool IdleCapacityPolicy::hasHeadroom(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const
+{
+    const double speedShare = task.isOverdue ? Internal::MinimumSpeedShare : 1;
+    return std::ranges::all_of(forecast.headrooms, [&](const ServingForecast::Headroom &headroom) {
+        const double added = m_colocation.addedUtilization(headroom.image, *task.profile, worker.info.capacity.milliCores);
+        return added < ColocationPolicy::NegligibleUtilization || added * speedShare < headroom.utilization;
+    });
+}
+
+std::int64_t IdleCapacityPolicy::score(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const
+{
+    double most = 0; // that the task adds to a serving task
+    double leastLeft = 1; // headroom after its start
+    for (const ServingForecast::Headroom &headroom : forecast.headrooms) {
+        const double added = m_colocation.addedUtilization(headroom.image, *task.profile, worker.info.capacity.milliCores);
+        most = std::max(most, added);
+        leastLeft = std::min(leastLeft, headroom.utilization - added);
+    }
+    if (task.isOverdue) {
+        return static_cast<std::int64_t>(leastLeft * Internal::RemainingHeadroomWeight);
+    }
+    return worker.expectedIdleMilliCores(forecast) - static_cast<std::int64_t>(most * Internal::InterferenceWeight);
+}
+
+} // namespace Hyssop
--- /dev/null
+++ b/src/libs/dispatch/idlecapacitypolicy.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "placementobstacle.h"
+
+#include <utils/clock.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace Hyssop {
+
+class ColocationPolicy;
+struct RunProfile;
+struct ServingForecast;
+struct StepExecution;
+struct WorkerState;
+
+/// Decides which best-effort tasks may use the processor time that stands free on a worker.
+///
+/// Load pattern: some images of best-effort tasks interfere strongly with nearly every serving image, and more of their tasks arrive than
+/// the workers without serving tasks can run. Serving tasks are spread over most workers. The effect of such a task does not fit beside the
+/// peak of their load on any of these, although most processor time is idle and the peak is short.
+///
+/// A task is started where its effect fits until its speed can be adjusted; from then on ColocationPolicy::speeds() keeps the targets. A
+/// step of which no task has run for MaximumWait is overdue. One task of it is started where it can run at a reduced speed. That also
+/// corrects learned effects that are too high, which are not observed while nothing is started.
+///
+/// Invariant: no task is started beside a serving task that exceeds its target. Where other workers have enough idle time, an overdue step waits
+/// only while a reduced speed would not keep the targets there either.
+class IdleCapacityPolicy
+{
+public:
+    // For callers it is short against the run times of best-effort work, and long against the fluctuation of the headroom.
+    static constexpr std::chrono::milliseconds MaximumWait{5000};
+
+    /// A best-effort task that waits for a worker.
+    struct Task
+    {
+        const RunProfile *profile = nullptr;
+        bool isOverdue = false; // no task of its step runs, and none did for MaximumWait
+    };
+
+    /// The argument must outlive this object.
+    explicit IdleCapacityPolicy(const ColocationPolicy &colocationPolicy);
+
+    /// Returns true if a best-effort step with this execution state is overdue.
+    static bool isOverdue(const StepExecution &step, TimePoint now);
+
+    /// Returns why @p task must not be started on @p worker, whose forecast is @p forecast, or nothing if it may be.
+    std::optional<PlacementObstacle> obstacle(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const;
+
+    /// Returns how well @p worker suits @p task; more is better. Scores of overdue tasks can't be compared with those of others.
+    std::int64_t score(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const;
+
+private:
+    bool hasHeadroom(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const;
+
+    const ColocationPolicy &m_colocation;
+};
+
+} // namespace Hyssop
--- a/src/libs/dispatch/servingforecast.cpp
+++ b/src/libs/dispatch/servingforecast.cpp
@@ -11,8 +11,7 @@
         headrooms.push_back(headroom);
         return;
     }
-    known->shortTerm = std::min(known->shortTerm, headroom.shortTerm);
-    known->longTerm = std::min(known->longTerm, headroom.longTerm);
+    known->utilization = std::min(known->utilization, headroom.utilization);
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/stepexecution.cpp
+++ b/src/libs/dispatch/stepexecution.cpp
@@ -23,6 +23,9 @@
         latestNotBefore = std::max(latestNotBefore, task.notBefore);
     }
     task.phase = phase;
+    if (task.isOpen()) {
+        waitingSince.reset();
+    }
 }
 
 void StepExecution::setRun(TaskExecution &task, int run)
@@ -40,6 +43,15 @@
     maximumFailures = std::max(maximumFailures, failures);
 }
 
+void StepExecution::updateWaiting(TimePoint now)
+{
+    if (openTasks() > 0) {
+        waitingSince.reset();
+    } else if (!waitingSince) {
+        waitingSince = now;
+    }
+}
+
 bool StepExecution::hasPendingTask(TimePoint now) const
 {
     if (pending == 0) {
--- a/src/libs/dispatch/stepexecution.h
+++ b/src/libs/dispatch/stepexecution.h
@@ -3,6 +3,7 @@
 #include "taskexecution.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,7 @@
     int started = 0; // tasks that had a run and are not done
     bool hasBegun = false; // a task had a run
     int maximumFailures = 0; // of a task
+    std::optional<TimePoint> waitingSince; // since then no task has a run; see updateWaiting()
     TimePoint latestNotBefore{}; // from then on, no pending task is held back by its notBefore
 
     /// Adds the tasks, which are pending.
@@ -31,6 +33,12 @@
     void setRun(TaskExecution &task, int run);
     void setFailures(TaskExecution &task, int failures);
 
+    /// Takes into account that a pending task may be started at @p now.
+    void updateWaiting(TimePoint now);
+
+    /// Returns the number of tasks that have a run now.
+    int openTasks() const { return static_cast<int>(tasks.size()) - done - pending; }
+
     /// Returns true if a pending task may be started at @p now.
     bool hasPendingTask(TimePoint now) const;
 
--- a/src/libs/dispatch/unschedulablerequests.cpp
+++ b/src/libs/dispatch/unschedulablerequests.cpp
@@ -32,6 +32,7 @@
         request.step = &entry.step;
         request.workerPool = kind.workerPool;
         request.profile = &entry.profile;
+        request.isOverdue = kind.isOverdue;
         return std::ranges::any_of(workers, [&](WorkerState *worker) { return ranking.fits(*worker, request); });
     };
     for (auto &item : m_entries) {
@@ -66,7 +67,7 @@
 {
     Kind kind{request.workerPool, request.step->label, request.step->fillsIdle, false, 0};
     if (kind.isBestEffort) {
-        kind.isShort = WorkerRanking::isShort(*request.step);
+        kind.isOverdue = request.isOverdue;
         kind.image = request.profile->image;
     }
     return kind;
--- a/src/libs/dispatch/unschedulablerequests.h
+++ b/src/libs/dispatch/unschedulablerequests.h
@@ -45,13 +45,13 @@
         std::string workerPool;
         std::string label;
         bool isBestEffort = false;
-        bool isShort = false; // of best-effort tasks, which need headroom until their end
+        bool isOverdue = false; // of best-effort tasks, for which a reduced speed is sufficient
         std::uint32_t image = 0; // of best-effort tasks, which interfere with serving tasks
 
         bool operator<(const Kind &other) const
         {
-            return std::tie(workerPool, label, isBestEffort, isShort, image)
-                < std::tie(other.workerPool, other.label, other.isBestEffort, other.isShort, other.image);
+            return std::tie(workerPool, label, isBestEffort, isOverdue, image)
+                < std::tie(other.workerPool, other.label, other.isBestEffort, other.isOverdue, other.image);
         }
     };
 
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -15,12 +15,8 @@
 constexpr std::chrono::milliseconds WorkerTimeout{2500};
 // Forecasts for the serving runs on a worker are recomputed after this time.
 constexpr std::chrono::milliseconds MaximumForecastAge{100};
-// A best-effort task is placed where at least this share of its processor time is expected to be idle.
-constexpr int MinimumIdlePercent = 80;
 // Score of a best-effort task for the rack that holds the data, in thousandths of a core that is expected to be idle.
 constexpr std::int64_t DataRackBonus = 1'000'000;
-// Score penalty for a utilization of 1 that is added to a serving task, in thousandths of a core.
-constexpr double InterferenceWeight = 200'000;
 // Loss of preference of serving tasks for taking a reserved place. It outweighs a different image and the data rack.
 constexpr int ReservedPlacePenalty = 4;
 // More than the preference for the rack that holds the data.
@@ -93,6 +89,7 @@
     : m_workers(std::move(workers))
     , m_evacuatedDomains(evacuatedDomains)
     , m_colocation(colocationPolicy)
+    , m_idleCapacity(colocationPolicy)
     , m_now(now)
 {
     std::erase_if(m_workers, [&](const WorkerState *worker) { return !isAvailable(*worker) || !worker->health.acceptsTask(now); });
@@ -239,13 +236,8 @@
 
 std::int64_t WorkerRanking::bestEffortScore(WorkerState &worker, const PlacementRequest &request) const
 {
-    const ServingForecast &forecast = forecastOf(worker);
-    double maximum = 0;
-    for (const ServingForecast::Headroom &headroom : forecast.headrooms) {
-        maximum = std::max(maximum, m_colocation.addedUtilization(headroom.image, *request.profile, worker.info.capacity.milliCores));
-    }
     const std::int64_t bonus = Internal::isInDataRack(worker, *request.step) ? Internal::DataRackBonus : 0;
-    return bonus + worker.expectedIdleMilliCores(forecast) - static_cast<std::int64_t>(maximum * Internal::InterferenceWeight);
+    return bonus + m_idleCapacity.score(worker, forecastOf(worker), {request.profile, request.isOverdue});
 }
 
 const ServingForecast &WorkerRanking::forecastOf(WorkerState &worker) const
@@ -256,28 +248,6 @@
     return worker.forecast;
 }
 
-bool WorkerRanking::isShort(const Wire::TaskStep &step)
-{
-    return step.estimateMs <= ServingForecast::ShortHorizon.count();
-}
-
-std::optional<PlacementObstacle> WorkerRanking::colocationObstacle(WorkerState &worker, const PlacementRequest &request) const
-{
-    const ServingForecast &forecast = forecastOf(worker);
-    if (worker.overTargetSince) {
-        return PlacementObstacle::OverTarget;
-    }
-    if (worker.expectedIdleMilliCores(forecast) * 100 < request.step->milliCores * Internal::MinimumIdlePercent) {
-        return PlacementObstacle::IdleProcessorTime;
-    }
-    const bool isShortTask = isShort(*request.step);
-    const bool hasHeadroom = std::ranges::all_of(forecast.headrooms, [&](const ServingForecast::Headroom &headroom) {
-        const double added = m_colocation.addedUtilization(headroom.image, *request.profile, worker.info.capacity.milliCores);
-        return added < ColocationPolicy::NegligibleUtilization || added < (isShortTask ? headroom.shortTerm : headroom.longTerm);
-    });
-    return hasHeadroom ? std::nullopt : std::optional(PlacementObstacle::Headroom);
-}
-
 std::optional<PlacementObstacle> WorkerRanking::conditionObstacle(const WorkerState &worker, const PlacementRequest &request) const
 {
     const Wire::TaskStep &step = *request.step;
@@ -332,7 +302,10 @@
     if (request.mustLeavePlaces && !request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores)) {
         return PlacementObstacle::ShortTaskReserve;
     }
-    return request.step->fillsIdle ? colocationObstacle(worker, request) : std::nullopt;
+    if (!request.step->fillsIdle) {
+        return std::nullopt;
+    }
+    return m_idleCapacity.obstacle(worker, forecastOf(worker), {request.profile, request.isOverdue});
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "freecapacityindex.h"
+#include "idlecapacitypolicy.h"
 #include "placementobstacle.h"
 #include "workerstate.h"
 
@@ -37,6 +38,7 @@
     const TaskId *stepId = nullptr; // of the task; null: unknown
     const SchedulingKey *key = nullptr; // order in which the step is scheduled; null: unknown
     const RoomReservations *reservations = nullptr; // that hold now; null: none
+    bool isOverdue = false; // best-effort task of an overdue step; see IdleCapacityPolicy
     bool mustLeavePlaces = false; // the task waits rather than take a reserved place
 };
 
@@ -48,8 +50,8 @@
 /// Load pattern: serving tasks reserve most of the capacity, and best-effort tasks use what these leave idle. Tasks with
 /// reserved capacity go where the least free capacity is left that suffices, because many small tasks would otherwise take the
 /// places that few large ones need; a worker whose last runs failed comes last. Serving tasks prefer workers with serving tasks of
-/// the same image, which leaves other workers to the best-effort tasks that interfere with them. Best-effort tasks go to the workers with
-/// the most idle processor time where no serving task comes near its target.
+/// the same image, which leaves other workers to the best-effort tasks that interfere with them. Where best-effort tasks go is up to
+/// IdleCapacityPolicy.
 class WorkerRanking
 {
 public:
@@ -91,9 +93,6 @@
     /// Returns true if @p worker could take a task of @p request if fewer others ran there.
     bool lacksOnlyRoom(const WorkerState &worker, const PlacementRequest &request) const;
 
-    /// Returns true if a best-effort task of @p step needs headroom for a short time only.
-    static bool isShort(const Wire::TaskStep &step);
-
     /// Returns the workers on which tasks can be started.
     const std::vector<WorkerState *> &workers() const { return m_workers; }
 
@@ -107,8 +106,6 @@
     /// Returns which resource @p worker lacks.
     static std::optional<PlacementObstacle> roomObstacle(const WorkerState &worker, const PlacementRequest &request);
 
-    std::optional<PlacementObstacle> colocationObstacle(WorkerState &worker, const PlacementRequest &request) const;
-
     /// Returns the best worker for a task with reserved capacity, or a null pointer.
     WorkerState *chooseForReserved(const PlacementRequest &request) const;
 
@@ -124,6 +121,7 @@
     mutable std::optional<FreeCapacityIndex> m_index; // of m_workers, built when it is first needed
     const std::set<std::string> &m_evacuatedDomains;
     const ColocationPolicy &m_colocation;
+    IdleCapacityPolicy m_idleCapacity;
     TimePoint m_now;
     mutable std::size_t m_examinedWorkers = 0;
 };
--- /dev/null
+++ b/tests/libs/dispatch/colocatedfleet.cpp
@@ -0,0 +1,215 @@
+#include "colocatedfleet.h"
+
+#include <dispatch/claimtimes.h>
+#include <jobtopic/jobtable.h>
+#include <utils/overloaded.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+
+namespace Hyssop::Testing {
+
+namespace Internal {
+
+constexpr std::int64_t WorkerMemoryBytes = 256'000'000'000;
+constexpr double MeanLoad = 0.42;
+constexpr double LoadSwing = 0.5; // share of the mean load
+constexpr double MaximumUtilization = 0.99;
+
+} // namespace Internal
+
+ColocatedFleet::ColocatedFleet(int workers, std::int64_t milliCores)
+{
+    QueueInfo queue;
+    queue.name = "batch";
+    queue.workerPool = "hall";
+    queue.deadlineFactor = 2;
+    queue.maximumFailures = 3;
+    ClusterConfig config;
+    config.queues[queue.name] = queue;
+    m_dispatcher.applyConfiguration(config, {});
+    m_dispatcher.beginTerm(1, JobTable(), {m_now, m_now}, true);
+    for (int number = 0; number < workers; ++number) {
+        const std::size_t index = m_workers.size();
+        WorkerInfo &info = m_workers.emplace_back().info;
+        info.id = "w" + std::to_string(number);
+        info.workerPool = "hall";
+        info.address = "127.0.0.1:1";
+        info.capacity.milliCores = milliCores;
+        info.capacity.memoryBytes = Internal::WorkerMemoryBytes;
+        m_indexes[info.id] = index;
+        m_dispatcher.updateWorker(info);
+    }
+}
+
+void ColocatedFleet::submitServing(const std::string &jobId, int tasks, std::int64_t milliCores, Duration peak)
+{
+    Wire::TaskStep step;
+    step.longRunning = true;
+    step.tailTargetMs = TailTargetMs;
+    step.image = "service";
+    step.milliCores = milliCores;
+    step.taskCount = tasks;
+    step.perWorker = 1;
+    Job job;
+    job.peak = peak;
+    submit(jobId, step, job);
+}
+
+void ColocatedFleet::submitBestEffort(const std::string &jobId, int tasks, std::int64_t milliCores, const std::string &image, double effect, Duration duration)
+{
+    Wire::TaskStep step;
+    step.fillsIdle = true;
+    step.image = image;
+    step.milliCores = milliCores;
+    step.taskCount = tasks;
+    step.estimateMs = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    Job job;
+    job.effect = effect;
+    job.duration = duration;
+    submit(jobId, step, job);
+}
+
+void ColocatedFleet::submit(const std::string &jobId, Wire::TaskStep step, const Job &job)
+{
+    TopicJob entry;
+    entry.submission.emplace();
+    entry.submission->queue = "batch";
+    entry.submission->acceptedAtMs = sinceEpoch(wall()).count();
+    entry.submission->steps = {step};
+    Job &added = m_jobs[jobId] = job;
+    added.milliCores = step.milliCores;
+    added.tasks = step.taskCount;
+    added.submittedAt = m_now;
+    m_dispatcher.jobChanged(jobId, &entry, m_now, wall());
+}
+
+void ColocatedFleet::advance(Duration time)
+{
+    const TimePoint until = m_now + time;
+    while (m_now < until) {
+        tick();
+    }
+}
+
+Duration ColocatedFleet::waitingTime(const std::string &jobId) const
+{
+    const Job &job = m_jobs.at(jobId);
+    return job.startedAt.value_or(m_now) - job.submittedAt;
+}
+
+bool ColocatedFleet::isComplete(const std::string &jobId) const
+{
+    const Job &job = m_jobs.at(jobId);
+    return job.completed == job.tasks;
+}
+
+void ColocatedFleet::tick()
+{
+    m_now += TickInterval;
+    m_dispatcher.confirmRead(m_now);
+    m_dispatcher.confirmWorkersRead(m_now);
+    for (DispatchAction &action : m_dispatcher.advance(m_now, wall())) {
+        perform(action);
+    }
+    for (Worker &worker : m_workers) {
+        work(worker);
+        if (worker.poll && (!worker.ends.empty() || m_now - worker.poll->second >= worker.poll->first.wait)) {
+            answerPoll(worker);
+        }
+    }
+}
+
+void ColocatedFleet::perform(DispatchAction &action)
+{
+    const CommandExecuted executed{std::chrono::duration_cast<WorkerTime>(m_now.time_since_epoch())};
+    std::visit(Overloaded{
+                   [&](const AppendRecords &) { m_dispatcher.recordsStored(m_now); },
+                   [&](const StartCommand &command) {
+                       workerOf(command.worker.id).runs[command.task] = Run{command.run, 100, {}, {}};
+                       Job &job = m_jobs.at(command.task.job);
+                       job.startedAt = job.startedAt.value_or(m_now);
+                       m_dispatcher.startAnswered(command, executed, m_now);
+                   },
+                   [&](const StopCommand &command) {
+                       Worker &worker = workerOf(command.worker.id);
+                       if (worker.runs.erase(command.task) > 0) {
+                           worker.ends.push_back({++worker.lastEndSequence, command.task, command.run, RunEndReason::Stopped, ""});
+                       }
+                       m_dispatcher.stopAnswered(command, executed, m_now);
+                   },
+                   [&](const ThrottleCommand &command) {
+                       const auto run = workerOf(command.worker.id).runs.find(command.task);
+                       if (run != workerOf(command.worker.id).runs.end()) {
+                           run->second.speedPercent = command.speedPercent;
+                       }
+                       m_dispatcher.throttleAnswered(command, executed, m_now);
+                   },
+                   [&](PollCommand &command) { workerOf(command.worker.id).poll.emplace(std::move(command), m_now); },
+                   [](const auto &) {},
+               },
+               action);
+}
+
+void ColocatedFleet::work(Worker &worker)
+{
+    for (auto run = worker.runs.begin(); run != worker.runs.end();) {
+        auto &[id, state] = *run;
+        Job &job = m_jobs.at(id.job);
+        if (job.isServing()) {
+            const bool isOver = tailOf(worker, id) >= static_cast<double>(TailTargetMs);
+            state.overTarget = isOver ? state.overTarget + TickInterval : Duration(0);
+            m_longestTimeOverTarget = std::max(m_longestTimeOverTarget, state.overTarget);
+        }
+        state.worked += std::chrono::duration_cast<Duration>(TickInterval) * state.speedPercent / 100;
+        if (job.isServing() || state.worked < job.duration) {
+            ++run;
+            continue;
+        }
+        ++job.completed;
+        worker.ends.push_back({++worker.lastEndSequence, id, state.run, RunEndReason::Completed, ""});
+        run = worker.runs.erase(run);
+    }
+}
+
+void ColocatedFleet::answerPoll(Worker &worker)
+{
+    const auto [poll, sentAt] = *std::exchange(worker.poll, std::nullopt);
+    const std::int64_t acknowledged = poll.acknowledgedSequence;
+    std::erase_if(worker.ends, [&](const ReportedRunEnd &end) { return end.sequence <= acknowledged; });
+    WorkerReport report;
+    report.clock = std::chrono::duration_cast<WorkerTime>(m_now.time_since_epoch());
+    report.processStartedAt = std::chrono::milliseconds(1);
+    for (const auto &[id, run] : worker.runs) {
+        const Job &job = m_jobs.at(id.job);
+        ReportedRun reported{id, run.run, "", 100, tailOf(worker, id)};
+        if (!job.isServing()) {
+            reported.progressPercent = static_cast<int>(100 * run.worked / job.duration);
+            reported.load = static_cast<double>(job.milliCores) * run.speedPercent / 100;
+        }
+        report.runs.push_back(reported);
+    }
+    report.ends = worker.ends;
+    m_dispatcher.pollAnswered(poll, report, sentAt, m_now);
+}
+
+double ColocatedFleet::tailOf(const Worker &worker, const TaskId &serving) const
+{
+    const double phase = 2 * std::numbers::pi * std::chrono::duration<double>(m_now.time_since_epoch() - m_jobs.at(serving.job).peak).count()
+        / std::chrono::duration<double>(LoadPeriod).count();
+    double utilization = Internal::MeanLoad * (1 + Internal::LoadSwing * std::cos(phase));
+    for (const auto &[id, run] : worker.runs) {
+        const Job &job = m_jobs.at(id.job);
+        const double share = static_cast<double>(job.milliCores) / static_cast<double>(worker.info.capacity.milliCores);
+        utilization += job.isServing() ? 0 : job.effect * share * run.speedPercent / 100;
+    }
+    return std::round(BaseTailMs / (1 - std::min(utilization, Internal::MaximumUtilization)));
+}
+
+WallTime ColocatedFleet::wall() const
+{
+    return WallTime(std::chrono::duration_cast<WallTime::duration>(m_now.time_since_epoch()));
+}
+
+} // namespace Hyssop::Testing
--- /dev/null
+++ b/tests/libs/dispatch/colocatedfleet.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "hyssop_types.h"
+
+#include <dispatch/dispatcher.h>
+#include <ports/commandresults.h>
+#include <ports/workerinfo.h>
+#include <utils/clock.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Hyssop::Testing {
+
+/// A dispatcher with workers on which best-effort tasks interfere with serving tasks, without network, store and faults.
+///
+/// The load of a serving job is a sine with a phase of its own. A best-effort run adds its job's effect, times its share of the worker's
+/// capacity and its speed, to the utilization of each serving run, and progresses with its speed.
+class ColocatedFleet
+{
+public:
+    static constexpr std::chrono::milliseconds TickInterval{20};
+    static constexpr double BaseTailMs = 4;
+    static constexpr std::int64_t TailTargetMs = 18;
+
+    ColocatedFleet(int workers, std::int64_t milliCores);
+
+    /// Submits a serving job with one task on a worker at most, whose load peaks at @p peak after the beginning and then every LoadPeriod.
+    void submitServing(const std::string &jobId, int tasks, std::int64_t milliCores, Duration peak);
+
+    /// Submits a best-effort job with tasks of @p image that take @p duration at full speed. A whole worker of them would add
+    /// @p effect to the utilization of a serving run.
+    void submitBestEffort(const std::string &jobId, int tasks, std::int64_t milliCores, const std::string &image, double effect, Duration duration);
+
+    void advance(Duration time);
+
+    /// Returns the time from the submission of the job until its first run began, or until now.
+    Duration waitingTime(const std::string &jobId) const;
+    bool isComplete(const std::string &jobId) const;
+
+    /// Returns the longest time on end during which a serving run exceeded its target.
+    Duration longestTimeOverTarget() const { return m_longestTimeOverTarget; }
+
+    static constexpr Duration LoadPeriod = std::chrono::seconds(10);
+
+private:
+    struct Job
+    {
+        Duration peak{0}; // of a serving job
+        double effect = 0; // of a best-effort job
+        Duration duration{0}; // of a best-effort job
+        std::int64_t milliCores = 0;
+        int tasks = 0;
+        int completed = 0;
+        TimePoint submittedAt{};
+        std::optional<TimePoint> startedAt;
+
+        bool isServing() const { return duration == Duration(0); }
+    };
+
+    struct Run
+    {
+        int run = 0;
+        int speedPercent = 100;
+        Duration worked{0}; // at full speed
+        Duration overTarget{0}; // of a serving run, on end
+    };
+
+    struct Worker
+    {
+        WorkerInfo info;
+        std::map<TaskId, Run> runs;
+        std::vector<ReportedRunEnd> ends; // not acknowledged
+        std::int64_t lastEndSequence = 0;
+        std::optional<std::pair<PollCommand, TimePoint>> poll; // not answered, and when it was sent
+    };
+
+    void submit(const std::string &jobId, Wire::TaskStep step, const Job &job);
+    void tick();
+    void perform(DispatchAction &action);
+    void work(Worker &worker);
+    void answerPoll(Worker &worker);
+    double tailOf(const Worker &worker, const TaskId &serving) const;
+    Worker &workerOf(const std::string &id) { return m_workers[m_indexes.at(id)]; }
+    WallTime wall() const;
+
+    Dispatcher m_dispatcher{DispatchLimits()};
+    TimePoint m_now{std::chrono::seconds(1000)};
+    std::vector<Worker> m_workers;
+    std::map<std::string, std::size_t> m_indexes; // by id
+    std::map<std::string, Job> m_jobs;
+    Duration m_longestTimeOverTarget{0};
+};
+
+} // namespace Hyssop::Testing
--- /dev/null
+++ b/tests/libs/dispatch/testidlecapacity.cpp
@@ -0,0 +1,135 @@
+#include "colocatedfleet.h"
+
+#include <dispatch/colocationpolicy.h>
+#include <dispatch/idlecapacitypolicy.h>
+#include <dispatch/servingforecast.h>
+#include <dispatch/stepexecution.h>
+#include <dispatch/workerstate.h>
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace Hyssop;
+using namespace Hyssop::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Begin{1000s};
+constexpr std::int64_t WorkerMilliCores = 64'000;
+constexpr std::int64_t TaskMilliCores = 8000;
+constexpr double UnknownEffect = 1.0 * TaskMilliCores / WorkerMilliCores; // of an image that was not observed yet
+
+/// A worker with one serving run, and a policy that knows its image and nothing about other images.
+struct ServingWorker
+{
+    ServingWorker()
+    {
+        RunProfile service;
+        service.servingMilliCores = 13'000;
+        service.reserved.milliCores = 13'000;
+        colocation.setColocationTraits("service", ColocatedFleet::TailTargetMs, false, service);
+        colocation.observe({{&service, "service", 5, 100}}, {}, Begin);
+        state.info.capacity.milliCores = WorkerMilliCores;
+        state.addRun({"service", 0, 0, 0}, service, Begin);
+        image = service.image;
+        profile.bestEffortMilliCores = TaskMilliCores;
+        colocation.setColocationTraits("batch", 0, true, profile);
+    }
+
+    ServingForecast forecastWith(double headroom) const
+    {
+        ServingForecast forecast;
+        forecast.at = Begin;
+        forecast.add({image, headroom});
+        return forecast;
+    }
+
+    std::optional<PlacementObstacle> obstacle(double headroom, bool isOverdue) const
+    {
+        return IdleCapacityPolicy(colocation).obstacle(state, forecastWith(headroom), {&profile, isOverdue});
+    }
+
+    ColocationPolicy colocation;
+    WorkerState state;
+    RunProfile profile; // of the best-effort task
+    std::uint32_t image = 0; // of the serving run
+};
+
+} // namespace
+
+Test(idleCapacity, aTaskNeedsHeadroomForItsWholeEffect)
+{
+    const ServingWorker worker;
+    cr_assert_not(worker.obstacle(UnknownEffect * 1.1, false));
+    cr_assert(worker.obstacle(UnknownEffect * 0.9, false) == PlacementObstacle::Headroom);
+}
+
+Test(idleCapacity, anOverdueTaskNeedsHeadroomForAReducedSpeed)
+{
+    ServingWorker worker;
+    cr_assert_not(worker.obstacle(UnknownEffect * 0.5, true));
+    cr_assert(worker.obstacle(UnknownEffect * 0.1, true) == PlacementObstacle::Headroom);
+    worker.state.overTargetSince = Begin;
+    cr_assert(worker.obstacle(UnknownEffect * 2, true) == PlacementObstacle::OverTarget);
+    worker.state.overTargetSince.reset();
+    worker.state.bestEffortCommitted = 2 * WorkerMilliCores;
+    cr_assert(worker.obstacle(UnknownEffect * 2, true) == PlacementObstacle::IdleProcessorTime);
+}
+
+Test(idleCapacity, anOverdueTaskGoesWhereMostHeadroomIsLeft)
+{
+    const ServingWorker worker;
+    const IdleCapacityPolicy policy(worker.colocation);
+    const IdleCapacityPolicy::Task task{&worker.profile, true};
+    cr_assert_gt(policy.score(worker.state, worker.forecastWith(0.2), task), policy.score(worker.state, worker.forecastWith(0.1), task));
+    cr_assert_gt(policy.score(worker.state, ServingForecast(), task), policy.score(worker.state, worker.forecastWith(0.2), task));
+}
+
+Test(idleCapacity, aStepIsOverdueOnceNoTaskHasRunForTheMaximumWait)
+{
+    StepExecution step;
+    step.addTasks(2);
+    cr_assert_not(IdleCapacityPolicy::isOverdue(step, Begin));
+    step.updateWaiting(Begin);
+    step.updateWaiting(Begin + 1s);
+    cr_assert_not(IdleCapacityPolicy::isOverdue(step, Begin + IdleCapacityPolicy::MaximumWait - 1ms));
+    cr_assert(IdleCapacityPolicy::isOverdue(step, Begin + IdleCapacityPolicy::MaximumWait));
+    step.setPhase(step.tasks[0], TaskPhase::Assigned);
+    cr_assert_not(IdleCapacityPolicy::isOverdue(step, Begin + 1min));
+    step.updateWaiting(Begin + 1min);
+    cr_assert_not(IdleCapacityPolicy::isOverdue(step, Begin + 2min), "a task runs");
+    step.setPhase(step.tasks[0], TaskPhase::Done);
+    step.updateWaiting(Begin + 2min);
+    cr_assert_not(IdleCapacityPolicy::isOverdue(step, Begin + 2min + 1s));
+    cr_assert(IdleCapacityPolicy::isOverdue(step, Begin + 2min + IdleCapacityPolicy::MaximumWait));
+}
+
+/// Best-effort tasks that interfere with all serving tasks waited without end, as the peak of the serving load left no headroom for their
+/// whole effect on any worker.
+Test(idleCapacity, interferingWorkRunsBesideServingTasksOnAllWorkers)
+{
+    constexpr int Workers = 8;
+    constexpr int Jobs = 8;
+    ColocatedFleet fleet(Workers, WorkerMilliCores);
+    for (int number = 0; number < Workers; ++number) {
+        fleet.submitServing("service" + std::to_string(number), 4, 13'000, number * ColocatedFleet::LoadPeriod / Workers);
+    }
+    fleet.advance(10s);
+    for (int number = 0; number < Jobs; ++number) {
+        fleet.submitBestEffort("light" + std::to_string(number), 4, TaskMilliCores, "light", 0.2, 2500ms);
+        fleet.submitBestEffort("heavy" + std::to_string(number), 2, TaskMilliCores, "heavy", 3.0, 2500ms);
+        fleet.advance(4s);
+    }
+    fleet.advance(20s);
+    for (int number = 0; number < Jobs; ++number) {
+        const std::string id = "heavy" + std::to_string(number);
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(fleet.waitingTime(id)).count();
+        cr_expect_leq(waited, 10'000, "%s has waited for %ld ms", id.c_str(), static_cast<long>(waited));
+        cr_expect(fleet.isComplete(id), "%s", id.c_str());
+        cr_expect(fleet.isComplete("light" + std::to_string(number)));
+    }
+    // The platform permits 4 s.
+    cr_expect_leq(fleet.longestTimeOverTarget(), 3s);
+}
