A new owner does not wait anew for leases on a worker that its predecessor never reached

Cause: each new owner waits 9.2 s after its claim for the leases that the owner before may have granted to a silent worker. It did not know that this owner had never reached the worker, so the wait began anew with each takeover, and callers saw serving tasks without a run for as long as owners changed.

Change: an owner writes to the job topic which workers with runs of previous owners have not reported in its term, with the time until the leases of these owners have ended. The owner directly after counts that time from when it read the record. A listed worker gets no lease, and no start, before a later record without it is durable; it was never granted one before, because that needs a reading of its clock. A record of another term is not used, one that can't be decoded replaces the one before, and a load of the topic counts only if it is newer than the claim.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -47,7 +47,10 @@
     m_startsWithheldSince.reset();
     m_termBeganAt = claim.readAt;
     m_termWallMs.reset();
-    m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claim.readAt, afterHandover);
+    m_earlierLeases = EarlierLeases(term, m_leasePolicy.earlierLeasesEnd(claim.readAt, afterHandover));
+    if (claim.silentWorkersReadAt && table.silentWorkers()) {
+        m_earlierLeases.restore(*table.silentWorkers(), *claim.silentWorkersReadAt);
+    }
     m_responseTimeouts = ResponseTimeoutPolicy(m_leasePolicy.leaseDuration());
     m_jobs.clear();
     m_workers.clear();
@@ -83,6 +86,7 @@
         if (!task.isOpen()) {
             return;
         }
+        m_earlierLeases.addWorker(task.worker);
         stateOf(task.worker).addRun(id, runProfile(job.step(id.step), task.run), m_termBeganAt);
         if (job.isEnded()) {
             task.phase = TaskPhase::Stopping;
@@ -196,7 +200,8 @@
     const auto [entry, isNew] = m_workers.try_emplace(worker);
     if (isNew) {
         entry->second.info.id = worker;
-        entry->second.leaseEnd = m_earlierLeasesEnd;
+        entry->second.leaseEnd = m_earlierLeases.endOn(worker);
+        entry->second.isLeaseWithheld = !m_earlierLeases.canGrant(worker);
         // A worker that was removed in this term rejects tokens below those that it has seen.
         entry->second.tokenRises = m_removedWorkersRises.countOf(worker);
     }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include "dispatchlimits.h"
 #include "dispatchstage.h"
 #include "dispatchsummary.h"
+#include "earlierleases.h"
 #include "jobregistry.h"
 #include "leasepolicy.h"
 #include "placementwork.h"
@@ -55,7 +56,7 @@
     void beginTerm(std::int64_t term, const JobTable &table, const ClaimTimes &claim, bool afterHandover = false);
 
     /// Returns true if every lease that a previous owner granted has expired.
-    bool earlierLeasesExpired(TimePoint now) const { return now >= m_earlierLeasesEnd; }
+    bool earlierLeasesExpired(TimePoint now) const { return now >= m_earlierLeases.latestEnd(); }
 
     void applyConfiguration(const ClusterConfig &config, const std::set<std::string> &evacuatedDomains);
     void updateWorker(const WorkerInfo &info);
@@ -320,6 +321,12 @@
     void beginPass(TimePoint now);
     void finishPass(AppendRecords &append, TimePoint now, WallTime wall);
 
+    /// Adds which workers are silent, if the next owner has to know that.
+    void addSilentWorkers(AppendRecords &append, TimePoint now);
+
+    /// Updates for each worker whether it may get a lease.
+    void updateWithheldLeases();
+
     /// Moves the intents whose jobs are in the batch from the new ones to the batch.
     void takeStoredIntents();
     void storeLearnedTails(std::vector<KeyedRecord> &runs, TimePoint now);
@@ -335,7 +342,7 @@
     TimePoint m_termBeganAt{};
     std::optional<TimePoint> m_workersReadAt; // all registrations up to then were read; none: not in this term
     std::optional<TimePoint> m_startsWithheldSince;
-    TimePoint m_earlierLeasesEnd{};
+    EarlierLeases m_earlierLeases;
     std::int64_t m_wallMs = 0; // Unix time of the last advance()
     std::optional<std::int64_t> m_termWallMs; // Unix time of the first advance() of the term
     JobRegistry m_jobs;
--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -60,6 +60,7 @@
         finishPass(append, now, wall);
     }
     removeObsoleteRuns(append);
+    addSilentWorkers(append, now);
     takeStoredIntents();
     if (append.records.empty() && append.runs.empty()) {
         if (!m_batch.ends.empty()) {
@@ -156,6 +157,22 @@
     }
 }
 
+void Dispatcher::addSilentWorkers(AppendRecords &append, TimePoint now)
+{
+    if (const auto silent = m_earlierLeases.takeRecord(now)) {
+        append.records.push_back({0, silentWorkersKey(), encode(*silent)});
+        updateWithheldLeases();
+    }
+}
+
+void Dispatcher::updateWithheldLeases()
+{
+    for (auto &[id, worker] : m_workers) {
+        const bool wasWithheld = std::exchange(worker.isLeaseWithheld, !m_earlierLeases.canGrant(id));
+        worker.roomVersion += wasWithheld && !worker.isLeaseWithheld ? 1 : 0;
+    }
+}
+
 void Dispatcher::takeStoredIntents()
 {
     const auto isLeft = [this](const auto &intent) { return m_jobs.isUrgent(intent.first.job); };
@@ -167,6 +184,9 @@
 void Dispatcher::recordsStored(TimePoint now)
 {
     m_batchPending = false;
+    if (m_earlierLeases.recordStored()) {
+        updateWithheldLeases();
+    }
     const PendingBatch stored = std::exchange(m_batch, PendingBatch());
     for (const auto &[id, end] : stored.ends) {
         WorkerState *worker = findWorker(id);
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds MaximumOverTargetPollWait{400};
 constexpr std::chrono::milliseconds IdlePollInterval{1000};
 constexpr std::chrono::milliseconds FailedPollBackoff{200};
+// Until a record is durable that permits a lease.
+constexpr std::chrono::milliseconds WithheldLeaseInterval{40};
 // Run ends are listed again until they are durable and acknowledged, so a poll before that does not wait for the next end.
 constexpr std::chrono::milliseconds PendingEndsInterval{80};
 // The same if no run is expected to end before.
@@ -153,7 +155,7 @@
         worker.acknowledgementPending = canAcknowledgeEnds(worker, now);
         poll.acknowledgedSequence = worker.acknowledgementPending ? worker.durableEndSequence : 0;
         // The lease of a worker that does not answer is not renewed, so that its runs end after a bounded time.
-        if (worker.clock && worker.failedPolls == 0) {
+        if (worker.clock && worker.failedPolls == 0 && !worker.isLeaseWithheld) {
             const WorkerTime leaseEnd = worker.clock->readingAt(m_leasePolicy.latestLeaseEnd(now, m_confirmedAt));
             poll.leaseEnd = leaseEnd;
             worker.leaseEnd = std::max(worker.leaseEnd, worker.clock->latestTimeOf(leaseEnd));
@@ -214,6 +216,7 @@
 
 void Dispatcher::handleReport(WorkerState &worker, const PollCommand &poll, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
+    m_earlierLeases.handleReport(worker.info.id);
     if (worker.isLateReport(report.processStartedAt, sentAt)) {
         worker.nextPoll = now;
         return;
@@ -254,6 +257,9 @@
     } else if (worker.runs.empty()) {
         worker.nextPoll = now + Internal::IdlePollInterval;
     }
+    if (worker.isLeaseWithheld) {
+        worker.nextPoll = std::max(worker.nextPoll, now + Internal::WithheldLeaseInterval);
+    }
 }
 
 bool Dispatcher::isFromNextProcess(const WorkerState &worker, const WorkerReport &report)
--- a/src/libs/dispatch/workerstate.cpp
+++ b/src/libs/dispatch/workerstate.cpp
@@ -47,7 +47,7 @@
 bool WorkerState::isSchedulable(const std::set<std::string> &evacuatedDomains) const
 {
     const bool canListMoreEnds = processedEndSequence - acknowledgedEndSequence < MaximumUnacknowledgedEnds;
-    return registered && !info.draining && clock && failedPolls == 0 && canListMoreEnds && !evacuatedDomains.contains(info.failureDomain);
+    return registered && !info.draining && clock && failedPolls == 0 && canListMoreEnds && !isLeaseWithheld && !evacuatedDomains.contains(info.failureDomain);
 }
 
 bool WorkerState::listsAllEnds() const
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -58,6 +58,7 @@
     int toldQuarantines = 0;
     bool refusesConnections = false; // a poll since the last report was refused; its process may have ended
     std::optional<TimePoint> missingSince; // since then not responding, and not registered or refusing connections
+    bool isLeaseWithheld = false; // the next owner may assume that this one has granted no lease
     TimePoint leaseEnd{}; // unless the lease is renewed, all runs have ended by then
 
     std::int64_t processedEndSequence = 0; // sequence number of the newest run end that was processed
@@ -100,7 +101,7 @@
     /// Returns true if the last poll of this owner was answered.
     bool isResponding() const { return hasAnswered && failedPolls == 0; }
 
-    /// Returns true if the worker is registered, answers, can list more ends, is not draining, and its failure domain is not evacuated.
+    /// Returns true if the worker is registered, answers, can list more ends, may get a lease, is not draining, and its failure domain is not evacuated.
     bool isSchedulable(const std::set<std::string> &evacuatedDomains) const;
 
     /// Returns true if the last poll failed.
--- a/src/libs/jobtopic/jobkeys.cpp
+++ b/src/libs/jobtopic/jobkeys.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view ClaimKey = "owner";
 constexpr std::string_view LearnedTailsKey = "tails";
 constexpr std::string_view ServingRoomKey = "room";
+constexpr std::string_view SilentWorkersKey = "silent";
 
 static std::string prefixedKey(std::string_view prefix, std::string_view jobId)
 {
@@ -48,6 +49,11 @@
     return std::string(Internal::ServingRoomKey);
 }
 
+std::string silentWorkersKey()
+{
+    return std::string(Internal::SilentWorkersKey);
+}
+
 JobKey parseJobKey(std::string_view key)
 {
     if (key == Internal::LearnedTailsKey) {
@@ -59,6 +65,9 @@
     if (key == Internal::ServingRoomKey) {
         return {JobKeyKind::ServingRoom, {}};
     }
+    if (key == Internal::SilentWorkersKey) {
+        return {JobKeyKind::SilentWorkers, {}};
+    }
     const std::string_view prefix = key.substr(0, Internal::SubmissionPrefix.size());
     const std::string jobId(key.substr(prefix.size()));
     if (prefix == Internal::SubmissionPrefix) {
--- a/src/libs/jobtopic/jobkeys.h
+++ b/src/libs/jobtopic/jobkeys.h
@@ -13,6 +13,7 @@
     Claim, // Wire::TopicClaim, written to acquire, renew or release the ownership
     LearnedTails, // Wire::LearnedTails, written by the owner
     ServingRoom, // Wire::ServingRoom, written by the owner
+    SilentWorkers, // Wire::SilentWorkers, written by the owner
     Unknown,
 };
 
@@ -29,6 +30,7 @@
 std::string claimKey();
 std::string learnedTailsKey();
 std::string servingRoomKey();
+std::string silentWorkersKey();
 
 JobKey parseJobKey(std::string_view key);
 
--- a/src/libs/jobtopic/joblimits.cpp
+++ b/src/libs/jobtopic/joblimits.cpp
@@ -23,6 +23,7 @@
 constexpr std::int64_t MaximumTerm = 1'000'000'000'000; // tokens are multiples of the term
 constexpr double MaximumModelValue = 1e9;
 constexpr std::size_t MaximumPools = 1000; // with published room
+constexpr std::size_t MaximumSilentWorkers = 1000; // in a record
 constexpr std::int64_t MaximumRoom = 1'000'000'000'000'000; // thousandths of a core
 
 static bool isWithin(std::int64_t value, std::int64_t maximum)
@@ -141,4 +142,14 @@
     return {};
 }
 
+Result<void> checkLimits(const Wire::SilentWorkers &silent)
+{
+    const auto isUsableLease = [](const Wire::SilentWorker &worker) { return Internal::isWithin(worker.leaseMs, Internal::MaximumDurationMs); };
+    if (!Internal::isWithin(silent.term, Internal::MaximumTerm) || silent.workers.size() > Internal::MaximumSilentWorkers
+        || !std::ranges::all_of(silent.workers, isUsableLease)) {
+        return fail(ErrorCode::Malformed, "silent workers are out of range");
+    }
+    return {};
+}
+
 } // namespace Hyssop
--- a/src/libs/jobtopic/joblimits.h
+++ b/src/libs/jobtopic/joblimits.h
@@ -21,5 +21,6 @@
 Result<void> checkLimits(const Wire::TopicClaim &claim);
 Result<void> checkLimits(const Wire::LearnedTails &tails);
 Result<void> checkLimits(const Wire::ServingRoom &room);
+Result<void> checkLimits(const Wire::SilentWorkers &silent);
 
 } // namespace Hyssop
--- a/src/libs/jobtopic/jobtable.cpp
+++ b/src/libs/jobtopic/jobtable.cpp
@@ -63,6 +63,9 @@
     case JobKeyKind::ServingRoom:
         applyServingRoom(record);
         break;
+    case JobKeyKind::SilentWorkers:
+        applySilentWorkers(record);
+        break;
     case JobKeyKind::Unknown:
         ++m_malformedRecords;
         break;
@@ -219,6 +222,25 @@
     m_servingSubmissions.erase(m_servingSubmissions.begin(), m_servingSubmissions.lower_bound(m_servingRoom->readUpTo));
 }
 
+void JobTable::applySilentWorkers(const KeyedRecord &record)
+{
+    if (record.offset <= m_silentWorkersOffset) {
+        return;
+    }
+    // A record that can't be decoded replaces the earlier one too: that may list a worker which has a lease now.
+    m_silentWorkers.reset();
+    m_silentWorkersOffset = record.offset;
+    if (!record.value) {
+        return;
+    }
+    auto decoded = capture([&] { return withinLimits(decodeSilentWorkers(*record.value)); });
+    if (auto *silent = valueOf(decoded)) {
+        m_silentWorkers = std::move(*silent);
+    } else {
+        ++m_malformedRecords;
+    }
+}
+
 void JobTable::addServingSubmission(const Wire::StepJob &job, std::int64_t offset)
 {
     const std::int64_t milliCores = servingDemand(job);
--- a/src/libs/jobtopic/jobtable.h
+++ b/src/libs/jobtopic/jobtable.h
@@ -58,6 +58,13 @@
     /// Returns the room for serving tasks that an owner has published last.
     const std::optional<Wire::ServingRoom> &servingRoom() const { return m_servingRoom; }
 
+    /// Returns which workers have not reported to the owner that has published this last.
+    const std::optional<Wire::SilentWorkers> &silentWorkers() const { return m_silentWorkers; }
+
+    /// Return the offsets of the newest record of silent workers and of the newest claim; -1: none.
+    std::int64_t silentWorkersOffset() const { return m_silentWorkersOffset; }
+    std::int64_t claimOffset() const { return m_claimOffset; }
+
     /// Returns the submissions with serving tasks that the published room does not take into account, by offset. Only the newest ones
     /// are kept if there are many.
     const std::map<std::int64_t, ServingSubmission> &servingSubmissionsSinceRoom() const { return m_servingSubmissions; }
@@ -74,6 +81,7 @@
     void applyClaim(const KeyedRecord &record);
     void applyLearnedTails(const KeyedRecord &record);
     void applyServingRoom(const KeyedRecord &record);
+    void applySilentWorkers(const KeyedRecord &record);
     void addServingSubmission(const Wire::StepJob &job, std::int64_t offset);
 
     std::map<std::string, TopicJob> m_jobs;
@@ -82,6 +90,8 @@
     Wire::LearnedTails m_learnedTails;
     std::optional<Wire::ServingRoom> m_servingRoom;
     std::int64_t m_servingRoomOffset = -1;
+    std::optional<Wire::SilentWorkers> m_silentWorkers;
+    std::int64_t m_silentWorkersOffset = -1;
     std::map<std::int64_t, ServingSubmission> m_servingSubmissions;
     std::vector<std::string> m_unknownRuns; // jobs that are in the runs topic only
     std::uint64_t m_malformedRecords = 0;
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -79,6 +79,8 @@
 {
     if (key.kind == JobKeyKind::Progress || key.kind == JobKeyKind::Claim) {
         m_ownerObservation.lastRecordAt = m_clock.now();
+    } else if (key.kind == JobKeyKind::SilentWorkers) {
+        silentWorkersRead();
     } else if (m_term && !key.jobId.empty()) {
         m_dispatcher.jobChanged(key.jobId, m_table.find(key.jobId), m_clock.now(), std::chrono::system_clock::now());
     }
@@ -226,6 +228,14 @@
     m_log.writeAll(m_clock.now());
 }
 
+void TopicOwner::silentWorkersRead()
+{
+    if (m_table.silentWorkersOffset() != m_silentWorkersOffset) {
+        m_silentWorkersOffset = m_table.silentWorkersOffset();
+        m_silentWorkersReadAt = m_clock.now();
+    }
+}
+
 bool TopicOwner::ownsNewestClaim() const
 {
     const auto &claim = m_table.claim();
@@ -240,6 +250,9 @@
     m_takeoverTerm = m_table.claim()->term;
     m_takeoverBeganAt = m_clock.now();
     m_claimSentAt = TimePoint(); // the claim has appeared
+    // The pages of a load are not a snapshot: the one with the claim may be newer than the one with the silent workers.
+    const bool isReadInOrder = m_jobs.end() > m_table.claimOffset();
+    m_newestSilentWorkersReadAt = isReadInOrder ? std::optional(m_silentWorkersReadAt) : std::nullopt;
     m_appender.beginTerm(*m_takeoverTerm, m_table.claim()->sequence + 1);
     m_runsAppender.beginTerm(*m_takeoverTerm, 0);
     updateWorkersNeed();
@@ -320,7 +333,7 @@
     m_term = std::exchange(m_takeoverTerm, std::nullopt);
     m_batchAppends = 0;
     m_servingRoomSchedule = {};
-    m_dispatcher.beginTerm(*m_term, m_table, {m_takeoverBeganAt, m_claimReadAt}, m_cleanHandover);
+    m_dispatcher.beginTerm(*m_term, m_table, {m_takeoverBeganAt, m_claimReadAt, m_newestSilentWorkersReadAt}, m_cleanHandover);
     m_table.clearRuns();
     m_lastTick = m_clock.now();
     m_dispatcher.applyConfiguration(m_config, m_evacuatedDomains);
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -97,6 +97,9 @@
 private:
     bool ownsNewestClaim() const;
 
+    /// Notes when the newest record of silent workers was read.
+    void silentWorkersRead();
+
     /// Begins the takeover after the own claim was read.
     void beginTakeover();
 
@@ -161,6 +164,9 @@
     std::optional<std::int64_t> m_takeoverTerm; // set while the runs topic is loaded
     TimePoint m_takeoverBeganAt{}; // when the own claim was read
     TimePoint m_claimReadAt{}; // when the newest read that contained the own claim was sent
+    std::int64_t m_silentWorkersOffset = -1; // of the newest record of silent workers that was read
+    TimePoint m_silentWorkersReadAt{}; // when it was read first
+    std::optional<TimePoint> m_newestSilentWorkersReadAt; // the same if no previous owner has written a newer one
     int m_batchAppends = 0; // of the batch that are not durable
     std::int64_t m_minimumTerm = 0; // terms below this one are not resumed after stepping down
     TimePoint m_lastLoadReport{};
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -87,6 +87,11 @@
     return Internal::encodeValue(room);
 }
 
+std::string encode(const Wire::SilentWorkers &silent)
+{
+    return Internal::encodeValue(silent);
+}
+
 Result<Wire::Envelope> decodeEnvelope(std::string_view bytes)
 {
     return Internal::decodeValue<Wire::Envelope>(bytes);
@@ -122,4 +127,9 @@
     return Internal::decodeValue<Wire::ServingRoom>(bytes);
 }
 
+Result<Wire::SilentWorkers> decodeSilentWorkers(std::string_view bytes)
+{
+    return Internal::decodeValue<Wire::SilentWorkers>(bytes);
+}
+
 } // namespace Hyssop
--- a/src/libs/wire/hyssop.thrift
+++ b/src/libs/wire/hyssop.thrift
@@ -272,6 +272,18 @@
   3: list<PoolServingRoom> pools,
 }
 
+/* A worker with runs of previous owners that has not reported to the owner, so the owner has granted it no lease. */
+struct SilentWorker {
+  1: string worker,
+  2: i64 leaseMs = 0,            // time until all leases that previous owners have granted to it have ended
+}
+
+/* What the owner tells the next one, which then need not wait for leases of this owner. Replaces earlier records of the term. */
+struct SilentWorkers {
+  1: i64 term = 0,               // of the owner
+  2: list<SilentWorker> workers,
+}
+
 union Record {
   1: ConfigChange configChange,
   2: ConfigSnapshot configSnapshot,
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -153,7 +153,7 @@
     for (const auto &[key, runs] : m_runs) {
         m_table.applyRuns(runs);
     }
-    owner->dispatcher.beginTerm(record.term, m_table, {now, now});
+    owner->dispatcher.beginTerm(record.term, m_table, {now, now, m_silentWorkersReadAt});
     m_table.clearRuns();
     const auto loadWorkers = [this, owner] {
         owner->knowsWorkers = true;
@@ -496,6 +496,9 @@
 void DispatchSimulation::append(const KeyedRecord &record)
 {
     const JobKey key = m_table.apply({m_offset++, record.key, record.value});
+    if (key.kind == JobKeyKind::SilentWorkers) {
+        m_silentWorkersReadAt = now;
+    }
     if (!m_owners.empty() && (key.kind == JobKeyKind::Submission || key.kind == JobKeyKind::Cancellation)) {
         const auto owner = m_owners.back();
         deliver(owner, 20ms, [=, this] { owner->dispatcher.jobChanged(key.jobId, m_table.find(key.jobId), now, wall()); });
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -122,6 +122,7 @@
     JobTable m_table;
     std::map<std::string, KeyedRecord> m_runs; // newest record of each key of the runs topic
     std::int64_t m_offset = 0;
+    TimePoint m_silentWorkersReadAt{}; // when the newest record of silent workers was appended
     std::map<TaskId, std::string> m_running; // tasks with a run, and its worker
     std::set<TaskId> m_acknowledgedDone;
     std::set<TaskId> m_done;
--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::uint32_t Seeds = 200;
 constexpr std::uint32_t ManySeeds = 3000;
+constexpr std::uint32_t TakeoverSeeds = 200;
 constexpr int Jobs = 30;
 constexpr std::chrono::milliseconds WorkerLoadTimeStep{100}; // up to 20 s with all seeds
 
@@ -159,8 +160,64 @@
     cr_assert_eq(simulation.openRuns(), ServingJobs * ServingWidth, "seed %u: %zu tasks run", seed, simulation.openRuns());
 }
 
+constexpr int Takeovers = 25;
+
+/// Cuts workers off for some seconds, also across several terms, some of them short, and replaces owners that are paused, cut off from
+/// the store, or neither. A worker that is cut off continues to run its tasks while it has a lease.
+void runTakeoverScenario(std::uint32_t seed)
+{
+    DispatchSimulation simulation(seed);
+    simulation.faults = {0.03, 0.03, 0, 0.1};
+    simulation.workerLoadTime = std::chrono::milliseconds(seed % 2 == 0 ? 0 : simulation.random(800));
+    simulation.plan = [](const TaskId &) { return SimulatedWorker::Run{0, TimePoint(1h), RunEndReason::Completed, 0}; };
+    simulation.claim();
+    for (int job = 0; job < ServingJobs; ++job) {
+        simulation.submit("serving" + std::to_string(job), 1, ServingWidth, [](Wire::TaskStep &step) { step.longRunning = true; });
+    }
+    simulation.run(3s);
+    const auto changeWorkers = [&](int of) {
+        for (std::size_t index = 0; index < 6; ++index) {
+            SimulatedWorker &worker = simulation.worker(index);
+            if (simulation.random(of) == 0) {
+                worker.unreachable = !worker.unreachable;
+            }
+        }
+    };
+    for (int takeover = 0; takeover < Takeovers; ++takeover) {
+        changeWorkers(6);
+        simulation.run(std::chrono::milliseconds(simulation.random(simulation.random(2) == 0 ? 1500 : 6000)));
+        const int kind = simulation.random(4);
+        if (kind == 0) {
+            simulation.pauseOwner(std::chrono::milliseconds(500 + simulation.random(12000)));
+        } else if (kind == 1) {
+            simulation.partitionOwnerFromStore(std::chrono::milliseconds(500 + simulation.random(12000)));
+        }
+        changeWorkers(4);
+        simulation.run(std::chrono::milliseconds(simulation.random(3000)));
+        if (kind != 3) {
+            changeWorkers(8);
+            simulation.claim();
+        }
+    }
+    simulation.faults = {};
+    for (std::size_t index = 0; index < 6; ++index) {
+        simulation.worker(index).unreachable = false;
+    }
+    simulation.claim();
+    simulation.run(60s);
+    cr_assert(simulation.violations.empty(), "seed %u: %s", seed, simulation.violations.empty() ? "" : simulation.violations.front().c_str());
+    cr_assert_eq(simulation.openRuns(), ServingJobs * ServingWidth, "seed %u: %zu tasks run", seed, simulation.openRuns());
+}
+
 } // namespace
 
+Test(dispatchFaults, workersCutOffAcrossTakeoversCauseNoLostOrDuplicateRuns)
+{
+    for (std::uint32_t seed = 1; seed <= TakeoverSeeds; ++seed) {
+        runTakeoverScenario(seed);
+    }
+}
+
 Test(dispatchFaults, randomFaultsCauseNoLostOrDuplicateRuns)
 {
     for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
--- a/tests/libs/dispatch/testtakeovers.cpp
+++ b/tests/libs/dispatch/testtakeovers.cpp
@@ -13,11 +13,11 @@
 // Longest time that a serving task may be without a run while its worker responds.
 constexpr auto MaximumAbsence = 3s;
 
-void submitServingJob(DispatchSimulation &simulation)
+void submitServingJob(DispatchSimulation &simulation, int tasks = Tasks)
 {
     simulation.plan = [](const TaskId &) { return SimulatedWorker::Run{0, TimePoint(1h), RunEndReason::Completed, 0}; };
     simulation.claim();
-    simulation.submit("serving", 1, Tasks, [](Wire::TaskStep &step) { step.longRunning = true; });
+    simulation.submit("serving", 1, tasks, [](Wire::TaskStep &step) { step.longRunning = true; });
 }
 
 /// Suspends the owner for good, and lets another instance claim.
@@ -27,6 +27,19 @@
     simulation.claim();
 }
 
+/// Lets another instance claim while the owner can't reach the store, and continues for as long as its proof of the ownership lasts.
+void replaceOwnerWithoutStore(DispatchSimulation &simulation, Duration before)
+{
+    simulation.partitionOwnerFromStore(1h);
+    simulation.run(before);
+    simulation.claim();
+}
+
+const char *firstViolation(const DispatchSimulation &simulation)
+{
+    return simulation.violations.empty() ? "" : simulation.violations.front().c_str();
+}
+
 std::size_t busyWorker(DispatchSimulation &simulation)
 {
     std::size_t index = 0;
@@ -67,15 +80,93 @@
     simulation.restartWorker(busyWorker(simulation), 1h);
     cr_assert_lt(simulation.openRuns(), Tasks);
     const TimePoint firstClaimAt = simulation.now;
-    for (int owner = 0; owner < 3; ++owner) {
-        replaceOwner(simulation);
-        simulation.run(Interval);
-    }
+    int owners = 0;
     while (simulation.openRuns() < Tasks && simulation.now < firstClaimAt + 60s) {
+        if (owners < 3 && simulation.now >= firstClaimAt + owners * Interval) {
+            replaceOwner(simulation);
+            ++owners;
+        }
         simulation.run(10ms);
     }
+    cr_expect_eq(owners, 3, "the takeovers were not in time: %d", owners);
     const auto absence = std::chrono::duration_cast<std::chrono::milliseconds>(simulation.now - firstClaimAt);
     cr_expect_leq(
         absence.count(), std::chrono::milliseconds(MaximumAbsenceAfterFirstClaim).count(), "absent for %lld ms", static_cast<long long>(absence.count()));
     cr_expect(simulation.violations.empty());
 }
+
+// Guards against a lease that an owner grants to a worker of which its last record says that it has none.
+Test(takeovers, aWorkerThatReturnsBetweenTheRecordAndTheTakeoverRunsNoTaskTwice)
+{
+    for (Duration returnsAfter = 400ms; returnsAfter <= 5600ms; returnsAfter += 400ms) {
+        for (Duration lasts = 0ms; lasts <= 800ms; lasts += 40ms) {
+            for (const bool isPaused : {false, true}) {
+                DispatchSimulation simulation(1, Workers);
+                submitServingJob(simulation);
+                simulation.run(4s);
+                SimulatedWorker &worker = simulation.worker(busyWorker(simulation));
+                worker.unreachable = true;
+                replaceOwner(simulation);
+                simulation.run(returnsAfter);
+                worker.unreachable = false;
+                if (isPaused) {
+                    simulation.run(lasts);
+                    replaceOwner(simulation);
+                } else {
+                    replaceOwnerWithoutStore(simulation, lasts);
+                }
+                worker.unreachable = true;
+                simulation.run(20s);
+                const auto returnMs = static_cast<long>(returnsAfter / 1ms);
+                const auto contactMs = static_cast<long>(lasts / 1ms);
+                cr_expect(simulation.violations.empty(), "return after %ld ms for %ld ms: %s", returnMs, contactMs, firstViolation(simulation));
+                cr_expect_eq(simulation.openRuns(), Tasks, "return after %ld ms for %ld ms", returnMs, contactMs);
+            }
+        }
+    }
+}
+
+// Guards against the use of a record of an owner that is not the last one. The last one may have granted leases.
+Test(takeovers, aWorkerThatReportsToAnOwnerOfAShortTermRunsNoTaskTwice)
+{
+    for (Duration term = 100ms; term <= 3s; term += 100ms) {
+        DispatchSimulation simulation(1, Workers);
+        submitServingJob(simulation);
+        simulation.run(4s);
+        SimulatedWorker &worker = simulation.worker(busyWorker(simulation));
+        worker.unreachable = true;
+        replaceOwner(simulation);
+        simulation.run(3s);
+        worker.unreachable = false;
+        replaceOwner(simulation);
+        simulation.run(term);
+        worker.unreachable = true;
+        replaceOwner(simulation);
+        simulation.run(20s);
+        const auto termMs = static_cast<long>(term / 1ms);
+        cr_expect(simulation.violations.empty(), "term of %ld ms: %s", termMs, firstViolation(simulation));
+        cr_expect_eq(simulation.openRuns(), Tasks, "term of %ld ms", termMs);
+    }
+}
+
+// Guards against leases that are never renewed because a record that lists the worker stays the newest.
+Test(takeovers, aListedWorkerThatReturnsKeepsItsRunsAndGetsOthers)
+{
+    DispatchSimulation simulation(1, Workers);
+    submitServingJob(simulation, Tasks / 2);
+    simulation.run(4s);
+    const std::size_t index = busyWorker(simulation);
+    SimulatedWorker &worker = simulation.worker(index);
+    const std::size_t runs = worker.runCount();
+    worker.unreachable = true;
+    replaceOwner(simulation);
+    simulation.run(3s);
+    worker.unreachable = false;
+    simulation.run(20s);
+    cr_expect_eq(worker.runCount(), runs);
+    cr_expect_eq(simulation.starts.size(), Tasks / 2, "a task was started again");
+    simulation.submit("later", 1, 24, [](Wire::TaskStep &step) { step.longRunning = true; });
+    simulation.run(3s);
+    cr_expect_gt(worker.runCount(), runs);
+    cr_expect(simulation.violations.empty());
+}
--- a/tests/libs/node/testnodedaemon.cpp
+++ b/tests/libs/node/testnodedaemon.cpp
@@ -15,6 +15,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <csignal>
 #include <functional>
 #include <optional>
@@ -203,6 +204,47 @@
     return missing;
 }
 
+constexpr const char *ServingJob = "serving";
+
+/// Adds a job whose only task serves, with a run on a worker that does not exist any more.
+void addRunOnLostWorker(MemoryTopics &topics)
+{
+    Wire::StepJob job;
+    job.queue = "web";
+    job.steps.emplace_back();
+    job.steps[0].longRunning = true;
+    topics.put(Topic::Jobs, submissionKey(ServingJob), encode(job));
+    Wire::JobProgress progress;
+    progress.phase = Wire::JobPhase::Running;
+    topics.put(Topic::Jobs, progressKey(ServingJob), encode(progress));
+    progress.steps.emplace_back();
+    Wire::TaskMark &mark = progress.steps[0].marks.emplace_back();
+    mark.run = 1;
+    mark.worker = "lost";
+    topics.put(Topic::Runs, progressKey(ServingJob), encode(progress));
+}
+
+/// Returns true if the run that addRunOnLostWorker() has added counts as ended.
+bool hasRunEnded(const MemoryTopics &topics)
+{
+    const NewestRecordsPage page = topics.newest(Topic::Runs, "");
+    const auto isProgress = [](const KeyedRecord &record) { return record.key == progressKey(ServingJob); };
+    const auto record = std::ranges::find_if(page.records, isProgress);
+    const auto decoded = capture([&] { return decodeJobProgress(*record->value); });
+    const auto *progress = std::get_if<Wire::JobProgress>(&decoded);
+    return progress != nullptr && progress->steps.at(0).marks.at(0).worker.empty();
+}
+
+void putSilentWorker(MemoryTopics &topics, std::int64_t term, std::chrono::milliseconds lease)
+{
+    Wire::SilentWorkers silent;
+    silent.term = term;
+    silent.workers.emplace_back();
+    silent.workers[0].worker = "lost";
+    silent.workers[0].leaseMs = lease.count();
+    topics.put(Topic::Jobs, silentWorkersKey(), encode(silent));
+}
+
 } // namespace
 
 Test(nodeDaemon, standbyInstancesDoNotReadTheWorkersTopic, .timeout = 30)
@@ -370,3 +412,44 @@
     const std::int64_t written = countRooms() - before;
     cr_assert(written >= 1 && written <= 3, "%ld records", static_cast<long>(written));
 }
+
+/// An owner that ends before a lost worker's leases have must not make the next one wait for them anew.
+Test(nodeDaemon, aNewOwnerWaitsForTheLeasesOfASilentWorkerOnlyOnce, .timeout = 30)
+{
+    Fixture fixture;
+    addRunOnLostWorker(fixture.topics);
+    fixture.beginOtherOwner(1);
+    putSilentWorker(fixture.topics, 1, 2s);
+    fixture.context.run_for(1s);
+    fixture.endOtherOwner();
+    fixture.runUntil([&] { return fixture.daemon.table().claim()->term == 2; });
+    fixture.context.run_for(2s);
+    cr_assert(hasRunEnded(fixture.topics));
+}
+
+/// The owner directly before may have granted the worker a lease.
+Test(nodeDaemon, silentWorkersOfAnEarlierOwnerDoNotShortenTheWait, .timeout = 30)
+{
+    Fixture fixture;
+    addRunOnLostWorker(fixture.topics);
+    putSilentWorker(fixture.topics, 1, 100ms);
+    fixture.beginOtherOwner(2);
+    fixture.context.run_for(1s);
+    fixture.endOtherOwner();
+    fixture.runUntil([&] { return fixture.daemon.table().claim()->term == 3; });
+    fixture.context.run_for(4s);
+    cr_assert_not(hasRunEnded(fixture.topics));
+}
+
+/// The next owner learns of a lost worker from the job topic.
+Test(nodeDaemon, theOwnerRecordsWhichWorkersHaveNotReported, .timeout = 30)
+{
+    Fixture fixture;
+    addRunOnLostWorker(fixture.topics);
+    const auto &silent = fixture.daemon.table().silentWorkers();
+    fixture.runUntil([&] { return silent.has_value(); });
+    cr_assert_eq(silent->term, fixture.daemon.table().claim()->term);
+    cr_assert_eq(silent->workers.size(), 1);
+    cr_assert_eq(silent->workers[0].worker, "lost");
+    cr_assert(silent->workers[0].leaseMs > 6000 && silent->workers[0].leaseMs < 9000);
+}
