A repeated append proves the ownership as of its first attempt

Cause: an append without a response is repeated with the same position, and the store answers a repetition of one of the last five with the first response. The owner counted the last attempt as the proof of its ownership, although only the first one may have been executed, before another claim. Leases of an owner are renewed, and waited for by the next one, for a time after that proof.

Change: the proof is the first attempt whose outcome was undetermined. Attempts that the store has rejected were not executed and don't count.

By reading the protocol, not from a play: whether the store answers a repetition after a later claim with the first response or rejects it, the protocol doesn't say. `ownerAppender/aRepeatedAppend…` fails before: the append counts as sent 1.56 s after its first attempt, more than the 0.2 s that the test allows.

--- a/src/libs/node/ownerappender.cpp
+++ b/src/libs/node/ownerappender.cpp
@@ -66,6 +66,7 @@
         co_return;
     }
     m_appending = true;
+    std::optional<TimePoint> firstSentAt; // of the attempts that may have been executed
     while (m_term == term) {
         const TimePoint sentAt = m_clock.now();
         TopicAppend append{m_topic, records, std::nullopt, position()};
@@ -76,9 +77,12 @@
         }
         const bool isRetryable = std::holds_alternative<TopicAppendRejected>(result) || std::holds_alternative<TopicAppendUndetermined>(result);
         if (!isRetryable) {
-            finish(result, onResult, sentAt);
+            finish(result, onResult, firstSentAt.value_or(sentAt));
             co_return;
         }
+        if (std::holds_alternative<TopicAppendUndetermined>(result)) {
+            firstSentAt = firstSentAt.value_or(sentAt);
+        }
         m_metrics.add("hyssop_owner_append_retries_total");
         timer.expires_after(Internal::AppendRetryDelay);
         co_await timer.async_wait(Internal::AppenderAsTuple);
--- a/src/libs/node/ownerappender.h
+++ b/src/libs/node/ownerappender.h
@@ -27,8 +27,8 @@
     /// Name of the producer for all appends of owners, claims included.
     static constexpr const char *ProducerName = "owner";
 
-    /// Called with the result of an append that was sent at @p sentAt, unless its term has ended. A result is neither
-    /// TopicAppendRejected nor TopicAppendUndetermined.
+    /// Called with the result of an append, unless its term has ended. A result is neither TopicAppendRejected nor
+    /// TopicAppendUndetermined. The append was executed after @p sentAt.
     using ResultHandler = std::function<void(const TopicAppendResult &result, TimePoint sentAt)>;
 
     OwnerAppender(boost::asio::any_io_executor executor, const Clock &clock, MetadataStore &store, MetricsRegistry &metrics, Topic topic);
