One append without a response does not cost the ownership

Cause: the owner waited 1.5 s for the response to an append before it repeated it. Others claim the topic after 1.5 s without a record of the owner, and its renewals are 0.5 s apart, so a single lost message replaced a sound owner, which costs callers a takeover.

Change: the first attempt of a small append is repeated after 0.5 s; the store executes a position only once. Repetitions, large appends and appends to a store that has been slow wait longer, up to 1.5 s as before, so that a slow store can respond and a full link isn't filled with repetitions. A longer timeout of the others would have made each takeover later.

`nodeDaemon/anAppendThatHangsDoesNotCostTheOwnership` fails before: another instance would claim after each of 6 lost appends. Two lost appends in a row, or a lost one of a large batch, still cost the ownership. When the store becomes slower than 0.5 s, the first response comes up to 0.56 s later than before.

--- a/src/libs/node/ownerappender.cpp
+++ b/src/libs/node/ownerappender.cpp
@@ -20,10 +20,18 @@
 namespace Internal {
 
 constexpr auto AppenderAsTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::chrono::milliseconds OwnerAppendTimeout{1500};
 constexpr std::chrono::milliseconds AppendRetryDelay{60};
 constexpr std::chrono::milliseconds AppendQueueInterval{20};
 
+static std::size_t sizeOf(const std::vector<KeyedRecord> &records)
+{
+    std::size_t size = 0;
+    for (const KeyedRecord &record : records) {
+        size += record.key.size() + (record.value ? record.value->size() : 0);
+    }
+    return size;
+}
+
 } // namespace Internal
 
 OwnerAppender::OwnerAppender(asio::any_io_executor executor, const Clock &clock, MetadataStore &store, MetricsRegistry &metrics, Topic topic)
@@ -66,22 +74,27 @@
         co_return;
     }
     m_appending = true;
+    const std::size_t bytes = Internal::sizeOf(records);
+    int undeterminedAttempts = 0;
     std::optional<TimePoint> firstSentAt; // of the attempts that may have been executed
     while (m_term == term) {
         const TimePoint sentAt = m_clock.now();
         TopicAppend append{m_topic, records, std::nullopt, position()};
-        const TopicAppendResult result = co_await m_store.append(std::move(append), Internal::OwnerAppendTimeout);
-        m_metrics.observe("hyssop_owner_append_seconds", m_clock.now() - sentAt);
+        const TopicAppendResult result = co_await m_store.append(std::move(append), m_timeouts.timeout(bytes, undeterminedAttempts));
+        const Duration latency = m_clock.now() - sentAt;
+        m_metrics.observe("hyssop_owner_append_seconds", latency);
         if (m_term != term) {
             co_return;
         }
         const bool isRetryable = std::holds_alternative<TopicAppendRejected>(result) || std::holds_alternative<TopicAppendUndetermined>(result);
         if (!isRetryable) {
+            m_timeouts.recordLatency(std::chrono::duration_cast<std::chrono::milliseconds>(latency));
             finish(result, onResult, firstSentAt.value_or(sentAt));
             co_return;
         }
         if (std::holds_alternative<TopicAppendUndetermined>(result)) {
             firstSentAt = firstSentAt.value_or(sentAt);
+            ++undeterminedAttempts;
         }
         m_metrics.add("hyssop_owner_append_retries_total");
         timer.expires_after(Internal::AppendRetryDelay);
--- a/src/libs/node/ownerappender.h
+++ b/src/libs/node/ownerappender.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "appendtimeoutpolicy.h"
+
 #include <ports/keyedrecord.h>
 #include <ports/storeresults.h>
 #include <ports/topic.h>
@@ -63,6 +65,7 @@
     std::int64_t m_sequence = 0; // of the next append
     TimePoint m_lastAppend{};
     bool m_appending = false;
+    AppendTimeoutPolicy m_timeouts;
 };
 
 } // namespace Hyssop
--- a/tests/libs/node/memorystore.cpp
+++ b/tests/libs/node/memorystore.cpp
@@ -44,8 +44,13 @@
     co_return m_topics.newest(topic, afterKey);
 }
 
-asio::awaitable<TopicAppendResult> MemoryStore::append(TopicAppend append, std::chrono::milliseconds)
+asio::awaitable<TopicAppendResult> MemoryStore::append(TopicAppend append, std::chrono::milliseconds timeout)
 {
+    if (hangingAppends > 0) {
+        --hangingAppends;
+        co_await pauseFor(timeout);
+        co_return TopicAppendUndetermined{"timeout"};
+    }
     co_await pauseFor(appendTime);
     if (m_workersReadsAtClaim < 0) {
         m_workersReadsAtClaim = m_calls[Topic::Workers].sent;
--- a/tests/libs/node/memorystore.h
+++ b/tests/libs/node/memorystore.h
@@ -31,6 +31,7 @@
     std::chrono::milliseconds appendTime{1};
     std::optional<Topic> failingTopic; // reads of this topic fail
     bool losesAppends = false; // appends are rejected
+    int hangingAppends = 0; // so many of the next appends are lost, and get no response
 
 private:
     struct Calls
--- a/tests/libs/node/testnodedaemon.cpp
+++ b/tests/libs/node/testnodedaemon.cpp
@@ -3,6 +3,7 @@
 #include "support/capturedoutput.h"
 
 #include <jobtopic/jobkeys.h>
+#include <node/claimpolicy.h>
 #include <node/nodedaemon.h>
 #include <node/nodesettings.h>
 #include <observability/logging.h>
@@ -21,6 +22,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 using namespace Hyssop;
 using namespace Hyssop::Testing;
@@ -235,6 +237,27 @@
     return progress != nullptr && progress->steps.at(0).marks.at(0).worker.empty();
 }
 
+/// Returns true if an instance that reads the topic every 10 ms would claim it within @p time.
+bool wouldBeClaimed(Fixture &fixture, std::chrono::milliseconds time)
+{
+    const ClaimPolicy policy(0ms, 1);
+    OwnerObservation owner;
+    owner.hasClaim = true;
+    std::int64_t end = -1;
+    const auto until = std::chrono::steady_clock::now() + time;
+    for (auto now = std::chrono::steady_clock::now(); now < until; now = std::chrono::steady_clock::now()) {
+        const TimePoint readAt(now.time_since_epoch());
+        const std::int64_t newEnd = std::get<RecordPage>(fixture.topics.read(Topic::Jobs, 0)).end;
+        owner.lastRecordAt = newEnd != std::exchange(end, newEnd) ? readAt : owner.lastRecordAt;
+        owner.loadedAt = owner.lastRecordAt;
+        if (policy.shouldClaim(owner, readAt)) {
+            return true;
+        }
+        fixture.context.run_for(10ms);
+    }
+    return false;
+}
+
 void putSilentWorker(MemoryTopics &topics, std::int64_t term, std::chrono::milliseconds lease)
 {
     Wire::SilentWorkers silent;
@@ -453,3 +476,15 @@
     cr_assert_eq(silent->workers[0].worker, "lost");
     cr_assert(silent->workers[0].leaseMs > 6000 && silent->workers[0].leaseMs < 9000);
 }
+
+/// A single lost message must not cost the ownership: other instances claim the topic when they see no record of the owner.
+Test(nodeDaemon, anAppendThatHangsDoesNotCostTheOwnership, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.runUntil([&] { return fixture.daemon.table().claim().has_value(); });
+    for (std::chrono::milliseconds delay = 500ms; delay <= 1000ms; delay += 100ms) {
+        cr_assert_not(wouldBeClaimed(fixture, delay));
+        fixture.store.hangingAppends = 1;
+        cr_expect_not(wouldBeClaimed(fixture, 3s), "an append after %ld ms", static_cast<long>(delay.count()));
+    }
+}
--- a/tests/libs/node/testownerappender.cpp
+++ b/tests/libs/node/testownerappender.cpp
@@ -1,3 +1,4 @@
+#include <node/appendtimeoutpolicy.h>
 #include <node/ownerappender.h>
 #include <observability/metricsregistry.h>
 #include <ports/metadatastore.h>
@@ -19,6 +20,8 @@
 
 namespace {
 
+constexpr std::size_t RenewalBytes = 200;
+
 /// Gives the results one after the other; an undetermined one takes as long as the timeout.
 class ScriptedStore : public MetadataStore
 {
@@ -82,3 +85,30 @@
     fixture.store.results = {TopicAppendRejected{"busy"}, TopicAppendRejected{"busy"}, TopicAppended{7}};
     cr_assert_gt(fixture.appendedAfterBegin().count(), Duration(100ms).count());
 }
+
+// Guards against a single lost message that costs the ownership, see nodeDaemon/anAppendThatHangs….
+Test(appendTimeoutPolicy, aRenewalIsRepeatedBeforeOthersClaim)
+{
+    const AppendTimeoutPolicy policy;
+    cr_assert_leq(policy.timeout(RenewalBytes, 0).count(), 510);
+}
+
+// Guards against an append that is repeated for ever because each response is later than the timeout.
+Test(appendTimeoutPolicy, repetitionsWaitLongerUpToABound)
+{
+    const AppendTimeoutPolicy policy;
+    cr_assert_eq(policy.timeout(RenewalBytes, 1).count(), 1500);
+    cr_assert_eq(policy.timeout(RenewalBytes, 1000).count(), 1500);
+}
+
+// Guards against needless repetitions while the store is slow or the link is full.
+Test(appendTimeoutPolicy, slowStoresAndLargeAppendsGetMoreTime)
+{
+    AppendTimeoutPolicy policy;
+    cr_assert_eq(policy.timeout(512 * 1024, 0).count(), 1500);
+    cr_assert_geq(policy.timeout(16 * 1024, 0).count(), 1000);
+    policy.recordLatency(700ms);
+    cr_assert_geq(policy.timeout(RenewalBytes, 0).count(), 1400);
+    policy.recordLatency(10ms);
+    cr_assert_leq(policy.timeout(RenewalBytes, 0).count(), 510);
+}
