--- a/src/libs/node/ownerappender.h
+++ b/src/libs/node/ownerappender.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "appendtimeoutpolicy.h"
+
 #include <ports/keyedrecord.h>
 #include <ports/storeresults.h>
 #include <ports/topic.h>
@@ -27,8 +29,8 @@
     /// Name of the producer for all appends of owners, claims included.
     static constexpr const char *ProducerName = "owner";
 
-    /// Called with the result of an append that was sent at @p sentAt, unless its term has ended. A result is neither
-    /// TopicAppendRejected nor TopicAppendUndetermined.
+    /// Called with the result of an append, unless its term has ended. A result is neither TopicAppendRejected nor
+    /// TopicAppendUndetermined. The append was executed after @p sentAt.
     using ResultHandler = std::function<void(const TopicAppendResult &result, TimePoint sentAt)>;
 
     OwnerAppender(boost::asio::any_io_executor executor, const Clock &clock, MetadataStore &store, MetricsRegistry &metrics, Topic topic);
@@ -63,6 +65,7 @@
     std::int64_t m_sequence = 0; // of the next append
     TimePoint m_lastAppend{};
     bool m_appending = false;
+    AppendTimeoutPolicy m_timeouts;
 };
 
 } // namespace Hyssop
