Watchdog of the owner for steps that wait beside free room

Cause: the lines "tasks waiting" describe one step of each kind and size, every 2 s, so nobody is told when a step waits for very long although room is free.

Change: WaitingWatchdog decides in rounds, twice a second, which steps have had no running task although room for twice their need was free (FreeRoom): for 3 s if they serve or less than half of the pool is reserved, as the platform's rule has it, otherwise for 30 s. The dispatcher reports at most two a second as OverdueStep, with obstacles, capacity and the age of the inputs: a log line "task waits although room is free", hyssop_overdue_steps_total, hyssop_overdue_steps and hyssop_overdue_steps_oldest_seconds. Forecasts are restored afterwards, so a report does not change the placement.

--- a/bench/ownercost/modelfleet.cpp
+++ b/bench/ownercost/modelfleet.cpp
@@ -67,6 +67,8 @@
             return m_times.end("advance, workers");
         case DispatchStage::Placement:
             return m_times.end("advance, placement");
+        case DispatchStage::Watchdog:
+            return m_times.end("advance, watchdog");
         case DispatchStage::Batch:
             return m_times.end("advance, batch");
         case DispatchStage::Polls:
--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobhistory.h"
+#include "overduestep.h"
 
 #include <ports/commandresults.h>
 #include <ports/keyedrecord.h>
@@ -217,6 +218,7 @@
                                     WorkerQuarantined,
                                     WorkerSoundAgain,
                                     StartsWithheld,
-                                    StartsResumed>;
+                                    StartsResumed,
+                                    OverdueStep>;
 
 } // namespace Hyssop
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -55,6 +55,7 @@
     m_tokensExhausted = false;
     m_tickets = TicketCache();
     m_unschedulable.clear();
+    m_watchdog = WaitingWatchdog();
     m_colocation.restore(table.learnedTails());
     m_tailsStoredAt = claim.readAt;
     m_actions.clear();
@@ -161,6 +162,8 @@
     reportStage(DispatchStage::Workers);
     placePendingTasks(now, wall);
     reportStage(DispatchStage::Placement);
+    watchWaitingSteps(now);
+    reportStage(DispatchStage::Watchdog);
     composeBatch(now, wall);
     reportStage(DispatchStage::Batch);
     pollWorkers(now);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -14,6 +14,7 @@
 #include "ticketcache.h"
 #include "tokenrises.h"
 #include "unschedulablerequests.h"
+#include "waitingwatchdog.h"
 #include "workerstate.h"
 
 #include <ports/clusterconfig.h>
@@ -30,6 +31,7 @@
 
 namespace Hyssop {
 
+class FreeRoom;
 class JobTable;
 class WorkerRanking;
 struct ClaimTimes;
@@ -284,6 +286,16 @@
     /// Counts in @p waiting the workers that can take a task of @p stepId, and the others by why they can't.
     void addObstacles(WaitingTasks &waiting, const WorkerRanking &ranking, const TaskId &stepId, const StepExecution &execution, TimePoint now);
 
+    /// Reports steps that wait too long although room for them is free.
+    void watchWaitingSteps(TimePoint now);
+
+    /// Shows the steps of @p job that wait to the watchdog.
+    void observeWaitingSteps(const JobExecution &job, FreeRoom &room, TimePoint now);
+
+    /// Reports some of the overdue steps.
+    void examineOverdueSteps(const WorkerRanking &ranking, FreeRoom &room, TimePoint now);
+    OverdueStep overdueStep(const TaskId &stepId, const WorkerRanking &ranking, FreeRoom &room, TimePoint now);
+
     void placePendingTasks(TimePoint now, WallTime wall);
     void recordShortTaskDemand(TimePoint now);
     void placeStep(JobExecution &job, const TaskId &stepId, const SchedulingKey &key, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now);
@@ -346,6 +358,7 @@
     std::set<std::string> m_evacuated;
     TicketCache m_tickets;
     UnschedulableRequests m_unschedulable;
+    WaitingWatchdog m_watchdog;
     PlacementWork m_placementWork;
     ColocationPolicy m_colocation;
     ShortTaskReserve m_shortTaskReserve;
--- a/src/libs/dispatch/dispatchstage.h
+++ b/src/libs/dispatch/dispatchstage.h
@@ -6,6 +6,7 @@
 enum class DispatchStage {
     Workers, // registrations, leases, stops and departures of workers
     Placement,
+    Watchdog, // search for steps that wait too long
     Batch, // changes composed for the topics
     Polls,
 };
--- a/src/libs/dispatch/dispatchsummary.h
+++ b/src/libs/dispatch/dispatchsummary.h
@@ -2,6 +2,7 @@
 
 #include "waitingtasks.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -27,6 +28,9 @@
     std::int64_t freeMilliCores = 0; // reserved by none
     std::int64_t idleMilliCores = 0; // capacity that all tasks are expected to leave idle
     std::map<std::int64_t, std::size_t> workersByFreeMilliCores; // number of workers with at least as much unreserved capacity
+    std::size_t overdueSteps = 0; // see WaitingWatchdog
+    std::size_t newlyOverdueSteps = 0; // since the last summary
+    std::chrono::milliseconds longestOverdue{0}; // time for which the oldest of the overdue steps has waited beside free room
     std::vector<WaitingTasks> waiting; // tasks that could start now, if they had a worker
 };
 
--- a/src/libs/dispatch/waitingtasks.h
+++ b/src/libs/dispatch/waitingtasks.h
@@ -2,10 +2,12 @@
 
 #include "placementobstacle.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace Hyssop {
@@ -31,6 +33,13 @@
     std::int64_t memoryBytes = 0; // of a task
     std::size_t suitableWorkers = 0;
     std::map<PlacementObstacle, std::size_t> workers; // the others, by why they can't take a task
+
+    /// Returns the obstacle of most workers, or nothing if one is suitable or there is no worker.
+    std::optional<PlacementObstacle> mainObstacle() const
+    {
+        const auto most = std::ranges::max_element(workers, {}, [](const auto &item) { return item.second; });
+        return suitableWorkers > 0 || most == workers.end() ? std::nullopt : std::optional(most->first);
+    }
 };
 
 } // namespace Hyssop
--- a/src/libs/node/dispatchlog.cpp
+++ b/src/libs/node/dispatchlog.cpp
@@ -94,6 +94,11 @@
     logAction(resumed);
 }
 
+void DispatchLog::write(const OverdueStep &overdue, TimePoint)
+{
+    logAction(overdue);
+}
+
 void DispatchLog::write(const WorkerEvent &event, TimePoint now)
 {
     m_workers.add(event, now);
--- a/src/libs/node/dispatchlog.h
+++ b/src/libs/node/dispatchlog.h
@@ -23,6 +23,7 @@
     void write(const LateEndIgnored &end, TimePoint now);
     void write(const StartsWithheld &withheld, TimePoint now);
     void write(const StartsResumed &resumed, TimePoint now);
+    void write(const OverdueStep &overdue, TimePoint now);
     void write(const WorkerEvent &event, TimePoint now);
 
     /// Writes the lines that are due. Must be called regularly.
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -284,12 +284,18 @@
     return "unknown";
 }
 
-static void logWaitingTasks(const WaitingTasks &waiting)
+/// Returns "OBSTACLE:WORKERS" for each obstacle.
+static std::string workersByObstacle(const WaitingTasks &waiting)
 {
     std::string obstacles;
     for (const auto &[obstacle, workers] : waiting.workers) {
         obstacles += (obstacles.empty() ? "" : ",") + std::string(obstacleName(obstacle)) + ":" + std::to_string(workers);
     }
+    return obstacles;
+}
+
+static void logWaitingTasks(const WaitingTasks &waiting)
+{
     logMessage(LogPriority::Essential,
                LogLevel::Info,
                "owner",
@@ -303,7 +309,37 @@
                 {"millicores", static_cast<long long>(waiting.milliCores)},
                 {"memory_mb", static_cast<long long>(waiting.memoryBytes / BytesPerMegabyte)},
                 {"suitable_workers", waiting.suitableWorkers},
-                {"obstacles", obstacles}});
+                {"obstacles", workersByObstacle(waiting)}});
+}
+
+void logAction(const OverdueStep &overdue)
+{
+    const WaitingTasks &waiting = overdue.waiting;
+    logMessage(LogLevel::Warning,
+               "owner",
+               "task waits although room is free",
+               {{"job_id", overdue.step.job},
+                {"step", std::to_string(overdue.step.occurrence) + "." + std::to_string(overdue.step.step)},
+                {"task", overdue.step.toString()},
+                {"kind", kindName(waiting.kind)},
+                {"waiting_ms", static_cast<long long>(overdue.waitingTime.count())},
+                {"beside_room_ms", static_cast<long long>(overdue.besideRoom.count())},
+                {"since_release_ms", static_cast<long long>(waiting.sinceRelease.count())},
+                {"tasks", waiting.tasks},
+                {"assigned_tasks", overdue.assignedTasks},
+                {"millicores", static_cast<long long>(waiting.milliCores)},
+                {"memory_mb", static_cast<long long>(waiting.memoryBytes / BytesPerMegabyte)},
+                {"places", overdue.places},
+                {"suitable_workers", waiting.suitableWorkers},
+                {"obstacles", workersByObstacle(waiting)},
+                {"pool_millicores", static_cast<long long>(overdue.milliCores)},
+                {"free_millicores", static_cast<long long>(overdue.freeMilliCores)},
+                {"unused_millicores", static_cast<long long>(overdue.unusedMilliCores)},
+                {"idle_millicores", static_cast<long long>(overdue.idleMilliCores)},
+                {"jobs_read_age_ms", static_cast<long long>(overdue.jobsReadAge.count())},
+                timeField("workers_read_age_ms", overdue.workersReadAge),
+                {"oldest_report_age_ms", static_cast<long long>(overdue.oldestReportAge.count())},
+                {"unreported_steps", overdue.unreportedSteps}});
 }
 
 void logLoad(std::int64_t term, const DispatchSummary &load)
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -21,6 +21,7 @@
 void logAction(const JobEnded &end);
 void logAction(const StartsWithheld &withheld);
 void logAction(const StartsResumed &resumed);
+void logAction(const OverdueStep &overdue);
 
 /// Logs that the ownership of @p term is given up. @p rejection is empty unless a worker's response is the reason.
 void logStepDown(std::int64_t term, const std::string &reason, const StepDown &rejection);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -513,6 +513,9 @@
     logLoad(term(), load);
     m_metrics.set("hyssop_open_runs", static_cast<double>(load.openRuns));
     m_metrics.set("hyssop_waiting_tasks", static_cast<double>(load.pendingReserved + load.pendingBestEffort + load.pendingServing));
+    m_metrics.add("hyssop_overdue_steps_total", {}, static_cast<double>(load.newlyOverdueSteps));
+    m_metrics.set("hyssop_overdue_steps", static_cast<double>(load.overdueSteps));
+    m_metrics.set("hyssop_overdue_steps_oldest_seconds", std::chrono::duration<double>(load.longestOverdue).count());
     m_metrics.set("hyssop_unreachable_workers", static_cast<double>(load.unreachableWorkers));
     m_metrics.set("hyssop_unreachable_runs", static_cast<double>(load.unreachableRuns));
     m_metrics.set("hyssop_free_millicores", static_cast<double>(load.freeMilliCores));
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -367,6 +367,7 @@
                    [&](const ThrottleCommand &throttle) { owner.dispatcher.throttleAnswered(throttle, CommandExecuted{}, now); },
                    [&](AppendRecords &records) { store(owner, std::move(records)); },
                    [&](const ListLiveWorkers &) { listWorkers(owner); },
+                   [&](const OverdueStep &overdue) { overdueSteps.push_back(overdue); },
                    [&](const StepDown &) { owner.steppedDown = true; },
                    [](const auto &) {},
                },
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -91,6 +91,7 @@
     std::set<std::string> evacuated;
     std::vector<std::string> violations;
     std::vector<std::pair<TaskId, std::string>> starts; // task and worker
+    std::vector<OverdueStep> overdueSteps; // reported by the owners
     std::function<SimulatedWorker::Run(const TaskId &)> plan;
     TimePoint now{std::chrono::seconds(1000)};
 
--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <cstdio>
+#include <string>
 
 using namespace Hyssop;
 using namespace Hyssop::Testing;
@@ -48,7 +49,25 @@
     }
 }
 
-void runScenario(std::uint32_t seed, CrashWorker crash, Duration workerLoadTime = Duration::zero())
+/// Describes the steps that waited too long beside free room.
+std::string describeOverdueSteps(const DispatchSimulation &simulation)
+{
+    std::string text;
+    for (const OverdueStep &overdue : simulation.overdueSteps) {
+        text += overdue.step.toString() + " waited " + std::to_string(overdue.besideRoom.count()) + " ms beside room for " + std::to_string(overdue.places)
+            + " tasks, " + std::to_string(overdue.assignedTasks) + " are assigned, " + std::to_string(overdue.waiting.suitableWorkers)
+            + " workers are suitable\n";
+    }
+    return text;
+}
+
+void expectNoOverdueSteps(const std::string &overdueSteps, std::uint32_t seed)
+{
+    cr_assert(overdueSteps.empty(), "seed %u: %s", seed, overdueSteps.c_str());
+}
+
+/// Returns the steps that waited too long beside free room.
+std::string runScenario(std::uint32_t seed, CrashWorker crash, Duration workerLoadTime = Duration::zero())
 {
     DispatchSimulation simulation(seed);
     simulation.workerLoadTime = workerLoadTime;
@@ -76,6 +95,7 @@
         cr_assert(ended, "seed %u: job%d has not ended", seed, job);
     }
     cr_assert_eq(simulation.openRuns(), 0, "seed %u: a run is left", seed);
+    return describeOverdueSteps(simulation);
 }
 
 /// Replaces the processes of workers while messages are slow, so that these reach another process than they were sent to.
@@ -96,6 +116,7 @@
         cr_assert(simulation.isComplete("job" + std::to_string(job)), "seed %u: job%d has not completed", seed, job);
     }
     cr_assert_eq(simulation.openRuns(), 0, "seed %u: a run is left", seed);
+    expectNoOverdueSteps(describeOverdueSteps(simulation), seed);
 }
 
 constexpr int ServingJobs = 4;
@@ -157,6 +178,7 @@
     simulation.run(60s);
     cr_assert(simulation.violations.empty(), "seed %u: %s", seed, simulation.violations.empty() ? "" : simulation.violations.front().c_str());
     cr_assert_eq(simulation.openRuns(), ServingJobs * ServingWidth, "seed %u: %zu tasks run", seed, simulation.openRuns());
+    expectNoOverdueSteps(describeOverdueSteps(simulation), seed);
 }
 
 } // namespace
@@ -164,7 +186,7 @@
 Test(dispatchFaults, randomFaultsCauseNoLostOrDuplicateRuns)
 {
     for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
-        runScenario(seed, &DispatchSimulation::restartWorker);
+        expectNoOverdueSteps(runScenario(seed, &DispatchSimulation::restartWorker), seed);
     }
 }
 
@@ -175,6 +197,14 @@
     }
 }
 
+// Guards against steps that wait without a run although there is room and nobody is told.
+Test(dispatchFaults, crashesWithRefusedConnectionsLeaveNoStepWaitingBesideRoom)
+{
+    for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
+        expectNoOverdueSteps(runScenario(seed, &DispatchSimulation::crashWorker), seed);
+    }
+}
+
 Test(dispatchFaults, slowMessagesAcrossRestartsCauseNoLostOrDuplicateRuns)
 {
     for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
@@ -199,6 +229,6 @@
 Test(dispatchFaults, randomFaultsCauseNoLostOrDuplicateRunsIfOwnersLearnOfTheWorkersLate)
 {
     for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
-        runScenario(seed, &DispatchSimulation::restartWorker, seed * WorkerLoadTimeStep);
+        expectNoOverdueSteps(runScenario(seed, &DispatchSimulation::restartWorker, seed * WorkerLoadTimeStep), seed);
     }
 }
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -1,6 +1,7 @@
 #include "support/capturedoutput.h"
 
 #include <dispatch/dispatchsummary.h>
+#include <dispatch/overduestep.h>
 #include <node/ownerlog.h>
 #include <observability/logging.h>
 #include <utils/resources.h>
@@ -251,3 +252,54 @@
     expectLine(text, "memory_mb=100 suitable_workers=9 obstacles=over_target:1,idle_time:2,headroom:3");
     expectLine(text, "obstacles=quarantine:1,pool:2,memory:3,accelerators:4,rack_or_label:5,tasks_per_worker:6,advice:7");
 }
+
+// Guards against an on-call engineer who has to derive from summaries why one step waits beside free room.
+Test(ownerLog, aStepThatWaitsBesideFreeRoomNamesItsObstaclesAndTheInputs)
+{
+    const OwnerLog log;
+    OverdueStep overdue;
+    overdue.step = {"j", 0, 1, 0};
+    overdue.waiting.kind = TaskKind::BestEffort;
+    overdue.waiting.tasks = 18;
+    overdue.waiting.sinceRelease = 101'500ms;
+    overdue.waiting.milliCores = 8250;
+    overdue.waiting.memoryBytes = 8640 * BytesPerMegabyte;
+    overdue.waiting.suitableWorkers = 0;
+    overdue.waiting.workers = {{PlacementObstacle::OverTarget, 1}, {PlacementObstacle::IdleProcessorTime, 4}, {PlacementObstacle::Headroom, 43}};
+    overdue.assignedTasks = 1;
+    overdue.waitingTime = 100'900ms;
+    overdue.besideRoom = 15'000ms;
+    overdue.places = 140;
+    overdue.milliCores = 3'456'000;
+    overdue.freeMilliCores = 2'000'000;
+    overdue.unusedMilliCores = 1'800'000;
+    overdue.idleMilliCores = 1'500'000;
+    overdue.jobsReadAge = 20ms;
+    overdue.oldestReportAge = 240ms;
+    overdue.unreportedSteps = 27;
+    logAction(overdue);
+    overdue.workersReadAge = 40ms;
+    logAction(overdue);
+    const std::string text = log.text();
+    expectLine(text,
+               "message=\"task waits although room is free\" job_id=j step=0.1 task=j.0.1.0 kind=best_effort waiting_ms=100900 beside_room_ms=15000 "
+               "since_release_ms=101500 tasks=18 assigned_tasks=1 millicores=8250 memory_mb=8640 places=140 suitable_workers=0 "
+               "obstacles=over_target:1,idle_time:4,headroom:43 pool_millicores=3456000 free_millicores=2000000 unused_millicores=1800000 "
+               "idle_millicores=1500000 jobs_read_age_ms=20 workers_read_age_ms=unknown oldest_report_age_ms=240 unreported_steps=27");
+    cr_assert(text.find("workers_read_age_ms=40 ") != std::string::npos);
+    cr_assert(text.find("level=warning") != std::string::npos || text.find("level=WARN") != std::string::npos, "%s", text.c_str());
+}
+
+// Guards against reports on waiting steps that a burst of other lines displaces.
+Test(ownerLog, stepsThatWaitBesideFreeRoomAreNotDisplacedByOtherLines)
+{
+    const OwnerLog log;
+    for (int line = 0; line < 2 * LineLimit; ++line) {
+        logMessage(LogLevel::Info, "owner", "run results", {{"job_id", "j"}});
+        logAction(RunEnded{});
+        logAction(JobEnded{"j", "completed", 700ms, true, 0ms, {}});
+        logWorkerChange("worker unreachable");
+    }
+    logAction(OverdueStep{});
+    cr_assert(log.text().find("task waits although room is free") != std::string::npos);
+}
