bench-ownercost: allocations, logs, and a budget for slower machines

The bench told the processor time of this machine only, without logs and metrics. It now prints the allocations of each event, which do not depend on the machine, the costs of log lines and metrics, the sum for each start, and up to which slowdown the owner keeps its share of a core.

--- a/bench/ownercost/modelfleet.cpp
+++ b/bench/ownercost/modelfleet.cpp
@@ -2,6 +2,8 @@
 
 #include <dispatch/claimtimes.h>
 #include <jobtopic/jobkeys.h>
+#include <node/ownerlog.h>
+#include <observability/logging.h>
 #include <utils/overloaded.h>
 #include <wire/codec.h>
 
@@ -23,6 +25,7 @@
 constexpr int Images = 40;
 constexpr int EstimateMs = 1500;
 constexpr int RackSize = 20;
+constexpr int LogLinesPerSecond = 400; // as in the settings of hyssop-node
 
 // Ids have the length of real ones.
 static std::string idOf(const char *prefix, std::int64_t number)
@@ -39,6 +42,11 @@
     , m_dispatcher(DispatchLimits())
     , m_nextJob(m_now)
 {
+    initializeLogging(LogLevel::Info, LogFormat::KeyValue, "owner");
+    setLogLineLimit(LogLinesPerSecond);
+    setLogMetrics(&m_metrics);
+    m_logClock.pause();
+    setLogClock(m_logClock);
     ClusterConfig config;
     QueueInfo queue;
     queue.name = "batch";
@@ -76,6 +84,13 @@
     submitServingJobs();
 }
 
+ModelFleet::~ModelFleet()
+{
+    static const Clock systemClock;
+    setLogClock(systemClock);
+    setLogMetrics(nullptr);
+}
+
 void ModelFleet::run(std::chrono::milliseconds time)
 {
     for (const TimePoint until = m_now + time; m_now < until; m_now += Tick) {
@@ -83,6 +98,7 @@
             m_nextJob += std::chrono::milliseconds(1000) / m_options.jobsPerSecond;
             submit(shortJob());
         }
+        m_logClock.advance(Tick);
         runEvents();
         tick();
     }
@@ -97,11 +113,16 @@
     m_longestEndDelay = Duration(0);
 }
 
-void ModelFleet::print(std::chrono::milliseconds simulated) const
+double ModelFleet::eventsPerSecond(const std::string &event, std::chrono::milliseconds simulated) const
+{
+    const auto count = m_counts.find(event);
+    return count != m_counts.end() ? static_cast<double>(count->second) * 1000 / static_cast<double>(simulated.count()) : 0;
+}
+
+void ModelFleet::printCounts(std::chrono::milliseconds simulated) const
 {
-    m_times.print(simulated);
     for (const auto &[event, count] : m_counts) {
-        std::printf("%-30s %12.1f a second\n", event.c_str(), static_cast<double>(count) * 1000 / static_cast<double>(simulated.count()));
+        std::printf("%-30s %12.1f a second\n", event.c_str(), eventsPerSecond(event, simulated));
     }
     const auto milliseconds = [](Duration time) { return std::chrono::duration<double, std::milli>(time).count(); };
     const double meanDelay = m_knownEnds > 0 ? milliseconds(m_endDelay) / static_cast<double>(m_knownEnds) : 0;
@@ -124,10 +145,12 @@
 void ModelFleet::submit(const Wire::StepJob &job)
 {
     const std::string id = idOf("bb", m_jobs++);
-    m_table.apply({m_jobs, submissionKey(id), encode(job)});
-    const TopicJob *entry = m_table.find(id);
+    const KeyedRecord record{m_jobs, submissionKey(id), encode(job)};
     ++m_counts["jobs"];
     m_times.begin();
+    m_table.apply(record);
+    m_times.end("read");
+    const TopicJob *entry = m_table.find(id);
     m_dispatcher.jobChanged(id, entry, m_now, wall());
     m_times.end("accepted");
 }
@@ -192,6 +215,17 @@
     for (DispatchAction &action : actions) {
         perform(std::move(action));
     }
+    m_times.begin();
+    m_log.writeDue(m_now);
+    m_times.end("log lines due");
+}
+
+template<typename DispatchEvent>
+void ModelFleet::log(const DispatchEvent &event)
+{
+    m_times.begin();
+    m_log.write(event, m_now);
+    m_times.end("event logged");
 }
 
 void ModelFleet::perform(DispatchAction action)
@@ -202,9 +236,18 @@
                    [this](ThrottleCommand &command) { perform(std::move(command)); },
                    [this](PollCommand &command) { perform(std::move(command)); },
                    [this](const AppendRecords &append) { perform(append); },
-                   [this](const JobEnded &) { ++m_counts["job ends"]; },
-                   [this](const RunEnded &end) { perform(end); },
-                   [](const auto &) {},
+                   [this](const JobEnded &end) {
+                       ++m_counts["job ends"];
+                       log(end);
+                   },
+                   [this](const RunEnded &end) {
+                       perform(end);
+                       log(end);
+                   },
+                   [](const RequestAdvice &) {},
+                   [](const ListLiveWorkers &) {},
+                   [](const StepDown &) {},
+                   [this](const auto &event) { log(event); },
                },
                action);
 }
@@ -212,13 +255,14 @@
 void ModelFleet::perform(StartCommand command)
 {
     ++m_counts["starts"];
-    at(m_now + TransitTime, [this, command = std::move(command)] {
+    at(m_now + TransitTime, [this, sentAt = m_now, command = std::move(command)] {
         const bool isServing = command.isServing;
         const auto endsAt = isServing ? std::nullopt : std::optional(m_now + std::chrono::milliseconds(random(1000, 2000)));
         if (endsAt) {
             m_runEnds[command.task] = *endsAt;
         }
         const CommandResult result = workerOf(command.worker).start(command, endsAt, m_now);
+        logStart(command, result, sentAt);
         m_times.begin();
         m_dispatcher.startAnswered(command, result, m_now);
         m_times.end("start answered");
@@ -230,6 +274,7 @@
     ++m_counts["stops"];
     at(m_now + TransitTime, [this, command = std::move(command)] {
         const CommandResult result = workerOf(command.worker).stop(command, m_now);
+        logStop(command, result);
         m_times.begin();
         m_dispatcher.stopAnswered(command, result, m_now);
         m_times.end("stop answered");
@@ -240,8 +285,10 @@
 {
     ++m_counts["throttles"];
     at(m_now + TransitTime, [this, command = std::move(command)] {
+        const CommandResult result = CommandExecuted{WorkerTime(0)};
+        logThrottle(command, result);
         m_times.begin();
-        m_dispatcher.throttleAnswered(command, CommandExecuted{WorkerTime(0)}, m_now);
+        m_dispatcher.throttleAnswered(command, result, m_now);
         m_times.end("throttle answered");
     });
 }
@@ -258,6 +305,8 @@
             m_counts["reported runs"] += static_cast<std::int64_t>(report.runs.size());
             at(m_now + TransitTime / 2, [this, sentAt, command, report] {
                 m_times.begin();
+                m_metrics.add("hyssop_polls_total", {{"outcome", "listed"}});
+                m_times.end("poll counted");
                 m_dispatcher.pollAnswered(command, report, sentAt, m_now);
                 m_times.end("poll answered");
             });
@@ -292,6 +341,34 @@
     }
 }
 
+// The same calls as those of TopicOwner.
+void ModelFleet::logStart(const StartCommand &command, const CommandResult &result, TimePoint sentAt)
+{
+    m_times.begin();
+    m_log.write(command, result, sentAt, m_now);
+    m_times.end("start logged");
+    m_metrics.observe("hyssop_start_seconds", m_now - sentAt);
+    m_metrics.add("hyssop_starts_total", {{"outcome", resultName(result)}});
+    m_times.end("start counted");
+}
+
+void ModelFleet::logStop(const StopCommand &command, const CommandResult &result)
+{
+    m_times.begin();
+    m_log.write(command, result, m_now);
+    m_metrics.add("hyssop_stops_total", {{"outcome", resultName(result)}});
+    m_metrics.add("hyssop_stop_reasons_total", {{"reason", stopReasonName(command.reason)}});
+    m_times.end("stop logged");
+}
+
+void ModelFleet::logThrottle(const ThrottleCommand &command, const CommandResult &result)
+{
+    m_times.begin();
+    m_log.write(command, result, m_now);
+    m_metrics.add("hyssop_paces_total", {{"outcome", resultName(result)}});
+    m_times.end("throttle logged");
+}
+
 WallTime ModelFleet::wall() const
 {
     return WallTime(std::chrono::seconds(1'700'000'000) + std::chrono::duration_cast<WallTime::duration>(m_now.time_since_epoch()));
--- a/bench/ownercost/modelfleet.h
+++ b/bench/ownercost/modelfleet.h
@@ -5,6 +5,9 @@
 
 #include <dispatch/dispatcher.h>
 #include <jobtopic/jobtable.h>
+#include <node/dispatchlog.h>
+#include <observability/metricsregistry.h>
+#include <utils/clock.h>
 
 #include <cstdint>
 #include <functional>
@@ -29,12 +32,23 @@
 {
 public:
     explicit ModelFleet(const FleetOptions &options);
+    ~ModelFleet();
+
+    ModelFleet(const ModelFleet &) = delete;
+    ModelFleet &operator=(const ModelFleet &) = delete;
 
     /// Advances the virtual time and measures the calls of the dispatcher.
     void run(std::chrono::milliseconds time);
 
     void clearCounts();
-    void print(std::chrono::milliseconds simulated) const;
+
+    /// Returns the costs of the stages of the owner, which were measured for @p simulated.
+    std::vector<StageCost> costs(std::chrono::milliseconds simulated) const { return m_times.costs(simulated); }
+
+    /// Returns how many events of a kind, for example "starts", occurred in a second.
+    double eventsPerSecond(const std::string &event, std::chrono::milliseconds simulated) const;
+
+    void printCounts(std::chrono::milliseconds simulated) const;
 
 private:
     using Event = std::function<void()>;
@@ -53,6 +67,12 @@
     void perform(PollCommand command);
     void perform(const AppendRecords &append);
     void perform(const RunEnded &end);
+    void logStart(const StartCommand &command, const CommandResult &result, TimePoint sentAt);
+    void logStop(const StopCommand &command, const CommandResult &result);
+    void logThrottle(const ThrottleCommand &command, const CommandResult &result);
+    /// Writes the log line of an event, as the owner does.
+    template<typename DispatchEvent>
+    void log(const DispatchEvent &event);
     ModelWorker &workerOf(const WorkerAddress &address) { return m_workers.at(address.id); }
     int random(int minimum, int maximum) { return std::uniform_int_distribution<int>(minimum, maximum)(m_random); }
     WallTime wall() const;
@@ -60,6 +80,7 @@
     FleetOptions m_options;
     std::mt19937 m_random;
     TimePoint m_now{std::chrono::seconds(1000)};
+    Clock m_logClock; // stands at m_now
     Dispatcher m_dispatcher;
     JobTable m_table;
     std::map<std::string, ModelWorker> m_workers; // by id
@@ -72,6 +93,8 @@
     Duration m_longestEndDelay{0};
     std::map<std::string, std::int64_t> m_counts; // by event
     StageTimes m_times;
+    DispatchLog m_log;
+    MetricsRegistry m_metrics;
 };
 
 } // namespace Hyssop::Bench
--- a/bench/ownercost/stagetimes.cpp
+++ b/bench/ownercost/stagetimes.cpp
@@ -1,6 +1,7 @@
 #include "stagetimes.h"
 
-#include <cstdio>
+#include "allocations.h"
+
 #include <ctime>
 
 namespace Hyssop::Bench {
@@ -12,24 +13,43 @@
     return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
 }
 
+void StageTimes::begin()
+{
+    m_markedAllocations = allocations();
+    m_mark = threadTime();
+}
+
 void StageTimes::end(const std::string &stage, std::int64_t count)
 {
     const std::chrono::nanoseconds now = threadTime();
+    const std::int64_t allocated = allocations() - m_markedAllocations;
     Stage &entry = m_stages[stage];
     entry.time += now - m_mark;
     entry.count += count;
-    m_mark = now;
+    entry.allocations += allocated;
+    begin();
 }
 
-void StageTimes::print(std::chrono::milliseconds simulated) const
+std::vector<StageCost> StageTimes::costs(std::chrono::milliseconds simulated) const
 {
-    std::printf("%-30s %12s %12s %12s\n", "stage", "per second", "us each", "core %");
     const double seconds = std::chrono::duration<double>(simulated).count();
+    std::vector<StageCost> costs;
     for (const auto &[name, stage] : m_stages) {
-        const double microseconds = std::chrono::duration<double, std::micro>(stage.time).count();
-        const auto count = static_cast<double>(stage.count);
-        std::printf("%-30s %12.1f %12.2f %12.2f\n", name.c_str(), count / seconds, count > 0 ? microseconds / count : 0, microseconds / seconds / 1e4);
+        costs.push_back(costOf(name, stage, static_cast<double>(stage.count) / seconds));
     }
+    return costs;
+}
+
+StageCost StageTimes::cost(const std::string &stage, double eventsPerSecond) const
+{
+    return costOf(stage, m_stages.at(stage), eventsPerSecond);
+}
+
+StageCost StageTimes::costOf(const std::string &name, const Stage &stage, double eventsPerSecond)
+{
+    const auto count = static_cast<double>(stage.count);
+    const double microseconds = std::chrono::duration<double, std::micro>(stage.time).count();
+    return {name, eventsPerSecond, count > 0 ? microseconds / count : 0, count > 0 ? static_cast<double>(stage.allocations) / count : 0};
 }
 
 } // namespace Hyssop::Bench
