Jobs and workers are found by hash

Each report of a worker looks up the jobs of all its runs several times, and each command and end looks up a worker. Both were searches in trees of 2,000 jobs and 1,100 workers, with a comparison of texts and a miss of the cache at each level. Their order is needed by walks only.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -50,6 +50,7 @@
     m_earlierLeasesEnd = m_leasePolicy.earlierLeasesEnd(claim.readAt, afterHandover);
     m_responseTimeouts = ResponseTimeoutPolicy(m_leasePolicy.leaseDuration());
     m_jobs.clear();
+    m_workersById.clear();
     m_workers.clear();
     m_removedWorkersRises = TokenRises();
     m_tokensExhausted = false;
@@ -193,20 +194,23 @@
 
 WorkerState &Dispatcher::stateOf(const std::string &worker)
 {
-    const auto [entry, isNew] = m_workers.try_emplace(worker);
-    if (isNew) {
-        entry->second.info.id = worker;
-        entry->second.leaseEnd = m_earlierLeasesEnd;
-        // A worker that was removed in this term rejects tokens below those that it has seen.
-        entry->second.tokenRises = m_removedWorkersRises.countOf(worker);
+    if (WorkerState *known = findWorker(worker)) {
+        return *known;
     }
-    return entry->second;
+    const auto entry = m_workers.try_emplace(worker).first;
+    WorkerState &state = entry->second;
+    m_workersById.emplace(entry->first, &state);
+    state.info.id = worker;
+    state.leaseEnd = m_earlierLeasesEnd;
+    // A worker that was removed in this term rejects tokens below those that it has seen.
+    state.tokenRises = m_removedWorkersRises.countOf(worker);
+    return state;
 }
 
 WorkerState *Dispatcher::findWorker(const std::string &worker)
 {
-    const auto entry = m_workers.find(worker);
-    return entry != m_workers.end() ? &entry->second : nullptr;
+    const auto entry = m_workersById.find(worker);
+    return entry != m_workersById.end() ? entry->second : nullptr;
 }
 
 WorkerAddress Dispatcher::addressOf(const WorkerState &worker) const
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -25,6 +25,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -340,6 +342,7 @@
     std::optional<std::int64_t> m_termWallMs; // Unix time of the first advance() of the term
     JobRegistry m_jobs;
     std::map<std::string, WorkerState> m_workers;
+    std::unordered_map<std::string_view, WorkerState *> m_workersById; // each command, response and end asks for a worker
     bool m_tokensExhausted = false;
     TokenRises m_removedWorkersRises; // of workers that were removed in this term
     ClusterConfig m_config;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -107,6 +107,7 @@
         const bool isRemovable = !worker.registered && worker.runs.empty() && !worker.pollPending;
         if (isRemovable) {
             m_removedWorkersRises.record(item.first, worker.tokenRises);
+            m_workersById.erase(item.first);
         }
         return isRemovable;
     });
--- a/src/libs/dispatch/jobregistry.cpp
+++ b/src/libs/dispatch/jobregistry.cpp
@@ -15,6 +15,7 @@
 {
     m_pendingJobs.clear();
     m_pendingChanges.clear();
+    m_jobsById.clear();
     m_jobs.clear();
     m_active.clear();
     m_changed.clear();
@@ -27,7 +28,9 @@
     if (JobExecution *known = find(jobId)) {
         return *known;
     }
-    JobExecution &job = m_jobs.emplace(jobId, restoreJob(jobId, entry)).first->second;
+    const auto item = m_jobs.emplace(jobId, restoreJob(jobId, entry)).first;
+    JobExecution &job = item->second;
+    m_jobsById.emplace(item->first, &job);
     if (!job.isEnded()) {
         m_active.insert(jobId);
         m_pendingChanges.insert(&job);
@@ -41,6 +44,7 @@
         m_pendingJobs.remove(*job);
         m_pendingChanges.erase(job);
     }
+    m_jobsById.erase(jobId);
     m_jobs.erase(jobId);
     m_active.erase(jobId);
     m_changed.erase(jobId);
@@ -50,8 +54,8 @@
 
 JobExecution *JobRegistry::find(const std::string &jobId)
 {
-    const auto job = m_jobs.find(jobId);
-    return job != m_jobs.end() ? &job->second : nullptr;
+    const auto job = m_jobsById.find(jobId);
+    return job != m_jobsById.end() ? job->second : nullptr;
 }
 
 StepExecution *JobRegistry::stepOf(const TaskId &id)
--- a/src/libs/dispatch/jobregistry.h
+++ b/src/libs/dispatch/jobregistry.h
@@ -6,6 +6,8 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace Hyssop {
@@ -66,6 +68,7 @@
     bool arePendingJobsConsistent();
 
     std::map<std::string, JobExecution> m_jobs;
+    std::unordered_map<std::string_view, JobExecution *> m_jobsById; // each report asks for the jobs of all its runs
     PendingJobs m_pendingJobs;
     std::set<JobExecution *> m_pendingChanges; // changed since m_pendingJobs was up to date
     std::set<std::string> m_active;
