--- a/tests/platform/testcodecs.cpp
+++ b/tests/platform/testcodecs.cpp
@@ -101,6 +101,42 @@
     cr_assert_not(json::parse(encodePoll(poll)).as_object().contains("deadlineMs"));
 }
 
+// Guards against requests that a worker can't parse, or reads as another text, because of characters in a payload or checkpoint.
+Test(workerCodec, textsOfCommandsAreEscaped)
+{
+    for (const std::string &text : {std::string("a\"b\\c\n\t\x01/d"), std::string("\xc3\xa4\x7f"), std::string(1, '\0'), std::string()}) {
+        StartCommand command;
+        command.payload = text;
+        command.checkpoint = text;
+        command.ticket = text;
+        const json::value body = json::parse(encodeStart(command));
+        cr_assert_eq(std::string(body.at("spec").as_string()), text);
+        cr_assert_eq(text.empty(), !body.as_object().contains("saved"));
+        cr_assert(text.empty() || std::string(body.at("saved").as_string()) == text);
+        cr_assert(text.empty() || std::string(body.at("ticket").as_string()) == text);
+    }
+}
+
+// Guards against other names, numbers or an other order of the fields of requests.
+Test(workerCodec, requestsHaveTheirUsualText)
+{
+    const TaskId task{"ab", 1, 2, 3};
+    cr_assert_eq(encodeStop({{}, task, 4, 7, StopReason::JobEnded}), R"({"task":"ab.1.2.3","run":4,"fencingToken":7})");
+    ThrottleCommand throttle;
+    throttle.task = task;
+    throttle.run = 4;
+    throttle.speedPercent = 60;
+    throttle.fencingToken = -7;
+    cr_assert_eq(encodeThrottle(throttle), R"({"task":"ab.1.2.3","run":4,"percent":60,"fencingToken":-7})");
+    PollCommand poll;
+    poll.fencingToken = 9223372036854775807;
+    poll.acknowledgedSequence = 57;
+    cr_assert_eq(encodePoll(poll), R"({"fencingToken":9223372036854775807,"lastSeen":57})");
+    poll.leaseEnd = WorkerTime(-5);
+    poll.wait = std::chrono::milliseconds(600);
+    cr_assert_eq(encodePoll(poll), R"({"fencingToken":9223372036854775807,"lastSeen":57,"deadlineMs":-5,"waitMs":600})");
+}
+
 Test(workerCodec, aReportIsDecodedWithoutItsMalformedRows)
 {
     std::size_t malformed = 0;
--- a/tests/platform/testreportcost.cpp
+++ b/tests/platform/testreportcost.cpp
@@ -64,3 +64,23 @@
     cr_assert_eq(valueOf(report)->runs.size(), Runs);
     cr_assert_leq(counted, Runs * AllocationsOfRun + AllocationsOfReport, "%zu allocations", counted);
 }
+
+// Guards against a tree of values for each request: an owner sends 8,000 a second.
+Test(requestCost, aPollOrAStartCostsFewAllocations)
+{
+    constexpr std::size_t AllocationsOfPoll = 1;
+    constexpr std::size_t AllocationsOfStart = 4; // the text, and the name of the task
+    PollCommand poll;
+    poll.fencingToken = 1'000'017;
+    poll.leaseEnd = WorkerTime(486000);
+    poll.wait = std::chrono::milliseconds(600);
+    StartCommand start;
+    start.task = {"5c0e7a21d94b36f8", 0, 1, 17};
+    start.payload = std::string(60, 'p');
+    allocations = 0;
+    const std::string encodedPoll = encodePoll(poll);
+    cr_assert_leq(allocations, AllocationsOfPoll, "%zu allocations", allocations);
+    allocations = 0;
+    const std::string encodedStart = encodeStart(start);
+    cr_assert_leq(allocations, AllocationsOfStart, "%zu allocations", allocations);
+}
