--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -225,10 +225,6 @@
 asio::awaitable<Outcome<HttpResponse>> HttpClient::send(std::string address, HttpRequest request, Timeout timeout)
 {
     const auto pool = m_pool;
-    auto endpoint = capture([&] { return parseEndpoint(address); });
-    if (const Error *error = errorOf(endpoint)) {
-        co_return *error;
-    }
     if (request[http::field::host].empty()) {
         request.set(http::field::host, address);
     }
@@ -236,6 +232,11 @@
     Internal::StreamPtr stream = pool->take(address);
     stream->expires_after(Internal::responseTimeout(timeout));
     if (!stream->socket().is_open()) {
+        auto endpoint = capture([&] { return parseEndpoint(address); });
+        if (const Error *error = errorOf(endpoint)) {
+            pool->closeIdle(address);
+            co_return *error;
+        }
         const auto [connectError] = co_await stream->async_connect(*valueOf(endpoint), Internal::AsTuple);
         if (connectError) {
             pool->closeIdle(address);
