Requests are sent at once where the socket takes them

Each request took two turns of the event loop and a timer only to be written, although the buffer of an idle connection takes almost all of them. What does not fit is written as before.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -20,6 +20,7 @@
 
 #include <sys/socket.h>
 #include <sys/types.h>
+#include <sys/uio.h>
 
 namespace Hyssop {
 
@@ -196,11 +197,35 @@
     return header;
 }
 
+/// Sends as much of @p header and @p body as the socket takes without waiting, and returns how much that is. Most requests fit into its
+/// buffer, and need no turn of the event loop.
+static std::size_t sendWithoutWaiting(beast::tcp_stream &stream, const std::string &header, const std::string &body, boost::system::error_code &error)
+{
+    // sendmsg() does not write to the buffers.
+    std::array<iovec, 2> buffers{iovec{const_cast<char *>(header.data()), header.size()}, iovec{const_cast<char *>(body.data()), body.size()}};
+    msghdr message{};
+    message.msg_iov = buffers.data();
+    message.msg_iovlen = buffers.size();
+    const ssize_t sent = ::sendmsg(stream.socket().native_handle(), &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent >= 0) {
+        return static_cast<std::size_t>(sent);
+    }
+    if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+        error.assign(errno, boost::system::system_category());
+    }
+    return 0;
+}
+
 static asio::awaitable<Outcome<HttpResponse>> exchange(beast::tcp_stream &stream, const HttpRequest &request, const HttpClient::Timeout &timeout)
 {
     const std::string header = headerOf(request);
-    const std::array<asio::const_buffer, 2> buffers{asio::buffer(header), asio::buffer(request.body())};
-    const auto [writeError, writeSize] = co_await asio::async_write(stream, buffers, AsTuple);
+    boost::system::error_code writeError;
+    const std::size_t sent = sendWithoutWaiting(stream, header, request.body(), writeError);
+    if (!writeError && sent < header.size() + request.body().size()) {
+        const std::size_t sentOfBody = sent - std::min(sent, header.size());
+        const std::array<asio::const_buffer, 2> rest{asio::buffer(header) + sent, asio::buffer(request.body()) + sentOfBody};
+        writeError = std::get<0>(co_await asio::async_write(stream, rest, AsTuple));
+    }
     if (writeError) {
         co_return transferError(writeError);
     }
--- a/tests/libs/http/testsystemcalls.cpp
+++ b/tests/libs/http/testsystemcalls.cpp
@@ -3,8 +3,11 @@
 
 #include <criterion/criterion.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -91,6 +94,12 @@
     }
 }
 
+asio::awaitable<void> post(HttpClient &client, std::string address, std::string body)
+{
+    auto outcome = co_await client.send(address, boost::beast::http::verb::post, "/", std::move(body), 20s);
+    cr_assert_null(errorOf(outcome));
+}
+
 } // namespace
 
 // Guards against system calls that add nothing: an owner sends thousands of requests a second on open connections.
@@ -115,3 +124,53 @@
     // The header and the body.
     cr_assert_leq(sentBuffers, 2 * Exchanges);
 }
+
+// Guards against turns of the event loop that add nothing, for example one after a request that the socket has taken at once.
+Test(eventLoop, hasFewTurnsForAnExchangeOnAnOpenConnection)
+{
+    constexpr std::size_t TurnsOfExchange = 3; // the event of the socket, the response, and its timer
+    constexpr std::size_t TurnsOfConnection = 10;
+    asio::io_context serverContext;
+    Tcp::acceptor acceptor(serverContext, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    std::thread server([&] { serve(acceptor); });
+    asio::io_context context(1);
+    std::size_t turns = 0;
+    {
+        HttpClient client(context.get_executor());
+        asio::co_spawn(context, exchangeAll(client, address), asio::detached);
+        turns = context.run();
+    }
+    server.join();
+    cr_assert_leq(turns, Exchanges * TurnsOfExchange + TurnsOfConnection, "%zu turns", turns);
+}
+
+// Guards against a request that is cut or repeated if the socket takes only a part of it at once.
+Test(eventLoop, aLargeRequestIsSentInFull)
+{
+    constexpr std::size_t Size = 8 * 1024 * 1024;
+    asio::io_context serverContext;
+    Tcp::acceptor acceptor(serverContext, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    std::string body(Size, 'x');
+    for (std::size_t index = 0; index < Size; ++index) {
+        body[index] = static_cast<char>('a' + index * 7919 / 1021 % 26);
+    }
+    std::string received;
+    std::thread server([&] {
+        Tcp::socket socket = acceptor.accept();
+        boost::system::error_code error;
+        const std::size_t header = asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", error);
+        received.erase(0, header);
+        asio::read(socket, asio::dynamic_buffer(received), asio::transfer_exactly(Size - received.size()), error);
+        asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")), error);
+    });
+    asio::io_context context(1);
+    {
+        HttpClient client(context.get_executor());
+        runToEnd(context, post(client, address, body));
+    }
+    server.join();
+    cr_assert_eq(received.size(), Size);
+    cr_assert(received == body);
+}
