The log line about a new owner tells for how many workers earlier leases are known

Without it a log doesn't show whether a takeover has used the record of silent workers. New field `silent_workers` of `ownership acquired`.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -58,6 +58,9 @@
     /// Returns true if every lease that a previous owner granted has expired.
     bool earlierLeasesExpired(TimePoint now) const { return now >= m_earlierLeases.latestEnd(); }
 
+    /// Returns for how many workers the previous owner has recorded when earlier leases end.
+    std::size_t recordedSilentWorkers() const { return m_earlierLeases.recordedWorkers(); }
+
     void applyConfiguration(const ClusterConfig &config, const std::set<std::string> &evacuatedDomains);
     void updateWorker(const WorkerInfo &info);
     void removeWorker(const std::string &id);
--- a/src/libs/dispatch/earlierleases.h
+++ b/src/libs/dispatch/earlierleases.h
@@ -4,6 +4,7 @@
 
 #include <utils/clock.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -35,6 +36,9 @@
     /// Returns when all leases that previous owners have granted to @p worker have ended.
     TimePoint endOn(const std::string &worker) const;
 
+    /// Returns the number of workers that the previous owner has recorded.
+    std::size_t recordedWorkers() const { return m_restoredEnds.size(); }
+
     /// Adds a worker with runs of a previous owner. Must not be called after the begin of the term.
     void addWorker(const std::string &worker) { m_silent.insert(worker); }
 
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -346,12 +346,15 @@
     updateWorkersNeed();
     m_metrics.add("hyssop_ownerships_total");
     m_metrics.set("hyssop_is_owner", 1);
-    logMessage(
-        LogPriority::Essential,
-        LogLevel::Info,
-        "owner",
-        "ownership acquired",
-        {{"epoch", static_cast<long long>(*m_term)}, {"jobs", m_table.jobs().size()}, {"open_runs", m_dispatcher.openRuns()}, {"workers", m_workers.size()}});
+    logMessage(LogPriority::Essential,
+               LogLevel::Info,
+               "owner",
+               "ownership acquired",
+               {{"epoch", static_cast<long long>(*m_term)},
+                {"jobs", m_table.jobs().size()},
+                {"open_runs", m_dispatcher.openRuns()},
+                {"workers", m_workers.size()},
+                {"silent_workers", m_dispatcher.recordedSilentWorkers()}});
 }
 
 void TopicOwner::stepDown(const std::string &reason, const StepDown &rejection)
--- a/tests/libs/dispatch/testearlierleases.cpp
+++ b/tests/libs/dispatch/testearlierleases.cpp
@@ -117,7 +117,9 @@
         cr_expect_eq((leases.endOn("w") - LatestEnd).count(), 0, "term %ld", static_cast<long>(term));
     }
     EarlierLeases leases(Term, LatestEnd);
+    cr_expect_eq(leases.recordedWorkers(), 0);
     leases.restore(record(Term - 1, "w", 1s), Begin - 400ms);
+    cr_expect_eq(leases.recordedWorkers(), 1);
     cr_expect_eq((leases.endOn("w") - (Begin + 600ms)).count(), 0);
     cr_expect_eq((leases.endOn("other") - LatestEnd).count(), 0);
 }
