Waiting tasks name the advice until the advice service has answered

Cause: without tickets the workers were examined as if advice were not needed, so the lines "tasks waiting" and "task waits although room is free" counted all workers with room as suitable while the step waited for advice.

Change: no worker is allowed until the service has answered.

Result: waitingWatchdog/aStepWithoutAdviceNamesTheAdvice failed with "6 suitable workers" before.

--- a/src/libs/dispatch/dispatchreport.cpp
+++ b/src/libs/dispatch/dispatchreport.cpp
@@ -171,7 +171,11 @@
     request.workerPool = queue->second.workerPool;
     request.profile = &profile;
     request.stepTasksByWorker = &perWorker;
-    request.tickets = queue->second.advice ? m_tickets.tickets(stepId, now) : nullptr;
+    const std::map<std::string, std::string> noTickets;
+    if (queue->second.advice) {
+        const auto *tickets = m_tickets.tickets(stepId, now);
+        request.tickets = tickets != nullptr ? tickets : &noTickets; // no worker is allowed until the advice service has answered
+    }
     for (auto &[id, worker] : m_workers) {
         const auto obstacle = ranking.isAvailable(worker) ? ranking.obstacle(worker, request) : PlacementObstacle::Unavailable;
         if (obstacle) {
--- a/tests/libs/dispatch/testwaitingwatchdog.cpp
+++ b/tests/libs/dispatch/testwaitingwatchdog.cpp
@@ -238,6 +238,20 @@
     cr_assert(report.oldestReportAge <= 1s);
 }
 
+// Guards against workers that count as suitable although the advice service has not allowed them yet.
+Test(waitingWatchdog, aStepWithoutAdviceNamesTheAdvice)
+{
+    Fleet fleet;
+    fleet.requireAdvice();
+    fleet.submit("j", 3, 2000);
+    fleet.simulation.run(8s);
+    cr_assert_eq(fleet.simulation.overdueSteps.size(), 1);
+    const WaitingTasks &waiting = fleet.simulation.overdueSteps.front().waiting;
+    cr_assert_eq(waiting.suitableWorkers, 0, "%zu suitable workers", waiting.suitableWorkers);
+    cr_assert_eq(waiting.workers.size(), 1);
+    cr_assert_eq(waiting.workers.at(PlacementObstacle::Advice), 6);
+}
+
 Test(waitingWatchdog, aBestEffortStepThatWaitsIsReportedLikeOthers)
 {
     Fleet fleet;
