--- a/tests/libs/dispatch/colocatedfleet.cpp
+++ b/tests/libs/dispatch/colocatedfleet.cpp
@@ -71,6 +71,26 @@
     submit(jobId, step, job);
 }
 
+void ColocatedFleet::changeWorker(int worker, const std::string &rack, bool isDraining)
+{
+    WorkerInfo &info = m_workers[static_cast<std::size_t>(worker)].info;
+    info.rack = rack;
+    info.draining = isDraining;
+    m_dispatcher.updateWorker(info);
+}
+
+void ColocatedFleet::submitCounted(const std::string &jobId, int tasks, std::int64_t milliCores, Duration duration, bool sameRack)
+{
+    Wire::TaskStep step;
+    step.sameRack = sameRack;
+    step.milliCores = milliCores;
+    step.taskCount = tasks;
+    step.estimateMs = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    Job job;
+    job.duration = duration;
+    submit(jobId, step, job);
+}
+
 void ColocatedFleet::submit(const std::string &jobId, Wire::TaskStep step, const Job &job)
 {
     TopicJob entry;
@@ -127,6 +147,10 @@
     std::visit(Overloaded{
                    [&](const AppendRecords &) { m_dispatcher.recordsStored(m_now); },
                    [&](const StartCommand &command) {
+                       if (workerOf(command.worker.id).rejectsStarts) {
+                           m_dispatcher.startAnswered(command, CommandRejected{RejectionReason::Unhealthy, ""}, m_now);
+                           return;
+                       }
                        workerOf(command.worker.id).runs[command.task] = Run{command.run, 100, {}, {}};
                        Job &job = m_jobs.at(command.task.job);
                        job.startedAt = job.startedAt.value_or(m_now);
--- a/tests/libs/dispatch/colocatedfleet.h
+++ b/tests/libs/dispatch/colocatedfleet.h
@@ -36,6 +36,18 @@
     /// @p effect to the utilization of a serving run.
     void submitBestEffort(const std::string &jobId, int tasks, std::int64_t milliCores, const std::string &image, double effect, Duration duration);
 
+    /// Lets the worker with this number reject all start commands from now on.
+    void rejectStarts(int worker) { m_workers[static_cast<std::size_t>(worker)].rejectsStarts = true; }
+
+    /// Changes the effect of the runs of a best-effort job.
+    void changeEffect(const std::string &jobId, double effect) { m_jobs.at(jobId).effect = effect; }
+
+    /// Changes the entry of the worker with this number.
+    void changeWorker(int worker, const std::string &rack, bool isDraining);
+
+    /// Submits a job with tasks of reserved capacity that run for @p duration; @p sameRack is that of the step.
+    void submitCounted(const std::string &jobId, int tasks, std::int64_t milliCores, Duration duration, bool sameRack);
+
     void advance(Duration time);
 
     /// Returns the time from the submission of the job until its first run began, or until now.
@@ -76,6 +88,7 @@
         std::map<TaskId, Run> runs;
         std::vector<ReportedRunEnd> ends; // not acknowledged
         std::int64_t lastEndSequence = 0;
+        bool rejectsStarts = false;
         std::optional<std::pair<PollCommand, TimePoint>> poll; // not answered, and when it was sent
     };
 
