Test: rejected starts end the wait of a best-effort step

StepExecution::setPhase() resets waitingSince when a task is assigned. A worker that rejects each start is blocked for 500 ms only and is the best candidate again then, so the step is never overdue and never offered to the workers where 0.3 of its effect fits.

Fails: "1: it has waited for 60000 ms". Without that worker (0) it passes.

--- a/tests/libs/dispatch/testidlecapacity.cpp
+++ b/tests/libs/dispatch/testidlecapacity.cpp
@@ -133,3 +133,28 @@
     // The platform permits 4 s.
     cr_expect_leq(fleet.longestTimeOverTarget(), 3s);
 }
+
+/// Each rejected start ended the wait of the step, so it was never overdue and was offered to the same worker for ever.
+Test(idleCapacity, rejectedStartsDoNotEndTheWait)
+{
+    for (const bool rejects : {false, true}) {
+        constexpr int ServingWorkers = 4;
+        ColocatedFleet fleet(ServingWorkers + 1, WorkerMilliCores);
+        fleet.changeWorker(ServingWorkers, "", true);
+        for (int number = 0; number < ServingWorkers; ++number) {
+            fleet.submitServing("service" + std::to_string(number), ServingWorkers, 13'000, number * ColocatedFleet::LoadPeriod / ServingWorkers);
+        }
+        fleet.advance(10s);
+        fleet.submitBestEffort("earlier", 2, TaskMilliCores, "heavy", 3.0, 2500ms);
+        fleet.advance(30s);
+        cr_assert(fleet.isComplete("earlier"), "the effect is known");
+        if (rejects) {
+            fleet.changeWorker(ServingWorkers, "", false);
+            fleet.rejectStarts(ServingWorkers);
+        }
+        fleet.submitBestEffort("heavy", 1, TaskMilliCores, "heavy", 3.0, 2500ms);
+        fleet.advance(60s);
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(fleet.waitingTime("heavy")).count();
+        cr_expect_leq(waited, 10'000, "%d: it has waited for %ld ms", rejects ? 1 : 0, static_cast<long>(waited));
+    }
+}
