Test: slowed runs close their worker to overdue steps

ColocationPolicy::forecast() counts each best-effort run with its effect at full speed, and expectedIdleMilliCores() with its full processor time, whatever its speed is. Two runs of an interfering image close a worker to all overdue steps with an effect until they end.

Fails: "heavy6 has waited for 30000 ms", also heavy7 to heavy9; tasks of 20 s, longest time over target 1.88 s.

--- a/tests/libs/dispatch/testidlecapacity.cpp
+++ b/tests/libs/dispatch/testidlecapacity.cpp
@@ -158,3 +158,24 @@
         cr_expect_leq(waited, 10'000, "%d: it has waited for %ld ms", rejects ? 1 : 0, static_cast<long>(waited));
     }
 }
+
+/// A run that is slowed down counts with its effect at full speed, so two such runs close their worker to all overdue steps.
+Test(idleCapacity, slowedRunsLeaveHeadroomForOverdueSteps)
+{
+    constexpr int Workers = 4;
+    constexpr int Jobs = 12;
+    ColocatedFleet fleet(Workers, WorkerMilliCores);
+    for (int number = 0; number < Workers; ++number) {
+        fleet.submitServing("service" + std::to_string(number), Workers, 13'000, 0s);
+    }
+    fleet.advance(10s);
+    for (int number = 0; number < Jobs; ++number) {
+        fleet.submitBestEffort("heavy" + std::to_string(number), 1, TaskMilliCores, "heavy", 3.0, 20s);
+    }
+    fleet.advance(30s);
+    for (int number = 0; number < Jobs; ++number) {
+        const std::string id = "heavy" + std::to_string(number);
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(fleet.waitingTime(id)).count();
+        cr_expect_leq(waited, 15'000, "%s has waited for %ld ms", id.c_str(), static_cast<long>(waited));
+    }
+}
