Test: an overdue task is refused where the lowest speed fits

ColocationPolicy::speeds() goes down in steps to 20 %, but a start needs headroom for 30 % and PlacementMargin. The first job runs because its effect is not known; an equal one after it never starts, although the learned effect keeps the targets at 20 %.

Fails: "second has waited for 60000 ms".

--- a/tests/libs/dispatch/testidlecapacity.cpp
+++ b/tests/libs/dispatch/testidlecapacity.cpp
@@ -179,3 +179,23 @@
         cr_expect_leq(waited, 15'000, "%s has waited for %ld ms", id.c_str(), static_cast<long>(waited));
     }
 }
+
+/// A run keeps the targets at the lowest speed, but the start needs headroom for a higher one. So a second job of the same kind waits for ever,
+/// while the first one ran because its effect was not known.
+Test(idleCapacity, anOverdueTaskStartsWhereTheLowestSpeedFits)
+{
+    constexpr int Workers = 4;
+    ColocatedFleet fleet(Workers, WorkerMilliCores);
+    for (int number = 0; number < Workers; ++number) {
+        fleet.submitServing("service" + std::to_string(number), Workers, 13'000, number * ColocatedFleet::LoadPeriod / Workers);
+    }
+    fleet.advance(10s);
+    for (const char *id : {"first", "second"}) {
+        fleet.submitBestEffort(id, 1, 2 * TaskMilliCores, "batch", 2.5, 2500ms);
+        fleet.advance(60s);
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(fleet.waitingTime(id)).count();
+        cr_expect_leq(waited, 15'000, "%s has waited for %ld ms", id, static_cast<long>(waited));
+        cr_expect(fleet.isComplete(id), "%s", id);
+    }
+    cr_expect_leq(fleet.longestTimeOverTarget(), 3s);
+}
