Test: later tasks take the headroom of an overdue step

Overdue steps come after all that are on time, so small tasks of a lightly interfering image take the headroom first in each pass, for as long as they arrive.

Fails: "1: it has waited for 60000 ms". Without later tasks (0) it passes.

--- a/tests/libs/dispatch/testidlecapacity.cpp
+++ b/tests/libs/dispatch/testidlecapacity.cpp
@@ -199,3 +199,29 @@
     }
     cr_expect_leq(fleet.longestTimeOverTarget(), 3s);
 }
+
+/// Small tasks that come later and are on time take the headroom first, so an overdue step waits for as long as they arrive.
+Test(idleCapacity, laterTasksDoNotTakeTheHeadroomOfAnOverdueStep)
+{
+    for (const bool hasLaterTasks : {false, true}) {
+        constexpr int Workers = 4;
+        ColocatedFleet fleet(Workers, WorkerMilliCores);
+        for (int number = 0; number < Workers; ++number) {
+            fleet.submitServing("service" + std::to_string(number), Workers, 13'000, number * ColocatedFleet::LoadPeriod / Workers);
+        }
+        fleet.advance(10s);
+        fleet.submitBestEffort("earlier", 2, TaskMilliCores, "heavy", 3.0, 2500ms);
+        fleet.submitBestEffort("earlierSmall", 2, 2000, "small", 0.8, 2500ms);
+        fleet.advance(30s);
+        cr_assert(fleet.isComplete("earlier") && fleet.isComplete("earlierSmall"), "the effects are known");
+        fleet.submitBestEffort("heavy", 1, TaskMilliCores, "heavy", 3.0, 2500ms);
+        for (int second = 0; second < 60; ++second) {
+            if (hasLaterTasks) {
+                fleet.submitBestEffort("small" + std::to_string(second), 16, 2000, "small", 0.8, 2500ms);
+            }
+            fleet.advance(1s);
+        }
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(fleet.waitingTime("heavy")).count();
+        cr_expect_leq(waited, 15'000, "%d: it has waited for %ld ms", hasLaterTasks ? 1 : 0, static_cast<long>(waited));
+    }
+}
