Test: nothing corrects the effect of an image whose run is paused

A paused run has no load, so its effect is not observed. A run that is paused to 0 % because of a large learned effect stays paused after the effect has fallen, and further tasks of the image do not start, although the policy says that overdue starts correct learned effects.

--- a/tests/libs/dispatch/testidlecapacity.cpp
+++ b/tests/libs/dispatch/testidlecapacity.cpp
@@ -225,3 +225,25 @@
         cr_expect_leq(waited, 15'000, "%d: it has waited for %ld ms", hasLaterTasks ? 1 : 0, static_cast<long>(waited));
     }
 }
+
+/// A paused run has no load, so its effect is not observed. One that was learned too high or has fallen since kept the run paused, and all later
+/// tasks of the image waiting, for ever.
+Test(idleCapacity, anEffectThatHasFallenIsLearnedAgain)
+{
+    constexpr int Workers = 4;
+    ColocatedFleet fleet(Workers, WorkerMilliCores);
+    for (int number = 0; number < Workers; ++number) {
+        fleet.submitServing("service" + std::to_string(number), Workers, 13'000, number * ColocatedFleet::LoadPeriod / Workers);
+    }
+    fleet.advance(10s);
+    fleet.submitBestEffort("paused", 1, 2 * TaskMilliCores, "batch", 4.0, 2500ms);
+    fleet.advance(30s);
+    cr_assert_leq(fleet.waitingTime("paused"), 10s);
+    cr_assert_not(fleet.isComplete("paused"), "the targets do not permit the lowest speed");
+    fleet.changeEffect("paused", 0.1);
+    fleet.submitBestEffort("later", 1, 2 * TaskMilliCores, "batch", 0.1, 2500ms);
+    fleet.advance(60s);
+    cr_expect(fleet.isComplete("paused"));
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(fleet.waitingTime("later")).count();
+    cr_expect_leq(waited, 15'000, "it has waited for %ld ms", static_cast<long>(waited));
+}
