Test: a step for one rack waits while another rack has room

placeTasks() sets the rack with the most free capacity in all as a condition, in each pass anew. Where no single worker of that rack has room, the step waits as long as this lasts, with serving tasks without end. The platform only slows tasks that run on more than one rack. recordUnschedulable() ignores the rack, and reservations follow it. It applies to counted and best-effort steps that are no gangs.

Fails: "oneRack" is not complete after 30 s; the same tasks without sameRack are.

--- a/tests/libs/dispatch/testplacementfit.cpp
+++ b/tests/libs/dispatch/testplacementfit.cpp
@@ -1,3 +1,4 @@
+#include "colocatedfleet.h"
 #include "dispatchfleet.h"
 
 #include <dispatch/colocationpolicy.h>
@@ -116,3 +117,24 @@
     step.dataRack = "rack";
     cr_assert_eq(choose({&tight, &nearData}, step), &nearData);
 }
+
+/// A step that prefers one rack looked at no other one than that with the most free capacity, although no task fits on a worker there.
+Test(placementFit, aStepForOneRackDoesNotWaitWhileAnotherRackHasRoom)
+{
+    constexpr int ServingWorkers = 5;
+    constexpr std::int64_t MilliCores = 64'000;
+    ColocatedFleet fleet(ServingWorkers + 1, MilliCores);
+    for (int number = 0; number <= ServingWorkers; ++number) {
+        fleet.changeWorker(number, number < ServingWorkers ? "a" : "b", number == ServingWorkers);
+    }
+    fleet.submitServing("service", ServingWorkers, 50'000, 0s);
+    fleet.advance(10s);
+    fleet.changeWorker(ServingWorkers, "b", false);
+    fleet.advance(2s);
+    fleet.submitCounted("anywhere", 2, 20'000, 1s, false);
+    fleet.advance(10s);
+    cr_expect(fleet.isComplete("anywhere"));
+    fleet.submitCounted("oneRack", 2, 20'000, 1s, true);
+    fleet.advance(30s);
+    cr_expect(fleet.isComplete("oneRack"));
+}
