A start that fails does not end the wait of a best-effort step

Cause: the wait ended when a run was assigned. A worker that rejects every start is the best candidate again after its short quarantine, so a step began to wait anew with each rejection and never became overdue.

Change: the wait ends with a task that a worker has confirmed, or that is done.

--- a/src/libs/dispatch/stepexecution.cpp
+++ b/src/libs/dispatch/stepexecution.cpp
@@ -22,10 +22,11 @@
     if (phase == TaskPhase::Pending) {
         latestNotBefore = std::max(latestNotBefore, task.notBefore);
     }
-    task.phase = phase;
-    if (task.isOpen()) {
+    // A start that has failed does not end the wait.
+    if (phase == TaskPhase::Done || (task.isOpen() && task.startConfirmed)) {
         waitingSince.reset();
     }
+    task.phase = phase;
 }
 
 void StepExecution::setRun(TaskExecution &task, int run)
@@ -45,10 +46,10 @@
 
 void StepExecution::updateWaiting(TimePoint now)
 {
-    if (openTasks() > 0) {
+    if (openTasks() == 0) {
+        waitingSince = waitingSince.value_or(now);
+    } else if (std::ranges::any_of(tasks, [](const TaskExecution &task) { return task.phase == TaskPhase::Running; })) {
         waitingSince.reset();
-    } else if (!waitingSince) {
-        waitingSince = now;
     }
 }
 
