Overdue best-effort steps come first, and start where the lowest speed fits

Cause, found by the review: an overdue step waited without a bound, because (a) a start needed 0.3 of the effect where speeds() goes down to 0.2, (b) runs that are slowed down counted with their whole effect and closed their worker until they ended, and (c) tasks that are on time took the headroom first in every pass.

Change: the forecast also tells the headroom if all best-effort runs have the lowest speed; an overdue task starts where it fits into that. One task of each overdue step is placed before all other best-effort tasks. MaximumWait follows from the platform's 3 s. Idle processor time decides between workers with the same headroom, where the address of an object did.

--- a/src/libs/dispatch/colocationpolicy.cpp
+++ b/src/libs/dispatch/colocationpolicy.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds UnthrottleHorizon{1800};
 constexpr double ThrottleMargin = 0.0;
 constexpr double UnthrottleMargin = 0.02;
-constexpr int SpeedStep = 20; // percent
+constexpr int SpeedStep = static_cast<int>(100 * ServingForecast::LowestSpeedShare); // percent
 // Reported tail latencies are noisy, so a residual counts only in part.
 constexpr double ResidualWeight = 0.5;
 constexpr double MinimumResidual = 0.1;
@@ -90,11 +90,12 @@
             continue;
         }
         double headroom = model->allowedUtilization(static_cast<double>(serving.tailTargetMs)) - serving.residualUtilization - Internal::PlacementMargin;
+        double added = 0; // by best-effort runs at full speed
         for (const auto &[bestEffortId, bestEffort] : worker.runs) {
-            headroom -= bestEffort.isBestEffort && !isEnding(bestEffort) ? Internal::effectOf(*model, bestEffort, worker.info.capacity.milliCores) : 0;
+            added += bestEffort.isBestEffort && !isEnding(bestEffort) ? Internal::effectOf(*model, bestEffort, worker.info.capacity.milliCores) : 0;
         }
-        const double load = m_loadForecast.maximum(id.job, now, now + ServingForecast::ControlHorizon);
-        forecast.add({serving.image, headroom - load});
+        headroom -= m_loadForecast.maximum(id.job, now, now + ServingForecast::ControlHorizon);
+        forecast.add({serving.image, headroom - added, headroom - added * ServingForecast::LowestSpeedShare});
     }
     return forecast;
 }
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -24,8 +24,12 @@
     const QueueInfo *queue = nullptr;
     int occurrence = 0;
     int step = 0;
+    bool isOverdue = false; // see IdleCapacityPolicy
 
-    bool operator<(const PendingStep &other) const { return std::tie(key, occurrence, step) < std::tie(other.key, other.occurrence, other.step); }
+    bool operator<(const PendingStep &other) const
+    {
+        return std::tie(other.isOverdue, key, occurrence, step) < std::tie(isOverdue, other.key, other.occurrence, other.step);
+    }
 };
 
 static PendingWork pendingWork(const JobExecution &job, int occurrence, const std::vector<StepExecution> &steps)
@@ -49,7 +53,12 @@
             if (!key) {
                 key = schedulingKey(pendingWork(job, occurrence, steps), queue, wall);
             }
-            pending.push_back({*key, &job, &queue, occurrence, static_cast<int>(index)});
+            bool isOverdue = false;
+            if (job.submission.steps[index].fillsIdle) {
+                steps[index].updateWaiting(now);
+                isOverdue = IdleCapacityPolicy::isOverdue(steps[index], now);
+            }
+            pending.push_back({*key, &job, &queue, occurrence, static_cast<int>(index), isOverdue});
         }
     }
 }
@@ -149,7 +158,6 @@
     request.stepId = &stepId;
     request.key = &key;
     request.reservations = &m_reservations;
-    execution.updateWaiting(now);
     request.isOverdue = request.step->fillsIdle && IdleCapacityPolicy::isOverdue(execution, now);
     const bool isUnschedulable = m_unschedulable.contains(request);
     if (isUnschedulable && !queue.advice) {
@@ -191,7 +199,7 @@
     }
     const bool isBestEffort = request.step->fillsIdle;
     std::vector<WorkerRanking::Candidate> candidates;
-    if (isBestEffort) {
+    if (isBestEffort && !request.isOverdue) {
         candidates = ranking.rankCandidates(request);
     }
     std::int64_t started = Internal::startedTasks(job);
@@ -202,7 +210,8 @@
             continue;
         }
         request.mustLeavePlaces = request.step->longRunning && task.run == 0 && canWait;
-        WorkerState *worker = isBestEffort ? ranking.bestCandidate(candidates, request) : ranking.choose(request);
+        const bool isRanked = isBestEffort && !request.isOverdue;
+        WorkerState *worker = isRanked ? ranking.bestCandidate(candidates, request) : ranking.choose(request);
         if (worker == nullptr) {
             recordUnschedulable(ranking, request, now);
             break;
@@ -215,8 +224,7 @@
         ranking.capacityChanged(*worker);
         ++perWorker[worker->info.id];
         if (request.isOverdue) {
-            request.isOverdue = false; // a task of the step runs now
-            candidates = ranking.rankCandidates(request);
+            break; // the other tasks of the step have no precedence
         }
     }
     reserveRoom(execution, ranking, request);
--- a/src/libs/dispatch/idlecapacitypolicy.cpp
+++ b/src/libs/dispatch/idlecapacitypolicy.cpp
@@ -12,8 +12,6 @@
 
 // A best-effort task is placed where at least this share of its processor time is expected to be idle.
 constexpr int MinimumIdlePercent = 80;
-// An overdue task is started where it can run at this share of its speed, which leaves a margin for the time until it is slowed down.
-constexpr double MinimumSpeedShare = 0.3;
 // Score penalty for a utilization of 1 that is added to a serving task, in thousandths of a core.
 constexpr double InterferenceWeight = 200'000;
 // Score of a utilization of 1 that an overdue task leaves to the serving tasks.
@@ -28,7 +26,7 @@
 
 bool IdleCapacityPolicy::isOverdue(const StepExecution &step, TimePoint now)
 {
-    return step.waitingSince && now - *step.waitingSince >= MaximumWait;
+    return step.openTasks() == 0 && step.waitingSince && now - *step.waitingSince >= MaximumWait;
 }
 
 std::optional<PlacementObstacle> IdleCapacityPolicy::obstacle(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const
@@ -44,10 +42,12 @@
 
 bool IdleCapacityPolicy::hasHeadroom(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const
 {
-    const double speedShare = task.isOverdue ? Internal::MinimumSpeedShare : 1;
     return std::ranges::all_of(forecast.headrooms, [&](const ServingForecast::Headroom &headroom) {
         const double added = m_colocation.addedUtilization(headroom.image, *task.profile, worker.info.capacity.milliCores);
-        return added < ColocationPolicy::NegligibleUtilization || added * speedShare < headroom.utilization;
+        if (added < ColocationPolicy::NegligibleUtilization) {
+            return true;
+        }
+        return task.isOverdue ? added * ServingForecast::LowestSpeedShare < headroom.besideSlowedRuns : added < headroom.utilization;
     });
 }
 
@@ -60,10 +60,11 @@
         most = std::max(most, added);
         leastLeft = std::min(leastLeft, headroom.utilization - added);
     }
+    const std::int64_t idle = worker.expectedIdleMilliCores(forecast);
     if (task.isOverdue) {
-        return static_cast<std::int64_t>(leastLeft * Internal::RemainingHeadroomWeight);
+        return idle + static_cast<std::int64_t>(leastLeft * Internal::RemainingHeadroomWeight);
     }
-    return worker.expectedIdleMilliCores(forecast) - static_cast<std::int64_t>(most * Internal::InterferenceWeight);
+    return idle - static_cast<std::int64_t>(most * Internal::InterferenceWeight);
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/idlecapacitypolicy.h
+++ b/src/libs/dispatch/idlecapacitypolicy.h
@@ -23,16 +23,16 @@
 /// peak of their load on any of these, although most processor time is idle and the peak is short.
 ///
 /// A task is started where its effect fits until its speed can be adjusted; from then on ColocationPolicy::speeds() keeps the targets. A
-/// step of which no task has run for MaximumWait is overdue. One task of it is started where it can run at a reduced speed. That also
-/// corrects learned effects that are too high, which are not observed while nothing is started.
+/// step of which no task has run for MaximumWait is overdue. One task of it, or its whole gang, comes before all other best-effort tasks
+/// and is started where it can run at the lowest speed.
 ///
-/// Invariant: no task is started beside a serving task that exceeds its target. Where other workers have enough idle time, an overdue step waits
-/// only while a reduced speed would not keep the targets there either.
+/// Invariant: no task is started beside a serving task that exceeds its target. An overdue step waits only while each worker lacks idle time, or
+/// headroom for best-effort tasks at the lowest speed.
 class IdleCapacityPolicy
 {
 public:
-    // For callers it is short against the run times of best-effort work, and long against the fluctuation of the headroom.
-    static constexpr std::chrono::milliseconds MaximumWait{5000};
+    // The platform counts a job as lost of which nothing runs for 3 s beside free room. Intent and start take some time as well.
+    static constexpr std::chrono::milliseconds MaximumWait{2500};
 
     /// A best-effort task that waits for a worker.
     struct Task
--- a/src/libs/dispatch/servingforecast.cpp
+++ b/src/libs/dispatch/servingforecast.cpp
@@ -11,6 +11,7 @@
         headrooms.push_back(headroom);
         return;
     }
+    known->besideSlowedRuns = std::min(known->besideSlowedRuns, headroom.besideSlowedRuns);
     known->utilization = std::min(known->utilization, headroom.utilization);
 }
 
--- a/tests/libs/dispatch/testidlecapacity.cpp
+++ b/tests/libs/dispatch/testidlecapacity.cpp
@@ -42,7 +42,7 @@
     {
         ServingForecast forecast;
         forecast.at = Begin;
-        forecast.add({image, headroom});
+        forecast.add({image, headroom, headroom});
         return forecast;
     }
 
