A step for one rack uses other racks when its rack has no room

Cause: placeTasks() took the rack with the most free capacity in total as a hard condition, in each pass anew. Tasks waited for as long as no single worker of that rack had room, whatever the others had free.

Change: without a worker in that rack the tasks go to any rack, where the platform says that they take longer. Gangs are unchanged.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -212,6 +212,11 @@
         request.mustLeavePlaces = request.step->longRunning && task.run == 0 && canWait;
         const bool isRanked = isBestEffort && !request.isOverdue;
         WorkerState *worker = isRanked ? ranking.bestCandidate(candidates, request) : ranking.choose(request);
+        if (worker == nullptr && !request.rack.empty()) {
+            request.rack.clear(); // the tasks take longer on several racks, but only a gang has to be on one
+            candidates = isRanked ? ranking.rankCandidates(request) : candidates;
+            worker = isRanked ? ranking.bestCandidate(candidates, request) : ranking.choose(request);
+        }
         if (worker == nullptr) {
             recordUnschedulable(ranking, request, now);
             break;
