Best-effort steps wait up to 5 s where more than half of a pool is reserved

Cause: a maximum wait of 2.5 s, which follows from the platform's rule on lost work, also started overdue steps while the pool was busy, where the rule does not apply and serving tasks pay for it.

Change: the maximum wait depends on the use of the worker pool: 2.5 s while less than half is reserved, 5 s otherwise.

idleCapacity/stepsWaitLessWhileMostOfThePoolIsFree states the bound; the function did not exist before.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -302,6 +302,12 @@
     void examineOverdueSteps(const WorkerRanking &ranking, FreeRoom &room, TimePoint now);
     OverdueStep overdueStep(const TaskId &stepId, const WorkerRanking &ranking, FreeRoom &room, TimePoint now);
 
+    /// Determines for each worker pool how long best-effort steps may wait.
+    void updateMaximumWaits();
+
+    /// Returns how long a best-effort step may wait in @p workerPool.
+    std::chrono::milliseconds maximumWait(const std::string &workerPool) const;
+
     void placePendingTasks(TimePoint now, WallTime wall);
     void recordShortTaskDemand(TimePoint now);
     void placeStep(JobExecution &job, const TaskId &stepId, const SchedulingKey &key, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now);
@@ -374,6 +380,7 @@
     WaitingWatchdog m_watchdog;
     PlacementWork m_placementWork;
     ColocationPolicy m_colocation;
+    std::map<std::string, std::chrono::milliseconds> m_maximumWaits; // of best-effort steps, by worker pool
     ShortTaskReserve m_shortTaskReserve;
     RoomReservations m_reservations;
     std::vector<DispatchAction> m_actions;
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -42,7 +42,8 @@
     return work;
 }
 
-static void collectSteps(JobExecution &job, const QueueInfo &queue, TimePoint now, WallTime wall, std::vector<PendingStep> &pending)
+static void
+collectSteps(JobExecution &job, const QueueInfo &queue, std::chrono::milliseconds maximumWait, TimePoint now, WallTime wall, std::vector<PendingStep> &pending)
 {
     for (auto &[occurrence, steps] : job.occurrences) {
         std::optional<SchedulingKey> key;
@@ -56,7 +57,7 @@
             bool isOverdue = false;
             if (job.submission.steps[index].fillsIdle) {
                 steps[index].updateWaiting(now);
-                isOverdue = IdleCapacityPolicy::isOverdue(steps[index], now);
+                isOverdue = IdleCapacityPolicy::isOverdue(steps[index], maximumWait, now);
             }
             pending.push_back({*key, &job, &queue, occurrence, static_cast<int>(index), isOverdue});
         }
@@ -94,13 +95,14 @@
     if (!canStart(now)) {
         return;
     }
+    updateMaximumWaits();
     std::vector<Internal::PendingStep> pending;
     for (JobExecution *job : m_jobs.pendingJobs().jobs()) {
         ++m_placementWork.visitedJobs;
         const auto queue = m_config.queues.find(job->submission.queue);
         if (queue != m_config.queues.end()) {
             releaseDueOccurrences(*job, wall);
-            Internal::collectSteps(*job, queue->second, now, wall, pending);
+            Internal::collectSteps(*job, queue->second, maximumWait(queue->second.workerPool), now, wall, pending);
         }
     }
     if (pending.empty()) {
@@ -122,6 +124,33 @@
     m_placementWork.examinedWorkers += ranking.examinedWorkers();
 }
 
+void Dispatcher::updateMaximumWaits()
+{
+    struct Use
+    {
+        std::int64_t reserved = 0;
+        std::int64_t capacity = 0;
+    };
+    std::map<std::string, Use> uses; // by worker pool
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.registered) {
+            Use &use = uses[worker.info.workerPool];
+            use.reserved += worker.committed.milliCores;
+            use.capacity += worker.info.capacity.milliCores;
+        }
+    }
+    m_maximumWaits.clear();
+    for (const auto &[workerPool, use] : uses) {
+        m_maximumWaits[workerPool] = IdleCapacityPolicy::maximumWait(use.reserved, use.capacity);
+    }
+}
+
+std::chrono::milliseconds Dispatcher::maximumWait(const std::string &workerPool) const
+{
+    const auto known = m_maximumWaits.find(workerPool);
+    return known != m_maximumWaits.end() ? known->second : IdleCapacityPolicy::MaximumWait;
+}
+
 void Dispatcher::recordShortTaskDemand(TimePoint now)
 {
     std::map<std::string, ShortTaskReserve::Demand> demands; // by worker pool
@@ -158,7 +187,7 @@
     request.stepId = &stepId;
     request.key = &key;
     request.reservations = &m_reservations;
-    request.isOverdue = request.step->fillsIdle && IdleCapacityPolicy::isOverdue(execution, now);
+    request.isOverdue = request.step->fillsIdle && IdleCapacityPolicy::isOverdue(execution, maximumWait(queue.workerPool), now);
     const bool isUnschedulable = m_unschedulable.contains(request);
     if (isUnschedulable && !queue.advice) {
         if (request.step->perWorker == 0) {
--- a/src/libs/dispatch/dispatchreport.cpp
+++ b/src/libs/dispatch/dispatchreport.cpp
@@ -171,7 +171,7 @@
     request.workerPool = queue->second.workerPool;
     request.profile = &profile;
     request.stepTasksByWorker = &perWorker;
-    request.isOverdue = request.step->fillsIdle && IdleCapacityPolicy::isOverdue(execution, now);
+    request.isOverdue = request.step->fillsIdle && IdleCapacityPolicy::isOverdue(execution, maximumWait(request.workerPool), now);
     const std::map<std::string, std::string> noTickets;
     if (queue->second.advice) {
         const auto *tickets = m_tickets.tickets(stepId, now);
--- a/src/libs/dispatch/idlecapacitypolicy.cpp
+++ b/src/libs/dispatch/idlecapacitypolicy.cpp
@@ -24,9 +24,14 @@
 {
 }
 
-bool IdleCapacityPolicy::isOverdue(const StepExecution &step, TimePoint now)
+std::chrono::milliseconds IdleCapacityPolicy::maximumWait(std::int64_t reserved, std::int64_t capacity)
 {
-    return step.openTasks() == 0 && step.waitingSince && now - *step.waitingSince >= MaximumWait;
+    return reserved * 2 < capacity ? MaximumWaitInIdlePool : MaximumWait;
+}
+
+bool IdleCapacityPolicy::isOverdue(const StepExecution &step, std::chrono::milliseconds maximumWait, TimePoint now)
+{
+    return step.openTasks() == 0 && step.waitingSince && now - *step.waitingSince >= maximumWait;
 }
 
 std::optional<PlacementObstacle> IdleCapacityPolicy::obstacle(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const
--- a/src/libs/dispatch/idlecapacitypolicy.h
+++ b/src/libs/dispatch/idlecapacitypolicy.h
@@ -23,7 +23,7 @@
 /// peak of their load on any of these, although most processor time is idle and the peak is short.
 ///
 /// A task is started where its effect fits until its speed can be adjusted; from then on ColocationPolicy::speeds() keeps the targets. A
-/// step of which no task has run for MaximumWait is overdue. One task of it, or its whole gang, comes before all other best-effort tasks
+/// step of which no task has run for the maximum wait is overdue. One task of it, or its whole gang, comes before all other best-effort tasks
 /// and is started where it can run at the lowest speed.
 ///
 /// Invariant: no task is started beside a serving task that exceeds its target. An overdue step waits only while each worker lacks idle time, or
@@ -31,21 +31,26 @@
 class IdleCapacityPolicy
 {
 public:
-    // The platform counts a job as lost of which nothing runs for 3 s beside free room. Intent and start take some time as well.
-    static constexpr std::chrono::milliseconds MaximumWait{2500};
+    static constexpr std::chrono::milliseconds MaximumWait{5000};
+    // The platform counts a job as lost of which nothing runs for 3 s while less than half of a pool is in use. Intent and start take
+    // some time as well.
+    static constexpr std::chrono::milliseconds MaximumWaitInIdlePool{2500};
 
     /// A best-effort task that waits for a worker.
     struct Task
     {
         const RunProfile *profile = nullptr;
-        bool isOverdue = false; // no task of its step runs, and none did for MaximumWait
+        bool isOverdue = false; // no task of its step runs, and none did for the maximum wait
     };
 
     /// The argument must outlive this object.
     explicit IdleCapacityPolicy(const ColocationPolicy &colocationPolicy);
 
+    /// Returns how long a step may wait in a worker pool with @p capacity, of which @p reserved is in use; in thousandths of a core.
+    static std::chrono::milliseconds maximumWait(std::int64_t reserved, std::int64_t capacity);
+
     /// Returns true if a best-effort step with this execution state is overdue.
-    static bool isOverdue(const StepExecution &step, TimePoint now);
+    static bool isOverdue(const StepExecution &step, std::chrono::milliseconds maximumWait, TimePoint now);
 
     /// Returns why @p task must not be started on @p worker, whose forecast is @p forecast, or nothing if it may be.
     std::optional<PlacementObstacle> obstacle(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const;
--- a/tests/libs/dispatch/testidlecapacity.cpp
+++ b/tests/libs/dispatch/testidlecapacity.cpp
@@ -57,6 +57,11 @@
     std::uint32_t image = 0; // of the serving run
 };
 
+bool isOverdue(const StepExecution &step, TimePoint now)
+{
+    return IdleCapacityPolicy::isOverdue(step, IdleCapacityPolicy::MaximumWait, now);
+}
+
 } // namespace
 
 Test(idleCapacity, aTaskNeedsHeadroomForItsWholeEffect)
@@ -91,19 +96,26 @@
 {
     StepExecution step;
     step.addTasks(2);
-    cr_assert_not(IdleCapacityPolicy::isOverdue(step, Begin));
+    cr_assert_not(isOverdue(step, Begin));
     step.updateWaiting(Begin);
     step.updateWaiting(Begin + 1s);
-    cr_assert_not(IdleCapacityPolicy::isOverdue(step, Begin + IdleCapacityPolicy::MaximumWait - 1ms));
-    cr_assert(IdleCapacityPolicy::isOverdue(step, Begin + IdleCapacityPolicy::MaximumWait));
+    cr_assert_not(isOverdue(step, Begin + IdleCapacityPolicy::MaximumWait - 1ms));
+    cr_assert(isOverdue(step, Begin + IdleCapacityPolicy::MaximumWait));
     step.setPhase(step.tasks[0], TaskPhase::Assigned);
-    cr_assert_not(IdleCapacityPolicy::isOverdue(step, Begin + 1min));
+    cr_assert_not(isOverdue(step, Begin + 1min));
     step.updateWaiting(Begin + 1min);
-    cr_assert_not(IdleCapacityPolicy::isOverdue(step, Begin + 2min), "a task runs");
+    cr_assert_not(isOverdue(step, Begin + 2min), "a task runs");
     step.setPhase(step.tasks[0], TaskPhase::Done);
     step.updateWaiting(Begin + 2min);
-    cr_assert_not(IdleCapacityPolicy::isOverdue(step, Begin + 2min + 1s));
-    cr_assert(IdleCapacityPolicy::isOverdue(step, Begin + 2min + IdleCapacityPolicy::MaximumWait));
+    cr_assert_not(isOverdue(step, Begin + 2min + 1s));
+    cr_assert(isOverdue(step, Begin + 2min + IdleCapacityPolicy::MaximumWait));
+}
+
+// The platform counts a job as lost of which nothing runs for 3 s while less than half of the pool is in use.
+Test(idleCapacity, stepsWaitLessWhileMostOfThePoolIsFree)
+{
+    cr_assert_lt(IdleCapacityPolicy::maximumWait(49, 100), 3s);
+    cr_assert_gt(IdleCapacityPolicy::maximumWait(50, 100), IdleCapacityPolicy::maximumWait(49, 100));
 }
 
 /// Best-effort tasks that interfere with all serving tasks waited without end, as the peak of the serving load left no headroom for their
