Test: a learned effect that is not observed again is doubted (red)

Cause: an effect that a second of reports has shown too high closes all workers with the serving image to the best-effort image. It is then never observed again, and stays.

The test prints: "it is 0.669157, was 0.669157 100 s ago, and is at most 0.328387 for the others".

--- a/tests/libs/dispatch/testcolocation.cpp
+++ b/tests/libs/dispatch/testcolocation.cpp
@@ -9,6 +9,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <cmath>
 #include <numbers>
 #include <random>
@@ -200,6 +201,44 @@
     cr_assert(canRun(trained.light, 2500ms));
 }
 
+// Fails if an effect that was learned within a second is never doubted: the image is then placed nowhere beside the service,
+// so the effect is never observed again. Here it is several times as high as what four other services show.
+Test(colocationPolicy, anEffectThatIsNotObservedAgainIsDoubted)
+{
+    ColocationPolicy policy;
+    RunProfile heavy = bestEffortProfile(policy, "heavy");
+    double highest = 0;
+    for (const char *image : {"service 1", "service 2", "service 3", "service 4"}) {
+        RunProfile service = servingProfile(policy, image);
+        int report = 0;
+        for (TimePoint at = Begin; at < Begin + TrainingTime; at += 100ms, ++report) {
+            const bool hasHeavy = report % 3 == 0;
+            std::vector<ColocatedRun> runs{{&service, image, tailOf(ownLoadAt(at), hasHeavy ? HeavyEffect : 0), 100}};
+            if (hasHeavy) {
+                runs.push_back({&heavy, "batch", 8000, 100});
+            }
+            policy.observe(runs, ColocationPolicy::neighbourLoadsOf(runs, Capacity), at);
+        }
+        highest = std::max(highest, policy.addedUtilization(service.image, heavy, Capacity));
+    }
+    cr_assert_float_eq(highest, HeavyEffect, 0.5 * HeavyEffect, "it is %f", highest);
+    RunProfile service = servingProfile(policy, "service 5");
+    TimePoint at = Begin + TrainingTime;
+    policy.observe({{&service, "new service", BaseMs, 100}}, {}, at);
+    for (const TimePoint end = at + 1s; at < end; at += 100ms) {
+        // The run is throttled to a fifth, and the tail latency still shows the time before.
+        const std::vector<ColocatedRun> runs{{&service, "new service", tailOf(0.45, 0.45), 100}, {&heavy, "batch", 1600, 20}};
+        policy.observe(runs, ColocationPolicy::neighbourLoadsOf(runs, Capacity), at);
+    }
+    const double learnedAtOnce = policy.addedUtilization(service.image, heavy, Capacity);
+    for (const TimePoint end = at + 100s; at < end; at += 100ms) {
+        policy.observe({{&service, "new service", tailOf(ownLoadAt(at), 0), 100}}, {}, at);
+    }
+    const double learned = policy.addedUtilization(service.image, heavy, Capacity);
+    cr_assert_gt(learnedAtOnce, highest);
+    cr_assert_lt(learned, (learnedAtOnce + highest) / 2, "it is %f, was %f 100 s ago, and is at most %f for the others", learned, learnedAtOnce, highest);
+}
+
 Test(colocationPolicy, aTaskNeedsHeadroomUntilItsSpeedCanBeAdjusted)
 {
     TrainedPolicy trained;
