--- a/tests/libs/dispatch/colocatedfleet.cpp
+++ b/tests/libs/dispatch/colocatedfleet.cpp
@@ -53,6 +53,7 @@
     step.taskCount = tasks;
     step.perWorker = 1;
     Job job;
+    job.isServing = true;
     job.peak = peak;
     submit(jobId, step, job);
 }
@@ -181,13 +182,13 @@
     for (auto run = worker.runs.begin(); run != worker.runs.end();) {
         auto &[id, state] = *run;
         Job &job = m_jobs.at(id.job);
-        if (job.isServing()) {
+        if (job.isServing) {
             const bool isOver = tailOf(worker, id) >= static_cast<double>(TailTargetMs);
             state.overTarget = isOver ? state.overTarget + TickInterval : Duration(0);
             m_longestTimeOverTarget = std::max(m_longestTimeOverTarget, state.overTarget);
         }
         state.worked += std::chrono::duration_cast<Duration>(TickInterval) * state.speedPercent / 100;
-        if (job.isServing() || state.worked < job.duration) {
+        if (job.isServing || state.worked < job.duration) {
             ++run;
             continue;
         }
@@ -208,7 +209,7 @@
     for (const auto &[id, run] : worker.runs) {
         const Job &job = m_jobs.at(id.job);
         ReportedRun reported{id, run.run, "", 100, tailOf(worker, id)};
-        if (!job.isServing()) {
+        if (!job.isServing) {
             reported.progressPercent = static_cast<int>(100 * run.worked / job.duration);
             reported.load = static_cast<double>(job.milliCores) * run.speedPercent / 100;
         }
@@ -226,7 +227,7 @@
     for (const auto &[id, run] : worker.runs) {
         const Job &job = m_jobs.at(id.job);
         const double share = static_cast<double>(job.milliCores) / static_cast<double>(worker.info.capacity.milliCores);
-        utilization += job.isServing() ? 0 : job.effect * share * run.speedPercent / 100;
+        utilization += job.isServing ? 0 : job.effect * share * run.speedPercent / 100;
     }
     return std::round(BaseTailMs / (1 - std::min(utilization, Internal::MaximumUtilization)));
 }
--- a/tests/libs/dispatch/colocatedfleet.h
+++ b/tests/libs/dispatch/colocatedfleet.h
@@ -62,6 +62,7 @@
 private:
     struct Job
     {
+        bool isServing = false;
         Duration peak{0}; // of a serving job
         double effect = 0; // of a best-effort job
         Duration duration{0}; // of a best-effort job
@@ -70,8 +71,6 @@
         int completed = 0;
         TimePoint submittedAt{};
         std::optional<TimePoint> startedAt;
-
-        bool isServing() const { return duration == Duration(0); }
     };
 
     struct Run
