--- a/src/libs/dispatch/waitingwatchdog.h
+++ b/src/libs/dispatch/waitingwatchdog.h
@@ -25,8 +25,8 @@
     /// capacity is in use.
     static constexpr std::chrono::milliseconds MaximumWait{3000};
 
-    /// With more in use the platform sets no bound. Work that yields to other work may wait then, but callers of a step that waited for
-    /// 90 s beside free room complained before its operators knew.
+    /// With more in use the platform sets no bound, because work may yield to other work then. Operators should learn of a step that waits
+    /// beside free room for many times as long as its callers expect.
     static constexpr std::chrono::milliseconds MaximumWaitInBusyPool{30'000};
 
     /// Room for a step, twice over.
