Add failing tests for paused runs, silent orders and removed queues

A pause counts as a stall once the run is resumed; the speed of an adopted run is assumed to be 100 %; a worker that answers polls but no orders gets the same task again and again; jobs of a queue that is no longer configured are skipped.

Change: four tests in testwaitingbounds.cpp. No production code changes.

--- a/tests/libs/dispatch/testwaitingbounds.cpp
+++ b/tests/libs/dispatch/testwaitingbounds.cpp
@@ -1,5 +1,6 @@
 #include "colocatedfleet.h"
 #include "dispatchsimulation.h"
+#include "eventharness.h"
 #include "scriptedfleet.h"
 
 #include <criterion/criterion.h>
@@ -37,6 +38,15 @@
     return step;
 }
 
+Wire::TaskStep shortStep(std::int64_t milliCores, std::chrono::milliseconds estimate)
+{
+    Wire::TaskStep step;
+    step.milliCores = milliCores;
+    step.taskCount = 1;
+    step.estimateMs = estimate.count();
+    return step;
+}
+
 } // namespace
 
 // Guards against hopeless jobs that quarantine all sound workers, so that no other job starts on an idle pool.
@@ -179,3 +189,65 @@
     cr_expect_leq(fleet.waitingTime("second"), MaximumWait, "it has waited for %ld ms", milliseconds(fleet.waitingTime("second")));
     cr_expect_leq(fleet.longestTimeOverTarget(), 4s, "%ld ms over the target", milliseconds(fleet.longestTimeOverTarget()));
 }
+
+// Guards against a resumed run that is stopped, and its worker that is quarantined, because the pause counts as a stall.
+Test(waitingBounds, aPauseIsNotAStall)
+{
+    EventHarness harness;
+    harness.startAllTasks();
+    const StartCommand start = harness.all<StartCommand>().at(0);
+    harness.advance(1s);
+    harness.dispatcher.throttleAnswered({start.worker, start.task, start.run, 0, start.fencingToken}, CommandExecuted{harness.clock()}, harness.now);
+    harness.makesProgress = false;
+    harness.advance(65s); // more than the stall timeout of this task
+    harness.dispatcher.throttleAnswered({start.worker, start.task, start.run, 100, start.fencingToken}, CommandExecuted{harness.clock()}, harness.now);
+    harness.advance(100ms); // until the new speed has an effect
+    harness.makesProgress = true;
+    harness.advance(1s);
+    cr_expect(harness.all<StopCommand>().empty(), "the run was stopped");
+    cr_expect(harness.all<WorkerQuarantined>().empty(), "the worker was quarantined");
+}
+
+// Guards against runs that a previous owner has paused and that stay paused, because the next owner assumes full speed.
+Test(waitingBounds, runsThatAPreviousOwnerHasPausedAreResumed)
+{
+    ScriptedFleet fleet(1);
+    fleet.advance(1s);
+    Wire::TaskStep step = shortStep(8000, 30s);
+    step.fillsIdle = true;
+    step.image = "batch";
+    fleet.submit("batch", step);
+    fleet.advance(2s);
+    cr_assert(fleet.runOf("batch") != nullptr);
+    fleet.pauseRun("batch");
+    fleet.takeOver();
+    fleet.advance(MaximumWait);
+    cr_assert(fleet.runOf("batch") != nullptr);
+    cr_expect_gt(fleet.runOf("batch")->speedPercent, 0);
+    fleet.advance(5s);
+    cr_expect(std::ranges::none_of(fleet.stops, [](const StopCommand &stop) { return stop.reason == StopReason::Stalled; }), "the run was stopped");
+}
+
+// Guards against a task that stays assigned to a worker that answers polls and leaves starts and stops unanswered.
+Test(waitingBounds, tasksLeaveAWorkerThatAnswersNoOrders)
+{
+    for (const std::size_t mute : {0U, 1U}) {
+        ScriptedFleet fleet(2);
+        fleet.worker(mute).ignoresOrders = true;
+        fleet.advance(1s);
+        fleet.submit("serving", servingStep(13'000));
+        const Duration waited = fleet.advanceUntil([&] { return fleet.runOf("serving") != nullptr; }, 60s);
+        cr_expect_leq(waited, MaximumServingWait, "w%zu is mute: it has waited for %ld ms", mute, milliseconds(waited));
+    }
+}
+
+// Guards against accepted jobs that are forgotten when their queue is removed.
+Test(waitingBounds, acceptedJobsOfARemovedQueueRun)
+{
+    ScriptedFleet fleet(2);
+    fleet.advance(1s);
+    fleet.removeQueue();
+    fleet.submit("job", shortStep(1000, 1s));
+    const Duration waited = fleet.advanceUntil([&] { return fleet.runOf("job") != nullptr; }, 30s);
+    cr_expect_leq(waited, MaximumWait, "it has waited for %ld ms", milliseconds(waited));
+}
