An overdue best-effort step starts whatever is believed about effects

Callers saw accepted best-effort jobs without a run beside workers that were mostly idle (LOST), again after the wait of a step had been bounded. Cause: the bound held only where the learned effects, the forecast of the load and the idle time permitted the lowest speed. A belief that is wrong or a peak that lasts refused the step on all workers for as long as it held, and it is corrected only by observations of runs. Change: beliefs decide where an overdue task starts, not whether. It is refused only beside a serving task over its target. The run is set to the lowest speed as soon as its start is confirmed. Speeds change in steps of 5 % instead of 20 %, so less headroom is left unused. Steps wait for 1.5 s in an idle pool, half of what the platform permits, because a late owner needs the rest.

--- a/src/libs/dispatch/colocationpolicy.cpp
+++ b/src/libs/dispatch/colocationpolicy.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds UnthrottleHorizon{1800};
 constexpr double ThrottleMargin = 0.0;
 constexpr double UnthrottleMargin = 0.02;
-constexpr int SpeedStep = static_cast<int>(100 * ServingForecast::LowestSpeedShare); // percent
+constexpr int SpeedStep = 5; // percent
 // Reported tail latencies are noisy, so a residual counts only in part.
 constexpr double ResidualWeight = 0.5;
 constexpr double MinimumResidual = 0.1;
@@ -95,7 +95,7 @@
             added += bestEffort.isBestEffort && !isEnding(bestEffort) ? Internal::effectOf(*model, bestEffort, worker.info.capacity.milliCores) : 0;
         }
         headroom -= m_loadForecast.maximum(id.job, now, now + ServingForecast::ControlHorizon);
-        forecast.add({serving.image, headroom - added, headroom - added * ServingForecast::LowestSpeedShare});
+        forecast.add({serving.image, headroom - added});
     }
     return forecast;
 }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -244,6 +244,7 @@
     std::vector<NeighbourLoad> endedNeighbourLoads(WorkerState &worker, TimePoint now);
     void recordEndedBestEffortRun(const TaskId &id, const TaskExecution &task, TimePoint now);
     void updateTargetState(WorkerState &worker, const std::vector<ColocatedRun> &runs, TimePoint now);
+    void setInitialSpeed(const TaskId &id, const TaskExecution &task);
     bool migratePausedRun(const TaskId &id, TimePoint now);
     void adjustSpeeds(WorkerState &worker, const std::vector<ListedRun> &listed, TimePoint now);
 
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -258,6 +258,7 @@
         ranking.capacityChanged(*worker);
         ++perWorker[worker->info.id];
         if (request.isOverdue) {
+            task.initialSpeedPercent = IdleCapacityPolicy::LowestSpeedPercent;
             break; // the other tasks of the step have no precedence
         }
     }
@@ -322,6 +323,7 @@
                 TaskExecution &task = execution.tasks[static_cast<std::size_t>(id.index)];
                 task.checkpoint = checkpoint;
                 assignRun(job, id, task, *worker, run, now);
+                task.initialSpeedPercent = request.isOverdue ? IdleCapacityPolicy::LowestSpeedPercent : 100;
             }
             ranking.capacityChanged(*worker);
         }
@@ -369,6 +371,7 @@
     task.progressSince = now;
     task.firstProgressPercent = -1;
     task.speedPercent = 100;
+    task.initialSpeedPercent = 100;
     worker.addRun(id, runProfile(job.step(id.step), run), now);
     m_jobs.markUrgent(job);
     m_newIntents.emplace_back(id, run);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -156,6 +156,7 @@
                        task->confirmedAt = now;
                        task->progressSince = now;
                        markStarted(command.task);
+                       setInitialSpeed(command.task, *task);
                    },
                    [&](const CommandRejected &rejection) {
                        handleFencing(command.worker.id, command.fencingToken, rejection);
@@ -178,6 +179,14 @@
                result);
 }
 
+void Dispatcher::setInitialSpeed(const TaskId &id, const TaskExecution &task)
+{
+    const WorkerState *worker = findWorker(task.worker);
+    if (worker != nullptr && task.initialSpeedPercent < task.speedPercent) {
+        m_actions.emplace_back(ThrottleCommand{addressOf(*worker), id, task.run, task.initialSpeedPercent, tokenFor(*worker)});
+    }
+}
+
 void Dispatcher::handleUndeterminedStart(const TaskId &id, TaskExecution &task, TimePoint now)
 {
     const WorkerState *worker = findWorker(task.worker);
--- a/src/libs/dispatch/idlecapacitypolicy.cpp
+++ b/src/libs/dispatch/idlecapacitypolicy.cpp
@@ -39,6 +39,9 @@
     if (worker.overTargetSince) {
         return PlacementObstacle::OverTarget;
     }
+    if (task.isOverdue) {
+        return std::nullopt;
+    }
     if (worker.expectedIdleMilliCores(forecast) * 100 < task.profile->bestEffortMilliCores * Internal::MinimumIdlePercent) {
         return PlacementObstacle::IdleProcessorTime;
     }
@@ -49,10 +52,7 @@
 {
     return std::ranges::all_of(forecast.headrooms, [&](const ServingForecast::Headroom &headroom) {
         const double added = m_colocation.addedUtilization(headroom.image, *task.profile, worker.info.capacity.milliCores);
-        if (added < ColocationPolicy::NegligibleUtilization) {
-            return true;
-        }
-        return task.isOverdue ? added * ServingForecast::LowestSpeedShare < headroom.besideSlowedRuns : added < headroom.utilization;
+        return added < ColocationPolicy::NegligibleUtilization || added < headroom.utilization;
     });
 }
 
--- a/src/libs/dispatch/idlecapacitypolicy.h
+++ b/src/libs/dispatch/idlecapacitypolicy.h
@@ -23,24 +23,25 @@
 /// peak of their load on any of these, although most processor time is idle and the peak is short.
 ///
 /// A task is started where its effect fits until its speed can be adjusted; from then on ColocationPolicy::speeds() keeps the targets. A
-/// step of which no task has run for the maximum wait is overdue. One task of it, or its whole gang, comes before all other best-effort tasks
-/// and is started where it can run at the lowest speed.
+/// step that has been without a run for too long is overdue. One task of it, or its whole gang, comes before all other best-effort tasks. It
+/// begins at the lowest speed, on the worker with most idle time and headroom.
 ///
-/// Invariant: no task is started beside a serving task that exceeds its target. An overdue step waits only while each worker lacks idle time, or
-/// headroom for best-effort tasks at the lowest speed.
+/// Invariant: no task is started beside a serving task that exceeds its target. What is believed about effects, loads and idle time decides where
+/// an overdue task starts, but not whether: these beliefs are corrected only by observations of runs.
 class IdleCapacityPolicy
 {
 public:
     static constexpr std::chrono::milliseconds MaximumWait{5000};
-    // The platform counts a job as lost of which nothing runs for 3 s while less than half of a pool is in use. Intent and start take
-    // some time as well.
-    static constexpr std::chrono::milliseconds MaximumWaitInIdlePool{2500};
+    // The platform counts a job as lost of which nothing runs for 3 s while less than half of a pool is in use. An owner without processor
+    // time needs a part of it for the intent and the start.
+    static constexpr std::chrono::milliseconds MaximumWaitInIdlePool{1500};
+    static constexpr int LowestSpeedPercent = 5; // enough to observe the effect of a run
 
     /// A best-effort task that waits for a worker.
     struct Task
     {
         const RunProfile *profile = nullptr;
-        bool isOverdue = false; // no task of its step runs, and none did for the maximum wait
+        bool isOverdue = false; // its step has been without a run for too long
     };
 
     /// The argument must outlive this object.
--- a/src/libs/dispatch/servingforecast.cpp
+++ b/src/libs/dispatch/servingforecast.cpp
@@ -11,7 +11,6 @@
         headrooms.push_back(headroom);
         return;
     }
-    known->besideSlowedRuns = std::min(known->besideSlowedRuns, headroom.besideSlowedRuns);
     known->utilization = std::min(known->utilization, headroom.utilization);
 }
 
--- a/src/libs/dispatch/servingforecast.h
+++ b/src/libs/dispatch/servingforecast.h
@@ -11,7 +11,6 @@
 /// Forecast for the serving runs on a worker: expected processor use, and headroom for interference in the next seconds.
 struct ServingForecast
 {
-    static constexpr double LowestSpeedShare = 0.2; // of best-effort runs that are slowed down, but not paused
     static constexpr std::chrono::milliseconds ProcessorHorizon{2000};
     static constexpr std::chrono::milliseconds ControlHorizon{1000}; // until the speed of a best-effort run can be adjusted
 
@@ -21,7 +20,6 @@
     {
         std::uint32_t image = 0;
         double utilization = 0;
-        double besideSlowedRuns = 0; // the same if all best-effort runs of the worker have the lowest speed
     };
 
     TimePoint at{}; // when the forecast was computed; default: out of date
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -41,6 +41,7 @@
     TimePoint firstProgressAt{};
     double load = 0; // as reported by the worker
     int speedPercent = 100;
+    int initialSpeedPercent = 100; // to which the run is set as soon as its start is confirmed
     TimePoint speedSince{};
     std::optional<TimePoint> withoutRunSince; // the last run was stopped, or last reported, then
     TimePoint notBefore{}; // the next run is not started before
