Watchdog: a run between two looks of the platform does not end a wait

The platform looks three times, 1.5 s apart. A step waits for 2.5 s, then has a run of less than 1.5 s, then waits again, and the platform may see none of the runs. The watchdog began the wait anew with each of them, so it never reached 3 s.

The watchdog now judges the same three looks, and forgets a step only if a task runs for 1.5 s. It only reports.

aRunBetweenTwoLooksDoesNotEndTheWait guards it.

--- a/src/libs/dispatch/waitingwatchdog.cpp
+++ b/src/libs/dispatch/waitingwatchdog.cpp
@@ -11,10 +11,8 @@
 
 namespace Internal {
 
-// A step is noticed and reported at most this much late, which is little beside the bound.
-constexpr std::chrono::milliseconds RoundInterval{500};
-// After a longer pause of the owner, whether room was free meanwhile is unknown.
-constexpr std::chrono::milliseconds MaximumPause = 3 * RoundInterval;
+// After a pause of the owner of more rounds, whether room was free meanwhile is unknown.
+constexpr int MaximumPausedRounds = 3;
 // Examining a step visits all workers. Bounds the reports to two a second.
 constexpr std::size_t MaximumExaminations = 1; // in a round
 // Bounds the reports of a step whose obstacle alternates.
@@ -37,17 +35,19 @@
 
 void WaitingWatchdog::beginRound(TimePoint now)
 {
-    if (now - m_round > Internal::MaximumPause) {
-        for (auto &[step, wait] : m_waits) {
+    const bool wasPaused = now - m_round > Internal::MaximumPausedRounds * RoundInterval;
+    for (auto &[step, wait] : m_waits) {
+        wait.besideAmpleRoom <<= 1;
+        if (wasPaused) {
             wait.besideRoomSince.reset();
-            wait.besideAmpleRoomSince.reset();
+            wait.besideAmpleRoom.reset();
             wait.isOverdue = false;
         }
     }
     m_observed = 0;
     m_overdue.clear();
     m_round = now;
-    m_nextRound = now + Internal::RoundInterval;
+    m_nextRound = now + RoundInterval;
 }
 
 void WaitingWatchdog::observe(const TaskId &step, Room room)
@@ -66,11 +66,10 @@
     }
     wait.observedAt = m_round;
     ++m_observed;
-    const auto update = [this](std::optional<TimePoint> &since, bool holds) { since = holds ? std::optional(since.value_or(m_round)) : std::nullopt; };
-    update(wait.besideRoomSince, room != Room::None);
-    update(wait.besideAmpleRoomSince, room == Room::Ample);
-    const bool isOverdue =
-        m_round - wait.besideAmpleRoomSince.value_or(m_round) > MaximumWait || m_round - wait.besideRoomSince.value_or(m_round) >= MaximumWaitInBusyPool;
+    wait.besideRoomSince = room != Room::None ? std::optional(wait.besideRoomSince.value_or(m_round)) : std::nullopt;
+    wait.besideAmpleRoom[0] = room == Room::Ample;
+    const bool waitedAtAllLooks = wait.besideAmpleRoom[0] && wait.besideAmpleRoom[RoundsBetweenLooks] && wait.besideAmpleRoom[2 * RoundsBetweenLooks];
+    const bool isOverdue = waitedAtAllLooks || m_round - wait.besideRoomSince.value_or(m_round) >= MaximumWaitInBusyPool;
     m_newlyOverdue += isOverdue && !wait.isOverdue ? 1 : 0;
     wait.isOverdue = isOverdue;
     if (isOverdue) {
@@ -94,8 +93,15 @@
 
 void WaitingWatchdog::endRound()
 {
-    if (m_observed < m_waits.size()) {
-        std::erase_if(m_waits, [this](const auto &item) { return item.second.observedAt != m_round; });
+    if (m_observed == m_waits.size()) {
+        return;
+    }
+    std::erase_if(m_waits, [this](const auto &item) { return m_round - item.second.observedAt > LookInterval; });
+    for (auto &[step, wait] : m_waits) {
+        if (wait.observedAt != m_round) {
+            wait.besideRoomSince.reset();
+            wait.isOverdue = false;
+        }
     }
 }
 
--- a/src/libs/dispatch/waitingwatchdog.h
+++ b/src/libs/dispatch/waitingwatchdog.h
@@ -5,6 +5,7 @@
 #include <ports/taskid.h>
 #include <utils/clock.h>
 
+#include <bitset>
 #include <chrono>
 #include <cstddef>
 #include <optional>
@@ -16,8 +17,9 @@
 /// Decides which waiting steps are reported: those that wait longer than a bound although room for them is free, be their tasks reserved,
 /// best-effort or serving ones. It performs no I/O and does not know why they wait.
 ///
-/// It works in rounds, which are a fixed time apart. In each, the caller observes the steps whose turn has come and of which no task runs;
-/// the others are forgotten. Then it examines a few of the overdue steps, which is expensive, and asks whether to report them.
+/// It works in rounds, which are a fixed time apart. In each, the caller observes the steps whose turn has come and of which no task runs.
+/// Those of which a task runs for LookInterval are forgotten. Then it examines a few of the overdue steps, which is expensive, and asks
+/// whether to report them.
 class WaitingWatchdog
 {
 public:
@@ -25,6 +27,9 @@
     /// capacity is in use.
     static constexpr std::chrono::milliseconds MaximumWait{3000};
 
+    /// The platform looks at the beginning, the middle and the end of that time, so a run between two looks does not end the wait.
+    static constexpr std::chrono::milliseconds LookInterval = MaximumWait / 2;
+
     /// With more in use the platform sets no bound, because work may yield to other work then. Operators should learn of a step that waits
     /// beside free room for many times as long as its callers expect.
     static constexpr std::chrono::milliseconds MaximumWaitInBusyPool{30'000};
@@ -44,10 +49,10 @@
     /// Notes, once in a round, that no task of @p step runs although its turn has come, and which @p room for it is free.
     void observe(const TaskId &step, Room room);
 
-    /// Returns the steps that were observed in the last round and not in this one yet.
+    /// Returns the steps that were observed in one of the last rounds, are not forgotten, and were not observed in this round yet.
     std::vector<TaskId> missingSteps() const;
 
-    /// Forgets the steps that were not observed in this round.
+    /// Forgets the steps that were not observed for LookInterval.
     void endRound();
 
     /// Returns which overdue steps to examine in this round: first those that have not been reported, by the time that they wait.
@@ -57,7 +62,8 @@
     /// yet, or its obstacle has changed, or its last report is some time ago.
     bool shouldReport(const TaskId &step, std::optional<PlacementObstacle> mainObstacle);
 
-    /// Returns how long the step, which was observed in this round, has waited, and for how long without interruption beside free room.
+    /// Returns how long the step, which was observed in this round, has waited except for short runs, and for how long without interruption
+    /// beside free room.
     std::chrono::milliseconds waitingTime(const TaskId &step) const;
     std::chrono::milliseconds timeBesideRoom(const TaskId &step) const;
 
@@ -72,11 +78,17 @@
     std::size_t takeNewlyOverdueSteps();
 
 private:
+    static constexpr std::chrono::milliseconds RoundInterval{500};
+    static constexpr std::size_t RoundsBetweenLooks = LookInterval / RoundInterval;
+    static_assert(RoundsBetweenLooks * RoundInterval == LookInterval);
+
+    using RoundHistory = std::bitset<2 * RoundsBetweenLooks + 1>; // lowest bit: this round
+
     struct Wait
     {
         TimePoint since{};
         std::optional<TimePoint> besideRoomSince;
-        std::optional<TimePoint> besideAmpleRoomSince;
+        RoundHistory besideAmpleRoom;
         TimePoint observedAt{};
         bool isOverdue = false;
         TimePoint examinedAt{};
--- a/tests/libs/dispatch/testwaitingwatchdog.cpp
+++ b/tests/libs/dispatch/testwaitingwatchdog.cpp
@@ -162,7 +162,7 @@
     rounds.waiting = {stepOf("j")};
     rounds.run(2500ms);
     rounds.waiting = {};
-    rounds.run(1s);
+    rounds.run(WaitingWatchdog::LookInterval + 500ms);
     rounds.waiting = {stepOf("j")};
     rounds.run(2500ms);
     cr_assert_eq(rounds.reported.size(), 0);
@@ -174,6 +174,35 @@
     cr_assert_eq(rounds.watchdog.longestTimeBesideRoom().count(), 0);
 }
 
+// Guards against jobs that the platform counts as lost and no line names: each short run ended the wait, and the platform saw none of the runs.
+Test(waitingWatchdog, aRunBetweenTwoLooksDoesNotEndTheWait)
+{
+    Rounds rounds;
+    rounds.waiting = {stepOf("j")};
+    rounds.run(2500ms);
+    rounds.waiting = {};
+    rounds.run(1s);
+    cr_assert_eq(rounds.watchdog.overdueSteps(), 0);
+    rounds.waiting = {stepOf("j")};
+    rounds.run(2500ms);
+    cr_assert_eq(rounds.reported.size(), 1);
+    cr_assert_geq(rounds.watchdog.waitingTime(stepOf("j")).count(), 5000);
+    cr_assert_leq(rounds.watchdog.timeBesideRoom(stepOf("j")).count(), 2500);
+}
+
+// A run that is there at one of three looks ends the wait, also if it is short.
+Test(waitingWatchdog, aRunAtEachThirdLookEndsTheWait)
+{
+    Rounds rounds;
+    for (int run = 0; run < 10; ++run) {
+        rounds.waiting = {stepOf("j")};
+        rounds.run(1s);
+        rounds.waiting = {};
+        rounds.run(2s);
+    }
+    cr_assert_eq(rounds.reported.size(), 0);
+}
+
 // Guards against reports on what an owner has not seen while its process was suspended.
 Test(waitingWatchdog, aPauseOfTheOwnerIsNoWaitBesideRoom)
 {
