--- a/tests/libs/dispatch/colocatedfleet.cpp
+++ b/tests/libs/dispatch/colocatedfleet.cpp
@@ -17,6 +17,17 @@
 constexpr double LoadSwing = 0.5; // share of the mean load
 constexpr double MaximumUtilization = 0.99;
 
+static Wire::TaskStep bestEffortStep(int tasks, std::int64_t milliCores, const std::string &image, Duration duration)
+{
+    Wire::TaskStep step;
+    step.fillsIdle = true;
+    step.image = image;
+    step.milliCores = milliCores;
+    step.taskCount = tasks;
+    step.estimateMs = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return step;
+}
+
 } // namespace Internal
 
 ColocatedFleet::ColocatedFleet(int workers, std::int64_t milliCores)
@@ -60,15 +71,23 @@
 
 void ColocatedFleet::submitBestEffort(const std::string &jobId, int tasks, std::int64_t milliCores, const std::string &image, double effect, Duration duration)
 {
-    Wire::TaskStep step;
-    step.fillsIdle = true;
-    step.image = image;
-    step.milliCores = milliCores;
-    step.taskCount = tasks;
-    step.estimateMs = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    submitBestEffort(jobId, Internal::bestEffortStep(tasks, milliCores, image, duration), effect, duration);
+}
+
+void ColocatedFleet::submitCheckpointable(
+    const std::string &jobId, int tasks, std::int64_t milliCores, const std::string &image, double effect, Duration duration)
+{
+    Wire::TaskStep step = Internal::bestEffortStep(tasks, milliCores, image, duration);
+    step.checkpointable = true;
+    submitBestEffort(jobId, step, effect, duration);
+}
+
+void ColocatedFleet::submitBestEffort(const std::string &jobId, const Wire::TaskStep &step, double effect, Duration duration)
+{
     Job job;
     job.effect = effect;
     job.duration = duration;
+    job.isCheckpointable = step.checkpointable;
     submit(jobId, step, job);
 }
 
@@ -103,6 +122,7 @@
     added.milliCores = step.milliCores;
     added.tasks = step.taskCount;
     added.submittedAt = m_now;
+    added.lastRunAt = m_now;
     m_dispatcher.jobChanged(jobId, &entry, m_now, wall());
 }
 
@@ -126,6 +146,55 @@
     return job.completed == job.tasks;
 }
 
+void ColocatedFleet::forgetTimesWithoutRun()
+{
+    for (auto &[id, job] : m_jobs) {
+        job.lastRunAt = m_now;
+        job.longestTimeWithoutRun = Duration(0);
+        job.waited.clear();
+    }
+}
+
+bool ColocatedFleet::mightBeFoundLost(const std::string &jobId) const
+{
+    constexpr std::size_t Ticks = LookInterval / TickInterval; // between two looks
+    const std::vector<bool> &waited = m_jobs.at(jobId).waited;
+    for (std::size_t last = 2 * Ticks; last < waited.size(); ++last) {
+        if (waited[last] && waited[last - Ticks] && waited[last - 2 * Ticks]) {
+            return true;
+        }
+    }
+    return false;
+}
+
+double ColocatedFleet::reservedShare() const
+{
+    std::int64_t reserved = 0;
+    std::int64_t capacity = 0;
+    for (const Worker &worker : m_workers) {
+        capacity += worker.info.capacity.milliCores;
+        for (const auto &[id, run] : worker.runs) {
+            const Job &job = m_jobs.at(id.job);
+            reserved += job.isServing ? job.milliCores : 0;
+        }
+    }
+    return static_cast<double>(reserved) / static_cast<double>(capacity);
+}
+
+void ColocatedFleet::updateTimesWithoutRun()
+{
+    for (const Worker &worker : m_workers) {
+        for (const auto &[id, run] : worker.runs) {
+            m_jobs.at(id.job).lastRunAt = m_now;
+        }
+    }
+    for (auto &[id, job] : m_jobs) {
+        const bool waits = job.completed < job.tasks && job.lastRunAt < m_now;
+        job.longestTimeWithoutRun = waits ? std::max(job.longestTimeWithoutRun, m_now - job.lastRunAt) : job.longestTimeWithoutRun;
+        job.waited.push_back(waits);
+    }
+}
+
 void ColocatedFleet::tick()
 {
     m_now += TickInterval;
@@ -140,6 +209,7 @@
             answerPoll(worker);
         }
     }
+    updateTimesWithoutRun();
 }
 
 void ColocatedFleet::perform(DispatchAction &action)
@@ -152,15 +222,21 @@
                            m_dispatcher.startAnswered(command, CommandRejected{RejectionReason::Unhealthy, ""}, m_now);
                            return;
                        }
-                       workerOf(command.worker.id).runs[command.task] = Run{command.run, 100, {}, {}};
                        Job &job = m_jobs.at(command.task.job);
+                       const Duration worked(command.checkpoint.empty() ? 0 : std::stoll(command.checkpoint));
+                       workerOf(command.worker.id).runs[command.task] = Run{command.run, 100, worked, {}};
                        job.startedAt = job.startedAt.value_or(m_now);
                        m_dispatcher.startAnswered(command, executed, m_now);
                    },
                    [&](const StopCommand &command) {
                        Worker &worker = workerOf(command.worker.id);
-                       if (worker.runs.erase(command.task) > 0) {
-                           worker.ends.push_back({++worker.lastEndSequence, command.task, command.run, RunEndReason::Stopped, ""});
+                       const auto run = worker.runs.find(command.task);
+                       if (run != worker.runs.end()) {
+                           const bool isStored = m_jobs.at(command.task.job).isCheckpointable;
+                           const std::string checkpoint = isStored ? std::to_string(run->second.worked.count()) : std::string();
+                           worker.ends.push_back({++worker.lastEndSequence, command.task, command.run, RunEndReason::Stopped, checkpoint});
+                           worker.runs.erase(run);
+                           ++m_stoppedRuns;
                        }
                        m_dispatcher.stopAnswered(command, executed, m_now);
                    },
--- a/tests/libs/dispatch/colocatedfleet.h
+++ b/tests/libs/dispatch/colocatedfleet.h
@@ -36,6 +36,9 @@
     /// @p effect to the utilization of a serving run.
     void submitBestEffort(const std::string &jobId, int tasks, std::int64_t milliCores, const std::string &image, double effect, Duration duration);
 
+    /// Submits a best-effort job as above whose stopped runs store a checkpoint, so the next run of the task continues there.
+    void submitCheckpointable(const std::string &jobId, int tasks, std::int64_t milliCores, const std::string &image, double effect, Duration duration);
+
     /// Lets the worker with this number reject all start commands from now on.
     void rejectStarts(int worker) { m_workers[static_cast<std::size_t>(worker)].rejectsStarts = true; }
 
@@ -54,10 +57,25 @@
     Duration waitingTime(const std::string &jobId) const;
     bool isComplete(const std::string &jobId) const;
 
+    /// Returns the longest time on end during which no worker had a run of the best-effort job, whatever the speed of its runs, although it
+    /// was not complete. It counts from the submission or the last call of forgetTimesWithoutRun().
+    Duration longestTimeWithoutRun(const std::string &jobId) const { return m_jobs.at(jobId).longestTimeWithoutRun; }
+    void forgetTimesWithoutRun();
+
+    /// Returns true if in this time the platform might have found the job lost: at three looks, LookInterval apart, no worker had a run of it.
+    bool mightBeFoundLost(const std::string &jobId) const;
+
+    /// Returns the share of the fleet's capacity that serving runs have reserved.
+    double reservedShare() const;
+
+    /// Returns the number of runs that were stopped before they had completed.
+    int stoppedRuns() const { return m_stoppedRuns; }
+
     /// Returns the longest time on end during which a serving run exceeded its target.
     Duration longestTimeOverTarget() const { return m_longestTimeOverTarget; }
 
     static constexpr Duration LoadPeriod = std::chrono::seconds(10);
+    static constexpr std::chrono::milliseconds LookInterval{1500}; // of the platform
 
 private:
     struct Job
@@ -66,11 +84,15 @@
         Duration peak{0}; // of a serving job
         double effect = 0; // of a best-effort job
         Duration duration{0}; // of a best-effort job
+        bool isCheckpointable = false;
         std::int64_t milliCores = 0;
         int tasks = 0;
         int completed = 0;
         TimePoint submittedAt{};
         std::optional<TimePoint> startedAt;
+        TimePoint lastRunAt{}; // when a worker last had a run, or the submission
+        Duration longestTimeWithoutRun{0};
+        std::vector<bool> waited; // in each tick: it was not complete and had no run
     };
 
     struct Run
@@ -91,11 +113,13 @@
         std::optional<std::pair<PollCommand, TimePoint>> poll; // not answered, and when it was sent
     };
 
+    void submitBestEffort(const std::string &jobId, const Wire::TaskStep &step, double effect, Duration duration);
     void submit(const std::string &jobId, Wire::TaskStep step, const Job &job);
     void tick();
     void perform(DispatchAction &action);
     void work(Worker &worker);
     void answerPoll(Worker &worker);
+    void updateTimesWithoutRun();
     double tailOf(const Worker &worker, const TaskId &serving) const;
     Worker &workerOf(const std::string &id) { return m_workers[m_indexes.at(id)]; }
     WallTime wall() const;
@@ -106,6 +130,7 @@
     std::map<std::string, std::size_t> m_indexes; // by id
     std::map<std::string, Job> m_jobs;
     Duration m_longestTimeOverTarget{0};
+    int m_stoppedRuns = 0;
 };
 
 } // namespace Hyssop::Testing
--- a/tests/libs/dispatch/testidlecapacity.cpp
+++ b/tests/libs/dispatch/testidlecapacity.cpp
@@ -8,7 +8,9 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 using namespace Hyssop;
 using namespace Hyssop::Testing;
@@ -259,3 +261,76 @@
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(fleet.waitingTime("later")).count();
     cr_expect_leq(waited, 15'000, "it has waited for %ld ms", static_cast<long>(waited));
 }
+
+namespace {
+
+// The platform counts a job as lost of which nothing runs for this long while less than half of the pool is in use.
+constexpr auto MaximumTimeWithoutRun = 3s;
+
+/// A fleet on which each worker has two serving runs whose loads peak half a period apart, so there is never a trough for all of them. The lowest
+/// speed of two interfering runs keeps the targets on each worker.
+class OverloadedFleet : public ColocatedFleet
+{
+public:
+    static constexpr int Workers = 12;
+    static constexpr double InterferingEffect = 1.6;
+
+    OverloadedFleet()
+        : ColocatedFleet(Workers, WorkerMilliCores)
+    {
+        submitServing("serving", Workers, 13'000, 0s);
+        submitServing("servingLater", Workers, 13'000, LoadPeriod / 2);
+        advance(10s);
+    }
+
+    /// Expects that none of the jobs was without a run for longer than permitted, nor might have been found lost.
+    void expectRuns(const std::vector<std::string> &jobs) const
+    {
+        cr_assert_lt(reservedShare(), 0.5, "the platform sets a bound only then");
+        Duration longest{0};
+        int lost = 0;
+        for (const std::string &id : jobs) {
+            longest = std::max(longest, longestTimeWithoutRun(id));
+            lost += mightBeFoundLost(id) ? 1 : 0;
+        }
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(longest).count();
+        cr_expect_leq(longest, Duration(MaximumTimeWithoutRun), "a job had no run for %ld ms", static_cast<long>(milliseconds));
+        cr_expect_eq(lost, 0, "%d of %zu jobs had no run at three looks", lost, jobs.size());
+    }
+};
+
+} // namespace
+
+/// Steps of several tasks that interfere with all serving tasks arrived faster than they completed. Each short run began the wait of its step anew, so
+/// after the arrivals the steps were without a run again and again.
+Test(idleCapacity, aBacklogOfInterferingStepsKeepsOneRunOfEach)
+{
+    OverloadedFleet fleet;
+    std::vector<std::string> jobs;
+    for (int number = 0; number < 2 * OverloadedFleet::Workers; ++number) {
+        jobs.push_back("heavy" + std::to_string(number));
+        fleet.submitBestEffort(jobs.back(), 16, TaskMilliCores, "heavy", OverloadedFleet::InterferingEffect, 800ms);
+        fleet.advance(500ms);
+    }
+    fleet.advance(MaximumTimeWithoutRun);
+    fleet.forgetTimesWithoutRun();
+    fleet.advance(20s);
+    fleet.expectRuns(jobs);
+}
+
+/// A run that is paused beside a peak is stopped after 0.7 s, to continue on another worker. Its step had no run until it was overdue again.
+Test(idleCapacity, runsThatArePausedAndMovedLeaveNoStepWithoutARun)
+{
+    OverloadedFleet fleet;
+    std::vector<std::string> jobs;
+    for (int number = 0; number < OverloadedFleet::Workers; ++number) {
+        jobs.push_back("heavy" + std::to_string(number));
+        fleet.submitCheckpointable(jobs.back(), 2, TaskMilliCores, "heavy", 2 * OverloadedFleet::InterferingEffect, 10s);
+        fleet.advance(500ms);
+    }
+    fleet.advance(MaximumTimeWithoutRun);
+    fleet.forgetTimesWithoutRun();
+    fleet.advance(30s);
+    cr_expect_gt(fleet.stoppedRuns(), 0);
+    fleet.expectRuns(jobs);
+}
