Test: accepted work has a run in time on every simulated seed

Cause: the simulations asked the owner's watchdog whether a step waits too long. It sees what the dispatcher believes, so a wrong belief hides the wait, and it counts the processor use of best-effort runs as taken room, which the protocol does not.

Change: WaitingInvariant checks the platform's rule (LOST) from what runs on the simulated workers: no step whose turn has come and no serving task is without a run for more than 3 s beside room for it twice over, from 4 s after the last disturbance; steps that don't serve only while less than half is reserved, serving tasks from 6 s after their last run. All scenarios of dispatchFaults check it, also the known red test with many seeds. A wait is printed with seed, task and time.

--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -93,6 +93,7 @@
         worker->started = [this](const TaskId &task, int run, const std::string &id) { checkStart(task, run, id); };
         worker->ended = [this](const TaskId &task, int, const std::string &, RunEndReason endReason) {
             m_running.erase(task);
+            m_lastRunEndedAt[task] = now;
             if (endReason == RunEndReason::Completed) {
                 m_done.insert(task);
             }
@@ -145,6 +146,7 @@
 
 void DispatchSimulation::claim()
 {
+    noteDisturbance(workerLoadTime);
     Wire::TopicClaim record;
     record.instance = "instance-" + std::to_string(m_owners.size());
     record.term = static_cast<std::int64_t>(m_owners.size()) + 1;
@@ -174,16 +176,19 @@
 
 void DispatchSimulation::pauseOwner(Duration time)
 {
+    noteDisturbance(time);
     m_owners.back()->pausedUntil = now + time;
 }
 
 void DispatchSimulation::partitionOwnerFromStore(Duration time)
 {
+    noteDisturbance(time);
     m_owners.back()->partitionedUntil = now + time;
 }
 
 void DispatchSimulation::restartWorker(std::size_t index, Duration downTime)
 {
+    noteDisturbance(downTime);
     SimulatedWorker &worker = *m_workers[index];
     worker.restart(now);
     worker.unreachable = true;
@@ -195,11 +200,13 @@
 
 void DispatchSimulation::replaceProcess(std::size_t index)
 {
+    noteDisturbance();
     m_workers[index]->restart(now);
 }
 
 void DispatchSimulation::crashWorker(std::size_t index, Duration downTime)
 {
+    noteDisturbance(downTime);
     SimulatedWorker &worker = *m_workers[index];
     worker.restart(now);
     worker.refusesConnections = true;
@@ -213,6 +220,7 @@
 
 void DispatchSimulation::cutOffWithResets(std::size_t index, Duration time)
 {
+    noteDisturbance(time);
     SimulatedWorker &worker = *m_workers[index];
     worker.refusesConnections = true;
     at(now + time, [&worker] { worker.refusesConnections = false; });
@@ -220,6 +228,8 @@
 
 void DispatchSimulation::drainWorker(std::size_t index)
 {
+    noteDisturbance();
+    m_withdrawnWorkers.insert(m_workers[index]->info().id);
     WorkerInfo info = m_workers[index]->info();
     info.draining = true;
     for (const auto &owner : m_owners) {
@@ -229,6 +239,7 @@
 
 void DispatchSimulation::removeMachine(std::size_t index)
 {
+    noteDisturbance();
     m_workers[index]->restart(now);
     m_workers[index]->unreachable = true;
     m_removedMachines.insert(m_workers[index]->info().id);
@@ -237,6 +248,7 @@
 
 void DispatchSimulation::addMachine(std::size_t index)
 {
+    noteDisturbance();
     m_removedMachines.erase(m_workers[index]->info().id);
     m_workers[index]->restart(now);
     m_workers[index]->unreachable = false;
@@ -245,6 +257,8 @@
 
 void DispatchSimulation::unregisterWorker(std::size_t index)
 {
+    noteDisturbance();
+    m_withdrawnWorkers.insert(m_workers[index]->info().id);
     for (const auto &owner : m_owners) {
         owner->dispatcher.removeWorker(m_workers[index]->info().id);
     }
@@ -252,6 +266,8 @@
 
 void DispatchSimulation::registerWorker(std::size_t index)
 {
+    noteDisturbance();
+    m_withdrawnWorkers.erase(m_workers[index]->info().id);
     for (const auto &owner : m_owners) {
         owner->dispatcher.updateWorker(m_workers[index]->info());
     }
@@ -313,6 +329,85 @@
             tickOwner(*owner);
         }
     }
+    if (m_waitingInvariant.isObservationDue(now)) {
+        observeWaits();
+    }
+}
+
+void DispatchSimulation::noteDisturbance(Duration time)
+{
+    m_disturbedUntil = std::max(m_disturbedUntil, now + time);
+}
+
+bool DispatchSimulation::isDisturbed() const
+{
+    const auto isOut = [](const auto &worker) { return worker->unreachable || worker->refusesConnections || worker->hasEnded; };
+    const bool hasFaults = faults.lostResponses > 0 || faults.delayedCommands > 0 || faults.slowMessages > 0;
+    return hasFaults || now <= m_disturbedUntil || m_owners.empty() || std::ranges::any_of(m_workers, isOut);
+}
+
+void DispatchSimulation::observeWaits()
+{
+    if (isDisturbed()) {
+        m_waitingInvariant.noteDisturbance(now);
+    }
+    std::vector<WaitingInvariant::Waiting> waiting;
+    for (const auto &[id, job] : m_jobs) {
+        const Wire::JobPhase::type phase = phaseOf(id);
+        if (!m_cancelled.contains(id) && (phase == Wire::JobPhase::Pending || phase == Wire::JobPhase::Running)) {
+            addWaits(id, waiting);
+        }
+    }
+    m_waitingInvariant.observe(waiting.empty() ? std::vector<WaitingInvariant::Worker>() : availableWorkers(), waiting, now);
+}
+
+std::vector<WaitingInvariant::Worker> DispatchSimulation::availableWorkers() const
+{
+    std::vector<WaitingInvariant::Worker> workers;
+    for (const auto &worker : m_workers) {
+        const WorkerInfo &info = worker->info();
+        if (m_withdrawnWorkers.contains(info.id) || m_removedMachines.contains(info.id) || evacuated.contains(info.failureDomain)) {
+            continue;
+        }
+        WaitingInvariant::Worker &added = workers.emplace_back(WaitingInvariant::Worker{info, {}, 0});
+        for (const auto &[task, run] : worker->runs()) {
+            added.addRun(m_jobs.at(task.job).steps[static_cast<std::size_t>(task.step)]);
+        }
+    }
+    return workers;
+}
+
+void DispatchSimulation::addWaits(const std::string &jobId, std::vector<WaitingInvariant::Waiting> &waiting) const
+{
+    const Wire::StepJob &job = m_jobs.at(jobId);
+    std::vector<bool> isDone;
+    for (std::size_t number = 0; number < job.steps.size(); ++number) {
+        const Wire::TaskStep &step = job.steps[number];
+        std::vector<WaitingInvariant::Waiting> waitingTasks;
+        std::map<std::string, int> runsByWorker;
+        for (int index = 0; index < step.taskCount; ++index) {
+            const TaskId task{jobId, 0, static_cast<int>(number), index};
+            const auto run = m_running.find(task);
+            if (run != m_running.end()) {
+                ++runsByWorker[run->second];
+            } else if (!m_acknowledgedDone.contains(task) && !m_reportedDone.contains(task)) {
+                const auto ended = m_lastRunEndedAt.find(task);
+                waitingTasks.push_back({task, &step, ended != m_lastRunEndedAt.end() ? ended->second : TimePoint(), {}});
+            }
+        }
+        isDone.push_back(waitingTasks.empty() && runsByWorker.empty());
+        const bool isReady = std::ranges::all_of(step.after, [&](std::int32_t earlier) { return isDone[static_cast<std::size_t>(earlier)]; });
+        if (!isReady || (!step.longRunning && !runsByWorker.empty())) {
+            continue;
+        }
+        if (!step.longRunning && !waitingTasks.empty()) {
+            waitingTasks.resize(1);
+        }
+        for (WaitingInvariant::Waiting &task : waitingTasks) {
+            task.runsByWorker = runsByWorker;
+            waiting.push_back(std::move(task));
+        }
+    }
 }
 
 void DispatchSimulation::tickOwner(Owner &owner)
@@ -360,7 +455,8 @@
                            owner,
                            poll,
                            [](SimulatedWorker &worker, const PollCommand &value, TimePoint time) { return worker.poll(value, time); },
-                           [](Owner &sender, const PollCommand &value, const PollResult &result, TimePoint sentAt, TimePoint time) {
+                           [this](Owner &sender, const PollCommand &value, const PollResult &result, TimePoint sentAt, TimePoint time) {
+                               noteReportedEnds(sender, result);
                                sender.dispatcher.pollAnswered(value, result, sentAt, time);
                            });
                    },
@@ -374,6 +470,19 @@
                action);
 }
 
+void DispatchSimulation::noteReportedEnds(const Owner &owner, const PollResult &result)
+{
+    const auto *report = std::get_if<WorkerReport>(&result);
+    if (report == nullptr || owner.term != m_owners.back()->term) {
+        return;
+    }
+    for (const ReportedRunEnd &end : report->ends) {
+        if (end.endReason == RunEndReason::Completed) {
+            m_reportedDone.insert(end.task);
+        }
+    }
+}
+
 void DispatchSimulation::deliver(const std::shared_ptr<Owner> &owner, Duration delay, Event event)
 {
     at(now + delay, [this, owner, event] {
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "simulatedworker.h"
+#include "waitinginvariant.h"
 
 #include <dispatch/dispatcher.h>
 #include <jobtopic/jobtable.h>
@@ -27,7 +28,7 @@
 };
 
 /// Simulates dispatchers, workers and the job topic with a virtual clock. Checks the scheduling invariants at each start of a
-/// run, and collects their violations.
+/// run, and collects their violations. Checks also that accepted work has a run, once the faults have ended and the newest owner is stable.
 class DispatchSimulation
 {
 public:
@@ -82,6 +83,9 @@
     SimulatedWorker &worker(std::size_t index) { return *m_workers[index]; }
     std::size_t startsOn(const std::string &worker) const;
     std::size_t openRuns() const;
+
+    /// Describes the steps and serving tasks that had no run for longer than the platform permits.
+    const std::vector<std::string> &lostWaits() const { return m_waitingInvariant.violations(); }
     int random(int maximum) { return static_cast<int>(m_random() % static_cast<std::uint32_t>(maximum)); }
 
     DispatchFaults faults;
@@ -102,7 +106,13 @@
     void at(TimePoint time, Event event);
     void tick();
     void tickOwner(Owner &owner);
+    void noteDisturbance(Duration time = Duration::zero());
+    bool isDisturbed() const;
+    void observeWaits();
+    std::vector<WaitingInvariant::Worker> availableWorkers() const;
+    void addWaits(const std::string &jobId, std::vector<WaitingInvariant::Waiting> &waiting) const;
     void perform(Owner &owner, DispatchAction action);
+    void noteReportedEnds(const Owner &owner, const PollResult &result);
     void deliver(const std::shared_ptr<Owner> &owner, Duration delay, Event event);
     template<typename Command, typename Execute, typename Done>
     void send(Owner &owner, const Command &command, Execute execute, Done done);
@@ -118,6 +128,7 @@
     DispatchLimits m_limits;
     std::vector<std::unique_ptr<SimulatedWorker>> m_workers;
     std::set<std::string> m_removedMachines; // ids of their workers
+    std::set<std::string> m_withdrawnWorkers; // ids of those that drain or are not registered
     std::vector<std::shared_ptr<Owner>> m_owners;
     std::multimap<TimePoint, Event> m_events;
     JobTable m_table;
@@ -125,11 +136,15 @@
     std::int64_t m_offset = 0;
     TimePoint m_silentWorkersReadAt{}; // when the newest record of silent workers was appended
     std::map<TaskId, std::string> m_running; // tasks with a run, and its worker
+    std::map<TaskId, TimePoint> m_lastRunEndedAt;
     std::set<TaskId> m_acknowledgedDone;
+    std::set<TaskId> m_reportedDone; // in a report that the newest owner of that time has received: the worker may end before it is acknowledged
     std::set<TaskId> m_done;
     std::map<TaskId, int> m_failed;
     std::set<std::string> m_cancelled;
     std::map<std::string, Wire::StepJob> m_jobs;
+    TimePoint m_disturbedUntil{};
+    WaitingInvariant m_waitingInvariant;
 };
 
 } // namespace Hyssop::Testing
--- a/tests/libs/dispatch/simulatedworker.h
+++ b/tests/libs/dispatch/simulatedworker.h
@@ -46,6 +46,7 @@
     int incarnation() const { return m_incarnation; }
     std::size_t runCount() const { return m_runs.size(); }
     std::map<TaskId, Run> &runs() { return m_runs; }
+    const std::map<TaskId, Run> &runs() const { return m_runs; }
 
     bool unreachable = false; // no message reaches the worker
     bool refusesConnections = false; // connections to its address are refused
--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -67,6 +67,16 @@
     cr_assert(overdueSteps.empty(), "seed %u: %s", seed, overdueSteps.c_str());
 }
 
+/// Checks that the simulation saw a run of all accepted work in time, whatever the dispatcher believed.
+void expectNoLostWaits(const DispatchSimulation &simulation, std::uint32_t seed)
+{
+    std::string text;
+    for (const std::string &wait : simulation.lostWaits()) {
+        text += "\n" + wait;
+    }
+    cr_expect(text.empty(), "seed %u:%s", seed, text.c_str());
+}
+
 /// Returns the steps that waited too long beside free room.
 std::string runScenario(std::uint32_t seed, CrashWorker crash, Duration workerLoadTime = Duration::zero())
 {
@@ -96,6 +106,7 @@
         cr_assert(ended, "seed %u: job%d has not ended", seed, job);
     }
     cr_assert_eq(simulation.openRuns(), 0, "seed %u: a run is left", seed);
+    expectNoLostWaits(simulation, seed);
     return describeOverdueSteps(simulation);
 }
 
@@ -117,6 +128,7 @@
         cr_assert(simulation.isComplete("job" + std::to_string(job)), "seed %u: job%d has not completed", seed, job);
     }
     cr_assert_eq(simulation.openRuns(), 0, "seed %u: a run is left", seed);
+    expectNoLostWaits(simulation, seed);
     expectNoOverdueSteps(describeOverdueSteps(simulation), seed);
 }
 
@@ -179,6 +191,7 @@
     simulation.run(60s);
     cr_assert(simulation.violations.empty(), "seed %u: %s", seed, simulation.violations.empty() ? "" : simulation.violations.front().c_str());
     cr_assert_eq(simulation.openRuns(), ServingJobs * ServingWidth, "seed %u: %zu tasks run", seed, simulation.openRuns());
+    expectNoLostWaits(simulation, seed);
     expectNoOverdueSteps(describeOverdueSteps(simulation), seed);
 }
 
@@ -229,6 +242,7 @@
     simulation.run(60s);
     cr_assert(simulation.violations.empty(), "seed %u: %s", seed, simulation.violations.empty() ? "" : simulation.violations.front().c_str());
     cr_assert_eq(simulation.openRuns(), ServingJobs * ServingWidth, "seed %u: %zu tasks run", seed, simulation.openRuns());
+    expectNoLostWaits(simulation, seed);
 }
 
 } // namespace
