--- a/tests/libs/dispatch/colocatedfleet.cpp
+++ b/tests/libs/dispatch/colocatedfleet.cpp
@@ -92,7 +92,14 @@
     submit(jobId, step, job);
 }
 
-void ColocatedFleet::submit(const std::string &jobId, Wire::TaskStep step, const Job &job)
+void ColocatedFleet::delayMessages(std::chrono::milliseconds minimum, std::chrono::milliseconds maximum, std::uint32_t seed)
+{
+    m_minimumDelay = minimum;
+    m_maximumDelay = maximum;
+    m_random.seed(seed);
+}
+
+void ColocatedFleet::submit(const std::string &jobId, const Wire::TaskStep &step, const Job &job)
 {
     TopicJob entry;
     entry.submission.emplace();
@@ -100,9 +107,9 @@
     entry.submission->acceptedAtMs = sinceEpoch(wall()).count();
     entry.submission->steps = {step};
     Job &added = m_jobs[jobId] = job;
-    added.milliCores = step.milliCores;
-    added.tasks = step.taskCount;
+    added.step = step;
     added.submittedAt = m_now;
+    m_lastSubmission = m_now;
     m_dispatcher.jobChanged(jobId, &entry, m_now, wall());
 }
 
@@ -123,60 +130,171 @@
 bool ColocatedFleet::isComplete(const std::string &jobId) const
 {
     const Job &job = m_jobs.at(jobId);
-    return job.completed == job.tasks;
+    return job.completed == job.step.taskCount;
 }
 
 void ColocatedFleet::tick()
 {
     m_now += TickInterval;
+    while (!m_messages.empty() && m_messages.begin()->first <= m_now) {
+        const std::function<void()> event = std::move(m_messages.begin()->second);
+        m_messages.erase(m_messages.begin());
+        event();
+    }
+    if (!m_ownerStalls.isStalled(m_now)) {
+        advanceDispatcher();
+    }
+    for (Worker &worker : m_workers) {
+        work(worker);
+        if (worker.poll && (!worker.ends.empty() || m_now - worker.poll->arrivedAt >= worker.poll->command.wait)) {
+            answerPoll(worker);
+        }
+    }
+    if (m_waitingInvariant.isObservationDue(m_now)) {
+        observeWaits();
+    }
+}
+
+void ColocatedFleet::advanceDispatcher()
+{
     m_dispatcher.confirmRead(m_now);
     m_dispatcher.confirmWorkersRead(m_now);
     for (DispatchAction &action : m_dispatcher.advance(m_now, wall())) {
         perform(action);
     }
-    for (Worker &worker : m_workers) {
-        work(worker);
-        if (worker.poll && (!worker.ends.empty() || m_now - worker.poll->second >= worker.poll->first.wait)) {
-            answerPoll(worker);
+}
+
+void ColocatedFleet::observeWaits()
+{
+    std::vector<WaitingInvariant::Worker> workers;
+    std::map<std::string, std::map<std::string, int>> runsByWorker; // by job
+    std::map<std::string, std::vector<bool>> hasRun; // by job and index of the task
+    for (const Worker &worker : m_workers) {
+        WaitingInvariant::Worker &added = workers.emplace_back(WaitingInvariant::Worker{worker.info, {}, 0});
+        for (const auto &[task, run] : worker.runs) {
+            const Job &job = m_jobs.at(task.job);
+            added.addRun(job.step);
+            ++runsByWorker[task.job][worker.info.id];
+            std::vector<bool> &tasks = hasRun[task.job];
+            tasks.resize(static_cast<std::size_t>(job.step.taskCount));
+            tasks[static_cast<std::size_t>(task.index)] = true;
+        }
+    }
+    std::erase_if(workers, [this](const WaitingInvariant::Worker &worker) { return worker.info.draining || workerOf(worker.info.id).rejectsStarts; });
+    std::vector<WaitingInvariant::Waiting> waiting;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.isServing) {
+            std::vector<bool> &tasks = hasRun[id];
+            tasks.resize(static_cast<std::size_t>(job.step.taskCount));
+            for (int index = 0; index < job.step.taskCount; ++index) {
+                if (!tasks[static_cast<std::size_t>(index)]) {
+                    const TaskId task{id, 0, 0, index};
+                    const auto stopped = m_stoppedAt.find(task);
+                    waiting.push_back({task, &job.step, stopped != m_stoppedAt.end() ? stopped->second : TimePoint(), runsByWorker[id]});
+                }
+            }
+        } else if (m_now >= m_lastSubmission + FinishTime && job.completed < job.step.taskCount && !hasRun.contains(id)) {
+            waiting.push_back({{id, 0, 0, 0}, &job.step, {}, runsByWorker[id]});
         }
     }
+    m_waitingInvariant.observe(workers, waiting, m_now);
+}
+
+void ColocatedFleet::send(std::function<void()> message)
+{
+    if (m_maximumDelay == std::chrono::milliseconds(0)) {
+        message();
+        return;
+    }
+    const auto range = static_cast<std::uint32_t>((m_maximumDelay - m_minimumDelay).count() + 1);
+    m_messages.emplace(m_now + m_minimumDelay + std::chrono::milliseconds(m_random() % range), std::move(message));
+}
+
+void ColocatedFleet::respond(std::function<void()> handle)
+{
+    send([this, handle = std::move(handle)] {
+        if (m_ownerStalls.isStalled(m_now)) {
+            m_messages.emplace(m_ownerStalls.endOfStall(m_now), handle);
+        } else {
+            handle();
+        }
+    });
 }
 
 void ColocatedFleet::perform(DispatchAction &action)
 {
-    const CommandExecuted executed{std::chrono::duration_cast<WorkerTime>(m_now.time_since_epoch())};
     std::visit(Overloaded{
-                   [&](const AppendRecords &) { m_dispatcher.recordsStored(m_now); },
+                   [&](const AppendRecords &) { respond([this] { m_dispatcher.recordsStored(m_now); }); },
                    [&](const StartCommand &command) {
-                       if (workerOf(command.worker.id).rejectsStarts) {
-                           m_dispatcher.startAnswered(command, CommandRejected{RejectionReason::Unhealthy, ""}, m_now);
-                           return;
-                       }
-                       workerOf(command.worker.id).runs[command.task] = Run{command.run, 100, {}, {}};
-                       Job &job = m_jobs.at(command.task.job);
-                       job.startedAt = job.startedAt.value_or(m_now);
-                       m_dispatcher.startAnswered(command, executed, m_now);
+                       send([this, command] {
+                           const CommandResult result = start(command);
+                           respond([this, command, result] { m_dispatcher.startAnswered(command, result, m_now); });
+                       });
                    },
                    [&](const StopCommand &command) {
-                       Worker &worker = workerOf(command.worker.id);
-                       if (worker.runs.erase(command.task) > 0) {
-                           worker.ends.push_back({++worker.lastEndSequence, command.task, command.run, RunEndReason::Stopped, ""});
-                       }
-                       m_dispatcher.stopAnswered(command, executed, m_now);
+                       send([this, command] {
+                           const CommandResult result = stop(command);
+                           respond([this, command, result] { m_dispatcher.stopAnswered(command, result, m_now); });
+                       });
                    },
                    [&](const ThrottleCommand &command) {
-                       const auto run = workerOf(command.worker.id).runs.find(command.task);
-                       if (run != workerOf(command.worker.id).runs.end()) {
-                           run->second.speedPercent = command.speedPercent;
-                       }
-                       m_dispatcher.throttleAnswered(command, executed, m_now);
+                       send([this, command] {
+                           const CommandResult result = setSpeed(command);
+                           respond([this, command, result] { m_dispatcher.throttleAnswered(command, result, m_now); });
+                       });
+                   },
+                   [&](const PollCommand &command) {
+                       const TimePoint sentAt = m_now;
+                       send([this, command, sentAt] { workerOf(command.worker.id).poll = Poll{command, sentAt, m_now}; });
                    },
-                   [&](PollCommand &command) { workerOf(command.worker.id).poll.emplace(std::move(command), m_now); },
                    [](const auto &) {},
                },
                action);
 }
 
+CommandResult ColocatedFleet::start(const StartCommand &command)
+{
+    Worker &worker = workerOf(command.worker.id);
+    if (worker.rejectsStarts) {
+        return CommandRejected{RejectionReason::Unhealthy, ""};
+    }
+    const auto ended = worker.newestEndedRun.find(command.task);
+    if (ended != worker.newestEndedRun.end() && command.run <= ended->second) {
+        return CommandRejected{RejectionReason::Superseded, ""};
+    }
+    worker.runs[command.task] = Run{command.run, 100, {}, {}};
+    Job &job = m_jobs.at(command.task.job);
+    job.startedAt = job.startedAt.value_or(m_now);
+    return executed();
+}
+
+CommandResult ColocatedFleet::stop(const StopCommand &command)
+{
+    Worker &worker = workerOf(command.worker.id);
+    if (worker.runs.erase(command.task) > 0) {
+        worker.ends.push_back({++worker.lastEndSequence, command.task, command.run, RunEndReason::Stopped, ""});
+        m_stoppedAt[command.task] = m_now;
+    }
+    int &newestEndedRun = worker.newestEndedRun[command.task];
+    newestEndedRun = std::max(newestEndedRun, command.run);
+    return executed();
+}
+
+CommandResult ColocatedFleet::setSpeed(const ThrottleCommand &command)
+{
+    Worker &worker = workerOf(command.worker.id);
+    const auto run = worker.runs.find(command.task);
+    if (run != worker.runs.end()) {
+        run->second.speedPercent = command.speedPercent;
+    }
+    return executed();
+}
+
+CommandExecuted ColocatedFleet::executed() const
+{
+    return CommandExecuted{std::chrono::duration_cast<WorkerTime>(m_now.time_since_epoch())};
+}
+
 void ColocatedFleet::work(Worker &worker)
 {
     for (auto run = worker.runs.begin(); run != worker.runs.end();) {
@@ -194,14 +312,15 @@
         }
         ++job.completed;
         worker.ends.push_back({++worker.lastEndSequence, id, state.run, RunEndReason::Completed, ""});
+        worker.newestEndedRun[id] = state.run;
         run = worker.runs.erase(run);
     }
 }
 
 void ColocatedFleet::answerPoll(Worker &worker)
 {
-    const auto [poll, sentAt] = *std::exchange(worker.poll, std::nullopt);
-    const std::int64_t acknowledged = poll.acknowledgedSequence;
+    const Poll poll = *std::exchange(worker.poll, std::nullopt);
+    const std::int64_t acknowledged = poll.command.acknowledgedSequence;
     std::erase_if(worker.ends, [&](const ReportedRunEnd &end) { return end.sequence <= acknowledged; });
     WorkerReport report;
     report.clock = std::chrono::duration_cast<WorkerTime>(m_now.time_since_epoch());
@@ -211,12 +330,12 @@
         ReportedRun reported{id, run.run, "", 100, tailOf(worker, id)};
         if (!job.isServing) {
             reported.progressPercent = static_cast<int>(100 * run.worked / job.duration);
-            reported.load = static_cast<double>(job.milliCores) * run.speedPercent / 100;
+            reported.load = static_cast<double>(job.step.milliCores) * run.speedPercent / 100;
         }
         report.runs.push_back(reported);
     }
     report.ends = worker.ends;
-    m_dispatcher.pollAnswered(poll, report, sentAt, m_now);
+    respond([this, poll, report] { m_dispatcher.pollAnswered(poll.command, report, poll.sentAt, m_now); });
 }
 
 double ColocatedFleet::tailOf(const Worker &worker, const TaskId &serving) const
@@ -226,7 +345,7 @@
     double utilization = Internal::MeanLoad * (1 + Internal::LoadSwing * std::cos(phase));
     for (const auto &[id, run] : worker.runs) {
         const Job &job = m_jobs.at(id.job);
-        const double share = static_cast<double>(job.milliCores) / static_cast<double>(worker.info.capacity.milliCores);
+        const double share = static_cast<double>(job.step.milliCores) / static_cast<double>(worker.info.capacity.milliCores);
         utilization += job.isServing ? 0 : job.effect * share * run.speedPercent / 100;
     }
     return std::round(BaseTailMs / (1 - std::min(utilization, Internal::MaximumUtilization)));
--- a/tests/libs/dispatch/colocatedfleet.h
+++ b/tests/libs/dispatch/colocatedfleet.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "ownerstalls.h"
+#include "waitinginvariant.h"
+
 #include "hyssop_types.h"
 
 #include <dispatch/dispatcher.h>
@@ -8,10 +11,11 @@
 #include <utils/clock.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace Hyssop::Testing {
@@ -20,6 +24,8 @@
 ///
 /// The load of a serving job is a sine with a phase of its own. A best-effort run adds its job's effect, times its share of the worker's
 /// capacity and its speed, to the utilization of each serving run, and progresses with its speed.
+///
+/// Unless messages are delayed, commands are executed and their responses handled at once.
 class ColocatedFleet
 {
 public:
@@ -39,6 +45,12 @@
     /// Lets the worker with this number reject all start commands from now on.
     void rejectStarts(int worker) { m_workers[static_cast<std::size_t>(worker)].rejectsStarts = true; }
 
+    /// Delays each command and each response by a random time between @p minimum and @p maximum from now on.
+    void delayMessages(std::chrono::milliseconds minimum, std::chrono::milliseconds maximum, std::uint32_t seed);
+
+    /// Stalls the dispatcher from now on: it handles no response and decides nothing meanwhile.
+    void stallOwner(const OwnerStalls &stalls) { m_ownerStalls = stalls; }
+
     /// Changes the effect of the runs of a best-effort job.
     void changeEffect(const std::string &jobId, double effect) { m_jobs.at(jobId).effect = effect; }
 
@@ -57,7 +69,12 @@
     /// Returns the longest time on end during which a serving run exceeded its target.
     Duration longestTimeOverTarget() const { return m_longestTimeOverTarget; }
 
+    /// Describes the steps and serving tasks that had no run for longer than the platform permits. Serving tasks are checked at any time,
+    /// others from FinishTime after the last submission on.
+    const std::vector<std::string> &lostWaits() const { return m_waitingInvariant.violations(); }
+
     static constexpr Duration LoadPeriod = std::chrono::seconds(10);
+    static constexpr Duration FinishTime = std::chrono::seconds(14); // after the end of the traffic the platform asks for all jobs
 
 private:
     struct Job
@@ -66,8 +83,7 @@
         Duration peak{0}; // of a serving job
         double effect = 0; // of a best-effort job
         Duration duration{0}; // of a best-effort job
-        std::int64_t milliCores = 0;
-        int tasks = 0;
+        Wire::TaskStep step;
         int completed = 0;
         TimePoint submittedAt{};
         std::optional<TimePoint> startedAt;
@@ -81,19 +97,35 @@
         Duration overTarget{0}; // of a serving run, on end
     };
 
+    struct Poll
+    {
+        PollCommand command;
+        TimePoint sentAt{};
+        TimePoint arrivedAt{};
+    };
+
     struct Worker
     {
         WorkerInfo info;
         std::map<TaskId, Run> runs;
+        std::map<TaskId, int> newestEndedRun;
         std::vector<ReportedRunEnd> ends; // not acknowledged
         std::int64_t lastEndSequence = 0;
         bool rejectsStarts = false;
-        std::optional<std::pair<PollCommand, TimePoint>> poll; // not answered, and when it was sent
+        std::optional<Poll> poll; // not answered
     };
 
-    void submit(const std::string &jobId, Wire::TaskStep step, const Job &job);
+    void submit(const std::string &jobId, const Wire::TaskStep &step, const Job &job);
     void tick();
+    void advanceDispatcher();
+    void observeWaits();
+    void send(std::function<void()> message);
+    void respond(std::function<void()> handle);
     void perform(DispatchAction &action);
+    CommandResult start(const StartCommand &command);
+    CommandResult stop(const StopCommand &command);
+    CommandResult setSpeed(const ThrottleCommand &command);
+    CommandExecuted executed() const;
     void work(Worker &worker);
     void answerPoll(Worker &worker);
     double tailOf(const Worker &worker, const TaskId &serving) const;
@@ -105,7 +137,15 @@
     std::vector<Worker> m_workers;
     std::map<std::string, std::size_t> m_indexes; // by id
     std::map<std::string, Job> m_jobs;
+    std::map<TaskId, TimePoint> m_stoppedAt;
+    std::multimap<TimePoint, std::function<void()>> m_messages; // in transit, by when they arrive
+    std::chrono::milliseconds m_minimumDelay{0};
+    std::chrono::milliseconds m_maximumDelay{0};
+    std::mt19937 m_random;
+    OwnerStalls m_ownerStalls;
     Duration m_longestTimeOverTarget{0};
+    TimePoint m_lastSubmission{};
+    WaitingInvariant m_waitingInvariant;
 };
 
 } // namespace Hyssop::Testing
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -7,6 +7,7 @@
 #include <wire/codec.h>
 
 #include <algorithm>
+#include <deque>
 #include <type_traits>
 
 namespace Hyssop::Testing {
@@ -61,6 +62,7 @@
     TimePoint partitionedUntil{};
     TimePoint nextTick{};
     TimePoint nextRead{};
+    std::deque<Event> responses; // received and not handled
 };
 
 DispatchSimulation::DispatchSimulation(std::uint32_t seed, std::size_t workers, const DispatchLimits &limits)
@@ -324,7 +326,7 @@
         worker->advance(now);
     }
     for (const auto &owner : std::vector<std::shared_ptr<Owner>>(m_owners)) {
-        if (!owner->steppedDown && now >= owner->pausedUntil && now >= owner->nextTick) {
+        if (!owner->steppedDown && now >= owner->pausedUntil && now >= owner->nextTick && !ownerStalls.isStalled(now)) {
             owner->nextTick = now + OwnerTick;
             tickOwner(*owner);
         }
@@ -423,6 +425,11 @@
             owner.dispatcher.confirmWorkersRead(now);
         }
     }
+    for (std::size_t handled = 0; !owner.responses.empty() && (maximumResponses == 0 || handled < maximumResponses); ++handled) {
+        const Event event = std::move(owner.responses.front());
+        owner.responses.pop_front();
+        event();
+    }
     owner.dispatcher.applyConfiguration(config, evacuated);
     for (DispatchAction &action : owner.dispatcher.advance(now, wall())) {
         perform(owner, std::move(action));
@@ -485,13 +492,20 @@
 
 void DispatchSimulation::deliver(const std::shared_ptr<Owner> &owner, Duration delay, Event event)
 {
-    at(now + delay, [this, owner, event] {
-        if (now < owner->pausedUntil) {
-            at(owner->pausedUntil, event); // processed when the owner resumes
-        } else {
-            event();
-        }
-    });
+    at(now + delay, [this, owner, event] { handle(owner, event); });
+}
+
+void DispatchSimulation::handle(const std::shared_ptr<Owner> &owner, const Event &event)
+{
+    if (now < owner->pausedUntil) {
+        at(owner->pausedUntil, event); // processed when the owner resumes
+    } else if (ownerStalls.isStalled(now)) {
+        at(ownerStalls.endOfStall(now), [this, owner, event] { handle(owner, event); });
+    } else if (maximumResponses > 0 || !owner->responses.empty()) {
+        owner->responses.push_back(event);
+    } else {
+        event();
+    }
 }
 
 template<typename Command, typename Execute, typename Done>
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ownerstalls.h"
 #include "simulatedworker.h"
 #include "waitinginvariant.h"
 
@@ -90,6 +91,8 @@
 
     DispatchFaults faults;
     Duration responseDelay{0}; // by which the owners handle each response later; from the timeout of the command on it is lost
+    std::size_t maximumResponses = 0; // that an owner handles in a tick, the others wait in order; 0: all
+    OwnerStalls ownerStalls;
     Duration workerLoadTime{0}; // from a claim until its owner knows the registered workers
     ClusterConfig config;
     std::set<std::string> evacuated;
@@ -114,6 +117,7 @@
     void perform(Owner &owner, DispatchAction action);
     void noteReportedEnds(const Owner &owner, const PollResult &result);
     void deliver(const std::shared_ptr<Owner> &owner, Duration delay, Event event);
+    void handle(const std::shared_ptr<Owner> &owner, const Event &event);
     template<typename Command, typename Execute, typename Done>
     void send(Owner &owner, const Command &command, Execute execute, Done done);
     void store(Owner &owner, AppendRecords records);
--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint32_t Seeds = 200;
 constexpr std::uint32_t ManySeeds = 3000;
 constexpr std::uint32_t TakeoverSeeds = 200;
+constexpr std::uint32_t LateOwnerSeeds = 100;
 constexpr int Jobs = 30;
 constexpr std::chrono::milliseconds WorkerLoadTimeStep{100}; // up to 20 s with all seeds
 
@@ -77,10 +78,18 @@
     cr_expect(text.empty(), "seed %u:%s", seed, text.c_str());
 }
 
+struct LateOwner
+{
+    OwnerStalls stalls;
+    std::size_t maximumResponses = 0; // in a tick
+};
+
 /// Returns the steps that waited too long beside free room.
-std::string runScenario(std::uint32_t seed, CrashWorker crash, Duration workerLoadTime = Duration::zero())
+std::string runScenario(std::uint32_t seed, CrashWorker crash, Duration workerLoadTime = Duration::zero(), const LateOwner &lateOwner = {})
 {
     DispatchSimulation simulation(seed);
+    simulation.ownerStalls = lateOwner.stalls;
+    simulation.maximumResponses = lateOwner.maximumResponses;
     simulation.workerLoadTime = workerLoadTime;
     simulation.faults = {0.03, 0.03, 0.03};
     simulation.claim();
@@ -303,3 +312,19 @@
         expectNoOverdueSteps(runScenario(seed, &DispatchSimulation::restartWorker, seed * WorkerLoadTimeStep), seed);
     }
 }
+
+// Guards against owners with a third of the processor time that leave work without a run or start it twice.
+Test(dispatchFaults, randomFaultsCauseNoLostOrDuplicateRunsIfTheOwnerStalls)
+{
+    for (std::uint32_t seed = 1; seed <= LateOwnerSeeds; ++seed) {
+        expectNoOverdueSteps(runScenario(seed, &DispatchSimulation::restartWorker, Duration::zero(), {{300ms, 200ms}, 0}), seed);
+    }
+}
+
+// Guards against owners that handle the responses of 6 workers one by one, later than they arrive.
+Test(dispatchFaults, randomFaultsCauseNoLostOrDuplicateRunsIfTheOwnerHandlesFewResponses)
+{
+    for (std::uint32_t seed = 1; seed <= LateOwnerSeeds; ++seed) {
+        expectNoOverdueSteps(runScenario(seed, &DispatchSimulation::restartWorker, Duration::zero(), {{}, 1}), seed);
+    }
+}
