--- a/tests/libs/dispatch/testdispatchfaults.cpp
+++ b/tests/libs/dispatch/testdispatchfaults.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint32_t Seeds = 200;
 constexpr std::uint32_t ManySeeds = 3000;
 constexpr std::uint32_t TakeoverSeeds = 200;
+constexpr std::uint32_t LateOwnerSeeds = 100;
 constexpr int Jobs = 30;
 constexpr std::chrono::milliseconds WorkerLoadTimeStep{100}; // up to 20 s with all seeds
 
@@ -67,10 +68,28 @@
     cr_assert(overdueSteps.empty(), "seed %u: %s", seed, overdueSteps.c_str());
 }
 
+/// Checks that the simulation saw a run of all accepted work in time, whatever the dispatcher believed.
+void expectNoLostWaits(const DispatchSimulation &simulation, std::uint32_t seed)
+{
+    std::string text;
+    for (const std::string &wait : simulation.lostWaits()) {
+        text += "\n" + wait;
+    }
+    cr_expect(text.empty(), "seed %u:%s", seed, text.c_str());
+}
+
+struct LateOwner
+{
+    OwnerStalls stalls;
+    std::size_t maximumResponses = 0; // in a tick
+};
+
 /// Returns the steps that waited too long beside free room.
-std::string runScenario(std::uint32_t seed, CrashWorker crash, Duration workerLoadTime = Duration::zero())
+std::string runScenario(std::uint32_t seed, CrashWorker crash, Duration workerLoadTime = Duration::zero(), const LateOwner &lateOwner = {})
 {
     DispatchSimulation simulation(seed);
+    simulation.ownerStalls = lateOwner.stalls;
+    simulation.maximumResponses = lateOwner.maximumResponses;
     simulation.workerLoadTime = workerLoadTime;
     simulation.faults = {0.03, 0.03, 0.03};
     simulation.claim();
@@ -96,6 +115,7 @@
         cr_assert(ended, "seed %u: job%d has not ended", seed, job);
     }
     cr_assert_eq(simulation.openRuns(), 0, "seed %u: a run is left", seed);
+    expectNoLostWaits(simulation, seed);
     return describeOverdueSteps(simulation);
 }
 
@@ -117,6 +137,7 @@
         cr_assert(simulation.isComplete("job" + std::to_string(job)), "seed %u: job%d has not completed", seed, job);
     }
     cr_assert_eq(simulation.openRuns(), 0, "seed %u: a run is left", seed);
+    expectNoLostWaits(simulation, seed);
     expectNoOverdueSteps(describeOverdueSteps(simulation), seed);
 }
 
@@ -179,6 +200,7 @@
     simulation.run(60s);
     cr_assert(simulation.violations.empty(), "seed %u: %s", seed, simulation.violations.empty() ? "" : simulation.violations.front().c_str());
     cr_assert_eq(simulation.openRuns(), ServingJobs * ServingWidth, "seed %u: %zu tasks run", seed, simulation.openRuns());
+    expectNoLostWaits(simulation, seed);
     expectNoOverdueSteps(describeOverdueSteps(simulation), seed);
 }
 
@@ -229,6 +251,7 @@
     simulation.run(60s);
     cr_assert(simulation.violations.empty(), "seed %u: %s", seed, simulation.violations.empty() ? "" : simulation.violations.front().c_str());
     cr_assert_eq(simulation.openRuns(), ServingJobs * ServingWidth, "seed %u: %zu tasks run", seed, simulation.openRuns());
+    expectNoLostWaits(simulation, seed);
 }
 
 } // namespace
@@ -289,3 +312,19 @@
         expectNoOverdueSteps(runScenario(seed, &DispatchSimulation::restartWorker, seed * WorkerLoadTimeStep), seed);
     }
 }
+
+// Guards against owners with a third of the processor time that leave work without a run or start it twice.
+Test(dispatchFaults, randomFaultsCauseNoLostOrDuplicateRunsIfTheOwnerStalls)
+{
+    for (std::uint32_t seed = 1; seed <= LateOwnerSeeds; ++seed) {
+        expectNoOverdueSteps(runScenario(seed, &DispatchSimulation::restartWorker, Duration::zero(), {{300ms, 200ms}, 0}), seed);
+    }
+}
+
+// Guards against owners that handle the responses of 6 workers one by one, later than they arrive.
+Test(dispatchFaults, randomFaultsCauseNoLostOrDuplicateRunsIfTheOwnerHandlesFewResponses)
+{
+    for (std::uint32_t seed = 1; seed <= LateOwnerSeeds; ++seed) {
+        expectNoOverdueSteps(runScenario(seed, &DispatchSimulation::restartWorker, Duration::zero(), {{}, 1}), seed);
+    }
+}
