Late best-effort jobs go on without a pause in an idle pool

Cause: the wait of a step began anew after each of its runs, so a step of short tasks had a run for about a third of the time. Change: where less than half of a pool is reserved, a step that has begun has precedence 0.1 s after its last run has ended. If its job is worthless to its caller by now, two of its tasks have runs while others wait, and these are slowed down but not paused.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -57,6 +57,7 @@
             bool isOverdue = false;
             if (job.submission.steps[index].fillsIdle) {
                 steps[index].updateWaiting(now);
+                steps[index].isExpired = key->isExpired();
                 isOverdue = IdleCapacityPolicy::isOverdue(steps[index], maximumWait, now);
             }
             pending.push_back({*key, &job, &queue, occurrence, static_cast<int>(index), isOverdue});
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include "idlecapacitypolicy.h"
 #include "listedrun.h"
 
 #include <utils/overloaded.h>
@@ -541,8 +542,11 @@
     if (!pauseAll && now - worker.speedChangedAt < Internal::SpeedChangeInterval) {
         return;
     }
-    const std::vector<int> speeds = pauseAll ? std::vector<int>(runs.size(), 0) : m_colocation.speeds(runs, capacity, now);
+    std::vector<int> speeds = pauseAll ? std::vector<int>(runs.size(), 0) : m_colocation.speeds(runs, capacity, now);
     for (std::size_t index = 0; index < runs.size(); ++index) {
+        if (speeds[index] == 0 && !pauseAll) {
+            speeds[index] = IdleCapacityPolicy::lowestSpeed(*m_jobs.stepOf(listedRuns[index]->report->task));
+        }
         if (!runs[index].profile->isBestEffort || (speeds[index] == 0 && migratePausedRun(listedRuns[index]->report->task, now))) {
             continue;
         }
--- a/src/libs/dispatch/idlecapacitypolicy.cpp
+++ b/src/libs/dispatch/idlecapacitypolicy.cpp
@@ -31,7 +31,16 @@
 
 bool IdleCapacityPolicy::isOverdue(const StepExecution &step, std::chrono::milliseconds maximumWait, TimePoint now)
 {
-    return step.openTasks() == 0 && step.waitingSince && now - *step.waitingSince >= maximumWait;
+    const bool goesOn = step.hasBegun && maximumWait <= MaximumWaitInIdlePool;
+    if (goesOn && step.isExpired && step.openTasks() < MinimumOpenTasks) {
+        return true;
+    }
+    return step.openTasks() == 0 && step.waitingSince && now - *step.waitingSince >= (goesOn ? MaximumGap : maximumWait);
+}
+
+int IdleCapacityPolicy::lowestSpeed(const StepExecution &step)
+{
+    return step.isExpired && step.openTasks() <= MinimumOpenTasks ? LowestSpeedPercent : 0;
 }
 
 std::optional<PlacementObstacle> IdleCapacityPolicy::obstacle(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const
--- a/src/libs/dispatch/idlecapacitypolicy.h
+++ b/src/libs/dispatch/idlecapacitypolicy.h
@@ -26,6 +26,9 @@
 /// step that has been without a run for too long is overdue. One task of it, or its whole gang, comes before all other best-effort tasks. It
 /// begins at the lowest speed, on the worker with most idle time and headroom.
 ///
+/// Where less than half of a pool is reserved, a job that is too late to be worth anything to its caller goes on without a pause all the same:
+/// while tasks of a step wait, MinimumOpenTasks of them have runs, and these are slowed down but not paused.
+///
 /// Invariant: no task is started beside a serving task that exceeds its target. What is believed about effects, loads and idle time decides where
 /// an overdue task starts, but not whether: these beliefs are corrected only by observations of runs.
 class IdleCapacityPolicy
@@ -35,7 +38,10 @@
     // The platform counts a job as lost of which nothing runs for 3 s while less than half of a pool is in use. An owner without processor
     // time needs a part of it for the intent and the start.
     static constexpr std::chrono::milliseconds MaximumWaitInIdlePool{1500};
+    static constexpr std::chrono::milliseconds MaximumGap{100}; // after the end of a run of the step, in an idle pool
     static constexpr int LowestSpeedPercent = 5; // enough to observe the effect of a run
+    // One of them may end at any time, and the start of the next one takes some time.
+    static constexpr int MinimumOpenTasks = 2;
 
     /// A best-effort task that waits for a worker.
     struct Task
@@ -53,6 +59,9 @@
     /// Returns true if a best-effort step with this execution state is overdue.
     static bool isOverdue(const StepExecution &step, std::chrono::milliseconds maximumWait, TimePoint now);
 
+    /// Returns the lowest speed in percent for runs of @p step; 0 if they may be paused.
+    static int lowestSpeed(const StepExecution &step);
+
     /// Returns why @p task must not be started on @p worker, whose forecast is @p forecast, or nothing if it may be.
     std::optional<PlacementObstacle> obstacle(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const;
 
--- a/src/libs/dispatch/stepexecution.h
+++ b/src/libs/dispatch/stepexecution.h
@@ -22,6 +22,7 @@
     int pending = 0;
     int started = 0; // tasks that had a run and are not done
     bool hasBegun = false; // a task had a run
+    bool isExpired = false; // the result of the job is worthless to its caller by now; see SchedulingKey
     int maximumFailures = 0; // of a task
     std::optional<TimePoint> waitingSince; // since then no task has run; see updateWaiting()
     TimePoint latestNotBefore{}; // from then on, no pending task is held back by its notBefore
