Log in which stage work waits at the owner

The line "delays" follows each "load" (every 2 s): processor time of the process; number, mean and maximum of the delays of ticks, the time of a tick, the time until an accepted job is read, until a batch is durable, until starts and polls are answered; and the starts and polls that are open. Metrics: hyssop_owner_tick_delay_seconds, hyssop_open_starts, hyssop_open_polls.

The cost of the line is not measured.

--- /dev/null
+++ b/src/libs/node/ownerdelays.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <utils/clock.h>
+
+#include <chrono>
+#include <cstddef>
+
+namespace Hyssop {
+
+/// Number, mean and maximum of delays.
+struct DelaySummary
+{
+    std::size_t count = 0;
+    Duration total{0};
+    Duration longest{0};
+
+    void add(Duration delay);
+    std::chrono::milliseconds mean() const;
+};
+
+/// Delays of the owner in one interval, by the stage in which work waits. They distinguish an owner without processor time from a slow
+/// store and from slow workers.
+struct OwnerDelays
+{
+    DelaySummary ticks; // from when a tick was due until it began
+    DelaySummary tickTimes; // from its begin until all of its commands were passed on
+    DelaySummary reads; // from the acceptance of a job until this owner has read it
+    DelaySummary batches; // from when a batch of records is ready until it is durable, and its starts can be sent
+    DelaySummary startResponses;
+    DelaySummary pollResponses; // beyond the time that the poll lets the worker wait
+    int openStarts = 0; // sent and not answered, at the end of the interval
+    int openPolls = 0;
+    TimePoint beganAt{};
+    std::chrono::milliseconds processorTimeAtBegin{0}; // of the process, since its start
+
+    /// Begins the next interval. What is open stays open.
+    void beginInterval(TimePoint now);
+
+    /// Returns the processor time of the process since the begin of the interval.
+    std::chrono::milliseconds processorTime() const;
+};
+
+} // namespace Hyssop
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -1,12 +1,15 @@
 #include "ownerlog.h"
 
 #include "logfields.h"
+#include "ownerdelays.h"
 
 #include <dispatch/dispatchsummary.h>
 #include <observability/logging.h>
 #include <utils/overloaded.h>
 #include <utils/resources.h>
 
+#include <vector>
+
 namespace Hyssop {
 
 const char *resultName(const CommandResult &result)
@@ -369,6 +372,31 @@
     }
 }
 
+/// Appends fields with the number, the mean and the maximum of @p delays, in milliseconds.
+static void appendDelays(std::vector<LogField> &fields, const std::string &name, const DelaySummary &delays)
+{
+    fields.emplace_back(name, delays.count);
+    fields.emplace_back(name + "_mean_ms", static_cast<long long>(delays.mean().count()));
+    fields.emplace_back(name + "_longest_ms", static_cast<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(delays.longest).count()));
+}
+
+void logDelays(std::int64_t term, const OwnerDelays &delays, TimePoint now)
+{
+    const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(now - delays.beganAt);
+    std::vector<LogField> fields{{"epoch", static_cast<long long>(term)},
+                                 {"interval_ms", static_cast<long long>(interval.count())},
+                                 {"processor_ms", static_cast<long long>(delays.processorTime().count())}};
+    appendDelays(fields, "tick_delays", delays.ticks);
+    appendDelays(fields, "tick_times", delays.tickTimes);
+    appendDelays(fields, "job_reads", delays.reads);
+    appendDelays(fields, "batches", delays.batches);
+    appendDelays(fields, "start_responses", delays.startResponses);
+    appendDelays(fields, "poll_responses", delays.pollResponses);
+    fields.emplace_back("open_starts", delays.openStarts);
+    fields.emplace_back("open_polls", delays.openPolls);
+    logMessage(LogPriority::Essential, LogLevel::Info, "owner", "delays", fields);
+}
+
 /// Returns a field with the time from the acceptance of a job to its first start.
 static LogField waitingField(const JobEnded &end)
 {
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -2,6 +2,7 @@
 
 #include <dispatch/dispatchactions.h>
 #include <ports/machinedirectory.h>
+#include <utils/clock.h>
 
 #include <cstdint>
 #include <string>
@@ -9,6 +10,7 @@
 namespace Hyssop {
 
 struct DispatchSummary;
+struct OwnerDelays;
 
 /// Returns true if the result needs no line of its own: RunLog combines it with others.
 bool isRoutine(const StartCommand &command, const CommandResult &result);
@@ -32,6 +34,9 @@
 /// Logs the load of the owner of @p term.
 void logLoad(std::int64_t term, const DispatchSummary &load);
 
+/// Logs @p delays of the owner of @p term in the interval that ends at @p now.
+void logDelays(std::int64_t term, const OwnerDelays &delays, TimePoint now);
+
 /// Logs the result of a command.
 void logResult(const StartCommand &command, const CommandResult &result);
 void logResult(const StopCommand &command, const CommandResult &result);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -82,7 +82,12 @@
     } else if (key.kind == JobKeyKind::SilentWorkers) {
         silentWorkersRead();
     } else if (m_term && !key.jobId.empty()) {
-        m_dispatcher.jobChanged(key.jobId, m_table.find(key.jobId), m_clock.now(), std::chrono::system_clock::now());
+        const TopicJob *entry = m_table.find(key.jobId);
+        const WallTime wall = std::chrono::system_clock::now();
+        if (key.kind == JobKeyKind::Submission && entry != nullptr && entry->submission) {
+            m_delays.reads.add(sinceEpoch(wall) - std::chrono::milliseconds(entry->submission->acceptedAtMs));
+        }
+        m_dispatcher.jobChanged(key.jobId, entry, m_clock.now(), wall);
     }
 }
 
@@ -161,7 +166,9 @@
 {
     asio::steady_timer timer(m_executor);
     while (true) {
-        timer.expires_after(m_term ? Internal::TickInterval : Internal::StandbyInterval);
+        const std::chrono::milliseconds interval = m_term ? Internal::TickInterval : Internal::StandbyInterval;
+        const TimePoint dueAt = m_clock.now() + interval;
+        timer.expires_after(interval);
         co_await timer.async_wait(Internal::AsTuple);
         updateWorkersNeed();
         writeResults();
@@ -172,9 +179,12 @@
             continue;
         }
         const TimePoint now = m_clock.now();
+        m_delays.ticks.add(now - dueAt);
+        m_metrics.observe("hyssop_owner_tick_delay_seconds", now - dueAt);
         for (DispatchAction &action : m_dispatcher.advance(now, std::chrono::system_clock::now())) {
             execute(std::move(action));
         }
+        m_delays.tickTimes.add(m_clock.now() - now);
         reportLoad(now);
         countWithheldTime(now);
         const bool isReadLagging = m_dispatcher.readLag(now) > Internal::MaximumReadLag && now - m_appender.lastAppend() < Internal::ClaimRenewalInterval;
@@ -332,6 +342,7 @@
 {
     m_term = std::exchange(m_takeoverTerm, std::nullopt);
     m_batchAppends = 0;
+    m_delays.beginInterval(m_clock.now());
     m_servingRoomSchedule = {};
     m_dispatcher.beginTerm(*m_term, m_table, {m_takeoverBeganAt, m_claimReadAt, m_newestSilentWorkersReadAt}, m_cleanHandover);
     m_table.clearRuns();
@@ -435,6 +446,7 @@
 
 void TopicOwner::startBatch(AppendRecords batch)
 {
+    m_batchBeganAt = m_clock.now();
     m_batchAppends = (batch.records.empty() ? 0 : 1) + (batch.runs.empty() ? 0 : 1);
     if (!batch.records.empty()) {
         addServingRoom(batch.records);
@@ -454,7 +466,9 @@
 void TopicOwner::batchAppended(const TopicAppendResult &result)
 {
     if (checkAppend(result) && --m_batchAppends == 0) {
-        m_dispatcher.recordsStored(m_clock.now());
+        const TimePoint now = m_clock.now();
+        m_delays.batches.add(now - m_batchBeganAt);
+        m_dispatcher.recordsStored(now);
     }
 }
 
@@ -527,6 +541,7 @@
     m_lastLoadReport = now;
     const DispatchSummary load = m_dispatcher.summary(now);
     logLoad(term(), load);
+    reportDelays(now);
     m_metrics.set("hyssop_open_runs", static_cast<double>(load.openRuns));
     m_metrics.set("hyssop_waiting_tasks", static_cast<double>(load.pendingReserved + load.pendingBestEffort + load.pendingServing));
     m_metrics.add("hyssop_overdue_steps_total", {}, static_cast<double>(load.newlyOverdueSteps));
@@ -538,6 +553,14 @@
     m_metrics.set("hyssop_term", static_cast<double>(term()));
 }
 
+void TopicOwner::reportDelays(TimePoint now)
+{
+    logDelays(term(), m_delays, now);
+    m_metrics.set("hyssop_open_starts", m_delays.openStarts);
+    m_metrics.set("hyssop_open_polls", m_delays.openPolls);
+    m_delays.beginInterval(now);
+}
+
 void TopicOwner::countWithheldTime(TimePoint now)
 {
     if (m_dispatcher.areStartsWithheld()) {
@@ -549,7 +572,10 @@
 asio::awaitable<void> TopicOwner::sendStart(StartCommand command)
 {
     const TimePoint sentAt = m_clock.now();
+    ++m_delays.openStarts;
     const CommandResult result = co_await m_ports.workers.start(command);
+    --m_delays.openStarts;
+    m_delays.startResponses.add(m_clock.now() - sentAt);
     m_log.write(command, result, sentAt, m_clock.now());
     m_metrics.observe("hyssop_start_seconds", m_clock.now() - sentAt);
     if (command.withoutRun && std::holds_alternative<CommandExecuted>(result)) {
@@ -585,7 +611,10 @@
 asio::awaitable<void> TopicOwner::sendPoll(PollCommand command)
 {
     const TimePoint sentAt = m_clock.now();
+    ++m_delays.openPolls;
     const PollResult result = co_await m_ports.workers.poll(command);
+    --m_delays.openPolls;
+    m_delays.pollResponses.add(m_clock.now() - sentAt - command.wait);
     m_metrics.add("hyssop_polls_total", {{"outcome", std::holds_alternative<WorkerReport>(result) ? "listed" : "failed"}});
     if (m_term) {
         m_dispatcher.pollAnswered(command, result, sentAt, m_clock.now());
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -3,6 +3,7 @@
 #include "claimpolicy.h"
 #include "dispatchlog.h"
 #include "ownerappender.h"
+#include "ownerdelays.h"
 #include "servingroomschedule.h"
 
 #include <dispatch/dispatcher.h>
@@ -130,6 +131,7 @@
     /// Adds the room for serving tasks to @p records, which are appended to the job topic, if it has to be published again.
     void addServingRoom(std::vector<KeyedRecord> &records);
     void reportLoad(TimePoint now);
+    void reportDelays(TimePoint now);
     void countWithheldTime(TimePoint now);
     boost::asio::awaitable<void> sendStart(StartCommand command);
     boost::asio::awaitable<void> sendStop(StopCommand command);
@@ -167,9 +169,11 @@
     std::int64_t m_silentWorkersOffset = -1; // of the newest record of silent workers that was read
     TimePoint m_silentWorkersReadAt{}; // when it was read first
     std::optional<TimePoint> m_newestSilentWorkersReadAt; // the same if no previous owner has written a newer one
+    TimePoint m_batchBeganAt{};
     int m_batchAppends = 0; // of the batch that are not durable
     std::int64_t m_minimumTerm = 0; // terms below this one are not resumed after stepping down
     TimePoint m_lastLoadReport{};
+    OwnerDelays m_delays; // since the last report of the load
     TimePoint m_lastTick{}; // while this instance is the owner
     bool m_claiming = false;
     bool m_cleanHandover = false; // the claim sent last follows a release by an owner, after all leases of previous owners had expired
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -2,6 +2,7 @@
 
 #include <dispatch/dispatchsummary.h>
 #include <dispatch/overduestep.h>
+#include <node/ownerdelays.h>
 #include <node/ownerlog.h>
 #include <observability/logging.h>
 #include <utils/resources.h>
@@ -303,3 +304,28 @@
     logAction(OverdueStep{});
     cr_assert(log.text().find("task waits although room is free") != std::string::npos);
 }
+
+// Guards against plays in which an owner without processor time, a slow store and slow workers look alike.
+Test(ownerLog, delaysTellInWhichStageWorkWaits)
+{
+    const OwnerLog log;
+    constexpr TimePoint Begin{1000s};
+    OwnerDelays delays;
+    delays.beginInterval(Begin);
+    delays.ticks.add(10ms);
+    delays.ticks.add(30ms);
+    delays.tickTimes.add(5ms);
+    delays.reads.add(-3ms); // the clock of the accepting instance may be ahead
+    delays.batches.add(90ms);
+    delays.openStarts = 7;
+    logDelays(3, delays, Begin + 2s);
+    const std::string text = log.text();
+    cr_assert(text.find("message=delays epoch=3 interval_ms=2000 processor_ms=") != std::string::npos, "%s", text.c_str());
+    expectLine(text,
+               "tick_delays=2 tick_delays_mean_ms=20 tick_delays_longest_ms=30 tick_times=1 tick_times_mean_ms=5 tick_times_longest_ms=5 job_reads=1 "
+               "job_reads_mean_ms=0 job_reads_longest_ms=0 batches=1 batches_mean_ms=90 batches_longest_ms=90 start_responses=0 start_responses_mean_ms=0 "
+               "start_responses_longest_ms=0 poll_responses=0 poll_responses_mean_ms=0 poll_responses_longest_ms=0 open_starts=7 open_polls=0");
+    delays.beginInterval(Begin + 2s);
+    cr_assert_eq(delays.ticks.count, 0U);
+    cr_assert_eq(delays.openStarts, 7); // its response is counted in a later interval
+}
