--- a/bench/ownercost/main.cpp
+++ b/bench/ownercost/main.cpp
@@ -30,6 +30,7 @@
     add("messages", po::value(&messages)->default_value(messages), "messages of each kind for the codec and for HTTP");
     add("core-share", po::value(&budget.coreShare)->default_value(budget.coreShare), "part of a core that the owner may use");
     add("slowdown", po::value(&budget.slowdown)->default_value(budget.slowdown), "how many times longer the machine of the budget takes");
+    add("require-budget", "exit with 1 if the processor time exceeds the budget");
     add("day", po::value(&daySeconds)->default_value(daySeconds), "seconds of a day");
     po::variables_map options;
     po::store(po::parse_command_line(argc, argv, description), options);
@@ -58,7 +59,7 @@
     costs.push_back(transport.cost("encode poll", polls));
     costs.push_back(transport.cost("decode report", polls));
     costs.push_back(transport.cost("HTTP exchange", starts + polls));
-    printCosts(costs, starts, budget);
+    const bool isWithinBudget = printCosts(costs, starts, budget);
     fleet.printCounts(measured);
-    return 0;
+    return isWithinBudget || options.count("require-budget") == 0 ? 0 : 1;
 }
--- a/bench/ownercost/ownerbudget.cpp
+++ b/bench/ownercost/ownerbudget.cpp
@@ -6,7 +6,7 @@
 
 namespace Hyssop::Bench {
 
-void printCosts(const std::vector<StageCost> &costs, double startsPerSecond, const OwnerBudget &budget)
+bool printCosts(const std::vector<StageCost> &costs, double startsPerSecond, const OwnerBudget &budget)
 {
     std::printf("%-30s %12s %12s %12s %12s %12s\n", "stage", "per second", "us each", "allocations", "core %", "% of budget");
     double coreShare = 0;
@@ -32,6 +32,7 @@
                 budget.coreShare * day,
                 budget.coreShare);
     std::printf("the budget is kept on machines that are up to %.2f times slower\n", budget.coreShare / coreShare);
+    return coreShare * budget.slowdown <= budget.coreShare;
 }
 
 } // namespace Hyssop::Bench
--- a/bench/ownercost/ownerbudget.h
+++ b/bench/ownercost/ownerbudget.h
@@ -15,7 +15,8 @@
     std::chrono::seconds day{60};
 };
 
-/// Prints @p costs, their sum for each of @p startsPerSecond starts, and a comparison of the sum with @p budget.
-void printCosts(const std::vector<StageCost> &costs, double startsPerSecond, const OwnerBudget &budget);
+/// Prints @p costs, their sum for each of @p startsPerSecond starts, and a comparison of the sum with @p budget. Returns true if the sum is
+/// within the budget.
+bool printCosts(const std::vector<StageCost> &costs, double startsPerSecond, const OwnerBudget &budget);
 
 } // namespace Hyssop::Bench
