--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -84,7 +84,8 @@
     } else if (m_term && !key.jobId.empty()) {
         const TopicJob *entry = m_table.find(key.jobId);
         const WallTime wall = std::chrono::system_clock::now();
-        if (key.kind == JobKeyKind::Submission && entry != nullptr && entry->submission) {
+        // The record that replaces the submission of an ended job has no steps.
+        if (key.kind == JobKeyKind::Submission && entry != nullptr && entry->submission && !entry->submission->steps.empty()) {
             m_delays.reads.add(sinceEpoch(wall) - std::chrono::milliseconds(entry->submission->acceptedAtMs));
         }
         m_dispatcher.jobChanged(key.jobId, entry, m_clock.now(), wall);
