Test: an owner sends more than its link carries (red)

On the small twin of the large fleet an owner places its whole backlog at once. In one second it sends 963 starts (746 kB) over a link of 250 kB/s; 21 have a response in time. The others are sent again, and then stopped over new connections that time out as well.

DispatchSimulation bounds what an owner sends, so that requests, reads and appends wait behind each other.

--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -20,6 +20,9 @@
 constexpr auto CommandTimeout = 800ms;
 constexpr auto ConnectionTime = 2ms;
 constexpr int MaximumFailures = 3;
+constexpr auto ReadInterval = 50ms;
+constexpr auto ReadTime = 10ms;
+constexpr std::size_t RequestBytes = 200; // of a command without payload, or a read
 
 /// Returns how long the owner waits for the response to @p command. Simulated workers answer polls at once.
 template<typename Command>
@@ -32,6 +35,25 @@
     }
 }
 
+template<typename Command>
+std::size_t sizeOf(const Command &command)
+{
+    if constexpr (requires { command.payload; }) {
+        return RequestBytes + command.payload.size();
+    } else {
+        return RequestBytes;
+    }
+}
+
+std::size_t sizeOf(const std::vector<KeyedRecord> &records)
+{
+    std::size_t size = records.empty() ? 0 : RequestBytes;
+    for (const KeyedRecord &record : records) {
+        size += record.key.size() + (record.value ? record.value->size() : 0);
+    }
+    return size;
+}
+
 /// Returns the result of a command whose connection was refused.
 template<typename Outcome>
 Outcome refusal()
@@ -61,6 +83,7 @@
     TimePoint partitionedUntil{};
     TimePoint nextTick{};
     TimePoint nextRead{};
+    TimePoint linkFreeAt{}; // when all requests so far have been sent
 };
 
 DispatchSimulation::DispatchSimulation(std::uint32_t seed, std::size_t workers, const DispatchLimits &limits)
@@ -117,6 +140,7 @@
     Wire::StepJob job;
     job.queue = "batch";
     job.payload = "payload-" + jobId;
+    job.payload.resize(std::max(job.payload.size(), payloadSize), 'x');
     job.acceptedAtMs = sinceEpoch(wall()).count();
     for (int index = 0; index < steps; ++index) {
         Wire::TaskStep step;
@@ -318,15 +342,10 @@
 void DispatchSimulation::tickOwner(Owner &owner)
 {
     if (now >= owner.nextRead && now >= owner.partitionedUntil) {
-        owner.nextRead = now + 50ms;
-        if (owner.term != m_owners.back()->term) {
-            owner.steppedDown = true;
+        readTopics(*std::ranges::find_if(m_owners, [&](const auto &entry) { return entry.get() == &owner; }));
+        if (owner.steppedDown) {
             return;
         }
-        owner.dispatcher.confirmRead(now);
-        if (owner.knowsWorkers) {
-            owner.dispatcher.confirmWorkersRead(now);
-        }
     }
     owner.dispatcher.applyConfiguration(config, evacuated);
     for (DispatchAction &action : owner.dispatcher.advance(now, wall())) {
@@ -334,6 +353,46 @@
     }
 }
 
+void DispatchSimulation::readTopics(const std::shared_ptr<Owner> &owner)
+{
+    if (ownerLinkBytesPerSecond == 0) {
+        owner->nextRead = now + ReadInterval;
+        confirmReads(*owner, now);
+        return;
+    }
+    const TimePoint sentAt = now;
+    const Duration readTime = occupyLink(*owner, RequestBytes) + ReadTime;
+    owner->nextRead = now + readTime + ReadInterval;
+    deliver(owner, readTime, [=, this] { confirmReads(*owner, sentAt); });
+}
+
+void DispatchSimulation::confirmReads(Owner &owner, TimePoint sentAt)
+{
+    if (owner.term != m_owners.back()->term) {
+        owner.steppedDown = true;
+        return;
+    }
+    owner.dispatcher.confirmRead(sentAt);
+    if (owner.knowsWorkers) {
+        owner.dispatcher.confirmWorkersRead(sentAt);
+    }
+}
+
+Duration DispatchSimulation::occupyLink(Owner &owner, std::size_t bytes) const
+{
+    if (ownerLinkBytesPerSecond == 0) {
+        return Duration::zero();
+    }
+    const std::chrono::duration<double> sendTime(static_cast<double>(bytes) / static_cast<double>(ownerLinkBytesPerSecond));
+    owner.linkFreeAt = std::max(owner.linkFreeAt, now) + std::chrono::duration_cast<Duration>(sendTime);
+    return owner.linkFreeAt - now;
+}
+
+Duration DispatchSimulation::linkWait() const
+{
+    return std::max(m_owners.back()->linkFreeAt - now, Duration(0));
+}
+
 void DispatchSimulation::perform(Owner &owner, DispatchAction action)
 {
     std::visit(Overloaded{
@@ -395,7 +454,9 @@
     const TimePoint sentAt = now;
     const Duration timeout = timeoutOf(command);
     const bool late = chance(faults.delayedCommands);
-    const Duration transitTime = late ? Duration(2s + std::chrono::milliseconds(random(10000))) : Duration(std::chrono::milliseconds(1 + random(20)));
+    const Duration sendTime = occupyLink(owner, sizeOf(command));
+    const Duration transitTime =
+        sendTime + (late ? Duration(2s + std::chrono::milliseconds(random(10000))) : Duration(std::chrono::milliseconds(1 + random(20))));
     const auto unknown = [=, this] { deliver(sender, timeout, [=, this] { done(*sender, command, Outcome(CommandUndetermined{"timeout"}), sentAt, now); }); };
     if (target->refusesConnections) {
         deliver(sender, ConnectionTime, [=, this] { done(*sender, command, refusal<Outcome>(), sentAt, now); });
@@ -462,7 +523,8 @@
 void DispatchSimulation::store(Owner &owner, AppendRecords records)
 {
     const auto sender = *std::ranges::find_if(m_owners, [&](const auto &entry) { return entry.get() == &owner; });
-    const TimePoint arrivesAt = std::max(now, owner.partitionedUntil) + 6ms;
+    const Duration sendTime = occupyLink(owner, sizeOf(records.records) + sizeOf(records.runs));
+    const TimePoint arrivesAt = std::max(now, owner.partitionedUntil) + sendTime + 6ms;
     const auto appends = std::make_shared<int>(2); // that are not durable
     const auto appendAt = [=, this](TimePoint time, std::vector<KeyedRecord> part, void (DispatchSimulation::*appendRecord)(const KeyedRecord &)) {
         at(time, [=, this] {
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -74,6 +74,9 @@
 
     void run(Duration time);
 
+    /// Returns how long the next request of the newest owner waits for its link.
+    Duration linkWait() const;
+
     /// Returns true if the newest owner has stepped down.
     bool hasNewestOwnerSteppedDown() const;
 
@@ -86,6 +89,9 @@
 
     DispatchFaults faults;
     Duration responseDelay{0}; // by which the owners handle each response later; from the timeout of the command on it is lost
+    /// Bound of what an owner sends, 0: none. Requests wait behind those that were sent before, also behind those that have timed out.
+    std::size_t ownerLinkBytesPerSecond = 0;
+    std::size_t payloadSize = 0; // of jobs that are submitted, 0: small
     Duration workerLoadTime{0}; // from a claim until its owner knows the registered workers
     ClusterConfig config;
     std::set<std::string> evacuated;
@@ -102,6 +108,11 @@
     void at(TimePoint time, Event event);
     void tick();
     void tickOwner(Owner &owner);
+    void readTopics(const std::shared_ptr<Owner> &owner);
+    void confirmReads(Owner &owner, TimePoint sentAt);
+
+    /// Adds @p bytes to what the owner sends, and returns the time until they have been sent.
+    Duration occupyLink(Owner &owner, std::size_t bytes) const;
     void perform(Owner &owner, DispatchAction action);
     void deliver(const std::shared_ptr<Owner> &owner, Duration delay, Event event);
     template<typename Command, typename Execute, typename Done>
--- a/tests/libs/dispatch/testundeterminedstarts.cpp
+++ b/tests/libs/dispatch/testundeterminedstarts.cpp
@@ -79,6 +79,22 @@
     cr_expect(harness.all<RunEnded>().empty());
 }
 
+// Guards against the stop of a serving run that has begun, because a repetition of its start found no connection over the owner's full link.
+Test(undeterminedStarts, aRunThatBeganBeforeARepetitionWasNotSentIsNotStopped)
+{
+    EventHarness harness(1, true);
+    const StartCommand start = waitForStart(harness);
+    harness.dispatcher.startAnswered(start, CommandUndetermined{"timeout"}, harness.now);
+    harness.advance(Tick);
+    cr_assert_eq(harness.all<StartCommand>().size(), 2, "%zu starts", harness.all<StartCommand>().size());
+    execute(harness, start);
+    harness.dispatcher.startAnswered(harness.all<StartCommand>().back(), CommandNotSent{"connection timeout"}, harness.now);
+    harness.advance(1s);
+    cr_expect(harness.all<StopCommand>().empty(), "%zu stops", harness.all<StopCommand>().size());
+    cr_expect(harness.all<RunEnded>().empty());
+    cr_expect_eq(harness.all<StartCommand>().size(), 2);
+}
+
 // Guards against a task that waits for a start command which was never executed.
 Test(undeterminedStarts, aStartThatIsNotListedIsRepeatedAndFinallyStopped)
 {
