A repetition of a start that was not sent does not stop a run that has begun

Cause: a start without a response is sent again. If that attempt found no connection, the run was abandoned, and since the earlier attempt might have been executed, it was stopped, also where the worker had begun it. Change: only that attempt is taken back. If an earlier one may have been executed, the next report tells, as after any start without a response. Measured: undeterminedStarts/aRunThatBeganBeforeARepetitionWasNotSentIsNotStopped fails before (3 stops) and passes.

--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -171,8 +171,11 @@
                        if (WorkerState *worker = findWorker(task->worker)) {
                            worker->health.reportRejection(now);
                        }
-                       --task->startsSent;
-                       abandonRun(command.task, *task, now);
+                       if (--task->startsSent > 0) {
+                           task->phaseSince = now; // an earlier attempt may have begun the run: the next report tells
+                       } else {
+                           abandonRun(command.task, *task, now);
+                       }
                    },
                    [&](const CommandUndetermined &) { handleUndeterminedStart(command.task, *task, now); },
                },
