Count the delay by the reserve for short tasks on the owner's clock

Callers saw serving tasks that waited on an idle pool for as long as the clock of the accepting instance was ahead of the owner's: 6.8 s with 5 s, 61.8 s with 60 s.

Cause: the delay was the difference between the time of day of the owner and the one in the submission, two clocks.

The delay is now counted on the owner's steady clock, from when it first found the step ready. A new owner counts anew, so a term adds 1.8 s at most.

waitingBounds/theReserveDelaysServingTasksBrieflyWhateverTheTimeOfDay failed before and passes: at most 3 s with each of the three clocks.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -14,7 +14,8 @@
 
 namespace Internal {
 
-// The reserve for short tasks delays the first run of a serving task by at most this time.
+// The reserve for short tasks delays the first run of a serving task by at most this time in each term. It is counted on the clock of the
+// owner, because the times of day of two instances differ.
 constexpr std::chrono::milliseconds MaximumReserveDelay{1800};
 
 struct PendingStep
@@ -51,6 +52,7 @@
             if (!steps[index].hasPendingTask(now) || !isReady(steps, job.submission.steps[index])) {
                 continue;
             }
+            steps[index].readySince = steps[index].readySince.value_or(now);
             if (!key) {
                 key = schedulingKey(pendingWork(job, occurrence, steps), queue, wall);
             }
@@ -232,7 +234,7 @@
         candidates = ranking.rankCandidates(request);
     }
     std::int64_t started = Internal::startedTasks(job);
-    const bool canWait = m_wallMs - sinceEpoch(job.acceptedAt).count() < Internal::MaximumReserveDelay.count();
+    const bool canWait = now - execution.readySince.value_or(now) < Internal::MaximumReserveDelay;
     for (const std::size_t index : Internal::startableTasks(execution, now)) {
         TaskExecution &task = execution.tasks[index];
         if (task.run == 0 && started >= MaximumStartedTasks) {
--- a/src/libs/dispatch/stepexecution.h
+++ b/src/libs/dispatch/stepexecution.h
@@ -23,6 +23,7 @@
     int started = 0; // tasks that had a run and are not done
     bool hasBegun = false; // a task had a run
     int maximumFailures = 0; // of a task
+    std::optional<TimePoint> readySince; // when this owner first found that a task may start
     std::optional<TimePoint> waitingSince; // since then no task has run; see updateWaiting()
     TimePoint latestNotBefore{}; // from then on, no pending task is held back by its notBefore
 
