Don't count a pause as time without progress

Callers saw a resumed run stopped as stalled and its sound worker quarantined, as soon as the worker reported the old progress once more.

Cause: stalls are not looked for while a run is throttled, but the time since its last progress kept running, so a pause longer than the stall timeout counted in full when the run was resumed.

TaskExecution::setSpeed() leaves out the time for which the run was throttled. Time at full speed before the pause still counts, so runs whose speed changes often are still found to stall.

--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -316,8 +316,7 @@
 {
     TaskExecution *task = m_jobs.task(command.task);
     if (task != nullptr && task->run == command.run && task->isOpen() && std::holds_alternative<CommandExecuted>(result)) {
-        task->speedPercent = command.speedPercent;
-        task->speedSince = now;
+        task->setSpeed(command.speedPercent, now);
     }
 }
 
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -431,10 +431,9 @@
         return;
     }
     const bool servesAtFullSpeed = step.longRunning && report.progressPercent >= 100;
-    const bool isThrottled = task.speedPercent < 100;
     // Progress is reported in percent, and a long task needs longer for each.
     const auto stallTimeout = std::max(Internal::StallTimeout, std::chrono::milliseconds(step.estimateMs / Internal::StallEstimateDivisor));
-    if (servesAtFullSpeed || isThrottled || task.phase != TaskPhase::Running || now - task.progressSince < stallTimeout) {
+    if (servesAtFullSpeed || task.isThrottled() || task.phase != TaskPhase::Running || now - task.progressSince < stallTimeout) {
         return;
     }
     worker.health.reportStall(report.task, now);
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -40,13 +40,20 @@
     int firstProgressPercent = -1; // progress in the first report of this run
     TimePoint firstProgressAt{};
     double load = 0; // as reported by the worker
-    int speedPercent = 100;
+    int speedPercent = 100; // as last confirmed by the worker
     TimePoint speedSince{};
     std::optional<TimePoint> withoutRunSince; // the last run was stopped, or last reported, then
     TimePoint notBefore{}; // the next run is not started before
 
     /// Returns true if a run exists or may exist on a worker, or is about to be started.
     bool isOpen() const { return phase != TaskPhase::Pending && phase != TaskPhase::Done; }
+
+    /// Returns true if the run is paused or slowed down, so that a lack of progress is no evidence of a stall.
+    bool isThrottled() const { return speedPercent < 100; }
+
+    /// Notes that the worker has confirmed @p percent as the speed of the run. The time for which it was throttled does not count as
+    /// time without progress.
+    void setSpeed(int percent, TimePoint now);
 };
 
 } // namespace Hyssop
