Send the speed of a best-effort run again if it is not known

Callers saw a best-effort run that the previous owner had paused stay paused after a takeover, until it was stopped as stalled.

Cause: the owner assumed full speed for adopted runs. The speed that it decided on was the same, so it sent no command, and it took the lack of progress for a stall. A throttle command without a response had the same effect if the worker had executed it.

TaskExecution now says whether the speed is known. It is not known for adopted best-effort runs and after a throttle command without a response. The next decision then sends the speed in any case, and until it is confirmed a lack of progress is no evidence of a stall. Responses to throttle commands of an earlier term of the same instance are ignored, because another owner may have changed the speed since.

waitingBounds/runsThatAPreviousOwnerHasPausedAreResumed failed before and passes. The case of a throttle command without a response has no test of its own.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -90,6 +90,9 @@
         }
         m_earlierLeases.addWorker(task.worker);
         stateOf(task.worker).addRun(id, runProfile(job.step(id.step), task.run), m_termBeganAt);
+        if (job.step(id.step).fillsIdle) {
+            task.setSpeedUnknown(m_termBeganAt);
+        }
         if (job.isEnded()) {
             task.phase = TaskPhase::Stopping;
         }
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -371,6 +371,7 @@
     task.progressSince = now;
     task.firstProgressPercent = -1;
     task.speedPercent = 100;
+    task.isSpeedKnown = true;
     worker.addRun(id, runProfile(job.step(id.step), run), now);
     m_jobs.markUrgent(job);
     m_newIntents.emplace_back(id, run);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -315,8 +315,14 @@
 void Dispatcher::throttleAnswered(const ThrottleCommand &command, const CommandResult &result, TimePoint now)
 {
     TaskExecution *task = m_jobs.task(command.task);
-    if (task != nullptr && task->run == command.run && task->isOpen() && std::holds_alternative<CommandExecuted>(result)) {
+    const bool isCurrent = task != nullptr && task->run == command.run && task->isOpen();
+    if (!isOfThisTerm(command.fencingToken) || !isCurrent) {
+        return;
+    }
+    if (std::holds_alternative<CommandExecuted>(result)) {
         task->setSpeed(command.speedPercent, now);
+    } else if (std::holds_alternative<CommandUndetermined>(result)) {
+        task->setSpeedUnknown(now);
     }
 }
 
@@ -331,6 +337,7 @@
     task.worker.clear();
     task.progressPercent = -1;
     task.speedPercent = 100;
+    task.isSpeedKnown = true;
     if (JobExecution *job = m_jobs.find(id.job)) {
         m_jobs.markChanged(*job);
     }
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -433,7 +433,7 @@
     const bool servesAtFullSpeed = step.longRunning && report.progressPercent >= 100;
     // Progress is reported in percent, and a long task needs longer for each.
     const auto stallTimeout = std::max(Internal::StallTimeout, std::chrono::milliseconds(step.estimateMs / Internal::StallEstimateDivisor));
-    if (servesAtFullSpeed || task.isThrottled() || task.phase != TaskPhase::Running || now - task.progressSince < stallTimeout) {
+    if (servesAtFullSpeed || task.mayBeThrottled() || task.phase != TaskPhase::Running || now - task.progressSince < stallTimeout) {
         return;
     }
     worker.health.reportStall(report.task, now);
@@ -453,7 +453,7 @@
         task.firstProgressAt = now;
     }
     const int progress = progressPercent - task.firstProgressPercent;
-    if (progress >= Internal::MinimumProgress && task.phase == TaskPhase::Running && task.speedPercent == 100) {
+    if (progress >= Internal::MinimumProgress && task.phase == TaskPhase::Running && !task.mayBeThrottled()) {
         run.profile->expectedEnd = now + (now - task.firstProgressAt) * (100 - progressPercent) / progress;
     }
 }
@@ -545,7 +545,7 @@
         if (!runs[index].profile->isBestEffort || (speeds[index] == 0 && migratePausedRun(listedRuns[index]->report->task, now))) {
             continue;
         }
-        if (speeds[index] != runs[index].speedPercent) {
+        if (speeds[index] != runs[index].speedPercent || !listedRuns[index]->task->isSpeedKnown) {
             worker.speedChangedAt = now;
             const ReportedRun &report = *listedRuns[index]->report;
             m_actions.emplace_back(ThrottleCommand{addressOf(worker), report.task, report.run, speeds[index], tokenFor(worker)});
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -41,6 +41,7 @@
     TimePoint firstProgressAt{};
     double load = 0; // as reported by the worker
     int speedPercent = 100; // as last confirmed by the worker
+    bool isSpeedKnown = true; // false: an earlier owner, or a command without a response, may have changed it
     TimePoint speedSince{};
     std::optional<TimePoint> withoutRunSince; // the last run was stopped, or last reported, then
     TimePoint notBefore{}; // the next run is not started before
@@ -48,12 +49,15 @@
     /// Returns true if a run exists or may exist on a worker, or is about to be started.
     bool isOpen() const { return phase != TaskPhase::Pending && phase != TaskPhase::Done; }
 
-    /// Returns true if the run is paused or slowed down, so that a lack of progress is no evidence of a stall.
-    bool isThrottled() const { return speedPercent < 100; }
+    /// Returns true if the run may be paused or slowed down, so that a lack of progress is no evidence of a stall.
+    bool mayBeThrottled() const { return !isSpeedKnown || speedPercent < 100; }
 
-    /// Notes that the worker has confirmed @p percent as the speed of the run. The time for which it was throttled does not count as
-    /// time without progress.
+    /// Notes that the worker has confirmed @p percent as the speed of the run. The time for which it may have been throttled does not
+    /// count as time without progress.
     void setSpeed(int percent, TimePoint now);
+
+    /// Notes that the speed of the run may differ from the one that was last confirmed.
+    void setSpeedUnknown(TimePoint now);
 };
 
 } // namespace Hyssop
