Start jobs without failures on quarantined workers if most are quarantined

Callers saw accepted jobs wait on an idle pool of sound workers while other jobs failed wherever they ran. Two failures in a row from different jobs quarantine a worker for 3 s, each failed trial does so again for 6 s, and nothing limited the share of a pool that was out. The trials went to the same failing jobs.

If the workers that accept no task have at least half of the capacity in the worker pool and with the label that a step needs, a job that has not failed since its last success may now start one task of the step at a time, or a gang, on a quarantined worker. Its success ends the quarantine; its failure doesn't extend a quarantine that is in force, and the job then waits for regular trials as before. If less than half is out, nothing changes.

A quarantine and the backoff after a rejected start no longer share one time: no probe is started during the backoff.

waitingBounds/hopelessJobsDoNotKeepOthersFromSoundWorkers failed before (48 of 160 jobs waited for more than 3 s, one for 21.8 s) and passes now.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -311,6 +311,11 @@
     void placePendingTasks(TimePoint now, WallTime wall);
     void recordShortTaskDemand(TimePoint now);
     void placeStep(JobExecution &job, const TaskId &stepId, const SchedulingKey &key, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now);
+
+    /// Returns true if a task of the step may be started on a quarantined worker: the job has not failed lately, and no other task of the
+    /// step is a probe.
+    bool mayProbe(const JobExecution &job, const TaskId &stepId, const WorkerRanking &ranking, const PlacementRequest &request);
+
     void placeGang(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, PlacementRequest &request, TimePoint now);
 
     /// Assigns runs of the pending tasks of @p step, of which each worker has as many as @p perWorker says.
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -188,7 +188,7 @@
     request.key = &key;
     request.reservations = &m_reservations;
     request.isOverdue = request.step->fillsIdle && IdleCapacityPolicy::isOverdue(execution, maximumWait(queue.workerPool), now);
-    const bool isUnschedulable = m_unschedulable.contains(request);
+    const bool isUnschedulable = m_unschedulable.contains(request) && !mayProbe(job, stepId, ranking, request);
     if (isUnschedulable && !queue.advice) {
         if (request.step->perWorker == 0) {
             reserveRoom(execution, ranking, request);
@@ -208,6 +208,21 @@
     }
 }
 
+bool Dispatcher::mayProbe(const JobExecution &job, const TaskId &stepId, const WorkerRanking &ranking, const PlacementRequest &request)
+{
+    if (job.hasFailedLately || !ranking.isMostlyUnavailable(request)) {
+        return false;
+    }
+    const std::vector<TaskExecution> &tasks = job.occurrences.at(stepId.occurrence)[static_cast<std::size_t>(stepId.step)].tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const WorkerState *worker = tasks[index].isOpen() ? findWorker(tasks[index].worker) : nullptr;
+        if (worker != nullptr && worker->health.isProbe({stepId.job, stepId.occurrence, stepId.step, static_cast<int>(index)})) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void Dispatcher::placeTasks(
     JobExecution &job, const TaskId &step, WorkerRanking &ranking, PlacementRequest &request, std::map<std::string, int> &perWorker, TimePoint now)
 {
@@ -246,6 +261,9 @@
             candidates = isRanked ? ranking.rankCandidates(request) : candidates;
             worker = isRanked ? ranking.bestCandidate(candidates, request) : ranking.choose(request);
         }
+        if (worker == nullptr && mayProbe(job, step, ranking, request)) {
+            worker = ranking.chooseForProbe(request);
+        }
         if (worker == nullptr) {
             recordUnschedulable(ranking, request, now);
             break;
@@ -300,12 +318,16 @@
     }
     std::map<std::string, int> perWorker;
     request.stepTasksByWorker = &perWorker;
+    const bool canProbe = mayProbe(job, {job.id, occurrence, step, 0}, ranking, request);
     for (const std::string &rack : racks) {
         request.rack = rack;
         perWorker.clear();
         std::vector<std::pair<TaskId, WorkerState *>> placed;
         for (std::size_t index = 0; index < execution.tasks.size(); ++index) {
             WorkerState *worker = ranking.choose(request);
+            if (worker == nullptr && canProbe) {
+                worker = ranking.chooseForProbe(request);
+            }
             if (worker == nullptr) {
                 break;
             }
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -347,8 +347,11 @@
     if (!checkpoint.empty()) {
         task.checkpoint = checkpoint;
     }
-    if (WorkerState *worker = findWorker(task.worker); worker != nullptr && endReason == RunEndReason::Completed) {
-        worker->health.reportSuccess(id);
+    if (endReason == RunEndReason::Completed) {
+        job->hasFailedLately = false;
+        if (WorkerState *worker = findWorker(task.worker)) {
+            worker->health.reportSuccess(id);
+        }
     }
     if (endReason == RunEndReason::Failed) {
         recordFailedRun(id, task, now);
@@ -427,6 +430,7 @@
 
 void Dispatcher::recordFailedRun(const TaskId &id, TaskExecution &task, TimePoint now)
 {
+    m_jobs.find(id.job)->hasFailedLately = true;
     m_jobs.stepOf(id)->setFailures(task, task.failures + 1);
     task.notBefore = now + Internal::FailureBackoff;
     if (WorkerState *worker = findWorker(task.worker)) {
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -84,7 +84,7 @@
         }
         const int quarantines = worker.health.consecutiveQuarantines();
         if (quarantines > worker.toldQuarantines) {
-            const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(worker.health.blockedUntil() - now);
+            const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(worker.health.quarantinedUntil() - now);
             m_actions.emplace_back(WorkerQuarantined{id, quarantines, remaining, worker.runs.size()});
         } else if (quarantines < worker.toldQuarantines) {
             m_actions.emplace_back(WorkerSoundAgain{id, worker.runs.size()});
@@ -427,6 +427,9 @@
         task.progressSince = now;
         if (step.longRunning && report.progressPercent >= 100) {
             worker.health.reportSuccess(report.task); // a serving task never completes
+            if (JobExecution *job = m_jobs.find(report.task.job)) {
+                job->hasFailedLately = false;
+            }
         }
         return;
     }
--- a/src/libs/dispatch/jobexecution.h
+++ b/src/libs/dispatch/jobexecution.h
@@ -26,6 +26,7 @@
     bool failed = false;
     bool completed = false;
     bool hasStarted = false; // a worker has confirmed a run
+    bool hasFailedLately = false; // a run has failed in this term, and none has succeeded since
     bool submissionCompacted = false; // the submission of the ended job was, or is being, replaced by its compacted form
     std::int64_t endedAtMs = 0; // Unix time; 0: not ended
     std::optional<Wire::JobProgress> storedPhase; // newest record in the job topic, or being written; none: no record
--- a/src/libs/dispatch/workerhealth.cpp
+++ b/src/libs/dispatch/workerhealth.cpp
@@ -34,7 +34,8 @@
         ++m_consecutiveFailures;
         m_lastFailedJob = task.job;
     }
-    if (m_quarantineCount > 0 || m_consecutiveFailures >= FailuresUntilQuarantine) {
+    const bool isDoubtful = m_quarantineCount > 0 || m_consecutiveFailures >= FailuresUntilQuarantine;
+    if (isDoubtful && !isQuarantined(now)) {
         quarantine(now);
     }
 }
@@ -48,7 +49,7 @@
 
 void WorkerHealth::reportRejection(TimePoint now)
 {
-    m_blockedUntil = std::max(m_blockedUntil, now + RejectionBackoff);
+    m_rejectsUntil = std::max(m_rejectsUntil, now + RejectionBackoff);
 }
 
 void WorkerHealth::reportSuccess(const TaskId &task)
@@ -58,18 +59,19 @@
     }
     m_consecutiveFailures = 0;
     m_quarantineCount = 0;
+    m_quarantinedUntil = TimePoint();
     m_probes.clear();
     m_lastFailedJob.clear();
 }
 
-bool WorkerHealth::acceptsTask(TimePoint now) const
+bool WorkerHealth::acceptsProbe(TimePoint now) const
 {
-    return now >= m_blockedUntil && (m_probes.empty() || now - m_probedAt >= ProbeInterval);
+    return now >= m_rejectsUntil && (m_probes.empty() || now - m_probedAt >= ProbeInterval);
 }
 
 void WorkerHealth::quarantine(TimePoint now)
 {
-    m_blockedUntil = now + InitialQuarantine * (1 << std::min(m_quarantineCount, MaximumDoublings));
+    m_quarantinedUntil = now + InitialQuarantine * (1 << std::min(m_quarantineCount, MaximumDoublings));
     ++m_quarantineCount;
     m_probes.clear();
 }
--- a/src/libs/dispatch/workerhealth.h
+++ b/src/libs/dispatch/workerhealth.h
@@ -15,6 +15,9 @@
 /// that doubles. After it, single tasks are started as probes, whatever else runs on the worker, until one of them shows that
 /// the worker is sound. The result of a run from before the quarantine says nothing about the worker after it. Repeated failures
 /// of one job say nothing about the worker.
+///
+/// Jobs that fail wherever they run quarantine sound workers as well. Single tasks may therefore be started as probes during a
+/// quarantine too; WorkerRanking tells when. A quarantine that is in force is not extended by a probe that fails.
 class WorkerHealth
 {
 public:
@@ -35,7 +38,13 @@
     void reportSuccess(const TaskId &task);
 
     /// Returns true if another task may be started.
-    bool acceptsTask(TimePoint now) const;
+    bool acceptsTask(TimePoint now) const { return !isQuarantined(now) && acceptsProbe(now); }
+
+    /// Returns true if another task may be started as a probe, although the worker may be quarantined.
+    bool acceptsProbe(TimePoint now) const;
+
+    /// Returns true if @p task is a probe without a result.
+    bool isProbe(const TaskId &task) const { return m_probes.contains(task); }
 
     /// Returns true if the last significant result was a failure, so that other workers are to be preferred.
     bool isSuspect() const { return m_consecutiveFailures > 0 || m_quarantineCount > 0; }
@@ -43,13 +52,14 @@
     /// Returns how often the worker was quarantined without having proved sound meanwhile.
     int consecutiveQuarantines() const { return m_quarantineCount; }
 
-    /// Returns until when no task is started.
-    TimePoint blockedUntil() const { return m_blockedUntil; }
+    /// Returns until when only probes are started, if at all.
+    TimePoint quarantinedUntil() const { return m_quarantinedUntil; }
 
 private:
     /// Returns true if the result of a run of @p task says something about the worker: it was started after the last quarantine.
     bool isSignificant(const TaskId &task) const { return m_quarantineCount == 0 || m_probes.contains(task); }
 
+    bool isQuarantined(TimePoint now) const { return now < m_quarantinedUntil; }
     void quarantine(TimePoint now);
 
     std::string m_lastFailedJob;
@@ -57,7 +67,8 @@
     int m_quarantineCount = 0; // consecutive
     std::set<TaskId> m_probes; // open runs that were started after the last quarantine
     TimePoint m_probedAt{}; // when the last probe was started
-    TimePoint m_blockedUntil{};
+    TimePoint m_quarantinedUntil{};
+    TimePoint m_rejectsUntil{}; // after a rejection
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -92,7 +92,10 @@
     , m_idleCapacity(colocationPolicy)
     , m_now(now)
 {
-    std::erase_if(m_workers, [&](const WorkerState *worker) { return !isAvailable(*worker) || !worker->health.acceptsTask(now); });
+    std::erase_if(m_workers, [&](const WorkerState *worker) { return !isAvailable(*worker); });
+    const auto refusing = std::stable_partition(m_workers.begin(), m_workers.end(), [&](const WorkerState *worker) { return worker->health.acceptsTask(now); });
+    m_refusingWorkers.assign(refusing, m_workers.end());
+    m_workers.erase(refusing, m_workers.end());
 }
 
 bool WorkerRanking::isAvailable(const WorkerState &worker) const
@@ -145,6 +148,40 @@
     return best;
 }
 
+WorkerState *WorkerRanking::chooseForProbe(PlacementRequest request) const
+{
+    request.isProbe = true;
+    WorkerState *best = nullptr;
+    const auto doubt = [](const WorkerState &worker) { return std::pair(worker.health.consecutiveQuarantines(), worker.health.quarantinedUntil()); };
+    for (WorkerState *worker : m_refusingWorkers) {
+        if ((best == nullptr || doubt(*worker) < doubt(*best)) && fits(*worker, request)) {
+            best = worker;
+        }
+    }
+    return best;
+}
+
+bool WorkerRanking::isMostlyUnavailable(const PlacementRequest &request) const
+{
+    if (m_refusingWorkers.empty()) {
+        return false;
+    }
+    const auto [known, isNew] = m_mostlyUnavailable.try_emplace({request.workerPool, request.step->label}, false);
+    if (!isNew) {
+        return known->second;
+    }
+    const auto capacity = [&](const std::vector<WorkerState *> &workers) {
+        std::int64_t milliCores = 0;
+        for (const WorkerState *worker : workers) {
+            const bool isSuitable = worker->info.workerPool == request.workerPool && Internal::hasLabel(*worker, request.step->label);
+            milliCores += isSuitable ? worker->info.capacity.milliCores : 0;
+        }
+        return milliCores;
+    };
+    known->second = capacity(m_refusingWorkers) >= capacity(m_workers);
+    return known->second;
+}
+
 void WorkerRanking::capacityChanged(WorkerState &worker)
 {
     if (m_index) {
@@ -224,6 +261,14 @@
             candidates.emplace_back(fits(*worker, request), worker);
         }
     }
+    if (candidates.empty() && isMostlyUnavailable(request)) {
+        request.isProbe = true;
+        for (WorkerState *worker : m_refusingWorkers) {
+            if (fits(*worker, request)) {
+                candidates.emplace_back(true, worker);
+            }
+        }
+    }
     std::ranges::stable_sort(
         candidates, std::ranges::greater(), [](const auto &candidate) { return std::pair(candidate.first, candidate.second->freeCapacity().milliCores); });
     std::vector<std::string> ids;
@@ -254,7 +299,7 @@
     if (worker.info.workerPool != request.workerPool) {
         return PlacementObstacle::WorkerPool;
     }
-    if (!worker.health.acceptsTask(m_now)) {
+    if (!(request.isProbe ? worker.health.acceptsProbe(m_now) : worker.health.acceptsTask(m_now))) {
         return PlacementObstacle::Quarantine;
     }
     if ((!request.rack.empty() && worker.info.rack != request.rack) || !Internal::hasLabel(worker, step.label)) {
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -40,6 +40,7 @@
     const RoomReservations *reservations = nullptr; // that hold now; null: none
     bool isOverdue = false; // best-effort task of an overdue step; see IdleCapacityPolicy
     bool mustLeavePlaces = false; // the task waits rather than take a reserved place
+    bool isProbe = false; // quarantined workers may take the task; see WorkerRanking
 };
 
 /// Returns the resources that a run of a task of @p step uses.
@@ -52,6 +53,10 @@
 /// places that few large ones need; a worker whose last runs failed comes last. Serving tasks prefer workers with serving tasks of
 /// the same image, which leaves other workers to the best-effort tasks that interfere with them. Where best-effort tasks go is up to
 /// IdleCapacityPolicy.
+///
+/// Quarantined workers get no task while others with more than half of the capacity accept tasks. If fewer do, the failures may be due to
+/// the jobs or to something that the workers share, so that a job without failures must not wait for the end of a quarantine: its
+/// tasks may be started on quarantined workers as probes.
 class WorkerRanking
 {
 public:
@@ -61,6 +66,13 @@
     /// Returns the best worker, or a null pointer if none is suitable.
     WorkerState *choose(const PlacementRequest &request) const;
 
+    /// Returns true if the workers that accept no task have at least half of the capacity in the worker pool and with the label of
+    /// @p request, so that a job without failures may be started on them.
+    bool isMostlyUnavailable(const PlacementRequest &request) const;
+
+    /// Returns the best of these workers for a probe of @p request, or a null pointer if none is suitable.
+    WorkerState *chooseForProbe(PlacementRequest request) const;
+
     /// Takes into account that a run was added to @p worker or removed from it. Other changes count from the next pass on.
     void capacityChanged(WorkerState &worker);
 
@@ -118,6 +130,8 @@
     const ServingForecast &forecastOf(WorkerState &worker) const;
 
     std::vector<WorkerState *> m_workers;
+    std::vector<WorkerState *> m_refusingWorkers; // available, but accepted no task when the pass began
+    mutable std::map<std::pair<std::string, std::string>, bool> m_mostlyUnavailable; // known results, by worker pool and label
     mutable std::optional<FreeCapacityIndex> m_index; // of m_workers, built when it is first needed
     const std::set<std::string> &m_evacuatedDomains;
     const ColocationPolicy &m_colocation;
