Prefer workers that have not rejected starts, with a growing backoff

Callers saw a task wait for good beside idle sound workers if many others rejected starts. A rejection or a refused connection kept tasks off a worker for 0.5 s only and had no other effect, so the first of the rejecting workers was the best fit again before the last had rejected the task.

The backoff now doubles with each rejection in a row, from 0.5 s to 2 s, which is less than the 3 s for which a job may wait on an idle pool. Until a worker accepts a start, or for 5 s after its backoff, it comes after all others in the preference of all kinds of tasks. Rejections of commands that were sent together count once.

placementCost/eachTaskGetsAWorkerAsASearchOfAllWorkersFindsIt compares the choice with a plain search, whose score follows the new rule; the comparison is the same.

waitingBounds/tasksReachASoundWorkerAlthoughManyRejectStarts failed before (no start within 30 s) and passes now.

--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -155,6 +155,9 @@
                        task->withoutRunSince.reset();
                        task->confirmedAt = now;
                        task->progressSince = now;
+                       if (WorkerState *worker = findWorker(task->worker)) {
+                           worker->health.reportAcceptedStart();
+                       }
                        markStarted(command.task);
                    },
                    [&](const CommandRejected &rejection) {
--- a/src/libs/dispatch/workerhealth.cpp
+++ b/src/libs/dispatch/workerhealth.cpp
@@ -7,7 +7,11 @@
 
 constexpr int FailuresUntilQuarantine = 2;
 constexpr std::chrono::milliseconds InitialQuarantine{3000}; // doubles with each consecutive quarantine
-constexpr std::chrono::milliseconds RejectionBackoff{500};
+constexpr std::chrono::milliseconds InitialRejectionBackoff{500}; // doubles with each consecutive rejection
+// Jobs may wait for 3 s on an idle pool, also if all its workers have rejected starts for some time.
+constexpr std::chrono::milliseconds MaximumRejectionBackoff{2000};
+// A worker without a further rejection for this long after its backoff is as good as others.
+constexpr std::chrono::milliseconds RejectionMemory{5000};
 constexpr int MaximumDoublings = 1;
 // A probe that takes longer than this does not delay the next one.
 constexpr std::chrono::milliseconds ProbeInterval{300};
@@ -49,7 +53,23 @@
 
 void WorkerHealth::reportRejection(TimePoint now)
 {
-    m_rejectsUntil = std::max(m_rejectsUntil, now + RejectionBackoff);
+    if (now < m_rejectsUntil) {
+        return; // the commands were sent together
+    }
+    if (!hasRejectedLately(now)) {
+        m_consecutiveRejections = 0;
+    }
+    Duration backoff = InitialRejectionBackoff;
+    for (int rejection = 0; rejection < m_consecutiveRejections && backoff < MaximumRejectionBackoff; ++rejection) {
+        backoff *= 2;
+    }
+    ++m_consecutiveRejections;
+    m_rejectsUntil = now + std::min(backoff, Duration(MaximumRejectionBackoff));
+}
+
+bool WorkerHealth::hasRejectedLately(TimePoint now) const
+{
+    return m_consecutiveRejections > 0 && now < m_rejectsUntil + RejectionMemory;
 }
 
 void WorkerHealth::reportSuccess(const TaskId &task)
--- a/src/libs/dispatch/workerhealth.h
+++ b/src/libs/dispatch/workerhealth.h
@@ -18,6 +18,9 @@
 ///
 /// Jobs that fail wherever they run quarantine sound workers as well. Single tasks may therefore be started as probes during a
 /// quarantine too; WorkerRanking tells when. A quarantine that is in force is not extended by a probe that fails.
+///
+/// A worker that rejects starts gets none for a time that doubles with each rejection in a row up to a bound, and comes after others for
+/// some time after that: otherwise a task returns to the first of many such workers before the last has rejected it.
 class WorkerHealth
 {
 public:
@@ -31,9 +34,12 @@
     /// Records a run of @p task that made no progress, which quarantines the worker at once.
     void reportStall(const TaskId &task, TimePoint now);
 
-    /// Records a start command that the worker rejected or that could not be sent; nothing is started for a short time.
+    /// Records a start command that the worker rejected or that could not be sent.
     void reportRejection(TimePoint now);
 
+    /// Records a start command that the worker has executed.
+    void reportAcceptedStart() { m_consecutiveRejections = 0; }
+
     /// Records a run of @p task that has completed, or serves.
     void reportSuccess(const TaskId &task);
 
@@ -49,6 +55,9 @@
     /// Returns true if the last significant result was a failure, so that other workers are to be preferred.
     bool isSuspect() const { return m_consecutiveFailures > 0 || m_quarantineCount > 0; }
 
+    /// Returns true if the worker has not accepted a start since a recent rejection, so that other workers are to be preferred.
+    bool hasRejectedLately(TimePoint now) const;
+
     /// Returns how often the worker was quarantined without having proved sound meanwhile.
     int consecutiveQuarantines() const { return m_quarantineCount; }
 
@@ -68,7 +77,8 @@
     std::set<TaskId> m_probes; // open runs that were started after the last quarantine
     TimePoint m_probedAt{}; // when the last probe was started
     TimePoint m_quarantinedUntil{};
-    TimePoint m_rejectsUntil{}; // after a rejection
+    int m_consecutiveRejections = 0;
+    TimePoint m_rejectsUntil{}; // no task is started before, after a rejection
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -21,6 +21,10 @@
 constexpr int ReservedPlacePenalty = 4;
 // More than the preference for the rack that holds the data.
 constexpr int SoundWorkerPreference = 2;
+// More than all other preferences together.
+constexpr int RejectionPenalty = 16;
+// The same for best-effort tasks, in thousandths of a core that is expected to be idle.
+constexpr std::int64_t BestEffortRejectionPenalty = 100'000'000;
 
 static bool hasLabel(const WorkerState &worker, const std::string &label)
 {
@@ -51,15 +55,15 @@
 }
 
 /// Returns how well @p worker suits a task with reserved capacity, before its free capacity counts.
-static int preference(const WorkerState &worker, const PlacementRequest &request)
+static int preference(const WorkerState &worker, const PlacementRequest &request, TimePoint now)
 {
-    const int rack = isInDataRack(worker, *request.step) ? 1 : 0;
+    const int common = (isInDataRack(worker, *request.step) ? 1 : 0) - (worker.health.hasRejectedLately(now) ? RejectionPenalty : 0);
     if (request.step->longRunning) {
         const bool sparesPlaces = request.shortTaskPlaces == nullptr || request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores);
-        return rack + imageMatch(worker, request.profile->image) - (sparesPlaces ? 0 : ReservedPlacePenalty);
+        return common + imageMatch(worker, request.profile->image) - (sparesPlaces ? 0 : ReservedPlacePenalty);
     }
     // A worker that fails its runs soon has room again, and would be the best fit for the same task.
-    return rack + (worker.health.isSuspect() ? 0 : SoundWorkerPreference);
+    return common + (worker.health.isSuspect() ? 0 : SoundWorkerPreference);
 }
 
 /// Returns an upper bound of preference() for tasks of @p step.
@@ -115,7 +119,7 @@
     WorkerState *best = nullptr;
     int bestPreference = 0;
     const auto visit = [&](WorkerState &worker) {
-        const int preference = Internal::preference(worker, request);
+        const int preference = Internal::preference(worker, request, m_now);
         const bool isBetter = best == nullptr || preference > bestPreference;
         if (!isBetter || !fits(worker, request)) {
             return true;
@@ -282,7 +286,8 @@
 std::int64_t WorkerRanking::bestEffortScore(WorkerState &worker, const PlacementRequest &request) const
 {
     const std::int64_t bonus = Internal::isInDataRack(worker, *request.step) ? Internal::DataRackBonus : 0;
-    return bonus + m_idleCapacity.score(worker, forecastOf(worker), {request.profile, request.isOverdue});
+    const std::int64_t penalty = worker.health.hasRejectedLately(m_now) ? Internal::BestEffortRejectionPenalty : 0;
+    return bonus - penalty + m_idleCapacity.score(worker, forecastOf(worker), {request.profile, request.isOverdue});
 }
 
 const ServingForecast &WorkerRanking::forecastOf(WorkerState &worker) const
--- a/tests/libs/dispatch/plainranking.h
+++ b/tests/libs/dispatch/plainranking.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <utils/clock.h>
+
 #include <cstdint>
 #include <vector>
 
@@ -12,11 +14,11 @@
 namespace Testing {
 
 /// Returns the score of @p worker for a request of reserved capacity, computed from its runs.
-std::int64_t plainScore(const WorkerState &worker, const PlacementRequest &request);
+std::int64_t plainScore(const WorkerState &worker, const PlacementRequest &request, TimePoint now);
 
 /// Reference implementation of WorkerRanking::choose() for requests of reserved capacity: scores each of @p workers. Returns a null
 /// pointer if none is suitable.
-WorkerState *plainChoice(const std::vector<WorkerState *> &workers, const WorkerRanking &ranking, const PlacementRequest &request);
+WorkerState *plainChoice(const std::vector<WorkerState *> &workers, const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now);
 
 } // namespace Testing
 } // namespace Hyssop
--- a/tests/libs/dispatch/testplacementcost.cpp
+++ b/tests/libs/dispatch/testplacementcost.cpp
@@ -251,11 +251,11 @@
     /// Returns true if the search was saved.
     bool placeAsOnAllWorkers(WorkerRanking &ranking, const PlacementRequest &request)
     {
-        WorkerState *expected = plainChoice(m_all, ranking, request);
+        WorkerState *expected = plainChoice(m_all, ranking, request, m_now);
         WorkerState *chosen = ranking.choose(request);
         cr_assert_eq(chosen == nullptr, expected == nullptr);
         if (chosen != nullptr) {
-            cr_assert_eq(plainScore(*chosen, request), plainScore(*expected, request));
+            cr_assert_eq(plainScore(*chosen, request, m_now), plainScore(*expected, request, m_now));
         }
         if (m_unschedulable.contains(request)) {
             cr_assert_null(chosen, "%s has room", chosen->info.id.c_str());
