Let serving tasks prefer workers that have not failed them

Callers saw a serving task that never served, because each new run went to the worker that had failed the previous ones, beside an idle worker. Serving tasks have no limit of attempts, repeated failures of one job don't quarantine a worker, and the preference of serving tasks took no failures into account.

A worker that has failed the last run of the serving task, or whose last result was a failure, now comes after other workers for the task, whatever their image, rack and reserved places. It is still used if no other worker has room.

placementCost/eachTaskGetsAWorkerAsASearchOfAllWorkersFindsIt compares the choice with a plain search, whose score follows the new rule; the comparison is the same.

waitingBounds/servingTasksLeaveWorkersThatFailThem failed before (36 starts in 9 s on the failing worker, none on the other one) and passes now.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -253,6 +253,7 @@
         if (task.run == 0 && started >= MaximumStartedTasks) {
             continue;
         }
+        request.failedOn = &task.failedOn;
         request.mustLeavePlaces = request.step->longRunning && task.run == 0 && canWait;
         const bool isRanked = isBestEffort && !request.isOverdue;
         WorkerState *worker = isRanked ? ranking.bestCandidate(candidates, request) : ranking.choose(request);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -436,6 +436,7 @@
     m_jobs.find(id.job)->hasFailedLately = true;
     m_jobs.stepOf(id)->setFailures(task, task.failures + 1);
     task.notBefore = now + Internal::FailureBackoff;
+    task.failedOn = task.worker;
     if (WorkerState *worker = findWorker(task.worker)) {
         worker->health.reportFailure(id, now);
     }
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -21,6 +21,8 @@
 constexpr int ReservedPlacePenalty = 4;
 // More than the preference for the rack that holds the data.
 constexpr int SoundWorkerPreference = 2;
+// Loss of preference of serving tasks for a worker that fails runs. It outweighs the other preferences except for RejectionPenalty.
+constexpr int ServingFailurePenalty = 8;
 // More than all other preferences together.
 constexpr int RejectionPenalty = 16;
 // The same for best-effort tasks, in thousandths of a core that is expected to be idle.
@@ -60,7 +62,9 @@
     const int common = (isInDataRack(worker, *request.step) ? 1 : 0) - (worker.health.hasRejectedLately(now) ? RejectionPenalty : 0);
     if (request.step->longRunning) {
         const bool sparesPlaces = request.shortTaskPlaces == nullptr || request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores);
-        return common + imageMatch(worker, request.profile->image) - (sparesPlaces ? 0 : ReservedPlacePenalty);
+        const bool hasFailedTask = request.failedOn != nullptr && *request.failedOn == worker.info.id;
+        const int penalty = (sparesPlaces ? 0 : ReservedPlacePenalty) + (hasFailedTask || worker.health.isSuspect() ? ServingFailurePenalty : 0);
+        return common + imageMatch(worker, request.profile->image) - penalty;
     }
     // A worker that fails its runs soon has room again, and would be the best fit for the same task.
     return common + (worker.health.isSuspect() ? 0 : SoundWorkerPreference);
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -38,6 +38,7 @@
     const TaskId *stepId = nullptr; // of the task; null: unknown
     const SchedulingKey *key = nullptr; // order in which the step is scheduled; null: unknown
     const RoomReservations *reservations = nullptr; // that hold now; null: none
+    const std::string *failedOn = nullptr; // worker that failed the last run of a serving task; null: unknown
     bool isOverdue = false; // best-effort task of an overdue step; see IdleCapacityPolicy
     bool mustLeavePlaces = false; // the task waits rather than take a reserved place
     bool isProbe = false; // quarantined workers may take the task; see WorkerRanking
