--- a/src/libs/dispatch/workerhealth.cpp
+++ b/src/libs/dispatch/workerhealth.cpp
@@ -7,7 +7,11 @@
 
 constexpr int FailuresUntilQuarantine = 2;
 constexpr std::chrono::milliseconds InitialQuarantine{3000}; // doubles with each consecutive quarantine
-constexpr std::chrono::milliseconds RejectionBackoff{500};
+constexpr std::chrono::milliseconds InitialRejectionBackoff{500}; // doubles with each consecutive rejection
+// Jobs may wait for 3 s on an idle pool, also if all its workers have rejected starts for some time.
+constexpr std::chrono::milliseconds MaximumRejectionBackoff{2000};
+// A worker without a further rejection for this long after its backoff is as good as others.
+constexpr std::chrono::milliseconds RejectionMemory{5000};
 constexpr int MaximumDoublings = 1;
 // A probe that takes longer than this does not delay the next one.
 constexpr std::chrono::milliseconds ProbeInterval{300};
@@ -34,7 +38,8 @@
         ++m_consecutiveFailures;
         m_lastFailedJob = task.job;
     }
-    if (m_quarantineCount > 0 || m_consecutiveFailures >= FailuresUntilQuarantine) {
+    const bool isDoubtful = m_quarantineCount > 0 || m_consecutiveFailures >= FailuresUntilQuarantine;
+    if (isDoubtful && !isQuarantined(now)) {
         quarantine(now);
     }
 }
@@ -48,7 +53,23 @@
 
 void WorkerHealth::reportRejection(TimePoint now)
 {
-    m_blockedUntil = std::max(m_blockedUntil, now + RejectionBackoff);
+    if (now < m_rejectsUntil) {
+        return; // the commands were sent together
+    }
+    if (!hasRejectedLately(now)) {
+        m_consecutiveRejections = 0;
+    }
+    Duration backoff = InitialRejectionBackoff;
+    for (int rejection = 0; rejection < m_consecutiveRejections && backoff < MaximumRejectionBackoff; ++rejection) {
+        backoff *= 2;
+    }
+    ++m_consecutiveRejections;
+    m_rejectsUntil = now + std::min(backoff, Duration(MaximumRejectionBackoff));
+}
+
+bool WorkerHealth::hasRejectedLately(TimePoint now) const
+{
+    return m_consecutiveRejections > 0 && now < m_rejectsUntil + RejectionMemory;
 }
 
 void WorkerHealth::reportSuccess(const TaskId &task)
@@ -58,18 +79,19 @@
     }
     m_consecutiveFailures = 0;
     m_quarantineCount = 0;
+    m_quarantinedUntil = TimePoint();
     m_probes.clear();
     m_lastFailedJob.clear();
 }
 
-bool WorkerHealth::acceptsTask(TimePoint now) const
+bool WorkerHealth::acceptsProbe(TimePoint now) const
 {
-    return now >= m_blockedUntil && (m_probes.empty() || now - m_probedAt >= ProbeInterval);
+    return now >= m_rejectsUntil && (m_probes.empty() || now - m_probedAt >= ProbeInterval);
 }
 
 void WorkerHealth::quarantine(TimePoint now)
 {
-    m_blockedUntil = now + InitialQuarantine * (1 << std::min(m_quarantineCount, MaximumDoublings));
+    m_quarantinedUntil = now + InitialQuarantine * (1 << std::min(m_quarantineCount, MaximumDoublings));
     ++m_quarantineCount;
     m_probes.clear();
 }
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -21,6 +21,12 @@
 constexpr int ReservedPlacePenalty = 4;
 // More than the preference for the rack that holds the data.
 constexpr int SoundWorkerPreference = 2;
+// Loss of preference of serving tasks for a worker that fails runs. It outweighs the other preferences except for RejectionPenalty.
+constexpr int ServingFailurePenalty = 8;
+// More than all other preferences together.
+constexpr int RejectionPenalty = 16;
+// The same for best-effort tasks, in thousandths of a core that is expected to be idle.
+constexpr std::int64_t BestEffortRejectionPenalty = 100'000'000;
 
 static bool hasLabel(const WorkerState &worker, const std::string &label)
 {
@@ -51,15 +57,17 @@
 }
 
 /// Returns how well @p worker suits a task with reserved capacity, before its free capacity counts.
-static int preference(const WorkerState &worker, const PlacementRequest &request)
+static int preference(const WorkerState &worker, const PlacementRequest &request, TimePoint now)
 {
-    const int rack = isInDataRack(worker, *request.step) ? 1 : 0;
+    const int common = (isInDataRack(worker, *request.step) ? 1 : 0) - (worker.health.hasRejectedLately(now) ? RejectionPenalty : 0);
     if (request.step->longRunning) {
         const bool sparesPlaces = request.shortTaskPlaces == nullptr || request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores);
-        return rack + imageMatch(worker, request.profile->image) - (sparesPlaces ? 0 : ReservedPlacePenalty);
+        const bool hasFailedTask = request.failedOn != nullptr && *request.failedOn == worker.info.id;
+        const int penalty = (sparesPlaces ? 0 : ReservedPlacePenalty) + (hasFailedTask || worker.health.isSuspect() ? ServingFailurePenalty : 0);
+        return common + imageMatch(worker, request.profile->image) - penalty;
     }
     // A worker that fails its runs soon has room again, and would be the best fit for the same task.
-    return rack + (worker.health.isSuspect() ? 0 : SoundWorkerPreference);
+    return common + (worker.health.isSuspect() ? 0 : SoundWorkerPreference);
 }
 
 /// Returns an upper bound of preference() for tasks of @p step.
@@ -92,7 +100,10 @@
     , m_idleCapacity(colocationPolicy)
     , m_now(now)
 {
-    std::erase_if(m_workers, [&](const WorkerState *worker) { return !isAvailable(*worker) || !worker->health.acceptsTask(now); });
+    std::erase_if(m_workers, [&](const WorkerState *worker) { return !isAvailable(*worker); });
+    const auto refusing = std::stable_partition(m_workers.begin(), m_workers.end(), [&](const WorkerState *worker) { return worker->health.acceptsTask(now); });
+    m_refusingWorkers.assign(refusing, m_workers.end());
+    m_workers.erase(refusing, m_workers.end());
 }
 
 bool WorkerRanking::isAvailable(const WorkerState &worker) const
@@ -112,7 +123,7 @@
     WorkerState *best = nullptr;
     int bestPreference = 0;
     const auto visit = [&](WorkerState &worker) {
-        const int preference = Internal::preference(worker, request);
+        const int preference = Internal::preference(worker, request, m_now);
         const bool isBetter = best == nullptr || preference > bestPreference;
         if (!isBetter || !fits(worker, request)) {
             return true;
@@ -145,6 +156,40 @@
     return best;
 }
 
+WorkerState *WorkerRanking::chooseForProbe(PlacementRequest request) const
+{
+    request.isProbe = true;
+    WorkerState *best = nullptr;
+    const auto doubt = [](const WorkerState &worker) { return std::pair(worker.health.consecutiveQuarantines(), worker.health.quarantinedUntil()); };
+    for (WorkerState *worker : m_refusingWorkers) {
+        if ((best == nullptr || doubt(*worker) < doubt(*best)) && fits(*worker, request)) {
+            best = worker;
+        }
+    }
+    return best;
+}
+
+bool WorkerRanking::isMostlyUnavailable(const PlacementRequest &request) const
+{
+    if (m_refusingWorkers.empty()) {
+        return false;
+    }
+    const auto [known, isNew] = m_mostlyUnavailable.try_emplace({request.workerPool, request.step->label}, false);
+    if (!isNew) {
+        return known->second;
+    }
+    const auto capacity = [&](const std::vector<WorkerState *> &workers) {
+        std::int64_t milliCores = 0;
+        for (const WorkerState *worker : workers) {
+            const bool isSuitable = worker->info.workerPool == request.workerPool && Internal::hasLabel(*worker, request.step->label);
+            milliCores += isSuitable ? worker->info.capacity.milliCores : 0;
+        }
+        return milliCores;
+    };
+    known->second = capacity(m_refusingWorkers) >= capacity(m_workers);
+    return known->second;
+}
+
 void WorkerRanking::capacityChanged(WorkerState &worker)
 {
     if (m_index) {
@@ -224,6 +269,14 @@
             candidates.emplace_back(fits(*worker, request), worker);
         }
     }
+    if (candidates.empty() && isMostlyUnavailable(request)) {
+        request.isProbe = true;
+        for (WorkerState *worker : m_refusingWorkers) {
+            if (fits(*worker, request)) {
+                candidates.emplace_back(true, worker);
+            }
+        }
+    }
     std::ranges::stable_sort(
         candidates, std::ranges::greater(), [](const auto &candidate) { return std::pair(candidate.first, candidate.second->freeCapacity().milliCores); });
     std::vector<std::string> ids;
@@ -237,7 +290,8 @@
 std::int64_t WorkerRanking::bestEffortScore(WorkerState &worker, const PlacementRequest &request) const
 {
     const std::int64_t bonus = Internal::isInDataRack(worker, *request.step) ? Internal::DataRackBonus : 0;
-    return bonus + m_idleCapacity.score(worker, forecastOf(worker), {request.profile, request.isOverdue});
+    const std::int64_t penalty = worker.health.hasRejectedLately(m_now) ? Internal::BestEffortRejectionPenalty : 0;
+    return bonus - penalty + m_idleCapacity.score(worker, forecastOf(worker), {request.profile, request.isOverdue});
 }
 
 const ServingForecast &WorkerRanking::forecastOf(WorkerState &worker) const
@@ -254,7 +308,7 @@
     if (worker.info.workerPool != request.workerPool) {
         return PlacementObstacle::WorkerPool;
     }
-    if (!worker.health.acceptsTask(m_now)) {
+    if (!(request.isProbe ? worker.health.acceptsProbe(m_now) : worker.health.acceptsTask(m_now))) {
         return PlacementObstacle::Quarantine;
     }
     if ((!request.rack.empty() && worker.info.rack != request.rack) || !Internal::hasLabel(worker, step.label)) {
