Bound what overdue steps may cost and delay, as a review asks

Repetitions that were not sent count for the maximum of attempts again. - Runs of a late job could all be paused if it had more than two, and the flag of a late job was out of date once no task of the step waited. Of each step of a late job two runs work, at most two slowed ones on a worker. - The initial speed was not set if a report confirmed the start first, and another speed could be sent at the same time. - Overdue steps search all workers: a pass examines 50,000 at most. Probes are only considered while a worker accepts one.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -244,7 +244,14 @@
     std::vector<NeighbourLoad> endedNeighbourLoads(WorkerState &worker, TimePoint now);
     void recordEndedBestEffortRun(const TaskId &id, const TaskExecution &task, TimePoint now);
     void updateTargetState(WorkerState &worker, const std::vector<ColocatedRun> &runs, TimePoint now);
-    void setInitialSpeed(const TaskId &id, const TaskExecution &task);
+    /// Sets a run whose start has just been confirmed to its initial speed.
+    void setInitialSpeed(const TaskId &id, const TaskExecution &task, TimePoint now);
+
+    /// Returns the lowest speed in percent for the run of the best-effort task @p id.
+    int lowestSpeed(const TaskId &id);
+
+    /// Returns true if the result of the job is worthless to its caller by now.
+    bool isExpired(const JobExecution &job, int occurrence) const;
     bool migratePausedRun(const TaskId &id, TimePoint now);
     void adjustSpeeds(WorkerState &worker, const std::vector<ListedRun> &listed, TimePoint now);
 
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -18,6 +18,9 @@
 // owner, because the times of day of two instances differ.
 constexpr std::chrono::milliseconds MaximumReserveDelay{1800};
 
+// Overdue steps are searched for on all workers. Those that remain follow in the next pass.
+constexpr std::size_t MaximumExaminedWorkers = 50'000;
+
 struct PendingStep
 {
     SchedulingKey key;
@@ -121,12 +124,26 @@
     std::sort(pending.begin(), pending.end());
     m_reservations.beginPass();
     for (const Internal::PendingStep &item : pending) {
+        if (item.isOverdue && ranking.examinedWorkers() > Internal::MaximumExaminedWorkers) {
+            continue;
+        }
         placeStep(*item.job, {item.job->id, item.occurrence, item.step, 0}, item.key, ranking, *item.queue, now);
     }
     ++m_placementWork.passes;
     m_placementWork.examinedWorkers += ranking.examinedWorkers();
 }
 
+bool Dispatcher::isExpired(const JobExecution &job, int occurrence) const
+{
+    const auto queue = m_config.queues.find(job.submission.queue);
+    const auto steps = job.occurrences.find(occurrence);
+    if (queue == m_config.queues.end() || steps == job.occurrences.end()) {
+        return false;
+    }
+    const PendingWork work = Internal::pendingWork(job, occurrence, steps->second);
+    return schedulingKey(work, queue->second, WallTime(std::chrono::milliseconds(m_wallMs))).isExpired();
+}
+
 void Dispatcher::updateMaximumWaits()
 {
     struct Use
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -159,7 +159,7 @@
                            worker->health.reportAcceptedStart();
                        }
                        markStarted(command.task);
-                       setInitialSpeed(command.task, *task);
+                       setInitialSpeed(command.task, *task, now);
                    },
                    [&](const CommandRejected &rejection) {
                        handleFencing(command.worker.id, command.fencingToken, rejection);
@@ -174,9 +174,11 @@
                        if (WorkerState *worker = findWorker(task->worker)) {
                            worker->health.reportRejection(now);
                        }
-                       if (--task->startsSent > 0) {
-                           task->phaseSince = now; // an earlier attempt may have begun the run: the next report tells
+                       if (task->startsSent > 1) {
+                           // An earlier attempt may have begun the run, and the next report tells. This one counts for MaximumStartSends.
+                           task->phaseSince = now;
                        } else {
+                           task->startsSent = 0;
                            abandonRun(command.task, *task, now);
                        }
                    },
@@ -185,10 +187,11 @@
                result);
 }
 
-void Dispatcher::setInitialSpeed(const TaskId &id, const TaskExecution &task)
+void Dispatcher::setInitialSpeed(const TaskId &id, const TaskExecution &task, TimePoint now)
 {
-    const WorkerState *worker = findWorker(task.worker);
+    WorkerState *worker = findWorker(task.worker);
     if (worker != nullptr && task.initialSpeedPercent < task.speedPercent) {
+        worker->speedChangedAt = now; // the next command must not overtake this one
         m_actions.emplace_back(ThrottleCommand{addressOf(*worker), id, task.run, task.initialSpeedPercent, tokenFor(*worker)});
     }
 }
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -408,6 +408,7 @@
         task->confirmedAt = now;
         task->withoutRunSince.reset();
         markStarted(report.task);
+        setInitialSpeed(report.task, *task, now);
     }
     if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
         task->phaseSince = now;
@@ -545,9 +546,11 @@
         return;
     }
     std::vector<int> speeds = pauseAll ? std::vector<int>(runs.size(), 0) : m_colocation.speeds(runs, capacity, now);
+    int slowedRuns = 0;
     for (std::size_t index = 0; index < runs.size(); ++index) {
-        if (speeds[index] == 0 && !pauseAll) {
-            speeds[index] = IdleCapacityPolicy::lowestSpeed(*m_jobs.stepOf(listedRuns[index]->report->task));
+        if (speeds[index] == 0 && !pauseAll && slowedRuns < IdleCapacityPolicy::MaximumSlowedRuns) {
+            speeds[index] = lowestSpeed(listedRuns[index]->report->task);
+            slowedRuns += speeds[index] > 0 ? 1 : 0;
         }
         if (!runs[index].profile->isBestEffort || (speeds[index] == 0 && migratePausedRun(listedRuns[index]->report->task, now))) {
             continue;
@@ -560,6 +563,13 @@
     }
 }
 
+int Dispatcher::lowestSpeed(const TaskId &id)
+{
+    StepExecution &step = *m_jobs.stepOf(id);
+    step.isExpired = isExpired(*m_jobs.find(id.job), id.occurrence);
+    return IdleCapacityPolicy::lowestSpeed(step, *m_jobs.task(id));
+}
+
 void Dispatcher::updateTargetState(WorkerState &worker, const std::vector<ColocatedRun> &runs, TimePoint now)
 {
     const bool isOver = std::ranges::any_of(
--- a/src/libs/dispatch/idlecapacitypolicy.cpp
+++ b/src/libs/dispatch/idlecapacitypolicy.cpp
@@ -38,9 +38,13 @@
     return step.openTasks() == 0 && step.waitingSince && now - *step.waitingSince >= (goesOn ? MaximumGap : maximumWait);
 }
 
-int IdleCapacityPolicy::lowestSpeed(const StepExecution &step)
+int IdleCapacityPolicy::lowestSpeed(const StepExecution &step, const TaskExecution &task)
 {
-    return step.isExpired && step.openTasks() <= MinimumOpenTasks ? LowestSpeedPercent : 0;
+    if (!step.isExpired) {
+        return 0;
+    }
+    const auto works = [&](const TaskExecution &other) { return &other != &task && other.phase == TaskPhase::Running && other.speedPercent > 0; };
+    return std::ranges::count_if(step.tasks, works) < MinimumOpenTasks ? LowestSpeedPercent : 0;
 }
 
 std::optional<PlacementObstacle> IdleCapacityPolicy::obstacle(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const
--- a/src/libs/dispatch/idlecapacitypolicy.h
+++ b/src/libs/dispatch/idlecapacitypolicy.h
@@ -14,6 +14,7 @@
 struct RunProfile;
 struct ServingForecast;
 struct StepExecution;
+struct TaskExecution;
 struct WorkerState;
 
 /// Decides which best-effort tasks may use the processor time that stands free on a worker.
@@ -27,7 +28,7 @@
 /// begins at the lowest speed, on the worker with most idle time and headroom.
 ///
 /// Where less than half of a pool is reserved, a job that is too late to be worth anything to its caller goes on without a pause all the same:
-/// while tasks of a step wait, MinimumOpenTasks of them have runs, and these are slowed down but not paused.
+/// while tasks of a step wait, MinimumOpenTasks of them have runs, and as many runs of the step are slowed down but not paused.
 ///
 /// Invariant: no task is started beside a serving task that exceeds its target. What is believed about effects, loads and idle time decides where
 /// an overdue task starts, but not whether: these beliefs are corrected only by observations of runs.
@@ -42,6 +43,7 @@
     static constexpr int LowestSpeedPercent = 5; // enough to observe the effect of a run
     // One of them may end at any time, and the start of the next one takes some time.
     static constexpr int MinimumOpenTasks = 2;
+    static constexpr int MaximumSlowedRuns = 2; // on a worker that are not paused although the targets would require it
 
     /// A best-effort task that waits for a worker.
     struct Task
@@ -59,8 +61,8 @@
     /// Returns true if a best-effort step with this execution state is overdue.
     static bool isOverdue(const StepExecution &step, std::chrono::milliseconds maximumWait, TimePoint now);
 
-    /// Returns the lowest speed in percent for runs of @p step; 0 if they may be paused.
-    static int lowestSpeed(const StepExecution &step);
+    /// Returns the lowest speed in percent for the run of @p task, which is one of @p step; 0 if it may be paused.
+    static int lowestSpeed(const StepExecution &step, const TaskExecution &task);
 
     /// Returns why @p task must not be started on @p worker, whose forecast is @p forecast, or nothing if it may be.
     std::optional<PlacementObstacle> obstacle(const WorkerState &worker, const ServingForecast &forecast, const Task &task) const;
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -171,7 +171,7 @@
 
 bool WorkerRanking::isMostlyUnavailable(const PlacementRequest &request) const
 {
-    if (m_refusingWorkers.empty()) {
+    if (std::ranges::none_of(m_refusingWorkers, [this](const WorkerState *worker) { return worker->health.acceptsProbe(m_now); })) {
         return false;
     }
     const auto [known, isNew] = m_mostlyUnavailable.try_emplace({request.workerPool, request.step->label}, false);
