--- /dev/null
+++ b/src/libs/node/delaysummary.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <utils/clock.h>
+
+#include <chrono>
+#include <cstddef>
+
+namespace Hyssop {
+
+/// Number, mean and maximum of delays.
+struct DelaySummary
+{
+    std::size_t count = 0;
+    Duration total{0};
+    Duration longest{0};
+
+    void add(Duration delay);
+    std::chrono::milliseconds mean() const;
+};
+
+} // namespace Hyssop
--- a/src/libs/node/ownerdelays.cpp
+++ b/src/libs/node/ownerdelays.cpp
@@ -1,6 +1,5 @@
 #include "ownerdelays.h"
 
-#include <algorithm>
 #include <ctime>
 
 namespace Hyssop {
@@ -16,20 +15,6 @@
 
 } // namespace Internal
 
-void DelaySummary::add(Duration delay)
-{
-    const Duration counted = std::max(delay, Duration(0));
-    ++count;
-    total += counted;
-    longest = std::max(longest, counted);
-}
-
-std::chrono::milliseconds DelaySummary::mean() const
-{
-    const Duration mean = count > 0 ? total / static_cast<Duration::rep>(count) : Duration(0);
-    return std::chrono::duration_cast<std::chrono::milliseconds>(mean);
-}
-
 void OwnerDelays::beginInterval(TimePoint now)
 {
     OwnerDelays next;
--- a/src/libs/node/ownerdelays.h
+++ b/src/libs/node/ownerdelays.h
@@ -1,23 +1,13 @@
 #pragma once
 
+#include "delaysummary.h"
+
 #include <utils/clock.h>
 
 #include <chrono>
-#include <cstddef>
 
 namespace Hyssop {
 
-/// Number, mean and maximum of delays.
-struct DelaySummary
-{
-    std::size_t count = 0;
-    Duration total{0};
-    Duration longest{0};
-
-    void add(Duration delay);
-    std::chrono::milliseconds mean() const;
-};
-
 /// Delays of the owner in one interval, by the stage in which work waits. They distinguish an owner without processor time from a slow
 /// store and from slow workers.
 struct OwnerDelays
