Run accepted jobs of a queue that the operators have removed

Cause: the dispatcher looked the queue up in the newest configuration only, and skipped jobs without one.

Change: QueueDirectory keeps the last definition of removed queues, up to a bound. It lives as long as the process, so it also holds after a takeover by an instance that has seen the queue. Callers still get no route to a removed queue.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -101,7 +101,7 @@
 
 void Dispatcher::applyConfiguration(const ClusterConfig &config, const std::set<std::string> &evacuatedDomains)
 {
-    m_config = config;
+    m_queues.update(config);
     m_evacuated = evacuatedDomains;
 }
 
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -9,6 +9,7 @@
 #include "jobregistry.h"
 #include "leasepolicy.h"
 #include "placementwork.h"
+#include "queuedirectory.h"
 #include "responsetimeoutpolicy.h"
 #include "roomreservations.h"
 #include "shorttaskreserve.h"
@@ -18,7 +19,6 @@
 #include "waitingwatchdog.h"
 #include "workerstate.h"
 
-#include <ports/clusterconfig.h>
 #include <ports/commandresults.h>
 
 #include <cstdint>
@@ -308,6 +308,8 @@
 
     /// Reports some of the overdue steps.
     void examineOverdueSteps(const WorkerRanking &ranking, FreeRoom &room, TimePoint now);
+    /// Returns the pool that runs the tasks of @p job, or an empty string if its queue is not known.
+    std::string workerPoolOf(const JobExecution &job) const;
     OverdueStep overdueStep(const TaskId &stepId, const WorkerRanking &ranking, FreeRoom &room, TimePoint now);
 
     /// Determines for each worker pool how long best-effort steps may wait.
@@ -386,7 +388,7 @@
     std::unordered_map<std::string_view, WorkerState *> m_workersById; // each command, response and end asks for a worker
     bool m_tokensExhausted = false;
     TokenRises m_removedWorkersRises; // of workers that were removed in this term
-    ClusterConfig m_config;
+    QueueDirectory m_queues;
     std::set<std::string> m_evacuated;
     TicketCache m_tickets;
     UnschedulableRequests m_unschedulable;
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -105,10 +105,9 @@
     std::vector<Internal::PendingStep> pending;
     for (JobExecution *job : m_jobs.pendingJobs().jobs()) {
         ++m_placementWork.visitedJobs;
-        const auto queue = m_config.queues.find(job->submission.queue);
-        if (queue != m_config.queues.end()) {
+        if (const QueueInfo *queue = m_queues.find(job->submission.queue)) {
             releaseDueOccurrences(*job, wall);
-            Internal::collectSteps(*job, queue->second, maximumWait(queue->second.workerPool), now, wall, pending);
+            Internal::collectSteps(*job, *queue, maximumWait(queue->workerPool), now, wall, pending);
         }
     }
     if (pending.empty()) {
@@ -135,13 +134,13 @@
 
 bool Dispatcher::isExpired(const JobExecution &job, int occurrence) const
 {
-    const auto queue = m_config.queues.find(job.submission.queue);
+    const QueueInfo *queue = m_queues.find(job.submission.queue);
     const auto steps = job.occurrences.find(occurrence);
-    if (queue == m_config.queues.end() || steps == job.occurrences.end()) {
+    if (queue == nullptr || steps == job.occurrences.end()) {
         return false;
     }
     const PendingWork work = Internal::pendingWork(job, occurrence, steps->second);
-    return schedulingKey(work, queue->second, WallTime(std::chrono::milliseconds(m_wallMs))).isExpired();
+    return schedulingKey(work, *queue, WallTime(std::chrono::milliseconds(m_wallMs))).isExpired();
 }
 
 void Dispatcher::updateMaximumWaits()
@@ -175,9 +174,8 @@
 {
     std::map<std::string, ShortTaskReserve::Demand> demands; // by worker pool
     for (const auto &[name, queueDemand] : m_jobs.pendingJobs().shortTaskDemand()) {
-        const auto queue = m_config.queues.find(name);
-        if (queue != m_config.queues.end()) {
-            demands[queue->second.workerPool].add(queueDemand.milliCores, queueDemand.smallestTask(), queueDemand.largestTask());
+        if (const QueueInfo *queue = m_queues.find(name)) {
+            demands[queue->workerPool].add(queueDemand.milliCores, queueDemand.smallestTask(), queueDemand.largestTask());
         }
     }
     for (const auto &[workerPool, demand] : demands) {
--- a/src/libs/dispatch/dispatchreport.cpp
+++ b/src/libs/dispatch/dispatchreport.cpp
@@ -160,20 +160,20 @@
 void Dispatcher::addObstacles(WaitingTasks &waiting, const WorkerRanking &ranking, const TaskId &stepId, const StepExecution &execution, TimePoint now)
 {
     const JobExecution *job = m_jobs.find(stepId.job);
-    const auto queue = m_config.queues.find(job->submission.queue);
-    if (queue == m_config.queues.end()) {
+    const QueueInfo *queue = m_queues.find(job->submission.queue);
+    if (queue == nullptr) {
         return;
     }
     const std::map<std::string, int> perWorker = openTasksByWorker(execution);
     const RunProfile profile = runProfile(job->step(stepId.step), 0);
     PlacementRequest request;
     request.step = &job->step(stepId.step);
-    request.workerPool = queue->second.workerPool;
+    request.workerPool = queue->workerPool;
     request.profile = &profile;
     request.stepTasksByWorker = &perWorker;
     request.isOverdue = request.step->fillsIdle && IdleCapacityPolicy::isOverdue(execution, maximumWait(request.workerPool), now);
     const std::map<std::string, std::string> noTickets;
-    if (queue->second.advice) {
+    if (queue->advice) {
         const auto *tickets = m_tickets.tickets(stepId, now);
         request.tickets = tickets != nullptr ? tickets : &noTickets; // no worker is allowed until the advice service has answered
     }
@@ -248,9 +248,8 @@
 
 void Dispatcher::observeWaitingSteps(const JobExecution &job, FreeRoom &room, TimePoint now)
 {
-    const auto queue = m_config.queues.find(job.submission.queue);
-    const bool hasQueue = queue != m_config.queues.end();
-    const std::string &workerPool = hasQueue ? queue->second.workerPool : job.submission.queue;
+    const bool hasQueue = m_queues.find(job.submission.queue) != nullptr;
+    const std::string workerPool = workerPoolOf(job);
     for (const auto &[occurrence, steps] : job.occurrences) {
         for (std::size_t index = 0; index < steps.size(); ++index) {
             const Wire::TaskStep &step = job.submission.steps[index];
@@ -275,12 +274,18 @@
     }
 }
 
+std::string Dispatcher::workerPoolOf(const JobExecution &job) const
+{
+    const QueueInfo *queue = m_queues.find(job.submission.queue);
+    return queue != nullptr ? queue->workerPool : std::string();
+}
+
 OverdueStep Dispatcher::overdueStep(const TaskId &stepId, const WorkerRanking &ranking, FreeRoom &room, TimePoint now)
 {
     const JobExecution &job = *m_jobs.find(stepId.job);
     const Wire::TaskStep &step = job.step(stepId.step);
     const StepExecution &execution = job.occurrences.at(stepId.occurrence)[static_cast<std::size_t>(stepId.step)];
-    const std::string &workerPool = m_config.queues.at(job.submission.queue).workerPool;
+    const std::string workerPool = workerPoolOf(job);
     OverdueStep overdue;
     overdue.step = stepId;
     overdue.waiting.kind = Internal::kindOf(step);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -392,8 +392,8 @@
         return;
     }
     requeue(id, task, now);
-    const auto queue = m_config.queues.find(job->submission.queue);
-    if (queue != m_config.queues.end() && isOutOfAttempts(task, job->step(id.step), queue->second)) {
+    const QueueInfo *queue = m_queues.find(job->submission.queue);
+    if (queue != nullptr && isOutOfAttempts(task, job->step(id.step), *queue)) {
         failJob(*job, now);
     }
 }
--- a/src/libs/dispatch/dispatchservingroom.cpp
+++ b/src/libs/dispatch/dispatchservingroom.cpp
@@ -55,8 +55,8 @@
         room.milliCores = room.capacity - m_shortTaskReserve.milliCores(workerPool, room.capacity);
     }
     for (const JobExecution *job : m_jobs.activeJobs()) {
-        const auto queue = m_config.queues.find(job->submission.queue);
-        const auto room = queue != m_config.queues.end() ? rooms.find(queue->second.workerPool) : rooms.end();
+        const QueueInfo *queue = m_queues.find(job->submission.queue);
+        const auto room = queue != nullptr ? rooms.find(queue->workerPool) : rooms.end();
         if (room != rooms.end()) {
             room->second.milliCores -= Internal::unfinishedServingDemand(*job);
         }
