Tests: known failures while responses of the store, of advice and to speed changes are lost

The tests lose two or three responses in a row and compare the delay with what callers were promised. MemoryStore loses responses to appends that take effect and to reads; MemoryTopics returns the first response to a repeated append, as the protocol describes.

--- a/tests/libs/dispatch/colocatedfleet.cpp
+++ b/tests/libs/dispatch/colocatedfleet.cpp
@@ -16,6 +16,7 @@
 constexpr double MeanLoad = 0.42;
 constexpr double LoadSwing = 0.5; // share of the mean load
 constexpr double MaximumUtilization = 0.99;
+constexpr std::chrono::milliseconds CommandTimeout{800};
 
 static Wire::TaskStep bestEffortStep(int tasks, std::int64_t milliCores, const std::string &image, Duration duration)
 {
@@ -117,6 +118,12 @@
     m_random.seed(seed);
 }
 
+void ColocatedFleet::executeRaisesLate(int commands, std::chrono::milliseconds delay)
+{
+    m_lateRaises = commands;
+    m_raiseDelay = delay;
+}
+
 void ColocatedFleet::submit(const std::string &jobId, const Wire::TaskStep &step, const Job &job)
 {
     TopicJob entry;
@@ -307,6 +314,11 @@
                        });
                    },
                    [&](const ThrottleCommand &command) {
+                       if (m_lateRaises > 0 && isRaise(command)) {
+                           --m_lateRaises;
+                           setSpeedLate(command);
+                           return;
+                       }
                        send([this, command] {
                            const CommandResult result = setSpeed(command);
                            respond([this, command, result] { m_dispatcher.throttleAnswered(command, result, m_now); });
@@ -365,6 +377,19 @@
     return executed();
 }
 
+bool ColocatedFleet::isRaise(const ThrottleCommand &command)
+{
+    const Worker &worker = workerOf(command.worker.id);
+    const auto run = worker.runs.find(command.task);
+    return run != worker.runs.end() && run->second.run == command.run && run->second.speedPercent < command.speedPercent;
+}
+
+void ColocatedFleet::setSpeedLate(const ThrottleCommand &command)
+{
+    m_messages.emplace(m_now + Internal::CommandTimeout, [this, command] { m_dispatcher.throttleAnswered(command, CommandUndetermined{"timeout"}, m_now); });
+    m_messages.emplace(m_now + m_raiseDelay, [this, command] { setSpeed(command); });
+}
+
 CommandExecuted ColocatedFleet::executed() const
 {
     return CommandExecuted{std::chrono::duration_cast<WorkerTime>(m_now.time_since_epoch())};
--- a/tests/libs/dispatch/colocatedfleet.h
+++ b/tests/libs/dispatch/colocatedfleet.h
@@ -51,6 +51,12 @@
     /// Delays each command and each response by a random time between @p minimum and @p maximum from now on.
     void delayMessages(std::chrono::milliseconds minimum, std::chrono::milliseconds maximum, std::uint32_t seed);
 
+    /// Lets the next @p commands that raise the speed of a run get no response, and executes them @p delay after they were sent.
+    void executeRaisesLate(int commands, std::chrono::milliseconds delay);
+
+    /// Returns how many of these commands have not been sent.
+    int remainingLateRaises() const { return m_lateRaises; }
+
     /// Stalls the dispatcher from now on: it handles no response and decides nothing meanwhile.
     void stallOwner(const OwnerStalls &stalls) { m_ownerStalls = stalls; }
 
@@ -147,6 +153,8 @@
     CommandResult start(const StartCommand &command);
     CommandResult stop(const StopCommand &command);
     CommandResult setSpeed(const ThrottleCommand &command);
+    bool isRaise(const ThrottleCommand &command);
+    void setSpeedLate(const ThrottleCommand &command);
     CommandExecuted executed() const;
     void work(Worker &worker);
     void answerPoll(Worker &worker);
@@ -165,6 +173,8 @@
     std::chrono::milliseconds m_minimumDelay{0};
     std::chrono::milliseconds m_maximumDelay{0};
     std::mt19937 m_random;
+    int m_lateRaises = 0; // so many of the next commands that raise a speed are executed late
+    std::chrono::milliseconds m_raiseDelay{0};
     OwnerStalls m_ownerStalls;
     Duration m_longestTimeOverTarget{0};
     int m_stoppedRuns = 0;
--- a/tests/libs/dispatch/testadvice.cpp
+++ b/tests/libs/dispatch/testadvice.cpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace Hyssop;
@@ -24,6 +25,7 @@
 constexpr int Workers = 75;
 constexpr std::int64_t SmallWorker = 8000; // thousandths of a core
 constexpr auto TicketValidity = 3s;
+constexpr auto AdviceTimeout = 5s; // until the client of the service reports that there is no response
 
 std::string workerName(int index)
 {
@@ -68,6 +70,7 @@
         for (const TimePoint until = now + time; now < until; now += Tick) {
             dispatcher.confirmRead(now);
             dispatcher.confirmWorkersRead(now);
+            reportLostResponses();
             const WallTime wall(std::chrono::duration_cast<WallTime::duration>(now.time_since_epoch()));
             for (const DispatchAction &action : dispatcher.advance(now, wall)) {
                 std::visit(Overloaded{[this](const PollCommand &poll) { answer(poll); },
@@ -85,6 +88,7 @@
     std::set<std::string> allowed; // workers on which the policy allows the step
     bool rejectsTickets = false;
     bool isAdviceAvailable = true;
+    int lostResponses = 0; // so many of the next requests for advice get no response
     std::vector<RequestAdvice> requests;
     std::vector<StartCommand> starts;
 
@@ -116,6 +120,11 @@
     void answer(const RequestAdvice &request)
     {
         requests.push_back(request);
+        if (lostResponses > 0) {
+            --lostResponses;
+            m_unanswered.push_back({request, now});
+            return;
+        }
         if (!isAdviceAvailable) {
             dispatcher.adviceAnswered(request, Error{ErrorCode::Timeout, "timeout"}, now, now);
             return;
@@ -130,7 +139,17 @@
         dispatcher.adviceAnswered(request, advice, now, now);
     }
 
+    void reportLostResponses()
+    {
+        while (!m_unanswered.empty() && now - m_unanswered.front().second >= AdviceTimeout) {
+            const auto [request, sentAt] = m_unanswered.front();
+            m_unanswered.erase(m_unanswered.begin());
+            dispatcher.adviceAnswered(request, Error{ErrorCode::Timeout, "timeout"}, sentAt, now);
+        }
+    }
+
     std::map<std::string, std::vector<ReportedRun>> m_runs;
+    std::vector<std::pair<RequestAdvice, TimePoint>> m_unanswered; // and when they were sent
 };
 
 /// The last of the workers are half loaded, so they are the last that are asked about.
@@ -202,3 +221,18 @@
     rejecting.run(10s);
     cr_assert_leq(rejecting.requests.size(), 20, "%zu requests in 10 s", rejecting.requests.size());
 }
+
+// Guards against an accepted job without a run for more than the promised 3 s beside free workers, because one response was lost.
+Test(advice, aLostResponseDelaysAStepWithinThePromiseToCallers)
+{
+    QueueWithAdvice queue(1, {{"w", SmallWorker}});
+    queue.allowed = {"w"};
+    queue.lostResponses = 1;
+    queue.run(3s);
+    cr_expect_eq(queue.starts.size(), 1, "%zu tasks have started after 3 s", queue.starts.size());
+    while (queue.starts.empty() && queue.requests.size() < 3) {
+        queue.run(Tick);
+    }
+    const auto sinceBegin = std::chrono::duration_cast<std::chrono::milliseconds>(queue.now - TimePoint(1000s));
+    cr_expect_lt(sinceBegin.count(), 3100, "the first start was sent after %lld ms", static_cast<long long>(sinceBegin.count()));
+}
--- a/tests/libs/node/memorystore.cpp
+++ b/tests/libs/node/memorystore.cpp
@@ -13,10 +13,18 @@
 using namespace std::chrono_literals;
 
 constexpr std::chrono::milliseconds ReadTime{2};
+// Beyond the wait of a read, as the client of the platform's store waits.
+constexpr std::chrono::milliseconds ReadTimeout{1500};
 
 asio::awaitable<TopicReadResult> MemoryStore::read(Topic topic, std::int64_t from, std::chrono::milliseconds wait)
 {
     beginCall(topic);
+    if (lostReadResponses[topic] > 0) {
+        --lostReadResponses[topic];
+        co_await pauseFor(wait + ReadTimeout);
+        --m_calls[topic].open;
+        co_return Error{ErrorCode::Timeout, "timeout"};
+    }
     TopicReadResult result;
     for (std::chrono::milliseconds waited = 0ms;; waited += ReadTime) {
         co_await pauseFor(ReadTime);
@@ -58,7 +66,13 @@
     if (losesAppends) {
         co_return TopicAppendRejected{"down"};
     }
-    co_return m_topics.append(append);
+    TopicAppendResult result = m_topics.append(append);
+    if (lostAppendResponses > 0) {
+        --lostAppendResponses;
+        co_await pauseFor(timeout - appendTime);
+        co_return TopicAppendUndetermined{"timeout"};
+    }
+    co_return result;
 }
 
 void MemoryStore::beginCall(Topic topic)
--- a/tests/libs/node/memorystore.h
+++ b/tests/libs/node/memorystore.h
@@ -32,6 +32,8 @@
     std::optional<Topic> failingTopic; // reads of this topic fail
     bool losesAppends = false; // appends are rejected
     int hangingAppends = 0; // so many of the next appends are lost, and get no response
+    int lostAppendResponses = 0; // so many of the next appends are executed, and get no response
+    std::map<Topic, int> lostReadResponses; // so many of the next reads of a topic get no response
 
 private:
     struct Calls
--- a/tests/libs/node/memorytopics.cpp
+++ b/tests/libs/node/memorytopics.cpp
@@ -9,7 +9,11 @@
     if (append.position) {
         Producer &producer = m_producers[{append.topic, append.position->producer}];
         if (append.position->epoch > producer.epoch) {
-            producer = {append.position->epoch, 0};
+            producer = {append.position->epoch, 0, {}};
+        }
+        const auto first = producer.results.find(append.position->sequence);
+        if (append.position->epoch == producer.epoch && first != producer.results.end()) {
+            return first->second; // a repeated append
         }
         if (append.position->epoch < producer.epoch || append.position->sequence != producer.nextSequence) {
             return ProducerFenced{"epoch or sequence"};
@@ -20,6 +24,9 @@
     for (const KeyedRecord &record : append.records) {
         put(append.topic, record.key, record.value);
     }
+    if (append.position) {
+        m_producers[{append.topic, append.position->producer}].results[append.position->sequence] = TopicAppended{offset};
+    }
     return TopicAppended{offset};
 }
 
--- a/tests/libs/node/memorytopics.h
+++ b/tests/libs/node/memorytopics.h
@@ -31,6 +31,7 @@
     {
         std::int64_t epoch = 0;
         std::int64_t nextSequence = 0;
+        std::map<std::int64_t, TopicAppendResult> results; // by sequence number
     };
 
     std::map<Topic, std::vector<KeyedRecord>> m_records;
--- a/tests/libs/node/testjobintake.cpp
+++ b/tests/libs/node/testjobintake.cpp
@@ -96,6 +96,18 @@
         notAccepted += std::holds_alternative<JobNotAccepted>(result) ? 1 : 0;
     }
 
+    CancelResult cancel(const std::string &jobId)
+    {
+        CancelResult result;
+        runToEnd(context, [&]() -> asio::awaitable<void> { result = co_await intake.cancel(jobId, 3s); }());
+        return result;
+    }
+
+    asio::awaitable<void> submitInto(std::optional<SubmitResult> &result, std::string jobId)
+    {
+        result = co_await intake.submit(std::move(jobId), servingJob(), 3s);
+    }
+
     bool isRecorded(const std::string &jobId)
     {
         context.run_for(60ms);
@@ -217,3 +229,37 @@
     cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("job")));
     cr_assert_eq(fixture.metrics.value("hyssop_serving_admissions_total", {{"outcome", "table-outdated"}}), 1);
 }
+
+// Guards against "outcome unknown" as the answer about a job that this instance has read, because the responses to its append were lost.
+Test(jobIntake, aRecordedSubmissionIsAcceptedThoughTwoResponsesAreLost, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.context.run_for(60ms);
+    fixture.store.lostAppendResponses = 2;
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("job")));
+}
+
+// Guards against the same for a cancellation, which the platform counts as not acknowledged.
+Test(jobIntake, aRecordedCancellationIsAcknowledgedThoughTwoResponsesAreLost, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.context.run_for(60ms);
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("job")));
+    cr_assert(fixture.isRecorded("job"));
+    fixture.store.lostAppendResponses = 2;
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.cancel("job")));
+}
+
+// Guards against requests that get no answer in time because the append of an earlier one got no response.
+Test(jobIntake, lostResponsesToAnAppendDoNotFailLaterRequests, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.context.run_for(60ms);
+    fixture.store.lostAppendResponses = 2;
+    asio::co_spawn(fixture.context, fixture.submitAndCount("first"), asio::detached);
+    fixture.context.run_for(60ms);
+    std::optional<SubmitResult> result;
+    asio::co_spawn(fixture.context, fixture.submitInto(result, "second"), asio::detached);
+    fixture.context.run_for(4s);
+    cr_assert(result && std::holds_alternative<JobAccepted>(*result));
+}
--- a/tests/libs/node/testnodedaemon.cpp
+++ b/tests/libs/node/testnodedaemon.cpp
@@ -488,3 +488,39 @@
         cr_expect_not(wouldBeClaimed(fixture, 3s), "an append after %ld ms", static_cast<long>(delay.count()));
     }
 }
+
+// Guards against an owner that takes two lost responses of a store that serves it for an overload of its own, and releases the topic.
+Test(nodeDaemon, lostResponsesToReadsDoNotCostTheOwnership, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.runUntil([&] { return fixture.metrics.value("hyssop_is_owner") == 1; });
+    fixture.context.run_for(1s);
+    fixture.store.lostReadResponses[Topic::Jobs] = 2;
+    fixture.context.run_for(8s);
+    cr_expect_eq(fixture.metrics.value("hyssop_step_downs_total", {{"reason", "reading lags behind the growth of the job topic"}}), 0);
+    cr_expect_eq(fixture.metrics.value("hyssop_ownerships_total"), 1);
+}
+
+// Guards against accepted jobs without a run for more than the promised 3 s, because nothing may start while the registrations are old.
+Test(nodeDaemon, threeLostResponsesDoNotWithholdAllStarts, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.putWorker("a");
+    fixture.runUntil([&] { return !fixture.workers.ids.empty(); });
+    fixture.context.run_for(1s);
+    const double before = fixture.metrics.value("hyssop_starts_withheld_seconds_total");
+    fixture.store.lostReadResponses[Topic::Workers] = 3;
+    fixture.context.run_for(10s);
+    const double withheld = fixture.metrics.value("hyssop_starts_withheld_seconds_total") - before;
+    cr_assert_lt(withheld, 3.0, "starts were withheld for %.2f s", withheld);
+}
+
+// Guards against a takeover after two responses to a renewal are lost: the store executes the renewal once, and others see no further record.
+Test(nodeDaemon, twoLostResponsesToARenewalDoNotCostTheOwnership, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.runUntil([&] { return fixture.daemon.table().claim().has_value(); });
+    cr_assert_not(wouldBeClaimed(fixture, 1s));
+    fixture.store.lostAppendResponses = 2;
+    cr_expect_not(wouldBeClaimed(fixture, 5s));
+}
--- a/tests/libs/node/testownerappender.cpp
+++ b/tests/libs/node/testownerappender.cpp
@@ -59,6 +59,14 @@
         return *sentAt - begin;
     }
 
+    /// Appends a record and returns the time until the result.
+    std::chrono::milliseconds appendTime()
+    {
+        const TimePoint begin = clock.now();
+        appendedAfterBegin();
+        return std::chrono::duration_cast<std::chrono::milliseconds>(clock.now() - begin);
+    }
+
     asio::io_context context{1};
     Clock clock;
     ScriptedStore store;
@@ -86,6 +94,16 @@
     cr_assert_gt(fixture.appendedAfterBegin().count(), Duration(100ms).count());
 }
 
+// Guards against accepted jobs without a run for more than the 3 s that callers were promised, because the intents of their runs are not durable.
+Test(ownerAppender, threeLostResponsesDelayAnAppendWithinThePromiseToCallers, .timeout = 30)
+{
+    Fixture fixture;
+    const TopicAppendUndetermined lost{"timeout"};
+    fixture.store.results = {lost, lost, lost, TopicAppended{7}};
+    const std::chrono::milliseconds time = fixture.appendTime();
+    cr_assert_lt(time.count(), 3000, "durable after %lld ms", static_cast<long long>(time.count()));
+}
+
 // Guards against a single lost message that costs the ownership, see nodeDaemon/anAppendThatHangs….
 Test(appendTimeoutPolicy, aRenewalIsRepeatedBeforeOthersClaim)
 {
--- a/tests/libs/node/testtopicfollower.cpp
+++ b/tests/libs/node/testtopicfollower.cpp
@@ -17,14 +17,23 @@
 
 namespace {
 
+// Beyond the wait of a read, as the client of the platform's store waits.
+constexpr std::chrono::milliseconds ReadTimeout{1500};
+
 /// In-memory topic that returns at most two records per read and whose records can expire.
 class SmallPageStore : public MetadataStore
 {
 public:
-    asio::awaitable<TopicReadResult> read(Topic, std::int64_t from, std::chrono::milliseconds) override
+    asio::awaitable<TopicReadResult> read(Topic, std::int64_t from, std::chrono::milliseconds wait) override
     {
         ++reads;
         beginCall();
+        if (lostResponses > 0) {
+            --lostResponses;
+            co_await pauseFor(wait + ReadTimeout);
+            --openCalls;
+            co_return Error{ErrorCode::Timeout, "timeout"};
+        }
         co_await pauseFor(1ms);
         while (isUnresponsive) {
             co_await pauseFor(10ms);
@@ -92,6 +101,7 @@
     int mostCallsAtOnce = 0;
     bool isDown = false;
     bool isUnresponsive = false;
+    int lostResponses = 0; // so many of the next reads get no response
 };
 
 struct Fixture
@@ -356,3 +366,24 @@
     cr_assert_eq(attempts, 2, "the record is not read again");
     cr_assert(fixture.follower.isStoreResponsive());
 }
+
+// Guards against accepted jobs and cancellations that an instance does not know for more than the promised 3 s, because it reads again only
+// after the whole timeout.
+Test(topicFollower, aRecordIsReadInTimeAfterTwoLostResponses, .timeout = 30)
+{
+    constexpr int LostResponses = 2;
+    Fixture fixture;
+    fixture.follower.setTiming({250ms, 500ms});
+    fixture.run(50ms);
+    fixture.store.lostResponses = LostResponses;
+    while (fixture.store.lostResponses == LostResponses) {
+        fixture.run(10ms);
+    }
+    fixture.store.put("job", "1");
+    const TimePoint begin = fixture.clock.now();
+    while (!fixture.values.contains("job")) {
+        fixture.run(10ms);
+    }
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(fixture.clock.now() - begin);
+    cr_assert_lt(time.count(), 3000, "read after %lld ms", static_cast<long long>(time.count()));
+}
