--- a/tests/libs/node/testtopicfollower.cpp
+++ b/tests/libs/node/testtopicfollower.cpp
@@ -17,14 +17,23 @@
 
 namespace {
 
+// Beyond the wait of a read, as the client of the platform's store waits.
+constexpr std::chrono::milliseconds ReadTimeout{1500};
+
 /// In-memory topic that returns at most two records per read and whose records can expire.
 class SmallPageStore : public MetadataStore
 {
 public:
-    asio::awaitable<TopicReadResult> read(Topic, std::int64_t from, std::chrono::milliseconds) override
+    asio::awaitable<TopicReadResult> read(Topic, std::int64_t from, std::chrono::milliseconds wait) override
     {
         ++reads;
         beginCall();
+        if (lostResponses > 0) {
+            --lostResponses;
+            co_await pauseFor(wait + ReadTimeout);
+            --openCalls;
+            co_return Error{ErrorCode::Timeout, "timeout"};
+        }
         co_await pauseFor(1ms);
         while (isUnresponsive) {
             co_await pauseFor(10ms);
@@ -92,6 +101,7 @@
     int mostCallsAtOnce = 0;
     bool isDown = false;
     bool isUnresponsive = false;
+    int lostResponses = 0; // so many of the next reads get no response
 };
 
 struct Fixture
@@ -120,6 +130,22 @@
         context.run_for(time);
     }
 
+    /// Lets the responses to the next reads be lost, adds a record when the first of them has been sent, and returns the time until it is read.
+    std::chrono::milliseconds readTimeAfterLostResponses(int responses)
+    {
+        run(50ms);
+        store.lostResponses = responses;
+        while (store.lostResponses == responses) {
+            run(10ms);
+        }
+        store.put("record", "1");
+        const TimePoint begin = clock.now();
+        while (!values.contains("record")) {
+            run(10ms);
+        }
+        return std::chrono::duration_cast<std::chrono::milliseconds>(clock.now() - begin);
+    }
+
     asio::io_context context{1};
     Clock clock;
     SmallPageStore store;
@@ -356,3 +382,22 @@
     cr_assert_eq(attempts, 2, "the record is not read again");
     cr_assert(fixture.follower.isStoreResponsive());
 }
+
+// Guards against accepted jobs and cancellations that an instance does not know for more than the promised 3 s, because it reads again only
+// after the whole timeout.
+Test(topicFollower, aRecordIsReadInTimeAfterTwoLostResponses, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.follower.setTiming({250ms, 500ms});
+    const std::chrono::milliseconds time = fixture.readTimeAfterLostResponses(2);
+    cr_assert_lt(time.count(), 3000, "read after %lld ms", static_cast<long long>(time.count()));
+}
+
+// Guards against a configuration that is applied later than the 2.5 s that the platform permits, because one response was lost.
+Test(topicFollower, aConfigurationIsReadInTimeAfterALostResponse, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.follower.setTiming({50ms, 1000ms});
+    const std::chrono::milliseconds time = fixture.readTimeAfterLostResponses(1);
+    cr_assert_lt(time.count(), 2500, "read after %lld ms", static_cast<long long>(time.count()));
+}
