Dispatch: acknowledge ends sooner after an unanswered start

Tasks waited for up to 12 s beside an idle worker: it had more than 300 ends that were not acknowledged, so it got no more runs, and its ends could not be acknowledged for as long as the start command of one of its runs, which had no response, might still be executed.

A command is executed once. If only one start command of a run was sent and the worker lists the run, none is outstanding. This is the proof that endRunsOfPreviousProcess() uses already.

The scripted worker lists ends and may lose single responses.

--- a/src/libs/dispatch/dispatchacknowledgements.cpp
+++ b/src/libs/dispatch/dispatchacknowledgements.cpp
@@ -14,6 +14,13 @@
 
 } // namespace Internal
 
+bool Dispatcher::mayStartLate(const TaskExecution &task, TimePoint now)
+{
+    // A command is executed once, so the only one that was sent has begun the run that is listed.
+    const bool isExecuted = task.listed && task.startsSent == 1;
+    return !isExecuted && now < task.startOutstandingUntil;
+}
+
 bool Dispatcher::canAcknowledgeEnds(const WorkerState &worker, TimePoint now)
 {
     if (!worker.hasEndsToAcknowledge() || worker.failedPolls > 0 || worker.pendingStarts > 0) {
@@ -30,7 +37,7 @@
         if (task == nullptr || task->phase == TaskPhase::Assigned) {
             return false;
         }
-        return !task->listed || now < task->startOutstandingUntil;
+        return !task->listed || mayStartLate(*task, now);
     });
 }
 
@@ -38,7 +45,7 @@
 {
     const bool isOutstanding = std::ranges::any_of(worker.runs, [&](const auto &run) {
         const TaskExecution *task = m_jobs.task(run.first);
-        return task != nullptr && now < task->startOutstandingUntil;
+        return task != nullptr && mayStartLate(*task, now);
     });
     return isOutstanding ? Internal::OutstandingStartInterval : Internal::UnlistedRunInterval;
 }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -191,6 +191,9 @@
     /// Takes into account that a start command of @p task without a response may still be executed.
     static void expectLateStart(TaskExecution &task, TimePoint now);
 
+    /// Returns true if a start command of @p task without a response may still be executed.
+    static bool mayStartLate(const TaskExecution &task, TimePoint now);
+
     /// Makes a process that executes the next start command to @p worker reject an acknowledgement that is in transit.
     void fenceAcknowledgement(WorkerState &worker);
 
--- a/tests/libs/dispatch/scriptedfleet.cpp
+++ b/tests/libs/dispatch/scriptedfleet.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds Tick{20};
 constexpr std::chrono::milliseconds CommandTimeout{800};
 constexpr std::int64_t WorkerMemoryBytes = 256'000'000'000;
+// A worker lists at most this many ends, the oldest ones.
+constexpr std::size_t MaximumListedEnds = 500;
 
 } // namespace Internal
 
@@ -83,6 +85,29 @@
     beginTerm();
 }
 
+void ScriptedFleet::addEnd(Worker &worker, const TaskId &task, int run, RunEndReason endReason)
+{
+    worker.ends.push_back({++worker.endCount, task, run, endReason, ""});
+}
+
+void ScriptedFleet::addUnknownEnds(Worker &worker, std::size_t count)
+{
+    for (std::size_t added = 0; added < count; ++added) {
+        addEnd(worker, {"unknown", 0, 0, static_cast<int>(worker.endCount)}, 1, RunEndReason::Stopped);
+    }
+}
+
+void ScriptedFleet::endRun(const std::string &jobId, RunEndReason endReason)
+{
+    const TaskId id{jobId, 0, 0, 0};
+    for (Worker &worker : m_workers) {
+        if (const auto run = worker.runs.find(id); run != worker.runs.end()) {
+            addEnd(worker, id, run->second.run, endReason);
+            worker.runs.erase(run);
+        }
+    }
+}
+
 void ScriptedFleet::advance(Duration time)
 {
     for (const TimePoint until = m_now + time; m_now < until;) {
@@ -152,6 +177,12 @@
                            return;
                        }
                        worker.runs[command.task] = Run{command.run, 100, Duration(0)};
+                       if (worker.unansweredStarts > 0) {
+                           --worker.unansweredStarts;
+                           m_timeouts.emplace(m_now + Internal::CommandTimeout,
+                                              [this, command] { m_dispatcher->startAnswered(command, CommandUndetermined{"timeout"}, m_now); });
+                           return;
+                       }
                        m_dispatcher->startAnswered(command, executed, m_now);
                    },
                    [&](const StopCommand &command) {
@@ -172,15 +203,30 @@
                        }
                        m_dispatcher->throttleAnswered(command, executed, m_now);
                    },
-                   [&](PollCommand &command) { workerOf(command.worker.id).poll.emplace(std::move(command), m_now); },
+                   [&](PollCommand &command) {
+                       Worker &worker = workerOf(command.worker.id);
+                       worker.poll.emplace(std::move(command), m_now);
+                       if (worker.losesPoll && worker.losesPoll()) {
+                           losePoll(worker);
+                       }
+                   },
                    [](const auto &) {},
                },
                action);
 }
 
+void ScriptedFleet::losePoll(Worker &worker)
+{
+    const auto lost = *std::exchange(worker.poll, std::nullopt);
+    m_timeouts.emplace(m_now + lost.first.wait + lost.first.responseTimeout,
+                       [this, lost] { m_dispatcher->pollAnswered(lost.first, CommandUndetermined{"timeout"}, lost.second, m_now); });
+}
+
 void ScriptedFleet::answerPoll(Worker &worker)
 {
     const auto [poll, sentAt] = *std::exchange(worker.poll, std::nullopt);
+    const std::int64_t acknowledgedSequence = poll.acknowledgedSequence;
+    std::erase_if(worker.ends, [&](const ReportedRunEnd &end) { return end.sequence <= acknowledgedSequence; });
     WorkerReport report;
     report.clock = std::chrono::duration_cast<WorkerTime>(m_now.time_since_epoch());
     report.processStartedAt = std::chrono::milliseconds(1);
@@ -194,6 +240,8 @@
         }
         report.runs.push_back(reported);
     }
+    const std::size_t listedEnds = std::min(worker.ends.size(), Internal::MaximumListedEnds);
+    report.ends.assign(worker.ends.begin(), worker.ends.begin() + static_cast<std::ptrdiff_t>(listedEnds));
     m_dispatcher->pollAnswered(poll, report, sentAt, m_now);
 }
 
--- a/tests/libs/dispatch/scriptedfleet.h
+++ b/tests/libs/dispatch/scriptedfleet.h
@@ -40,6 +40,10 @@
         std::map<TaskId, Run> runs;
         double tailMs = 5; // of its serving tasks
         bool ignoresOrders = false; // answers polls, but neither executes nor answers other commands
+        std::size_t unansweredStarts = 0; // so many of the next start commands are executed without a response
+        std::function<bool()> losesPoll; // whether a poll is lost on its way; none: never
+        std::vector<ReportedRunEnd> ends; // not acknowledged yet
+        std::int64_t endCount = 0; // of its process
         std::optional<std::pair<PollCommand, TimePoint>> poll; // not answered, and when it was sent
     };
 
@@ -57,6 +61,12 @@
     /// Lets another instance take over with what is stored.
     void takeOver();
 
+    /// Lets @p count runs that no owner knows end on @p worker.
+    static void addUnknownEnds(Worker &worker, std::size_t count);
+
+    /// Ends the run of the first task of the job on its worker.
+    void endRun(const std::string &jobId, RunEndReason endReason);
+
     void advance(Duration time);
 
     /// Advances until @p condition is met, for @p maximum at most. Returns how long that took.
@@ -73,6 +83,8 @@
     void tick();
     void perform(DispatchAction &action);
     void answerPoll(Worker &worker);
+    void losePoll(Worker &worker);
+    static void addEnd(Worker &worker, const TaskId &task, int run, RunEndReason endReason);
     Worker &workerOf(const std::string &id);
     WallTime wall() const;
 
