Poll a worker again while its response is overdue

Callers saw serving tasks without a run for 10 to 21 s while responses of workers were lost. One poll of a worker was open at a time, and the next one followed its timeout: a lost response cost 1.5 to 3 s, one made the worker unreachable, and three in a row let the leases of a sound worker expire. ResponseTimeoutPolicy counted lost responses as late ones, extended the timeout from 0.9 to 2.3 s, and made that worse.

While a regular poll is overdue, the worker is now polled again without a wait. ResponseTimeEstimator derives from the responses that arrive when that is; RepeatedPollBudget bounds the polls of all workers by those responses, and a worker has 12 open polls at most. A repeated poll acknowledges no end and repeats the lease end of the regular one, so a silent worker's runs end no later. Unreachable workers get no lease, as before: their next process might execute such a poll. The first response to a repeated poll abandons the regular one, and the next regular poll renews the lease; an acknowledgement that may still be executed is fenced by a higher token, as after a failure. A report that a newer one may have overtaken is dropped. A start or stop without a response and a confirmed stop request a report. "worker unreachable" tells the number of unanswered polls.

Tests: the policy's recordResult() is recordResponse(), the values are the same. The harnesses of acknowledgements, delayedResponses and the events hold one poll and ignore repeated ones, as if they were lost; the fleets answer each poll. The simulation counts the timeout from the time at which a command was sent, and workers may delay polls in it. The log tests expect the new field.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -147,11 +147,12 @@
     std::optional<std::chrono::milliseconds> sinceReport; // none: it never reported in this term
 };
 
-/// Log event: the first poll of a worker after a report has failed.
+/// Log event: the first regular poll of a worker after a report has failed, and so have those that repeated it.
 struct WorkerUnreachable
 {
     std::string worker;
     std::string reason;
+    int unansweredPolls = 0; // that were sent after the last report
     std::size_t openRuns = 0;
     std::optional<std::chrono::milliseconds> sinceReport; // none: it never reported in this term
     std::chrono::milliseconds untilLeaseEnd{0}; // time until all runs have certainly ended
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -9,6 +9,8 @@
 #include "jobregistry.h"
 #include "leasepolicy.h"
 #include "placementwork.h"
+#include "repeatedpollbudget.h"
+#include "responsetimeestimator.h"
 #include "responsetimeoutpolicy.h"
 #include "roomreservations.h"
 #include "shorttaskreserve.h"
@@ -175,6 +177,30 @@
     /// completed before the stop; these wait for the end of the lease.
     void endStoppedRuns(TimePoint now);
     void pollWorkers(TimePoint now);
+
+    /// Sends a regular poll, which renews the lease of @p worker.
+    void sendPoll(WorkerState &worker, TimePoint now);
+
+    /// Returns true if the response to the open poll of @p worker is overdue, or a report is worth while before it.
+    bool isRepeatedPollDue(const WorkerState &worker, TimePoint now) const;
+
+    /// Polls @p worker again although a poll is open. The lease that the open one grants is repeated, so that the runs on a worker that is
+    /// lost end no later; no end is acknowledged.
+    void repeatPoll(WorkerState &worker, TimePoint now);
+    PollCommand makePoll(WorkerState &worker, TimePoint now);
+
+    /// Lets the next poll to @p workerId be sent at the next tick and without a wait, although another is open: an event makes a report
+    /// worth while.
+    void requestReport(const std::string &workerId, TimePoint now);
+
+    /// Stops waiting for the open regular poll of @p worker, so that the next one is sent when it is due.
+    void abandonPoll(WorkerState &worker);
+
+    /// Takes into account when the response to @p command arrived.
+    void recordPollResponse(const PollCommand &command, TimePoint sentAt, TimePoint now);
+    void handlePollFailure(WorkerState &worker, const std::string &reason, TimePoint now);
+    void handlePollRejection(WorkerState &worker, const PollCommand &poll, const CommandRejected &rejection, TimePoint sentAt, TimePoint now);
+
     void moveRunsOffDrainingWorkers(TimePoint now);
 
     /// Returns true if the next poll may acknowledge the ends of @p worker that are durable. A poll names the worker and not its
@@ -372,6 +398,9 @@
     std::function<void(DispatchStage)> m_stageObserver;
     LeasePolicy m_leasePolicy;
     ResponseTimeoutPolicy m_responseTimeouts;
+    ResponseTimeEstimator m_responseTimes;
+    RepeatedPollBudget m_repeatedPolls;
+    std::uint64_t m_lastPoll = 0; // number of the last poll
     std::int64_t m_term = 0;
     TimePoint m_confirmedAt{}; // ownership was confirmed as of then
     TimePoint m_readAt{}; // all records up to then were read
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -137,6 +137,7 @@
     task->startPending = false;
     if (std::holds_alternative<CommandUndetermined>(result)) {
         expectLateStart(*task, now);
+        requestReport(command.worker.id, now);
     }
     if (task->phase != TaskPhase::Starting) {
         return;
@@ -324,9 +325,9 @@
     if (std::holds_alternative<CommandExecuted>(result)) {
         task->stopConfirmed = true;
         task->confirmedAt = now;
-        if (WorkerState *worker = findWorker(task->worker)) {
-            worker->nextPoll = std::min(worker->nextPoll, now);
-        }
+        requestReport(task->worker, now);
+    } else if (std::holds_alternative<CommandUndetermined>(result)) {
+        requestReport(task->worker, now);
     }
 }
 
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -16,6 +16,11 @@
 constexpr std::chrono::milliseconds MaximumOverTargetPollWait{400};
 constexpr std::chrono::milliseconds IdlePollInterval{1000};
 constexpr std::chrono::milliseconds FailedPollBackoff{200};
+// Regular and repeated polls of a worker that are not answered.
+constexpr int MaximumOpenPolls = 12;
+// A worker that has not answered so many polls is likely to be lost, and is polled less often.
+constexpr int MaximumQuickPolls = 8;
+constexpr std::chrono::milliseconds LongRepeatInterval{300};
 // Until a record is durable that permits a lease.
 constexpr std::chrono::milliseconds WithheldLeaseInterval{40};
 // Run ends are listed again until they are durable and acknowledged, so a poll before that does not wait for the next end.
@@ -99,15 +104,19 @@
 void Dispatcher::reportUnreachable(const WorkerState &worker, const std::string &reason, TimePoint now)
 {
     const Duration untilLeaseEnd = std::max(worker.leaseEnd - now, Duration(0));
-    m_actions.emplace_back(WorkerUnreachable{
-        worker.info.id, reason, worker.runs.size(), worker.sinceReport(now), std::chrono::duration_cast<std::chrono::milliseconds>(untilLeaseEnd)});
+    m_actions.emplace_back(WorkerUnreachable{worker.info.id,
+                                             reason,
+                                             worker.polls.sinceReport,
+                                             worker.runs.size(),
+                                             worker.sinceReport(now),
+                                             std::chrono::duration_cast<std::chrono::milliseconds>(untilLeaseEnd)});
 }
 
 void Dispatcher::removeUnregisteredWorkers()
 {
     std::erase_if(m_workers, [this](const auto &item) {
         const WorkerState &worker = item.second;
-        const bool isRemovable = !worker.registered && worker.runs.empty() && !worker.pollPending;
+        const bool isRemovable = !worker.registered && worker.runs.empty() && worker.polls.open == 0;
         if (isRemovable) {
             m_removedWorkersRises.record(item.first, worker.tokenRises);
             m_workersById.erase(item.first);
@@ -147,28 +156,136 @@
 
 void Dispatcher::pollWorkers(TimePoint now)
 {
+    std::vector<WorkerState *> overdue;
     for (auto &[id, worker] : m_workers) {
-        if (worker.pollPending || now < worker.nextPoll || worker.info.address.empty()) {
+        if (worker.info.address.empty()) {
             continue;
         }
-        PollCommand poll;
-        poll.worker = addressOf(worker);
-        poll.fencingToken = tokenFor(worker);
-        worker.acknowledgementPending = canAcknowledgeEnds(worker, now);
-        poll.acknowledgedSequence = worker.acknowledgementPending ? worker.durableEndSequence : 0;
-        // The lease of a worker that does not answer is not renewed, so that its runs end after a bounded time.
-        if (worker.clock && worker.failedPolls == 0 && !worker.isLeaseWithheld) {
-            const WorkerTime leaseEnd = worker.clock->readingAt(m_leasePolicy.latestLeaseEnd(now, m_confirmedAt));
-            poll.leaseEnd = leaseEnd;
-            worker.leaseEnd = std::max(worker.leaseEnd, worker.clock->latestTimeOf(leaseEnd));
-            const bool listsNewEndsOnly = worker.acknowledgementPending || !worker.hasEndsToAcknowledge();
-            const bool waits = worker.hasAnswered && !worker.runs.empty() && worker.processedEndSequence == worker.durableEndSequence && listsNewEndsOnly;
-            const auto maximumWait = worker.overTargetSince ? Internal::MaximumOverTargetPollWait : Internal::MaximumPollWait;
-            poll.wait = waits ? maximumWait : std::chrono::milliseconds(0);
+        if (!worker.polls.isRegularOpen() && now >= worker.nextPoll) {
+            sendPoll(worker, now);
+        } else if (isRepeatedPollDue(worker, now)) {
+            overdue.push_back(&worker);
         }
-        poll.responseTimeout = m_responseTimeouts.pollTimeout(!worker.hasAnswered, now);
-        worker.pollPending = true;
-        m_actions.emplace_back(std::move(poll));
+    }
+    // Workers that are lost must not use up the polls that others need to prove that they are not.
+    std::ranges::stable_sort(overdue, {}, [](const WorkerState *worker) { return worker->polls.sinceReport; });
+    for (WorkerState *worker : overdue) {
+        if (!m_repeatedPolls.take(now)) {
+            return;
+        }
+        repeatPoll(*worker, now);
+    }
+}
+
+PollCommand Dispatcher::makePoll(WorkerState &worker, TimePoint now)
+{
+    ++worker.polls.open;
+    ++worker.polls.sinceReport;
+    worker.polls.lastSentAt = now;
+    worker.polls.isReportRequested = false;
+    PollCommand poll;
+    poll.worker = addressOf(worker);
+    poll.number = ++m_lastPoll;
+    poll.fencingToken = tokenFor(worker);
+    return poll;
+}
+
+void Dispatcher::sendPoll(WorkerState &worker, TimePoint now)
+{
+    const bool isReportRequested = worker.polls.isReportRequested;
+    const bool acknowledges = canAcknowledgeEnds(worker, now);
+    PollCommand poll = makePoll(worker, now);
+    poll.acknowledgedSequence = acknowledges ? worker.durableEndSequence : 0;
+    worker.acknowledgementPending = acknowledges;
+    // The lease of a worker that does not answer is not renewed, so that its runs end after a bounded time.
+    if (worker.clock && worker.failedPolls == 0 && !worker.isLeaseWithheld) {
+        const WorkerTime leaseEnd = worker.clock->readingAt(m_leasePolicy.latestLeaseEnd(now, m_confirmedAt));
+        poll.leaseEnd = leaseEnd;
+        worker.polls.leaseEnd = leaseEnd;
+        worker.leaseEnd = std::max(worker.leaseEnd, worker.clock->latestTimeOf(leaseEnd));
+        const bool listsNewEndsOnly = acknowledges || !worker.hasEndsToAcknowledge();
+        const bool waits = worker.hasAnswered && !worker.runs.empty() && worker.processedEndSequence == worker.durableEndSequence && listsNewEndsOnly;
+        const auto maximumWait = worker.overTargetSince ? Internal::MaximumOverTargetPollWait : Internal::MaximumPollWait;
+        poll.wait = waits && !isReportRequested ? maximumWait : std::chrono::milliseconds(0);
+    }
+    poll.responseTimeout = m_responseTimeouts.pollTimeout(!worker.isResponding(), now);
+    worker.polls.regular = poll.number;
+    worker.polls.overdueAt = now + poll.wait + m_responseTimes.usualTime();
+    m_actions.emplace_back(std::move(poll));
+}
+
+bool Dispatcher::isRepeatedPollDue(const WorkerState &worker, TimePoint now) const
+{
+    const bool isWanted = worker.polls.isReportRequested || now >= worker.polls.overdueAt;
+    if (!worker.polls.isRegularOpen() || !isWanted || worker.polls.open >= Internal::MaximumOpenPolls) {
+        return false;
+    }
+    const Duration usualTime = m_responseTimes.usualTime();
+    const bool isSilent = worker.polls.sinceReport >= Internal::MaximumQuickPolls;
+    const Duration interval = isSilent ? std::max<Duration>(usualTime, Internal::LongRepeatInterval) : usualTime;
+    return now - worker.polls.lastSentAt >= interval;
+}
+
+void Dispatcher::repeatPoll(WorkerState &worker, TimePoint now)
+{
+    PollCommand poll = makePoll(worker, now);
+    poll.isRepeated = true;
+    if (worker.failedPolls == 0 && !worker.isLeaseWithheld) {
+        poll.leaseEnd = worker.polls.leaseEnd;
+    }
+    // A late response still shows the state of the worker, and how late the responses are.
+    poll.responseTimeout = m_responseTimeouts.pollTimeout(true, now);
+    m_actions.emplace_back(std::move(poll));
+}
+
+void Dispatcher::requestReport(const std::string &workerId, TimePoint now)
+{
+    WorkerState *worker = findWorker(workerId);
+    if (worker == nullptr) {
+        return;
+    }
+    worker->polls.isReportRequested = true;
+    if (worker->failedPolls == 0) {
+        worker->nextPoll = std::min(worker->nextPoll, now);
+    }
+}
+
+void Dispatcher::abandonPoll(WorkerState &worker)
+{
+    fenceAcknowledgement(worker); // it may be executed later, after the start of a run in the next process
+    worker.polls.regular = 0;
+}
+
+void Dispatcher::recordPollResponse(const PollCommand &command, TimePoint sentAt, TimePoint now)
+{
+    m_responseTimeouts.recordResponse(now - sentAt - command.wait, now);
+    m_responseTimes.recordResponse(now - sentAt, command.wait);
+    m_repeatedPolls.recordResponse();
+}
+
+void Dispatcher::handlePollFailure(WorkerState &worker, const std::string &reason, TimePoint now)
+{
+    if (worker.failedPolls++ == 0) {
+        reportUnreachable(worker, reason, now);
+        // The worker may be restarting: its next incarnation has to reject commands that were sent to this one.
+        raiseToken(worker);
+    }
+    worker.nextPoll = now + Internal::FailedPollBackoff;
+    abandonPoll(worker);
+}
+
+void Dispatcher::handlePollRejection(WorkerState &worker, const PollCommand &poll, const CommandRejected &rejection, TimePoint sentAt, TimePoint now)
+{
+    const std::string &id = worker.info.id;
+    if (isOvertaken(id, poll.fencingToken, rejection)) {
+        worker.nextPoll = now; // the worker responds, and the next poll has a higher token
+        return;
+    }
+    handleFencing(id, poll.fencingToken, rejection);
+    handlePollFailure(worker, rejection.detail, now);
+    // An entry of another writer may name any address; what answers there says nothing about this worker.
+    if (rejection.reason == RejectionReason::WrongWorker && poll.worker.address == worker.reportedAddress) {
+        endRunsOfEndedProcess(worker, sentAt, now); // the address belongs to another worker now: this one is gone
     }
 }
 
@@ -178,40 +295,37 @@
     if (worker == nullptr || !isOfThisTerm(command.fencingToken)) {
         return;
     }
-    worker->pollPending = false;
-    worker->acknowledgementPending = false;
-    m_responseTimeouts.recordResult(now - sentAt - command.wait, now);
-    // An entry of another writer may name any address; what answers there says nothing about this worker.
-    const bool isReportedAddress = command.worker.address == worker->reportedAddress;
-    const auto failed = [&](const std::string &reason) {
-        if (worker->failedPolls++ == 0) {
-            reportUnreachable(*worker, reason, now);
-            // The worker may be restarting: its next incarnation has to reject commands that were sent to this one.
-            raiseToken(*worker);
-        }
-        worker->nextPoll = now + Internal::FailedPollBackoff;
-    };
+    worker->polls.open = std::max(worker->polls.open - 1, 0); // 0: the worker was removed and added meanwhile
+    const bool isRegular = command.number == worker->polls.regular;
+    // The failure of another poll shows nothing if a report was received after it was sent.
+    const bool isNews = isRegular || sentAt >= worker->lastReportAt;
+    if (isRegular) {
+        worker->polls.regular = 0;
+        worker->acknowledgementPending = false;
+    }
     std::visit(Overloaded{
                    [&](const WorkerReport &report) {
+                       recordPollResponse(command, sentAt, now);
                        worker->reportedAddress = command.worker.address;
                        handleReport(*worker, command, report, sentAt, now);
                    },
                    [&](const CommandRejected &rejection) {
-                       if (isOvertaken(command.worker.id, command.fencingToken, rejection)) {
-                           worker->nextPoll = now; // the worker responds, and the next poll has a higher token
-                           return;
-                       }
-                       handleFencing(command.worker.id, command.fencingToken, rejection);
-                       failed(rejection.detail);
-                       if (rejection.reason == RejectionReason::WrongWorker && isReportedAddress) {
-                           endRunsOfEndedProcess(*worker, sentAt, now); // the address belongs to another worker now: this one is gone
+                       recordPollResponse(command, sentAt, now);
+                       if (isNews) {
+                           handlePollRejection(*worker, command, rejection, sentAt, now);
                        }
                    },
                    [&](const WorkerNotListening &refusal) {
-                       failed(refusal.reason);
-                       worker->refusesConnections = isReportedAddress;
+                       if (isNews) {
+                           handlePollFailure(*worker, refusal.reason, now);
+                           worker->refusesConnections = command.worker.address == worker->reportedAddress;
+                       }
+                   },
+                   [&](const auto &undelivered) {
+                       if (isRegular) {
+                           handlePollFailure(*worker, undelivered.reason, now);
+                       }
                    },
-                   [&](const auto &undelivered) { failed(undelivered.reason); },
                },
                result);
 }
@@ -223,12 +337,19 @@
         worker.nextPoll = now;
         return;
     }
+    if (worker.isOvertakenReport(report, sentAt)) {
+        return;
+    }
     if (worker.isUnreachable()) {
         m_actions.emplace_back(WorkerReachableAgain{worker.info.id, worker.failedPolls, worker.runs.size(), worker.sinceReport(now)});
     }
     worker.failedPolls = 0;
     worker.refusesConnections = false;
     worker.lastReportAt = now;
+    worker.polls.sinceReport = 0;
+    if (worker.polls.isRegularOpen() && now >= worker.polls.overdueAt) {
+        abandonPoll(worker); // the next one renews the lease
+    }
     if (isFromNextProcess(worker, report)) {
         handleWorkerRestart(worker, report, sentAt, now);
     }
@@ -269,7 +390,7 @@
     if (worker.processStartedAt.count() != 0 && report.processStartedAt.count() != 0) {
         return report.processStartedAt != worker.processStartedAt;
     }
-    // The clock of a process never goes back, and the reports of a worker arrive in their order.
+    // The clock of a process never goes back, and reports that may have been overtaken are not handled.
     return worker.clock && report.clock < worker.clock->reading;
 }
 
@@ -299,6 +420,7 @@
 
 void Dispatcher::endRunsOfPreviousProcess(WorkerState &worker, const std::set<std::pair<TaskId, int>> &kept, TimePoint confirmedUntil, TimePoint now)
 {
+    worker.polls.leaseEnd.reset(); // a time on the clock of the previous process
     worker.processedEndSequence = 0;
     worker.durableEndSequence = 0;
     worker.acknowledgedEndSequence = 0;
--- a/src/libs/dispatch/responsetimeoutpolicy.cpp
+++ b/src/libs/dispatch/responsetimeoutpolicy.cpp
@@ -11,8 +11,7 @@
 constexpr int ResponsesPerLease = 2;
 constexpr std::chrono::milliseconds SlowResponseTime{450};
 constexpr std::chrono::milliseconds Interval{500};
-constexpr int MinimumResults = 8;
-// The results of a region that is cut off are fewer: the other workers respond several times meanwhile.
+constexpr int MinimumResponses = 8;
 constexpr int LateShareDivisor = 2;
 constexpr std::chrono::milliseconds DelayMemory{3000};
 
@@ -21,25 +20,25 @@
 {
 }
 
-std::chrono::milliseconds ResponseTimeoutPolicy::pollTimeout(bool isFirstContact, TimePoint now) const
+std::chrono::milliseconds ResponseTimeoutPolicy::pollTimeout(bool isInDoubt, TimePoint now) const
 {
-    return isFirstContact || isDelayed(now) ? m_extendedTimeout : PollTimeout;
+    return isInDoubt || isDelayed(now) ? m_extendedTimeout : PollTimeout;
 }
 
-void ResponseTimeoutPolicy::recordResult(Duration responseTime, TimePoint now)
+void ResponseTimeoutPolicy::recordResponse(Duration responseTime, TimePoint now)
 {
     const bool isLate = responseTime >= SlowResponseTime;
     if (now - m_intervalBeganAt >= Interval) {
         const bool isAdjacent = now - m_intervalBeganAt < 2 * Interval;
-        m_previous = isAdjacent ? m_current : Results();
-        m_current = Results();
+        m_previous = isAdjacent ? m_current : Responses();
+        m_current = Responses();
         m_intervalBeganAt = now;
     }
     ++m_current.total;
     m_current.late += isLate ? 1 : 0;
     const int total = m_previous.total + m_current.total;
     const int late = m_previous.late + m_current.late;
-    if (isLate && total >= MinimumResults && late * LateShareDivisor >= total) {
+    if (isLate && total >= MinimumResponses && late * LateShareDivisor >= total) {
         m_delayedUntil = now + DelayMemory;
     }
 }
--- a/src/libs/dispatch/workerstate.cpp
+++ b/src/libs/dispatch/workerstate.cpp
@@ -62,6 +62,16 @@
     return isKnown && reportedProcessStart <= endedProcessStartedAt && sentAt < processEndKnownAt;
 }
 
+bool WorkerState::isOvertakenReport(const WorkerReport &report, TimePoint sentAt) const
+{
+    if (!clock || sentAt >= clock->receivedAt) {
+        return false;
+    }
+    const bool isKnown = report.processStartedAt.count() != 0 && processStartedAt.count() != 0;
+    const bool isOtherProcess = isKnown && report.processStartedAt != processStartedAt;
+    return !isOtherProcess && report.clock <= clock->reading;
+}
+
 std::optional<std::chrono::milliseconds> WorkerState::sinceReport(TimePoint now) const
 {
     if (!hasAnswered) {
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -4,7 +4,9 @@
 #include "servingforecast.h"
 #include "workerclock.h"
 #include "workerhealth.h"
+#include "workerpolls.h"
 
+#include <ports/commandresults.h>
 #include <ports/taskid.h>
 #include <ports/workerinfo.h>
 #include <utils/clock.h>
@@ -47,8 +49,8 @@
     std::int64_t tokenRises = 0; // how often the fencing token for this worker has risen in this term
     WorkerHealth health;
 
-    bool pollPending = false;
-    TimePoint nextPoll{};
+    WorkerPolls polls;
+    TimePoint nextPoll{}; // when the next regular poll is due
     TimePoint lastReportAt{}; // when the last report was received
     bool hasAnswered = false; // a poll of this owner was answered
     std::string reportedAddress; // where the last report came from; empty: no report
@@ -65,7 +67,7 @@
     std::int64_t durableEndSequence = 0; // all run ends up to this sequence number are durable
     std::int64_t acknowledgedEndSequence = 0; // the process has answered a poll that acknowledged the ends up to this one
     int pendingStarts = 0; // start commands that are not answered, also of runs that have ended meanwhile
-    bool acknowledgementPending = false; // a poll that acknowledges ends was sent after the last start command, and is not answered
+    bool acknowledgementPending = false; // a poll that acknowledges ends was sent after the last start command, and may yet be executed
     std::size_t listedEnds = 0; // in the last report
     std::uint64_t reports = 0; // processed reports
 
@@ -116,6 +118,10 @@
     /// Returns true if a report on a poll sent at @p sentAt may come from a process that has ended, and not from the current one.
     bool isLateReport(std::chrono::milliseconds reportedProcessStart, TimePoint sentAt) const;
 
+    /// Returns true if @p report on a poll sent at @p sentAt may have been overtaken by the last one. The order is certain only if the poll
+    /// was sent after the last report was received, or if the clock of the same process has advanced.
+    bool isOvertakenReport(const WorkerReport &report, TimePoint sentAt) const;
+
     /// Returns the time since the last report, if there was one in this term.
     std::optional<std::chrono::milliseconds> sinceReport(TimePoint now) const;
 
--- a/src/libs/node/workerchange.cpp
+++ b/src/libs/node/workerchange.cpp
@@ -36,6 +36,7 @@
     return {"worker unreachable",
             event.worker,
             {{ErrorKey, event.reason},
+             {"unanswered_polls", event.unansweredPolls},
              {"open_runs", event.openRuns},
              timeField("since_report_ms", event.sinceReport),
              {"lease_end_in_ms", event.untilLeaseEnd.count()}},
--- a/tests/libs/dispatch/colocatedfleet.cpp
+++ b/tests/libs/dispatch/colocatedfleet.cpp
@@ -214,9 +214,13 @@
     }
     for (Worker &worker : m_workers) {
         work(worker);
-        if (worker.poll && (!worker.ends.empty() || m_now - worker.poll->arrivedAt >= worker.poll->command.wait)) {
-            answerPoll(worker);
-        }
+        std::erase_if(worker.polls, [&](const Poll &poll) {
+            const bool isDue = !worker.ends.empty() || m_now - poll.arrivedAt >= poll.command.wait;
+            if (isDue) {
+                answerPoll(worker, poll);
+            }
+            return isDue;
+        });
     }
     updateTimesWithoutRun();
     if (m_waitingInvariant.isObservationDue(m_now)) {
@@ -314,7 +318,7 @@
                    },
                    [&](const PollCommand &command) {
                        const TimePoint sentAt = m_now;
-                       send([this, command, sentAt] { workerOf(command.worker.id).poll = Poll{command, sentAt, m_now}; });
+                       send([this, command, sentAt] { workerOf(command.worker.id).polls.push_back({command, sentAt, m_now}); });
                    },
                    [](const auto &) {},
                },
@@ -392,9 +396,8 @@
     }
 }
 
-void ColocatedFleet::answerPoll(Worker &worker)
+void ColocatedFleet::answerPoll(Worker &worker, const Poll &poll)
 {
-    const Poll poll = *std::exchange(worker.poll, std::nullopt);
     const std::int64_t acknowledged = poll.command.acknowledgedSequence;
     std::erase_if(worker.ends, [&](const ReportedRunEnd &end) { return end.sequence <= acknowledged; });
     WorkerReport report;
--- a/tests/libs/dispatch/colocatedfleet.h
+++ b/tests/libs/dispatch/colocatedfleet.h
@@ -133,7 +133,7 @@
         std::vector<ReportedRunEnd> ends; // not acknowledged
         std::int64_t lastEndSequence = 0;
         bool rejectsStarts = false;
-        std::optional<Poll> poll; // not answered
+        std::vector<Poll> polls; // not answered
     };
 
     void submitBestEffort(const std::string &jobId, const Wire::TaskStep &step, double effect, Duration duration);
@@ -149,7 +149,7 @@
     CommandResult setSpeed(const ThrottleCommand &command);
     CommandExecuted executed() const;
     void work(Worker &worker);
-    void answerPoll(Worker &worker);
+    void answerPoll(Worker &worker, const Poll &poll);
     void updateTimesWithoutRun();
     double tailOf(const Worker &worker, const TaskId &serving) const;
     Worker &workerOf(const std::string &id) { return m_workers[m_indexes.at(id)]; }
--- a/tests/libs/dispatch/dispatchfleet.cpp
+++ b/tests/libs/dispatch/dispatchfleet.cpp
@@ -110,9 +110,13 @@
         perform(action);
     }
     for (Worker &worker : m_workers) {
-        if (worker.poll && (!worker.ends.empty() || m_now - worker.poll->second >= worker.poll->first.wait)) {
-            answerPoll(worker);
-        }
+        std::erase_if(worker.polls, [&](const auto &poll) {
+            const bool isDue = !worker.ends.empty() || m_now - poll.second >= poll.first.wait;
+            if (isDue) {
+                answerPoll(worker, poll.first, poll.second);
+            }
+            return isDue;
+        });
     }
 }
 
@@ -127,7 +131,7 @@
                        worker.completableRuns.erase(command.task);
                        m_dispatcher.stopAnswered(command, CommandExecuted{clock()}, m_now);
                    },
-                   [&](PollCommand &command) { workerOf(command.worker.id).poll.emplace(std::move(command), m_now); },
+                   [&](PollCommand &command) { workerOf(command.worker.id).polls.emplace_back(std::move(command), m_now); },
                    [](const auto &) {},
                },
                action);
@@ -165,9 +169,8 @@
     return true;
 }
 
-void DispatchFleet::answerPoll(Worker &worker)
+void DispatchFleet::answerPoll(Worker &worker, const PollCommand &poll, TimePoint sentAt)
 {
-    const auto [poll, sentAt] = *std::exchange(worker.poll, std::nullopt);
     const std::int64_t acknowledged = poll.acknowledgedSequence;
     std::erase_if(worker.ends, [&](const ReportedRunEnd &end) { return end.sequence <= acknowledged; });
     WorkerReport report;
--- a/tests/libs/dispatch/dispatchfleet.h
+++ b/tests/libs/dispatch/dispatchfleet.h
@@ -57,14 +57,14 @@
         std::set<TaskId> completableRuns;
         std::vector<ReportedRunEnd> ends; // not acknowledged
         std::int64_t lastEndSequence = 0;
-        std::optional<std::pair<PollCommand, TimePoint>> poll; // not answered, and when it was sent
+        std::vector<std::pair<PollCommand, TimePoint>> polls; // not answered, and when they were sent
     };
 
     void tick();
     void perform(DispatchAction &action);
     void startRun(const StartCommand &command);
     bool completeRun(Worker &worker, std::int64_t maximumMilliCores);
-    void answerPoll(Worker &worker);
+    void answerPoll(Worker &worker, const PollCommand &poll, TimePoint sentAt);
     Worker &workerOf(const std::string &id) { return m_workers[m_indexes.at(id)]; }
     std::int64_t milliCoresOf(const TaskId &task) const { return m_milliCores.at(task.job); }
     WorkerTime clock() const;
--- a/tests/libs/dispatch/dispatchsimulation.cpp
+++ b/tests/libs/dispatch/dispatchsimulation.cpp
@@ -36,6 +36,17 @@
     }
 }
 
+/// Returns for how long a worker may delay the response to @p command.
+template<typename Command>
+Duration waitOf(const Command &command)
+{
+    if constexpr (requires { command.wait; }) {
+        return command.wait;
+    } else {
+        return Duration::zero();
+    }
+}
+
 template<typename Command>
 std::size_t sizeOf(const Command &command)
 {
@@ -517,6 +528,7 @@
                            });
                    },
                    [&](const PollCommand &poll) {
+                       ++polls;
                        send(
                            owner,
                            poll,
@@ -530,6 +542,13 @@
                    [&](AppendRecords &records) { store(owner, std::move(records)); },
                    [&](const ListLiveWorkers &) { listWorkers(owner); },
                    [&](const OverdueStep &overdue) { overdueSteps.push_back(overdue); },
+                   [&](const WorkerLeaseExpired &) { ++expiredLeases; },
+                   [&](const WorkerUnreachable &event) { unreachableSince.emplace(event.worker, now); },
+                   [&](const WorkerReachableAgain &event) {
+                       if (const auto since = unreachableSince.extract(event.worker); !since.empty()) {
+                           unreachableTimes.push_back(now - since.mapped());
+                       }
+                   },
                    [&](const StepDown &) { owner.steppedDown = true; },
                    [](const auto &) {},
                },
@@ -575,12 +594,22 @@
     using Outcome = decltype(execute(**worker, command, now));
     SimulatedWorker *target = worker->get();
     const TimePoint sentAt = now;
-    const Duration timeout = timeoutOf(command);
+    const Duration wait = workersDelayPolls ? waitOf(command) : Duration::zero();
+    const Duration timeout = timeoutOf(command) + wait;
     const bool late = chance(faults.delayedCommands);
     const Duration sendTime = occupyLink(owner, sizeOf(command));
     const Duration transitTime =
         sendTime + (late ? Duration(2s + std::chrono::milliseconds(random(10000))) : Duration(std::chrono::milliseconds(1 + random(20))));
-    const auto unknown = [=, this] { deliver(sender, timeout, [=, this] { done(*sender, command, Outcome(CommandUndetermined{"timeout"}), sentAt, now); }); };
+    const auto unknown = [=, this] {
+        const Duration untilResult = std::max(sentAt + timeout - now, Duration(0));
+        deliver(sender, untilResult, [=, this] { done(*sender, command, Outcome(CommandUndetermined{"timeout"}), sentAt, now); });
+    };
+    const auto respond = [=, this](const Outcome &result) {
+        const Duration responseTime = std::chrono::milliseconds(1 + random(10)) + responseDelay;
+        const bool isInTime = now - sentAt + responseTime < timeout;
+        const Duration untilResult = isInTime ? responseTime : std::max(timeout - (now - sentAt), Duration(0));
+        deliver(sender, untilResult, [=, this] { done(*sender, command, isInTime ? result : Outcome(CommandUndetermined{"timeout"}), sentAt, now); });
+    };
     if (target->refusesConnections) {
         deliver(sender, ConnectionTime, [=, this] { done(*sender, command, refusal<Outcome>(), sentAt, now); });
         return;
@@ -621,11 +650,16 @@
         }
         if (lost) {
             unknown();
+        } else if (wait > Duration::zero()) {
+            at(now + wait, [=, this] {
+                if (target->unreachable || target->refusesConnections || target->incarnation() != incarnation) {
+                    unknown();
+                } else {
+                    respond(execute(*target, command, now));
+                }
+            });
         } else {
-            const Duration responseTime = std::chrono::milliseconds(1 + random(10)) + responseDelay;
-            const bool isInTime = now - sentAt + responseTime < timeout;
-            const Duration untilResult = isInTime ? responseTime : std::max(timeout - (now - sentAt), Duration(0));
-            deliver(sender, untilResult, [=, this] { done(*sender, command, isInTime ? result : Outcome(CommandUndetermined{"timeout"}), sentAt, now); });
+            respond(result);
         }
     });
 }
--- a/tests/libs/dispatch/dispatchsimulation.h
+++ b/tests/libs/dispatch/dispatchsimulation.h
@@ -95,6 +95,7 @@
     DispatchFaults faults;
     Duration responseDelay{0}; // by which the owners handle each response later; from the timeout of the command on it is lost
     std::size_t maximumResponses = 0; // that an owner handles in a tick, the others wait in order; 0: all
+    bool workersDelayPolls = false; // by their full wait; otherwise they respond at once
     OwnerStalls ownerStalls;
     /// Bound of what an owner sends, 0: none. Requests wait behind those that were sent before, also behind those that have timed out.
     std::size_t ownerLinkBytesPerSecond = 0;
@@ -105,6 +106,10 @@
     std::vector<std::string> violations;
     std::vector<std::pair<TaskId, std::string>> starts; // task and worker
     std::vector<OverdueStep> overdueSteps; // reported by the owners
+    std::size_t polls = 0; // sent by the owners
+    std::size_t expiredLeases = 0; // of workers, as reported by the owners
+    std::map<std::string, TimePoint> unreachableSince; // workers that the owners report as unreachable
+    std::vector<Duration> unreachableTimes; // of workers that have become reachable again
     std::function<SimulatedWorker::Run(const TaskId &)> plan;
     TimePoint now{std::chrono::seconds(1000)};
 
--- a/tests/libs/dispatch/eventharness.cpp
+++ b/tests/libs/dispatch/eventharness.cpp
@@ -34,7 +34,7 @@
     const WallTime wall(std::chrono::duration_cast<WallTime::duration>(now.time_since_epoch()));
     for (DispatchAction &action : dispatcher.advance(now, wall)) {
         if (const auto *command = std::get_if<PollCommand>(&action)) {
-            m_poll = *command;
+            m_poll = command->isRepeated ? m_poll : *command;
         } else if (std::holds_alternative<AppendRecords>(action)) {
             if (beforeRecordsStored) {
                 beforeRecordsStored();
--- a/tests/libs/dispatch/scriptedfleet.cpp
+++ b/tests/libs/dispatch/scriptedfleet.cpp
@@ -47,7 +47,7 @@
     m_dispatcher->beginTerm(++m_term, m_table, {m_now, m_now}, true);
     m_table.clearRuns();
     for (Worker &worker : m_workers) {
-        worker.poll.reset();
+        worker.polls.clear();
         m_dispatcher->updateWorker(worker.info);
     }
 }
@@ -125,9 +125,13 @@
         for (auto &[id, run] : worker.runs) {
             run.worked += std::chrono::duration_cast<Duration>(Internal::Tick) * run.speedPercent / 100;
         }
-        if (worker.poll && m_now - worker.poll->second >= worker.poll->first.wait) {
-            answerPoll(worker);
-        }
+        std::erase_if(worker.polls, [&](const auto &poll) {
+            const bool isDue = m_now - poll.second >= poll.first.wait;
+            if (isDue) {
+                answerPoll(worker, poll.first, poll.second);
+            }
+            return isDue;
+        });
     }
 }
 
@@ -172,15 +176,14 @@
                        }
                        m_dispatcher->throttleAnswered(command, executed, m_now);
                    },
-                   [&](PollCommand &command) { workerOf(command.worker.id).poll.emplace(std::move(command), m_now); },
+                   [&](PollCommand &command) { workerOf(command.worker.id).polls.emplace_back(std::move(command), m_now); },
                    [](const auto &) {},
                },
                action);
 }
 
-void ScriptedFleet::answerPoll(Worker &worker)
+void ScriptedFleet::answerPoll(const Worker &worker, const PollCommand &poll, TimePoint sentAt)
 {
-    const auto [poll, sentAt] = *std::exchange(worker.poll, std::nullopt);
     WorkerReport report;
     report.clock = std::chrono::duration_cast<WorkerTime>(m_now.time_since_epoch());
     report.processStartedAt = std::chrono::milliseconds(1);
--- a/tests/libs/dispatch/scriptedfleet.h
+++ b/tests/libs/dispatch/scriptedfleet.h
@@ -40,7 +40,7 @@
         std::map<TaskId, Run> runs;
         double tailMs = 5; // of its serving tasks
         bool ignoresOrders = false; // answers polls, but neither executes nor answers other commands
-        std::optional<std::pair<PollCommand, TimePoint>> poll; // not answered, and when it was sent
+        std::vector<std::pair<PollCommand, TimePoint>> polls; // not answered, and when they were sent
     };
 
     explicit ScriptedFleet(int workers);
@@ -72,7 +72,7 @@
     void beginTerm();
     void tick();
     void perform(DispatchAction &action);
-    void answerPoll(Worker &worker);
+    void answerPoll(const Worker &worker, const PollCommand &poll, TimePoint sentAt);
     Worker &workerOf(const std::string &id);
     WallTime wall() const;
 
--- a/tests/libs/dispatch/testacknowledgements.cpp
+++ b/tests/libs/dispatch/testacknowledgements.cpp
@@ -156,7 +156,7 @@
             starts.push_back(*start);
         } else if (const auto *stop = std::get_if<StopCommand>(&action)) {
             stops.push_back(*stop);
-        } else if (const auto *command = std::get_if<PollCommand>(&action)) {
+        } else if (const auto *command = std::get_if<PollCommand>(&action); command != nullptr && !command->isRepeated) {
             poll = *command;
             polledAt = now;
         } else if (std::holds_alternative<AppendRecords>(action)) {
--- a/tests/libs/dispatch/testdelayedresponses.cpp
+++ b/tests/libs/dispatch/testdelayedresponses.cpp
@@ -44,7 +44,7 @@
         for (const DispatchAction &action : m_dispatcher.advance(now, wall)) {
             if (const auto *start = std::get_if<StartCommand>(&action)) {
                 starts.push_back(*start);
-            } else if (const auto *command = std::get_if<PollCommand>(&action)) {
+            } else if (const auto *command = std::get_if<PollCommand>(&action); command != nullptr && !command->isRepeated) {
                 poll = *command;
                 polledAt = now;
             } else if (std::holds_alternative<RunEnded>(action)) {
--- a/tests/libs/dispatch/testresponsetimeouts.cpp
+++ b/tests/libs/dispatch/testresponsetimeouts.cpp
@@ -38,10 +38,10 @@
     TimePoint now = begin;
     for (; now < begin + 2s; now += 500ms) {
         for (int index = 0; index < responses; ++index) {
-            policy.recordResult(20ms, now);
+            policy.recordResponse(20ms, now);
         }
         for (int index = 0; index < timeouts; ++index) {
-            policy.recordResult(OrdinaryPollTimeout, now);
+            policy.recordResponse(OrdinaryPollTimeout, now);
         }
     }
     return now;
@@ -167,8 +167,8 @@
 Test(responseTimeouts, areNotExtendedByFewResults)
 {
     ResponseTimeoutPolicy policy(MaximumLease);
-    policy.recordResult(OrdinaryPollTimeout, Begin);
-    policy.recordResult(OrdinaryPollTimeout, Begin);
+    policy.recordResponse(OrdinaryPollTimeout, Begin);
+    policy.recordResponse(OrdinaryPollTimeout, Begin);
     cr_expect_eq(policy.pollTimeout(false, Begin).count(), OrdinaryPollTimeout.count());
 }
 
--- a/tests/libs/node/testlogload.cpp
+++ b/tests/libs/node/testlogload.cpp
@@ -218,7 +218,7 @@
     void loseWorkers(int tick)
     {
         for (int number = tick; number < UnreachableWorkers; number += TicksPerSecond / 2) {
-            const WorkerEvent event = WorkerUnreachable{workerName(number), "timeout", 6, 250ms, 5100ms};
+            const WorkerEvent event = WorkerUnreachable{workerName(number), "timeout", 3, 6, 250ms, 5100ms};
             log.write(event, now());
         }
     }
--- a/tests/libs/node/testworkereventlog.cpp
+++ b/tests/libs/node/testworkereventlog.cpp
@@ -43,7 +43,7 @@
 
 WorkerUnreachable unreachable(const std::string &worker, const std::string &error = "timeout")
 {
-    return {worker, error, 2, 90ms, 9000ms};
+    return {worker, error, 3, 2, 90ms, 9000ms};
 }
 
 WorkerReachableAgain reachableAgain(const std::string &worker)
@@ -70,7 +70,7 @@
     cr_assert_eq(log.lineCount(), 10, "the first change of a kind is written immediately");
     log.expect("message=\"worker registered\" worker=w address=127.0.0.1:1 failure_domain=east open_runs=0");
     log.expect("message=\"worker draining\" worker=w remaining_ms=7000 open_runs=2");
-    log.expect("message=\"worker unreachable\" worker=w error=timeout open_runs=2 since_report_ms=90 lease_end_in_ms=9000");
+    log.expect("message=\"worker unreachable\" worker=w error=timeout unanswered_polls=3 open_runs=2 since_report_ms=90 lease_end_in_ms=9000");
     log.expect("message=\"worker reachable again\" worker=w open_runs=2 failed_polls=4 since_report_ms=900");
     log.expect("message=\"worker unregistered\" worker=w open_runs=2 failed_polls=0 since_report_ms=unknown");
     log.expect("message=\"worker quarantined\" worker=w count=2 remaining_ms=6000 open_runs=1");
@@ -92,7 +92,8 @@
     workers.writeDue(Begin + 120ms);
     workers.writeDue(Begin + 300ms);
     cr_assert_eq(log.lineCount(), 2);
-    log.expect("message=\"worker unreachable\" workers=2 error=timeout inputs=open_runs,since_report_ms,lease_end_in_ms changes=v:2,90,9000;w:2,90,9000 "
+    log.expect("message=\"worker unreachable\" workers=2 error=timeout inputs=unanswered_polls,open_runs,since_report_ms,lease_end_in_ms "
+               "changes=v:3,2,90,9000;w:3,2,90,9000 "
                "span_ms=100");
 }
 
@@ -105,8 +106,8 @@
     workers.add(unreachable("x", "connection to 127.0.0.1:2: Connection refused"), Begin + 40ms);
     workers.writeAll(Begin + 60ms);
     cr_assert_eq(log.lineCount(), 3);
-    log.expect("worker=w error=\"connection to 127.0.0.1:1: Connection refused\" open_runs=2 since_report_ms=90 lease_end_in_ms=9000");
-    log.expect("worker=x error=\"connection to 127.0.0.1:2: Connection refused\" open_runs=2 since_report_ms=90 lease_end_in_ms=9000");
+    log.expect("worker=w error=\"connection to 127.0.0.1:1: Connection refused\" unanswered_polls=3 open_runs=2 since_report_ms=90 lease_end_in_ms=9000");
+    log.expect("worker=x error=\"connection to 127.0.0.1:2: Connection refused\" unanswered_polls=3 open_runs=2 since_report_ms=90 lease_end_in_ms=9000");
 }
 
 // Guards against one line for each worker when the errors differ only in the worker's address.
@@ -138,7 +139,7 @@
     workers.add(reachableAgain("x"), Begin + 40ms);
     workers.writeAll(Begin + 60ms);
     const std::size_t reachableW = log.expect("worker=w open_runs=2 failed_polls=4 since_report_ms=900");
-    const std::size_t unreachableBoth = log.expect("changes=x:2,90,9000;w:2,90,9000 span_ms=20");
+    const std::size_t unreachableBoth = log.expect("changes=x:3,2,90,9000;w:3,2,90,9000 span_ms=20");
     const std::size_t reachableX = log.expect("worker=x open_runs=2 failed_polls=4 since_report_ms=900");
     cr_assert_lt(reachableW, unreachableBoth);
     cr_assert_lt(unreachableBoth, reachableX);
