--- a/tests/libs/dispatch/scriptedfleet.cpp
+++ b/tests/libs/dispatch/scriptedfleet.cpp
@@ -49,7 +49,7 @@
     m_dispatcher->beginTerm(++m_term, m_table, {m_now, m_now}, true);
     m_table.clearRuns();
     for (Worker &worker : m_workers) {
-        worker.poll.reset();
+        worker.polls.clear();
         m_dispatcher->updateWorker(worker.info);
     }
 }
@@ -150,9 +150,13 @@
         for (auto &[id, run] : worker.runs) {
             run.worked += std::chrono::duration_cast<Duration>(Internal::Tick) * run.speedPercent / 100;
         }
-        if (worker.poll && m_now - worker.poll->second >= worker.poll->first.wait) {
-            answerPoll(worker);
-        }
+        std::erase_if(worker.polls, [&](const auto &poll) {
+            const bool isDue = m_now - poll.second >= poll.first.wait;
+            if (isDue) {
+                answerPoll(worker, poll.first, poll.second);
+            }
+            return isDue;
+        });
     }
 }
 
@@ -205,9 +209,10 @@
                    },
                    [&](PollCommand &command) {
                        Worker &worker = workerOf(command.worker.id);
-                       worker.poll.emplace(std::move(command), m_now);
                        if (worker.losesPoll && worker.losesPoll()) {
-                           losePoll(worker);
+                           losePoll(command, m_now);
+                       } else {
+                           worker.polls.emplace_back(std::move(command), m_now);
                        }
                    },
                    [](const auto &) {},
@@ -215,18 +220,15 @@
                action);
 }
 
-void ScriptedFleet::losePoll(Worker &worker)
+void ScriptedFleet::losePoll(const PollCommand &poll, TimePoint sentAt)
 {
-    const auto lost = *std::exchange(worker.poll, std::nullopt);
-    m_timeouts.emplace(m_now + lost.first.wait + lost.first.responseTimeout,
-                       [this, lost] { m_dispatcher->pollAnswered(lost.first, CommandUndetermined{"timeout"}, lost.second, m_now); });
+    m_timeouts.emplace(m_now + poll.wait + poll.responseTimeout,
+                       [this, poll, sentAt] { m_dispatcher->pollAnswered(poll, CommandUndetermined{"timeout"}, sentAt, m_now); });
 }
 
-void ScriptedFleet::answerPoll(Worker &worker)
+void ScriptedFleet::answerPoll(Worker &worker, const PollCommand &poll, TimePoint sentAt)
 {
-    const auto [poll, sentAt] = *std::exchange(worker.poll, std::nullopt);
-    const std::int64_t acknowledgedSequence = poll.acknowledgedSequence;
-    std::erase_if(worker.ends, [&](const ReportedRunEnd &end) { return end.sequence <= acknowledgedSequence; });
+    std::erase_if(worker.ends, [&](const ReportedRunEnd &end) { return end.sequence <= poll.acknowledgedSequence; });
     WorkerReport report;
     report.clock = std::chrono::duration_cast<WorkerTime>(m_now.time_since_epoch());
     report.processStartedAt = std::chrono::milliseconds(1);
--- a/tests/libs/dispatch/scriptedfleet.h
+++ b/tests/libs/dispatch/scriptedfleet.h
@@ -44,7 +44,7 @@
         std::function<bool()> losesPoll; // whether a poll is lost on its way; none: never
         std::vector<ReportedRunEnd> ends; // not acknowledged yet
         std::int64_t endCount = 0; // of its process
-        std::optional<std::pair<PollCommand, TimePoint>> poll; // not answered, and when it was sent
+        std::vector<std::pair<PollCommand, TimePoint>> polls; // not answered, and when they were sent
     };
 
     explicit ScriptedFleet(int workers);
@@ -82,8 +82,8 @@
     void beginTerm();
     void tick();
     void perform(DispatchAction &action);
-    void answerPoll(Worker &worker);
-    void losePoll(Worker &worker);
+    void answerPoll(Worker &worker, const PollCommand &poll, TimePoint sentAt);
+    void losePoll(const PollCommand &poll, TimePoint sentAt);
     static void addEnd(Worker &worker, const TaskId &task, int run, RunEndReason endReason);
     Worker &workerOf(const std::string &id);
     WallTime wall() const;
