Dispatch: end a run that cannot begin without the response to a stop

A start without a response was sent three times, and then the run was stopped, which needed a stop with a response and a report sent after it. Where six of ten responses are lost, that took up to 14 s; on a worker that answers polls only it took for ever.

A worker does nothing for a lower fencing token than the highest that it has seen, and each poll carries the token. So after the last attempt the token of the worker rises once, and a report that answers a poll with the new token, comes from the process to which all starts were sent, and lists all ends but neither the run nor its end, proves that the run can't begin there. It ends with the evidence "fenced off". Where the start of the process is unknown, or the worker has restarted, the run is stopped as before. Start commands of other tasks in transit to that worker are rejected and sent again; runs that wait together share one rise.

Starts and stops without a response now ask for a report at once.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -48,6 +48,7 @@
 enum class RunEndEvidence {
     Report, // a worker reported the end
     MissingInReport, // the worker's report did not list the run any more
+    FencedOff, // the report of a poll with a higher fencing token than all start commands did not list the run
     WorkerRestarted, // another process of the worker reported
     ProcessEnded, // the worker is not in the list of live workers, or its address belongs to another one
     StopConfirmed, // the stop was confirmed by a worker that did not report afterwards
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -175,6 +175,9 @@
     /// completed before the stop; these wait for the end of the lease.
     void endStoppedRuns(TimePoint now);
     void pollWorkers(TimePoint now);
+
+    /// Lets @p worker be polled without a delay, because something about it is undetermined.
+    static void requestReport(WorkerState &worker, TimePoint now);
     void moveRunsOffDrainingWorkers(TimePoint now);
 
     /// Returns true if the next poll may acknowledge the ends of @p worker that are durable. A poll names the worker and not its
@@ -239,7 +242,7 @@
     static void updateExpectedEnd(const ListedRun &run, TimePoint now);
 
     /// Ends the runs of @p worker that the last report, @p report, does not list.
-    void findMissingRuns(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
+    void findMissingRuns(WorkerState &worker, const PollCommand &poll, const WorkerReport &report, TimePoint sentAt, TimePoint now);
     void stopOrphan(WorkerState &worker, const ReportedRun &run, TimePoint now);
     std::vector<NeighbourLoad> endedNeighbourLoads(WorkerState &worker, TimePoint now);
     void recordEndedBestEffortRun(const TaskId &id, const TaskExecution &task, TimePoint now);
@@ -264,8 +267,26 @@
     /// response that is late or lost is no reason to stop a run.
     void handleUndeterminedStart(const TaskId &id, TaskExecution &task, TimePoint now);
 
-    /// Sends the start of @p task again, of which a later report does not list the run, or stops the run after the last attempt.
-    void handleUnlistedStart(const TaskId &id, TaskExecution &task, TimePoint now);
+    /// Returns true if the start of @p task may be sent again.
+    static bool canRepeatStart(const TaskExecution &task);
+
+    /// Sends the start of @p task again, of which a later report does not list the run. After the last attempt it waits for a report that
+    /// proves that the run can't begin, or stops the run if there is no such report.
+    void handleUnlistedStart(const TaskId &id, TaskExecution &task, bool listsAllRuns, TimePoint now);
+
+    /// Returns true if all start commands of @p task were sent to the process of @p worker that is the current one as far as known.
+    static bool isStartProcessCurrent(const WorkerState &worker, const TaskExecution &task);
+
+    /// Asks for a report after a stop without a response, which may or may not be executed.
+    void handleUndeterminedStop(WorkerState &worker, const TaskExecution &task, TimePoint now);
+
+    /// Makes the process of @p worker reject all start commands of @p task so far, once it has received the next command. Start commands
+    /// of other tasks that are in transit are rejected as well, and sent again; so the token rises only if it has not risen since.
+    void fenceStarts(WorkerState &worker, const TaskExecution &task, TimePoint now);
+
+    /// Returns true if no start command of @p task is executed any more after @p poll, which @p report answers: it comes from the process to
+    /// which all were sent, and that process rejects their tokens.
+    static bool areStartsFenced(const TaskExecution &task, const PollCommand &poll, const WorkerReport &report);
 
     /// Counts what the log line about the end of the job says.
     void recordStartResult(const StartCommand &command, const CommandResult &result);
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -79,6 +79,9 @@
     worker->leaseEnd = std::max(worker->leaseEnd, worker->clock->latestTimeOf(command.leaseEnd));
     task.phase = TaskPhase::Starting;
     task.phaseSince = now;
+    const bool isSameProcess = task.startsSent == 0 || task.startProcess == worker->processStartedAt;
+    task.startProcess = isSameProcess ? worker->processStartedAt : std::chrono::milliseconds(0);
+    task.startToken = command.fencingToken;
     ++task.startsSent;
     ++worker->pendingStarts;
     task.startPending = true;
@@ -198,25 +201,58 @@
 
 void Dispatcher::handleUndeterminedStart(const TaskId &id, TaskExecution &task, TimePoint now)
 {
-    const WorkerState *worker = findWorker(task.worker);
+    WorkerState *worker = findWorker(task.worker);
+    if (worker != nullptr) {
+        requestReport(*worker, now);
+    }
     const bool isWithheld = !canStart(now) || (worker != nullptr && worker->isUnreachable());
-    if (isWithheld || task.startsSent >= Internal::MaximumStartSends) {
-        // The run may exist. The next report of the worker, or the end of its lease, tells.
-        task.phaseSince = now;
+    if (!isWithheld && canRepeatStart(task)) {
+        sendStart(id, task, now);
         return;
     }
-    sendStart(id, task, now);
+    // The run may exist. The next report of the worker, or the end of its lease, tells.
+    task.phaseSince = now;
+    if (worker != nullptr && !canRepeatStart(task)) {
+        fenceStarts(*worker, task, now);
+    }
 }
 
-void Dispatcher::handleUnlistedStart(const TaskId &id, TaskExecution &task, TimePoint now)
+bool Dispatcher::canRepeatStart(const TaskExecution &task)
 {
-    if (task.startsSent < Internal::MaximumStartSends) {
+    return task.startsSent < Internal::MaximumStartSends;
+}
+
+void Dispatcher::handleUnlistedStart(const TaskId &id, TaskExecution &task, bool listsAllRuns, TimePoint now)
+{
+    WorkerState *worker = findWorker(task.worker);
+    if (canRepeatStart(task)) {
         sendStart(id, task, now);
+    } else if (listsAllRuns && worker != nullptr && isStartProcessCurrent(*worker, task)) {
+        fenceStarts(*worker, task, now);
     } else {
         beginStop(id, task, StopReason::StartUndetermined, now); // a start command may still be executed
     }
 }
 
+bool Dispatcher::isStartProcessCurrent(const WorkerState &worker, const TaskExecution &task)
+{
+    return task.startProcess.count() != 0 && task.startProcess == worker.processStartedAt;
+}
+
+void Dispatcher::fenceStarts(WorkerState &worker, const TaskExecution &task, TimePoint now)
+{
+    if (isStartProcessCurrent(worker, task) && task.startToken == tokenFor(worker)) {
+        raiseToken(worker);
+    }
+    requestReport(worker, now);
+}
+
+bool Dispatcher::areStartsFenced(const TaskExecution &task, const PollCommand &poll, const WorkerReport &report)
+{
+    const bool isSameProcess = task.startProcess.count() != 0 && report.processStartedAt == task.startProcess;
+    return task.startsSent > 0 && isSameProcess && poll.fencingToken > task.startToken;
+}
+
 void Dispatcher::markStarted(const TaskId &id)
 {
     JobExecution *job = m_jobs.find(id.job);
@@ -321,12 +357,24 @@
         rejection != nullptr && isOvertaken(command.worker.id, command.fencingToken, *rejection)) {
         sendStop(command.task, *task);
     }
+    WorkerState *worker = findWorker(task->worker);
     if (std::holds_alternative<CommandExecuted>(result)) {
         task->stopConfirmed = true;
         task->confirmedAt = now;
-        if (WorkerState *worker = findWorker(task->worker)) {
-            worker->nextPoll = std::min(worker->nextPoll, now);
+        if (worker != nullptr) {
+            requestReport(*worker, now);
         }
+    } else if (std::holds_alternative<CommandUndetermined>(result) && worker != nullptr) {
+        handleUndeterminedStop(*worker, *task, now);
+    }
+}
+
+void Dispatcher::handleUndeterminedStop(WorkerState &worker, const TaskExecution &task, TimePoint now)
+{
+    if (task.startConfirmed) {
+        requestReport(worker, now); // it lists the run or its end
+    } else {
+        fenceStarts(worker, task, now); // the run may not have begun, and then neither is listed
     }
 }
 
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -172,6 +172,11 @@
     }
 }
 
+void Dispatcher::requestReport(WorkerState &worker, TimePoint now)
+{
+    worker.nextPoll = std::min(worker.nextPoll, now);
+}
+
 void Dispatcher::pollAnswered(const PollCommand &command, const PollResult &result, TimePoint sentAt, TimePoint now)
 {
     WorkerState *worker = findWorker(command.worker.id);
@@ -246,7 +251,7 @@
         listed.push_back(listedRun(worker, run));
         handleReportedRun(worker, listed.back(), now);
     }
-    findMissingRuns(worker, report, sentAt, now);
+    findMissingRuns(worker, poll, report, sentAt, now);
     std::erase_if(worker.orphanStops, [&](const auto &item) { return now - item.second > Internal::OrphanStopRetention; });
     adjustSpeeds(worker, listed, now);
     worker.nextPoll = now;
@@ -463,7 +468,7 @@
     }
 }
 
-void Dispatcher::findMissingRuns(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
+void Dispatcher::findMissingRuns(WorkerState &worker, const PollCommand &poll, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
     const bool listsAllRuns = worker.listsAllEnds() && report.malformedRuns == 0;
     std::vector<TaskId> missing;
@@ -482,10 +487,13 @@
         const bool undetermined = task->phase == TaskPhase::Starting && !adopted && !task->startPending && task->phaseSince <= sentAt;
         const bool ran = task->phase == TaskPhase::Running && task->confirmedAt <= sentAt;
         const bool stopped = task->phase == TaskPhase::Stopping && task->stopConfirmed && task->confirmedAt <= sentAt;
+        const bool isAbandoned = (task->phase == TaskPhase::Stopping && !task->startPending) || (undetermined && !canRepeatStart(*task));
         if (listsAllRuns && (adopted || ((ran || stopped) && !task->startPending))) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::MissingInReport);
+        } else if (listsAllRuns && isAbandoned && areStartsFenced(*task, poll, report)) {
+            endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::FencedOff);
         } else if (undetermined) {
-            handleUnlistedStart(id, *task, now);
+            handleUnlistedStart(id, *task, listsAllRuns, now);
         } else if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
             task->phaseSince = now;
             sendStop(id, *task);
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -3,6 +3,8 @@
 #include <ports/workercommands.h>
 #include <utils/clock.h>
 
+#include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -29,6 +31,8 @@
     std::string worker; // worker of the open run
     TimePoint phaseSince{};
     int startsSent = 0; // start commands of this run that the worker may execute
+    std::int64_t startToken = 0; // highest fencing token of these commands
+    std::chrono::milliseconds startProcess{0}; // start of the process to which all of them were sent; 0: unknown
     bool startPending = false; // the last start command was not answered yet, so it may still be executed
     TimePoint startOutstandingUntil{}; // until then, a start command without a response may be executed
     bool startConfirmed = false; // the worker has confirmed the start of this run
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -147,6 +147,8 @@
         return "report";
     case RunEndEvidence::MissingInReport:
         return "missing in report";
+    case RunEndEvidence::FencedOff:
+        return "fenced off";
     case RunEndEvidence::WorkerRestarted:
         return "worker restarted";
     case RunEndEvidence::ProcessEnded:
--- a/tests/libs/dispatch/eventharness.cpp
+++ b/tests/libs/dispatch/eventharness.cpp
@@ -35,6 +35,7 @@
     for (DispatchAction &action : dispatcher.advance(now, wall)) {
         if (const auto *command = std::get_if<PollCommand>(&action)) {
             m_poll = *command;
+            m_pollSentAt = now;
         } else if (std::holds_alternative<AppendRecords>(action)) {
             if (beforeRecordsStored) {
                 beforeRecordsStored();
@@ -50,7 +51,7 @@
     const TimePoint until = now + passed;
     while (now < until) {
         step();
-        if (!m_poll) {
+        if (!m_poll || holdsPolls) {
             continue;
         }
         if (answersPolls) {
@@ -84,7 +85,7 @@
     report.runs = runs;
     report.malformedRuns = malformedRuns;
     report.ends = ends;
-    dispatcher.pollAnswered(*std::exchange(m_poll, std::nullopt), report, now, now);
+    dispatcher.pollAnswered(*std::exchange(m_poll, std::nullopt), report, m_pollSentAt, now);
 }
 
 WorkerInfo EventHarness::worker() const
--- a/tests/libs/dispatch/eventharness.h
+++ b/tests/libs/dispatch/eventharness.h
@@ -50,6 +50,7 @@
     std::size_t malformedRuns = 0; // in the next reports of the worker
     bool makesProgress = true;
     bool readsWorkers = true; // the registrations of the workers are read
+    bool holdsPolls = false; // polls are neither answered nor do they fail until this is reset
     std::function<void()> beforeRecordsStored;
     std::chrono::milliseconds processStartedAt{0}; // in the next reports of the worker
     PollResult pollFailure = CommandUndetermined{"no response"};
@@ -60,6 +61,7 @@
 
     int m_tasks;
     std::optional<PollCommand> m_poll; // not answered yet
+    TimePoint m_pollSentAt{};
 };
 
 } // namespace Hyssop::Testing
