Dispatch: end a stopped serving run after the time of a stop

Callers saw serving tasks without a run for up to 9.6 s after a worker had confirmed the stop of the old run, because the next report was lost. A confirmed stop bars all starts of the run and takes stopDuration at most, but only runs on workers that had not answered the last poll ended that way.

It now counts for workers that respond as well, also if starts of the run had no response. Runs of other tasks may have completed before the stop and still wait for a report. Only workers with a confirmed stop are searched.

Tests that failed before, with no end of the run: fencedStarts/aStoppedServingRunEndsAfterTheTimeOfAStopWithoutAReport and fencedStarts/aStoppedServingRunWithOutstandingStartsEndsAfterTheTimeOfAStop.

--- a/src/libs/dispatch/dispatchdepartures.cpp
+++ b/src/libs/dispatch/dispatchdepartures.cpp
@@ -63,15 +63,20 @@
 {
     const Duration stopDuration = m_limits.stopDuration * 100 / WorkerClock::SlowestPercent;
     for (auto &[workerId, worker] : m_workers) {
-        if (worker.failedPolls == 0) {
+        if (!worker.hasConfirmedStops) {
             continue;
         }
-        const auto stopped = runsWith(worker, [&](const TaskId &id, const TaskExecution &task) {
-            const bool isStopped = task.phase == TaskPhase::Stopping && task.startConfirmed && task.stopConfirmed && !Internal::isStartOutstanding(task);
-            return isStopped && now - task.confirmedAt >= stopDuration && isServingTask(id);
-        });
+        const auto stopped =
+            runsWith(worker, [](const TaskId &, const TaskExecution &task) { return task.phase == TaskPhase::Stopping && task.stopConfirmed; });
+        worker.hasConfirmedStops = !stopped.empty();
         for (const TaskId &id : stopped) {
-            endRun(id, *m_jobs.task(id), RunEndReason::Stopped, {}, now, RunEndEvidence::StopConfirmed);
+            TaskExecution &task = *m_jobs.task(id);
+            // The stop also bars the starts of the run in the same process. A worker that does not respond may be restarting.
+            const bool areStartsBarred = worker.isResponding() && !task.startPending;
+            const bool areStartsOver = areStartsBarred || (task.startConfirmed && !Internal::isStartOutstanding(task));
+            if (areStartsOver && isServingTask(id) && now - task.confirmedAt >= stopDuration) {
+                endRun(id, task, RunEndReason::Stopped, {}, now, RunEndEvidence::StopConfirmed);
+            }
         }
     }
 }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -171,8 +171,8 @@
     /// Sends stops again that a worker that does not respond has not confirmed.
     void repeatUnconfirmedStops(TimePoint now);
 
-    /// Ends the runs of serving tasks whose stop was confirmed by a worker that no longer responds. Runs of other tasks may have
-    /// completed before the stop; these wait for the end of the lease.
+    /// Ends the runs of serving tasks whose stop was confirmed, once the time that a stop takes has passed: the next report may be late or
+    /// lost. Runs of other tasks may have completed before the stop; these wait for a report or the end of the lease.
     void endStoppedRuns(TimePoint now);
     void pollWorkers(TimePoint now);
 
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -362,6 +362,7 @@
         task->stopConfirmed = true;
         task->confirmedAt = now;
         if (worker != nullptr) {
+            worker->hasConfirmedStops = true;
             requestReport(*worker, now);
         }
     } else if (std::holds_alternative<CommandUndetermined>(result) && worker != nullptr) {
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -66,6 +66,7 @@
     std::int64_t acknowledgedEndSequence = 0; // the process has answered a poll that acknowledged the ends up to this one
     int pendingStarts = 0; // start commands that are not answered, also of runs that have ended meanwhile
     bool acknowledgementPending = false; // a poll that acknowledges ends was sent after the last start command, and is not answered
+    bool hasConfirmedStops = false; // some open runs may have a confirmed stop
     std::size_t listedEnds = 0; // in the last report
     std::uint64_t reports = 0; // processed reports
 
--- a/tests/libs/dispatch/testfencedstarts.cpp
+++ b/tests/libs/dispatch/testfencedstarts.cpp
@@ -22,6 +22,7 @@
 const std::string ServingPrefix = "serving";
 constexpr std::size_t Workers = 6;
 constexpr auto Tick = 20ms;
+constexpr auto StopTime = 1000ms; // more than a stop takes on a slow clock
 constexpr std::chrono::milliseconds ProcessStart{1};
 constexpr std::chrono::milliseconds NextProcessStart{2};
 
@@ -38,6 +39,13 @@
     }
 }
 
+/// Confirms the newest stop command.
+void confirmStop(EventHarness &harness)
+{
+    cr_assert_not(harness.all<StopCommand>().empty());
+    harness.dispatcher.stopAnswered(harness.all<StopCommand>().back(), CommandExecuted{harness.clock()}, harness.now);
+}
+
 /// Loses responses of workers and executes commands late while workers restart, also under another owner.
 void runLossyScenario(std::uint32_t seed)
 {
@@ -167,6 +175,54 @@
     cr_expect_eq(harness.all<RunEnded>().size(), Tasks);
 }
 
+// Guards against a serving task that waits for a late report of a worker that has confirmed the stop.
+Test(fencedStarts, aStoppedServingRunEndsAfterTheTimeOfAStopWithoutAReport)
+{
+    EventHarness harness(1, true);
+    harness.startAllTasks();
+    harness.advance(200ms);
+    harness.holdsPolls = true;
+    WorkerInfo draining = harness.worker();
+    draining.draining = true;
+    harness.dispatcher.updateWorker(draining);
+    harness.advance(Tick);
+    confirmStop(harness);
+    harness.advance(500ms);
+    cr_expect(harness.all<RunEnded>().empty(), "the run may still be stopping");
+    harness.advance(StopTime - 500ms);
+    const auto ends = harness.all<RunEnded>();
+    cr_assert_eq(ends.size(), 1);
+    cr_expect(ends[0].evidence == RunEndEvidence::StopConfirmed);
+}
+
+// Guards against the same after starts without a response, which the confirmed stop bars.
+Test(fencedStarts, aStoppedServingRunWithOutstandingStartsEndsAfterTheTimeOfAStop)
+{
+    EventHarness harness(1, true); // its worker does not tell when its process has started, so the run is stopped
+    loseAllStarts(harness);
+    harness.advance(2 * Tick);
+    harness.holdsPolls = true;
+    confirmStop(harness);
+    harness.advance(StopTime);
+    cr_expect_eq(harness.all<RunEnded>().size(), 1);
+}
+
+// Guards against a task that is not a serving one and runs again, although its run has completed before the stop.
+Test(fencedStarts, aStoppedRunThatMayHaveCompletedAwaitsAReport)
+{
+    EventHarness harness(1, false);
+    harness.startAllTasks();
+    harness.advance(200ms);
+    harness.makesProgress = false;
+    while (harness.all<StopCommand>().empty()) {
+        harness.advance(Tick);
+    }
+    harness.holdsPolls = true;
+    confirmStop(harness);
+    harness.advance(2 * StopTime);
+    cr_expect(harness.all<RunEnded>().empty());
+}
+
 // Guards against concurrent runs of a task and starts of cancelled tasks, while the proof that a run can't begin meets restarts of workers.
 Test(fencedStarts, lostResponsesAndLateCommandsAcrossRestartsCauseNoDuplicateRuns)
 {
