Dispatch: do not expect a start that a report has shown

A report that lists a run confirms its start while the response is open. If the response then timed out, the start still counted as outstanding for 12 s, and the worker's ends were not acknowledged meanwhile. A run that was started with a single command and is listed has executed it.

fencedStarts/aReportThatListsTheRunAnswersItsStart failed before ("not acknowledged").

--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -138,7 +138,8 @@
         return;
     }
     task->startPending = false;
-    if (std::holds_alternative<CommandUndetermined>(result)) {
+    const bool isExecuted = task->listed && task->startsSent == 1;
+    if (std::holds_alternative<CommandUndetermined>(result) && !isExecuted) {
         expectLateStart(*task, now);
     }
     if (task->phase != TaskPhase::Starting) {
