Dispatch: prefer other workers after a start without a response

A task whose starts had no response was often given to the same worker again, also while others had room. Such a worker now comes after others for a while, until it executes a start; it is not refused, because a lost response says little about the worker. The task itself remembers the worker as one that failed it.

--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -204,6 +204,8 @@
 {
     WorkerState *worker = findWorker(task.worker);
     if (worker != nullptr) {
+        worker->health.reportUnansweredStart(now);
+        task.failedOn = task.worker;
         requestReport(*worker, now);
     }
     const bool isWithheld = !canStart(now) || (worker != nullptr && worker->isUnreachable());
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -412,6 +412,7 @@
         task->phaseSince = now;
         task->confirmedAt = now;
         task->withoutRunSince.reset();
+        worker.health.reportAcceptedStart();
         markStarted(report.task);
         setInitialSpeed(report.task, *task, now);
     }
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -25,7 +25,7 @@
     TaskPhase phase = TaskPhase::Pending;
     int run = 0; // number of the newest run, from 1
     int failures = 0; // failed runs
-    std::string failedOn; // worker of the last failed run in this term; empty: none
+    std::string failedOn; // worker of the last run in this term that failed or whose start had no response; empty: none
     int unreportedRun = 0; // newest run that this owner considered ended without a report of its end; 0: none
     std::string checkpoint;
     std::string worker; // worker of the open run
--- a/src/libs/dispatch/workerhealth.cpp
+++ b/src/libs/dispatch/workerhealth.cpp
@@ -10,7 +10,7 @@
 constexpr std::chrono::milliseconds InitialRejectionBackoff{500}; // doubles with each consecutive rejection
 // Jobs may wait for 3 s on an idle pool, also if all its workers have rejected starts for some time.
 constexpr std::chrono::milliseconds MaximumRejectionBackoff{2000};
-// A worker without a further rejection for this long after its backoff is as good as others.
+// A worker without a further rejection for this long after its backoff is as good as others. The same after a start without a response.
 constexpr std::chrono::milliseconds RejectionMemory{5000};
 constexpr int MaximumDoublings = 1;
 // A probe that takes longer than this does not delay the next one.
@@ -67,6 +67,22 @@
     m_rejectsUntil = now + std::min(backoff, Duration(MaximumRejectionBackoff));
 }
 
+void WorkerHealth::reportUnansweredStart(TimePoint now)
+{
+    m_unresponsiveUntil = now + RejectionMemory;
+}
+
+void WorkerHealth::reportAcceptedStart()
+{
+    m_consecutiveRejections = 0;
+    m_unresponsiveUntil = TimePoint();
+}
+
+bool WorkerHealth::hasMissedStartsLately(TimePoint now) const
+{
+    return hasRejectedLately(now) || now < m_unresponsiveUntil;
+}
+
 bool WorkerHealth::hasRejectedLately(TimePoint now) const
 {
     return m_consecutiveRejections > 0 && now < m_rejectsUntil + RejectionMemory;
--- a/src/libs/dispatch/workerhealth.h
+++ b/src/libs/dispatch/workerhealth.h
@@ -20,7 +20,8 @@
 /// quarantine too; WorkerRanking tells when. A quarantine that is in force is not extended by a probe that fails.
 ///
 /// A worker that rejects starts gets none for a time that doubles with each rejection in a row up to a bound, and comes after others for
-/// some time after that: otherwise a task returns to the first of many such workers before the last has rejected it.
+/// some time after that: otherwise a task returns to the first of many such workers before the last has rejected it. One that does not
+/// respond to a start comes after others as well: it may answer polls and leave all starts of a task unanswered.
 class WorkerHealth
 {
 public:
@@ -37,8 +38,11 @@
     /// Records a start command that the worker rejected or that could not be sent.
     void reportRejection(TimePoint now);
 
+    /// Records a start command without a response. It may be executed, so other workers are preferred, but this one is not refused.
+    void reportUnansweredStart(TimePoint now);
+
     /// Records a start command that the worker has executed.
-    void reportAcceptedStart() { m_consecutiveRejections = 0; }
+    void reportAcceptedStart();
 
     /// Records a run of @p task that has completed, or serves.
     void reportSuccess(const TaskId &task);
@@ -55,8 +59,9 @@
     /// Returns true if the last significant result was a failure, so that other workers are to be preferred.
     bool isSuspect() const { return m_consecutiveFailures > 0 || m_quarantineCount > 0; }
 
-    /// Returns true if the worker has not accepted a start since a recent rejection, so that other workers are to be preferred.
-    bool hasRejectedLately(TimePoint now) const;
+    /// Returns true if the worker has lately rejected a start, or has not responded to one, and has executed none since, so that other
+    /// workers are to be preferred.
+    bool hasMissedStartsLately(TimePoint now) const;
 
     /// Returns how often the worker was quarantined without having proved sound meanwhile.
     int consecutiveQuarantines() const { return m_quarantineCount; }
@@ -70,6 +75,7 @@
 
     bool isQuarantined(TimePoint now) const { return now < m_quarantinedUntil; }
     void quarantine(TimePoint now);
+    bool hasRejectedLately(TimePoint now) const;
 
     std::string m_lastFailedJob;
     int m_consecutiveFailures = 0;
@@ -79,6 +85,7 @@
     TimePoint m_quarantinedUntil{};
     int m_consecutiveRejections = 0;
     TimePoint m_rejectsUntil{}; // no task is started before, after a rejection
+    TimePoint m_unresponsiveUntil{}; // other workers are preferred until then, after a start without a response
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -59,7 +59,7 @@
 /// Returns how well @p worker suits a task with reserved capacity, before its free capacity counts.
 static int preference(const WorkerState &worker, const PlacementRequest &request, TimePoint now)
 {
-    const int common = (isInDataRack(worker, *request.step) ? 1 : 0) - (worker.health.hasRejectedLately(now) ? RejectionPenalty : 0);
+    const int common = (isInDataRack(worker, *request.step) ? 1 : 0) - (worker.health.hasMissedStartsLately(now) ? RejectionPenalty : 0);
     if (request.step->longRunning) {
         const bool sparesPlaces = request.shortTaskPlaces == nullptr || request.shortTaskPlaces->allows(worker, request.profile->servingMilliCores);
         const bool hasFailedTask = request.failedOn != nullptr && *request.failedOn == worker.info.id;
@@ -290,7 +290,7 @@
 std::int64_t WorkerRanking::bestEffortScore(WorkerState &worker, const PlacementRequest &request) const
 {
     const std::int64_t bonus = Internal::isInDataRack(worker, *request.step) ? Internal::DataRackBonus : 0;
-    const std::int64_t penalty = worker.health.hasRejectedLately(m_now) ? Internal::BestEffortRejectionPenalty : 0;
+    const std::int64_t penalty = worker.health.hasMissedStartsLately(m_now) ? Internal::BestEffortRejectionPenalty : 0;
     return bonus - penalty + m_idleCapacity.score(worker, forecastOf(worker), {request.profile, request.isOverdue});
 }
 
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -51,8 +51,9 @@
 ///
 /// Load pattern: serving tasks reserve most of the capacity, and best-effort tasks use what these leave idle. Tasks with
 /// reserved capacity go where the least free capacity is left that suffices, because many small tasks would otherwise take the
-/// places that few large ones need; a worker whose last runs failed, or that has rejected starts lately, comes last. Serving tasks
-/// prefer workers with serving tasks of the same image, which leaves other workers to the best-effort tasks that interfere with them.
+/// places that few large ones need; a worker whose last runs failed, or that has lately rejected starts or not responded to one, comes
+/// last. Serving tasks prefer workers with serving tasks of the same image, which leaves other workers to the best-effort tasks that
+/// interfere with them.
 /// Where best-effort tasks go is up to IdleCapacityPolicy.
 ///
 /// Quarantined workers get no task while others with more than half of the capacity accept tasks. If fewer do, the failures may be due to
--- a/tests/libs/dispatch/plainranking.cpp
+++ b/tests/libs/dispatch/plainranking.cpp
@@ -33,7 +33,7 @@
 std::int64_t plainScore(const WorkerState &worker, const PlacementRequest &request, TimePoint now)
 {
     const Wire::TaskStep &step = *request.step;
-    const std::int64_t penalty = worker.health.hasRejectedLately(now) ? Internal::RejectionPenalty : 0;
+    const std::int64_t penalty = worker.health.hasMissedStartsLately(now) ? Internal::RejectionPenalty : 0;
     const std::int64_t bonus = (!step.dataRack.empty() && worker.info.rack == step.dataRack ? Internal::DataRackBonus : 0) - penalty;
     if (step.longRunning) {
         return bonus + Internal::servingScore(worker, request);
--- a/tests/libs/dispatch/testfencedstarts.cpp
+++ b/tests/libs/dispatch/testfencedstarts.cpp
@@ -1,5 +1,8 @@
 #include "dispatchsimulation.h"
 #include "eventharness.h"
+#include "scriptedfleet.h"
+
+#include <dispatch/workerhealth.h>
 
 #include <criterion/criterion.h>
 
@@ -245,6 +248,40 @@
     cr_expect(std::ranges::any_of(harness.all<PollCommand>(), [](const PollCommand &poll) { return poll.acknowledgedSequence == 1; }), "not acknowledged");
 }
 
+// Guards against tasks that return to a worker that leaves starts unanswered, beside an idle one.
+Test(fencedStarts, tasksPreferOtherWorkersAfterAnUnansweredStart)
+{
+    for (const bool fillsIdle : {false, true}) {
+        for (const std::size_t mute : {0U, 1U}) {
+            ScriptedFleet fleet(2);
+            fleet.worker(mute).ignoresOrders = true;
+            fleet.advance(1s);
+            Wire::TaskStep step;
+            step.milliCores = 8000;
+            step.taskCount = 1;
+            step.estimateMs = 2000;
+            step.image = "batch";
+            step.fillsIdle = fillsIdle;
+            fleet.submit("job", step);
+            const Duration waited = fleet.advanceUntil([&] { return fleet.runOf("job") != nullptr; }, 60s);
+            const auto milliseconds = static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(waited).count());
+            cr_expect_leq(waited, 4s, "w%zu is mute: it has waited for %ld ms", mute, milliseconds);
+        }
+    }
+}
+
+// Guards against a worker that gets no task at all because a response was lost.
+Test(fencedStarts, aWorkerWithAnUnansweredStartIsNotRefused)
+{
+    const TimePoint now{1000s};
+    WorkerHealth health;
+    health.reportUnansweredStart(now);
+    cr_expect(health.acceptsTask(now));
+    cr_expect(health.hasMissedStartsLately(now + 1s));
+    health.reportAcceptedStart();
+    cr_expect_not(health.hasMissedStartsLately(now + 1s));
+}
+
 // Guards against concurrent runs of a task and starts of cancelled tasks, while the proof that a run can't begin meets restarts of workers.
 Test(fencedStarts, lostResponsesAndLateCommandsAcrossRestartsCauseNoDuplicateRuns)
 {
