--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -238,15 +238,11 @@
     m_actions.emplace_back(std::move(poll));
 }
 
-void Dispatcher::requestReport(const std::string &workerId, TimePoint now)
+void Dispatcher::requestReport(WorkerState &worker, TimePoint now)
 {
-    WorkerState *worker = findWorker(workerId);
-    if (worker == nullptr) {
-        return;
-    }
-    worker->polls.isReportRequested = true;
-    if (worker->failedPolls == 0) {
-        worker->nextPoll = std::min(worker->nextPoll, now);
+    worker.polls.isReportRequested = true;
+    if (worker.failedPolls == 0) {
+        worker.nextPoll = std::min(worker.nextPoll, now);
     }
 }
 
@@ -367,7 +363,7 @@
         listed.push_back(listedRun(worker, run));
         handleReportedRun(worker, listed.back(), now);
     }
-    findMissingRuns(worker, report, sentAt, now);
+    findMissingRuns(worker, poll, report, sentAt, now);
     std::erase_if(worker.orphanStops, [&](const auto &item) { return now - item.second > Internal::OrphanStopRetention; });
     adjustSpeeds(worker, listed, now);
     worker.nextPoll = now;
@@ -529,6 +525,7 @@
         task->phaseSince = now;
         task->confirmedAt = now;
         task->withoutRunSince.reset();
+        worker.health.reportAcceptedStart();
         markStarted(report.task);
         setInitialSpeed(report.task, *task, now);
     }
@@ -585,7 +582,7 @@
     }
 }
 
-void Dispatcher::findMissingRuns(WorkerState &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now)
+void Dispatcher::findMissingRuns(WorkerState &worker, const PollCommand &poll, const WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
     const bool listsAllRuns = worker.listsAllEnds() && report.malformedRuns == 0;
     std::vector<TaskId> missing;
@@ -604,10 +601,13 @@
         const bool undetermined = task->phase == TaskPhase::Starting && !adopted && !task->startPending && task->phaseSince <= sentAt;
         const bool ran = task->phase == TaskPhase::Running && task->confirmedAt <= sentAt;
         const bool stopped = task->phase == TaskPhase::Stopping && task->stopConfirmed && task->confirmedAt <= sentAt;
+        const bool isAbandoned = (task->phase == TaskPhase::Stopping && !task->startPending) || (undetermined && !canRepeatStart(*task));
         if (listsAllRuns && (adopted || ((ran || stopped) && !task->startPending))) {
             endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::MissingInReport);
+        } else if (listsAllRuns && isAbandoned && areStartsFenced(*task, poll, report)) {
+            endRun(id, *task, RunEndReason::LeaseExpired, {}, now, RunEndEvidence::FencedOff);
         } else if (undetermined) {
-            handleUnlistedStart(id, *task, now);
+            handleUnlistedStart(id, *task, listsAllRuns, now);
         } else if (task->phase == TaskPhase::Stopping && now - task->phaseSince > Internal::StopRepeatInterval) {
             task->phaseSince = now;
             sendStop(id, *task);
--- a/src/libs/dispatch/taskexecution.h
+++ b/src/libs/dispatch/taskexecution.h
@@ -3,6 +3,8 @@
 #include <ports/workercommands.h>
 #include <utils/clock.h>
 
+#include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -23,12 +25,14 @@
     TaskPhase phase = TaskPhase::Pending;
     int run = 0; // number of the newest run, from 1
     int failures = 0; // failed runs
-    std::string failedOn; // worker of the last failed run in this term; empty: none
+    std::string failedOn; // worker of the last run in this term that failed or whose start had no response; empty: none
     int unreportedRun = 0; // newest run that this owner considered ended without a report of its end; 0: none
     std::string checkpoint;
     std::string worker; // worker of the open run
     TimePoint phaseSince{};
     int startsSent = 0; // start commands of this run that the worker may execute
+    std::int64_t startToken = 0; // highest fencing token of these commands
+    std::chrono::milliseconds startProcess{0}; // start of the process to which all of them were sent; 0: unknown
     bool startPending = false; // the last start command was not answered yet, so it may still be executed
     TimePoint startOutstandingUntil{}; // until then, a start command without a response may be executed
     bool startConfirmed = false; // the worker has confirmed the start of this run
