Drop reports of another process that a newer report has overtaken

Once several polls of a worker are open, the report of a process that has ended may arrive after one of the next process. It was taken for a further restart: runs at work counted as lost and began a second time elsewhere (rule TWICE).

The order of two reports of different processes is certain only if the poll was sent after the last report was received; otherwise the report is dropped and the worker is polled again.

overlappingPolls/aReportOfAnotherProcessThatANewerOneHasOvertakenIsNotHandled failed before ("all<RunEnded>().empty() is false").

--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -334,6 +334,7 @@
         return;
     }
     if (worker.isOvertakenReport(report, sentAt)) {
+        requestReport(worker, now);
         return;
     }
     if (worker.isUnreachable()) {
--- a/src/libs/dispatch/workerstate.cpp
+++ b/src/libs/dispatch/workerstate.cpp
@@ -68,8 +68,9 @@
         return false;
     }
     const bool isKnown = report.processStartedAt.count() != 0 && processStartedAt.count() != 0;
+    // The times at which processes have started don't tell their order: the time of day may have been set back meanwhile.
     const bool isOtherProcess = isKnown && report.processStartedAt != processStartedAt;
-    return !isOtherProcess && report.clock <= clock->reading;
+    return isOtherProcess || report.clock <= clock->reading;
 }
 
 std::optional<std::chrono::milliseconds> WorkerState::sinceReport(TimePoint now) const
--- a/tests/libs/dispatch/testoverlappingpolls.cpp
+++ b/tests/libs/dispatch/testoverlappingpolls.cpp
@@ -48,9 +48,10 @@
     }
 
     /// Responds now to the poll of this number with a report for which the worker has read its clock at @p readAt.
-    void answer(std::size_t index, TimePoint readAt)
+    void answer(std::size_t index, TimePoint readAt, std::chrono::milliseconds processStartedAt = 0ms)
     {
         WorkerReport report;
+        report.processStartedAt = processStartedAt;
         report.clock = std::chrono::duration_cast<WorkerTime>(readAt - harness.clockBegin);
         report.runs = harness.runs;
         harness.dispatcher.pollAnswered(polls[index].first, report, polls[index].second, harness.now);
@@ -124,6 +125,26 @@
     cr_assert(worker.harness.all<StopCommand>().empty());
 }
 
+// Guards against a report of an earlier process that arrives after one of the current process, is taken for the one of the next process, and
+// ends runs that are at work, so that they begin a second time elsewhere.
+Test(overlappingPolls, aReportOfAnotherProcessThatANewerOneHasOvertakenIsNotHandled)
+{
+    for (const std::chrono::milliseconds overtaken : {3000ms, 7000ms}) { // the time of day may have been set back between the two
+        WorkerWithOpenPolls worker;
+        worker.advance(1s);
+        cr_assert_geq(worker.polls.size(), 3);
+        worker.answer(2, worker.harness.now - 20ms, 5000ms);
+        worker.advance(Tick);
+        worker.harness.actions.clear();
+        worker.harness.runs.clear();
+        worker.answer(1, worker.harness.now - 40ms, overtaken);
+        worker.advance(Tick);
+        cr_expect(worker.harness.all<WorkerRestarted>().empty());
+        cr_expect(worker.harness.all<RunEnded>().empty());
+        cr_expect(worker.harness.all<StopCommand>().empty());
+    }
+}
+
 // Guards against a stop whose effect is known only after the wait of the open poll, which may be lost.
 Test(overlappingPolls, aConfirmedStopRequestsAReport)
 {
