Dispatch: keep room for serving tasks that have lost their run

A serving task that had lost its worker waited for room while short tasks and smaller serving tasks of later jobs took each piece that became free. It came first in the scheduling order, but only tasks that are not serving reserved room, so the room was never in one piece.

Serving tasks whose run has ended now reserve room as other large tasks do, also where their step limits the tasks per worker. First runs reserve nothing: they leave the places of short tasks alone as before.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -83,6 +83,13 @@
     return indexes;
 }
 
+/// Returns the number of serving tasks of @p step that have lost their run and wait for the next one.
+static std::size_t displacedTasks(const Wire::TaskStep &step, const StepExecution &execution)
+{
+    const auto isDisplaced = [](const TaskExecution &task) { return task.phase == TaskPhase::Pending && task.run > 0; };
+    return step.longRunning && execution.pending > 0 ? static_cast<std::size_t>(std::ranges::count_if(execution.tasks, isDisplaced)) : 0;
+}
+
 static std::int64_t startedTasks(const JobExecution &job)
 {
     std::int64_t count = 0;
@@ -210,7 +217,9 @@
     request.isOverdue = request.step->fillsIdle && IdleCapacityPolicy::isOverdue(execution, maximumWait(queue.workerPool), now);
     const bool isUnschedulable = m_unschedulable.contains(request) && !mayProbe(job, stepId, ranking, request);
     if (isUnschedulable && !queue.advice) {
-        if (request.step->perWorker == 0) {
+        if (request.step->perWorker == 0 || Internal::displacedTasks(*request.step, execution) > 0) {
+            const std::map<std::string, int> perWorker = limitedTasksByWorker(*request.step, execution);
+            request.stepTasksByWorker = &perWorker;
             reserveRoom(execution, ranking, request);
         }
         return;
@@ -306,11 +315,13 @@
 
 void Dispatcher::reserveRoom(const StepExecution &execution, const WorkerRanking &ranking, const PlacementRequest &request)
 {
-    const bool takesCapacity = !request.step->longRunning && !request.step->fillsIdle && !request.step->gang;
+    const bool takesCapacity = !request.step->fillsIdle && !request.step->gang;
+    // A serving task that has run comes before new work. First runs wait for room that short tasks leave.
+    const std::size_t tasks = request.step->longRunning ? Internal::displacedTasks(*request.step, execution) : static_cast<std::size_t>(execution.pending);
     // The smallest tasks need no reservation: nothing takes their room.
     const bool isLarge = request.step->milliCores > m_shortTaskReserve.smallestTask(request.workerPool);
-    if (takesCapacity && isLarge && execution.pending > 0 && !request.key->isExpired()) {
-        m_reservations.reserve(ranking, request, static_cast<std::size_t>(execution.pending));
+    if (takesCapacity && isLarge && tasks > 0 && !request.key->isExpired()) {
+        m_reservations.reserve(ranking, request, tasks);
     }
 }
 
--- a/src/libs/dispatch/dispatchreport.cpp
+++ b/src/libs/dispatch/dispatchreport.cpp
@@ -64,12 +64,6 @@
     return waits && execution.done < tasks ? std::optional(0) : std::nullopt;
 }
 
-/// Returns the number of open tasks by worker if @p step limits it, and nothing otherwise.
-static std::map<std::string, int> limitedTasksByWorker(const Wire::TaskStep &step, const StepExecution &execution)
-{
-    return step.perWorker > 0 ? openTasksByWorker(execution) : std::map<std::string, int>();
-}
-
 static void addStep(std::map<GroupKey, WaitingGroup> &groups, const JobExecution &job, const TaskId &stepId, const StepExecution &execution, TimePoint now)
 {
     const auto waits = [now](const TaskExecution &task) { return task.phase == TaskPhase::Pending && task.notBefore <= now; };
@@ -265,7 +259,7 @@
             const bool canStartNow = hasQueue && (execution.pending == 0 || execution.hasPendingTask(now));
             const std::size_t startedTogether = step.gang ? execution.tasks.size() : 1;
             auto state = WaitingWatchdog::Room::None;
-            if (canStartNow && room.hasPlaces(workerPool, step, Internal::limitedTasksByWorker(step, execution), Internal::RoomFactor * startedTogether)) {
+            if (canStartNow && room.hasPlaces(workerPool, step, limitedTasksByWorker(step, execution), Internal::RoomFactor * startedTogether)) {
                 // The platform's rule on serving tasks holds however much is in use.
                 const bool isAmple = step.longRunning || room.isLessThanHalfReserved(workerPool);
                 state = isAmple ? WaitingWatchdog::Room::Ample : WaitingWatchdog::Room::InBusyPool;
@@ -294,7 +288,7 @@
     overdue.assignedTasks = Internal::countPhase(execution, TaskPhase::Assigned);
     overdue.waitingTime = m_watchdog.waitingTime(stepId);
     overdue.besideRoom = m_watchdog.timeBesideRoom(stepId);
-    overdue.places = room.places(workerPool, step, Internal::limitedTasksByWorker(step, execution), Internal::MaximumPlaces);
+    overdue.places = room.places(workerPool, step, limitedTasksByWorker(step, execution), Internal::MaximumPlaces);
     Duration oldestReportAge{0};
     for (const WorkerState *worker : room.workers(workerPool)) {
         overdue.milliCores += worker->info.capacity.milliCores;
--- a/src/libs/dispatch/roomreservations.h
+++ b/src/libs/dispatch/roomreservations.h
@@ -17,6 +17,7 @@
 /// Each piece that becomes free is taken by a small task at once, so a large one never finds its room, although it is the next in
 /// the scheduling order. The first steps in the order whose tasks find no worker therefore reserve the workers that lack least of
 /// the room. Less urgent tasks start there only where they leave the reserved room, also those of jobs that were started before.
+/// Serving tasks that have lost their run reserve room as well, because short tasks and smaller serving tasks would take it.
 ///
 /// Invariant: what is reserved becomes free when the short tasks that run on the worker have ended, and a more urgent step is
 /// never kept from a worker by a less urgent one.
--- a/src/libs/dispatch/stepexecution.cpp
+++ b/src/libs/dispatch/stepexecution.cpp
@@ -92,4 +92,9 @@
     return counts;
 }
 
+std::map<std::string, int> limitedTasksByWorker(const Wire::TaskStep &step, const StepExecution &execution)
+{
+    return step.perWorker > 0 ? openTasksByWorker(execution) : std::map<std::string, int>();
+}
+
 } // namespace Hyssop
--- a/src/libs/dispatch/stepexecution.h
+++ b/src/libs/dispatch/stepexecution.h
@@ -56,4 +56,7 @@
 /// Returns the number of open tasks of @p step by worker.
 std::map<std::string, int> openTasksByWorker(const StepExecution &step);
 
+/// Returns the same for @p execution if its definition, @p step, limits the number per worker, and nothing otherwise.
+std::map<std::string, int> limitedTasksByWorker(const Wire::TaskStep &step, const StepExecution &execution);
+
 } // namespace Hyssop
