Node: end the process without static destructors

Processes of hyssop-node were often still there at the end of their grace time and were killed. After "stopped", static destructors of log4cplus join the four threads of its pool, which may not finish in time.

main() now ends the process with std::quick_exit() once the daemon has stopped and its objects are destroyed.

node/aPlannedStopDoesNotWaitForStaticDestructors failed before: with a library whose static destructor blocks, the process was still there 6 s after SIGTERM. The seven tests node/* pass; the other tests of processes were not run.

--- a/src/tools/hyssop-node/main.cpp
+++ b/src/tools/hyssop-node/main.cpp
@@ -7,6 +7,7 @@
 #include <workerclient.h>
 
 #include <http/httpclient.h>
+#include <instance/processend.h>
 #include <instance/programoptions.h>
 #include <node/nodedaemon.h>
 #include <node/nodesettings.h>
@@ -96,7 +97,7 @@
     }
     try {
         const auto &[settings, file] = std::get<ProgramSettings>(parsed);
-        return runDaemon(settings, file);
+        endProcess(runDaemon(settings, file));
     } catch (const std::exception &error) {
         std::cerr << "hyssop-node: " << error.what() << "\n";
         return 1;
--- a/tests/processes/testnode.cpp
+++ b/tests/processes/testnode.cpp
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <map>
 #include <set>
@@ -244,3 +245,13 @@
     cr_assert(cluster.waitForState(other, "00000000000000f1", "completed", 15s));
     assertStartedOnce(cluster);
 }
+
+// Guards against a process that is still there at the end of its grace time, because a static destructor of a library waits for a thread.
+Test(node, aPlannedStopDoesNotWaitForStaticDestructors, .timeout = 60)
+{
+    ::setenv("LD_PRELOAD", HYSSOP_BLOCKING_EXIT_LIBRARY, 1);
+    NodeCluster cluster;
+    ::unsetenv("LD_PRELOAD");
+    cluster.node(0).sendSignal(SIGTERM);
+    cr_assert_eq(cluster.node(0).waitForExit(6s), 0);
+}
