Dispatch: starts don't lengthen the lease of a worker that may be lost

Tasks of a lost worker waited longer than the lease that polls grant. Until the silence was noticed, each start command that was sent to the worker granted its runs a new lease, and the owner waited for the end of the newest one.

While a poll is unanswered, starts now carry the end of the lease that this poll grants. The new run has the same lease as the others on its worker.

workerLoss/startsOnASilentWorkerDoNotDelayTheReplacementOfItsRuns failed before with "absent for 7800 ms", where 7,000 ms is the bound.

--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -75,7 +75,9 @@
     }
     fenceAcknowledgement(*worker);
     command.fencingToken = tokenFor(*worker);
-    command.leaseEnd = worker->clock->readingAt(m_leasePolicy.latestLeaseEnd(now, m_confirmedAt));
+    // While a poll is unanswered, the worker may be lost. Its tasks then wait for the end of the lease, so starts must not lengthen it.
+    const TimePoint leaseEnd = worker->polledLeaseEnd.value_or(m_leasePolicy.latestLeaseEnd(now, m_confirmedAt));
+    command.leaseEnd = worker->clock->readingAt(leaseEnd);
     worker->leaseEnd = std::max(worker->leaseEnd, worker->clock->latestTimeOf(command.leaseEnd));
     task.phase = TaskPhase::Starting;
     task.phaseSince = now;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -158,7 +158,8 @@
         poll.acknowledgedSequence = worker.acknowledgementPending ? worker.durableEndSequence : 0;
         // The lease of a worker that does not answer is not renewed, so that its runs end after a bounded time.
         if (worker.clock && worker.failedPolls == 0 && !worker.isLeaseWithheld) {
-            const WorkerTime leaseEnd = worker.clock->readingAt(m_leasePolicy.latestLeaseEnd(now, m_confirmedAt));
+            worker.polledLeaseEnd = m_leasePolicy.latestLeaseEnd(now, m_confirmedAt);
+            const WorkerTime leaseEnd = worker.clock->readingAt(*worker.polledLeaseEnd);
             poll.leaseEnd = leaseEnd;
             worker.leaseEnd = std::max(worker.leaseEnd, worker.clock->latestTimeOf(leaseEnd));
             const bool listsNewEndsOnly = worker.acknowledgementPending || !worker.hasEndsToAcknowledge();
@@ -179,6 +180,7 @@
         return;
     }
     worker->pollPending = false;
+    worker->polledLeaseEnd.reset();
     worker->acknowledgementPending = false;
     m_responseTimeouts.recordResult(now - sentAt - command.wait, now);
     // An entry of another writer may name any address; what answers there says nothing about this worker.
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -60,6 +60,7 @@
     std::optional<TimePoint> missingSince; // since then not responding, and not registered or refusing connections
     bool isLeaseWithheld = false; // the next owner may assume that this one has granted no lease
     TimePoint leaseEnd{}; // unless the lease is renewed, all runs have ended by then
+    std::optional<TimePoint> polledLeaseEnd; // of the lease that the unanswered poll grants, if it grants one
 
     std::int64_t processedEndSequence = 0; // sequence number of the newest run end that was processed
     std::int64_t durableEndSequence = 0; // all run ends up to this sequence number are durable
--- a/tests/libs/dispatch/testworkerloss.cpp
+++ b/tests/libs/dispatch/testworkerloss.cpp
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <string>
+
 using namespace Hyssop;
 using namespace Hyssop::Testing;
 using namespace std::chrono_literals;
@@ -171,3 +174,29 @@
         cr_expect(simulation.violations.empty());
     }
 }
+
+// Guards against tasks of a lost worker that wait longer, because each start command that is sent to it until its silence is noticed
+// lengthens the lease of all its runs.
+Test(workerLoss, startsOnASilentWorkerDoNotDelayTheReplacementOfItsRuns)
+{
+    DispatchSimulation simulation(1, 2, limitsWithLease(LongestPermittedLease));
+    startServingJob(simulation);
+    simulation.plan = [](const TaskId &task) { return task.job == "serving" ? endlessRun(task) : SimulatedWorker::Run{0, TimePoint(300ms)}; };
+    const auto servingRuns = [&] {
+        std::size_t count = 0;
+        for (const std::size_t index : {0U, 1U}) {
+            count +=
+                static_cast<std::size_t>(std::ranges::count_if(simulation.worker(index).runs(), [](const auto &run) { return run.first.job == "serving"; }));
+        }
+        return count;
+    };
+    simulation.restartWorker(busyWorker(simulation), 60s);
+    const TimePoint lostAt = simulation.now;
+    for (int job = 0; servingRuns() < Tasks && simulation.now - lostAt < 60s; ++job) {
+        simulation.submit("short" + std::to_string(job), 1, 1);
+        simulation.run(100ms);
+    }
+    const auto absence = std::chrono::duration_cast<std::chrono::milliseconds>(simulation.now - lostAt) + SlowDelivery;
+    cr_expect_leq(absence.count(), MaximumAbsenceUntilLeaseEnd.count(), "absent for %lld ms", static_cast<long long>(absence.count()));
+    cr_expect(simulation.violations.empty());
+}
