--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -199,7 +199,8 @@
     worker.acknowledgementPending = acknowledges;
     // The lease of a worker that does not answer is not renewed, so that its runs end after a bounded time.
     if (worker.clock && worker.failedPolls == 0 && !worker.isLeaseWithheld) {
-        const WorkerTime leaseEnd = worker.clock->readingAt(m_leasePolicy.latestLeaseEnd(now, m_confirmedAt));
+        worker.polledLeaseEnd = m_leasePolicy.latestLeaseEnd(now, m_confirmedAt);
+        const WorkerTime leaseEnd = worker.clock->readingAt(*worker.polledLeaseEnd);
         poll.leaseEnd = leaseEnd;
         worker.polls.leaseEnd = leaseEnd;
         worker.leaseEnd = std::max(worker.leaseEnd, worker.clock->latestTimeOf(leaseEnd));
@@ -250,6 +251,7 @@
 {
     fenceAcknowledgement(worker); // it may be executed later, after the start of a run in the next process
     worker.polls.regular = 0;
+    worker.polledLeaseEnd.reset();
 }
 
 void Dispatcher::recordPollResponse(const PollCommand &command, TimePoint sentAt, TimePoint now)
@@ -297,6 +299,7 @@
     const bool isNews = isRegular || sentAt >= worker->lastReportAt;
     if (isRegular) {
         worker->polls.regular = 0;
+        worker->polledLeaseEnd.reset();
         worker->acknowledgementPending = false;
     }
     std::visit(Overloaded{
