Dispatcher: bound the starts in flight by the delays of their responses

Callers saw accepted jobs without a run for seconds beside free room, and workers that were quarantined or unreachable although nothing was wrong with them. An owner sent starts as fast as it placed tasks. On a link of 250 kB/s a burst of 900 starts takes 2.7 s, so starts, polls and appends behind it exceeded their timeouts; the owner sent the starts again, took its own delay for the loss of workers, and other owners took over.

CommandWindow bounds the runs that are assigned or whose start has no response. It is halved once per round trip while a quarter of the responses is 150 ms later than the usual ones (those with few starts ahead), and grows with responses in time while tasks wait for it. Lost workers don't close it: a start that a later command with a response has overtaken has left the link. Tasks beyond the window stay pending and hold no room. Once tasks wait for it, each step gets one run before any gets its second, after serving tasks and overdue steps. Gangs are placed whole. `load` has start_window and waiting_for_window.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -52,6 +52,7 @@
         m_earlierLeases.restore(*table.silentWorkers(), *claim.silentWorkersReadAt);
     }
     m_responseTimeouts = ResponseTimeoutPolicy(m_leasePolicy.leaseDuration());
+    m_commandWindow = CommandWindow();
     m_jobs.clear();
     m_workersById.clear();
     m_workers.clear();
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "colocationpolicy.h"
+#include "commandwindow.h"
 #include "dispatchactions.h"
 #include "dispatchlimits.h"
 #include "dispatchstage.h"
@@ -43,6 +44,10 @@
 struct SchedulingKey;
 struct ServingRoom;
 
+namespace Internal {
+struct PendingStep;
+}
+
 /// Scheduler of the instance that owns the job topic. It performs no I/O: its inputs are records, results of commands and the time, its
 /// outputs are actions.
 ///
@@ -271,6 +276,8 @@
     void recordStartResult(const StartCommand &command, const CommandResult &result);
     static void recordRunEnd(JobHistory &history, const TaskId &id, const TaskExecution &task, RunEndReason endReason, TimePoint now);
 
+    void updateCommandWindow(const StartCommand &command, const CommandResult &result, TimePoint now);
+
     /// Marks the job of @p id as running, because a worker has confirmed a run of it.
     void markStarted(const TaskId &id);
     void detectClockRegression(const std::string &workerId, WorkerTime reading, TimePoint now);
@@ -318,7 +325,24 @@
 
     void placePendingTasks(TimePoint now, WallTime wall);
     void recordShortTaskDemand(TimePoint now);
-    void placeStep(JobExecution &job, const TaskId &stepId, const SchedulingKey &key, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now);
+
+    /// Assigns runs of the tasks of @p pending, which is in the scheduling order, while the command window has room. Once tasks wait for the
+    /// window, each step gets a run before any gets its second; serving tasks and overdue steps come before.
+    void placeSteps(const std::vector<Internal::PendingStep> &pending, WorkerRanking &ranking, TimePoint now);
+
+    /// Returns the number of runs that are assigned or whose start command has no response yet.
+    std::size_t startsInFlight() const;
+    bool isWindowFull() const;
+    void addTasksThatWaitForWindow(const StepExecution &step);
+
+    /// Assigns runs of at most @p maximumTasks tasks, or of the whole gang.
+    void placeStep(JobExecution &job,
+                   const TaskId &stepId,
+                   const SchedulingKey &key,
+                   WorkerRanking &ranking,
+                   const QueueInfo &queue,
+                   std::size_t maximumTasks,
+                   TimePoint now);
 
     /// Returns true if a task of the step may be started on a quarantined worker: the job has not failed lately, and no other task of the
     /// step is a probe.
@@ -326,9 +350,15 @@
 
     void placeGang(JobExecution &job, int occurrence, int step, WorkerRanking &ranking, PlacementRequest &request, TimePoint now);
 
-    /// Assigns runs of the pending tasks of @p step, of which each worker has as many as @p perWorker says.
-    void
-    placeTasks(JobExecution &job, const TaskId &step, WorkerRanking &ranking, PlacementRequest &request, std::map<std::string, int> &perWorker, TimePoint now);
+    /// Assigns runs of the pending tasks of @p step, of which each worker has as many as @p perWorker says; of at most @p maximumTasks tasks, and
+    /// while the command window has room.
+    void placeTasks(JobExecution &job,
+                    const TaskId &step,
+                    WorkerRanking &ranking,
+                    PlacementRequest &request,
+                    std::map<std::string, int> &perWorker,
+                    std::size_t maximumTasks,
+                    TimePoint now);
 
     /// Reserves room for the tasks of @p request that wait, where that may help them.
     void reserveRoom(const StepExecution &execution, const WorkerRanking &ranking, const PlacementRequest &request);
@@ -372,6 +402,7 @@
     std::function<void(DispatchStage)> m_stageObserver;
     LeasePolicy m_leasePolicy;
     ResponseTimeoutPolicy m_responseTimeouts;
+    CommandWindow m_commandWindow;
     std::int64_t m_term = 0;
     TimePoint m_confirmedAt{}; // ownership was confirmed as of then
     TimePoint m_readAt{}; // all records up to then were read
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -7,6 +7,7 @@
 #include <jobtopic/joblimits.h>
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <tuple>
 
@@ -21,6 +22,8 @@
 // Overdue steps are searched for on all workers. Those that remain follow in the next pass.
 constexpr std::size_t MaximumExaminedWorkers = 50'000;
 
+constexpr std::size_t AllTasks = std::numeric_limits<std::size_t>::max();
+
 struct PendingStep
 {
     SchedulingKey key;
@@ -30,6 +33,11 @@
     int step = 0;
     bool isOverdue = false; // see IdleCapacityPolicy
 
+    const StepExecution &execution() const { return job->occurrences.at(occurrence)[static_cast<std::size_t>(step)]; }
+
+    /// Returns true if all tasks of the step may start before other steps have a run, although the command window is full.
+    bool hasPrecedence() const { return isOverdue || job->step(step).longRunning; }
+
     bool operator<(const PendingStep &other) const
     {
         return std::tie(other.isOverdue, key, occurrence, step) < std::tie(isOverdue, other.key, other.occurrence, other.step);
@@ -123,14 +131,58 @@
     m_unschedulable.beginPass(ranking, now);
     std::sort(pending.begin(), pending.end());
     m_reservations.beginPass();
-    for (const Internal::PendingStep &item : pending) {
+    placeSteps(pending, ranking, now);
+    ++m_placementWork.passes;
+    m_placementWork.examinedWorkers += ranking.examinedWorkers();
+}
+
+void Dispatcher::placeSteps(const std::vector<Internal::PendingStep> &pending, WorkerRanking &ranking, TimePoint now)
+{
+    m_commandWindow.removeOldStarts(now);
+    const auto place = [&](const Internal::PendingStep &item, std::size_t maximumTasks) {
         if (item.isOverdue && ranking.examinedWorkers() > Internal::MaximumExaminedWorkers) {
-            continue;
+            return;
+        }
+        placeStep(*item.job, {item.job->id, item.occurrence, item.step, 0}, item.key, ranking, *item.queue, maximumTasks, now);
+    };
+    std::vector<const Internal::PendingStep *> remaining;
+    for (const Internal::PendingStep &item : pending) {
+        if (!m_commandWindow.isLimiting() || isWindowFull()) {
+            remaining.push_back(&item);
+        } else if (item.hasPrecedence()) {
+            place(item, Internal::AllTasks);
+        } else {
+            if (item.execution().openTasks() == 0) {
+                place(item, 1);
+            }
+            if (item.execution().openTasks() > 0) {
+                remaining.push_back(&item); // otherwise it has found no room
+            }
         }
-        placeStep(*item.job, {item.job->id, item.occurrence, item.step, 0}, item.key, ranking, *item.queue, now);
     }
-    ++m_placementWork.passes;
-    m_placementWork.examinedWorkers += ranking.examinedWorkers();
+    m_commandWindow.setWaitingTasks(0);
+    for (const Internal::PendingStep *item : remaining) {
+        if (isWindowFull()) {
+            addTasksThatWaitForWindow(item->execution());
+        } else {
+            place(*item, Internal::AllTasks);
+        }
+    }
+}
+
+void Dispatcher::addTasksThatWaitForWindow(const StepExecution &step)
+{
+    m_commandWindow.setWaitingTasks(m_commandWindow.waitingTasks() + static_cast<std::size_t>(step.pending));
+}
+
+std::size_t Dispatcher::startsInFlight() const
+{
+    return m_newIntents.size() + m_batch.intents.size() + m_commandWindow.startsInFlight();
+}
+
+bool Dispatcher::isWindowFull() const
+{
+    return startsInFlight() >= m_commandWindow.size();
 }
 
 bool Dispatcher::isExpired(const JobExecution &job, int occurrence) const
@@ -185,7 +237,8 @@
     }
 }
 
-void Dispatcher::placeStep(JobExecution &job, const TaskId &stepId, const SchedulingKey &key, WorkerRanking &ranking, const QueueInfo &queue, TimePoint now)
+void Dispatcher::placeStep(
+    JobExecution &job, const TaskId &stepId, const SchedulingKey &key, WorkerRanking &ranking, const QueueInfo &queue, std::size_t maximumTasks, TimePoint now)
 {
     if (job.isEnded()) {
         return; // another step has failed in this pass
@@ -221,7 +274,7 @@
         request.tickets = m_tickets.tickets(stepId, now);
     }
     if (!isUnschedulable && (!queue.advice || request.tickets != nullptr)) {
-        placeTasks(job, stepId, ranking, request, perWorker, now);
+        placeTasks(job, stepId, ranking, request, perWorker, maximumTasks, now);
     }
     if (queue.advice && execution.hasPendingTask(now)) {
         requestAdvice(stepId, ranking, request, now);
@@ -243,8 +296,13 @@
     return true;
 }
 
-void Dispatcher::placeTasks(
-    JobExecution &job, const TaskId &step, WorkerRanking &ranking, PlacementRequest &request, std::map<std::string, int> &perWorker, TimePoint now)
+void Dispatcher::placeTasks(JobExecution &job,
+                            const TaskId &step,
+                            WorkerRanking &ranking,
+                            PlacementRequest &request,
+                            std::map<std::string, int> &perWorker,
+                            std::size_t maximumTasks,
+                            TimePoint now)
 {
     if (request.step->gang) {
         placeGang(job, step.occurrence, step.step, ranking, request, now);
@@ -268,11 +326,19 @@
     }
     std::int64_t started = Internal::startedTasks(job);
     const bool canWait = now - execution.readySince.value_or(now) < Internal::MaximumReserveDelay;
+    std::size_t placed = 0;
     for (const std::size_t index : Internal::startableTasks(execution, now)) {
         TaskExecution &task = execution.tasks[index];
         if (task.run == 0 && started >= MaximumStartedTasks) {
             continue;
         }
+        if (placed == maximumTasks) {
+            return;
+        }
+        if (isWindowFull()) {
+            addTasksThatWaitForWindow(execution);
+            return; // the tasks wait for the window and not for room
+        }
         request.failedOn = &task.failedOn;
         request.mustLeavePlaces = request.step->longRunning && task.run == 0 && canWait;
         const bool isRanked = isBestEffort && !request.isOverdue;
@@ -293,6 +359,7 @@
             places->handleServingTask(*worker, profile.servingMilliCores);
         }
         started += task.run == 0 ? 1 : 0;
+        ++placed;
         assignRun(job, {job.id, step.occurrence, step.step, static_cast<int>(index)}, task, *worker, task.run + 1, now);
         ranking.capacityChanged(*worker);
         ++perWorker[worker->info.id];
--- a/src/libs/dispatch/dispatchreport.cpp
+++ b/src/libs/dispatch/dispatchreport.cpp
@@ -119,6 +119,8 @@
     }
     summary.overdueSteps = m_watchdog.overdueSteps();
     summary.newlyOverdueSteps = m_watchdog.takeNewlyOverdueSteps();
+    summary.startWindow = m_commandWindow.size();
+    summary.waitingForWindow = m_commandWindow.waitingTasks();
     summary.longestOverdue = m_watchdog.longestTimeBesideRoom();
     addWaitingTasks(summary, now);
     return summary;
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -82,6 +82,9 @@
     ++task.startsSent;
     ++worker->pendingStarts;
     task.startPending = true;
+    command.sentAt = now;
+    command.startsAhead = m_commandWindow.startsInFlight();
+    m_commandWindow.handleSent(now);
     m_actions.emplace_back(std::move(command));
 }
 
@@ -121,10 +124,20 @@
                result);
 }
 
+void Dispatcher::updateCommandWindow(const StartCommand &command, const CommandResult &result, TimePoint now)
+{
+    if (std::holds_alternative<CommandExecuted>(result) || std::holds_alternative<CommandRejected>(result)) {
+        m_commandWindow.handleResponse(command.sentAt, command.startsAhead, now);
+    } else {
+        m_commandWindow.handleMissingResponse(command.worker.id, command.sentAt, now);
+    }
+}
+
 void Dispatcher::startAnswered(const StartCommand &command, const CommandResult &result, TimePoint now)
 {
     if (isOfThisTerm(command.fencingToken)) {
         recordStartResult(command, result);
+        updateCommandWindow(command, result, now);
         if (WorkerState *worker = findWorker(command.worker.id)) {
             worker->pendingStarts = std::max(worker->pendingStarts - 1, 0); // 0: the worker was removed and added meanwhile
         }
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -194,6 +194,7 @@
     std::visit(Overloaded{
                    [&](const WorkerReport &report) {
                        worker->reportedAddress = command.worker.address;
+                       m_commandWindow.handleOtherResponse(sentAt);
                        handleReport(*worker, command, report, sentAt, now);
                    },
                    [&](const CommandRejected &rejection) {
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -366,7 +366,9 @@
                 {"counted_millicores", static_cast<long long>(load.countedMilliCores)},
                 {"free_millicores", static_cast<long long>(load.freeMilliCores)},
                 {"idle_millicores", static_cast<long long>(load.idleMilliCores)},
-                {"workers_by_free_millicores", workersByFreeCapacity(load)}});
+                {"workers_by_free_millicores", workersByFreeCapacity(load)},
+                {"start_window", load.startWindow},
+                {"waiting_for_window", load.waitingForWindow}});
     for (const WaitingTasks &waiting : load.waiting) {
         logWaitingTasks(waiting);
     }
--- a/src/libs/ports/workercommands.h
+++ b/src/libs/ports/workercommands.h
@@ -2,7 +2,10 @@
 
 #include "taskid.h"
 
+#include <utils/clock.h>
+
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -33,6 +36,8 @@
     bool isServing = false; // a serving task; for logs and metrics, not sent to the worker
     std::chrono::milliseconds responseTimeout{800}; // how long to wait for the response; not sent to the worker
     std::optional<std::chrono::milliseconds> withoutRun{}; // time since a run of a serving task was last known; none: its first run; not sent either
+    TimePoint sentAt{}; // on the clock of the owner; not sent either
+    std::size_t startsAhead = 0; // starts of the owner in flight at that time; not sent either
 };
 
 /// Why the owner stops a run; for logs and metrics, not sent to the worker.
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -209,11 +209,13 @@
     load.freeMilliCores = 12'000;
     load.idleMilliCores = -500;
     load.workersByFreeMilliCores = {{4'000, 2}, {8'000, 0}};
+    load.startWindow = 64;
+    load.waitingForWindow = 17;
     logLoad(3, load);
     expectLine(log.text(),
                "message=load epoch=3 workers=3 registered=4 draining=0 unreachable=1 open_runs=5 unreachable_runs=0 waiting_counted=0 waiting_filling=0 "
                "waiting_serving=2 millicores=48000 serving_millicores=30000 counted_millicores=6000 free_millicores=12000 idle_millicores=-500 "
-               "workers_by_free_millicores=4000:2,8000:0");
+               "workers_by_free_millicores=4000:2,8000:0 start_window=64 waiting_for_window=17");
 }
 
 Test(ownerLog, tasksThatWaitNameWhatEachWorkerLacks)
