--- a/tests/libs/dispatch/testcommandwindow.cpp
+++ b/tests/libs/dispatch/testcommandwindow.cpp
@@ -226,6 +226,27 @@
     cr_expect(simulation.violations.empty());
 }
 
+// Guards against a gang that is never placed because it is larger than the window, or of which only a part is started.
+Test(commandWindow, gangsLargerThanTheWindowArePlacedWhole)
+{
+    constexpr std::size_t GangSize = 2 * CommandWindow::InitialSize;
+    DispatchSimulation simulation(1, 120);
+    simulation.ownerLinkBytesPerSecond = 250'000;
+    simulation.payloadSize = 500;
+    simulation.plan = [](const TaskId &) { return SimulatedWorker::Run{0, TimePoint(1h), RunEndReason::Completed, 0}; };
+    simulation.claim();
+    simulation.run(2s);
+    for (int job = 0; job < 20; ++job) {
+        simulation.submit("job" + std::to_string(job), 1, 20);
+    }
+    simulation.submit("gang", 1, GangSize, [](Wire::TaskStep &step) { step.gang = true; });
+    simulation.run(5s);
+    const auto isOfGang = [](const auto &start) { return start.first.job == "gang"; };
+    const auto starts = std::ranges::count_if(simulation.starts, isOfGang);
+    cr_expect_eq(starts, GangSize, "%ld starts of the gang", static_cast<long>(starts));
+    cr_expect(simulation.violations.empty());
+}
+
 // Guards against the loss of many workers that keeps tasks from the others.
 Test(commandWindow, workersThatAreLostTogetherDoNotCloseItForOthers)
 {
