Dispatcher: no task waits for the command window once none is pending

The count of waiting tasks stayed at its last value after the last pending task was placed, so `load` showed tasks that no longer waited and the window went on growing. Found by reading, no test failed.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -120,6 +120,7 @@
         }
     }
     if (pending.empty()) {
+        m_commandWindow.setWaitingTasks(0);
         return;
     }
     recordShortTaskDemand(now);
@@ -145,6 +146,7 @@
         }
         placeStep(*item.job, {item.job->id, item.occurrence, item.step, 0}, item.key, ranking, *item.queue, maximumTasks, now);
     };
+    // A step that was tried here and found no room isn't tried again below, which would reserve room for it twice.
     std::vector<const Internal::PendingStep *> remaining;
     for (const Internal::PendingStep &item : pending) {
         if (!m_commandWindow.isLimiting() || isWindowFull()) {
@@ -156,7 +158,7 @@
                 place(item, 1);
             }
             if (item.execution().openTasks() > 0) {
-                remaining.push_back(&item); // otherwise it has found no room
+                remaining.push_back(&item);
             }
         }
     }
