--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -54,6 +54,7 @@
     m_responseTimeouts = ResponseTimeoutPolicy(m_leasePolicy.leaseDuration());
     m_responseTimes = ResponseTimeEstimator();
     m_repeatedPolls = RepeatedPollBudget();
+    m_commandWindow = CommandWindow();
     m_jobs.clear();
     m_workersById.clear();
     m_workers.clear();
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -306,6 +306,7 @@
                    [&](const WorkerReport &report) {
                        recordPollResponse(command, sentAt, now);
                        worker->reportedAddress = command.worker.address;
+                       m_commandWindow.handleOtherResponse(sentAt);
                        handleReport(*worker, command, report, sentAt, now);
                    },
                    [&](const CommandRejected &rejection) {
