Repeat a request for advice whose response is overdue

An accepted job without a run waited 5.7 s beside free workers when one response of the advice service was lost: the step was asked about again only after the client's timeout of 5 s and 0.5 s more.

TicketCache now expects a response when the service has handled this request and those before it (decisionTime and decisionTimePerWorker; the service handles the requests of an instance one at a time). A request is repeated once, 500 ms after that, or later by twice the lateness of recent responses, so that a slow service is not asked twice about each step. No request is repeated while 16 are pending, half of those that the service lets wait. A late response to the first request does not replace a ticket that is valid longer.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -337,8 +337,8 @@
     /// that is reserved.
     void recordUnschedulable(const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now);
 
-    /// Asks the advice service about workers that could run the pending tasks of @p step, unless it knows enough or is being asked.
-    void requestAdvice(const TaskId &step, const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now);
+    /// Asks the advice service about workers that could run the pending tasks of @p step, unless enough is known or a response is expected.
+    void requestAdvice(const TaskId &step, const WorkerRanking &ranking, const PlacementRequest &request, const AdviceParameters &service, TimePoint now);
     void assignRun(JobExecution &job, const TaskId &id, TaskExecution &task, WorkerState &worker, int run, TimePoint now);
 
     void composeBatch(TimePoint now, WallTime wall);
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -224,7 +224,7 @@
         placeTasks(job, stepId, ranking, request, perWorker, now);
     }
     if (queue.advice && execution.hasPendingTask(now)) {
-        requestAdvice(stepId, ranking, request, now);
+        requestAdvice(stepId, ranking, request, *queue.advice, now);
     }
 }
 
@@ -379,12 +379,13 @@
     }
 }
 
-void Dispatcher::requestAdvice(const TaskId &step, const WorkerRanking &ranking, const PlacementRequest &request, TimePoint now)
+void Dispatcher::requestAdvice(
+    const TaskId &step, const WorkerRanking &ranking, const PlacementRequest &request, const AdviceParameters &service, TimePoint now)
 {
     if (!m_tickets.canRequest(step, now)) {
         return;
     }
-    RequestAdvice adviceRequest{step, m_tickets.beginRequest(step, ranking.adviceCandidates(request), now)};
+    RequestAdvice adviceRequest{step, m_tickets.beginRequest(step, ranking.adviceCandidates(request), now, service)};
     if (!adviceRequest.workers.empty()) {
         m_actions.emplace_back(std::move(adviceRequest));
     }
--- a/src/libs/dispatch/ticketcache.cpp
+++ b/src/libs/dispatch/ticketcache.cpp
@@ -3,6 +3,7 @@
 #include <utils/result.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace Hyssop {
 
@@ -16,6 +17,16 @@
 constexpr std::chrono::milliseconds CandidatesInterval{100};
 // After a request without a usable result.
 constexpr std::chrono::milliseconds RetryInterval{500};
+// Beyond the time that the service takes: a busy owner and its link delay a response.
+constexpr std::chrono::milliseconds MinimumOverdueTime{500};
+// Responses are not equally late.
+constexpr int LatenessFactor = 2;
+// The lateness decreases by this part with each response that is less late.
+constexpr int LatenessDivisor = 8;
+// A request and its repetition.
+constexpr std::size_t MaximumPendingOfStep = 2;
+// Half of those that the service lets wait. Beyond that, requests of steps that have not been asked about go first.
+constexpr std::size_t MaximumPendingForRepetition = 16;
 
 static TaskId stepKey(TaskId task)
 {
@@ -38,10 +49,17 @@
 bool TicketCache::canRequest(const TaskId &task, TimePoint now) const
 {
     const auto step = m_steps.find(Internal::stepKey(task));
-    return step == m_steps.end() || (!step->second.requestPending && now >= step->second.nextRequestAt);
+    if (step == m_steps.end()) {
+        return true;
+    }
+    const std::vector<PendingRequest> &pending = step->second.pending;
+    const bool areOverdue = std::ranges::all_of(pending, [&](const PendingRequest &request) { return isOverdue(request, now); });
+    const bool isAllowed = pending.empty() || (pending.size() < Internal::MaximumPendingOfStep && areOverdue && hasRoomForRepetition());
+    return isAllowed && now >= step->second.nextRequestAt;
 }
 
-std::vector<std::string> TicketCache::beginRequest(const TaskId &task, const std::vector<std::string> &candidates, TimePoint now)
+std::vector<std::string>
+TicketCache::beginRequest(const TaskId &task, const std::vector<std::string> &candidates, TimePoint now, const AdviceParameters &service)
 {
     StepTickets &step = m_steps[Internal::stepKey(task)];
     std::vector<std::string> workers;
@@ -59,7 +77,9 @@
     };
     addWorkers(true);
     addWorkers(false);
-    step.requestPending = !workers.empty();
+    if (!workers.empty()) {
+        step.pending.push_back({now, expectResponse(workers.size(), now, service)});
+    }
     step.nextRequestAt = now + Internal::CandidatesInterval;
     return workers;
 }
@@ -67,22 +87,67 @@
 void TicketCache::handleResult(const TaskId &step, const std::vector<std::string> &asked, const AdviceResult &result, TimePoint sentAt, TimePoint now)
 {
     StepTickets &tickets = m_steps[Internal::stepKey(step)];
-    tickets.requestPending = false;
+    endRequest(tickets, result, sentAt, now);
     const auto *advice = std::get_if<PlacementAdvice>(&result);
     if (advice == nullptr || advice->validity <= Internal::TicketMargin) {
         tickets.nextRequestAt = now + Internal::RetryInterval;
         return;
     }
+    storeTickets(tickets, asked, *advice, sentAt);
+}
+
+bool TicketCache::isOverdue(const PendingRequest &request, TimePoint now) const
+{
+    return now >= request.expectedAt + std::max<Duration>(Internal::MinimumOverdueTime, m_lateness * Internal::LatenessFactor);
+}
+
+bool TicketCache::hasRoomForRepetition() const
+{
+    std::size_t pending = 0;
+    for (const auto &[id, step] : m_steps) {
+        pending += step.pending.size();
+    }
+    return pending < Internal::MaximumPendingForRepetition;
+}
+
+TimePoint TicketCache::expectResponse(std::size_t workers, TimePoint now, const AdviceParameters &service)
+{
+    const auto serviceTime = service.decisionTime + service.decisionTimePerWorker * static_cast<std::int64_t>(workers);
+    m_serviceBusyUntil = std::max(m_serviceBusyUntil, now) + serviceTime;
+    return m_serviceBusyUntil;
+}
+
+void TicketCache::endRequest(StepTickets &step, const AdviceResult &result, TimePoint sentAt, TimePoint now)
+{
+    // A request is sent after it has begun, and its repetition begins later.
+    const auto next = std::ranges::find_if(step.pending, [&](const PendingRequest &request) { return request.beganAt > sentAt; });
+    if (next == step.pending.begin()) {
+        return; // of an earlier term
+    }
+    const auto ended = std::prev(next);
+    if (std::holds_alternative<PlacementAdvice>(result)) {
+        const Duration lateness = now - ended->expectedAt;
+        m_lateness = std::max(lateness, m_lateness - m_lateness / Internal::LatenessDivisor);
+    }
+    step.pending.erase(ended);
+}
+
+void TicketCache::storeTickets(StepTickets &step, const std::vector<std::string> &asked, const PlacementAdvice &advice, TimePoint sentAt)
+{
     for (const std::string &worker : asked) {
-        const auto ticket = advice->tickets.find(worker);
-        if (ticket == advice->tickets.end()) {
-            tickets.allowed.erase(worker);
-            tickets.excluded.insert(worker);
+        const auto ticket = advice.tickets.find(worker);
+        if (ticket == advice.tickets.end()) {
+            step.allowed.erase(worker);
+            step.excluded.insert(worker);
             continue;
         }
-        tickets.allowed.insert(worker);
-        tickets.byWorker[worker] = ticket->second;
-        tickets.validUntil[worker] = sentAt + advice->validity - Internal::TicketMargin;
+        step.allowed.insert(worker);
+        TimePoint &validUntil = step.validUntil[worker];
+        const TimePoint newValidUntil = sentAt + advice.validity - Internal::TicketMargin;
+        if (newValidUntil > validUntil) { // the response to a repetition may have arrived before
+            validUntil = newValidUntil;
+            step.byWorker[worker] = ticket->second;
+        }
     }
 }
 
--- a/src/libs/dispatch/ticketcache.h
+++ b/src/libs/dispatch/ticketcache.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ports/adviceservice.h>
+#include <ports/clusterconfig.h>
 #include <ports/taskid.h>
 #include <utils/clock.h>
 
@@ -22,14 +23,15 @@
     /// Returns the valid tickets of the step that @p task belongs to, or a null pointer if there are none.
     const std::map<std::string, std::string> *tickets(const TaskId &task, TimePoint now);
 
-    /// Returns true if no request about the step is pending or was made just before.
+    /// Returns true if no request about the step was made just before, and none is pending whose response can still be expected. A request
+    /// whose response is overdue can be repeated once while it is pending.
     bool canRequest(const TaskId &task, TimePoint now) const;
 
     /// Returns the workers that the advice service is to be asked about now, and marks a request as pending unless there are none.
-    /// @p candidates are the ids of the workers that could run the step, the preferred ones first.
-    std::vector<std::string> beginRequest(const TaskId &task, const std::vector<std::string> &candidates, TimePoint now);
+    /// @p candidates are the ids of the workers that could run the step, the preferred ones first. @p service tells how long the service takes.
+    std::vector<std::string> beginRequest(const TaskId &task, const std::vector<std::string> &candidates, TimePoint now, const AdviceParameters &service = {});
 
-    /// Ends the pending request about the workers @p asked, and stores its result.
+    /// Ends the pending request that was sent at @p sentAt about the workers @p asked, and stores its result.
     void handleResult(const TaskId &step, const std::vector<std::string> &asked, const AdviceResult &result, TimePoint sentAt, TimePoint now);
 
     /// Removes a ticket that the worker rejected.
@@ -38,6 +40,12 @@
     void forgetJob(const std::string &jobId);
 
 private:
+    struct PendingRequest
+    {
+        TimePoint beganAt{};
+        TimePoint expectedAt{}; // time of the response
+    };
+
     struct StepTickets
     {
         std::map<std::string, std::string> byWorker;
@@ -45,12 +53,19 @@
         std::set<std::string> allowed; // workers that may run the step, also those whose ticket is not valid any more
         std::set<std::string> excluded; // workers that may not run it, which doesn't change
         TimePoint nextRequestAt{};
-        bool requestPending = false;
+        std::vector<PendingRequest> pending; // in the order in which they were sent
     };
 
+    bool isOverdue(const PendingRequest &request, TimePoint now) const;
+    bool hasRoomForRepetition() const;
+    TimePoint expectResponse(std::size_t workers, TimePoint now, const AdviceParameters &service);
+    void endRequest(StepTickets &step, const AdviceResult &result, TimePoint sentAt, TimePoint now);
+    static void storeTickets(StepTickets &step, const std::vector<std::string> &asked, const PlacementAdvice &advice, TimePoint sentAt);
     static void removeExpired(StepTickets &step, TimePoint now);
 
     std::map<TaskId, StepTickets> m_steps; // the task index of the key is 0
+    TimePoint m_serviceBusyUntil{}; // the service handles the requests of an instance one at a time
+    Duration m_lateness{0}; // of recent responses, beyond the expected time
 };
 
 } // namespace Hyssop
