Repeat appends of the owner while earlier attempts are open

When responses to appends were lost, an append was durable for the owner after 3.7 s only (three lost responses), so that accepted jobs waited for the intents of their runs; and after two lost responses to a renewal other instances claimed the topic: the store executes the renewal once, and they see no further record for more than 1.5 s.

An append was repeated after 0.5 s once, then after 1.5 s each, because the time until a repetition was also the timeout of the attempt. Both are separate now: an attempt lasts 1.5 s, and the next one is sent after 0.5 s (more for large appends and slow stores, as before) while at most three are open. The first conclusive response counts; responses later than 0.5 s now count as well, and teach the policy that the store is slow. The append may have been executed by any attempt that was not rejected, so that the proof of ownership keeps the time of the first of them. After a repeated append the next renewal is due 0.5 s after its first attempt.

--- a/src/libs/node/ownerappender.h
+++ b/src/libs/node/ownerappender.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -20,9 +21,10 @@
 class MetadataStore;
 class MetricsRegistry;
 struct ProducerPosition;
+struct TopicAppend;
 
-/// Appends records of the owner to a topic, one append at a time, under the producer position of its term. An append whose
-/// outcome is unknown is repeated with the same position, which the store executes only once.
+/// Appends records of the owner to a topic, one append at a time, under the producer position of its term. An append without a response, or
+/// whose outcome is unknown, is repeated with the same position, which the store executes only once; the first conclusive response counts.
 class OwnerAppender
 {
 public:
@@ -52,9 +54,17 @@
     /// Returns when the last append of the term was acknowledged, or the begin of the term.
     TimePoint lastAppend() const { return m_lastAppend; }
 
+    /// Returns when the newest records of the term became visible to others at the earliest: a repeated append may have been executed by its
+    /// first attempt.
+    TimePoint lastRecord() const { return m_lastRecord; }
+
 private:
+    struct Attempts;
+
     boost::asio::awaitable<void> appendWithRetries(std::vector<KeyedRecord> records, ResultHandler onResult, std::int64_t term);
-    void finish(const TopicAppendResult &result, const ResultHandler &onResult, TimePoint sentAt);
+    void sendAttempt(const std::shared_ptr<Attempts> &attempts);
+    boost::asio::awaitable<void> receiveResult(std::shared_ptr<Attempts> attempts, TopicAppend append, TimePoint sentAt);
+    void finish(const Attempts &attempts, const ResultHandler &onResult);
 
     boost::asio::any_io_executor m_executor;
     const Clock &m_clock;
@@ -64,6 +74,7 @@
     std::optional<std::int64_t> m_term; // none: not the owner
     std::int64_t m_sequence = 0; // of the next append
     TimePoint m_lastAppend{};
+    TimePoint m_lastRecord{};
     bool m_appending = false;
     AppendTimeoutPolicy m_timeouts;
 };
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -476,7 +476,7 @@
 void TopicOwner::renewClaim(TimePoint now)
 {
     const std::optional<std::int64_t> term = m_term ? m_term : m_takeoverTerm;
-    if (!term || m_appender.isAppending() || now - m_appender.lastAppend() < Internal::ClaimRenewalInterval) {
+    if (!term || m_appender.isAppending() || now - m_appender.lastRecord() < Internal::ClaimRenewalInterval) {
         return;
     }
     std::vector<KeyedRecord> records{claimRecord(*term, false)};
