Answer callers from the table, and append while a response is overdue

A submission or cancellation that the store had recorded was answered with "outcome unknown" when the responses to two appends were lost, although the instance had read the record after some 50 ms; and later requests waited behind the append without a response and failed. One append was in flight, it was repeated after its timeout of 1.5 s, and a record in the table did not count.

A record that is applied to the table now answers the requests that wait for it. While the response to an append is overdue (the usual response time as for reads, 250 ms to 1 s), the next batch is sent; at most three appends are open. Without an overdue response nothing changes: one append at a time, so that batches are as large as before.

--- a/src/libs/node/jobintake.cpp
+++ b/src/libs/node/jobintake.cpp
@@ -1,6 +1,7 @@
 #include "jobintake.h"
 
 #include "clusterview.h"
+#include "detachedtask.h"
 #include "topicfollower.h"
 
 #include <jobtopic/jobkeys.h>
@@ -13,6 +14,7 @@
 #include <wire/codec.h>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -39,6 +41,8 @@
 // Only a short part of the time that a caller waits, because most refused callers could have been refused at once.
 constexpr std::chrono::milliseconds MaximumReadWait{1000};
 constexpr std::size_t MaximumBatchBytes = 1024 * 1024;
+// The second and the third one only while responses are overdue.
+constexpr int MaximumOpenAppends = 3;
 
 struct PendingRecord
 {
@@ -53,7 +57,7 @@
     TimePoint enqueuedAt{};
     bool maybeAppended = false; // an append of the record was sent and may have succeeded
     bool abandoned = false; // the caller no longer waits
-    std::optional<std::int64_t> offset;
+    std::optional<std::int64_t> offset; // at or before that of the durable record
 };
 
 } // namespace Internal
@@ -227,35 +231,75 @@
     return JobNotFound{};
 }
 
+void JobIntake::jobRecordApplied(const JobKey &key)
+{
+    m_admission.jobRecordApplied(key, m_clock.now());
+    const auto entry = m_table.jobs().find(key.jobId);
+    if (m_unanswered.empty() || entry == m_table.jobs().end()) {
+        return;
+    }
+    if (key.kind == JobKeyKind::Submission && entry->second.submission) {
+        acknowledge(submissionKey(key.jobId));
+    } else if (key.kind == JobKeyKind::Cancellation && entry->second.cancelled) {
+        acknowledge(cancellationKey(key.jobId));
+    }
+}
+
+void JobIntake::acknowledge(const std::string &key)
+{
+    const auto [begin, end] = m_unanswered.equal_range(key);
+    for (auto item = begin; item != end; ++item) {
+        Internal::PendingRecord &pending = *item->second;
+        pending.offset = pending.offset.value_or(m_follower.end());
+        pending.done.cancel();
+        std::erase(m_pending, item->second); // it would be appended again
+    }
+}
+
 asio::awaitable<void> JobIntake::run()
 {
     while (true) {
-        if (m_pending.empty()) {
-            m_wake.expires_at(asio::steady_timer::time_point::max());
-            co_await m_wake.async_wait(Internal::AsTuple);
-            continue;
+        if (canAppend()) {
+            sendBatch(takeBatch());
+        } else {
+            co_await waitForAppend();
         }
-        co_await writeBatch();
     }
 }
 
+bool JobIntake::canAppend() const
+{
+    const bool isOverdue = m_openAppends < Internal::MaximumOpenAppends && m_clock.now() >= m_overdueAt;
+    return !m_pending.empty() && (m_openAppends == 0 || isOverdue);
+}
+
+asio::awaitable<void> JobIntake::waitForAppend()
+{
+    if (m_pending.empty() || m_openAppends >= Internal::MaximumOpenAppends) {
+        m_wake.expires_at(asio::steady_timer::time_point::max());
+    } else {
+        m_wake.expires_after(std::max<Duration>(m_overdueAt - m_clock.now(), Duration::zero()));
+    }
+    co_await m_wake.async_wait(Internal::AsTuple);
+}
+
 asio::awaitable<void> JobIntake::store(PendingPtr pending)
 {
     pending->enqueuedAt = m_clock.now();
     m_pending.push_back(pending);
+    const auto unanswered = m_unanswered.emplace(pending->record.key, pending);
     m_wake.cancel();
     co_await pending->done.async_wait(Internal::AsTuple);
+    m_unanswered.erase(unanswered);
     pending->abandoned = true;
     if (!pending->maybeAppended) {
         std::erase(m_pending, pending);
     }
 }
 
-asio::awaitable<void> JobIntake::writeBatch()
+std::vector<JobIntake::PendingPtr> JobIntake::takeBatch()
 {
     std::vector<PendingPtr> batch;
-    TopicAppend append;
-    append.topic = Topic::Jobs;
     std::size_t bytes = 0;
     for (const PendingPtr &pending : m_pending) {
         bytes += pending->record.value->size();
@@ -263,16 +307,33 @@
             break;
         }
         batch.push_back(pending);
-        append.records.push_back(pending->record);
     }
     std::erase_if(m_pending, [&](const PendingPtr &pending) { return std::ranges::find(batch, pending) != batch.end(); });
+    return batch;
+}
+
+void JobIntake::sendBatch(std::vector<PendingPtr> batch)
+{
+    ++m_openAppends;
+    m_overdueAt = m_clock.now() + m_responseTimes.repeatDelay();
+    asio::co_spawn(m_executor, writeBatch(std::move(batch)), endProcessOnException);
+}
+
+asio::awaitable<void> JobIntake::writeBatch(std::vector<PendingPtr> batch)
+{
+    TopicAppend append;
+    append.topic = Topic::Jobs;
     std::vector<bool> maybeAppendedBefore;
     for (const PendingPtr &pending : batch) {
+        append.records.push_back(pending->record);
         maybeAppendedBefore.push_back(pending->maybeAppended);
         pending->maybeAppended = true;
     }
+    const TimePoint sentAt = m_clock.now();
     const TopicAppendResult result = co_await m_store.append(std::move(append), Internal::AppendTimeout);
     if (const auto *appended = std::get_if<TopicAppended>(&result)) {
+        m_responseTimes.record(m_clock.now() - sentAt, m_clock.now() - sentAt);
+        endAppend();
         std::int64_t offset = appended->offset;
         for (const PendingPtr &pending : batch) {
             pending->offset = offset++;
@@ -290,13 +351,20 @@
         asio::steady_timer timer(m_executor, Internal::RejectionRetryDelay);
         co_await timer.async_wait(Internal::AsTuple);
     }
+    endAppend();
+}
+
+void JobIntake::endAppend()
+{
+    --m_openAppends;
+    m_wake.cancel();
 }
 
 bool JobIntake::requeueUnfinished(const std::vector<PendingPtr> &batch)
 {
     for (const PendingPtr &pending : batch) {
         const bool rejectedTooLong = m_clock.now() - pending->enqueuedAt > Internal::MaximumRejectionTime;
-        if (pending->abandoned) {
+        if (pending->abandoned || pending->offset) {
             continue;
         }
         if (rejectedTooLong && !pending->maybeAppended) {
--- a/src/libs/node/jobintake.h
+++ b/src/libs/node/jobintake.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "responsetimeestimate.h"
 #include "servingadmission.h"
 
 #include "hyssop_types.h"
@@ -13,6 +14,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,7 +59,8 @@
 }
 
 /// Writes submissions and cancellations of callers to the job topic, batched into few appends. A resent job has the same key, so
-/// an append whose response was lost can be repeated safely. Jobs with serving tasks are accepted only if there is room for them.
+/// an append whose response was lost can be repeated safely, and a record that is read from the topic proves that it is durable. Jobs with
+/// serving tasks are accepted only if there is room for them.
 class JobIntake
 {
 public:
@@ -70,7 +73,7 @@
               MetricsRegistry &metrics);
 
     /// Must be called after a record of the job topic was applied to the table.
-    void jobRecordApplied(const JobKey &key) { m_admission.jobRecordApplied(key, m_clock.now()); }
+    void jobRecordApplied(const JobKey &key);
 
     /// @p timeout is the time that the caller waits for the result.
     boost::asio::awaitable<SubmitResult> submit(std::string jobId, Wire::StepJob job, std::chrono::milliseconds timeout);
@@ -90,7 +93,13 @@
     AdmissionDecision decideOnServing(const std::string &jobId, const Wire::StepJob &job) const;
     void recordAdmission(const std::string &jobId, const AdmissionDecision &decision);
     boost::asio::awaitable<void> store(PendingPtr pending);
-    boost::asio::awaitable<void> writeBatch();
+    void acknowledge(const std::string &key);
+    bool canAppend() const;
+    boost::asio::awaitable<void> waitForAppend();
+    std::vector<PendingPtr> takeBatch();
+    void sendBatch(std::vector<PendingPtr> batch);
+    boost::asio::awaitable<void> writeBatch(std::vector<PendingPtr> batch);
+    void endAppend();
     bool requeueUnfinished(const std::vector<PendingPtr> &batch);
 
     /// Waits until all records that existed at @p since have been read.
@@ -98,7 +107,7 @@
     boost::asio::awaitable<bool> waitUntilApplied(std::int64_t offset, std::chrono::milliseconds timeout) const;
 
     boost::asio::any_io_executor m_executor;
-    boost::asio::steady_timer m_wake; // cancelled when a record is enqueued
+    boost::asio::steady_timer m_wake; // cancelled when a record is enqueued and when an append has ended
     const Clock &m_clock;
     MetadataStore &m_store;
     const JobTable &m_table;
@@ -106,6 +115,10 @@
     const ClusterView &m_cluster;
     MetricsRegistry &m_metrics;
     std::vector<PendingPtr> m_pending;
+    std::multimap<std::string, PendingPtr> m_unanswered; // by the key of the record, also those that are being appended
+    int m_openAppends = 0;
+    TimePoint m_overdueAt{}; // when the response to the newest append is overdue
+    ResponseTimeEstimate m_responseTimes;
     ServingAdmission m_admission;
 };
 
