Send one append of callers' records at a time again

The appends that were sent while a response was overdue made the responses of such a store later than their timeout.

The intake again sends the next batch after the response or the timeout of the last one. The answer from the table, which needs no further call, is what jobIntake/* need: all three tests pass without the additional appends.

--- a/src/libs/node/jobintake.cpp
+++ b/src/libs/node/jobintake.cpp
@@ -1,7 +1,6 @@
 #include "jobintake.h"
 
 #include "clusterview.h"
-#include "detachedtask.h"
 #include "topicfollower.h"
 
 #include <jobtopic/jobkeys.h>
@@ -14,7 +13,6 @@
 #include <wire/codec.h>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -41,8 +39,6 @@
 // Only a short part of the time that a caller waits, because most refused callers could have been refused at once.
 constexpr std::chrono::milliseconds MaximumReadWait{1000};
 constexpr std::size_t MaximumBatchBytes = 1024 * 1024;
-// The second and the third one only while responses are overdue.
-constexpr int MaximumOpenAppends = 3;
 
 struct PendingRecord
 {
@@ -259,30 +255,15 @@
 asio::awaitable<void> JobIntake::run()
 {
     while (true) {
-        if (canAppend()) {
-            sendBatch(takeBatch());
-        } else {
-            co_await waitForAppend();
+        if (m_pending.empty()) {
+            m_wake.expires_at(asio::steady_timer::time_point::max());
+            co_await m_wake.async_wait(Internal::AsTuple);
+            continue;
         }
+        co_await writeBatch(takeBatch());
     }
 }
 
-bool JobIntake::canAppend() const
-{
-    const bool isOverdue = m_openAppends < Internal::MaximumOpenAppends && m_clock.now() >= m_overdueAt;
-    return !m_pending.empty() && (m_openAppends == 0 || isOverdue);
-}
-
-asio::awaitable<void> JobIntake::waitForAppend()
-{
-    if (m_pending.empty() || m_openAppends >= Internal::MaximumOpenAppends) {
-        m_wake.expires_at(asio::steady_timer::time_point::max());
-    } else {
-        m_wake.expires_after(std::max<Duration>(m_overdueAt - m_clock.now(), Duration::zero()));
-    }
-    co_await m_wake.async_wait(Internal::AsTuple);
-}
-
 asio::awaitable<void> JobIntake::store(PendingPtr pending)
 {
     pending->enqueuedAt = m_clock.now();
@@ -312,13 +293,6 @@
     return batch;
 }
 
-void JobIntake::sendBatch(std::vector<PendingPtr> batch)
-{
-    ++m_openAppends;
-    m_overdueAt = m_clock.now() + m_responseTimes.repeatDelay();
-    asio::co_spawn(m_executor, writeBatch(std::move(batch)), endProcessOnException);
-}
-
 asio::awaitable<void> JobIntake::writeBatch(std::vector<PendingPtr> batch)
 {
     TopicAppend append;
@@ -329,11 +303,8 @@
         maybeAppendedBefore.push_back(pending->maybeAppended);
         pending->maybeAppended = true;
     }
-    const TimePoint sentAt = m_clock.now();
     const TopicAppendResult result = co_await m_store.append(std::move(append), Internal::AppendTimeout);
     if (const auto *appended = std::get_if<TopicAppended>(&result)) {
-        m_responseTimes.record(m_clock.now() - sentAt, m_clock.now() - sentAt);
-        endAppend();
         std::int64_t offset = appended->offset;
         for (const PendingPtr &pending : batch) {
             pending->offset = offset++;
@@ -351,13 +322,6 @@
         asio::steady_timer timer(m_executor, Internal::RejectionRetryDelay);
         co_await timer.async_wait(Internal::AsTuple);
     }
-    endAppend();
-}
-
-void JobIntake::endAppend()
-{
-    --m_openAppends;
-    m_wake.cancel();
 }
 
 bool JobIntake::requeueUnfinished(const std::vector<PendingPtr> &batch)
--- a/src/libs/node/jobintake.h
+++ b/src/libs/node/jobintake.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "responsetimeestimate.h"
 #include "servingadmission.h"
 
 #include "hyssop_types.h"
@@ -94,12 +93,8 @@
     void recordAdmission(const std::string &jobId, const AdmissionDecision &decision);
     boost::asio::awaitable<void> store(PendingPtr pending);
     void acknowledge(const std::string &key);
-    bool canAppend() const;
-    boost::asio::awaitable<void> waitForAppend();
     std::vector<PendingPtr> takeBatch();
-    void sendBatch(std::vector<PendingPtr> batch);
     boost::asio::awaitable<void> writeBatch(std::vector<PendingPtr> batch);
-    void endAppend();
     bool requeueUnfinished(const std::vector<PendingPtr> &batch);
 
     /// Waits until all records that existed at @p since have been read.
@@ -107,7 +102,7 @@
     boost::asio::awaitable<bool> waitUntilApplied(std::int64_t offset, std::chrono::milliseconds timeout) const;
 
     boost::asio::any_io_executor m_executor;
-    boost::asio::steady_timer m_wake; // cancelled when a record is enqueued and when an append has ended
+    boost::asio::steady_timer m_wake; // cancelled when a record is enqueued
     const Clock &m_clock;
     MetadataStore &m_store;
     const JobTable &m_table;
@@ -116,9 +111,6 @@
     MetricsRegistry &m_metrics;
     std::vector<PendingPtr> m_pending;
     std::multimap<std::string, PendingPtr> m_unanswered; // by the key of the record, also those that are being appended
-    int m_openAppends = 0;
-    TimePoint m_overdueAt{}; // when the response to the newest append is overdue
-    ResponseTimeEstimate m_responseTimes;
     ServingAdmission m_admission;
 };
 
