--- a/src/libs/node/jobintake.cpp
+++ b/src/libs/node/jobintake.cpp
@@ -53,7 +53,7 @@
     TimePoint enqueuedAt{};
     bool maybeAppended = false; // an append of the record was sent and may have succeeded
     bool abandoned = false; // the caller no longer waits
-    std::optional<std::int64_t> offset;
+    std::optional<std::int64_t> offset; // at or before that of the durable record
 };
 
 } // namespace Internal
@@ -227,6 +227,31 @@
     return JobNotFound{};
 }
 
+void JobIntake::jobRecordApplied(const JobKey &key)
+{
+    m_admission.jobRecordApplied(key, m_clock.now());
+    const auto entry = m_table.jobs().find(key.jobId);
+    if (m_unanswered.empty() || entry == m_table.jobs().end()) {
+        return;
+    }
+    if (key.kind == JobKeyKind::Submission && entry->second.submission) {
+        acknowledge(submissionKey(key.jobId));
+    } else if (key.kind == JobKeyKind::Cancellation && entry->second.cancelled) {
+        acknowledge(cancellationKey(key.jobId));
+    }
+}
+
+void JobIntake::acknowledge(const std::string &key)
+{
+    const auto [begin, end] = m_unanswered.equal_range(key);
+    for (auto item = begin; item != end; ++item) {
+        Internal::PendingRecord &pending = *item->second;
+        pending.offset = pending.offset.value_or(m_follower.end());
+        pending.done.cancel();
+        std::erase(m_pending, item->second); // it would be appended again
+    }
+}
+
 asio::awaitable<void> JobIntake::run()
 {
     while (true) {
@@ -235,7 +260,7 @@
             co_await m_wake.async_wait(Internal::AsTuple);
             continue;
         }
-        co_await writeBatch();
+        co_await writeBatch(takeBatch());
     }
 }
 
@@ -243,19 +268,19 @@
 {
     pending->enqueuedAt = m_clock.now();
     m_pending.push_back(pending);
+    const auto unanswered = m_unanswered.emplace(pending->record.key, pending);
     m_wake.cancel();
     co_await pending->done.async_wait(Internal::AsTuple);
+    m_unanswered.erase(unanswered);
     pending->abandoned = true;
     if (!pending->maybeAppended) {
         std::erase(m_pending, pending);
     }
 }
 
-asio::awaitable<void> JobIntake::writeBatch()
+std::vector<JobIntake::PendingPtr> JobIntake::takeBatch()
 {
     std::vector<PendingPtr> batch;
-    TopicAppend append;
-    append.topic = Topic::Jobs;
     std::size_t bytes = 0;
     for (const PendingPtr &pending : m_pending) {
         bytes += pending->record.value->size();
@@ -263,11 +288,18 @@
             break;
         }
         batch.push_back(pending);
-        append.records.push_back(pending->record);
     }
     std::erase_if(m_pending, [&](const PendingPtr &pending) { return std::ranges::find(batch, pending) != batch.end(); });
+    return batch;
+}
+
+asio::awaitable<void> JobIntake::writeBatch(std::vector<PendingPtr> batch)
+{
+    TopicAppend append;
+    append.topic = Topic::Jobs;
     std::vector<bool> maybeAppendedBefore;
     for (const PendingPtr &pending : batch) {
+        append.records.push_back(pending->record);
         maybeAppendedBefore.push_back(pending->maybeAppended);
         pending->maybeAppended = true;
     }
@@ -296,7 +328,7 @@
 {
     for (const PendingPtr &pending : batch) {
         const bool rejectedTooLong = m_clock.now() - pending->enqueuedAt > Internal::MaximumRejectionTime;
-        if (pending->abandoned) {
+        if (pending->abandoned || pending->offset) {
             continue;
         }
         if (rejectedTooLong && !pending->maybeAppended) {
--- a/src/libs/node/jobintake.h
+++ b/src/libs/node/jobintake.h
@@ -13,6 +13,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,7 +58,8 @@
 }
 
 /// Writes submissions and cancellations of callers to the job topic, batched into few appends. A resent job has the same key, so
-/// an append whose response was lost can be repeated safely. Jobs with serving tasks are accepted only if there is room for them.
+/// an append whose response was lost can be repeated safely, and a record that is read from the topic proves that it is durable. Jobs with
+/// serving tasks are accepted only if there is room for them.
 class JobIntake
 {
 public:
@@ -70,7 +72,7 @@
               MetricsRegistry &metrics);
 
     /// Must be called after a record of the job topic was applied to the table.
-    void jobRecordApplied(const JobKey &key) { m_admission.jobRecordApplied(key, m_clock.now()); }
+    void jobRecordApplied(const JobKey &key);
 
     /// @p timeout is the time that the caller waits for the result.
     boost::asio::awaitable<SubmitResult> submit(std::string jobId, Wire::StepJob job, std::chrono::milliseconds timeout);
@@ -90,7 +92,9 @@
     AdmissionDecision decideOnServing(const std::string &jobId, const Wire::StepJob &job) const;
     void recordAdmission(const std::string &jobId, const AdmissionDecision &decision);
     boost::asio::awaitable<void> store(PendingPtr pending);
-    boost::asio::awaitable<void> writeBatch();
+    void acknowledge(const std::string &key);
+    std::vector<PendingPtr> takeBatch();
+    boost::asio::awaitable<void> writeBatch(std::vector<PendingPtr> batch);
     bool requeueUnfinished(const std::vector<PendingPtr> &batch);
 
     /// Waits until all records that existed at @p since have been read.
@@ -106,6 +110,7 @@
     const ClusterView &m_cluster;
     MetricsRegistry &m_metrics;
     std::vector<PendingPtr> m_pending;
+    std::multimap<std::string, PendingPtr> m_unanswered; // by the key of the record, also those that are being appended
     ServingAdmission m_admission;
 };
 
