Close three orders of events around restarts that a review of the fix found

- A serving run whose stop was confirmed counted as ended although a start without a response might begin it in the next process of the worker.
It waits for a report again; only runs without such starts end after the time of a stop.
- A regular poll that a repeated one replaces may be executed late by the next process, which then holds a lease on the clock of the previous one.
Its token is fenced, and a restart abandons the open poll.
- Responses to repeated polls alone could keep up the budget of repeated polls; they permit one each now, those to regular polls two.

--- a/src/libs/dispatch/dispatchdepartures.cpp
+++ b/src/libs/dispatch/dispatchdepartures.cpp
@@ -71,9 +71,8 @@
         worker.hasConfirmedStops = !stopped.empty();
         for (const TaskId &id : stopped) {
             TaskExecution &task = *m_jobs.task(id);
-            // The stop also bars the starts of the run in the same process. A worker that does not respond may be restarting.
-            const bool areStartsBarred = worker.isResponding() && !task.startPending;
-            const bool areStartsOver = areStartsBarred || (task.startConfirmed && !Internal::isStartOutstanding(task));
+            // The stop bars other starts of the run only in the process that has confirmed it, and the worker may have restarted since.
+            const bool areStartsOver = task.startConfirmed && !Internal::isStartOutstanding(task);
             if (areStartsOver && isServingTask(id) && now - task.confirmedAt >= stopDuration) {
                 endRun(id, task, RunEndReason::Stopped, {}, now, RunEndEvidence::StopConfirmed);
             }
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -315,8 +315,8 @@
     /// of other tasks that are in transit are rejected as well, and sent again; so the token rises only if it has not risen since.
     void fenceStarts(WorkerState &worker, const TaskExecution &task, TimePoint now);
 
-    /// Returns true if no start command of @p task is executed any more after @p poll, which @p report answers: it comes from the process to
-    /// which all were sent, and that process rejects their tokens.
+    /// Returns true if the process that sent @p report in response to @p poll executes no start command of @p task any more: all were sent to
+    /// it, and it rejects their tokens. It says nothing about the next process of the worker.
     static bool areStartsFenced(const TaskExecution &task, const PollCommand &poll, const WorkerReport &report);
 
     /// Counts what the log line about the end of the job says.
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -249,7 +249,11 @@
 
 void Dispatcher::abandonPoll(WorkerState &worker)
 {
-    fenceAcknowledgement(worker); // it may be executed later, after the start of a run in the next process
+    if (worker.polls.isRegularOpen()) {
+        // The next process may execute it late, and would then grant a lease on another clock or forget ends that are not durable.
+        raiseToken(worker);
+    }
+    worker.acknowledgementPending = false;
     worker.polls.regular = 0;
     worker.polledLeaseEnd.reset();
 }
@@ -258,7 +262,7 @@
 {
     m_responseTimeouts.recordResponse(now - sentAt - command.wait, now);
     m_responseTimes.recordResponse(now - sentAt, command.wait);
-    m_repeatedPolls.recordResponse();
+    m_repeatedPolls.recordResponse(command.isRepeated);
 }
 
 void Dispatcher::handlePollFailure(WorkerState &worker, const std::string &reason, TimePoint now)
@@ -338,7 +342,9 @@
         return;
     }
     if (worker.isOvertakenReport(report, sentAt)) {
-        requestReport(worker, now);
+        if (report.processStartedAt != worker.processStartedAt) {
+            requestReport(worker, now); // tells which process is the current one
+        }
         return;
     }
     if (worker.isUnreachable()) {
@@ -428,6 +434,7 @@
     worker.endedProcessStartedAt = std::max(worker.endedProcessStartedAt, worker.processStartedAt);
     worker.processEndKnownAt = now;
     ++worker.endedProcesses;
+    abandonPoll(worker);
     raiseToken(worker);
     awaitLeasesOfLatePolls(worker, now);
     // The next process may execute a start that is not answered, or has executed one of several.
--- a/src/libs/dispatch/repeatedpollbudget.h
+++ b/src/libs/dispatch/repeatedpollbudget.h
@@ -9,8 +9,9 @@
 class RepeatedPollBudget
 {
 public:
-    /// Records that a worker has responded to a poll.
-    void recordResponse();
+    /// Records that a worker has responded to a poll. Less is permitted for the response to a repeated one, so that responses to these alone
+    /// don't keep up their number.
+    void recordResponse(bool isRepeated);
 
     /// Returns true and uses up one repeated poll if one is permitted at @p now.
     bool take(TimePoint now);
