--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -106,7 +106,7 @@
     const Duration untilLeaseEnd = std::max(worker.leaseEnd - now, Duration(0));
     m_actions.emplace_back(WorkerUnreachable{worker.info.id,
                                              reason,
-                                             worker.polls.sinceReport,
+                                             worker.polls.sentSinceReport,
                                              worker.runs.size(),
                                              worker.sinceReport(now),
                                              std::chrono::duration_cast<std::chrono::milliseconds>(untilLeaseEnd)});
@@ -168,7 +168,7 @@
         }
     }
     // Workers that are lost must not use up the polls that others need to prove that they are not.
-    std::ranges::stable_sort(overdue, {}, [](const WorkerState *worker) { return worker->polls.sinceReport; });
+    std::ranges::stable_sort(overdue, {}, [](const WorkerState *worker) { return worker->polls.sentSinceReport; });
     for (WorkerState *worker : overdue) {
         if (!m_repeatedPolls.take(now)) {
             return;
@@ -180,7 +180,7 @@
 PollCommand Dispatcher::makePoll(WorkerState &worker, TimePoint now)
 {
     ++worker.polls.open;
-    ++worker.polls.sinceReport;
+    ++worker.polls.sentSinceReport;
     worker.polls.lastSentAt = now;
     worker.polls.isReportRequested = false;
     PollCommand poll;
@@ -222,7 +222,7 @@
         return false;
     }
     const Duration usualTime = m_responseTimes.usualTime();
-    const bool isSilent = worker.polls.sinceReport >= Internal::MaximumQuickPolls;
+    const bool isSilent = worker.polls.sentSinceReport >= Internal::MaximumQuickPolls;
     const Duration interval = isSilent ? std::max<Duration>(usualTime, Internal::LongRepeatInterval) : usualTime;
     return now - worker.polls.lastSentAt >= interval;
 }
@@ -353,7 +353,7 @@
     worker.failedPolls = 0;
     worker.refusesConnections = false;
     worker.lastReportAt = now;
-    worker.polls.sinceReport = 0;
+    worker.polls.sentSinceReport = 0;
     if (worker.polls.isRegularOpen() && now >= worker.polls.overdueAt) {
         abandonPoll(worker); // the next one renews the lease
     }
--- a/src/libs/dispatch/workerpolls.h
+++ b/src/libs/dispatch/workerpolls.h
@@ -14,7 +14,7 @@
 {
     std::uint64_t regular = 0; // number of the open regular poll; 0: none
     int open = 0; // of both kinds, also those that were superseded
-    int sinceReport = 0; // polls that were sent after the last report
+    int sentSinceReport = 0; // polls that were sent after the last report
     TimePoint lastSentAt{};
     TimePoint overdueAt{}; // of the open regular poll
     std::optional<WorkerTime> leaseEnd; // granted by the newest regular poll to the current process
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -102,13 +102,13 @@
     void addRun(const TaskId &task, const RunProfile &profile, TimePoint now);
     void removeRun(const TaskId &task);
 
-    /// Returns true if the last poll of this owner was answered.
+    /// Returns true if the worker has reported to this owner, and no regular poll has failed since.
     bool isResponding() const { return hasAnswered && failedPolls == 0; }
 
     /// Returns true if the worker is registered, answers, can list more ends, may get a lease, is not draining, and its failure domain is not evacuated.
     bool isSchedulable(const std::set<std::string> &evacuatedDomains) const;
 
-    /// Returns true if the last poll failed.
+    /// Returns true if a regular poll has failed since the last report.
     bool isUnreachable() const { return failedPolls > 0; }
 
     /// Returns true if the process may still list ends that are durable.
