--- a/src/libs/node/topicfollower.cpp
+++ b/src/libs/node/topicfollower.cpp
@@ -28,7 +28,6 @@
     , m_clock(clock)
     , m_store(store)
     , m_topic(topic)
-    , m_reader(executor, clock, store, topic)
     , m_backoff(std::random_device()())
 {
 }
@@ -136,13 +135,12 @@
 
 asio::awaitable<void> TopicFollower::readNext()
 {
+    const TimePoint sentAt = m_clock.now();
     const int pauses = m_pauses;
-    const auto isWanted = [this, pauses] { return !m_stopped && pauses == m_pauses; };
-    const auto response = co_await m_reader.read(m_next, m_timing.maximumWait, isWanted);
-    if (!response || !isWanted()) {
+    const TopicReadResult result = co_await m_store.read(m_topic, m_next, m_timing.maximumWait);
+    if (m_stopped || pauses != m_pauses) {
         co_return;
     }
-    const auto &[result, sentAt] = *response;
     if (const auto *error = std::get_if<Error>(&result)) {
         co_await waitAfterFailure(*error);
         co_return;
--- a/src/libs/node/topicfollower.h
+++ b/src/libs/node/topicfollower.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "hedgedreader.h"
 #include "retrybackoff.h"
 
 #include <ports/storeresults.h>
@@ -29,8 +28,8 @@
     std::chrono::milliseconds maximumWait{1000}; // how long the store may wait for a record before it responds (long poll)
 };
 
-/// Follows a topic that is compacted by key: loads the newest record of each key, then reads new records continuously. A read without a
-/// response is repeated. Reloads the topic if records expired before they were read.
+/// Follows a topic that is compacted by key: loads the newest record of each key, then reads new records continuously. Reloads
+/// the topic if records expired before they were read.
 class TopicFollower
 {
 public:
@@ -54,8 +53,8 @@
     /// before is discarded. Has no effect while paused.
     void pause();
 
-    /// Loads the topic again and follows it, after the call that was sent before pause() has completed or its response is overdue. Has no
-    /// effect unless paused.
+    /// Loads the topic again and follows it, after the call that was sent before pause() has completed. Has no effect unless
+    /// paused.
     void resume();
 
     bool isLoaded() const { return m_loaded; }
@@ -88,11 +87,10 @@
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds time);
     boost::asio::awaitable<void> waitForResume();
 
-    boost::asio::steady_timer m_timer; // of the waits of run() that resume() and stop() end early
+    boost::asio::steady_timer m_timer; // of the only wait of run(); resume() and stop() end it early
     const Clock &m_clock;
     MetadataStore &m_store;
     Topic m_topic;
-    HedgedReader m_reader;
     RecordHandler m_recordHandler;
     ReadHandler m_readHandler;
     FollowTiming m_timing;
