--- a/tests/libs/node/memorystore.cpp
+++ b/tests/libs/node/memorystore.cpp
@@ -19,6 +19,11 @@
 asio::awaitable<TopicReadResult> MemoryStore::read(Topic topic, std::int64_t from, std::chrono::milliseconds wait)
 {
     beginCall(topic);
+    if (isSilent) {
+        co_await waitWhileSilent(wait + ReadTimeout);
+        --m_calls[topic].open;
+        co_return Error{ErrorCode::Timeout, "timeout"};
+    }
     if (lostReadResponses[topic] > 0) {
         --lostReadResponses[topic];
         co_await pauseFor(wait + ReadTimeout);
@@ -44,6 +49,11 @@
 asio::awaitable<NewestRecordsResult> MemoryStore::readNewest(Topic topic, std::string afterKey)
 {
     beginCall(topic);
+    if (isSilent) {
+        co_await waitWhileSilent(ReadTimeout);
+        --m_calls[topic].open;
+        co_return Error{ErrorCode::Timeout, "timeout"};
+    }
     co_await pauseFor(ReadTime);
     --m_calls[topic].open;
     if (failingTopic == topic) {
@@ -54,6 +64,10 @@
 
 asio::awaitable<TopicAppendResult> MemoryStore::append(TopicAppend append, std::chrono::milliseconds timeout)
 {
+    if (isSilent) {
+        co_await waitWhileSilent(timeout);
+        co_return TopicAppendUndetermined{"timeout"};
+    }
     if (hangingAppends > 0) {
         --hangingAppends;
         co_await pauseFor(timeout);
@@ -75,6 +89,13 @@
     co_return result;
 }
 
+asio::awaitable<void> MemoryStore::waitWhileSilent(std::chrono::milliseconds timeout)
+{
+    for (std::chrono::milliseconds waited = 0ms; isSilent && waited < timeout; waited += ReadTime) {
+        co_await pauseFor(ReadTime);
+    }
+}
+
 void MemoryStore::beginCall(Topic topic)
 {
     Calls &calls = m_calls[topic];
--- a/tests/libs/node/memorystore.h
+++ b/tests/libs/node/memorystore.h
@@ -31,6 +31,7 @@
     std::chrono::milliseconds appendTime{1};
     std::optional<Topic> failingTopic; // reads of this topic fail
     bool losesAppends = false; // appends are rejected
+    bool isSilent = false; // calls get no response; those that are open when it responds again fail
     int hangingAppends = 0; // so many of the next appends are lost, and get no response
     int lostAppendResponses = 0; // so many of the next appends are executed, and get no response
     std::map<Topic, int> lostReadResponses; // so many of the next reads of a topic get no response
@@ -45,6 +46,9 @@
 
     void beginCall(Topic topic);
 
+    /// Waits while the store is silent, for @p timeout at most.
+    boost::asio::awaitable<void> waitWhileSilent(std::chrono::milliseconds timeout);
+
     MemoryTopics &m_topics;
     std::map<Topic, Calls> m_calls;
     int m_workersReadsAtClaim = -1; // reads of the workers' topic before the response to the first append
--- a/tests/libs/node/testnodedaemon.cpp
+++ b/tests/libs/node/testnodedaemon.cpp
@@ -1,5 +1,9 @@
+#include "addressdecoder.h"
 #include "memorystore.h"
 #include "memorytopics.h"
+#include "noadvice.h"
+#include "nomachines.h"
+#include "polledworkers.h"
 #include "support/capturedoutput.h"
 
 #include <jobtopic/jobkeys.h>
@@ -7,10 +11,6 @@
 #include <node/nodedaemon.h>
 #include <node/nodesettings.h>
 #include <observability/logging.h>
-#include <ports/adviceservice.h>
-#include <ports/machinedirectory.h>
-#include <ports/platformdecoder.h>
-#include <ports/workerapi.h>
 #include <support/coroutines.h>
 #include <wire/codec.h>
 
@@ -43,64 +43,6 @@
 address = 127.0.0.1:1
 )";
 
-/// Collects the ids of the workers that were polled. Fails every call unless it has a report.
-class PolledWorkers : public WorkerApi
-{
-public:
-    asio::awaitable<CommandResult> start(StartCommand) override { co_return CommandNotSent{"no workers"}; }
-    asio::awaitable<CommandResult> stop(StopCommand command) override
-    {
-        ++stops;
-        co_await pauseFor(stopTime);
-        answeredStops.insert(command.task.job);
-        co_return CommandNotSent{"no workers"};
-    }
-    asio::awaitable<CommandResult> throttle(ThrottleCommand) override { co_return CommandNotSent{"no workers"}; }
-    asio::awaitable<PollResult> poll(PollCommand command) override
-    {
-        ids.insert(command.worker.id);
-        if (report) {
-            co_return *report;
-        }
-        co_return CommandNotSent{"no workers"};
-    }
-
-    std::set<std::string> ids;
-    std::optional<WorkerReport> report;
-    std::chrono::milliseconds stopTime{0};
-    std::set<std::string> answeredStops; // jobs
-    int stops = 0;
-};
-
-class NoAdvice : public AdviceService
-{
-public:
-    asio::awaitable<AdviceResult> requestAdvice(TaskId, std::vector<std::string>) override { co_return Error{ErrorCode::Unavailable, "no advice"}; }
-};
-
-class NoMachines : public MachineDirectory
-{
-public:
-    asio::awaitable<LiveWorkersResult> liveWorkers() override { co_return Error{ErrorCode::Unavailable, "no list of machines"}; }
-};
-
-/// Takes the value of a worker's record as its address.
-class AddressDecoder : public PlatformDecoder
-{
-public:
-    OperatorKey operatorKey(std::string_view) const override { return {}; }
-    Result<ClusterConfig> configuration(std::string_view) const override { return ClusterConfig(); }
-    Result<WorkerInfo> worker(std::string_view id, std::string_view bytes) const override
-    {
-        WorkerInfo info;
-        info.id = id;
-        info.address = bytes;
-        info.workerPool = "hall";
-        info.capacity.milliCores = 64000;
-        return info;
-    }
-};
-
 /// One instance and, in the topics, another one that can own the job topic.
 struct Fixture
 {
--- /dev/null
+++ b/tests/libs/node/testownersuccession.cpp
@@ -0,0 +1,121 @@
+#include "memorytopics.h"
+#include "nodeinstance.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <functional>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace Hyssop;
+using namespace Hyssop::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *LargeShare = "0.5";
+constexpr const char *SmallShare = "0.07";
+
+/// Instances that take turns on one thread, each with its own events.
+struct InstanceGroup
+{
+    NodeInstance &add(const std::string &name, const std::string &processorShare)
+    {
+        instances.push_back(std::make_unique<NodeInstance>(name, processorShare, topics));
+        return *instances.back();
+    }
+
+    /// Processes the events of all instances for @p time. A slow instance processes what is due once in SlowInterval.
+    void run(std::chrono::milliseconds time)
+    {
+        const auto until = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < until) {
+            for (const auto &instance : instances) {
+                const bool isSlow = slowInstance == instance.get();
+                if (!isSlow) {
+                    instance->run(0ms);
+                } else if (std::chrono::steady_clock::now() >= slowInstanceRunsAt) {
+                    instance->run(0ms);
+                    slowInstanceRunsAt = std::chrono::steady_clock::now() + SlowInterval;
+                }
+            }
+            std::this_thread::sleep_for(1ms);
+        }
+    }
+
+    bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds timeout)
+    {
+        const auto until = std::chrono::steady_clock::now() + timeout;
+        while (!condition() && std::chrono::steady_clock::now() < until) {
+            run(10ms);
+        }
+        return condition();
+    }
+
+    void setSilent(std::initializer_list<NodeInstance *> silentInstances, bool isSilent)
+    {
+        for (NodeInstance *instance : silentInstances) {
+            instance->store().isSilent = isSilent;
+        }
+    }
+
+    static constexpr std::chrono::milliseconds SlowInterval{250};
+
+    MemoryTopics topics;
+    std::vector<std::unique_ptr<NodeInstance>> instances;
+    const NodeInstance *slowInstance = nullptr;
+    std::chrono::steady_clock::time_point slowInstanceRunsAt{};
+};
+
+} // namespace
+
+// Guards against a small instance that owns a large fleet after the store was silent for all, because it could read first.
+Test(ownerSuccession, anOwnerKeepsTheTopicAfterASilenceOfTheStore, .timeout = 60)
+{
+    InstanceGroup group;
+    NodeInstance &large = group.add("large", LargeShare);
+    NodeInstance &small = group.add("small", SmallShare);
+    cr_assert(group.runUntil([&] { return large.isOwner(); }, 10s));
+    group.run(1s);
+    group.setSilent({&large, &small}, true);
+    group.run(4200ms);
+    group.setSilent({&small}, false);
+    group.run(400ms);
+    group.setSilent({&large}, false);
+    group.run(5s);
+    cr_assert(large.isOwner());
+    cr_assert_not(small.isOwner());
+    cr_assert_eq(large.metrics().value("hyssop_ownerships_total"), 1);
+}
+
+// Guards against a fleet without an owner, if the owner ended while the store was silent.
+Test(ownerSuccession, aSmallInstanceClaimsIfTheOwnerEndedDuringTheSilence, .timeout = 60)
+{
+    InstanceGroup group;
+    NodeInstance &large = group.add("large", LargeShare);
+    NodeInstance &small = group.add("small", SmallShare);
+    cr_assert(group.runUntil([&] { return large.isOwner(); }, 10s));
+    group.setSilent({&large, &small}, true);
+    group.run(3s);
+    group.setSilent({&small}, false);
+    cr_assert(group.runUntil([&] { return small.isOwner(); }, 9s));
+}
+
+// Guards against a fleet whose owner processes its events a few times a second for as long as it lives.
+Test(ownerSuccession, anOwnerThatCanNotCarryTheTopicHandsItToALargerInstance, .timeout = 60)
+{
+    InstanceGroup group;
+    NodeInstance &small = group.add("small", SmallShare);
+    cr_assert(group.runUntil([&] { return small.isOwner(); }, 10s));
+    NodeInstance &large = group.add("large", LargeShare);
+    group.run(2s);
+    cr_assert(small.isOwner());
+    group.slowInstance = &small;
+    cr_assert(group.runUntil([&] { return large.isOwner(); }, 5s));
+    group.run(1s);
+    cr_assert_not(small.isOwner());
+}
