Claims: time without reads says nothing about the owner

Cause: the time since the last record of the owner ran on while no instance could read or write the topic. The first instance that read again claimed at once, and the order by processor share was lost.

Change: OwnerSilence counts the time between two reads only if they follow each other as usual; an interruption begins anew. An instance whose reads are all slow counts a part of each interval, so it claims in the end. The log line of a claim has its inputs.

--- a/src/libs/node/claimpolicy.cpp
+++ b/src/libs/node/claimpolicy.cpp
@@ -46,10 +46,9 @@
         delay += OverloadDelay;
     }
     if (!owner.hasClaim) {
-        return now - owner.loadedAt >= delay;
+        return owner.silence >= delay;
     }
-    const auto timeout = owner.released ? delay : OwnerTimeout + delay;
-    return now - std::max(owner.lastRecordAt, owner.loadedAt) >= timeout;
+    return owner.silence >= (owner.released ? delay : OwnerTimeout + delay);
 }
 
 } // namespace Hyssop
--- a/src/libs/node/claimpolicy.h
+++ b/src/libs/node/claimpolicy.h
@@ -12,8 +12,7 @@
     bool hasClaim = false; // an instance has claimed the topic
     bool released = false; // the owner has released the topic
     double ownerShare = 0; // cores of the most recent owner; 0: unknown
-    TimePoint lastRecordAt{}; // when the newest record of the owner was read
-    TimePoint loadedAt{}; // when the topic was loaded
+    Duration silence{0}; // without a record of the owner; see OwnerSilence
 };
 
 /// Decides when an instance claims ownership of the job topic. Safety does not depend on this class: the store accepts only one
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -21,6 +21,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <cmath>
 #include <random>
 
 namespace Hyssop {
@@ -49,6 +50,11 @@
     return std::uniform_int_distribution<std::int64_t>(1, maximum)(generator);
 }
 
+static long long milliCores(double processorShare)
+{
+    return std::llround(processorShare * 1000);
+}
+
 } // namespace Internal
 
 TopicOwner::TopicOwner(asio::any_io_executor executor,
@@ -78,7 +84,7 @@
 void TopicOwner::jobRecordApplied(const JobKey &key)
 {
     if (key.kind == JobKeyKind::Progress || key.kind == JobKeyKind::Claim) {
-        m_ownerObservation.lastRecordAt = m_clock.now();
+        m_ownerSilence.handleRecord(m_clock.now());
     } else if (key.kind == JobKeyKind::SilentWorkers) {
         silentWorkersRead();
     } else if (m_term && !key.jobId.empty()) {
@@ -95,12 +101,7 @@
 void TopicOwner::jobsRead(TimePoint sentAt)
 {
     const TimePoint now = m_clock.now();
-    if (m_ownerObservation.loadedAt == TimePoint()) {
-        m_ownerObservation.loadedAt = now;
-    }
-    m_ownerObservation.hasClaim = m_table.claim().has_value();
-    m_ownerObservation.released = m_ownerObservation.hasClaim && m_table.claim()->released;
-    m_ownerObservation.ownerShare = m_ownerObservation.hasClaim ? m_table.claim()->processorShare : 0;
+    m_ownerSilence.handleRead(now);
     if (m_term) {
         if (ownsNewestClaim() && m_table.claim()->term == *m_term) {
             m_dispatcher.confirmRead(sentAt);
@@ -118,9 +119,9 @@
         return;
     }
     endTakeover();
-    if (!m_claiming && m_claimPolicy.shouldClaim(m_ownerObservation, now)) {
+    if (!m_claiming && m_claimPolicy.shouldClaim(observeOwner(), now)) {
         m_claiming = true;
-        m_cleanHandover = m_ownerObservation.released && m_table.claim()->settled;
+        m_cleanHandover = m_table.claim() && m_table.claim()->released && m_table.claim()->settled;
         m_claimSentAt = now;
         updateWorkersNeed();
         asio::co_spawn(m_executor, claim(), endProcessOnException);
@@ -253,6 +254,18 @@
     return claim && claim->instance == m_instance && claim->incarnation == m_incarnation && !claim->released && claim->term >= m_minimumTerm;
 }
 
+OwnerObservation TopicOwner::observeOwner() const
+{
+    OwnerObservation owner;
+    owner.silence = m_ownerSilence.duration();
+    if (const auto &claim = m_table.claim()) {
+        owner.hasClaim = true;
+        owner.released = claim->released;
+        owner.ownerShare = claim->processorShare;
+    }
+    return owner;
+}
+
 void TopicOwner::beginTakeover()
 {
     if (m_takeoverTerm) {
@@ -381,7 +394,7 @@
     m_appender.endTerm();
     m_runsAppender.endTerm();
     m_metrics.set("hyssop_is_owner", 0);
-    m_ownerObservation.lastRecordAt = m_clock.now();
+    m_ownerSilence.handleRecord(m_clock.now());
     updateWorkersNeed();
 }
 
@@ -408,6 +421,7 @@
     const std::int64_t readUpTo = m_jobs.end();
     TopicAppend append{Topic::Jobs, {{0, claimKey(), encode(claim)}}, std::nullopt, ProducerPosition{OwnerAppender::ProducerName, claim.term, claim.sequence}};
     const TimePoint sentAt = m_clock.now();
+    const OwnerObservation owner = observeOwner();
     const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::ClaimTimeout);
     m_claimPolicy.recordStoreLatency(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - sentAt));
     logMessage(LogPriority::Essential,
@@ -416,6 +430,10 @@
                "ownership claim sent",
                {{"epoch", static_cast<long long>(claim.term)},
                 {"read_up_to", static_cast<long long>(readUpTo)},
+                {"owner_silent_ms", static_cast<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(owner.silence).count())},
+                {"owner_released", owner.released},
+                {"owner_millicores", Internal::milliCores(owner.ownerShare)},
+                {"millicores", Internal::milliCores(m_processorShare)},
                 {"appended", std::holds_alternative<TopicAppended>(result)}});
     m_claiming = false; // whether the claim succeeded is known only from reading the topic
 }
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -4,6 +4,7 @@
 #include "dispatchlog.h"
 #include "ownerappender.h"
 #include "ownerdelays.h"
+#include "ownersilence.h"
 #include "servingroomschedule.h"
 
 #include <dispatch/dispatcher.h>
@@ -98,6 +99,9 @@
 private:
     bool ownsNewestClaim() const;
 
+    /// Returns what the reads so far have shown about the owner.
+    OwnerObservation observeOwner() const;
+
     /// Notes when the newest record of silent workers was read.
     void silentWorkersRead();
 
@@ -150,7 +154,7 @@
     double m_processorShare;
     std::int64_t m_incarnation;
     ClaimPolicy m_claimPolicy;
-    OwnerObservation m_ownerObservation;
+    OwnerSilence m_ownerSilence;
     OwnerAppender m_appender; // to the job topic
     OwnerAppender m_runsAppender;
     Dispatcher m_dispatcher;
--- a/tests/libs/node/testnodedaemon.cpp
+++ b/tests/libs/node/testnodedaemon.cpp
@@ -185,13 +185,14 @@
     const ClaimPolicy policy(0ms, 1);
     OwnerObservation owner;
     owner.hasClaim = true;
+    TimePoint lastRecordAt{};
     std::int64_t end = -1;
     const auto until = std::chrono::steady_clock::now() + time;
     for (auto now = std::chrono::steady_clock::now(); now < until; now = std::chrono::steady_clock::now()) {
         const TimePoint readAt(now.time_since_epoch());
         const std::int64_t newEnd = std::get<RecordPage>(fixture.topics.read(Topic::Jobs, 0)).end;
-        owner.lastRecordAt = newEnd != std::exchange(end, newEnd) ? readAt : owner.lastRecordAt;
-        owner.loadedAt = owner.lastRecordAt;
+        lastRecordAt = newEnd != std::exchange(end, newEnd) ? readAt : lastRecordAt;
+        owner.silence = readAt - lastRecordAt;
         if (policy.shouldClaim(owner, readAt)) {
             return true;
         }
