Owner: a silence of the store is no lag of its reads

Cause: the lag of the reads counted from before the silence. A read that hangs ends up to 2 s after the store responds again, and one append that succeeds before it made the lag look like one of the owner.

Change: reads lag only as long as the store has answered the appends without a pause.

--- a/src/libs/node/ownerappender.cpp
+++ b/src/libs/node/ownerappender.cpp
@@ -23,6 +23,8 @@
 constexpr auto AppenderAsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds AppendRetryDelay{60};
 constexpr std::chrono::milliseconds AppendQueueInterval{20};
+// Longer than the time between two appends, of which one is repeated.
+constexpr std::chrono::milliseconds MaximumAppendPause{1500};
 // More copies of an append would only burden a link that is full.
 constexpr int MaximumOpenAttempts = 3;
 
@@ -71,6 +73,7 @@
     m_term = term;
     m_sequence = nextSequence;
     m_lastAppend = m_clock.now();
+    m_respondingSince = m_lastAppend;
     m_lastRecord = m_lastAppend;
     m_appending = false;
 }
@@ -158,7 +161,9 @@
     m_appending = false;
     if (std::holds_alternative<TopicAppended>(*attempts.result)) {
         ++m_sequence;
-        m_lastAppend = m_clock.now();
+        const TimePoint now = m_clock.now();
+        m_respondingSince = now - m_lastAppend > Internal::MaximumAppendPause ? now : m_respondingSince;
+        m_lastAppend = now;
         m_lastRecord = attempts.sent > 1 ? attempts.firstSentAt() : m_lastAppend;
     }
     onResult(*attempts.result, attempts.firstSentAt());
--- a/src/libs/node/ownerappender.h
+++ b/src/libs/node/ownerappender.h
@@ -54,6 +54,9 @@
     /// Returns when the last append of the term was acknowledged, or the begin of the term.
     TimePoint lastAppend() const { return m_lastAppend; }
 
+    /// Returns since when the store has acknowledged the appends of the term without a long pause; at the earliest the begin of the term.
+    TimePoint respondingSince() const { return m_respondingSince; }
+
     /// Returns when the newest records of the term became visible to others at the earliest: a repeated append may have been executed by its
     /// first attempt.
     TimePoint lastRecord() const { return m_lastRecord; }
@@ -74,6 +77,7 @@
     std::optional<std::int64_t> m_term; // none: not the owner
     std::int64_t m_sequence = 0; // of the next append
     TimePoint m_lastAppend{};
+    TimePoint m_respondingSince{};
     TimePoint m_lastRecord{};
     bool m_appending = false;
     AppendTimeoutPolicy m_timeouts;
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -189,8 +189,7 @@
         m_delays.tickTimes.add(m_clock.now() - now);
         reportLoad(now);
         countWithheldTime(now);
-        const bool isReadLagging = m_dispatcher.readLag(now) > Internal::MaximumReadLag && now - m_appender.lastAppend() < Internal::ClaimRenewalInterval;
-        if (m_term && isReadLagging && !isAppending()) {
+        if (m_term && isReadLagging(now) && !isAppending()) {
             co_await releaseOwnership("reading lags behind the growth of the job topic");
             continue;
         }
@@ -204,6 +203,13 @@
     }
 }
 
+bool TopicOwner::isReadLagging(TimePoint now) const
+{
+    // A read without a response during a silence of the store ends later than the silence.
+    const Duration lag = std::min<Duration>(m_dispatcher.readLag(now), now - m_appender.respondingSince());
+    return lag > Internal::MaximumReadLag && now - m_appender.lastAppend() < Internal::ClaimRenewalInterval;
+}
+
 asio::awaitable<void> TopicOwner::releaseOwnership(std::string reason)
 {
     m_claimPolicy.recordOverload(m_clock.now());
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -134,6 +134,9 @@
 
     /// Adds the room for serving tasks to @p records, which are appended to the job topic, if it has to be published again.
     void addServingRoom(std::vector<KeyedRecord> &records);
+
+    /// Returns true if the reads of the jobs lag behind although the store responds.
+    bool isReadLagging(TimePoint now) const;
     void reportLoad(TimePoint now);
     void reportDelays(TimePoint now);
     void countWithheldTime(TimePoint now);
