Owner: hand the topic to a larger instance if the processor does not carry it

Cause: nothing measured whether the owner carries its work. It released the topic only if its reads lagged behind, and the claims of others only wait for its silence.

Change: an owner whose ticks come at less than a quarter of their rate for a second says so in its claim. An instance with a larger processor share offers to take over; the owner finishes its appends and releases the topic to that instance, which claims at once while the others wait as after a silent loss. An owner that doesn't respond to the offer within 2.5 s is replaced by a claim. Only larger instances offer, so the topic moves a few times at the most, and an owner that none can relieve keeps it.

--- a/src/libs/jobtopic/jobkeys.cpp
+++ b/src/libs/jobtopic/jobkeys.cpp
@@ -11,6 +11,7 @@
 constexpr std::string_view LearnedTailsKey = "tails";
 constexpr std::string_view ServingRoomKey = "room";
 constexpr std::string_view SilentWorkersKey = "silent";
+constexpr std::string_view TakeoverOfferKey = "offer";
 
 static std::string prefixedKey(std::string_view prefix, std::string_view jobId)
 {
@@ -54,6 +55,11 @@
     return std::string(Internal::SilentWorkersKey);
 }
 
+std::string takeoverOfferKey()
+{
+    return std::string(Internal::TakeoverOfferKey);
+}
+
 JobKey parseJobKey(std::string_view key)
 {
     if (key == Internal::LearnedTailsKey) {
@@ -68,6 +74,9 @@
     if (key == Internal::SilentWorkersKey) {
         return {JobKeyKind::SilentWorkers, {}};
     }
+    if (key == Internal::TakeoverOfferKey) {
+        return {JobKeyKind::TakeoverOffer, {}};
+    }
     const std::string_view prefix = key.substr(0, Internal::SubmissionPrefix.size());
     const std::string jobId(key.substr(prefix.size()));
     if (prefix == Internal::SubmissionPrefix) {
--- a/src/libs/jobtopic/jobkeys.h
+++ b/src/libs/jobtopic/jobkeys.h
@@ -14,6 +14,7 @@
     LearnedTails, // Wire::LearnedTails, written by the owner
     ServingRoom, // Wire::ServingRoom, written by the owner
     SilentWorkers, // Wire::SilentWorkers, written by the owner
+    TakeoverOffer, // Wire::TakeoverOffer, written by an instance that could take the topic over
     Unknown,
 };
 
@@ -31,6 +32,7 @@
 std::string learnedTailsKey();
 std::string servingRoomKey();
 std::string silentWorkersKey();
+std::string takeoverOfferKey();
 
 JobKey parseJobKey(std::string_view key);
 
--- a/src/libs/jobtopic/joblimits.cpp
+++ b/src/libs/jobtopic/joblimits.cpp
@@ -152,4 +152,12 @@
     return {};
 }
 
+Result<void> checkLimits(const Wire::TakeoverOffer &offer)
+{
+    if (!Internal::isWithin(offer.term, Internal::MaximumTerm) || !Internal::isUsable(offer.processorShare)) {
+        return fail(ErrorCode::Malformed, "offer to take over is out of range");
+    }
+    return {};
+}
+
 } // namespace Hyssop
--- a/src/libs/jobtopic/joblimits.h
+++ b/src/libs/jobtopic/joblimits.h
@@ -22,5 +22,6 @@
 Result<void> checkLimits(const Wire::LearnedTails &tails);
 Result<void> checkLimits(const Wire::ServingRoom &room);
 Result<void> checkLimits(const Wire::SilentWorkers &silent);
+Result<void> checkLimits(const Wire::TakeoverOffer &offer);
 
 } // namespace Hyssop
--- a/src/libs/jobtopic/jobtable.cpp
+++ b/src/libs/jobtopic/jobtable.cpp
@@ -66,6 +66,9 @@
     case JobKeyKind::SilentWorkers:
         applySilentWorkers(record);
         break;
+    case JobKeyKind::TakeoverOffer:
+        applyTakeoverOffer(record);
+        break;
     case JobKeyKind::Unknown:
         ++m_malformedRecords;
         break;
@@ -241,6 +244,24 @@
     }
 }
 
+void JobTable::applyTakeoverOffer(const KeyedRecord &record)
+{
+    if (record.offset <= m_takeoverOfferOffset) {
+        return;
+    }
+    m_takeoverOffer.reset();
+    m_takeoverOfferOffset = record.offset;
+    if (!record.value) {
+        return;
+    }
+    auto decoded = capture([&] { return withinLimits(decodeTakeoverOffer(*record.value)); });
+    if (auto *offer = valueOf(decoded)) {
+        m_takeoverOffer = std::move(*offer);
+    } else {
+        ++m_malformedRecords;
+    }
+}
+
 void JobTable::addServingSubmission(const Wire::StepJob &job, std::int64_t offset)
 {
     const std::int64_t milliCores = servingDemand(job);
--- a/src/libs/jobtopic/jobtable.h
+++ b/src/libs/jobtopic/jobtable.h
@@ -61,6 +61,9 @@
     /// Returns which workers have not reported to the owner that has published this last.
     const std::optional<Wire::SilentWorkers> &silentWorkers() const { return m_silentWorkers; }
 
+    /// Returns the newest offer to take the topic over.
+    const std::optional<Wire::TakeoverOffer> &takeoverOffer() const { return m_takeoverOffer; }
+
     /// Return the offsets of the newest record of silent workers and of the newest claim; -1: none.
     std::int64_t silentWorkersOffset() const { return m_silentWorkersOffset; }
     std::int64_t claimOffset() const { return m_claimOffset; }
@@ -82,6 +85,7 @@
     void applyLearnedTails(const KeyedRecord &record);
     void applyServingRoom(const KeyedRecord &record);
     void applySilentWorkers(const KeyedRecord &record);
+    void applyTakeoverOffer(const KeyedRecord &record);
     void addServingSubmission(const Wire::StepJob &job, std::int64_t offset);
 
     std::map<std::string, TopicJob> m_jobs;
@@ -92,6 +96,8 @@
     std::int64_t m_servingRoomOffset = -1;
     std::optional<Wire::SilentWorkers> m_silentWorkers;
     std::int64_t m_silentWorkersOffset = -1;
+    std::optional<Wire::TakeoverOffer> m_takeoverOffer;
+    std::int64_t m_takeoverOfferOffset = -1;
     std::map<std::int64_t, ServingSubmission> m_servingSubmissions;
     std::vector<std::string> m_unknownRuns; // jobs that are in the runs topic only
     std::uint64_t m_malformedRecords = 0;
--- a/src/libs/node/claimpolicy.cpp
+++ b/src/libs/node/claimpolicy.cpp
@@ -39,6 +39,9 @@
 
 bool ClaimPolicy::shouldClaim(const OwnerObservation &owner, TimePoint now) const
 {
+    if (owner.releasedToThis) {
+        return true;
+    }
     const double shortfall = owner.ownerShare > 0 ? std::max(0.0, 1 - m_processorShare / owner.ownerShare) : 0;
     auto delay = std::min(m_storeLatency * StoreLatencyFactor, MaximumLatencyDelay) + m_jitter + m_processorShareDelay;
     delay += std::chrono::milliseconds(static_cast<int>(shortfall * MaximumSmallerThanOwnerDelay.count()));
--- a/src/libs/node/claimpolicy.h
+++ b/src/libs/node/claimpolicy.h
@@ -10,7 +10,8 @@
 struct OwnerObservation
 {
     bool hasClaim = false; // an instance has claimed the topic
-    bool released = false; // the owner has released the topic
+    bool released = false; // the owner has released the topic, to any instance
+    bool releasedToThis = false; // the owner has released the topic to this instance
     double ownerShare = 0; // cores of the most recent owner; 0: unknown
     Duration silence{0}; // without a record of the owner; see OwnerSilence
 };
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -114,7 +114,7 @@
         },
         [this](TimePoint sentAt) {
             m_owner.jobsRead(sentAt);
-            m_jobs.setTiming(m_owner.isOwner() || m_owner.isClaiming() ? Internal::OwnerJobsTiming : Internal::StandbyJobsTiming);
+            m_jobs.setTiming(m_owner.isOwner() || m_owner.isClaiming() || m_owner.isOffering() ? Internal::OwnerJobsTiming : Internal::StandbyJobsTiming);
         });
     asio::co_spawn(m_context, m_jobs.run(), endProcessOnException);
 }
--- /dev/null
+++ b/src/libs/node/ownercapacity.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <utils/clock.h>
+
+namespace Hyssop {
+
+/// Tells whether the processor of the owner carries its work: whether its ticks come about as often as they are due.
+///
+/// Load pattern: an instance with a small processor share owns a large fleet after a fault. It answers each event late, and nothing
+/// fails that would end its ownership.
+class OwnerCapacity
+{
+public:
+    void beginTerm(TimePoint now);
+
+    /// Records that a tick begins.
+    void handleTick(TimePoint now);
+
+    /// Returns true if far too few ticks began in the last complete period.
+    bool isExceeded() const { return m_isExceeded; }
+
+private:
+    TimePoint m_periodBeganAt{};
+    int m_ticks = 0; // in this period
+    bool m_isExceeded = false;
+};
+
+} // namespace Hyssop
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -42,6 +42,7 @@
 constexpr std::chrono::milliseconds MaximumReadLag{4000};
 constexpr std::chrono::milliseconds ClaimVisibilityTimeout{1000};
 constexpr int MaximumClaimJitterMs = 120;
+constexpr int MaximumOfferDelayMs = 500;
 
 static std::int64_t randomNumber(std::int64_t maximum)
 {
@@ -75,6 +76,7 @@
     , m_processorShare(identity.processorShare)
     , m_incarnation(Internal::randomNumber(std::numeric_limits<std::int64_t>::max()))
     , m_claimPolicy(std::chrono::milliseconds(Internal::randomNumber(Internal::MaximumClaimJitterMs)), identity.processorShare)
+    , m_offerPolicy(identity.instance, identity.processorShare, std::chrono::milliseconds(Internal::randomNumber(Internal::MaximumOfferDelayMs)))
     , m_appender(m_executor, clock, ports.store, metrics, Topic::Jobs)
     , m_runsAppender(m_executor, clock, ports.store, metrics, Topic::Runs)
     , m_dispatcher(limits)
@@ -85,6 +87,8 @@
 {
     if (key.kind == JobKeyKind::Progress || key.kind == JobKeyKind::Claim) {
         m_ownerSilence.handleRecord(m_clock.now());
+    } else if (key.kind == JobKeyKind::TakeoverOffer) {
+        takeoverOfferRead();
     } else if (key.kind == JobKeyKind::SilentWorkers) {
         silentWorkersRead();
     } else if (m_term && !key.jobId.empty()) {
@@ -119,12 +123,55 @@
         return;
     }
     endTakeover();
-    if (!m_claiming && m_claimPolicy.shouldClaim(observeOwner(), now)) {
-        m_claiming = true;
-        m_cleanHandover = m_table.claim() && m_table.claim()->released && m_table.claim()->settled;
-        m_claimSentAt = now;
-        updateWorkersNeed();
-        asio::co_spawn(m_executor, claim(), endProcessOnException);
+    updateStandby(now);
+}
+
+void TopicOwner::updateStandby(TimePoint now)
+{
+    const StandbyAction action = m_offerPolicy.handleRead(m_table.claim(), m_table.takeoverOffer(), now);
+    if (action == StandbyAction::OfferTakeover) {
+        asio::co_spawn(m_executor, offerTakeover(), endProcessOnException);
+    }
+    if (!m_claiming && (action == StandbyAction::Claim || m_claimPolicy.shouldClaim(observeOwner(), now))) {
+        beginClaim(now);
+    }
+}
+
+void TopicOwner::beginClaim(TimePoint now)
+{
+    m_claiming = true;
+    m_cleanHandover = m_table.claim() && m_table.claim()->released && m_table.claim()->settled;
+    m_claimSentAt = now;
+    updateWorkersNeed();
+    asio::co_spawn(m_executor, claim(), endProcessOnException);
+}
+
+asio::awaitable<void> TopicOwner::offerTakeover()
+{
+    const Wire::TopicClaim owner = *m_table.claim();
+    Wire::TakeoverOffer offer;
+    offer.instance = m_instance;
+    offer.term = owner.term;
+    offer.processorShare = m_processorShare;
+    TopicAppend append{Topic::Jobs, {{0, takeoverOfferKey(), encode(offer)}}, std::nullopt, std::nullopt};
+    const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::ClaimTimeout);
+    m_metrics.add("hyssop_takeover_offers_total");
+    logMessage(LogPriority::Essential,
+               LogLevel::Info,
+               "owner",
+               "takeover offered",
+               {{"epoch", static_cast<long long>(offer.term)},
+                {"owner", owner.instance},
+                {"owner_millicores", Internal::milliCores(owner.processorShare)},
+                {"millicores", Internal::milliCores(m_processorShare)},
+                {"appended", std::holds_alternative<TopicAppended>(result)}});
+}
+
+void TopicOwner::takeoverOfferRead()
+{
+    const auto &offer = m_table.takeoverOffer();
+    if (m_term && offer && m_capacity.isExceeded() && canRelieve(*offer, *m_term, m_processorShare)) {
+        m_successor = offer->instance;
     }
 }
 
@@ -180,7 +227,12 @@
         if (!m_term || m_releasing) {
             continue;
         }
+        if (!m_successor.empty()) {
+            co_await handOver();
+            continue;
+        }
         const TimePoint now = m_clock.now();
+        updateCapacity(now);
         m_delays.ticks.add(now - dueAt);
         m_metrics.observe("hyssop_owner_tick_delay_seconds", now - dueAt);
         for (DispatchAction &action : m_dispatcher.advance(now, std::chrono::system_clock::now())) {
@@ -210,15 +262,53 @@
     return lag > Internal::MaximumReadLag && now - m_appender.lastAppend() < Internal::ClaimRenewalInterval;
 }
 
-asio::awaitable<void> TopicOwner::releaseOwnership(std::string reason)
+void TopicOwner::updateCapacity(TimePoint now)
+{
+    const bool wasExceeded = m_capacity.isExceeded();
+    m_capacity.handleTick(now);
+    if (m_capacity.isExceeded() != wasExceeded) {
+        m_metrics.set("hyssop_owner_overloaded", m_capacity.isExceeded() ? 1 : 0);
+        logMessage(LogPriority::Essential,
+                   LogLevel::Info,
+                   "owner",
+                   m_capacity.isExceeded() ? "owner overloaded" : "owner no longer overloaded",
+                   {{"epoch", static_cast<long long>(term())}, {"millicores", Internal::milliCores(m_processorShare)}});
+    }
+}
+
+asio::awaitable<void> TopicOwner::handOver()
+{
+    const std::string successor = std::exchange(m_successor, {});
+    const bool areAppendsDone = co_await finishAppends();
+    if (m_term && areAppendsDone) {
+        co_await releaseOwnership("a larger instance takes over", successor);
+    }
+}
+
+asio::awaitable<bool> TopicOwner::finishAppends()
+{
+    const TimePoint deadline = m_clock.now() + Internal::ReleaseTimeout;
+    asio::steady_timer timer(m_executor);
+    while (isAppending() && m_clock.now() < deadline) {
+        timer.expires_after(Internal::TickInterval);
+        co_await timer.async_wait(Internal::AsTuple);
+    }
+    co_return !m_appender.isAppending();
+}
+
+asio::awaitable<void> TopicOwner::releaseOwnership(std::string reason, std::string successor)
 {
     m_claimPolicy.recordOverload(m_clock.now());
     const std::int64_t term = m_term ? *m_term : *m_takeoverTerm;
-    TopicAppend append{Topic::Jobs, {claimRecord(term, true)}, std::nullopt, m_appender.position()};
+    TopicAppend append{Topic::Jobs, {claimRecord(term, true, successor)}, std::nullopt, m_appender.position()};
     endTakeover();
     stepDown(reason);
     const TopicAppendResult result = co_await m_ports.store.append(std::move(append), Internal::ReleaseTimeout);
-    logMessage(LogPriority::Essential, LogLevel::Info, "owner", "ownership released", {{"durable", std::holds_alternative<TopicAppended>(result)}});
+    logMessage(LogPriority::Essential,
+               LogLevel::Info,
+               "owner",
+               "ownership released",
+               {{"durable", std::holds_alternative<TopicAppended>(result)}, {"successor", successor}});
 }
 
 asio::awaitable<void> TopicOwner::release()
@@ -227,13 +317,8 @@
     if (!m_term && !m_takeoverTerm) {
         co_return;
     }
-    const TimePoint deadline = m_clock.now() + Internal::ReleaseTimeout;
-    asio::steady_timer timer(m_executor);
-    while (isAppending() && m_clock.now() < deadline) {
-        timer.expires_after(Internal::TickInterval);
-        co_await timer.async_wait(Internal::AsTuple);
-    }
-    if ((!m_term && !m_takeoverTerm) || m_appender.isAppending()) {
+    const bool areAppendsDone = co_await finishAppends();
+    if ((!m_term && !m_takeoverTerm) || !areAppendsDone) {
         endTakeover();
         stepDown("shutdown while the store is not responding");
         co_return;
@@ -266,7 +351,8 @@
     owner.silence = m_ownerSilence.duration();
     if (const auto &claim = m_table.claim()) {
         owner.hasClaim = true;
-        owner.released = claim->released;
+        owner.released = claim->released && claim->successor.empty();
+        owner.releasedToThis = claim->released && claim->successor == m_instance;
         owner.ownerShare = claim->processorShare;
     }
     return owner;
@@ -362,6 +448,9 @@
 {
     m_term = std::exchange(m_takeoverTerm, std::nullopt);
     m_batchAppends = 0;
+    m_capacity.beginTerm(m_clock.now());
+    m_isOverloadPublished = false;
+    m_successor.clear();
     m_delays.beginInterval(m_clock.now());
     m_servingRoomSchedule = {};
     m_dispatcher.beginTerm(*m_term, m_table, {m_takeoverBeganAt, m_claimReadAt, m_newestSilentWorkersReadAt}, m_cleanHandover);
@@ -397,6 +486,7 @@
         m_minimumTerm = *m_term + 1;
     }
     m_term.reset();
+    m_successor.clear();
     m_appender.endTerm();
     m_runsAppender.endTerm();
     m_metrics.set("hyssop_is_owner", 0);
@@ -500,9 +590,11 @@
 void TopicOwner::renewClaim(TimePoint now)
 {
     const std::optional<std::int64_t> term = m_term ? m_term : m_takeoverTerm;
-    if (!term || m_appender.isAppending() || now - m_appender.lastRecord() < Internal::ClaimRenewalInterval) {
+    const bool isDue = !m_appender.isAppending() && now - m_appender.lastRecord() >= Internal::ClaimRenewalInterval;
+    if (!term || (!isDue && !isClaimOutdated())) {
         return;
     }
+    m_isOverloadPublished = m_capacity.isExceeded();
     std::vector<KeyedRecord> records{claimRecord(*term, false)};
     addServingRoom(records);
     m_appender.append(std::move(records), [this](const TopicAppendResult &result, TimePoint sentAt) {
@@ -523,7 +615,7 @@
     return false;
 }
 
-KeyedRecord TopicOwner::claimRecord(std::int64_t term, bool released) const
+KeyedRecord TopicOwner::claimRecord(std::int64_t term, bool released, const std::string &successor) const
 {
     Wire::TopicClaim claim;
     claim.instance = m_instance;
@@ -532,6 +624,8 @@
     claim.sequence = m_appender.position().sequence;
     claim.released = released;
     claim.processorShare = m_processorShare;
+    claim.overloaded = m_term && m_capacity.isExceeded();
+    claim.successor = successor;
     claim.settled = m_term && m_dispatcher.earlierLeasesExpired(m_clock.now());
     return {0, claimKey(), encode(claim)};
 }
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -3,9 +3,11 @@
 #include "claimpolicy.h"
 #include "dispatchlog.h"
 #include "ownerappender.h"
+#include "ownercapacity.h"
 #include "ownerdelays.h"
 #include "ownersilence.h"
 #include "servingroomschedule.h"
+#include "takeoverofferpolicy.h"
 
 #include <dispatch/dispatcher.h>
 #include <ports/storeresults.h>
@@ -94,6 +96,8 @@
     bool isOwner() const { return m_term.has_value(); }
     /// Returns true while a recently sent claim may still appear in the topic.
     bool isClaiming() const;
+    /// Returns true while this instance may take the topic over from an overloaded owner.
+    bool isOffering() const { return m_offerPolicy.isOffering(); }
     std::int64_t term() const { return m_term.value_or(-1); }
 
 private:
@@ -105,6 +109,10 @@
     /// Notes when the newest record of silent workers was read.
     void silentWorkersRead();
 
+    /// Claims the topic, or offers to take it over, if it is time for that.
+    void updateStandby(TimePoint now);
+    void beginClaim(TimePoint now);
+
     /// Begins the takeover after the own claim was read.
     void beginTakeover();
 
@@ -129,14 +137,29 @@
     bool checkAppend(const TopicAppendResult &result);
     void batchAppended(const TopicAppendResult &result);
     bool isAppending() const { return m_appender.isAppending() || m_runsAppender.isAppending(); }
-    boost::asio::awaitable<void> releaseOwnership(std::string reason);
-    KeyedRecord claimRecord(std::int64_t term, bool released) const;
+    /// Releases the topic to @p successor, or to any instance if it is empty.
+    boost::asio::awaitable<void> releaseOwnership(std::string reason, std::string successor = {});
+
+    /// Waits until no append is in flight; returns false if that takes too long.
+    boost::asio::awaitable<bool> finishAppends();
+
+    /// Releases the topic to the instance that has offered to take it over.
+    boost::asio::awaitable<void> handOver();
+    boost::asio::awaitable<void> offerTakeover();
+
+    /// Notes an offer to relieve this instance.
+    void takeoverOfferRead();
+
+    /// Returns true if others don't know yet whether the processor of this instance carries its work.
+    bool isClaimOutdated() const { return m_term && m_capacity.isExceeded() != m_isOverloadPublished; }
+    KeyedRecord claimRecord(std::int64_t term, bool released, const std::string &successor = {}) const;
 
     /// Adds the room for serving tasks to @p records, which are appended to the job topic, if it has to be published again.
     void addServingRoom(std::vector<KeyedRecord> &records);
 
     /// Returns true if the reads of the jobs lag behind although the store responds.
     bool isReadLagging(TimePoint now) const;
+    void updateCapacity(TimePoint now);
     void reportLoad(TimePoint now);
     void reportDelays(TimePoint now);
     void countWithheldTime(TimePoint now);
@@ -157,10 +180,14 @@
     double m_processorShare;
     std::int64_t m_incarnation;
     ClaimPolicy m_claimPolicy;
+    TakeoverOfferPolicy m_offerPolicy;
     OwnerSilence m_ownerSilence;
     OwnerAppender m_appender; // to the job topic
     OwnerAppender m_runsAppender;
     Dispatcher m_dispatcher;
+    OwnerCapacity m_capacity;
+    bool m_isOverloadPublished = false; // according to the newest claim that was sent
+    std::string m_successor; // has offered to relieve this instance; empty: none
     ServingRoomSchedule m_servingRoomSchedule;
     DispatchLog m_log;
     WorkersNeedHandler m_workersNeedHandler;
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -92,6 +92,11 @@
     return Internal::encodeValue(silent);
 }
 
+std::string encode(const Wire::TakeoverOffer &offer)
+{
+    return Internal::encodeValue(offer);
+}
+
 Result<Wire::Envelope> decodeEnvelope(std::string_view bytes)
 {
     return Internal::decodeValue<Wire::Envelope>(bytes);
@@ -132,4 +137,9 @@
     return Internal::decodeValue<Wire::SilentWorkers>(bytes);
 }
 
+Result<Wire::TakeoverOffer> decodeTakeoverOffer(std::string_view bytes)
+{
+    return Internal::decodeValue<Wire::TakeoverOffer>(bytes);
+}
+
 } // namespace Hyssop
--- a/src/libs/wire/codec.h
+++ b/src/libs/wire/codec.h
@@ -22,6 +22,7 @@
 std::string encode(const Wire::LearnedTails &tails);
 std::string encode(const Wire::ServingRoom &room);
 std::string encode(const Wire::SilentWorkers &silent);
+std::string encode(const Wire::TakeoverOffer &offer);
 
 /// Decodes with the Thrift compact protocol. Fails with ErrorCode::TooLarge above MaximumWireMessageSize and with
 /// ErrorCode::Malformed if @p bytes are not exactly one encoded value of the type.
@@ -33,5 +34,6 @@
 Result<Wire::LearnedTails> decodeLearnedTails(std::string_view bytes);
 Result<Wire::ServingRoom> decodeServingRoom(std::string_view bytes);
 Result<Wire::SilentWorkers> decodeSilentWorkers(std::string_view bytes);
+Result<Wire::TakeoverOffer> decodeTakeoverOffer(std::string_view bytes);
 
 } // namespace Hyssop
--- a/src/libs/wire/hyssop.thrift
+++ b/src/libs/wire/hyssop.thrift
@@ -257,6 +257,15 @@
   5: i64 sequence = 0,           // renewal counter
   6: bool settled = false,       // all leases of previous owners have expired
   7: double processorShare = 0,  // cores that the owner may use; 0: unknown
+  8: bool overloaded = false,    // the owner's processor does not carry its work: an instance with a larger share may offer to take over
+  9: string successor,           // released to this instance, which claims immediately; empty: to any
+}
+
+/* An instance with a larger processor share than an overloaded owner offers to take the job topic over. */
+struct TakeoverOffer {
+  1: string instance,
+  2: i64 term = 0,               // of the overloaded owner
+  3: double processorShare = 0,
 }
 
 /* Processor capacity of a worker pool that further serving tasks may reserve; negative: they have reserved more than that. */
--- a/tests/libs/node/testownersuccession.cpp
+++ b/tests/libs/node/testownersuccession.cpp
@@ -1,6 +1,9 @@
 #include "memorytopics.h"
 #include "nodeinstance.h"
 
+#include <jobtopic/jobkeys.h>
+#include <wire/codec.h>
+
 #include <criterion/criterion.h>
 
 #include <chrono>
@@ -119,3 +122,35 @@
     group.run(1s);
     cr_assert_not(small.isOwner());
 }
+
+// Guards against a topic that moves between instances of which none can carry it.
+Test(ownerSuccession, anOwnerThatNoLargerInstanceCanRelieveKeepsTheTopic, .timeout = 60)
+{
+    InstanceGroup group;
+    NodeInstance &owner = group.add("owner", SmallShare);
+    cr_assert(group.runUntil([&] { return owner.isOwner(); }, 10s));
+    NodeInstance &equal = group.add("equal", SmallShare);
+    group.slowInstance = &owner;
+    group.run(6s);
+    cr_assert(owner.isOwner());
+    cr_assert_eq(owner.metrics().value("hyssop_owner_overloaded"), 1);
+    cr_assert_eq(equal.metrics().value("hyssop_takeover_offers_total"), 0);
+}
+
+// Guards against a topic that waits for a successor which has ended after its offer.
+Test(ownerSuccession, anotherInstanceClaimsIfTheSuccessorHasEnded, .timeout = 60)
+{
+    InstanceGroup group;
+    NodeInstance &small = group.add("small", SmallShare);
+    cr_assert(group.runUntil([&] { return small.isOwner(); }, 10s));
+    group.slowInstance = &small;
+    group.run(2s);
+    Wire::TakeoverOffer offer;
+    offer.instance = "ended";
+    offer.term = 1;
+    offer.processorShare = 1;
+    group.topics.put(Topic::Jobs, takeoverOfferKey(), encode(offer));
+    cr_assert(group.runUntil([&] { return !small.isOwner(); }, 3s));
+    NodeInstance &next = group.add("next", SmallShare);
+    cr_assert(group.runUntil([&] { return next.isOwner() || small.isOwner(); }, 9s));
+}
