Polls: an owner whose ticks are late polls less often

Cause: each end of a run is a reason to poll its worker again at once, and a report lists all runs of the worker. So the more runs end, the more of the processor time goes into polls, and the later the owner acts on what they say. After a burst this state keeps itself up.

Change: PollPacing puts a minimum between a report and the next poll that grows with the interval between the owner's ticks, up to 600 ms. At ticks in time it is zero. Workers with a serving task over its target are exempt, and requested reports are.

--- a/bench/ownercost/modelfleet.cpp
+++ b/bench/ownercost/modelfleet.cpp
@@ -40,7 +40,8 @@
     : m_options(options)
     , m_random(options.seed)
     , m_dispatcher(DispatchLimits())
-    , m_nextJob(m_now)
+    , m_begin(m_now)
+    , m_progressAt(m_now)
 {
     initializeLogging(LogLevel::Info, LogFormat::KeyValue, "owner");
     setLogLineLimit(LogLinesPerSecond);
@@ -84,6 +85,8 @@
         }
     });
     submitServingJobs();
+    at(m_now, [this] { submitDueJob(); });
+    atOwner(m_now + Tick, [this] { tick(); });
 }
 
 ModelFleet::~ModelFleet()
@@ -95,21 +98,76 @@
 
 void ModelFleet::run(std::chrono::milliseconds time)
 {
-    for (const TimePoint until = m_now + time; m_now < until; m_now += Tick) {
-        while (m_nextJob <= m_now) {
-            m_nextJob += std::chrono::milliseconds(1000) / m_options.jobsPerSecond;
-            submit(shortJob());
+    const TimePoint until = m_now + time;
+    while (!m_events.empty() && m_events.begin()->first < until) {
+        runNextEvent();
+    }
+    m_logClock.advance(until - m_now);
+    m_now = until;
+}
+
+void ModelFleet::runNextEvent()
+{
+    const auto next = m_events.begin();
+    const TimePoint time = std::max(next->first, m_now);
+    const Event event = std::move(next->second);
+    m_events.erase(next);
+    m_logClock.advance(time - m_now);
+    m_now = time;
+    event();
+}
+
+void ModelFleet::atOwner(TimePoint time, Event event)
+{
+    at(time, [this, event = std::move(event)] {
+        m_ownerEvents.push_back(event);
+        serveOwner();
+    });
+}
+
+void ModelFleet::serveOwner()
+{
+    while (!m_ownerEvents.empty() && m_now >= m_ownerFreeAt) {
+        const Event event = std::move(m_ownerEvents.front());
+        m_ownerEvents.pop_front();
+        event();
+        if (m_options.coreShare > 0) {
+            const std::chrono::nanoseconds total = m_times.total() + m_exchanges;
+            const std::chrono::duration<double, std::nano> spent = total - std::exchange(m_charged, total);
+            m_ownerFreeAt = m_now + std::chrono::duration_cast<Duration>(spent / m_options.coreShare);
         }
-        m_logClock.advance(Tick);
-        runEvents();
-        tick();
     }
+    if (!m_ownerEvents.empty() && !m_isOwnerWaking) {
+        m_isOwnerWaking = true;
+        at(m_ownerFreeAt, [this] {
+            m_isOwnerWaking = false;
+            serveOwner();
+        });
+    }
+}
+
+void ModelFleet::chargeExchange()
+{
+    m_exchanges += m_options.exchangeTime;
+}
+
+int ModelFleet::jobsPerSecond() const
+{
+    const bool isBurst = m_now >= m_begin + m_options.burstBegin && m_now < m_begin + m_options.burstEnd;
+    return isBurst ? m_options.burstJobsPerSecond : m_options.jobsPerSecond;
+}
+
+void ModelFleet::submitDueJob()
+{
+    submit(shortJob());
+    at(m_now + std::chrono::microseconds(std::chrono::seconds(1)) / jobsPerSecond(), [this] { submitDueJob(); });
 }
 
 void ModelFleet::clearCounts()
 {
     m_times.clear();
     m_counts.clear();
+    m_printedCounts.clear();
     m_knownEnds = 0;
     m_endDelay = Duration(0);
     m_longestEndDelay = Duration(0);
@@ -132,18 +190,6 @@
     std::printf("open runs at the end: %zu\n", m_dispatcher.openRuns());
 }
 
-void ModelFleet::runEvents()
-{
-    const TimePoint tickAt = m_now;
-    while (!m_events.empty() && m_events.begin()->first <= tickAt) {
-        m_now = m_events.begin()->first;
-        const Event event = std::move(m_events.begin()->second);
-        m_events.erase(m_events.begin());
-        event();
-    }
-    m_now = tickAt;
-}
-
 void ModelFleet::submit(const Wire::StepJob &job)
 {
     const std::string id = idOf("bb", m_jobs++);
@@ -220,6 +266,11 @@
     m_times.begin();
     m_log.writeDue(m_now);
     m_times.end("log lines due");
+    ++m_counts["ticks"];
+    // The next tick is due after what this one takes.
+    const std::chrono::duration<double, std::nano> spent = m_times.total() + m_exchanges - m_charged;
+    const Duration busy = m_options.coreShare > 0 ? std::chrono::duration_cast<Duration>(spent / m_options.coreShare) : Duration(0);
+    atOwner(m_now + busy + Tick, [this] { tick(); });
 }
 
 template<typename DispatchEvent>
@@ -240,6 +291,7 @@
                    [this](const AppendRecords &append) { perform(append); },
                    [this](const JobEnded &end) {
                        ++m_counts["job ends"];
+                       m_counts["ms until job ends"] += end.sinceAccepted.count();
                        log(end);
                    },
                    [this](const RunEnded &end) {
@@ -264,10 +316,13 @@
             m_runEnds[command.task] = *endsAt;
         }
         const CommandResult result = workerOf(command.worker).start(command, endsAt, m_now);
-        logStart(command, result, sentAt);
-        m_times.begin();
-        m_dispatcher.startAnswered(command, result, m_now);
-        m_times.end("start answered");
+        atOwner(m_now, [this, sentAt, command, result] {
+            chargeExchange();
+            logStart(command, result, sentAt);
+            m_times.begin();
+            m_dispatcher.startAnswered(command, result, m_now);
+            m_times.end("start answered");
+        });
     });
 }
 
@@ -305,7 +360,8 @@
         at(respondsAt, [this, sentAt, command] {
             const WorkerReport report = workerOf(command.worker).report(m_now);
             m_counts["reported runs"] += static_cast<std::int64_t>(report.runs.size());
-            at(m_now + TransitTime / 2, [this, sentAt, command, report] {
+            atOwner(m_now + TransitTime / 2, [this, sentAt, command, report] {
+                chargeExchange();
                 m_times.begin();
                 m_metrics.add("hyssop_polls_total", {{"outcome", "listed"}});
                 m_times.end("poll counted");
@@ -323,13 +379,34 @@
     for (const KeyedRecord &record : append.runs) {
         m_counts["bytes of runs"] += static_cast<std::int64_t>(record.value ? record.value->size() : 0);
     }
-    at(m_now + StoreTime, [this] {
+    atOwner(m_now + StoreTime, [this] {
         m_times.begin();
         m_dispatcher.recordsStored(m_now);
         m_times.end("batch stored");
     });
 }
 
+void ModelFleet::printProgress()
+{
+    const double seconds = std::chrono::duration<double>(m_now - std::exchange(m_progressAt, m_now)).count();
+    const auto sinceLast = [&](const std::string &event) { return static_cast<double>(m_counts[event] - m_printedCounts[event]); };
+    const DispatchSummary load = m_dispatcher.summary(m_now);
+    const double jobEnds = sinceLast("job ends");
+    std::printf("%5.1f s: %4d jobs/s accepted, %6zu and %6zu tasks wait, window %4zu, %6zu open runs, %5.1f ticks/s, %7.1f starts/s, %5.1f jobs/s ended, after "
+                "%6.0f ms\n",
+                std::chrono::duration<double>(m_now - m_begin).count(),
+                jobsPerSecond(),
+                static_cast<std::size_t>(load.pendingReserved),
+                static_cast<std::size_t>(load.pendingBestEffort),
+                static_cast<std::size_t>(load.startWindow),
+                static_cast<std::size_t>(load.openRuns),
+                sinceLast("ticks") / seconds,
+                sinceLast("starts") / seconds,
+                jobEnds / seconds,
+                jobEnds > 0 ? sinceLast("ms until job ends") / jobEnds : 0);
+    m_printedCounts = m_counts;
+}
+
 void ModelFleet::perform(const RunEnded &end)
 {
     ++m_counts["run ends"];
--- a/bench/ownercost/modelfleet.h
+++ b/bench/ownercost/modelfleet.h
@@ -10,6 +10,7 @@
 #include <utils/clock.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
@@ -23,6 +24,11 @@
 {
     int workers = 1100;
     int jobsPerSecond = 50;
+    int burstJobsPerSecond = 0; // instead, during the burst
+    std::chrono::seconds burstBegin{0}; // after the begin of the load
+    std::chrono::seconds burstEnd{0};
+    std::chrono::nanoseconds exchangeTime{0}; // processor time of an HTTP exchange with a worker
+    double coreShare = 0; // of the owner, whose processor time then delays what it does; 0: it takes no virtual time
     std::uint32_t seed = 1;
 };
 
@@ -50,11 +56,22 @@
 
     void printCounts(std::chrono::milliseconds simulated) const;
 
+    /// Prints the load, the delays of ticks and the progress since the last call.
+    void printProgress();
+
 private:
     using Event = std::function<void()>;
 
     void at(TimePoint time, Event event) { m_events.emplace(time, std::move(event)); }
-    void runEvents();
+    /// Adds an event of the owner, which happens later if the owner is busy at @p time.
+    void atOwner(TimePoint time, Event event);
+    void serveOwner();
+    void runNextEvent();
+    void submitDueJob();
+    int jobsPerSecond() const;
+
+    /// Adds the processor time of an HTTP exchange, which the model does not make.
+    void chargeExchange();
     void submit(const Wire::StepJob &job);
     void submitServingJobs();
     Wire::StepJob servingJob() const;
@@ -85,7 +102,14 @@
     JobTable m_table;
     std::map<std::string, ModelWorker> m_workers; // by id
     std::multimap<TimePoint, Event> m_events;
-    TimePoint m_nextJob{};
+    std::deque<Event> m_ownerEvents; // that are due
+    TimePoint m_ownerFreeAt{};
+    bool m_isOwnerWaking = false;
+    std::chrono::nanoseconds m_charged{0}; // of m_times and m_exchanges
+    std::chrono::nanoseconds m_exchanges{0};
+    TimePoint m_begin{};
+    TimePoint m_progressAt{}; // of the last call of printProgress()
+    std::map<std::string, std::int64_t> m_printedCounts;
     std::int64_t m_jobs = 0;
     std::map<TaskId, TimePoint> m_runEnds; // when the run of a task ends
     std::int64_t m_knownEnds = 0;
--- a/bench/ownercost/stagetimes.cpp
+++ b/bench/ownercost/stagetimes.cpp
@@ -25,6 +25,7 @@
     const std::int64_t allocated = allocations() - m_markedAllocations;
     Stage &entry = m_stages[stage];
     entry.time += now - m_mark;
+    m_total += now - m_mark;
     entry.count += count;
     entry.allocations += allocated;
     begin();
--- a/bench/ownercost/stagetimes.h
+++ b/bench/ownercost/stagetimes.h
@@ -25,6 +25,9 @@
 
     void clear() { m_stages.clear(); }
 
+    /// Returns the sum of all stages since the construction.
+    std::chrono::nanoseconds total() const { return m_total; }
+
     /// Returns the costs of all stages for a load that lasts @p simulated.
     std::vector<StageCost> costs(std::chrono::milliseconds simulated) const;
 
@@ -41,6 +44,7 @@
 
     static StageCost costOf(const std::string &name, const Stage &stage, double eventsPerSecond);
 
+    std::chrono::nanoseconds m_total{0};
     std::chrono::nanoseconds m_mark{0};
     std::int64_t m_markedAllocations = 0;
     std::map<std::string, Stage> m_stages;
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -54,6 +54,7 @@
     m_responseTimeouts = ResponseTimeoutPolicy(m_leasePolicy.leaseDuration());
     m_responseTimes = ResponseTimeEstimator();
     m_repeatedPolls = RepeatedPollBudget();
+    m_pollPacing = PollPacing();
     m_commandWindow = CommandWindow();
     m_jobs.clear();
     m_workersById.clear();
@@ -162,6 +163,7 @@
 {
     m_wallMs = sinceEpoch(wall).count();
     m_termWallMs = m_termWallMs.value_or(m_wallMs);
+    m_pollPacing.handleTick(now);
     reportWorkerChanges(now);
     reportWithheldStarts(now);
     expireLeases(now);
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -387,6 +387,9 @@
     } else if (worker.runs.empty()) {
         worker.nextPoll = now + Internal::IdlePollInterval;
     }
+    if (!worker.overTargetSince) {
+        worker.nextPoll = std::max(worker.nextPoll, now + m_pollPacing.minimumInterval());
+    }
     if (worker.isLeaseWithheld) {
         worker.nextPoll = std::max(worker.nextPoll, now + Internal::WithheldLeaseInterval);
     }
--- a/tests/libs/dispatch/testpollintervals.cpp
+++ b/tests/libs/dispatch/testpollintervals.cpp
@@ -3,6 +3,7 @@
 
 #include <dispatch/claimtimes.h>
 #include <dispatch/dispatcher.h>
+#include <dispatch/pollpacing.h>
 #include <utils/overloaded.h>
 
 #include <criterion/criterion.h>
@@ -17,7 +18,6 @@
 
 namespace {
 
-constexpr auto Tick = 20ms;
 constexpr TimePoint Begin{1000s};
 
 /// A worker with two runs of which the first one ends after 500 ms. The store does not respond after the runs have started.
@@ -40,7 +40,7 @@
 
     void run(Duration time)
     {
-        for (const TimePoint until = m_now + time; m_now < until; m_now += Tick) {
+        for (const TimePoint until = m_now + time; m_now < until; m_now += tickInterval) {
             m_worker.advance(m_now);
             m_dispatcher.confirmRead(m_now);
             m_dispatcher.confirmWorkersRead(m_now);
@@ -51,6 +51,7 @@
         }
     }
 
+    std::chrono::milliseconds tickInterval{20};
     int pollsWithPendingEnd = 0; // after the end of the first run was reported, and before that of the second one was
     std::array<std::optional<TimePoint>, 2> endedAt; // by index of the task
     std::array<std::optional<TimePoint>, 2> knownAt;
@@ -124,3 +125,16 @@
         cr_assert_leq(*worker.knownAt[1] - *worker.endedAt[1], 220ms);
     }
 }
+
+// Guards against an overloaded owner that learns of ends more often than it can act on them, and has even less processor time for that.
+Test(pollIntervals, anOwnerWhoseTicksAreLatePollsLessOften)
+{
+    WorkerWithPendingEnd worker(LateEnd);
+    worker.tickInterval = 125ms;
+    worker.run(2s);
+    cr_assert(worker.knownAt[0].has_value());
+    const int polls = worker.pollsWithPendingEnd;
+    worker.run(6s);
+    cr_assert_leq(worker.pollsWithPendingEnd - polls, 6s / PollPacing::MaximumInterval, "%d polls in 6 s", worker.pollsWithPendingEnd - polls);
+    cr_assert_geq(worker.pollsWithPendingEnd - polls, 6);
+}
