Command window: lateness of the owner is no full link

Cause: an owner without processor time handles each response late.

Change: the interval between ticks, as far as it exceeds the usual one, is taken off the response times. OwnerLateness holds it for the window and for the polls (PollPacing before).

--- a/src/libs/dispatch/commandwindow.cpp
+++ b/src/libs/dispatch/commandwindow.cpp
@@ -25,20 +25,21 @@
 {
     removeStart(sentAt);
     handleOtherResponse(sentAt);
+    const Duration time = responseTime(sentAt, now);
     if (startsAhead < MinimumSize) {
-        updateUsualResponseTime(now - sentAt);
+        updateUsualResponseTime(time);
     }
     if (sentAt < m_shrunkAt || startsAhead >= size()) {
         return; // the window was larger when the run was assigned
     }
-    if (isLate(now - sentAt)) {
+    if (isLate(time)) {
         ++m_round.lateResponses;
         shrinkIfCongested(now);
         return;
     }
     ++m_round.responsesInTime;
     // Half of the permitted delay is left for the starts that are assigned by now.
-    if (isLimiting() && now - sentAt <= m_usualResponseTime + MaximumQueueingDelay / 2) {
+    if (isLimiting() && time <= m_usualResponseTime + MaximumQueueingDelay / 2) {
         m_size = std::min(m_size + m_growthPerResponse, double(MaximumSize));
     }
     if (m_round.responsesInTime + m_round.lateResponses >= size()) {
@@ -56,12 +57,17 @@
 void CommandWindow::handleMissingResponse(const std::string &worker, TimePoint sentAt, TimePoint now)
 {
     removeStart(sentAt);
-    if (sentAt >= m_shrunkAt && now - sentAt > MaximumQueueingDelay) {
+    if (sentAt >= m_shrunkAt && responseTime(sentAt, now) > MaximumQueueingDelay) {
         m_round.silentWorkers.insert(worker);
         shrinkIfCongested(now);
     }
 }
 
+Duration CommandWindow::responseTime(TimePoint sentAt, TimePoint now) const
+{
+    return std::max<Duration>(now - sentAt - m_ownerLateness, Duration::zero());
+}
+
 void CommandWindow::removeOldStarts(TimePoint now)
 {
     removeStartsBefore(now - MaximumResponseTime);
--- a/src/libs/dispatch/commandwindow.h
+++ b/src/libs/dispatch/commandwindow.h
@@ -42,6 +42,9 @@
     /// Records that a start that was sent to @p worker at @p sentAt got no response.
     void handleMissingResponse(const std::string &worker, TimePoint sentAt, TimePoint now);
 
+    /// Notes how late the owner is itself. That part of a response time says nothing about the link.
+    void setOwnerLateness(Duration lateness) { m_ownerLateness = lateness; }
+
     /// Notes how many tasks wait because the window is full.
     void setWaitingTasks(std::size_t tasks) { m_waitingTasks = tasks; }
     std::size_t waitingTasks() const { return m_waitingTasks; }
@@ -64,6 +67,8 @@
         std::set<std::string> silentWorkers;
     };
 
+    /// Returns the time that a response at @p now to a command sent at @p sentAt took outside of the owner.
+    Duration responseTime(TimePoint sentAt, TimePoint now) const;
     void removeStart(TimePoint sentAt);
     void removeStartsBefore(TimePoint time);
     void updateUsualResponseTime(Duration responseTime);
@@ -76,6 +81,7 @@
     std::map<TimePoint, std::size_t> m_sent; // number of starts in flight by the time at which they were sent
     std::size_t m_startsInFlight = 0;
     TimePoint m_shrunkAt{};
+    Duration m_ownerLateness{0};
     Round m_round;
     Duration m_usualResponseTime{0}; // moving average of the responses to starts with few others ahead
     int m_usualResponses = 0; // of which it was computed, up to a bound
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -54,7 +54,7 @@
     m_responseTimeouts = ResponseTimeoutPolicy(m_leasePolicy.leaseDuration());
     m_responseTimes = ResponseTimeEstimator();
     m_repeatedPolls = RepeatedPollBudget();
-    m_pollPacing = PollPacing();
+    m_lateness = OwnerLateness();
     m_commandWindow = CommandWindow();
     m_jobs.clear();
     m_workersById.clear();
@@ -163,7 +163,8 @@
 {
     m_wallMs = sinceEpoch(wall).count();
     m_termWallMs = m_termWallMs.value_or(m_wallMs);
-    m_pollPacing.handleTick(now);
+    m_lateness.handleTick(now);
+    m_commandWindow.setOwnerLateness(m_lateness.lateness());
     reportWorkerChanges(now);
     reportWithheldStarts(now);
     expireLeases(now);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -9,8 +9,8 @@
 #include "earlierleases.h"
 #include "jobregistry.h"
 #include "leasepolicy.h"
+#include "ownerlateness.h"
 #include "placementwork.h"
-#include "pollpacing.h"
 #include "queuedirectory.h"
 #include "repeatedpollbudget.h"
 #include "responsetimeestimator.h"
@@ -454,7 +454,7 @@
     ResponseTimeoutPolicy m_responseTimeouts;
     ResponseTimeEstimator m_responseTimes;
     RepeatedPollBudget m_repeatedPolls;
-    PollPacing m_pollPacing;
+    OwnerLateness m_lateness;
     std::uint64_t m_lastPoll = 0; // number of the last poll
     CommandWindow m_commandWindow;
     std::int64_t m_term = 0;
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -388,7 +388,7 @@
         worker.nextPoll = now + Internal::IdlePollInterval;
     }
     if (!worker.overTargetSince) {
-        worker.nextPoll = std::max(worker.nextPoll, now + m_pollPacing.minimumInterval());
+        worker.nextPoll = std::max(worker.nextPoll, now + m_lateness.minimumPollInterval());
     }
     if (worker.isLeaseWithheld) {
         worker.nextPoll = std::max(worker.nextPoll, now + Internal::WithheldLeaseInterval);
--- a/src/libs/dispatch/pollpacing.cpp
+++ b/src/libs/dispatch/ownerlateness.cpp
@@ -1,4 +1,4 @@
-#include "pollpacing.h"
+#include "ownerlateness.h"
 
 #include <algorithm>
 
@@ -6,13 +6,13 @@
 
 // Ticks of an owner that is in time come within this interval.
 constexpr std::chrono::milliseconds UsualTickInterval{40};
-// Part of the excess of the interval between ticks by which polls wait longer.
-constexpr int ExcessFactor = 8;
+// Polls wait longer by so many times the lateness.
+constexpr int PollIntervalFactor = 8;
 constexpr int AveragedTicks = 8;
 // A pause of the process says nothing about its load.
 constexpr std::chrono::milliseconds MaximumTickInterval{500};
 
-void PollPacing::handleTick(TimePoint now)
+void OwnerLateness::handleTick(TimePoint now)
 {
     if (m_lastTick != TimePoint()) {
         const Duration interval = std::min<Duration>(now - m_lastTick, MaximumTickInterval);
@@ -21,10 +21,14 @@
     m_lastTick = now;
 }
 
-Duration PollPacing::minimumInterval() const
+Duration OwnerLateness::lateness() const
 {
-    const Duration excess = std::max<Duration>(m_tickInterval - UsualTickInterval, Duration::zero());
-    return std::min<Duration>(excess * ExcessFactor, MaximumInterval);
+    return std::max<Duration>(m_tickInterval - UsualTickInterval, Duration::zero());
+}
+
+Duration OwnerLateness::minimumPollInterval() const
+{
+    return std::min<Duration>(lateness() * PollIntervalFactor, MaximumPollInterval);
 }
 
 } // namespace Hyssop
--- a/src/libs/dispatch/pollpacing.h
+++ b/src/libs/dispatch/ownerlateness.h
@@ -4,21 +4,24 @@
 
 namespace Hyssop {
 
-/// Decides how long the owner waits at least between a report of a worker and the next poll, by how late its own ticks are.
+/// Measures how late the owner itself is, by the interval between its ticks, and how long it waits before it polls a worker again.
 ///
 /// Load pattern: more runs start and end than the owner's processor carries. Each end is a reason to poll the worker again at once, and
 /// each poll lists all runs of the worker, so polls take more processor time than the starts do. The owner then learns of ends long before
 /// it can act on them, and acts later still. An owner that is in time polls as often as there is news.
-class PollPacing
+class OwnerLateness
 {
 public:
-    static constexpr std::chrono::milliseconds MaximumInterval{600};
+    static constexpr std::chrono::milliseconds MaximumPollInterval{600};
 
     /// Records that a tick begins.
     void handleTick(TimePoint now);
 
-    /// Returns the shortest time from a report to the next poll.
-    Duration minimumInterval() const;
+    /// Returns by how much the interval between ticks exceeds that of an owner that is in time.
+    Duration lateness() const;
+
+    /// Returns the shortest time from a report of a worker to the next poll.
+    Duration minimumPollInterval() const;
 
 private:
     TimePoint m_lastTick{};
--- a/tests/libs/dispatch/testcommandwindow.cpp
+++ b/tests/libs/dispatch/testcommandwindow.cpp
@@ -269,3 +269,30 @@
     cr_expect_geq(starts, 100, "%ld starts on the other workers", static_cast<long>(starts));
     cr_expect(simulation.violations.empty());
 }
+
+// Guards against an owner that takes the time for which responses wait for its own processor for a full link, and starts even less.
+Test(commandWindow, latenessOfTheOwnerIsNoFullLink)
+{
+    constexpr Duration Lateness = 250ms;
+    CommandWindow window;
+    window.setWaitingTasks(ManyTasks);
+    TimePoint now = answerSingleStarts(window, Begin);
+    const std::size_t size = window.size();
+    window.setOwnerLateness(Lateness);
+    for (int burst = 0; burst < 10; ++burst) {
+        const std::size_t count = window.size();
+        for (std::size_t index = 0; index < count; ++index) {
+            window.handleSent(now);
+        }
+        now += UsualTime + Lateness;
+        for (std::size_t index = 0; index < count; ++index) {
+            window.handleResponse(now - UsualTime - Lateness, index, now);
+        }
+    }
+    cr_assert_geq(window.size(), size, "the window has shrunk from %zu to %zu", size, window.size());
+    window.setOwnerLateness(0ms);
+    for (int burst = 0; burst < 10; ++burst) {
+        now = answerBurst(window, 20ms, now);
+    }
+    cr_assert_lt(window.size(), size, "the window has not shrunk: %zu", window.size());
+}
--- a/tests/libs/dispatch/testpollintervals.cpp
+++ b/tests/libs/dispatch/testpollintervals.cpp
@@ -3,7 +3,7 @@
 
 #include <dispatch/claimtimes.h>
 #include <dispatch/dispatcher.h>
-#include <dispatch/pollpacing.h>
+#include <dispatch/ownerlateness.h>
 #include <utils/overloaded.h>
 
 #include <criterion/criterion.h>
@@ -135,6 +135,6 @@
     cr_assert(worker.knownAt[0].has_value());
     const int polls = worker.pollsWithPendingEnd;
     worker.run(6s);
-    cr_assert_leq(worker.pollsWithPendingEnd - polls, 6s / PollPacing::MaximumInterval, "%d polls in 6 s", worker.pollsWithPendingEnd - polls);
+    cr_assert_leq(worker.pollsWithPendingEnd - polls, 6s / OwnerLateness::MaximumPollInterval, "%d polls in 6 s", worker.pollsWithPendingEnd - polls);
     cr_assert_geq(worker.pollsWithPendingEnd - polls, 6);
 }
