Placement: a best-effort task is placed among a part of a large fleet

Cause: once tasks wait for the command window, each step gets one run before any gets its second.

Change: the search for candidates ends with enough suitable workers for the runs that are wanted, 96 at least, and the next one goes on where it has ended. If none of them is left, all are examined. Steps whose data is in a rack still examine all.

--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -329,9 +329,10 @@
         request.shortTaskPlaces = &*places;
     }
     const bool isBestEffort = request.step->fillsIdle;
-    std::vector<WorkerRanking::Candidate> candidates;
+    const std::size_t wantedTasks = std::min(maximumTasks, static_cast<std::size_t>(execution.pending));
+    WorkerRanking::Candidates candidates;
     if (isBestEffort && !request.isOverdue) {
-        candidates = ranking.rankCandidates(request);
+        candidates = ranking.rankCandidates(request, wantedTasks);
     }
     std::int64_t started = Internal::startedTasks(job);
     const bool canWait = now - execution.readySince.value_or(now) < Internal::MaximumReserveDelay;
@@ -354,7 +355,7 @@
         WorkerState *worker = isRanked ? ranking.bestCandidate(candidates, request) : ranking.choose(request);
         if (worker == nullptr && !request.rack.empty()) {
             request.rack.clear(); // the tasks take longer on several racks, but only a gang has to be on one
-            candidates = isRanked ? ranking.rankCandidates(request) : candidates;
+            candidates = isRanked ? ranking.rankCandidates(request, wantedTasks) : candidates;
             worker = isRanked ? ranking.bestCandidate(candidates, request) : ranking.choose(request);
         }
         if (worker == nullptr && mayProbe(job, step, ranking, request)) {
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -19,6 +19,9 @@
 constexpr std::int64_t DataRackBonus = 1'000'000;
 // Loss of preference of serving tasks for taking a reserved place. It outweighs a different image and the data rack.
 constexpr int ReservedPlacePenalty = 4;
+// Suitable workers among which the one for a best-effort task is chosen.
+constexpr std::size_t MinimumCandidates = 96;
+constexpr std::size_t CandidatesPerTask = 8;
 // More than the preference for the rack that holds the data.
 constexpr int SoundWorkerPreference = 2;
 // Loss of preference of serving tasks for a worker that fails runs. It outweighs the other preferences except for RejectionPenalty.
@@ -214,15 +217,22 @@
     return racks;
 }
 
-std::vector<WorkerRanking::Candidate> WorkerRanking::rankCandidates(const PlacementRequest &request) const
+WorkerRanking::Candidates WorkerRanking::rankCandidates(const PlacementRequest &request, std::size_t tasks) const
 {
-    std::vector<Candidate> candidates;
-    for (WorkerState *worker : m_workers) {
+    // Tasks whose data is in a rack, or that have to be in one, need the workers of that rack.
+    const bool needsAll = !request.step->dataRack.empty() || !request.rack.empty();
+    const std::size_t wanted = needsAll ? m_workers.size() : std::max(Internal::MinimumCandidates, tasks * Internal::CandidatesPerTask);
+    Candidates candidates;
+    std::size_t examined = 0;
+    for (; examined < m_workers.size() && candidates.heap.size() < wanted; ++examined) {
+        WorkerState *worker = m_workers[m_nextExamined % m_workers.size()];
+        ++m_nextExamined;
         if (fits(*worker, request)) {
-            candidates.emplace_back(bestEffortScore(*worker, request), worker);
+            candidates.heap.emplace_back(bestEffortScore(*worker, request), worker);
         }
     }
-    std::ranges::make_heap(candidates);
+    candidates.isComplete = examined == m_workers.size();
+    std::ranges::make_heap(candidates.heap);
     return candidates;
 }
 
@@ -239,7 +249,17 @@
     return std::ranges::any_of(m_workers, [&](WorkerState *worker) { return fits(*worker, request); });
 }
 
-WorkerState *WorkerRanking::bestCandidate(std::vector<Candidate> &candidates, const PlacementRequest &request) const
+WorkerState *WorkerRanking::bestCandidate(Candidates &candidates, const PlacementRequest &request) const
+{
+    WorkerState *best = bestOf(candidates.heap, request);
+    if (best == nullptr && !candidates.isComplete) {
+        candidates = rankCandidates(request, m_workers.size());
+        best = bestOf(candidates.heap, request);
+    }
+    return best;
+}
+
+WorkerState *WorkerRanking::bestOf(std::vector<Candidate> &candidates, const PlacementRequest &request) const
 {
     while (!candidates.empty()) {
         std::ranges::pop_heap(candidates);
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -81,14 +81,23 @@
     /// A suitable worker with its score.
     using Candidate = std::pair<std::int64_t, WorkerState *>;
 
-    /// Returns all workers that are suitable for a best-effort task as a heap.
-    std::vector<Candidate> rankCandidates(const PlacementRequest &request) const;
+    /// Suitable workers for a best-effort task as a heap.
+    struct Candidates
+    {
+        std::vector<Candidate> heap;
+        bool isComplete = false; // no other worker is suitable
+    };
+
+    /// Returns suitable workers for the next tasks of @p request: enough of them for a good choice for @p tasks tasks, or all. The search goes
+    /// on where the last one has ended, because most steps get few runs in a pass and examining all workers costs more than a start.
+    Candidates rankCandidates(const PlacementRequest &request, std::size_t tasks) const;
 
     /// Returns true if a worker could take a task of @p request, but for its rack, tickets and limit per worker.
     bool hasRoom(PlacementRequest request) const;
 
-    /// Returns the best of @p candidates after updating outdated scores, or a null pointer. The worker stays in the heap.
-    WorkerState *bestCandidate(std::vector<Candidate> &candidates, const PlacementRequest &request) const;
+    /// Returns the best of @p candidates after updating outdated scores, or a null pointer. The worker stays in the heap. Candidates that turn
+    /// out to be too few are replaced by all suitable workers.
+    WorkerState *bestCandidate(Candidates &candidates, const PlacementRequest &request) const;
 
     /// Returns the racks by decreasing free processor capacity.
     std::vector<std::string> racksByFreeCapacity(const std::string &workerPool) const;
@@ -126,6 +135,9 @@
     /// Returns the best worker for a best-effort task, or a null pointer.
     WorkerState *chooseForBestEffort(const PlacementRequest &request) const;
 
+    /// Returns the best worker of @p candidates after updating outdated scores, or a null pointer.
+    WorkerState *bestOf(std::vector<Candidate> &candidates, const PlacementRequest &request) const;
+
     std::int64_t bestEffortScore(WorkerState &worker, const PlacementRequest &request) const;
 
     /// Returns the forecast for the worker's serving runs, recomputed if it is out of date.
@@ -139,6 +151,7 @@
     const ColocationPolicy &m_colocation;
     IdleCapacityPolicy m_idleCapacity;
     TimePoint m_now;
+    mutable std::size_t m_nextExamined = 0; // index of the worker at which the next search for candidates begins
     mutable std::size_t m_examinedWorkers = 0;
 };
 
--- a/tests/libs/dispatch/testplacementcost.cpp
+++ b/tests/libs/dispatch/testplacementcost.cpp
@@ -293,3 +293,38 @@
     }
     cr_assert_gt(saved, 10'000);
 }
+
+// Guards against an owner that spends more on the choice of a worker than on all else that a start needs, once many steps wait.
+Test(placementCost, aStepOfOneBestEffortTaskExaminesAPartOfALargeFleet)
+{
+    constexpr int ManyWorkers = 1000;
+    constexpr int Steps = 300;
+    DispatchFleet fleet(ManyWorkers, WorkerMilliCores);
+    fleet.advance(1s);
+    Wire::TaskStep step = stepOf(1, 1000);
+    step.fillsIdle = true;
+    const std::uint64_t before = fleet.placementWork().examinedWorkers;
+    for (int index = 0; index < Steps; ++index) {
+        fleet.submit(step);
+    }
+    fleet.advance(1s);
+    cr_assert_eq(fleet.starts(), Steps);
+    const std::uint64_t examined = (fleet.placementWork().examinedWorkers - before) / Steps;
+    cr_assert_leq(examined, ManyWorkers / 4, "%lu workers examined for a start", static_cast<unsigned long>(examined));
+}
+
+// Guards against a best-effort task that waits because the workers that were examined have no room.
+Test(placementCost, aBestEffortTaskFindsTheOnlyWorkerWithIdleTime)
+{
+    constexpr int ManyWorkers = 400;
+    DispatchFleet fleet(ManyWorkers, WorkerMilliCores);
+    fleet.submit(stepOf(ManyWorkers - 1, WorkerMilliCores));
+    fleet.advance(1s);
+    Wire::TaskStep step = stepOf(1, 4000);
+    step.fillsIdle = true;
+    for (int index = 1; index <= 8; ++index) {
+        fleet.submit(step);
+        fleet.advance(100ms);
+        cr_expect_eq(fleet.starts(), ManyWorkers - 1 + index);
+    }
+}
