--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -87,6 +87,7 @@
     bool hasStarted = false; // a worker has confirmed a run
     std::chrono::milliseconds countedFrom{0}; // time from the acceptance to the beginning of the term
     JobHistory history; // in this term
+    std::string queue;
 };
 
 /// Log event: a run was assigned to a worker, and its start command was not sent.
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -281,7 +281,7 @@
     const char *phase = job.completed ? "completed" : job.failed ? "failed" : "cancelled";
     const std::chrono::milliseconds sinceAccepted(job.endedAtMs - job.submission.acceptedAtMs);
     const std::chrono::milliseconds countedFrom(std::max<std::int64_t>(m_termWallMs.value_or(m_wallMs) - job.submission.acceptedAtMs, 0));
-    m_actions.emplace_back(JobEnded{job.id, phase, sinceAccepted, job.hasStarted, countedFrom, job.history});
+    m_actions.emplace_back(JobEnded{job.id, phase, sinceAccepted, job.hasStarted, countedFrom, job.history, job.submission.queue});
 }
 
 void Dispatcher::endJob(JobExecution &job, TimePoint now)
--- a/src/libs/dispatch/dispatchreport.cpp
+++ b/src/libs/dispatch/dispatchreport.cpp
@@ -113,6 +113,8 @@
     }
     summary.overdueSteps = m_watchdog.overdueSteps();
     summary.newlyOverdueSteps = m_watchdog.takeNewlyOverdueSteps();
+    summary.ownerLateness = std::chrono::duration_cast<std::chrono::milliseconds>(m_lateness.lateness());
+    summary.minimumPollInterval = std::chrono::duration_cast<std::chrono::milliseconds>(m_lateness.minimumPollInterval());
     summary.startWindow = m_commandWindow.size();
     summary.waitingForWindow = m_commandWindow.waitingTasks();
     summary.longestOverdue = m_watchdog.longestTimeBesideRoom();
--- a/src/libs/dispatch/dispatchsummary.h
+++ b/src/libs/dispatch/dispatchsummary.h
@@ -31,6 +31,8 @@
     std::size_t overdueSteps = 0; // see WaitingWatchdog
     std::size_t newlyOverdueSteps = 0; // since the last summary
     std::chrono::milliseconds longestOverdue{0}; // time for which the oldest of the overdue steps has waited beside free room
+    std::chrono::milliseconds ownerLateness{0}; // of the ticks, see OwnerLateness
+    std::chrono::milliseconds minimumPollInterval{0}; // from a report of a worker to the next poll
     std::size_t startWindow = 0; // bound of the starts in flight, see CommandWindow
     std::size_t waitingForWindow = 0; // pending tasks that the last pass did not reach because it is full
     std::vector<WaitingTasks> waiting; // tasks that could start now, if they had a worker
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -370,7 +370,9 @@
                 {"idle_millicores", static_cast<long long>(load.idleMilliCores)},
                 {"workers_by_free_millicores", workersByFreeCapacity(load)},
                 {"start_window", load.startWindow},
-                {"waiting_for_window", load.waitingForWindow}});
+                {"waiting_for_window", load.waitingForWindow},
+                {"owner_late_ms", static_cast<long long>(load.ownerLateness.count())},
+                {"poll_interval_ms", static_cast<long long>(load.minimumPollInterval.count())}});
     for (const WaitingTasks &waiting : load.waiting) {
         logWaitingTasks(waiting);
     }
@@ -441,7 +443,8 @@
                 {"starts_not_sent", history.startsNotSent},
                 {"starts_refused", history.startsRejected},
                 {"starts_withdrawn", history.startsWithdrawn},
-                {"counted_from_ms", end.countedFrom.count()}});
+                {"counted_from_ms", end.countedFrom.count()},
+                {"queue", end.queue}});
 }
 
 } // namespace Hyssop
--- a/tests/libs/node/testlogload.cpp
+++ b/tests/libs/node/testlogload.cpp
@@ -258,7 +258,7 @@
             log.write(RunEnded{m_running.front(), 1, "w", RunEndReason::Completed, 0, false, RunEndEvidence::Report, 1}, now());
             m_running.erase(m_running.begin());
         }
-        log.write(JobEnded{job, "completed", 700ms, true, 0ms, {}}, now());
+        log.write(JobEnded{job, "completed", 700ms, true, 0ms, {}, {}}, now());
     }
 
     void endAllJobs()
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -91,8 +91,9 @@
     const TaskId task{"j", 0, 1, 2};
     logResult(StartCommand{{"w", ""}, task, 4, "", "", "", 3001}, CommandNotSent{"refused"});
     logAction(RunEnded{task, 4, "w", RunEndReason::LeaseExpired, 0, false, RunEndEvidence::LeaseExpired, 1});
-    logAction(JobEnded{"j", "completed", 700ms, true, 0ms, {}});
+    logAction(JobEnded{"j", "completed", 700ms, true, 0ms, {}, "print"});
     const std::string text = log.text();
+    cr_assert(text.find("queue=print") != std::string::npos);
     cr_assert(text.find("outcome=unsent") != std::string::npos);
     cr_assert(text.find("ending=lapsed") != std::string::npos);
     cr_assert(text.find("message=\"job ended\" job_id=j outcome=completed after_ms=700") != std::string::npos);
@@ -107,7 +108,7 @@
         logAction(RunEnded{{"j", 0, 1, 2}, 4, "w", RunEndReason::LeaseExpired, 0, false, RunEndEvidence::LeaseExpired, 1});
     }
     for (int job = 0; job < EndedJobs; ++job) {
-        logAction(JobEnded{"j" + std::to_string(job), "completed", 700ms, true, 0ms, {}});
+        logAction(JobEnded{"j" + std::to_string(job), "completed", 700ms, true, 0ms, {}, {}});
     }
     const std::string text = log.text();
     int missing = 0;
@@ -121,7 +122,7 @@
 {
     const OwnerLog log;
     for (int line = 0; line < 2 * LineLimit; ++line) {
-        logAction(JobEnded{"j", "completed", 700ms, true, 0ms, {}});
+        logAction(JobEnded{"j", "completed", 700ms, true, 0ms, {}, {}});
     }
     logWorkerChange("leases of unreachable worker expired");
     logStepDown(3, "a newer claim exists", {});
@@ -134,7 +135,7 @@
 Test(ownerLog, theEndOfAJobTellsWhyItWasLate)
 {
     const OwnerLog log;
-    JobEnded end{"j", "completed", 9552ms, true, 0ms, {}};
+    JobEnded end{"j", "completed", 9552ms, true, 0ms, {}, "print"};
     end.history.firstStart = 1200ms;
     end.history.completedRuns = 19;
     end.history.failedRuns = 1;
@@ -156,11 +157,11 @@
     expectLine(text,
                "message=\"job ended\" job_id=j outcome=completed after_ms=9552 waiting_ms=1200 running_ms=8352 last_task=j.0.1.2 last_run=2 last_worker=w "
                "last_run_ms=700 runs=20 failed=1 lapsed=0 stopped=0 starts_without_response=2 starts_not_sent=0 starts_refused=0 starts_withdrawn=20 "
-               "counted_from_ms=0");
+               "counted_from_ms=0 queue=print");
     expectLine(text,
                "message=\"job ended\" job_id=j outcome=cancelled after_ms=9552 waiting_ms=\"not started\" running_ms=\"not started\" last_task=\"\" "
                "last_run=0 last_worker=\"\" last_run_ms=unknown runs=0 failed=0 lapsed=0 stopped=0 starts_without_response=0 starts_not_sent=0 "
-               "starts_refused=0 starts_withdrawn=0 counted_from_ms=0");
+               "starts_refused=0 starts_withdrawn=0 counted_from_ms=0 queue=print");
     cr_assert(text.find("waiting_ms=unknown running_ms=unknown") != std::string::npos, "an earlier owner started it");
 }
 
@@ -211,11 +212,13 @@
     load.workersByFreeMilliCores = {{4'000, 2}, {8'000, 0}};
     load.startWindow = 64;
     load.waitingForWindow = 17;
+    load.ownerLateness = 80ms;
+    load.minimumPollInterval = 600ms;
     logLoad(3, load);
     expectLine(log.text(),
                "message=load epoch=3 workers=3 registered=4 draining=0 unreachable=1 open_runs=5 unreachable_runs=0 waiting_counted=0 waiting_filling=0 "
                "waiting_serving=2 millicores=48000 serving_millicores=30000 counted_millicores=6000 free_millicores=12000 idle_millicores=-500 "
-               "workers_by_free_millicores=4000:2,8000:0 start_window=64 waiting_for_window=17");
+               "workers_by_free_millicores=4000:2,8000:0 start_window=64 waiting_for_window=17 owner_late_ms=80 poll_interval_ms=600");
 }
 
 Test(ownerLog, tasksThatWaitNameWhatEachWorkerLacks)
@@ -300,7 +303,7 @@
     for (int line = 0; line < 2 * LineLimit; ++line) {
         logMessage(LogLevel::Info, "owner", "run results", {{"job_id", "j"}});
         logAction(RunEnded{});
-        logAction(JobEnded{"j", "completed", 700ms, true, 0ms, {}});
+        logAction(JobEnded{"j", "completed", 700ms, true, 0ms, {}, {}});
         logWorkerChange("worker unreachable");
     }
     logAction(OverdueStep{});
