--- a/tests/libs/dispatch/dispatchfleet.cpp
+++ b/tests/libs/dispatch/dispatchfleet.cpp
@@ -98,9 +98,45 @@
     return starts != m_startsBySize.end() ? starts->second : 0;
 }
 
+void DispatchFleet::limitProcessor(const ProcessorCosts &costs, Duration runTime)
+{
+    m_costs = costs;
+    m_runTime = runTime;
+    takeProcessorTime();
+}
+
+Duration DispatchFleet::takeProcessorTime()
+{
+    const auto examined = static_cast<std::int64_t>(placementWork().examinedWorkers - std::exchange(m_chargedExaminations, placementWork().examinedWorkers));
+    const std::int64_t responses = std::exchange(m_responses, 0);
+    const std::int64_t listedRuns = std::exchange(m_listedRuns, 0);
+    if (!m_costs) {
+        return Duration::zero();
+    }
+    return m_costs->tick + responses * m_costs->response + listedRuns * m_costs->listedRun + examined * m_costs->examinedWorker;
+}
+
+void DispatchFleet::receiveStartResponses()
+{
+    for (const StartCommand &command : std::exchange(m_startResponses, {})) {
+        m_dispatcher.startAnswered(command, CommandExecuted{clock()}, m_now);
+    }
+}
+
+void DispatchFleet::completeDueRuns()
+{
+    while (!m_runEnds.empty() && m_runEnds.begin()->first <= m_now) {
+        const auto [index, task] = m_runEnds.begin()->second;
+        m_runEnds.erase(m_runEnds.begin());
+        m_completedRuns += completeRun(m_workers[index], task) ? 1 : 0;
+    }
+}
+
 void DispatchFleet::tick()
 {
-    m_now += TickInterval;
+    m_now += std::max<Duration>(TickInterval, takeProcessorTime());
+    receiveStartResponses();
+    completeDueRuns();
     m_dispatcher.confirmRead(m_now);
     m_dispatcher.confirmWorkersRead(m_now);
     const std::chrono::nanoseconds begin = Internal::processorTime();
@@ -146,7 +182,13 @@
     if (!command.isServing) {
         worker.completableRuns.insert(command.task);
     }
-    m_dispatcher.startAnswered(command, CommandExecuted{clock()}, m_now);
+    ++m_responses;
+    if (!m_costs) {
+        m_dispatcher.startAnswered(command, CommandExecuted{clock()}, m_now);
+        return;
+    }
+    m_startResponses.push_back(command);
+    m_runEnds.emplace(m_now + m_runTime, std::pair(m_indexes.at(command.worker.id), command.task));
 }
 
 void DispatchFleet::completeRuns(int count, std::int64_t maximumMilliCores)
@@ -160,12 +202,16 @@
 bool DispatchFleet::completeRun(Worker &worker, std::int64_t maximumMilliCores)
 {
     const auto task = std::ranges::find_if(worker.completableRuns, [&](const TaskId &id) { return milliCoresOf(id) <= maximumMilliCores; });
-    if (task == worker.completableRuns.end()) {
+    return task != worker.completableRuns.end() && completeRun(worker, TaskId(*task));
+}
+
+bool DispatchFleet::completeRun(Worker &worker, const TaskId &task)
+{
+    if (worker.completableRuns.erase(task) == 0) {
         return false;
     }
-    worker.ends.push_back({++worker.lastEndSequence, *task, worker.runs.at(*task).run, RunEndReason::Completed, ""});
-    worker.runs.erase(*task);
-    worker.completableRuns.erase(task);
+    worker.ends.push_back({++worker.lastEndSequence, task, worker.runs.at(task).run, RunEndReason::Completed, ""});
+    worker.runs.erase(task);
     return true;
 }
 
@@ -181,6 +227,8 @@
         report.runs.push_back(run);
     }
     report.ends = worker.ends;
+    ++m_responses;
+    m_listedRuns += static_cast<std::int64_t>(report.runs.size() + report.ends.size());
     m_dispatcher.pollAnswered(poll, report, sentAt, m_now);
 }
 
--- a/tests/libs/dispatch/dispatchfleet.h
+++ b/tests/libs/dispatch/dispatchfleet.h
@@ -18,6 +18,15 @@
 
 namespace Hyssop::Testing {
 
+/// What the owner's processor takes for its work.
+struct ProcessorCosts
+{
+    Duration tick{0};
+    Duration response{0}; // to a start or a poll
+    Duration listedRun{0}; // in a report
+    Duration examinedWorker{0}; // for a step
+};
+
 /// A dispatcher with many workers that execute each command at once, without network, store and faults.
 class DispatchFleet
 {
@@ -36,6 +45,15 @@
 
     void advance(Duration time);
 
+    /// Lets the next tick begin only after the work of the last one, and responses to starts arrive at the next tick. Runs of tasks that do
+    /// not serve complete after @p runTime.
+    void limitProcessor(const ProcessorCosts &costs, Duration runTime);
+
+    /// Returns the number of runs that have completed.
+    std::size_t completedRuns() const { return m_completedRuns; }
+
+    TimePoint now() const { return m_now; }
+
     /// Lets @p count runs of tasks that do not serve complete, in turn on all workers. Larger runs than @p maximumMilliCores go on.
     void completeRuns(int count, std::int64_t maximumMilliCores = std::numeric_limits<std::int64_t>::max());
 
@@ -61,9 +79,15 @@
     };
 
     void tick();
+    void receiveStartResponses();
+    void completeDueRuns();
+
+    /// Returns the time that the owner's processor took since the last call.
+    Duration takeProcessorTime();
     void perform(DispatchAction &action);
     void startRun(const StartCommand &command);
     bool completeRun(Worker &worker, std::int64_t maximumMilliCores);
+    bool completeRun(Worker &worker, const TaskId &task);
     void answerPoll(Worker &worker, const PollCommand &poll, TimePoint sentAt);
     Worker &workerOf(const std::string &id) { return m_workers[m_indexes.at(id)]; }
     std::int64_t milliCoresOf(const TaskId &task) const { return m_milliCores.at(task.job); }
@@ -78,6 +102,14 @@
     std::map<std::int64_t, std::size_t> m_startsBySize;
     std::size_t m_nextCompletion = 0; // index of the worker
     std::size_t m_starts = 0;
+    std::optional<ProcessorCosts> m_costs;
+    Duration m_runTime{0};
+    std::vector<StartCommand> m_startResponses; // that arrive at the next tick
+    std::multimap<TimePoint, std::pair<std::size_t, TaskId>> m_runEnds; // index of the worker
+    std::size_t m_completedRuns = 0;
+    std::int64_t m_responses = 0; // since the last call of takeProcessorTime()
+    std::int64_t m_listedRuns = 0;
+    std::uint64_t m_chargedExaminations = 0;
     std::chrono::nanoseconds m_advanceTime{0};
 };
 
