--- a/tests/libs/dispatch/testowneroverload.cpp
+++ b/tests/libs/dispatch/testowneroverload.cpp
@@ -16,7 +16,7 @@
 constexpr int BurstRate = 4 * UsualRate;
 constexpr Duration BurstTime = 4s;
 constexpr Duration RecoveryTime = 12s;
-// The usual rate takes a third of the processor, the burst more than all of it.
+// The burst takes more than the whole processor.
 constexpr ProcessorCosts Costs{2ms, 200us, 15us, 3us};
 
 /// Submits best-effort steps at a constant rate for @p time.
