Owner: a much smaller claimant has to prove that it carries the work

Cause: the small ones had loaded the topic 1.1 s earlier, which used up most of their longer wait. The overload was measured only after the takeover and a second of late ticks, and the next claimants compared themselves with the small owner.

Change: a claimant with less than half the share of the largest owner whose claim it has read marks its claim as overloaded, until a second of ticks in time has shown that it carries the work. A larger instance can offer during the takeover already. The wait of smaller instances is measured by the largest share, not by that of the last owner.

Tests: ownerSuccession/aSmallClaimantLeavesTheTopicToALargerInstanceAtOnce failed before; ownerCapacity/aPresumptionHoldsUntilTicksInTimeDisproveIt and ownerSuccession/aSmallInstanceThatCarriesTheTopicKeepsIt are new.

--- a/src/libs/node/ownercapacity.h
+++ b/src/libs/node/ownercapacity.h
@@ -11,12 +11,13 @@
 class OwnerCapacity
 {
 public:
-    void beginTerm(TimePoint now);
+    /// Begins a term. @p isPresumedExceeded is true if the owner has to prove first that it carries the work, by a period of ticks in time.
+    void beginTerm(TimePoint now, bool isPresumedExceeded);
 
     /// Records that a tick begins.
     void handleTick(TimePoint now);
 
-    /// Returns true if far too few ticks began in the last complete period.
+    /// Returns true if far too few ticks began in the last complete period, or if the presumption is not disproved yet.
     bool isExceeded() const { return m_isExceeded; }
 
 private:
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -106,6 +106,9 @@
 {
     const TimePoint now = m_clock.now();
     m_ownerSilence.handleRead(now);
+    if (m_table.claim()) {
+        m_largestOwnerShare = std::max(m_largestOwnerShare, m_table.claim()->processorShare);
+    }
     if (m_term) {
         if (ownsNewestClaim() && m_table.claim()->term == *m_term) {
             m_dispatcher.confirmRead(sentAt);
@@ -170,7 +173,8 @@
 void TopicOwner::takeoverOfferRead()
 {
     const auto &offer = m_table.takeoverOffer();
-    if (m_term && offer && m_capacity.isExceeded() && canRelieve(*offer, *m_term, m_processorShare)) {
+    const std::optional<std::int64_t> term = termOrTakeover();
+    if (term && offer && m_capacity.isExceeded() && canRelieve(*offer, *term, m_processorShare)) {
         m_successor = offer->instance;
     }
 }
@@ -224,11 +228,11 @@
         if (m_takeoverTerm) {
             renewClaim(m_clock.now());
         }
-        if (!m_term || m_releasing) {
+        if (!m_successor.empty() && !m_releasing) {
+            co_await handOver();
             continue;
         }
-        if (!m_successor.empty()) {
-            co_await handOver();
+        if (!m_term || m_releasing) {
             continue;
         }
         const TimePoint now = m_clock.now();
@@ -280,7 +284,7 @@
 {
     const std::string successor = std::exchange(m_successor, {});
     const bool areAppendsDone = co_await finishAppends();
-    if (m_term && areAppendsDone) {
+    if (termOrTakeover() && areAppendsDone) {
         co_await releaseOwnership("a larger instance takes over", successor);
     }
 }
@@ -299,7 +303,7 @@
 asio::awaitable<void> TopicOwner::releaseOwnership(std::string reason, std::string successor)
 {
     m_claimPolicy.recordOverload(m_clock.now());
-    const std::int64_t term = m_term ? *m_term : *m_takeoverTerm;
+    const std::int64_t term = *termOrTakeover();
     TopicAppend append{Topic::Jobs, {claimRecord(term, true, successor)}, std::nullopt, m_appender.position()};
     endTakeover();
     stepDown(reason);
@@ -314,11 +318,11 @@
 asio::awaitable<void> TopicOwner::release()
 {
     m_releasing = true;
-    if (!m_term && !m_takeoverTerm) {
+    if (!termOrTakeover()) {
         co_return;
     }
     const bool areAppendsDone = co_await finishAppends();
-    if ((!m_term && !m_takeoverTerm) || !areAppendsDone) {
+    if (!termOrTakeover() || !areAppendsDone) {
         endTakeover();
         stepDown("shutdown while the store is not responding");
         co_return;
@@ -353,7 +357,7 @@
         owner.hasClaim = true;
         owner.released = claim->released && claim->successor.empty();
         owner.releasedToThis = claim->released && claim->successor == m_instance;
-        owner.ownerShare = claim->processorShare;
+        owner.ownerShare = m_largestOwnerShare;
     }
     return owner;
 }
@@ -369,8 +373,12 @@
     // The pages of a load are not a snapshot: the one with the claim may be newer than the one with the silent workers.
     const bool isReadInOrder = m_jobs.end() > m_table.claimOffset();
     m_newestSilentWorkersReadAt = isReadInOrder ? std::optional(m_silentWorkersReadAt) : std::nullopt;
+    m_capacity.beginTerm(m_takeoverBeganAt, isMuchSmallerThanOwners());
+    m_isOverloadPublished = m_capacity.isExceeded();
+    m_successor.clear();
     m_appender.beginTerm(*m_takeoverTerm, m_table.claim()->sequence + 1);
     m_runsAppender.beginTerm(*m_takeoverTerm, 0);
+    takeoverOfferRead(); // an offer may have been read together with the claim
     updateWorkersNeed();
     asio::co_spawn(m_executor, takeOver(*m_takeoverTerm), endProcessOnException);
 }
@@ -448,9 +456,7 @@
 {
     m_term = std::exchange(m_takeoverTerm, std::nullopt);
     m_batchAppends = 0;
-    m_capacity.beginTerm(m_clock.now());
-    m_isOverloadPublished = false;
-    m_successor.clear();
+    m_capacity.beginTerm(m_clock.now(), m_capacity.isExceeded());
     m_delays.beginInterval(m_clock.now());
     m_servingRoomSchedule = {};
     m_dispatcher.beginTerm(*m_term, m_table, {m_takeoverBeganAt, m_claimReadAt, m_newestSilentWorkersReadAt}, m_cleanHandover);
@@ -512,6 +518,7 @@
     claim.term = (m_table.claim() ? m_table.claim()->term : 0) + 1;
     claim.sequence = 0;
     claim.processorShare = m_processorShare;
+    claim.overloaded = isMuchSmallerThanOwners();
     // The store accepts a single first append per epoch, so only one claim of a term succeeds. The claim does not also require
     // the current end of the topic: any submission through another instance would then make it fail.
     const std::int64_t readUpTo = m_jobs.end();
@@ -589,7 +596,7 @@
 
 void TopicOwner::renewClaim(TimePoint now)
 {
-    const std::optional<std::int64_t> term = m_term ? m_term : m_takeoverTerm;
+    const std::optional<std::int64_t> term = termOrTakeover();
     const bool isDue = !m_appender.isAppending() && now - m_appender.lastRecord() >= Internal::ClaimRenewalInterval;
     if (!term || (!isDue && !isClaimOutdated())) {
         return;
@@ -624,7 +631,7 @@
     claim.sequence = m_appender.position().sequence;
     claim.released = released;
     claim.processorShare = m_processorShare;
-    claim.overloaded = m_term && m_capacity.isExceeded();
+    claim.overloaded = m_capacity.isExceeded();
     claim.successor = successor;
     claim.settled = m_term && m_dispatcher.earlierLeasesExpired(m_clock.now());
     return {0, claimKey(), encode(claim)};
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -152,6 +152,11 @@
 
     /// Returns true if others don't know yet whether the processor of this instance carries its work.
     bool isClaimOutdated() const { return m_term && m_capacity.isExceeded() != m_isOverloadPublished; }
+
+    /// Returns true if owners had a much larger processor share than this instance, so that it has to prove that it carries the work.
+    bool isMuchSmallerThanOwners() const { return m_processorShare * 2 < m_largestOwnerShare; }
+
+    std::optional<std::int64_t> termOrTakeover() const { return m_term ? m_term : m_takeoverTerm; }
     KeyedRecord claimRecord(std::int64_t term, bool released, const std::string &successor = {}) const;
 
     /// Adds the room for serving tasks to @p records, which are appended to the job topic, if it has to be published again.
@@ -186,6 +191,7 @@
     OwnerAppender m_runsAppender;
     Dispatcher m_dispatcher;
     OwnerCapacity m_capacity;
+    double m_largestOwnerShare = 0; // of all owners whose claims were read
     bool m_isOverloadPublished = false; // according to the newest claim that was sent
     std::string m_successor; // has offered to relieve this instance; empty: none
     ServingRoomSchedule m_servingRoomSchedule;
--- a/tests/libs/node/testownercapacity.cpp
+++ b/tests/libs/node/testownercapacity.cpp
@@ -23,7 +23,7 @@
 Test(ownerCapacity, ticksThatAreAboutInTimeAreCarried)
 {
     OwnerCapacity capacity;
-    capacity.beginTerm(Begin);
+    capacity.beginTerm(Begin, false);
     cr_assert_not(isExceeded(capacity, Begin, 20ms, 3s));
     cr_assert_not(isExceeded(capacity, Begin + 3s, 50ms, 3s));
 }
@@ -31,7 +31,7 @@
 Test(ownerCapacity, ticksThatAreLateForASecondAreNot)
 {
     OwnerCapacity capacity;
-    capacity.beginTerm(Begin);
+    capacity.beginTerm(Begin, false);
     cr_assert(isExceeded(capacity, Begin, 250ms, 1s));
     cr_assert_not(isExceeded(capacity, Begin + 1s, 20ms, 2s));
 }
@@ -39,9 +39,18 @@
 Test(ownerCapacity, aNewTermBeginsAnew)
 {
     OwnerCapacity capacity;
-    capacity.beginTerm(Begin);
+    capacity.beginTerm(Begin, false);
     cr_assert(isExceeded(capacity, Begin, 500ms, 2s));
-    capacity.beginTerm(Begin + 10s);
+    capacity.beginTerm(Begin + 10s, false);
     cr_assert_not(capacity.isExceeded());
     cr_assert_not(isExceeded(capacity, Begin + 10s, 20ms, 1500ms));
 }
+
+// Guards against an instance that owns a fleet of which it has not shown that it carries it.
+Test(ownerCapacity, aPresumptionHoldsUntilTicksInTimeDisproveIt)
+{
+    OwnerCapacity capacity;
+    capacity.beginTerm(Begin, true);
+    cr_assert(isExceeded(capacity, Begin, 20ms, 900ms));
+    cr_assert_not(isExceeded(capacity, Begin + 900ms, 20ms, 200ms));
+}
--- a/tests/libs/node/testownersuccession.cpp
+++ b/tests/libs/node/testownersuccession.cpp
@@ -74,6 +74,25 @@
     std::chrono::steady_clock::time_point slowInstanceRunsAt{};
 };
 
+/// Returns the newest claim in @p topics.
+Wire::TopicClaim newestClaim(const MemoryTopics &topics)
+{
+    Wire::TopicClaim claim;
+    for (std::string after;;) {
+        const NewestRecordsPage page = topics.newest(Topic::Jobs, after);
+        for (const KeyedRecord &record : page.records) {
+            if (record.key == claimKey()) {
+                const auto decoded = capture([&] { return decodeTopicClaim(*record.value); });
+                claim = std::get<Wire::TopicClaim>(decoded);
+            }
+            after = record.key;
+        }
+        if (!page.more) {
+            return claim;
+        }
+    }
+}
+
 } // namespace
 
 // Guards against a small instance that owns a large fleet after the store was silent for all, because it could read first.
@@ -154,3 +173,36 @@
     NodeInstance &next = group.add("next", SmallShare);
     cr_assert(group.runUntil([&] { return next.isOwner() || small.isOwner(); }, 9s));
 }
+
+// Guards against a small instance that owns a fleet because it could read first, after all have restarted.
+Test(ownerSuccession, aSmallClaimantLeavesTheTopicToALargerInstanceAtOnce, .timeout = 60)
+{
+    InstanceGroup group;
+    Wire::TopicClaim ended;
+    ended.instance = "ended";
+    ended.term = 1;
+    ended.processorShare = 0.5;
+    group.topics.append({Topic::Jobs, {{0, claimKey(), encode(ended)}}, std::nullopt, ProducerPosition{"owner", 1, 0}});
+    group.add("small", SmallShare);
+    cr_assert(group.runUntil([&] { return newestClaim(group.topics).term == 2; }, 10s));
+    cr_assert(newestClaim(group.topics).overloaded, "it has not shown that it carries the work of a larger owner");
+    Wire::TakeoverOffer offer;
+    offer.instance = "large";
+    offer.term = 2;
+    offer.processorShare = 0.5;
+    group.topics.put(Topic::Jobs, takeoverOfferKey(), encode(offer));
+    cr_assert(group.runUntil([&] { return newestClaim(group.topics).released; }, 2s));
+    cr_assert_eq(newestClaim(group.topics).successor, "large");
+}
+
+// Guards against a fleet whose owner changes although the small one carries it.
+Test(ownerSuccession, aSmallInstanceThatCarriesTheTopicKeepsIt, .timeout = 60)
+{
+    InstanceGroup group;
+    NodeInstance &small = group.add("small", SmallShare);
+    cr_assert(group.runUntil([&] { return small.isOwner(); }, 10s));
+    group.add("large", LargeShare);
+    group.run(4s);
+    cr_assert(small.isOwner());
+    cr_assert_eq(small.metrics().value("hyssop_ownerships_total"), 1);
+}
