Logs: the work of placement with the load of the owner

The line "load" tells how many passes placement made, how many jobs it visited and how many workers it examined, so that a late tick can be told from a dear choice of workers.

--- a/src/libs/dispatch/dispatchreport.cpp
+++ b/src/libs/dispatch/dispatchreport.cpp
@@ -115,6 +115,7 @@
     summary.newlyOverdueSteps = m_watchdog.takeNewlyOverdueSteps();
     summary.ownerLateness = std::chrono::duration_cast<std::chrono::milliseconds>(m_lateness.lateness());
     summary.minimumPollInterval = std::chrono::duration_cast<std::chrono::milliseconds>(m_lateness.minimumPollInterval());
+    summary.placementWork = m_placementWork;
     summary.startWindow = m_commandWindow.size();
     summary.waitingForWindow = m_commandWindow.waitingTasks();
     summary.longestOverdue = m_watchdog.longestTimeBesideRoom();
--- a/src/libs/dispatch/dispatchsummary.h
+++ b/src/libs/dispatch/dispatchsummary.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "placementwork.h"
 #include "waitingtasks.h"
 
 #include <chrono>
@@ -33,6 +34,7 @@
     std::chrono::milliseconds longestOverdue{0}; // time for which the oldest of the overdue steps has waited beside free room
     std::chrono::milliseconds ownerLateness{0}; // of the ticks, see OwnerLateness
     std::chrono::milliseconds minimumPollInterval{0}; // from a report of a worker to the next poll
+    PlacementWork placementWork; // since the begin of the process
     std::size_t startWindow = 0; // bound of the starts in flight, see CommandWindow
     std::size_t waitingForWindow = 0; // pending tasks that the last pass did not reach because it is full
     std::vector<WaitingTasks> waiting; // tasks that could start now, if they had a worker
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -372,7 +372,10 @@
                 {"start_window", load.startWindow},
                 {"waiting_for_window", load.waitingForWindow},
                 {"owner_late_ms", static_cast<long long>(load.ownerLateness.count())},
-                {"poll_interval_ms", static_cast<long long>(load.minimumPollInterval.count())}});
+                {"poll_interval_ms", static_cast<long long>(load.minimumPollInterval.count())},
+                {"placement_passes", static_cast<long long>(load.placementWork.passes)},
+                {"visited_jobs", static_cast<long long>(load.placementWork.visitedJobs)},
+                {"examined_workers", static_cast<long long>(load.placementWork.examinedWorkers)}});
     for (const WaitingTasks &waiting : load.waiting) {
         logWaitingTasks(waiting);
     }
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -214,11 +214,13 @@
     load.waitingForWindow = 17;
     load.ownerLateness = 80ms;
     load.minimumPollInterval = 600ms;
+    load.placementWork = {50, 700, 90'000};
     logLoad(3, load);
     expectLine(log.text(),
                "message=load epoch=3 workers=3 registered=4 draining=0 unreachable=1 open_runs=5 unreachable_runs=0 waiting_counted=0 waiting_filling=0 "
                "waiting_serving=2 millicores=48000 serving_millicores=30000 counted_millicores=6000 free_millicores=12000 idle_millicores=-500 "
-               "workers_by_free_millicores=4000:2,8000:0 start_window=64 waiting_for_window=17 owner_late_ms=80 poll_interval_ms=600");
+               "workers_by_free_millicores=4000:2,8000:0 start_window=64 waiting_for_window=17 owner_late_ms=80 poll_interval_ms=600 "
+               "placement_passes=50 visited_jobs=700 examined_workers=90000");
 }
 
 Test(ownerLog, tasksThatWaitNameWhatEachWorkerLacks)
