Placement: the search for candidates goes on from pass to pass

Cause: each pass began its search at the first worker, so that 400 best-effort tasks of as many passes ran on 96 of 1,000 workers.

Change: the dispatcher keeps the index from pass to pass.

Test: placementCost/bestEffortTasksOfManyPassesAreSpreadOverALargeFleet failed before (96 workers have runs).

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -477,6 +477,7 @@
     UnschedulableRequests m_unschedulable;
     WaitingWatchdog m_watchdog;
     PlacementWork m_placementWork;
+    std::size_t m_nextExaminedWorker = 0; // see WorkerRanking::setNextExamined()
     ColocationPolicy m_colocation;
     std::map<std::string, std::chrono::milliseconds> m_maximumWaits; // of best-effort steps, by worker pool
     ShortTaskReserve m_shortTaskReserve;
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -138,7 +138,9 @@
     m_unschedulable.beginPass(ranking, now);
     std::sort(pending.begin(), pending.end());
     m_reservations.beginPass();
+    ranking.setNextExamined(m_nextExaminedWorker);
     placeSteps(pending, ranking, now);
+    m_nextExaminedWorker = ranking.nextExamined();
     ++m_placementWork.passes;
     m_placementWork.examinedWorkers += ranking.examinedWorkers();
 }
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -119,6 +119,11 @@
     /// Returns the workers on which tasks can be started.
     const std::vector<WorkerState *> &workers() const { return m_workers; }
 
+    /// Sets and returns the index of the worker at which the next search for candidates begins. It goes on from pass to pass, or the same
+    /// workers would get most best-effort tasks.
+    void setNextExamined(std::size_t index) { m_nextExamined = index; }
+    std::size_t nextExamined() const { return m_nextExamined; }
+
     /// Returns how often a worker was examined for a request.
     std::size_t examinedWorkers() const { return m_examinedWorkers; }
 
@@ -151,7 +156,7 @@
     const ColocationPolicy &m_colocation;
     IdleCapacityPolicy m_idleCapacity;
     TimePoint m_now;
-    mutable std::size_t m_nextExamined = 0; // index of the worker at which the next search for candidates begins
+    mutable std::size_t m_nextExamined = 0; // modulo the number of workers
     mutable std::size_t m_examinedWorkers = 0;
 };
 
--- a/tests/libs/dispatch/dispatchfleet.cpp
+++ b/tests/libs/dispatch/dispatchfleet.cpp
@@ -98,6 +98,11 @@
     return starts != m_startsBySize.end() ? starts->second : 0;
 }
 
+std::size_t DispatchFleet::workersWithRuns() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_workers, [](const Worker &worker) { return !worker.runs.empty(); }));
+}
+
 void DispatchFleet::limitProcessor(const ProcessorCosts &costs, Duration runTime)
 {
     m_costs = costs;
--- a/tests/libs/dispatch/dispatchfleet.h
+++ b/tests/libs/dispatch/dispatchfleet.h
@@ -59,6 +59,7 @@
 
     std::size_t openRuns() const { return m_dispatcher.openRuns(); }
     std::size_t starts() const { return m_starts; }
+    std::size_t workersWithRuns() const;
 
     /// Returns the number of started tasks that need @p milliCores.
     std::size_t startsOf(std::int64_t milliCores) const;
--- a/tests/libs/dispatch/testplacementcost.cpp
+++ b/tests/libs/dispatch/testplacementcost.cpp
@@ -328,3 +328,20 @@
         cr_expect_eq(fleet.starts(), ManyWorkers - 1 + index);
     }
 }
+
+// Guards against best-effort tasks that all go to the workers which are examined first.
+Test(placementCost, bestEffortTasksOfManyPassesAreSpreadOverALargeFleet)
+{
+    constexpr int ManyWorkers = 1000;
+    constexpr int Steps = 400;
+    DispatchFleet fleet(ManyWorkers, WorkerMilliCores);
+    fleet.advance(1s);
+    Wire::TaskStep step = stepOf(1, 1000);
+    step.fillsIdle = true;
+    for (int index = 0; index < Steps; ++index) {
+        fleet.submit(step);
+        fleet.advance(DispatchFleet::TickInterval);
+    }
+    cr_assert_eq(fleet.openRuns(), Steps);
+    cr_assert_geq(fleet.workersWithRuns(), Steps / 2, "%zu workers have runs", fleet.workersWithRuns());
+}
