Metrics: an instance that is not the owner is not overloaded as one

hyssop_owner_overloaded stayed at 1 after the hand-over, and was 0 while a small claimant had not yet shown that it carries the work. The test of the hand-over checks it.

--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -472,6 +472,7 @@
     updateWorkersNeed();
     m_metrics.add("hyssop_ownerships_total");
     m_metrics.set("hyssop_is_owner", 1);
+    m_metrics.set("hyssop_owner_overloaded", m_capacity.isExceeded() ? 1 : 0);
     logMessage(LogPriority::Essential,
                LogLevel::Info,
                "owner",
@@ -496,6 +497,7 @@
     m_appender.endTerm();
     m_runsAppender.endTerm();
     m_metrics.set("hyssop_is_owner", 0);
+    m_metrics.set("hyssop_owner_overloaded", 0);
     m_ownerSilence.handleRecord(m_clock.now());
     updateWorkersNeed();
 }
--- a/tests/libs/node/testownersuccession.cpp
+++ b/tests/libs/node/testownersuccession.cpp
@@ -140,6 +140,7 @@
     cr_assert(group.runUntil([&] { return large.isOwner(); }, 5s));
     group.run(1s);
     cr_assert_not(small.isOwner());
+    cr_assert_eq(small.metrics().value("hyssop_owner_overloaded"), 0, "it is not the owner any more");
 }
 
 // Guards against a topic that moves between instances of which none can carry it.
