Logs: delays of tasks by stage and kind

The line delays has the stages of the owner without the kinds of tasks, and job ended only the time to the first start. A line stage delays for each kind of task now has the time in each stage, from the acceptance of the job to the report of the end of a run.

DelaySummary moves to utils, because the dispatcher measures these delays.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -66,6 +66,7 @@
     m_watchdog = WaitingWatchdog();
     m_colocation.restore(table.learnedTails());
     m_tailsStoredAt = claim.readAt;
+    m_stageDelays.clear();
     m_actions.clear();
     m_newIntents.clear();
     m_batch = PendingBatch();
@@ -134,7 +135,7 @@
     }
     JobExecution *known = m_jobs.find(jobId);
     if (known == nullptr) {
-        m_jobs.add(jobId, *entry);
+        recordRead(m_jobs.add(jobId, *entry), wall);
         return;
     }
     if (entry->cancelled && !known->isEnded()) {
@@ -143,6 +144,19 @@
     }
 }
 
+void Dispatcher::recordRead(const JobExecution &job, WallTime wall)
+{
+    // The record that replaces the submission of an ended job has no steps.
+    if (!job.submission.steps.empty() && !job.isEnded()) {
+        m_stageDelays[kindOf(job.submission.steps.front())].reads.add(wall - job.acceptedAt);
+    }
+}
+
+StageDelays &Dispatcher::stageDelaysOf(const TaskId &id)
+{
+    return m_stageDelays[kindOf(m_jobs.find(id.job)->step(id.step))];
+}
+
 void Dispatcher::confirmOwnership(TimePoint sentAt)
 {
     m_confirmedAt = std::max(m_confirmedAt, sentAt);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -17,6 +17,8 @@
 #include "responsetimeoutpolicy.h"
 #include "roomreservations.h"
 #include "shorttaskreserve.h"
+#include "stagedelays.h"
+#include "taskkind.h"
 #include "ticketcache.h"
 #include "tokenrises.h"
 #include "unschedulablerequests.h"
@@ -130,6 +132,9 @@
     /// Returns the work of all placement passes so far.
     const PlacementWork &placementWork() const { return m_placementWork; }
 
+    /// Returns the delays by stage since the last call.
+    std::map<TaskKind, StageDelays> takeStageDelays() { return std::exchange(m_stageDelays, {}); }
+
 private:
     using Intents = std::vector<std::pair<TaskId, int>>; // task and number of the run
 
@@ -166,6 +171,9 @@
     bool isOfThisTerm(std::int64_t fencingToken) const;
 
     void adoptOpenRuns(JobExecution &job);
+
+    /// Records how long the job has waited to be read.
+    void recordRead(const JobExecution &job, WallTime wall);
     void releaseDueOccurrences(JobExecution &job, WallTime wall);
 
     /// Reports registrations, drains, withdrawals and quarantines since the last call as log events.
@@ -291,6 +299,9 @@
     void adjustSpeeds(WorkerState &worker, const std::vector<ListedRun> &listed, TimePoint now);
 
     void sendStart(const TaskId &id, TaskExecution &task, TimePoint now);
+    /// Returns the delays of tasks of the same kind as @p id. The job must exist.
+    StageDelays &stageDelaysOf(const TaskId &id);
+
     /// Notes when the run of @p task was last known to exist.
     void recordRunLoss(TaskExecution &task, std::optional<RunEndEvidence> evidence, TimePoint now);
     void withdrawStart(const TaskId &id, TaskExecution &task, TimePoint now);
@@ -477,6 +488,7 @@
     UnschedulableRequests m_unschedulable;
     WaitingWatchdog m_watchdog;
     PlacementWork m_placementWork;
+    std::map<TaskKind, StageDelays> m_stageDelays; // since the last report
     std::size_t m_nextExaminedWorker = 0; // see WorkerRanking::setNextExamined()
     ColocationPolicy m_colocation;
     std::map<std::string, std::chrono::milliseconds> m_maximumWaits; // of best-effort steps, by worker pool
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -482,6 +482,8 @@
 void Dispatcher::assignRun(JobExecution &job, const TaskId &id, TaskExecution &task, WorkerState &worker, int run, TimePoint now)
 {
     StepExecution &execution = job.occurrences.at(id.occurrence)[static_cast<std::size_t>(id.step)];
+    const TimePoint readySince = std::max(execution.readySince.value_or(now), std::max(task.phaseSince, task.notBefore));
+    stageDelaysOf(id).placements.add(now - readySince);
     execution.setRun(task, run);
     execution.setPhase(task, TaskPhase::Assigned);
     task.phaseSince = now;
--- a/src/libs/dispatch/dispatchreport.cpp
+++ b/src/libs/dispatch/dispatchreport.cpp
@@ -30,14 +30,6 @@
     WallTime releasedAt = WallTime::max();
 };
 
-static TaskKind kindOf(const Wire::TaskStep &step)
-{
-    if (step.fillsIdle) {
-        return TaskKind::BestEffort;
-    }
-    return step.longRunning ? TaskKind::Serving : TaskKind::Reserved;
-}
-
 static std::int64_t sizeBound(std::int64_t milliCores)
 {
     const auto *bound = std::ranges::lower_bound(SizeBounds, milliCores);
@@ -287,7 +279,7 @@
     const std::string workerPool = workerPoolOf(job);
     OverdueStep overdue;
     overdue.step = stepId;
-    overdue.waiting.kind = Internal::kindOf(step);
+    overdue.waiting.kind = kindOf(step);
     overdue.waiting.tasks = Internal::countPhase(execution, TaskPhase::Pending);
     overdue.waiting.steps = 1;
     overdue.waiting.sinceRelease = std::chrono::milliseconds(m_wallMs - sinceEpoch(job.releaseTime(stepId.occurrence)).count());
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -73,6 +73,9 @@
         const auto ticket = tickets->find(task.worker);
         command.ticket = ticket != tickets->end() ? ticket->second : std::string();
     }
+    if (task.phase == TaskPhase::Assigned) {
+        stageDelaysOf(id).intents.add(now - task.phaseSince);
+    }
     fenceAcknowledgement(*worker);
     command.fencingToken = tokenFor(*worker);
     // While a poll is unanswered, the worker may be lost. Its tasks then wait for the end of the lease, so starts must not lengthen it.
@@ -156,6 +159,7 @@
     if (std::holds_alternative<CommandUndetermined>(result)) {
         expectLateStart(*task, now);
     }
+    stageDelaysOf(command.task).responses.add(now - command.sentAt);
     if (task->phase != TaskPhase::Starting) {
         return;
     }
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -352,7 +352,7 @@
     }
     worker.failedPolls = 0;
     worker.refusesConnections = false;
-    worker.lastReportAt = now;
+    worker.previousReportAt = std::exchange(worker.lastReportAt, now);
     worker.polls.sentSinceReport = 0;
     if (worker.polls.isRegularOpen() && now >= worker.polls.overdueAt) {
         abandonPoll(worker); // the next one renews the lease
@@ -476,6 +476,7 @@
         return;
     }
     if (task->isOpen() && task->worker == worker.info.id && task->run == end.run) {
+        stageDelaysOf(end.task).ends.add(now - std::max(worker.previousReportAt, task->confirmedAt));
         endRun(end.task, *task, end.endReason, end.checkpoint, now, RunEndEvidence::Report);
         return;
     }
--- a/src/libs/dispatch/waitingtasks.h
+++ b/src/libs/dispatch/waitingtasks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "placementobstacle.h"
+#include "taskkind.h"
 
 #include <algorithm>
 #include <chrono>
@@ -12,13 +13,6 @@
 
 namespace Hyssop {
 
-/// What a task needs processor time for.
-enum class TaskKind {
-    Reserved, // processor capacity until the task has completed
-    BestEffort, // what other tasks leave idle
-    Serving, // processor capacity until the job is cancelled
-};
-
 /// Pending tasks of one kind and size.
 struct WaitingTasks
 {
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -52,6 +52,7 @@
     WorkerPolls polls;
     TimePoint nextPoll{}; // when the next regular poll is due
     TimePoint lastReportAt{}; // when the last report was received
+    TimePoint previousReportAt{}; // the same of the one before
     bool hasAnswered = false; // a poll of this owner was answered
     std::string reportedAddress; // where the last report came from; empty: no report
     int failedPolls = 0; // consecutive
--- a/src/libs/node/ownerdelays.h
+++ b/src/libs/node/ownerdelays.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "delaysummary.h"
-
 #include <utils/clock.h>
+#include <utils/delaysummary.h>
 
 #include <chrono>
 
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -4,6 +4,7 @@
 #include "ownerdelays.h"
 
 #include <dispatch/dispatchsummary.h>
+#include <dispatch/stagedelays.h>
 #include <observability/logging.h>
 #include <utils/overloaded.h>
 #include <utils/resources.h>
@@ -406,6 +407,17 @@
     logMessage(LogPriority::Essential, LogLevel::Info, "owner", "delays", fields);
 }
 
+void logStageDelays(std::int64_t term, TaskKind kind, const StageDelays &delays)
+{
+    std::vector<LogField> fields{{"epoch", static_cast<long long>(term)}, {"kind", kindName(kind)}};
+    appendDelays(fields, "job_reads", delays.reads);
+    appendDelays(fields, "placements", delays.placements);
+    appendDelays(fields, "intents", delays.intents);
+    appendDelays(fields, "start_responses", delays.responses);
+    appendDelays(fields, "run_ends", delays.ends);
+    logMessage(LogPriority::Essential, LogLevel::Info, "owner", "stage delays", fields);
+}
+
 /// Returns a field with the time from the acceptance of a job to its first start.
 static LogField waitingField(const JobEnded &end)
 {
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -11,6 +11,8 @@
 
 struct DispatchSummary;
 struct OwnerDelays;
+struct StageDelays;
+enum class TaskKind;
 
 /// Returns true if the result needs no line of its own: RunLog combines it with others.
 bool isRoutine(const StartCommand &command, const CommandResult &result);
@@ -37,6 +39,9 @@
 /// Logs @p delays of the owner of @p term in the interval that ends at @p now.
 void logDelays(std::int64_t term, const OwnerDelays &delays, TimePoint now);
 
+/// Logs @p delays of the tasks of @p kind in the same interval.
+void logStageDelays(std::int64_t term, TaskKind kind, const StageDelays &delays);
+
 /// Logs the result of a command.
 void logResult(const StartCommand &command, const CommandResult &result);
 void logResult(const StopCommand &command, const CommandResult &result);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -93,12 +93,7 @@
         silentWorkersRead();
     } else if (m_term && !key.jobId.empty()) {
         const TopicJob *entry = m_table.find(key.jobId);
-        const WallTime wall = std::chrono::system_clock::now();
-        // The record that replaces the submission of an ended job has no steps.
-        if (key.kind == JobKeyKind::Submission && entry != nullptr && entry->submission && !entry->submission->steps.empty()) {
-            m_delays.reads.add(sinceEpoch(wall) - std::chrono::milliseconds(entry->submission->acceptedAtMs));
-        }
-        m_dispatcher.jobChanged(key.jobId, entry, m_clock.now(), wall);
+        m_dispatcher.jobChanged(key.jobId, entry, m_clock.now(), std::chrono::system_clock::now());
     }
 }
 
@@ -683,7 +678,14 @@
 
 void TopicOwner::reportDelays(TimePoint now)
 {
+    const std::map<TaskKind, StageDelays> stageDelays = m_dispatcher.takeStageDelays();
+    for (const auto &[kind, delays] : stageDelays) {
+        m_delays.reads.add(delays.reads);
+    }
     logDelays(term(), m_delays, now);
+    for (const auto &[kind, delays] : stageDelays) {
+        logStageDelays(term(), kind, delays);
+    }
     m_metrics.set("hyssop_open_starts", m_delays.openStarts);
     m_metrics.set("hyssop_open_polls", m_delays.openPolls);
     m_delays.beginInterval(now);
--- a/src/libs/node/delaysummary.cpp
+++ b/src/libs/utils/delaysummary.cpp
@@ -12,6 +12,13 @@
     longest = std::max(longest, counted);
 }
 
+void DelaySummary::add(const DelaySummary &other)
+{
+    count += other.count;
+    total += other.total;
+    longest = std::max(longest, other.longest);
+}
+
 std::chrono::milliseconds DelaySummary::mean() const
 {
     const Duration mean = count > 0 ? total / static_cast<Duration::rep>(count) : Duration(0);
--- a/src/libs/node/delaysummary.h
+++ b/src/libs/utils/delaysummary.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <utils/clock.h>
+#include "clock.h"
 
 #include <chrono>
 #include <cstddef>
@@ -15,6 +15,7 @@
     Duration longest{0};
 
     void add(Duration delay);
+    void add(const DelaySummary &other);
     std::chrono::milliseconds mean() const;
 };
 
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -2,6 +2,8 @@
 
 #include <dispatch/dispatchsummary.h>
 #include <dispatch/overduestep.h>
+#include <dispatch/stagedelays.h>
+#include <dispatch/taskkind.h>
 #include <node/ownerdelays.h>
 #include <node/ownerlog.h>
 #include <observability/logging.h>
@@ -312,6 +314,24 @@
     cr_assert(log.text().find("task waits although room is free") != std::string::npos);
 }
 
+// Guards against plays in which nobody sees that urgent tasks wait as long as the others, or in which stage.
+Test(ownerLog, stageDelaysTellHowLongEachKindOfTaskWaits)
+{
+    const OwnerLog log;
+    StageDelays delays;
+    delays.reads.add(20ms);
+    delays.placements.add(5ms);
+    delays.placements.add(15ms);
+    delays.intents.add(40ms);
+    delays.responses.add(50ms);
+    delays.ends.add(60ms);
+    logStageDelays(3, TaskKind::Reserved, delays);
+    expectLine(log.text(),
+               "message=\"stage delays\" epoch=3 kind=reserved job_reads=1 job_reads_mean_ms=20 job_reads_longest_ms=20 placements=2 placements_mean_ms=10 "
+               "placements_longest_ms=15 intents=1 intents_mean_ms=40 intents_longest_ms=40 start_responses=1 start_responses_mean_ms=50 "
+               "start_responses_longest_ms=50 run_ends=1 run_ends_mean_ms=60 run_ends_longest_ms=60");
+}
+
 // Guards against plays in which an owner without processor time, a slow store and slow workers look alike.
 Test(ownerLog, delaysTellInWhichStageWorkWaits)
 {
