Placement: urgent steps come before best-effort ones at the start window

What callers saw: at 0.3 of the processor share, steps of pass-checkout waited 8 to 27 s although 50 to 360 workers had room for them.

Cause: while tasks wait for the start window, steps were ordered by on time before late, and by priority only then. A late step with reserved capacity came after every best-effort step on time and after all overdue ones, and each of those got a run before it got its second.

Change: serving steps, then steps with reserved capacity whose job is not worthless yet, then overdue best-effort steps, then the rest. Of the second and the last class each step gets a run before any of the class gets its second, so no job is left without a run (commandWindow/eachStepGetsARunBeforeAnyGetsIts Second). Overdue steps may exceed the window by an eighth, so that urgent steps can't keep them from it, and the rule on waiting jobs holds.

Tests that failed before: urgentSteps/aLateStepDoesNotWaitBehindBestEffortSteps and allTasksOfAStepStartBeforeBestEffortSteps (no start of 12 in 6 ticks).

The order alone doesn't make them in time: each stage of the owner takes as long as before.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -388,12 +388,13 @@
     void recordShortTaskDemand(TimePoint now);
 
     /// Assigns runs of the tasks of @p pending, which is in the scheduling order, while the command window has room. Once tasks wait for the
-    /// window, each step gets a run before any gets its second; serving tasks and overdue steps come before.
+    /// window, each urgent step gets a run before any of them gets its second, and so does each of the steps that come last.
     void placeSteps(const std::vector<Internal::PendingStep> &pending, WorkerRanking &ranking, TimePoint now);
 
     /// Returns the number of runs that are assigned or whose start command has no response yet.
     std::size_t startsInFlight() const;
-    bool isWindowFull() const;
+    /// Returns true if no further run of an overdue step, or of another one, may be assigned.
+    bool isWindowFull(bool isOverdue) const;
     void addTasksThatWaitForWindow(const StepExecution &step);
 
     /// Assigns runs of at most @p maximumTasks tasks, or of the whole gang.
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -24,23 +24,42 @@
 
 constexpr std::size_t AllTasks = std::numeric_limits<std::size_t>::max();
 
+// Overdue steps may exceed the command window by this part of it, so that urgent steps can't keep them from it.
+constexpr std::size_t OverdueWindowDivisor = 8;
+
+/// Order in which the classes of steps get runs.
+enum class StepClass {
+    Serving,
+    Urgent, // reserves capacity until its tasks have completed, and the result of its job is not worthless yet
+    Overdue, // see IdleCapacityPolicy
+    Other,
+};
+
+static StepClass classOf(const Wire::TaskStep &step, const SchedulingKey &key, bool isOverdue)
+{
+    if (step.longRunning) {
+        return StepClass::Serving;
+    }
+    if (kindOf(step) == TaskKind::Reserved && !key.isExpired()) {
+        return StepClass::Urgent;
+    }
+    return isOverdue ? StepClass::Overdue : StepClass::Other;
+}
+
 struct PendingStep
 {
+    StepClass stepClass = StepClass::Other;
     SchedulingKey key;
     JobExecution *job = nullptr;
     const QueueInfo *queue = nullptr;
     int occurrence = 0;
     int step = 0;
-    bool isOverdue = false; // see IdleCapacityPolicy
 
     const StepExecution &execution() const { return job->occurrences.at(occurrence)[static_cast<std::size_t>(step)]; }
 
-    /// Returns true if all tasks of the step may start before other steps have a run, although the command window is full.
-    bool hasPrecedence() const { return isOverdue || job->step(step).longRunning; }
-
     bool operator<(const PendingStep &other) const
     {
-        return std::tie(other.isOverdue, key, occurrence, step) < std::tie(isOverdue, other.key, other.occurrence, other.step);
+        return std::tie(stepClass, key, occurrence, step) < std::tie(other.stepClass, other.key, other.occurrence, other.step);
     }
 };
 
@@ -73,7 +92,8 @@
                 steps[index].isExpired = key->isExpired();
                 isOverdue = IdleCapacityPolicy::isOverdue(steps[index], maximumWait, now);
             }
-            pending.push_back({*key, &job, &queue, occurrence, static_cast<int>(index), isOverdue});
+            const StepClass stepClass = classOf(job.submission.steps[index], *key, isOverdue);
+            pending.push_back({stepClass, *key, &job, &queue, occurrence, static_cast<int>(index)});
         }
     }
 }
@@ -149,34 +169,36 @@
 {
     m_commandWindow.removeOldStarts(now);
     const auto place = [&](const Internal::PendingStep &item, std::size_t maximumTasks) {
-        if (item.isOverdue && ranking.examinedWorkers() > Internal::MaximumExaminedWorkers) {
+        if (item.stepClass == Internal::StepClass::Overdue && ranking.examinedWorkers() > Internal::MaximumExaminedWorkers) {
             return;
         }
         placeStep(*item.job, {item.job->id, item.occurrence, item.step, 0}, item.key, ranking, *item.queue, maximumTasks, now);
     };
-    // A step that was tried here and found no room isn't tried again below, which would reserve room for it twice.
-    std::vector<const Internal::PendingStep *> remaining;
-    for (const Internal::PendingStep &item : pending) {
-        if (!m_commandWindow.isLimiting() || isWindowFull()) {
-            remaining.push_back(&item);
-        } else if (item.hasPrecedence()) {
-            place(item, Internal::AllTasks);
-        } else {
-            if (item.execution().openTasks() == 0) {
-                place(item, 1);
+    const auto isFullFor = [&](const Internal::PendingStep &item) { return isWindowFull(item.stepClass == Internal::StepClass::Overdue); };
+    const bool isLimiting = m_commandWindow.isLimiting();
+    m_commandWindow.setWaitingTasks(0);
+    for (auto first = pending.begin(); first != pending.end();) {
+        const auto last = std::find_if(first, pending.end(), [&](const Internal::PendingStep &item) { return item.stepClass != first->stepClass; });
+        const bool isFirstRunFirst = isLimiting && (first->stepClass == Internal::StepClass::Urgent || first->stepClass == Internal::StepClass::Other);
+        // A step that was tried here and found no room isn't tried again below, which would reserve room for it twice.
+        std::vector<const Internal::PendingStep *> remaining;
+        for (auto item = first; item != last; ++item) {
+            const bool needsFirstRun = isFirstRunFirst && !isFullFor(*item) && item->execution().openTasks() == 0;
+            if (needsFirstRun) {
+                place(*item, 1);
             }
-            if (item.execution().openTasks() > 0) {
-                remaining.push_back(&item);
+            if (!needsFirstRun || item->execution().openTasks() > 0) {
+                remaining.push_back(&*item);
             }
         }
-    }
-    m_commandWindow.setWaitingTasks(0);
-    for (const Internal::PendingStep *item : remaining) {
-        if (isWindowFull()) {
-            addTasksThatWaitForWindow(item->execution());
-        } else {
-            place(*item, Internal::AllTasks);
+        for (const Internal::PendingStep *item : remaining) {
+            if (isFullFor(*item)) {
+                addTasksThatWaitForWindow(item->execution());
+            } else {
+                place(*item, Internal::AllTasks);
+            }
         }
+        first = last;
     }
 }
 
@@ -190,9 +212,10 @@
     return m_newIntents.size() + m_batch.intents.size() + m_commandWindow.startsInFlight();
 }
 
-bool Dispatcher::isWindowFull() const
+bool Dispatcher::isWindowFull(bool isOverdue) const
 {
-    return startsInFlight() >= m_commandWindow.size();
+    const std::size_t size = m_commandWindow.size();
+    return startsInFlight() >= (isOverdue ? size + size / Internal::OverdueWindowDivisor : size);
 }
 
 bool Dispatcher::isExpired(const JobExecution &job, int occurrence) const
@@ -347,7 +370,7 @@
         if (placed == maximumTasks) {
             return;
         }
-        if (isWindowFull()) {
+        if (isWindowFull(request.isOverdue)) {
             addTasksThatWaitForWindow(execution);
             return; // the tasks wait for the window and not for room
         }
--- a/tests/libs/dispatch/dispatchfleet.cpp
+++ b/tests/libs/dispatch/dispatchfleet.cpp
@@ -66,12 +66,12 @@
     m_dispatcher.updateWorker(m_workers[index].info);
 }
 
-void DispatchFleet::submit(const Wire::TaskStep &step, int blockedTasks)
+void DispatchFleet::submit(const Wire::TaskStep &step, int blockedTasks, Duration age)
 {
     TopicJob entry;
     entry.submission.emplace();
     entry.submission->queue = "batch";
-    entry.submission->acceptedAtMs = sinceEpoch(wall()).count();
+    entry.submission->acceptedAtMs = sinceEpoch(wall() - age).count();
     entry.submission->steps.push_back(step);
     if (blockedTasks > 0) {
         Wire::TaskStep blocked = step;
--- a/tests/libs/dispatch/dispatchfleet.h
+++ b/tests/libs/dispatch/dispatchfleet.h
@@ -40,8 +40,9 @@
     void setCapacity(std::size_t index, std::int64_t milliCores);
     void setDraining(std::size_t index, bool isDraining);
 
-    /// Submits a job that consists of @p step and, unless @p blockedTasks is 0, of a step with as many such tasks after it.
-    void submit(const Wire::TaskStep &step, int blockedTasks = 0);
+    /// Submits a job that consists of @p step and, unless @p blockedTasks is 0, of a step with as many such tasks after it. It was accepted
+    /// @p age ago.
+    void submit(const Wire::TaskStep &step, int blockedTasks = 0, Duration age = Duration(0));
 
     void advance(Duration time);
 
