Load forecast: a maximum is computed once for all tasks of a job

A placement pass asks for the peak of the load of the same serving job, at the same time, for each worker with a task of it and for two horizons. With the owner's backlog a pass recomputes 500 to 1,300 forecasts of workers, each with about five serving tasks. The result of each horizon is now kept until the fits, or the time, change; the values are the same.

--- a/src/libs/dispatch/loadforecast.cpp
+++ b/src/libs/dispatch/loadforecast.cpp
@@ -110,23 +110,38 @@
 
 double LoadForecast::maximum(std::string_view jobId, TimePoint from, TimePoint until) const
 {
-    const HarmonicFit *fit = reliableFit(jobId);
+    const auto job = m_jobs.find(jobId);
+    const HarmonicFit *fit = job != m_jobs.end() ? reliableFit(job->second) : nullptr;
     if (fit == nullptr) {
         return m_meanPeak;
     }
+    auto &maxima = job->second.maxima;
+    const auto known = std::ranges::find_if(
+        maxima, [&](const KnownMaximum &maximum) { return maximum.from == from && maximum.until == until && maximum.fitUpdates == m_fitUpdates; });
+    if (known != maxima.end()) {
+        return known->utilization;
+    }
+    const double utilization = maximumOf(*fit, from, until);
+    maxima[job->second.oldestMaximum] = {from, until, m_fitUpdates, utilization};
+    job->second.oldestMaximum = (job->second.oldestMaximum + 1) % maxima.size();
+    return utilization;
+}
+
+double LoadForecast::maximumOf(const HarmonicFit &fit, TimePoint from, TimePoint until) const
+{
     const double fullTurn = 2 * std::numbers::pi;
     const double frequency = fullTurn / m_periods[m_bestPeriod];
     const double startAngle = frequency * Internal::seconds(from.time_since_epoch());
     const double length = frequency * Internal::seconds(until - from);
     // The sine and cosine terms add up to one oscillation with its peak at this angle.
-    const double peakAngle = std::atan2(fit->coefficients[1], fit->coefficients[2]);
+    const double peakAngle = std::atan2(fit.coefficients[1], fit.coefficients[2]);
     const double angleToPeak = std::remainder(peakAngle - startAngle, fullTurn);
     const double angleUntilPeak = angleToPeak < 0 ? angleToPeak + fullTurn : angleToPeak;
-    const double amplitude = std::hypot(fit->coefficients[1], fit->coefficients[2]);
+    const double amplitude = std::hypot(fit.coefficients[1], fit.coefficients[2]);
     if (angleUntilPeak <= length) {
-        return fit->coefficients[0] + amplitude;
+        return fit.coefficients[0] + amplitude;
     }
-    return fit->coefficients[0] + amplitude * std::max(std::cos(angleToPeak), std::cos(angleToPeak - length));
+    return fit.coefficients[0] + amplitude * std::max(std::cos(angleToPeak), std::cos(angleToPeak - length));
 }
 
 Duration LoadForecast::period() const
--- a/src/libs/dispatch/loadforecast.h
+++ b/src/libs/dispatch/loadforecast.h
@@ -79,6 +79,15 @@
         void add(TimePoint at, double observed, double variance);
     };
 
+    /// Result of maximum(). A placement pass asks for the same one for each task of the job.
+    struct KnownMaximum
+    {
+        TimePoint from{};
+        TimePoint until{};
+        std::uint64_t fitUpdates = 0; // when it was computed
+        double utilization = 0;
+    };
+
     struct Job
     {
         TimePoint firstAt{};
@@ -87,12 +96,15 @@
         TimePoint fittedAt{}; // when the fits were last updated
         Pending pending;
         std::array<HarmonicFit, PeriodCount> fits; // by candidate period
+        mutable std::array<KnownMaximum, 2> maxima; // a placement pass asks for two horizons
+        mutable std::size_t oldestMaximum = 0;
     };
 
     Job &jobOf(std::string_view jobId, TimePoint at);
     /// Adds the pending observations of @p job to its fits.
     void updateFits(Job &job, TimePoint at);
     const HarmonicFit *reliableFit(std::string_view jobId) const;
+    double maximumOf(const HarmonicFit &fit, TimePoint from, TimePoint until) const;
     const HarmonicFit *reliableFit(const Job &job) const;
     Vector regressors(std::size_t period, TimePoint at) const;
     double update(HarmonicFit &fit, const Vector &regressors, double utilization, double variance) const;
