Owner: urgent work comes first in each stage, best-effort work in the time that is left

What callers saw: at 0.3 of the processor share, with nothing waiting for the start window or for room, pass-checkout got its first start 0.7 to 1.3 s after its acceptance and paid nearly as much again for each further step.

Cause: all events of the owner take turns in one queue. A record that is durable, the response to an urgent start and the next tick wait for the exchanges of all best-effort tasks, and a tick sends all commands inline (60 to 80 ms). A start waits for the batch under way, for its own and for the next tick.

Changes of urgent jobs get a batch of their own between those with all changes, and starts are sent as soon as their intents are durable instead of at the next tick. The lateness of the owner, which paces polls and says whether it carries its work, counts turns in which the background work is done.

--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -72,6 +72,7 @@
     m_batch = PendingBatch();
     m_obsoleteRuns = table.jobsWithObsoleteRuns();
     m_batchPending = false;
+    m_isFullBatchDue = false;
     m_isPassOpen = false;
     m_passEnds.clear();
     m_listingWorkers = false;
@@ -173,12 +174,20 @@
     m_workersReadAt = std::max(m_workersReadAt.value_or(sentAt), sentAt);
 }
 
-std::vector<DispatchAction> Dispatcher::advance(TimePoint now, WallTime wall)
+std::vector<DispatchAction> Dispatcher::advance(TimePoint now, WallTime wall, TickScope scope, bool isTurnComplete)
 {
     m_wallMs = sinceEpoch(wall).count();
     m_termWallMs = m_termWallMs.value_or(m_wallMs);
-    m_lateness.handleTick(now);
-    m_commandWindow.setOwnerLateness(m_lateness.lateness());
+    if (isTurnComplete) {
+        m_lateness.handleTick(now);
+        m_commandWindow.setOwnerLateness(m_lateness.commandDelay());
+    }
+    if (scope == TickScope::Urgent) {
+        placePendingTasks(now, wall, scope);
+        composeBatch(now, wall, scope);
+        pollWorkers(now, scope);
+        return takeActions();
+    }
     reportWorkerChanges(now);
     reportWithheldStarts(now);
     expireLeases(now);
@@ -188,15 +197,15 @@
     removeUnregisteredWorkers();
     moveRunsOffDrainingWorkers(now);
     reportStage(DispatchStage::Workers);
-    placePendingTasks(now, wall);
+    placePendingTasks(now, wall, scope);
     reportStage(DispatchStage::Placement);
     watchWaitingSteps(now);
     reportStage(DispatchStage::Watchdog);
-    composeBatch(now, wall);
+    composeBatch(now, wall, scope);
     reportStage(DispatchStage::Batch);
-    pollWorkers(now);
+    pollWorkers(now, scope);
     reportStage(DispatchStage::Polls);
-    return std::exchange(m_actions, {});
+    return takeActions();
 }
 
 void Dispatcher::reportStage(DispatchStage stage) const
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -20,6 +20,7 @@
 #include "stagedelays.h"
 #include "taskkind.h"
 #include "ticketcache.h"
+#include "tickscope.h"
 #include "tokenrises.h"
 #include "unschedulablerequests.h"
 #include "waitingwatchdog.h"
@@ -115,8 +116,12 @@
     /// Confirms that the records of the last AppendRecords action are durable.
     void recordsStored(TimePoint now);
 
-    /// Advances the time and returns the actions that are due.
-    std::vector<DispatchAction> advance(TimePoint now, WallTime wall);
+    /// Advances the time and returns the actions that are due. @p isTurnComplete is false if commands or responses that waited for the owner's
+    /// processor at an earlier tick still do, so that this tick doesn't show that the owner is in time.
+    std::vector<DispatchAction> advance(TimePoint now, WallTime wall, TickScope scope = TickScope::All, bool isTurnComplete = true);
+
+    /// Returns the actions that have become due since the last call of this function or of advance().
+    std::vector<DispatchAction> takeActions() { return std::exchange(m_actions, {}); }
 
     /// Lets advance() call @p observer at the end of each stage.
     void setStageObserver(std::function<void(DispatchStage)> observer) { m_stageObserver = std::move(observer); }
@@ -190,7 +195,8 @@
     /// Ends the runs of serving tasks whose stop was confirmed, once the time that a stop takes has passed: the next report may be late or
     /// lost. Runs of other tasks may have completed before the stop; these wait for a report or the end of the lease.
     void endStoppedRuns(TimePoint now);
-    void pollWorkers(TimePoint now);
+    void pollWorkers(TimePoint now, TickScope scope);
+
 
     /// Sends a regular poll, which renews the lease of @p worker.
     void sendPoll(WorkerState &worker, TimePoint now);
@@ -384,12 +390,12 @@
     /// Returns how long a best-effort step may wait in @p workerPool.
     std::chrono::milliseconds maximumWait(const std::string &workerPool) const;
 
-    void placePendingTasks(TimePoint now, WallTime wall);
+    void placePendingTasks(TimePoint now, WallTime wall, TickScope scope);
     void recordShortTaskDemand(TimePoint now);
 
     /// Assigns runs of the tasks of @p pending, which is in the scheduling order, while the command window has room. Once tasks wait for the
     /// window, each urgent step gets a run before any of them gets its second, and so does each of the steps that come last.
-    void placeSteps(const std::vector<Internal::PendingStep> &pending, WorkerRanking &ranking, TimePoint now);
+    void placeSteps(const std::vector<Internal::PendingStep> &pending, WorkerRanking &ranking, TickScope scope, TimePoint now);
 
     /// Returns the number of runs that are assigned or whose start command has no response yet.
     std::size_t startsInFlight() const;
@@ -433,11 +439,21 @@
     void requestAdvice(const TaskId &step, const WorkerRanking &ranking, const PlacementRequest &request, const AdviceParameters &service, TimePoint now);
     void assignRun(JobExecution &job, const TaskId &id, TaskExecution &task, WorkerState &worker, int run, TimePoint now);
 
-    void composeBatch(TimePoint now, WallTime wall);
+    /// Stores what has changed if no other batch is under way: what is urgent soon, the rest in longer intervals and in ticks of all work.
+    void composeBatch(TimePoint now, WallTime wall, TickScope scope);
+
+    /// Adds the changes of jobs with urgent steps that must not be delayed.
+    void addUrgentChanges(AppendRecords &append);
+
+    /// Adds all changes, as far as they fit into a batch, and what is to be stored at the end of a pass.
+    void addAllChanges(AppendRecords &append, TimePoint now, WallTime wall);
 
     /// Adds jobs with urgent changes, and then those of the open pass, as far as they fit into a batch. Returns the size in bytes.
     std::size_t addChangedJobs(AppendRecords &append);
 
+    /// Adds what has changed of @p job to @p append, and returns the size in bytes.
+    std::size_t addChangedJob(JobExecution &job, AppendRecords &append);
+
     /// Adds what has changed of @p job to @p append.
     void addChanges(JobExecution &job, AppendRecords &append);
 
@@ -500,7 +516,9 @@
     PendingBatch m_batch; // being appended
     std::vector<std::string> m_obsoleteRuns; // jobs whose record in the runs topic is to be removed
     bool m_batchPending = false;
-    TimePoint m_batchAt{};
+    TimePoint m_batchAt{}; // when the last batch began
+    TimePoint m_fullBatchAt{}; // when the last one with all changes began
+    bool m_isFullBatchDue = false; // it waits for the batch under way
     bool m_isPassOpen = false; // all changes are being stored
     TimePoint m_passBeganAt{}; // when the last pass began
     StoredEnds m_passEnds; // that are durable after the open pass
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -131,22 +131,28 @@
 
 } // namespace Internal
 
-void Dispatcher::placePendingTasks(TimePoint now, WallTime wall)
+void Dispatcher::placePendingTasks(TimePoint now, WallTime wall, TickScope scope)
 {
     if (!canStart(now)) {
         return;
     }
-    updateMaximumWaits();
+    if (scope == TickScope::All) {
+        updateMaximumWaits();
+    }
     std::vector<Internal::PendingStep> pending;
-    for (JobExecution *job : m_jobs.pendingJobs().jobs()) {
+    const PendingJobs &pendingJobs = m_jobs.pendingJobs();
+    for (JobExecution *job : scope == TickScope::All ? pendingJobs.jobs() : pendingJobs.urgentJobs()) {
         ++m_placementWork.visitedJobs;
         if (const QueueInfo *queue = m_queues.find(job->submission.queue)) {
             releaseDueOccurrences(*job, wall);
             Internal::collectSteps(*job, *queue, maximumWait(queue->workerPool), now, wall, pending);
         }
     }
+    if (scope == TickScope::Urgent) {
+        std::erase_if(pending, [](const Internal::PendingStep &item) { return item.stepClass > Internal::StepClass::Urgent; });
+    }
     if (pending.empty()) {
-        m_commandWindow.setWaitingTasks(0);
+        m_commandWindow.setWaitingTasks(scope == TickScope::All ? 0 : m_commandWindow.waitingTasks());
         return;
     }
     recordShortTaskDemand(now);
@@ -159,13 +165,13 @@
     std::sort(pending.begin(), pending.end());
     m_reservations.beginPass();
     ranking.setNextExamined(m_nextExaminedWorker);
-    placeSteps(pending, ranking, now);
+    placeSteps(pending, ranking, scope, now);
     m_nextExaminedWorker = ranking.nextExamined();
     ++m_placementWork.passes;
     m_placementWork.examinedWorkers += ranking.examinedWorkers();
 }
 
-void Dispatcher::placeSteps(const std::vector<Internal::PendingStep> &pending, WorkerRanking &ranking, TimePoint now)
+void Dispatcher::placeSteps(const std::vector<Internal::PendingStep> &pending, WorkerRanking &ranking, TickScope scope, TimePoint now)
 {
     m_commandWindow.removeOldStarts(now);
     const auto place = [&](const Internal::PendingStep &item, std::size_t maximumTasks) {
@@ -175,6 +181,7 @@
         placeStep(*item.job, {item.job->id, item.occurrence, item.step, 0}, item.key, ranking, *item.queue, maximumTasks, now);
     };
     const auto isFullFor = [&](const Internal::PendingStep &item) { return isWindowFull(item.stepClass == Internal::StepClass::Overdue); };
+    const std::size_t waitingBefore = m_commandWindow.waitingTasks();
     const bool isLimiting = m_commandWindow.isLimiting();
     m_commandWindow.setWaitingTasks(0);
     for (auto first = pending.begin(); first != pending.end();) {
@@ -200,6 +207,9 @@
         }
         first = last;
     }
+    if (scope == TickScope::Urgent) {
+        m_commandWindow.setWaitingTasks(std::max(m_commandWindow.waitingTasks(), waitingBefore)); // the other steps still wait
+    }
 }
 
 void Dispatcher::addTasksThatWaitForWindow(const StepExecution &step)
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -65,6 +65,7 @@
     command.run = task.run;
     command.payload = job->submission.payload;
     command.isServing = job->step(id.step).longRunning;
+    command.isBestEffort = job->step(id.step).fillsIdle;
     if (command.isServing && task.withoutRunSince) {
         command.withoutRun = std::chrono::duration_cast<std::chrono::milliseconds>(now - *task.withoutRunSince);
     }
--- a/src/libs/dispatch/dispatchstore.cpp
+++ b/src/libs/dispatch/dispatchstore.cpp
@@ -44,23 +44,22 @@
 
 } // namespace Internal
 
-void Dispatcher::composeBatch(TimePoint now, WallTime wall)
+void Dispatcher::composeBatch(TimePoint now, WallTime wall, TickScope scope)
 {
-    const std::size_t runs = openRuns();
-    if (m_batchPending || now - m_batchAt < Internal::batchInterval(runs, Internal::RunsPerUrgentMillisecond)) {
-        return;
+    if (scope == TickScope::All && now - m_fullBatchAt >= Internal::batchInterval(openRuns(), Internal::RunsPerUrgentMillisecond)) {
+        m_isFullBatchDue = true;
     }
-    const bool isPassDue = now - m_passBeganAt >= Internal::batchInterval(runs, Internal::RunsPerFullMillisecond);
-    if (isPassDue && !m_isPassOpen) {
-        beginPass(now);
+    const bool isUrgentBatchDue = m_jobs.hasUrgent() && now - m_batchAt >= Internal::MinimumBatchInterval;
+    if (m_batchPending || (!m_isFullBatchDue && !isUrgentBatchDue)) {
+        return;
     }
     AppendRecords append;
-    const std::size_t size = addChangedJobs(append);
-    if (m_isPassOpen && size < Internal::MaximumBatchBytes && !m_jobs.isPassUnfinished()) {
-        finishPass(append, now, wall);
+    const bool isFull = std::exchange(m_isFullBatchDue, false);
+    if (isFull) {
+        addAllChanges(append, now, wall);
+    } else {
+        addUrgentChanges(append);
     }
-    removeObsoleteRuns(append);
-    addSilentWorkers(append, now);
     takeStoredIntents();
     if (append.records.empty() && append.runs.empty()) {
         if (!m_batch.ends.empty()) {
@@ -70,9 +69,36 @@
     }
     m_batchPending = true;
     m_batchAt = now;
+    m_fullBatchAt = isFull ? now : m_fullBatchAt;
     m_actions.emplace_back(std::move(append));
 }
 
+void Dispatcher::addUrgentChanges(AppendRecords &append)
+{
+    std::size_t size = 0;
+    while (size < Internal::MaximumBatchBytes) {
+        JobExecution *job = m_jobs.takeUrgent(false);
+        if (job == nullptr) {
+            return;
+        }
+        size += addChangedJob(*job, append);
+    }
+}
+
+void Dispatcher::addAllChanges(AppendRecords &append, TimePoint now, WallTime wall)
+{
+    const bool isPassDue = now - m_passBeganAt >= Internal::batchInterval(openRuns(), Internal::RunsPerFullMillisecond);
+    if (isPassDue && !m_isPassOpen) {
+        beginPass(now);
+    }
+    const std::size_t size = addChangedJobs(append);
+    if (m_isPassOpen && size < Internal::MaximumBatchBytes && !m_jobs.isPassUnfinished()) {
+        finishPass(append, now, wall);
+    }
+    removeObsoleteRuns(append);
+    addSilentWorkers(append, now);
+}
+
 std::size_t Dispatcher::addChangedJobs(AppendRecords &append)
 {
     std::size_t size = 0;
@@ -84,14 +110,19 @@
         if (job == nullptr) {
             break;
         }
-        const std::size_t firstRecord = append.records.size();
-        const std::size_t firstRuns = append.runs.size();
-        addChanges(*job, append);
-        size += Internal::storedSize(append.records, firstRecord) + Internal::storedSize(append.runs, firstRuns);
+        size += addChangedJob(*job, append);
     }
     return size;
 }
 
+std::size_t Dispatcher::addChangedJob(JobExecution &job, AppendRecords &append)
+{
+    const std::size_t firstRecord = append.records.size();
+    const std::size_t firstRuns = append.runs.size();
+    addChanges(job, append);
+    return Internal::storedSize(append.records, firstRecord) + Internal::storedSize(append.runs, firstRuns);
+}
+
 void Dispatcher::addChanges(JobExecution &job, AppendRecords &append)
 {
     if (job.isEnded() && job.endedAtMs == 0) {
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -154,11 +154,11 @@
     }
 }
 
-void Dispatcher::pollWorkers(TimePoint now)
+void Dispatcher::pollWorkers(TimePoint now, TickScope scope)
 {
     std::vector<WorkerState *> overdue;
     for (auto &[id, worker] : m_workers) {
-        if (worker.info.address.empty()) {
+        if (worker.info.address.empty() || (scope == TickScope::Urgent && !worker.hasUrgentRuns())) {
             continue;
         }
         if (!worker.polls.isRegularOpen() && now >= worker.nextPoll) {
@@ -186,6 +186,7 @@
     PollCommand poll;
     poll.worker = addressOf(worker);
     poll.number = ++m_lastPoll;
+    poll.isUrgent = worker.hasUrgentRuns();
     poll.fencingToken = tokenFor(worker);
     return poll;
 }
--- a/src/libs/dispatch/jobregistry.cpp
+++ b/src/libs/dispatch/jobregistry.cpp
@@ -1,6 +1,7 @@
 #include "jobregistry.h"
 
 #include "jobprogress.h"
+#include "taskkind.h"
 
 #include <jobtopic/jobtable.h>
 #include <ports/taskid.h>
@@ -20,6 +21,7 @@
     m_active.clear();
     m_changed.clear();
     m_urgent.clear();
+    m_urgentBestEffort.clear();
     m_pass.clear();
 }
 
@@ -49,6 +51,7 @@
     m_active.erase(jobId);
     m_changed.erase(jobId);
     m_urgent.erase(jobId);
+    m_urgentBestEffort.erase(jobId);
     m_pass.erase(jobId);
 }
 
@@ -79,15 +82,16 @@
 void JobRegistry::markUrgent(JobExecution &job)
 {
     markChanged(job);
-    m_urgent.insert(job.id);
+    (hasUrgentStep(job.submission) ? m_urgent : m_urgentBestEffort).insert(job.id);
 }
 
-JobExecution *JobRegistry::takeUrgent()
+JobExecution *JobRegistry::takeUrgent(bool includesBestEffort)
 {
-    if (m_urgent.empty()) {
+    std::set<std::string> &jobs = m_urgent.empty() && includesBestEffort ? m_urgentBestEffort : m_urgent;
+    if (jobs.empty()) {
         return nullptr;
     }
-    const std::string jobId = std::move(m_urgent.extract(m_urgent.begin()).value());
+    const std::string jobId = std::move(jobs.extract(jobs.begin()).value());
     m_changed.erase(jobId);
     m_pass.erase(jobId);
     return find(jobId);
--- a/src/libs/dispatch/jobregistry.h
+++ b/src/libs/dispatch/jobregistry.h
@@ -38,10 +38,14 @@
     /// Does the same for a change that must not be delayed: an intent, or the end of the job.
     void markUrgent(JobExecution &job);
 
-    bool isUrgent(const std::string &jobId) const { return m_urgent.contains(jobId); }
+    bool isUrgent(const std::string &jobId) const { return m_urgent.contains(jobId) || m_urgentBestEffort.contains(jobId); }
 
-    /// Returns a job with an urgent change and clears its marks, or a null pointer if there is none.
-    JobExecution *takeUrgent();
+    /// Returns a job with an urgent change and clears its marks, or a null pointer if there is none. Jobs with best-effort steps only come last,
+    /// and only if @p includesBestEffort.
+    JobExecution *takeUrgent(bool includesBestEffort = true);
+
+    /// Returns true if a job that has other steps than best-effort ones has an urgent change.
+    bool hasUrgent() const { return !m_urgent.empty(); }
 
     /// Begins a pass over all jobs that are marked as changed now. The previous pass must be finished.
     void beginPass();
@@ -74,6 +78,7 @@
     std::set<std::string> m_active;
     std::set<std::string> m_changed; // since the begin of the pass
     std::set<std::string> m_urgent; // each is also changed or in the pass
+    std::set<std::string> m_urgentBestEffort; // the same, of jobs that have only best-effort steps
     std::set<std::string> m_pass; // jobs that the pass has not reached yet
 };
 
--- a/src/libs/dispatch/ownerlateness.h
+++ b/src/libs/dispatch/ownerlateness.h
@@ -14,18 +14,23 @@
 public:
     static constexpr std::chrono::milliseconds MaximumPollInterval{600};
 
-    /// Records that a tick begins.
+    /// Records that a tick begins, and that the commands of earlier ticks don't wait any more.
     void handleTick(TimePoint now);
 
     /// Returns by how much the interval between ticks exceeds that of an owner that is in time.
     Duration lateness() const;
 
+    /// Returns by how much an owner that is late delays the response to a command: the command waits for the work of one interval, and so does
+    /// its response.
+    Duration commandDelay() const;
+
     /// Returns the shortest time from a report of a worker to the next poll.
     Duration minimumPollInterval() const;
 
 private:
     TimePoint m_lastTick{};
     Duration m_tickInterval{0}; // moving average
+    Duration m_peakInterval{0}; // longest of late, decays
 };
 
 } // namespace Hyssop
--- a/src/libs/dispatch/pendingjobs.cpp
+++ b/src/libs/dispatch/pendingjobs.cpp
@@ -1,6 +1,7 @@
 #include "pendingjobs.h"
 
 #include "jobexecution.h"
+#include "taskkind.h"
 
 #include <algorithm>
 
@@ -8,23 +9,39 @@
 
 namespace Internal {
 
-static bool hasReadyPendingTask(const JobExecution &job, const std::vector<StepExecution> &steps)
+/// What a job waits for.
+struct PendingState
 {
-    for (std::size_t index = 0; index < steps.size(); ++index) {
-        if (steps[index].pending > 0 && isReady(steps, job.submission.steps[index])) {
-            return true;
+    bool isPending = false; // a ready step has a pending task, or an occurrence is not released
+    bool isUrgent = false; // the same without best-effort steps and jobs that have no others
+};
+
+static PendingState pendingStateOf(const JobExecution &job)
+{
+    if (job.isEnded()) {
+        return {};
+    }
+    const bool hasUnreleased = job.finishedOccurrences + static_cast<int>(job.occurrences.size()) < job.occurrenceCount();
+    PendingState state{hasUnreleased, hasUnreleased && hasUrgentStep(job.submission)};
+    for (const auto &[occurrence, steps] : job.occurrences) {
+        for (std::size_t index = 0; index < steps.size(); ++index) {
+            const Wire::TaskStep &step = job.submission.steps[index];
+            if (steps[index].pending > 0 && isReady(steps, step)) {
+                state.isPending = true;
+                state.isUrgent = state.isUrgent || isUrgent(step);
+            }
         }
     }
-    return false;
+    return state;
 }
 
-static bool isPending(const JobExecution &job)
+static void setMember(std::set<JobExecution *> &jobs, JobExecution &job, bool isMember)
 {
-    if (job.isEnded()) {
-        return false;
+    if (isMember) {
+        jobs.insert(&job);
+    } else {
+        jobs.erase(&job);
     }
-    const bool hasUnreleased = job.finishedOccurrences + static_cast<int>(job.occurrences.size()) < job.occurrenceCount();
-    return hasUnreleased || std::ranges::any_of(job.occurrences, [&](const auto &item) { return hasReadyPendingTask(job, item.second); });
 }
 
 static PendingJobs::ShortTaskDemand shortTaskDemandOf(const JobExecution &job)
@@ -51,23 +68,23 @@
 void PendingJobs::clear()
 {
     m_jobs.clear();
+    m_urgentJobs.clear();
     m_demandOfJobs.clear();
     m_shortTaskDemand.clear();
 }
 
 void PendingJobs::update(JobExecution &job)
 {
-    if (Internal::isPending(job)) {
-        m_jobs.insert(&job);
-    } else {
-        m_jobs.erase(&job);
-    }
+    const Internal::PendingState state = Internal::pendingStateOf(job);
+    Internal::setMember(m_jobs, job, state.isPending);
+    Internal::setMember(m_urgentJobs, job, state.isUrgent);
     setShortTaskDemand(job, Internal::shortTaskDemandOf(job));
 }
 
 void PendingJobs::remove(JobExecution &job)
 {
     m_jobs.erase(&job);
+    m_urgentJobs.erase(&job);
     setShortTaskDemand(job, {});
 }
 
--- a/src/libs/dispatch/pendingjobs.h
+++ b/src/libs/dispatch/pendingjobs.h
@@ -40,6 +40,9 @@
     /// Returns the jobs that have a pending task in a ready step, or an occurrence that is not released yet.
     const std::set<JobExecution *> &jobs() const { return m_jobs; }
 
+    /// Returns those of jobs() that have such a task in a step that is not best-effort, or an occurrence that is not released yet.
+    const std::set<JobExecution *> &urgentJobs() const { return m_urgentJobs; }
+
     /// Returns what the ready short tasks need, by queue.
     const std::map<std::string, ShortTaskDemand> &shortTaskDemand() const { return m_shortTaskDemand; }
 
@@ -47,6 +50,7 @@
     void setShortTaskDemand(JobExecution &job, const ShortTaskDemand &demand);
 
     std::set<JobExecution *> m_jobs;
+    std::set<JobExecution *> m_urgentJobs;
     std::map<JobExecution *, ShortTaskDemand> m_demandOfJobs; // of jobs with ready short tasks
     std::map<std::string, ShortTaskDemand> m_shortTaskDemand; // by queue
 };
--- a/src/libs/dispatch/taskkind.h
+++ b/src/libs/dispatch/taskkind.h
@@ -3,8 +3,9 @@
 namespace Hyssop {
 
 namespace Wire {
+class StepJob;
 class TaskStep;
-}
+} // namespace Wire
 
 /// What a task needs processor time for.
 enum class TaskKind {
@@ -15,4 +16,10 @@
 
 TaskKind kindOf(const Wire::TaskStep &step);
 
+/// Returns true if a task of @p step comes before best-effort tasks: it serves, or reserves capacity until it has completed.
+bool isUrgent(const Wire::TaskStep &step);
+
+/// Returns true if @p job has a step with such tasks.
+bool hasUrgentStep(const Wire::StepJob &job);
+
 } // namespace Hyssop
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -3,6 +3,7 @@
 #include "colocationpolicy.h"
 #include "roomreservations.h"
 #include "shorttaskplaces.h"
+#include "taskkind.h"
 #include "workerstate.h"
 
 #include <algorithm>
@@ -90,6 +91,7 @@
     profile.reserved.accelerators = step.accelerators;
     profile.bestEffortMilliCores = step.fillsIdle ? step.milliCores : 0;
     profile.servingMilliCores = step.longRunning && !step.fillsIdle ? step.milliCores : 0;
+    profile.isUrgent = kindOf(step) == TaskKind::Reserved;
     return profile;
 }
 
--- a/src/libs/dispatch/workerstate.cpp
+++ b/src/libs/dispatch/workerstate.cpp
@@ -17,6 +17,7 @@
     committed += profile.reserved;
     bestEffortCommitted += profile.bestEffortMilliCores;
     servingCommitted += profile.servingMilliCores;
+    urgentRuns += profile.isUrgent ? 1 : 0;
     servingMemoryBytes += profile.servingMilliCores > 0 ? profile.reserved.memoryBytes : 0;
     if (profile.tailTargetMs > 0) {
         ++servingRunsByImage[profile.image];
@@ -33,6 +34,7 @@
     committed -= run->second.reserved;
     bestEffortCommitted -= run->second.bestEffortMilliCores;
     servingCommitted -= run->second.servingMilliCores;
+    urgentRuns -= run->second.isUrgent ? 1 : 0;
     servingMemoryBytes -= run->second.servingMilliCores > 0 ? run->second.reserved.memoryBytes : 0;
     const auto sameImage = run->second.tailTargetMs > 0 ? servingRunsByImage.find(run->second.image) : servingRunsByImage.end();
     if (sameImage != servingRunsByImage.end() && --sameImage->second == 0) {
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -32,6 +32,7 @@
     std::int64_t tailTargetMs = 0; // tail latency target of a serving task; 0: none
     double residualUtilization = 0; // part of a serving task's utilization that the model does not explain
     bool isBestEffort = false; // fillsIdle of the step
+    bool isUrgent = false; // reserves capacity until its task has completed
     TimePoint expectedEnd{}; // of a best-effort run; default: unknown
     std::uint64_t listedIn = 0; // number of the newest report of the worker that lists the task
 };
@@ -78,6 +79,7 @@
     Resources committed; // reserved resources of the open runs
     std::int64_t bestEffortCommitted = 0;
     std::int64_t servingCommitted = 0;
+    int urgentRuns = 0; // open runs that are neither best-effort nor serving
     std::int64_t servingMemoryBytes = 0; // part of committed
     std::optional<RoomReservation> reservation; // for tasks that found no room
     std::map<std::uint32_t, int> servingRunsByImage; // number of open runs with a tail latency target
@@ -128,6 +130,9 @@
     /// Returns the time since the last report, if there was one in this term.
     std::optional<std::chrono::milliseconds> sinceReport(TimePoint now) const;
 
+    /// Returns true if an open run has reserved capacity until its task has completed.
+    bool hasUrgentRuns() const { return urgentRuns > 0; }
+
     /// Returns the capacity that no open run has reserved.
     Resources freeCapacity() const { return info.capacity - committed; }
 
--- a/src/libs/node/ownerdelays.h
+++ b/src/libs/node/ownerdelays.h
@@ -17,6 +17,7 @@
     DelaySummary batches; // from when a batch of records is ready until it is durable, and its starts can be sent
     DelaySummary startResponses;
     DelaySummary pollResponses; // beyond the time that the poll lets the worker wait
+    DelaySummary backgroundTurns; // from a tick until all background work that was queued before it is done
     int openStarts = 0; // sent and not answered, at the end of the interval
     int openPolls = 0;
     TimePoint beganAt{};
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -404,6 +404,7 @@
     appendDelays(fields, "poll_responses", delays.pollResponses);
     fields.emplace_back("open_starts", delays.openStarts);
     fields.emplace_back("open_polls", delays.openPolls);
+    appendDelays(fields, "background_turns", delays.backgroundTurns);
     logMessage(LogPriority::Essential, LogLevel::Info, "owner", "delays", fields);
 }
 
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -1,5 +1,6 @@
 #include "topicowner.h"
 
+#include "backgroundqueue.h"
 #include "detachedtask.h"
 #include "ownerlog.h"
 #include "topicfollower.h"
@@ -18,6 +19,8 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/execution.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -32,6 +35,10 @@
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds TickInterval{20};
+// While background work waits, ticks are for urgent work only, and each takes time from the rest.
+constexpr std::chrono::milliseconds BacklogTickDelay{20};
+// The rest is decided when no background work is left, or after this time: each of these ticks examines all jobs and workers.
+constexpr std::chrono::milliseconds MaximumFullTickInterval{200};
 constexpr std::chrono::milliseconds StandbyInterval{200};
 constexpr std::chrono::milliseconds ClaimRenewalInterval{500};
 constexpr std::chrono::milliseconds TakeoverCheckInterval{5};
@@ -67,6 +74,9 @@
                        const DispatchLimits &limits,
                        const OwnerIdentity &identity)
     : m_executor(std::move(executor))
+    , m_tickTimer(m_executor)
+    , m_background(asio::use_service<BackgroundQueue>(asio::query(m_executor, asio::execution::context)))
+    , m_backgroundExecutor(m_background.executor())
     , m_clock(clock)
     , m_ports(ports)
     , m_table(table)
@@ -212,12 +222,15 @@
 
 asio::awaitable<void> TopicOwner::run()
 {
-    asio::steady_timer timer(m_executor);
     while (true) {
-        const std::chrono::milliseconds interval = m_term ? Internal::TickInterval : Internal::StandbyInterval;
-        const TimePoint dueAt = m_clock.now() + interval;
-        timer.expires_after(interval);
-        co_await timer.async_wait(Internal::AsTuple);
+        TimePoint dueAt = m_clock.now() + (m_term ? Internal::TickInterval : Internal::StandbyInterval);
+        m_tickTimer.expires_at(dueAt);
+        co_await m_tickTimer.async_wait(Internal::AsTuple);
+        if (m_term && m_background.size() > 0) {
+            dueAt += Internal::BacklogTickDelay;
+            m_tickTimer.expires_at(dueAt);
+            co_await m_tickTimer.async_wait(Internal::AsTuple);
+        }
         updateWorkersNeed();
         writeResults();
         if (m_takeoverTerm) {
@@ -231,12 +244,15 @@
             continue;
         }
         const TimePoint now = m_clock.now();
-        updateCapacity(now);
+        const bool isTurnComplete = completeBackgroundTurn(now);
+        if (isTurnComplete) {
+            updateCapacity(now);
+        }
+        const bool isFull = m_background.size() <= 1 || now - m_lastFullTick >= Internal::MaximumFullTickInterval;
+        m_lastFullTick = isFull ? now : m_lastFullTick;
         m_delays.ticks.add(now - dueAt);
         m_metrics.observe("hyssop_owner_tick_delay_seconds", now - dueAt);
-        for (DispatchAction &action : m_dispatcher.advance(now, std::chrono::system_clock::now())) {
-            execute(std::move(action));
-        }
+        execute(m_dispatcher.advance(now, std::chrono::system_clock::now(), isFull ? TickScope::All : TickScope::Urgent, isTurnComplete));
         m_delays.tickTimes.add(m_clock.now() - now);
         reportLoad(now);
         countWithheldTime(now);
@@ -254,6 +270,19 @@
     }
 }
 
+bool TopicOwner::completeBackgroundTurn(TimePoint now)
+{
+    if (m_isBackgroundTurnOpen) {
+        return false;
+    }
+    m_isBackgroundTurnOpen = true;
+    asio::post(m_backgroundExecutor, [this, now] {
+        m_isBackgroundTurnOpen = false;
+        m_delays.backgroundTurns.add(m_clock.now() - now);
+    });
+    return true;
+}
+
 bool TopicOwner::isReadLagging(TimePoint now) const
 {
     // A read without a response during a silence of the store ends later than the silence.
@@ -541,10 +570,10 @@
 void TopicOwner::execute(DispatchAction action)
 {
     std::visit(Overloaded{
-                   [&](StartCommand &command) { asio::co_spawn(m_executor, sendStart(std::move(command)), logException); },
+                   [&](StartCommand &command) { asio::co_spawn(executorFor(!command.isBestEffort), sendStart(std::move(command)), logException); },
                    [&](StopCommand &command) { asio::co_spawn(m_executor, sendStop(std::move(command)), logException); },
                    [&](ThrottleCommand &command) { asio::co_spawn(m_executor, sendThrottle(std::move(command)), logException); },
-                   [&](PollCommand &command) { asio::co_spawn(m_executor, sendPoll(std::move(command)), logException); },
+                   [&](PollCommand &command) { asio::co_spawn(executorFor(command.isUrgent), sendPoll(std::move(command)), logException); },
                    [&](RequestAdvice &request) { asio::co_spawn(m_executor, sendAdvice(std::move(request)), logException); },
                    [&](const ListLiveWorkers &) { asio::co_spawn(m_executor, listLiveWorkers(), logException); },
                    [&](AppendRecords &append) { startBatch(std::move(append)); },
@@ -554,6 +583,13 @@
                action);
 }
 
+void TopicOwner::execute(std::vector<DispatchAction> actions)
+{
+    for (DispatchAction &action : actions) {
+        execute(std::move(action));
+    }
+}
+
 void TopicOwner::writeResults()
 {
     if (m_term) {
@@ -588,6 +624,7 @@
         const TimePoint now = m_clock.now();
         m_delays.batches.add(now - m_batchBeganAt);
         m_dispatcher.recordsStored(now);
+        execute(m_dispatcher.takeActions()); // starts need not wait for the next tick
     }
 }
 
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -15,6 +15,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -27,6 +28,7 @@
 namespace Hyssop {
 
 class AdviceService;
+class BackgroundQueue;
 class MachineDirectory;
 class JobTable;
 class MetadataStore;
@@ -129,6 +131,13 @@
     void updateWorkersNeed();
     boost::asio::awaitable<void> claim();
     void execute(DispatchAction action);
+    void execute(std::vector<DispatchAction> actions);
+
+    /// Returns the executor for commands: those that are not urgent wait while other events are due.
+    const boost::asio::any_io_executor &executorFor(bool isUrgent) const { return isUrgent ? m_executor : m_backgroundExecutor; }
+
+    /// Returns true if all background work that was queued at an earlier tick is done, and begins to wait for what is queued now.
+    bool completeBackgroundTurn(TimePoint now);
     void writeResults();
     void startBatch(AppendRecords batch);
     void renewClaim(TimePoint now);
@@ -176,6 +185,10 @@
     boost::asio::awaitable<void> listLiveWorkers();
 
     boost::asio::any_io_executor m_executor;
+    boost::asio::steady_timer m_tickTimer;
+    BackgroundQueue &m_background;
+    boost::asio::any_io_executor m_backgroundExecutor;
+    bool m_isBackgroundTurnOpen = false;
     const Clock &m_clock;
     OwnerPorts m_ports;
     JobTable &m_table;
@@ -214,6 +227,7 @@
     std::int64_t m_minimumTerm = 0; // terms below this one are not resumed after stepping down
     TimePoint m_lastLoadReport{};
     OwnerDelays m_delays; // since the last report of the load
+    TimePoint m_lastFullTick{}; // that decided about all work
     TimePoint m_lastTick{}; // while this instance is the owner
     bool m_claiming = false;
     bool m_cleanHandover = false; // the claim sent last follows a release by an owner, after all leases of previous owners had expired
--- a/src/libs/ports/workercommands.h
+++ b/src/libs/ports/workercommands.h
@@ -34,6 +34,7 @@
     std::int64_t fencingToken = 0;
     WorkerTime leaseEnd{0}; // the worker rejects the command after this time
     bool isServing = false; // a serving task; for logs and metrics, not sent to the worker
+    bool isBestEffort = false; // others are sent first; not sent to the worker
     std::chrono::milliseconds responseTimeout{800}; // how long to wait for the response; not sent to the worker
     std::optional<std::chrono::milliseconds> withoutRun{}; // time since a run of a serving task was last known; none: its first run; not sent either
     TimePoint sentAt{}; // on the clock of the owner; not sent either
@@ -78,6 +79,7 @@
 {
     WorkerAddress worker;
     std::uint64_t number = 0; // among the polls of a term; not sent to the worker
+    bool isUrgent = false; // the worker has runs of urgent tasks; not sent to the worker
     bool isRepeated = false; // sent while another poll is open: acknowledges no end, and grants no later lease than the other
     std::int64_t fencingToken = 0;
     std::int64_t acknowledgedSequence = 0; // the worker may discard ends up to this sequence number
--- a/tests/libs/dispatch/dispatchfleet.cpp
+++ b/tests/libs/dispatch/dispatchfleet.cpp
@@ -145,7 +145,7 @@
     m_dispatcher.confirmRead(m_now);
     m_dispatcher.confirmWorkersRead(m_now);
     const std::chrono::nanoseconds begin = Internal::processorTime();
-    std::vector<DispatchAction> actions = m_dispatcher.advance(m_now, wall());
+    std::vector<DispatchAction> actions = m_dispatcher.advance(m_now, wall(), m_scope);
     m_advanceTime += Internal::processorTime() - begin;
     for (DispatchAction &action : actions) {
         perform(action);
@@ -184,6 +184,7 @@
     ++m_startsBySize[milliCoresOf(command.task)];
     Worker &worker = workerOf(command.worker.id);
     worker.runs[command.task] = {command.task, command.run, "", 1, 0};
+    worker.startedAt[command.task] = m_now;
     if (!command.isServing) {
         worker.completableRuns.insert(command.task);
     }
@@ -228,7 +229,8 @@
     report.clock = clock();
     report.processStartedAt = std::chrono::milliseconds(1);
     for (auto &[id, run] : worker.runs) {
-        run.progressPercent = 1 + run.progressPercent % Internal::ProgressCycle;
+        run.progressPercent = m_runTime > Duration::zero() ? static_cast<int>(std::min<Duration::rep>(100 * (m_now - worker.startedAt[id]) / m_runTime, 99))
+                                                           : 1 + run.progressPercent % Internal::ProgressCycle;
         report.runs.push_back(run);
     }
     report.ends = worker.ends;
--- a/tests/libs/dispatch/dispatchfleet.h
+++ b/tests/libs/dispatch/dispatchfleet.h
@@ -50,6 +50,9 @@
     /// not serve complete after @p runTime.
     void limitProcessor(const ProcessorCosts &costs, Duration runTime);
 
+    /// Lets ticks decide about @p scope only from now on.
+    void setScope(TickScope scope) { m_scope = scope; }
+
     /// Returns the number of runs that have completed.
     std::size_t completedRuns() const { return m_completedRuns; }
 
@@ -75,6 +78,7 @@
         WorkerInfo info;
         std::map<TaskId, ReportedRun> runs;
         std::set<TaskId> completableRuns;
+        std::map<TaskId, TimePoint> startedAt;
         std::vector<ReportedRunEnd> ends; // not acknowledged
         std::int64_t lastEndSequence = 0;
         std::vector<std::pair<PollCommand, TimePoint>> polls; // not answered, and when they were sent
@@ -104,6 +108,7 @@
     std::map<std::int64_t, std::size_t> m_startsBySize;
     std::size_t m_nextCompletion = 0; // index of the worker
     std::size_t m_starts = 0;
+    TickScope m_scope = TickScope::All;
     std::optional<ProcessorCosts> m_costs;
     Duration m_runTime{0};
     std::vector<StartCommand> m_startResponses; // that arrive at the next tick
--- a/tests/libs/dispatch/testownerlateness.cpp
+++ b/tests/libs/dispatch/testownerlateness.cpp
@@ -1,4 +1,5 @@
 #include <dispatch/ownerlateness.h>
+#include <ports/workercommands.h>
 
 #include <criterion/criterion.h>
 
@@ -42,3 +43,16 @@
     lateness.handleTick(TimePoint(1010s));
     cr_assert(intervalAfterTicks(lateness, TimePoint(1010s + 20ms), 20ms) == 0ms);
 }
+
+// Guards against a start window that shrinks because commands and responses wait for the owner itself, and against one that grows until
+// that wait exceeds the timeout of the responses.
+Test(ownerLateness, theDelayOfCommandsFollowsTheLongestTicksUpToABound)
+{
+    OwnerLateness lateness;
+    intervalAfterTicks(lateness, TimePoint(1000s), 20ms);
+    cr_assert(lateness.commandDelay() == 0ms);
+    intervalAfterTicks(lateness, TimePoint(1002s), 100ms);
+    cr_assert(lateness.commandDelay() >= 2 * 100ms);
+    intervalAfterTicks(lateness, TimePoint(1004s), 500ms);
+    cr_assert(lateness.commandDelay() < StartCommand().responseTimeout);
+}
--- a/tests/libs/dispatch/testurgentsteps.cpp
+++ b/tests/libs/dispatch/testurgentsteps.cpp
@@ -1,5 +1,7 @@
 #include "dispatchfleet.h"
 
+#include <dispatch/commandwindow.h>
+
 #include <criterion/criterion.h>
 
 #include <chrono>
@@ -104,3 +106,35 @@
     fleet.advance(StartTime);
     cr_expect_leq(fleet.startsOf(UrgentMilliCores), 1U); // each step gets a run before any gets its second
 }
+
+// Guards against ticks that wait for the placement of best-effort tasks while the owner has more to do than time.
+Test(urgentSteps, anUrgentTickStartsUrgentTasksOnly)
+{
+    DispatchFleet fleet(Workers, WorkerMilliCores);
+    fleet.advance(1s);
+    fleet.setScope(TickScope::Urgent);
+    submitBacklog(fleet);
+    fleet.submit(urgentStep());
+    const std::uint64_t visitedBefore = fleet.placementWork().visitedJobs;
+    fleet.advance(StartTime);
+    cr_expect_eq(fleet.startsOf(UrgentMilliCores), UrgentTasks);
+    cr_expect_eq(fleet.startsOf(BestEffortMilliCores), 0U);
+    cr_expect_leq(fleet.placementWork().visitedJobs - visitedBefore, static_cast<std::uint64_t>(StartTime / DispatchFleet::TickInterval)); // one a tick
+    fleet.setScope(TickScope::All);
+    fleet.advance(StartTime);
+    cr_expect_gt(fleet.startsOf(BestEffortMilliCores), 0U);
+}
+
+// Guards against best-effort tasks whose intents are never stored because batches with urgent ones come in between.
+Test(urgentSteps, urgentBatchesLeaveRoomForTheOthers)
+{
+    DispatchFleet fleet(Workers, WorkerMilliCores);
+    fleet.advance(1s);
+    submitBacklog(fleet);
+    for (int tick = 0; tick < 30; ++tick) {
+        fleet.submit(urgentStep(SmallMilliCores));
+        fleet.setScope(tick % 10 == 0 ? TickScope::All : TickScope::Urgent);
+        fleet.advance(DispatchFleet::TickInterval);
+    }
+    cr_expect_geq(fleet.startsOf(BestEffortMilliCores), 2 * CommandWindow::InitialSize);
+}
--- a/tests/libs/node/testownerlog.cpp
+++ b/tests/libs/node/testownerlog.cpp
@@ -345,13 +345,15 @@
     delays.reads.add(-3ms); // the clock of the accepting instance may be ahead
     delays.batches.add(90ms);
     delays.openStarts = 7;
+    delays.backgroundTurns.add(40ms);
     logDelays(3, delays, Begin + 2s);
     const std::string text = log.text();
     cr_assert(text.find("message=delays epoch=3 interval_ms=2000 processor_ms=") != std::string::npos, "%s", text.c_str());
     expectLine(text,
                "tick_delays=2 tick_delays_mean_ms=20 tick_delays_longest_ms=30 tick_times=1 tick_times_mean_ms=5 tick_times_longest_ms=5 job_reads=1 "
                "job_reads_mean_ms=0 job_reads_longest_ms=0 batches=1 batches_mean_ms=90 batches_longest_ms=90 start_responses=0 start_responses_mean_ms=0 "
-               "start_responses_longest_ms=0 poll_responses=0 poll_responses_mean_ms=0 poll_responses_longest_ms=0 open_starts=7 open_polls=0");
+               "start_responses_longest_ms=0 poll_responses=0 poll_responses_mean_ms=0 poll_responses_longest_ms=0 open_starts=7 open_polls=0 "
+               "background_turns=1 background_turns_mean_ms=40 background_turns_longest_ms=40");
     delays.beginInterval(Begin + 2s);
     cr_assert_eq(delays.ticks.count, 0U);
     cr_assert_eq(delays.openStarts, 7); // its response is counted in a later interval
