Polls: a late owner polls a worker when an urgent run is expected to end

What callers saw: each further step of an urgent job began up to 600 ms after the one before had ended.

Cause: an owner that is late polls a worker 600 ms after its last report at the earliest, whatever runs there.

Change: the end of urgent runs is expected from their progress since the confirmed start, and the next poll is due then.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -197,6 +197,9 @@
     void endStoppedRuns(TimePoint now);
     void pollWorkers(TimePoint now, TickScope scope);
 
+    /// Returns from when on @p worker may be polled although the owner is late: polls cost more than the news is worth, unless the run of an
+    /// urgent task is expected to end.
+    TimePoint earliestPoll(const WorkerState &worker, TimePoint now) const;
 
     /// Sends a regular poll, which renews the lease of @p worker.
     void sendPoll(WorkerState &worker, TimePoint now);
--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -389,13 +389,27 @@
         worker.nextPoll = now + Internal::IdlePollInterval;
     }
     if (!worker.overTargetSince) {
-        worker.nextPoll = std::max(worker.nextPoll, now + m_lateness.minimumPollInterval());
+        worker.nextPoll = std::max(worker.nextPoll, earliestPoll(worker, now));
     }
     if (worker.isLeaseWithheld) {
         worker.nextPoll = std::max(worker.nextPoll, now + Internal::WithheldLeaseInterval);
     }
 }
 
+TimePoint Dispatcher::earliestPoll(const WorkerState &worker, TimePoint now) const
+{
+    TimePoint earliest = now + m_lateness.minimumPollInterval();
+    if (!worker.hasUrgentRuns() || earliest == now) {
+        return earliest;
+    }
+    for (const auto &[id, run] : worker.runs) {
+        if (run.isUrgent && run.expectedEnd != TimePoint()) {
+            earliest = std::min(earliest, std::max(run.expectedEnd, now));
+        }
+    }
+    return earliest;
+}
+
 bool Dispatcher::isFromNextProcess(const WorkerState &worker, const WorkerReport &report)
 {
     if (worker.processStartedAt.count() != 0 && report.processStartedAt.count() != 0) {
@@ -583,12 +597,19 @@
 
 void Dispatcher::updateExpectedEnd(const ListedRun &run, TimePoint now)
 {
-    if (run.profile == nullptr || !run.profile->isBestEffort) {
+    if (run.profile == nullptr || (!run.profile->isBestEffort && !run.profile->isUrgent)) {
         return;
     }
     TaskExecution &task = *run.task;
     const int progressPercent = run.report->progressPercent;
     run.profile->expectedEnd = TimePoint();
+    if (run.profile->isUrgent) {
+        // Urgent runs are short: most have few reports before their end.
+        if (progressPercent > 0 && task.confirmedAt != TimePoint()) {
+            run.profile->expectedEnd = now + (now - task.confirmedAt) * (100 - progressPercent) / progressPercent;
+        }
+        return;
+    }
     if (task.firstProgressPercent < 0) {
         task.firstProgressPercent = progressPercent;
         task.firstProgressAt = now;
--- a/src/libs/dispatch/workerstate.h
+++ b/src/libs/dispatch/workerstate.h
@@ -33,7 +33,7 @@
     double residualUtilization = 0; // part of a serving task's utilization that the model does not explain
     bool isBestEffort = false; // fillsIdle of the step
     bool isUrgent = false; // reserves capacity until its task has completed
-    TimePoint expectedEnd{}; // of a best-effort run; default: unknown
+    TimePoint expectedEnd{}; // of a best-effort or urgent run; default: unknown
     std::uint64_t listedIn = 0; // number of the newest report of the worker that lists the task
 };
 
--- a/tests/libs/dispatch/testurgentsteps.cpp
+++ b/tests/libs/dispatch/testurgentsteps.cpp
@@ -138,3 +138,30 @@
     }
     cr_expect_geq(fleet.startsOf(BestEffortMilliCores), 2 * CommandWindow::InitialSize);
 }
+
+// Guards against urgent steps that wait for the longest time between two polls of a late owner at the end of each earlier step.
+Test(urgentSteps, aLateOwnerPollsWhenAnUrgentRunIsExpectedToEnd)
+{
+    constexpr std::chrono::milliseconds Tick{125};
+    constexpr std::chrono::milliseconds RunTime{1000};
+    constexpr int Jobs = 8;
+    // A tick each until the end is reported, until the intents of the next step are durable, and until its starts are sent.
+    constexpr Duration MaximumTime = RunTime + 3 * Tick;
+    DispatchFleet fleet(Workers, WorkerMilliCores);
+    fleet.limitProcessor({Tick, 0ms, 0ms, 0ms}, RunTime);
+    fleet.advance(5s);
+    Duration total{0};
+    for (int job = 0; job < Jobs; ++job) {
+        const std::size_t before = fleet.startsOf(UrgentMilliCores);
+        fleet.submit(urgentStep(), static_cast<int>(UrgentTasks));
+        while (fleet.startsOf(UrgentMilliCores) < before + UrgentTasks) {
+            fleet.advance(Tick);
+        }
+        const TimePoint begin = fleet.now();
+        while (fleet.startsOf(UrgentMilliCores) < before + 2 * UrgentTasks && fleet.now() < begin + 5s) {
+            fleet.advance(Tick);
+        }
+        total += fleet.now() - begin;
+    }
+    cr_expect_leq(total / Jobs, MaximumTime, "%ld ms", static_cast<long>(total / Jobs / 1ms));
+}
