--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -570,10 +570,16 @@
 void TopicOwner::execute(DispatchAction action)
 {
     std::visit(Overloaded{
-                   [&](StartCommand &command) { asio::co_spawn(executorFor(!command.isBestEffort), sendStart(std::move(command)), logException); },
+                   [&](StartCommand &command) {
+                       const asio::any_io_executor &executor = executorFor(!command.isBestEffort);
+                       asio::co_spawn(executor, sendStart(std::move(command)), logException);
+                   },
                    [&](StopCommand &command) { asio::co_spawn(m_executor, sendStop(std::move(command)), logException); },
                    [&](ThrottleCommand &command) { asio::co_spawn(m_executor, sendThrottle(std::move(command)), logException); },
-                   [&](PollCommand &command) { asio::co_spawn(executorFor(command.isUrgent), sendPoll(std::move(command)), logException); },
+                   [&](PollCommand &command) {
+                       const asio::any_io_executor &executor = executorFor(command.isUrgent);
+                       asio::co_spawn(executor, sendPoll(std::move(command)), logException);
+                   },
                    [&](RequestAdvice &request) { asio::co_spawn(m_executor, sendAdvice(std::move(request)), logException); },
                    [&](const ListLiveWorkers &) { asio::co_spawn(m_executor, listLiveWorkers(), logException); },
                    [&](AppendRecords &append) { startBatch(std::move(append)); },
