--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -308,6 +308,7 @@
     void adjustSpeeds(WorkerState &worker, const std::vector<ListedRun> &listed, TimePoint now);
 
     void sendStart(const TaskId &id, TaskExecution &task, TimePoint now);
+
     /// Returns the delays of tasks of the same kind as @p id. The job must exist.
     StageDelays &stageDelaysOf(const TaskId &id);
 
@@ -402,6 +403,7 @@
 
     /// Returns the number of runs that are assigned or whose start command has no response yet.
     std::size_t startsInFlight() const;
+
     /// Returns true if no further run of an overdue step, or of another one, may be assigned.
     bool isWindowFull(bool isOverdue) const;
     void addTasksThatWaitForWindow(const StepExecution &step);
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -74,7 +74,6 @@
                        const DispatchLimits &limits,
                        const OwnerIdentity &identity)
     : m_executor(std::move(executor))
-    , m_tickTimer(m_executor)
     , m_background(asio::use_service<BackgroundQueue>(asio::query(m_executor, asio::execution::context)))
     , m_backgroundExecutor(m_background.executor())
     , m_clock(clock)
@@ -222,14 +221,16 @@
 
 asio::awaitable<void> TopicOwner::run()
 {
+    asio::steady_timer timer(m_executor);
     while (true) {
-        TimePoint dueAt = m_clock.now() + (m_term ? Internal::TickInterval : Internal::StandbyInterval);
-        m_tickTimer.expires_at(dueAt);
-        co_await m_tickTimer.async_wait(Internal::AsTuple);
+        const std::chrono::milliseconds interval = m_term ? Internal::TickInterval : Internal::StandbyInterval;
+        TimePoint dueAt = m_clock.now() + interval;
+        timer.expires_after(interval);
+        co_await timer.async_wait(Internal::AsTuple);
         if (m_term && m_background.size() > 0) {
             dueAt += Internal::BacklogTickDelay;
-            m_tickTimer.expires_at(dueAt);
-            co_await m_tickTimer.async_wait(Internal::AsTuple);
+            timer.expires_after(Internal::BacklogTickDelay);
+            co_await timer.async_wait(Internal::AsTuple);
         }
         updateWorkersNeed();
         writeResults();
@@ -248,7 +249,8 @@
         if (isTurnComplete) {
             updateCapacity(now);
         }
-        const bool isFull = m_background.size() <= 1 || now - m_lastFullTick >= Internal::MaximumFullTickInterval;
+        const bool isBackgroundIdle = m_background.size() == (isTurnComplete ? 1 : 0); // the turn that has just begun is a handler, too
+        const bool isFull = isBackgroundIdle || now - m_lastFullTick >= Internal::MaximumFullTickInterval;
         m_lastFullTick = isFull ? now : m_lastFullTick;
         m_delays.ticks.add(now - dueAt);
         m_metrics.observe("hyssop_owner_tick_delay_seconds", now - dueAt);
--- a/src/libs/node/topicowner.h
+++ b/src/libs/node/topicowner.h
@@ -15,7 +15,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -185,7 +184,6 @@
     boost::asio::awaitable<void> listLiveWorkers();
 
     boost::asio::any_io_executor m_executor;
-    boost::asio::steady_timer m_tickTimer;
     BackgroundQueue &m_background;
     boost::asio::any_io_executor m_backgroundExecutor;
     bool m_isBackgroundTurnOpen = false;
