Owner: polls don't wait in the background, because they renew leases

Cause (inferred from the play, no test yet): polls of workers without urgent runs waited behind best-effort starts in the background queue. Their timeout runs in the foreground, so a poll whose response waited there for its turn counted as failed, and the lease of a worker with a failed poll isn't renewed.

Change: all polls are handled in the foreground; only best-effort starts are in the background.

--- a/src/libs/dispatch/dispatchworkers.cpp
+++ b/src/libs/dispatch/dispatchworkers.cpp
@@ -186,7 +186,6 @@
     PollCommand poll;
     poll.worker = addressOf(worker);
     poll.number = ++m_lastPoll;
-    poll.isUrgent = worker.hasUrgentRuns();
     poll.fencingToken = tokenFor(worker);
     return poll;
 }
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -578,10 +578,8 @@
                    },
                    [&](StopCommand &command) { asio::co_spawn(m_executor, sendStop(std::move(command)), logException); },
                    [&](ThrottleCommand &command) { asio::co_spawn(m_executor, sendThrottle(std::move(command)), logException); },
-                   [&](PollCommand &command) {
-                       const asio::any_io_executor &executor = executorFor(command.isUrgent);
-                       asio::co_spawn(executor, sendPoll(std::move(command)), logException);
-                   },
+                   // Polls renew leases, so they don't wait behind best-effort starts.
+                   [&](PollCommand &command) { asio::co_spawn(m_executor, sendPoll(std::move(command)), logException); },
                    [&](RequestAdvice &request) { asio::co_spawn(m_executor, sendAdvice(std::move(request)), logException); },
                    [&](const ListLiveWorkers &) { asio::co_spawn(m_executor, listLiveWorkers(), logException); },
                    [&](AppendRecords &append) { startBatch(std::move(append)); },
--- a/src/libs/ports/workercommands.h
+++ b/src/libs/ports/workercommands.h
@@ -79,7 +79,6 @@
 {
     WorkerAddress worker;
     std::uint64_t number = 0; // among the polls of a term; not sent to the worker
-    bool isUrgent = false; // the worker has runs of urgent tasks; not sent to the worker
     bool isRepeated = false; // sent while another poll is open: acknowledges no end, and grants no later lease than the other
     std::int64_t fencingToken = 0;
     std::int64_t acknowledgedSequence = 0; // the worker may discard ends up to this sequence number
