--- a/src/libs/node/backgroundqueue.h
+++ b/src/libs/node/backgroundqueue.h
@@ -17,7 +17,7 @@
 /// HandlersPerTurn of these handlers.
 ///
 /// The same number is the least that runs between two turns of the event loop, so the handlers make progress however many other events there
-/// are. The queue has no bound of its own: a handler belongs to a command or poll that is open, and the dispatcher bounds those.
+/// are. The queue has no bound of its own: a handler belongs to a start that is open, and the start window bounds those.
 class BackgroundQueue : public boost::asio::execution_context::service
 {
 public:
