--- a/review/standin2.py
+++ b/review/standin2.py
@@ -12,7 +12,6 @@
 import struct
 import tempfile
 import time
-import tomllib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 # Bounds of the site cbc-passes (SYSTEM.md), in milliseconds where not named otherwise.
@@ -501,8 +500,9 @@
     def __init__(self, folder):
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix='hyssop-review-')
-        with open(os.path.join(ROOT, 'deploy/system.toml'), 'rb') as file:
-            self.role = tomllib.load(file)['roles']['node']
+        with open(os.path.join(ROOT, 'deploy/system.toml')) as file:
+            role = file.read().split('[roles.node]')[1]
+        self.role = dict(re.findall(r'^(run|template) = "(.*)"$', role, re.MULTILINE))
         self.base = self.free_base()
         self.store = Store()
         self.machines = Server(self.list_machines)
