--- a/review/standin3.py
+++ b/review/standin3.py
@@ -426,7 +426,7 @@
             if run['tail']:
                 percent, load = min(100, int(run['work'] * 250)), run['tail'] + random.randint(0, 2)
             else:
-                percent, load = int(run['work'] * 100000 / run['ms']), run['load'] * run['pace'] // 100
+                percent, load = int(run['work'] * 100000 / max(run['ms'], 1)), run['load'] * run['pace'] // 100
             running.append([task, run['run'], self.saved(run), percent, load])
         return message(200, {'clockMs': self.clock(), 'born': self.born, 'running': running, 'finished': self.finished[:500]})
 
