--- a/review/standin3.py
+++ b/review/standin3.py
@@ -8,6 +8,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -543,6 +544,7 @@
         self.nodes = []
         self.workers = []
         self.submissions = {}
+        self.store = self.advice = self.folder = None
 
     async def open(self, workers=4, nodes=3, cpu=64000, zones=('puget-a', 'puget-b', 'willamette-a'), routes=None, gpus=(), advice=None):
         self.folder = tempfile.mkdtemp(prefix='review-')
@@ -651,31 +653,39 @@
             task.cancel()
         for node in self.nodes:
             await node.end()
-        for worker in self.workers:
-            await worker.close()
-        if self.advice is not None:
-            await self.advice.close()
-        await self.store.close()
+        for server in [*self.workers, self.advice, self.store]:
+            if server is not None and hasattr(server, 'server'):
+                await server.close()
+        if self.folder is not None and 'KEEP' not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def play(folder, scenario):
     """Runs scenario(site), which returns True if the rule held. Exits with 0 if it did, 1 if not, 2 if the case could not run."""
 
     async def run():
+        loop, main = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, main.cancel)
         site = Site(folder)
         site.record('TROUBLE=%d' % TROUBLE)
+        result = 2
         try:
             async with asyncio.timeout(115):
                 held = await scenario(site)
             site.record('the rule %s' % ('held' if held else 'was broken'))
-            return 0 if held else 1
-        except Exception as error:  # the case could not run
+            result = 0 if held else 1
+        except (Exception, asyncio.CancelledError) as error:  # the case could not run
             site.record('could not run: %s %s' % (type(error).__name__, error))
-            return 2
-        finally:
-            site.record('appends refused: %s' % (site.store.refused if hasattr(site, 'store') else ''))
-            await site.close()
+        if site.store is not None:
+            site.record('appends refused: %s' % site.store.refused)
+        await site.close()
+        return result
 
-    result = asyncio.run(run())
+    try:
+        result = asyncio.run(run())
+    except BaseException as error:  # while the processes are ended
+        print('%s: %s' % (type(error).__name__, error))
+        result = 2
     print({0: 'held', 1: 'BROKEN', 2: 'could not run'}[result])
     sys.exit(result)
