Bound the requests for advice in flight, and use each decision

Cause: each waiting step sent its own request to a service that handles one at a time. With 32 of them waiting there (5.1 s of work) nearly each response came after the fixed timeout of 5 s, or its tickets, which counted from the sending of the request, had expired. It was thrown away and requested again, so the queue kept its length for good.

Change: AdviceWindow bounds what is in flight by the announced and the observed rate, and tells the earliest time of a decision, from which tickets count; a decision of a service that is slower than announced is tried all the same. Timeouts grow, a response proves that earlier ones are lost, steps without room ask when the service is idle or with every eighth request, a failing step waits longer each time. A start whose ticket has expired is withdrawn instead of sent.

--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -5,6 +5,7 @@
 
 #include <ports/commandresults.h>
 #include <ports/keyedrecord.h>
+#include <utils/clock.h>
 
 #include <chrono>
 #include <cstdint>
@@ -28,6 +29,9 @@
 {
     TaskId step; // the task index is unused
     std::vector<std::string> workers;
+    std::int64_t number = 0;
+    Duration serviceTime{0}; // that the service needs, as announced
+    std::chrono::milliseconds timeout{5000};
 };
 
 /// Asks the platform which worker processes exist.
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -61,7 +61,7 @@
     m_workers.clear();
     m_removedWorkersRises = TokenRises();
     m_tokensExhausted = false;
-    m_tickets = TicketCache();
+    m_tickets.clear();
     m_unschedulable.clear();
     m_watchdog = WaitingWatchdog();
     m_colocation.restore(table.learnedTails());
@@ -182,6 +182,7 @@
         m_lateness.handleTick(now);
         m_commandWindow.setOwnerLateness(m_lateness.commandDelay());
     }
+    m_tickets.handleTick(now);
     if (scope == TickScope::Urgent) {
         placePendingTasks(now, wall, scope);
         composeBatch(now, wall, scope);
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -105,7 +105,8 @@
     void stopAnswered(const StopCommand &command, const CommandResult &result, TimePoint now);
     void throttleAnswered(const ThrottleCommand &command, const CommandResult &result, TimePoint now);
     void pollAnswered(const PollCommand &command, const PollResult &result, TimePoint sentAt, TimePoint now);
-    void adviceAnswered(const RequestAdvice &adviceRequest, const AdviceResult &result, TimePoint sentAt, TimePoint now);
+    /// Returns the number of tickets that can be used.
+    std::size_t adviceAnswered(const RequestAdvice &adviceRequest, const AdviceResult &result, TimePoint sentAt, TimePoint now);
 
     /// Processes the answer to ListLiveWorkers: @p workers are the ids of all processes that existed after @p sentAt.
     void liveWorkersListed(const std::set<std::string> &workers, TimePoint sentAt, TimePoint now);
--- a/src/libs/dispatch/dispatchplacement.cpp
+++ b/src/libs/dispatch/dispatchplacement.cpp
@@ -499,17 +499,14 @@
     if (!m_tickets.canRequest(step, now)) {
         return;
     }
-    RequestAdvice adviceRequest{step, m_tickets.beginRequest(step, ranking.adviceCandidates(request), now, service)};
-    if (!adviceRequest.workers.empty()) {
-        m_actions.emplace_back(std::move(adviceRequest));
+    if (auto adviceRequest = m_tickets.beginRequest(step, ranking.adviceCandidates(request), now, service)) {
+        m_actions.emplace_back(std::move(*adviceRequest));
     }
 }
 
-void Dispatcher::adviceAnswered(const RequestAdvice &adviceRequest, const AdviceResult &result, TimePoint sentAt, TimePoint now)
+std::size_t Dispatcher::adviceAnswered(const RequestAdvice &adviceRequest, const AdviceResult &result, TimePoint sentAt, TimePoint now)
 {
-    if (m_jobs.stepOf(adviceRequest.step) != nullptr) {
-        m_tickets.handleResult(adviceRequest.step, adviceRequest.workers, result, sentAt, now);
-    }
+    return m_tickets.handleResult(adviceRequest, result, m_jobs.stepOf(adviceRequest.step) != nullptr, sentAt, now);
 }
 
 void Dispatcher::assignRun(JobExecution &job, const TaskId &id, TaskExecution &task, WorkerState &worker, int run, TimePoint now)
--- a/src/libs/dispatch/dispatchruns.cpp
+++ b/src/libs/dispatch/dispatchruns.cpp
@@ -59,7 +59,15 @@
         withdrawStart(id, task, now);
         return;
     }
+    const QueueInfo *queue = m_queues.find(job->submission.queue);
+    const bool needsTicket = queue != nullptr && queue->advice.has_value();
+    const std::string ticket = needsTicket ? m_tickets.takeTicket(id, task.worker, now) : std::string();
+    if (needsTicket && ticket.empty() && task.startsSent == 0) {
+        withdrawStart(id, task, now); // it has expired while the intent was stored
+        return;
+    }
     StartCommand command;
+    command.ticket = ticket;
     command.worker = addressOf(*worker);
     command.task = id;
     command.run = task.run;
@@ -70,10 +78,6 @@
         command.withoutRun = std::chrono::duration_cast<std::chrono::milliseconds>(now - *task.withoutRunSince);
     }
     command.checkpoint = task.checkpoint;
-    if (const auto *tickets = m_tickets.tickets(id, now)) {
-        const auto ticket = tickets->find(task.worker);
-        command.ticket = ticket != tickets->end() ? ticket->second : std::string();
-    }
     if (task.phase == TaskPhase::Assigned) {
         stageDelaysOf(id).intents.add(now - task.phaseSince);
     }
--- a/src/libs/dispatch/ticketcache.cpp
+++ b/src/libs/dispatch/ticketcache.cpp
@@ -1,9 +1,12 @@
 #include "ticketcache.h"
 
+#include "advicecandidate.h"
+#include "dispatchactions.h"
+
 #include <utils/result.h>
 
 #include <algorithm>
-#include <iterator>
+#include <utility>
 
 namespace Hyssop {
 
@@ -11,22 +14,20 @@
 
 // Workers per request to the advice service, which needs time for each of them.
 constexpr std::size_t MaximumRequestedWorkers = 30;
-// A ticket is used only while it stays valid for this long.
+// A ticket is used only while it stays valid for this long, or for a part of its validity if that is less.
 constexpr std::chrono::milliseconds TicketMargin{300};
+constexpr int TicketMarginDivisor = 4;
 // Until the candidates are looked at again.
 constexpr std::chrono::milliseconds CandidatesInterval{100};
-// After a request without a usable result.
+// After a request without a usable result; doubled with each further one.
 constexpr std::chrono::milliseconds RetryInterval{500};
-// Beyond the time that the service takes: a busy owner and its link delay a response.
-constexpr std::chrono::milliseconds MinimumOverdueTime{500};
-// Responses are not equally late.
-constexpr int LatenessFactor = 2;
-// The lateness decreases by this part with each response that is less late.
-constexpr int LatenessDivisor = 8;
+constexpr int MaximumRetryDoublings = 2;
 // A request and its repetition.
-constexpr std::size_t MaximumPendingOfStep = 2;
-// Half of those that the service lets wait. Beyond that, requests of steps that have not been asked about go first.
-constexpr std::size_t MaximumPendingForRepetition = 16;
+constexpr int MaximumAwaitedOfStep = 2;
+// Decisions for a step that no start follows, before requests of other steps go first.
+constexpr int MaximumUnusedDecisions = 3;
+// Of so many requests, one may be for a step that has no room.
+constexpr int RequestsPerSpeculativeRequest = 8;
 
 static TaskId stepKey(TaskId task)
 {
@@ -34,6 +35,11 @@
     return task;
 }
 
+static std::chrono::milliseconds usableTime(std::chrono::milliseconds validity)
+{
+    return validity - std::min(TicketMargin, validity / TicketMarginDivisor);
+}
+
 } // namespace Internal
 
 const std::map<std::string, std::string> *TicketCache::tickets(const TaskId &task, TimePoint now)
@@ -46,93 +52,125 @@
     return step->second.byWorker.empty() ? nullptr : &step->second.byWorker;
 }
 
+std::string TicketCache::takeTicket(const TaskId &task, const std::string &worker, TimePoint now)
+{
+    const auto *valid = tickets(task, now);
+    if (valid == nullptr || !valid->contains(worker)) {
+        return {};
+    }
+    m_steps[Internal::stepKey(task)].unusedDecisions = 0;
+    return valid->at(worker);
+}
+
 bool TicketCache::canRequest(const TaskId &task, TimePoint now) const
 {
+    if (!m_window.isOpen(now)) {
+        return false;
+    }
     const auto step = m_steps.find(Internal::stepKey(task));
     if (step == m_steps.end()) {
         return true;
     }
-    const std::vector<PendingRequest> &pending = step->second.pending;
-    const bool areOverdue = std::ranges::all_of(pending, [&](const PendingRequest &request) { return isOverdue(request, now); });
-    const bool isAllowed = pending.empty() || (pending.size() < Internal::MaximumPendingOfStep && areOverdue && hasRoomForRepetition());
-    return isAllowed && now >= step->second.nextRequestAt;
+    const std::vector<std::int64_t> &pending = step->second.pending;
+    const auto awaited = std::ranges::count_if(pending, [&](std::int64_t number) { return !m_window.isOvertaken(number); });
+    const bool areOverdue = std::ranges::all_of(pending, [&](std::int64_t number) { return m_window.isOverdue(number, now); });
+    return awaited < Internal::MaximumAwaitedOfStep && areOverdue && now >= step->second.nextRequestAt;
 }
 
-std::vector<std::string>
-TicketCache::beginRequest(const TaskId &task, const std::vector<std::string> &candidates, TimePoint now, const AdviceParameters &service)
+std::optional<RequestAdvice>
+TicketCache::beginRequest(const TaskId &task, const std::vector<AdviceCandidate> &candidates, TimePoint now, const AdviceParameters &service)
 {
-    StepTickets &step = m_steps[Internal::stepKey(task)];
-    std::vector<std::string> workers;
     if (!canRequest(task, now)) {
-        return workers;
+        return std::nullopt;
     }
+    StepTickets &step = m_steps[Internal::stepKey(task)];
     removeExpired(step, now);
+    step.nextRequestAt = now + Internal::CandidatesInterval;
+    RequestAdvice request;
+    request.step = task;
+    bool hasRoom = false;
     const auto addWorkers = [&](bool areAllowed) {
-        for (const std::string &worker : candidates) {
+        for (const AdviceCandidate &candidate : candidates) {
+            const std::string &worker = candidate.worker;
             const bool isWanted = !step.byWorker.contains(worker) && !step.excluded.contains(worker) && step.allowed.contains(worker) == areAllowed;
-            if (isWanted && workers.size() < Internal::MaximumRequestedWorkers) {
-                workers.push_back(worker);
+            if (isWanted && request.workers.size() < Internal::MaximumRequestedWorkers) {
+                request.workers.push_back(worker);
+                hasRoom = hasRoom || candidate.hasRoom;
             }
         }
     };
     addWorkers(true);
     addWorkers(false);
-    if (!workers.empty()) {
-        step.pending.push_back({now, expectResponse(workers.size(), now, service)});
+    if (request.workers.empty() || !admits(step, hasRoom)) {
+        return std::nullopt;
     }
-    step.nextRequestAt = now + Internal::CandidatesInterval;
-    return workers;
+    request.serviceTime = service.decisionTime + service.decisionTimePerWorker * static_cast<std::int64_t>(request.workers.size());
+    request.timeout = m_window.timeout(request.serviceTime, now);
+    request.number = m_window.begin(request.serviceTime, now);
+    step.pending.push_back(request.number);
+    return request;
 }
 
-void TicketCache::handleResult(const TaskId &step, const std::vector<std::string> &asked, const AdviceResult &result, TimePoint sentAt, TimePoint now)
+bool TicketCache::admits(const StepTickets &step, bool hasRoom)
 {
-    StepTickets &tickets = m_steps[Internal::stepKey(step)];
-    endRequest(tickets, result, sentAt, now);
-    const auto *advice = std::get_if<PlacementAdvice>(&result);
-    if (advice == nullptr || advice->validity <= Internal::TicketMargin) {
-        tickets.nextRequestAt = now + Internal::RetryInterval;
-        return;
+    if (hasRoom && step.unusedDecisions < Internal::MaximumUnusedDecisions) {
+        ++m_requestsWithRoom;
+        return true;
     }
-    storeTickets(tickets, asked, *advice, sentAt);
-}
-
-bool TicketCache::isOverdue(const PendingRequest &request, TimePoint now) const
-{
-    return now >= request.expectedAt + std::max<Duration>(Internal::MinimumOverdueTime, m_lateness * Internal::LatenessFactor);
+    if (!m_window.isIdle() && m_requestsWithRoom < Internal::RequestsPerSpeculativeRequest) {
+        return false;
+    }
+    m_requestsWithRoom = 0;
+    return true;
 }
 
-bool TicketCache::hasRoomForRepetition() const
+std::size_t TicketCache::handleResult(const RequestAdvice &request, const AdviceResult &result, bool isWaiting, TimePoint sentAt, TimePoint now)
 {
-    std::size_t pending = 0;
-    for (const auto &[id, step] : m_steps) {
-        pending += step.pending.size();
+    const TimePoint decidedAt = endRequest(request, result, sentAt, now);
+    if (!isWaiting) {
+        return 0;
+    }
+    StepTickets &step = m_steps[Internal::stepKey(request.step)];
+    std::erase(step.pending, request.number);
+    const auto *advice = std::get_if<PlacementAdvice>(&result);
+    if (advice == nullptr || advice->validity <= std::chrono::milliseconds::zero()) {
+        const int doublings = std::min(step.failures, Internal::MaximumRetryDoublings);
+        ++step.failures;
+        step.nextRequestAt = now + Internal::RetryInterval * (1 << doublings);
+        return 0;
     }
-    return pending < Internal::MaximumPendingForRepetition;
+    step.failures = 0;
+    step.unusedDecisions += advice->tickets.empty() ? 0 : 1;
+    const TimePoint usableUntil = ticketsEnd(*advice, decidedAt, now);
+    storeTickets(step, request.workers, *advice, usableUntil);
+    return now < usableUntil ? advice->tickets.size() : 0;
 }
 
-TimePoint TicketCache::expectResponse(std::size_t workers, TimePoint now, const AdviceParameters &service)
+TimePoint TicketCache::endRequest(const RequestAdvice &request, const AdviceResult &result, TimePoint sentAt, TimePoint now)
 {
-    const auto serviceTime = service.decisionTime + service.decisionTimePerWorker * static_cast<std::int64_t>(workers);
-    m_serviceBusyUntil = std::max(m_serviceBusyUntil, now) + serviceTime;
-    return m_serviceBusyUntil;
+    const auto *error = std::get_if<Error>(&result);
+    if (error == nullptr) {
+        return m_window.handleDecision(request.number, sentAt, now);
+    }
+    if (error->code == ErrorCode::Timeout) {
+        m_window.handleTimeout(request.number);
+    } else {
+        m_window.handleFailure(request.number);
+    }
+    return sentAt;
 }
 
-void TicketCache::endRequest(StepTickets &step, const AdviceResult &result, TimePoint sentAt, TimePoint now)
+TimePoint TicketCache::ticketsEnd(const PlacementAdvice &advice, TimePoint decidedAt, TimePoint now) const
 {
-    // A request is sent after it has begun, and its repetition begins later.
-    const auto next = std::ranges::find_if(step.pending, [&](const PendingRequest &request) { return request.beganAt > sentAt; });
-    if (next == step.pending.begin()) {
-        return; // of an earlier term
-    }
-    const auto ended = std::prev(next);
-    if (std::holds_alternative<PlacementAdvice>(result)) {
-        const Duration lateness = now - ended->expectedAt;
-        m_lateness = std::max(lateness, m_lateness - m_lateness / Internal::LatenessDivisor);
+    const Duration usableTime = Internal::usableTime(advice.validity);
+    if (decidedAt + usableTime > now) {
+        return decidedAt + usableTime;
     }
-    step.pending.erase(ended);
+    // The service is slower than announced, or the response was under way for long. If no ticket were tried, none might ever be.
+    return std::min(m_tickAt, now) + usableTime;
 }
 
-void TicketCache::storeTickets(StepTickets &step, const std::vector<std::string> &asked, const PlacementAdvice &advice, TimePoint sentAt)
+void TicketCache::storeTickets(StepTickets &step, const std::vector<std::string> &asked, const PlacementAdvice &advice, TimePoint usableUntil)
 {
     for (const std::string &worker : asked) {
         const auto ticket = advice.tickets.find(worker);
@@ -143,9 +181,8 @@
         }
         step.allowed.insert(worker);
         TimePoint &validUntil = step.validUntil[worker];
-        const TimePoint newValidUntil = sentAt + advice.validity - Internal::TicketMargin;
-        if (newValidUntil > validUntil) { // the response to a repetition may have arrived before
-            validUntil = newValidUntil;
+        if (usableUntil > validUntil) { // the response to a repetition may have arrived before
+            validUntil = usableUntil;
             step.byWorker[worker] = ticket->second;
         }
     }
@@ -166,6 +203,13 @@
     std::erase_if(m_steps, [&](const auto &item) { return item.first.job == jobId; });
 }
 
+void TicketCache::clear()
+{
+    m_steps.clear();
+    m_window.clear();
+    m_requestsWithRoom = 0;
+}
+
 void TicketCache::removeExpired(StepTickets &step, TimePoint now)
 {
     std::erase_if(step.validUntil, [&](const auto &item) {
--- a/src/libs/dispatch/workerranking.cpp
+++ b/src/libs/dispatch/workerranking.cpp
@@ -282,7 +282,7 @@
     return nullptr;
 }
 
-std::vector<std::string> WorkerRanking::adviceCandidates(PlacementRequest request) const
+std::vector<AdviceCandidate> WorkerRanking::adviceCandidates(PlacementRequest request) const
 {
     request.tickets = nullptr;
     std::vector<std::pair<bool, WorkerState *>> candidates; // whether there is room
@@ -301,12 +301,12 @@
     }
     std::ranges::stable_sort(
         candidates, std::ranges::greater(), [](const auto &candidate) { return std::pair(candidate.first, candidate.second->freeCapacity().milliCores); });
-    std::vector<std::string> ids;
-    ids.reserve(candidates.size());
+    std::vector<AdviceCandidate> result;
+    result.reserve(candidates.size());
     for (const auto &[hasRoom, worker] : candidates) {
-        ids.push_back(worker->info.id);
+        result.push_back({worker->info.id, hasRoom});
     }
-    return ids;
+    return result;
 }
 
 std::int64_t WorkerRanking::bestEffortScore(WorkerState &worker, const PlacementRequest &request) const
--- a/src/libs/dispatch/workerranking.h
+++ b/src/libs/dispatch/workerranking.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "advicecandidate.h"
 #include "freecapacityindex.h"
 #include "idlecapacitypolicy.h"
 #include "placementobstacle.h"
@@ -104,7 +105,7 @@
 
     /// Returns the ids of the workers that could run a task of @p request if the advice service allows it: those that have room for
     /// it now, and then the others, each by decreasing free processor capacity.
-    std::vector<std::string> adviceCandidates(PlacementRequest request) const;
+    std::vector<AdviceCandidate> adviceCandidates(PlacementRequest request) const;
 
     /// Returns true if @p worker can take tasks, unless it is quarantined.
     bool isAvailable(const WorkerState &worker) const;
--- a/src/libs/ports/adviceservice.h
+++ b/src/libs/ports/adviceservice.h
@@ -29,7 +29,7 @@
 public:
     virtual ~AdviceService() = default;
 
-    virtual boost::asio::awaitable<AdviceResult> requestAdvice(TaskId step, std::vector<std::string> workers) = 0;
+    virtual boost::asio::awaitable<AdviceResult> requestAdvice(TaskId step, std::vector<std::string> workers, std::chrono::milliseconds timeout) = 0;
 };
 
 } // namespace Hyssop
--- a/tests/libs/dispatch/dispatchfleet.cpp
+++ b/tests/libs/dispatch/dispatchfleet.cpp
@@ -1,5 +1,7 @@
 #include "dispatchfleet.h"
 
+#include "simulatedadviceservice.h"
+
 #include <dispatch/claimtimes.h>
 #include <jobtopic/jobtable.h>
 #include <utils/overloaded.h>
@@ -31,9 +33,8 @@
     queue.workerPool = "hall";
     queue.deadlineFactor = 2;
     queue.maximumFailures = 3;
-    ClusterConfig config;
-    config.queues[queue.name] = queue;
-    m_dispatcher.applyConfiguration(config, {});
+    m_config.queues[queue.name] = queue;
+    m_dispatcher.applyConfiguration(m_config, {});
     m_dispatcher.beginTerm(1, JobTable(), {m_now, m_now}, true);
     for (int number = 0; number < workers; ++number) {
         addWorker(milliCores);
@@ -121,6 +122,22 @@
     return m_costs->tick + responses * m_costs->response + listedRuns * m_costs->listedRun + examined * m_costs->examinedWorker;
 }
 
+void DispatchFleet::setAdviceService(SimulatedAdviceService &service)
+{
+    m_adviceService = &service;
+    m_config.queues.begin()->second.advice = service.parameters;
+    m_dispatcher.applyConfiguration(m_config, {});
+}
+
+void DispatchFleet::receiveAdvice()
+{
+    if (m_adviceService != nullptr) {
+        m_adviceService->advance(m_now, [this](const RequestAdvice &request, const AdviceResult &result, TimePoint sentAt) {
+            m_dispatcher.adviceAnswered(request, result, sentAt, m_now);
+        });
+    }
+}
+
 void DispatchFleet::receiveStartResponses()
 {
     for (const StartCommand &command : std::exchange(m_startResponses, {})) {
@@ -141,6 +158,7 @@
 {
     m_now += std::max<Duration>(TickInterval, takeProcessorTime());
     receiveStartResponses();
+    receiveAdvice();
     completeDueRuns();
     m_dispatcher.confirmRead(m_now);
     m_dispatcher.confirmWorkersRead(m_now);
@@ -172,6 +190,11 @@
                        worker.completableRuns.erase(command.task);
                        m_dispatcher.stopAnswered(command, CommandExecuted{clock()}, m_now);
                    },
+                   [&](const RequestAdvice &request) {
+                       if (m_adviceService != nullptr) {
+                           m_adviceService->send(request, m_now);
+                       }
+                   },
                    [&](PollCommand &command) { workerOf(command.worker.id).polls.emplace_back(std::move(command), m_now); },
                    [](const auto &) {},
                },
@@ -180,6 +203,12 @@
 
 void DispatchFleet::startRun(const StartCommand &command)
 {
+    if (m_adviceService != nullptr && !m_adviceService->isValid(command.ticket, command.task, command.worker.id, m_now)) {
+        ++m_rejectedTickets;
+        m_dispatcher.startAnswered(command, CommandRejected{RejectionReason::MissingTicket, "ticket"}, m_now);
+        return;
+    }
+    m_startedJobs.insert(command.task.job);
     ++m_starts;
     ++m_startsBySize[milliCoresOf(command.task)];
     Worker &worker = workerOf(command.worker.id);
--- a/tests/libs/dispatch/dispatchfleet.h
+++ b/tests/libs/dispatch/dispatchfleet.h
@@ -18,6 +18,8 @@
 
 namespace Hyssop::Testing {
 
+class SimulatedAdviceService;
+
 /// What the owner's processor takes for its work.
 struct ProcessorCosts
 {
@@ -50,6 +52,15 @@
     /// not serve complete after @p runTime.
     void limitProcessor(const ProcessorCosts &costs, Duration runTime);
 
+    /// Lets a policy decide on which workers the jobs may run. @p service must outlive the fleet.
+    void setAdviceService(SimulatedAdviceService &service);
+
+    /// Returns the number of starts that workers have rejected because their ticket was not valid.
+    std::size_t rejectedTickets() const { return m_rejectedTickets; }
+
+    /// Returns the number of jobs of which no task has started.
+    std::size_t jobsWithoutStart() const { return m_milliCores.size() - m_startedJobs.size(); }
+
     /// Lets ticks decide about @p scope only from now on.
     void setScope(TickScope scope) { m_scope = scope; }
 
@@ -92,6 +103,7 @@
     Duration takeProcessorTime();
     void perform(DispatchAction &action);
     void startRun(const StartCommand &command);
+    void receiveAdvice();
     bool completeRun(Worker &worker, std::int64_t maximumMilliCores);
     bool completeRun(Worker &worker, const TaskId &task);
     void answerPoll(Worker &worker, const PollCommand &poll, TimePoint sentAt);
@@ -100,6 +112,7 @@
     WorkerTime clock() const;
     WallTime wall() const;
 
+    ClusterConfig m_config;
     Dispatcher m_dispatcher{DispatchLimits()};
     TimePoint m_now{std::chrono::seconds(1000)};
     std::vector<Worker> m_workers;
@@ -108,6 +121,9 @@
     std::map<std::int64_t, std::size_t> m_startsBySize;
     std::size_t m_nextCompletion = 0; // index of the worker
     std::size_t m_starts = 0;
+    std::set<std::string> m_startedJobs;
+    SimulatedAdviceService *m_adviceService = nullptr;
+    std::size_t m_rejectedTickets = 0;
     TickScope m_scope = TickScope::All;
     std::optional<ProcessorCosts> m_costs;
     Duration m_runTime{0};
--- a/tests/libs/dispatch/testadvice.cpp
+++ b/tests/libs/dispatch/testadvice.cpp
@@ -71,12 +71,13 @@
             dispatcher.confirmRead(now);
             dispatcher.confirmWorkersRead(now);
             reportLostResponses();
+            reportStoredBatches();
             const WallTime wall(std::chrono::duration_cast<WallTime::duration>(now.time_since_epoch()));
             for (const DispatchAction &action : dispatcher.advance(now, wall)) {
                 std::visit(Overloaded{[this](const PollCommand &poll) { answer(poll); },
                                       [this](const StartCommand &start) { answer(start); },
                                       [this](const RequestAdvice &request) { answer(request); },
-                                      [this](const AppendRecords &) { dispatcher.recordsStored(now); },
+                                      [this](const AppendRecords &) { m_batchesStoredAt.push_back(now + storeTime); },
                                       [](const auto &) {}},
                            action);
             }
@@ -88,6 +89,7 @@
     std::set<std::string> allowed; // workers on which the policy allows the step
     bool rejectsTickets = false;
     bool isAdviceAvailable = true;
+    Duration storeTime{0}; // of an append
     int lostResponses = 0; // so many of the next requests for advice get no response
     std::vector<RequestAdvice> requests;
     std::vector<StartCommand> starts;
@@ -148,7 +150,16 @@
         }
     }
 
+    void reportStoredBatches()
+    {
+        while (!m_batchesStoredAt.empty() && m_batchesStoredAt.front() <= now) {
+            m_batchesStoredAt.erase(m_batchesStoredAt.begin());
+            dispatcher.recordsStored(now);
+        }
+    }
+
     std::map<std::string, std::vector<ReportedRun>> m_runs;
+    std::vector<TimePoint> m_batchesStoredAt;
     std::vector<std::pair<RequestAdvice, TimePoint>> m_unanswered; // and when they were sent
 };
 
@@ -236,3 +247,16 @@
     const auto sinceBegin = std::chrono::duration_cast<std::chrono::milliseconds>(queue.now - TimePoint(1000s));
     cr_expect_lt(sinceBegin.count(), 3100, "the first start was sent after %lld ms", static_cast<long long>(sinceBegin.count()));
 }
+
+// Guards against a start that a worker rejects for sure: its ticket has expired while the intent was stored.
+Test(advice, noStartIsSentWithoutATicket)
+{
+    QueueWithAdvice queue(2, {{"w", SmallWorker}});
+    queue.allowed = {"w"};
+    queue.storeTime = 4s; // longer than a ticket is valid
+    queue.run(10s);
+    cr_expect(queue.starts.empty(), "%zu starts", queue.starts.size());
+    queue.storeTime = 100ms;
+    queue.run(8s);
+    cr_expect_eq(queue.starts.size(), 2, "%zu starts", queue.starts.size());
+}
--- a/tests/libs/dispatch/testpolicies.cpp
+++ b/tests/libs/dispatch/testpolicies.cpp
@@ -1,6 +1,5 @@
 #include <dispatch/leasepolicy.h>
 #include <dispatch/schedulingkey.h>
-#include <dispatch/ticketcache.h>
 #include <dispatch/workerclock.h>
 #include <dispatch/workerhealth.h>
 #include <ports/clusterconfig.h>
@@ -271,83 +270,3 @@
     health.reportFailure(earlier, Begin + 4s);
     cr_assert(health.acceptsTask(Begin + 6s), "the worker is quarantined again");
 }
-
-// Guards against a burden on a service that handles one request at a time: an overdue request is repeated once, and not before it is overdue.
-Test(ticketCache, anOverdueRequestIsRepeatedOnce)
-{
-    TicketCache cache;
-    const TaskId task{"job", 0, 1, 0};
-    const AdviceParameters service{400ms, 100ms, 3s};
-    cr_assert_eq(cache.beginRequest(task, {"w"}, Begin, service).size(), 1);
-    cr_assert_not(cache.canRequest(task, Begin + 900ms), "the service takes 500 ms");
-    cr_assert_eq(cache.beginRequest(task, {"w"}, Begin + 1100ms, service).size(), 1);
-    cr_assert_not(cache.canRequest(task, Begin + 10s), "two requests are pending");
-    cache.handleResult(task, {"w"}, Error{ErrorCode::Timeout, "timeout"}, Begin, Begin + 5s);
-    cr_assert(cache.canRequest(task, Begin + 6s));
-}
-
-// Guards against repetitions of requests that only wait for others: the service handles the requests of an instance in turn.
-Test(ticketCache, requestsOfOtherStepsDelayAnExpectedResponse)
-{
-    TicketCache cache;
-    const AdviceParameters service{1s, 0ms, 3s};
-    for (int step = 0; step < 3; ++step) {
-        cr_assert_eq(cache.beginRequest({"job", 0, step, 0}, {"w"}, Begin, service).size(), 1);
-    }
-    cr_assert(cache.canRequest({"job", 0, 0, 0}, Begin + 1600ms));
-    cr_assert_not(cache.canRequest({"job", 0, 2, 0}, Begin + 3400ms));
-    cr_assert(cache.canRequest({"job", 0, 2, 0}, Begin + 3600ms));
-}
-
-// Guards against a service that has become slow and is then asked twice about each step.
-Test(ticketCache, lateResponsesDelayRepetitions)
-{
-    TicketCache cache;
-    const TaskId task{"job", 0, 1, 0};
-    const PlacementAdvice advice{{{"w", "t"}}, 3s};
-    cache.beginRequest(task, {"w"}, Begin, {});
-    cache.handleResult(task, {"w"}, advice, Begin, Begin + 2s);
-    cr_assert_eq(cache.beginRequest({"job", 0, 2, 0}, {"w"}, Begin + 10s, {}).size(), 1);
-    cr_assert_not(cache.canRequest({"job", 0, 2, 0}, Begin + 13s));
-    cr_assert(cache.canRequest({"job", 0, 2, 0}, Begin + 15s));
-}
-
-// Guards against a ticket that a late response to the first request replaces by one that expires earlier.
-Test(ticketCache, aLateResponseDoesNotShortenATicket)
-{
-    TicketCache cache;
-    const TaskId task{"job", 0, 1, 0};
-    cache.beginRequest(task, {"w"}, Begin, {});
-    cr_assert_eq(cache.beginRequest(task, {"w"}, Begin + 1s, {}).size(), 1);
-    cache.handleResult(task, {"w"}, PlacementAdvice{{{"w", "new"}}, 3s}, Begin + 1s, Begin + 1100ms);
-    cache.handleResult(task, {"w"}, PlacementAdvice{{{"w", "old"}}, 3s}, Begin, Begin + 1200ms);
-    const auto *tickets = cache.tickets(task, Begin + 3500ms);
-    cr_assert(tickets != nullptr && tickets->at("w") == "new");
-}
-
-Test(ticketCache, returnsTicketsWhileTheyAreValid)
-{
-    TicketCache cache;
-    const TaskId task{"job", 0, 1, 5};
-    cr_assert_eq(cache.beginRequest(task, {"w"}, Begin).size(), 1);
-    cr_assert(cache.beginRequest(task, {"w"}, Begin).empty(), "one request at a time");
-    cache.handleResult({"job", 0, 1, 0}, {"w"}, PlacementAdvice{{{"w", "t"}}, 3s}, Begin, Begin + 100ms);
-    cr_assert_eq(cache.tickets(task, Begin + 1s)->at("w"), "t");
-    cache.discard(task, "w", Begin + 1s);
-    cr_assert_null(cache.tickets(task, Begin + 1s));
-    cr_assert_not(cache.canRequest(task, Begin + 1s), "a rejected ticket is replaced after a delay");
-    cr_assert_eq(cache.beginRequest(task, {"w"}, Begin + 2s).size(), 1);
-    cache.handleResult(task, {"w"}, PlacementAdvice{{{"w", "t"}}, 3s}, Begin + 2s, Begin + 2s);
-    cr_assert_null(cache.tickets(task, Begin + 5s));
-}
-
-Test(ticketCache, asksAboutAllowedWorkersFirstAndNeverAboutExcludedOnes)
-{
-    TicketCache cache;
-    const TaskId task{"job", 0, 1, 5};
-    cr_assert_eq(cache.beginRequest(task, {"a", "b"}, Begin).size(), 2);
-    cache.handleResult(task, {"a", "b"}, PlacementAdvice{{{"b", "t"}}, 1s}, Begin, Begin);
-    const std::vector<std::string> next = cache.beginRequest(task, {"a", "new", "b"}, Begin + 2s);
-    cr_assert_null(cache.tickets(task, Begin + 2s));
-    cr_assert_eq(next, (std::vector<std::string>{"b", "new"}));
-}
--- a/tests/libs/node/noadvice.h
+++ b/tests/libs/node/noadvice.h
@@ -11,7 +11,10 @@
 class NoAdvice : public AdviceService
 {
 public:
-    boost::asio::awaitable<AdviceResult> requestAdvice(TaskId, std::vector<std::string>) override { co_return Error{ErrorCode::Unavailable, "no advice"}; }
+    boost::asio::awaitable<AdviceResult> requestAdvice(TaskId, std::vector<std::string>, std::chrono::milliseconds) override
+    {
+        co_return Error{ErrorCode::Unavailable, "no advice"};
+    }
 };
 
 } // namespace Hyssop::Testing
