Answer all requests that were read before a node ends

Cause: shutDown() waited for 0.3 s without open requests, read requests from open connections all the while, and stopped 0.9 s before the end of the grace time whatever was open. A request can wait for a read of the job topic for 1 s, or for an append.

Evidence: open_requests of the line "stopped" equals the number of requests that were cut, on a standby and on an owner.

Change: from 0.9 s before the end of the grace time no request waits: 503 if nothing was sent, 504 if the outcome is unknown. Connections without a request are closed then, and the process ends when none is left, for all three ports. The ownership is released meanwhile instead of before. The opposite, to stop reading at SIGTERM, would cut callers on open connections.

--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <list>
 #include <utility>
@@ -27,6 +28,17 @@
 constexpr std::size_t FirstReadSize = 512; // bytes; many connections wait for a request
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
+struct HttpConnection
+{
+    explicit HttpConnection(asio::ip::tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+
+    beast::tcp_stream stream;
+    bool isIdle = true; // no byte of a request was received since the last response
+};
+
 struct HttpServerState
 {
     HttpServerState(const asio::any_io_executor &executor, const asio::ip::tcp::endpoint &endpoint, HttpServer::Handler requestHandler)
@@ -38,7 +50,7 @@
     asio::ip::tcp::acceptor acceptor;
     HttpServer::Handler handler;
     HttpServer::FailureHandler failureHandler = [](const std::exception_ptr &) {};
-    std::list<beast::tcp_stream> connections;
+    std::list<HttpConnection> connections;
     HttpServerLimits limits;
     std::size_t openRequests = 0;
     bool draining = false;
@@ -59,23 +71,26 @@
 using RequestParser = http::request_parser<http::string_body>;
 
 /// Waits for the first byte of a request, unless the buffer contains bytes that the caller has sent ahead.
-static asio::awaitable<boost::system::error_code> waitForRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::chrono::milliseconds timeout)
+static asio::awaitable<boost::system::error_code> waitForRequest(HttpConnection &connection, beast::flat_buffer &buffer, std::chrono::milliseconds timeout)
 {
-    if (buffer.size() > 0) {
+    connection.isIdle = buffer.size() == 0;
+    if (!connection.isIdle) {
         co_return boost::system::error_code();
     }
-    stream.expires_after(timeout);
-    const auto [error, size] = co_await stream.async_read_some(buffer.prepare(FirstReadSize), AsTuple);
+    connection.stream.expires_after(timeout);
+    const auto [error, size] = co_await connection.stream.async_read_some(buffer.prepare(FirstReadSize), AsTuple);
     buffer.commit(size);
+    connection.isIdle = size == 0;
     co_return error == asio::error::eof ? boost::system::error_code(http::error::end_of_stream) : error;
 }
 
 static asio::awaitable<boost::system::error_code>
-readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, RequestParser &parser, const HttpServerLimits &limits)
+readRequest(HttpConnection &connection, beast::flat_buffer &buffer, RequestParser &parser, const HttpServerLimits &limits)
 {
-    if (const auto error = co_await waitForRequest(stream, buffer, limits.idleTimeout)) {
+    if (const auto error = co_await waitForRequest(connection, buffer, limits.idleTimeout)) {
         co_return error;
     }
+    beast::tcp_stream &stream = connection.stream;
     stream.expires_after(limits.headerTimeout);
     const auto [headerError, headerSize] = co_await http::async_read_header(stream, buffer, parser, AsTuple);
     if (headerError) {
@@ -99,15 +114,16 @@
     co_return none;
 }
 
-static asio::awaitable<void> serveRequests(HttpServerStatePtr state, beast::tcp_stream &stream)
+static asio::awaitable<void> serveRequests(HttpServerStatePtr state, HttpConnection &connection)
 {
+    beast::tcp_stream &stream = connection.stream;
     beast::flat_buffer buffer;
     while (!state->stopped) {
         RequestParser parser;
         parser.header_limit(state->limits.headerBytes);
         parser.body_limit(state->limits.bodyBytes);
         const HttpServerLimits limits = state->limits;
-        const boost::system::error_code readError = co_await readRequest(stream, buffer, parser, limits);
+        const boost::system::error_code readError = co_await readRequest(connection, buffer, parser, limits);
         if (readError) {
             if (readError.category() == http::make_error_code(http::error::end_of_stream).category() && readError != http::error::end_of_stream) {
                 co_await sendBadRequest(stream, readError);
@@ -132,12 +148,12 @@
     }
 }
 
-static asio::awaitable<void> serveConnection(HttpServerStatePtr state, std::list<beast::tcp_stream>::iterator connection)
+static asio::awaitable<void> serveConnection(HttpServerStatePtr state, std::list<HttpConnection>::iterator connection)
 {
     boost::system::error_code ignored;
-    connection->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     co_await serveRequests(state, *connection);
-    connection->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     state->connections.erase(connection);
 }
 
@@ -192,18 +208,36 @@
     m_state->draining = true;
 }
 
+void HttpServer::closeIdleConnections()
+{
+    for (Internal::HttpConnection &connection : m_state->connections) {
+        boost::system::error_code ignored;
+        if (connection.isIdle && connection.stream.socket().available(ignored) == 0) {
+            connection.stream.cancel();
+        }
+    }
+}
+
 std::size_t HttpServer::openRequests() const
 {
     return m_state->openRequests;
 }
 
+std::size_t HttpServer::unfinishedRequests() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_state->connections, [](const Internal::HttpConnection &connection) {
+        boost::system::error_code ignored;
+        return !connection.isIdle || connection.stream.socket().available(ignored) > 0;
+    }));
+}
+
 void HttpServer::stop()
 {
     m_state->stopped = true;
     boost::system::error_code ignored;
     m_state->acceptor.close(ignored);
-    for (beast::tcp_stream &connection : m_state->connections) {
-        connection.socket().close(ignored);
+    for (Internal::HttpConnection &connection : m_state->connections) {
+        connection.stream.socket().close(ignored);
     }
 }
 
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -59,9 +59,16 @@
     /// Continues to serve, but closes each connection after its next response.
     void beginDrain();
 
+    /// Closes the connections that have neither an open request nor bytes to read. A request that is read before the connection is closed gets
+    /// its response.
+    void closeIdleConnections();
+
     /// Number of requests that are being handled.
     std::size_t openRequests() const;
 
+    /// Number of requests of which bytes have arrived and that have no response yet.
+    std::size_t unfinishedRequests() const;
+
     /// Stops accepting and closes every connection.
     void stop();
 
--- a/src/libs/instance/adminserver.cpp
+++ b/src/libs/instance/adminserver.cpp
@@ -64,6 +64,16 @@
     m_server.stop();
 }
 
+void AdminServer::closeIdleConnections()
+{
+    m_server.closeIdleConnections();
+}
+
+std::size_t AdminServer::unfinishedRequests() const
+{
+    return m_server.unfinishedRequests();
+}
+
 asio::ip::tcp::endpoint AdminServer::localEndpoint() const
 {
     return m_server.localEndpoint();
--- a/src/libs/instance/adminserver.h
+++ b/src/libs/instance/adminserver.h
@@ -24,6 +24,10 @@
     void start();
     void stop();
 
+    /// See HttpServer.
+    void closeIdleConnections();
+    std::size_t unfinishedRequests() const;
+
     boost::asio::ip::tcp::endpoint localEndpoint() const;
 
 private:
--- a/src/libs/node/jobintake.cpp
+++ b/src/libs/node/jobintake.cpp
@@ -82,8 +82,8 @@
     if (m_table.find(jobId) != nullptr) {
         co_return JobAccepted{}; // the caller resent the job
     }
-    if (!m_follower.isStoreResponsive()) {
-        recordImmediateRejection(jobId, "submission");
+    if (const char *reason = rejectionReason()) {
+        recordImmediateRejection(jobId, "submission", reason);
         co_return JobNotAccepted{};
     }
     const TimePoint begin = m_clock.now();
@@ -128,6 +128,9 @@
         if (m_admission.isSubmitted(jobId, m_clock.now())) {
             co_return std::nullopt; // by another attempt through this instance meanwhile
         }
+        if (m_isShuttingDown && !isCurrent) {
+            co_return JobUndetermined{};
+        }
         decision = decideOnServing(jobId, job);
         if (!isCurrent && decision.isRefused()) {
             decision.retryAfter.reset();
@@ -183,8 +186,8 @@
     if (entry != nullptr && entry->isEnded()) {
         co_return JobAccepted{};
     }
-    if (!m_follower.isStoreResponsive()) {
-        recordImmediateRejection(jobId, "cancellation");
+    if (const char *reason = rejectionReason()) {
+        recordImmediateRejection(jobId, "cancellation", reason);
         co_return JobNotAccepted{};
     }
     auto pending = std::make_shared<Internal::PendingRecord>(
@@ -206,13 +209,23 @@
     co_return m_table.find(jobId) != nullptr ? CancelResult(JobAccepted{}) : CancelResult(JobNotFound{});
 }
 
-void JobIntake::recordImmediateRejection(const std::string &jobId, const char *requestKind)
+const char *JobIntake::rejectionReason() const
+{
+    if (m_isShuttingDown) {
+        return "shutdown";
+    }
+    return m_follower.isStoreResponsive() ? nullptr : "the store is not responding";
+}
+
+void JobIntake::recordImmediateRejection(const std::string &jobId, const char *requestKind, const char *reason)
 {
-    logMessage(
-        LogLevel::Info,
-        "intake",
-        "request rejected immediately: the store is not responding",
-        {{"job_id", jobId}, {"request", requestKind}, {"table_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_follower.age()).count()}});
+    logMessage(LogLevel::Info,
+               "intake",
+               "request rejected immediately",
+               {{"job_id", jobId},
+                {"request", requestKind},
+                {"reason", reason},
+                {"table_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_follower.age()).count()}});
     m_metrics.add("hyssop_requests_refused_at_once_total", {{"request", requestKind}});
 }
 
@@ -252,6 +265,23 @@
     }
 }
 
+void JobIntake::beginShutdown()
+{
+    m_isShuttingDown = true;
+    for (const PendingPtr &pending : m_pending) {
+        if (!pending->maybeAppended) {
+            pending->done.cancel();
+        }
+    }
+}
+
+void JobIntake::abandonRequests()
+{
+    for (const auto &[key, pending] : m_unanswered) {
+        pending->done.cancel();
+    }
+}
+
 asio::awaitable<void> JobIntake::run()
 {
     while (true) {
@@ -344,7 +374,7 @@
 {
     const TimePoint deadline = m_clock.now() + timeout;
     while (m_clock.now() - m_follower.age() < since) {
-        if (m_clock.now() >= deadline) {
+        if (m_clock.now() >= deadline || m_isShuttingDown) {
             co_return false;
         }
         asio::steady_timer timer(m_executor, Internal::AppliedCheckInterval);
@@ -357,7 +387,7 @@
 {
     const TimePoint deadline = m_clock.now() + timeout;
     while (m_follower.end() <= offset) {
-        if (m_clock.now() >= deadline) {
+        if (m_clock.now() >= deadline || m_isShuttingDown) {
             co_return false;
         }
         asio::steady_timer timer(m_executor, Internal::AppliedCheckInterval);
--- a/src/libs/node/jobintake.h
+++ b/src/libs/node/jobintake.h
@@ -79,13 +79,21 @@
     boost::asio::awaitable<CancelResult> cancel(std::string jobId, std::chrono::milliseconds timeout);
     JobStateResult state(const std::string &jobId) const;
 
+    /// Answers at once from now on: the process ends soon. A request without an append under way is rejected, and no request waits for reads.
+    void beginShutdown();
+
+    /// Answers the requests whose appends are still under way; their outcome is unknown.
+    void abandonRequests();
+
     /// Appends the records that submit() and cancel() enqueue. Runs until the executor stops.
     boost::asio::awaitable<void> run();
 
 private:
     using PendingPtr = std::shared_ptr<Internal::PendingRecord>;
 
-    void recordImmediateRejection(const std::string &jobId, const char *requestKind);
+    /// Returns why a request is rejected without a try, or a null pointer.
+    const char *rejectionReason() const;
+    void recordImmediateRejection(const std::string &jobId, const char *requestKind, const char *reason);
 
     /// Returns the result if @p job is to be submitted no further: it has serving tasks without room, or proves to be recorded.
     boost::asio::awaitable<std::optional<SubmitResult>> checkServingRoom(const std::string &jobId, const Wire::StepJob &job, std::chrono::milliseconds timeout);
@@ -112,6 +120,7 @@
     std::vector<PendingPtr> m_pending;
     std::multimap<std::string, PendingPtr> m_unanswered; // by the key of the record, also those that are being appended
     ServingAdmission m_admission;
+    bool m_isShuttingDown = false;
 };
 
 } // namespace Hyssop
--- a/src/libs/node/nodedaemon.cpp
+++ b/src/libs/node/nodedaemon.cpp
@@ -28,7 +28,11 @@
 // The load balancer needs up to two seconds to notice that an instance is not ready.
 constexpr std::chrono::milliseconds MinimumDrainTime{2500};
 constexpr std::chrono::milliseconds IdleTimeBeforeExit{300};
+// Before the end of the grace time. From then on, requests are answered at once.
 constexpr std::chrono::milliseconds ShutdownMargin{900};
+// An append that was under way then may still get its response in the first half.
+constexpr std::chrono::milliseconds FinishTime{500};
+constexpr std::chrono::milliseconds FinishCheckInterval{10};
 constexpr std::chrono::milliseconds DrainCheckInterval{50};
 constexpr std::size_t MaximumCallerConnections = 2000;
 
@@ -189,24 +193,62 @@
 
 asio::awaitable<void> NodeDaemon::shutDown()
 {
+    const TimePoint begin = m_clock.now();
+    const TimePoint answersEnd = begin + m_shutdownGrace - Internal::ShutdownMargin;
     logMessage(LogLevel::Info, "node", "shutting down", {{"open_requests", m_callerServer->openRequests()}, {"owner", m_owner.isOwner()}});
     m_callerServer->beginDrain();
-    const TimePoint begin = m_clock.now();
+    asio::co_spawn(m_context, releaseOwnership(), endProcessOnException);
+    co_await serveUntilIdle(begin + Internal::MinimumDrainTime, answersEnd);
+    const std::size_t openRequests = m_callerServer->openRequests();
+    co_await finishRequests(answersEnd + Internal::FinishTime);
+    m_owner.finishLog();
+    logMessage(LogLevel::Info,
+               "node",
+               "stopped",
+               {{"open_requests", m_callerServer->unfinishedRequests()},
+                {"answered_at_once", openRequests},
+                {"passed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - begin).count()}});
+    m_context.stop();
+}
+
+asio::awaitable<void> NodeDaemon::releaseOwnership()
+{
     co_await m_owner.release();
+    m_isReleased = true;
+}
+
+asio::awaitable<void> NodeDaemon::serveUntilIdle(TimePoint earliestEnd, TimePoint deadline)
+{
     asio::steady_timer timer(m_context);
-    TimePoint lastBusyAt = begin;
-    while (m_clock.now() - begin < m_shutdownGrace - Internal::ShutdownMargin) {
+    TimePoint lastBusyAt = m_clock.now();
+    while (m_clock.now() < deadline) {
         const TimePoint now = m_clock.now();
-        lastBusyAt = m_callerServer->openRequests() > 0 ? now : lastBusyAt;
-        if (now - begin >= Internal::MinimumDrainTime && now - lastBusyAt >= Internal::IdleTimeBeforeExit) {
+        lastBusyAt = m_callerServer->openRequests() > 0 || !m_isReleased ? now : lastBusyAt;
+        if (now >= earliestEnd && now - lastBusyAt >= Internal::IdleTimeBeforeExit) {
             break;
         }
         timer.expires_after(Internal::DrainCheckInterval);
         co_await timer.async_wait(Internal::AsTuple);
     }
-    m_owner.finishLog();
-    logMessage(LogLevel::Info, "node", "stopped", {{"open_requests", m_callerServer->openRequests()}});
-    m_context.stop();
+}
+
+asio::awaitable<void> NodeDaemon::finishRequests(TimePoint deadline)
+{
+    m_intake.beginShutdown();
+    asio::steady_timer timer(m_context);
+    while (m_clock.now() < deadline) {
+        if (m_clock.now() >= deadline - Internal::FinishTime / 2) {
+            m_intake.abandonRequests();
+        }
+        m_callerServer->closeIdleConnections();
+        m_readinessServer->closeIdleConnections();
+        m_admin.closeIdleConnections();
+        timer.expires_after(Internal::FinishCheckInterval);
+        co_await timer.async_wait(Internal::AsTuple);
+        if (m_callerServer->unfinishedRequests() + m_readinessServer->unfinishedRequests() + m_admin.unfinishedRequests() == 0) {
+            break;
+        }
+    }
 }
 
 } // namespace Hyssop
--- a/src/libs/node/nodedaemon.h
+++ b/src/libs/node/nodedaemon.h
@@ -53,6 +53,13 @@
     void applyLimits();
     void waitForSignal();
     boost::asio::awaitable<void> shutDown();
+    boost::asio::awaitable<void> releaseOwnership();
+
+    /// Serves requests until none has come for a while, or until @p deadline.
+    boost::asio::awaitable<void> serveUntilIdle(TimePoint earliestEnd, TimePoint deadline);
+
+    /// Answers all requests that are read, at once from now on, until @p deadline.
+    boost::asio::awaitable<void> finishRequests(TimePoint deadline);
 
     boost::asio::io_context &m_context;
     Clock m_clock{SuspendTime::Counted};
@@ -73,6 +80,7 @@
     std::unique_ptr<HttpServer> m_readinessServer;
     boost::asio::signal_set m_signals;
     bool m_draining = false;
+    bool m_isReleased = false; // the ownership, for the shutdown
 };
 
 } // namespace Hyssop
--- a/tests/libs/http/testhttpserver.cpp
+++ b/tests/libs/http/testhttpserver.cpp
@@ -21,6 +21,9 @@
 
 asio::awaitable<HttpResponse> respond(const HttpRequest &request)
 {
+    if (request.target() == "/slow") {
+        co_await pauseFor(300ms);
+    }
     if (request.target() == "/throw") {
         throw std::runtime_error("unexpected");
     }
@@ -89,6 +92,36 @@
     cr_assert_eq(server.openRequests(), 0, "a shutdown would wait for the request");
 }
 
+asio::awaitable<void> onlyIdleConnectionsAreClosedSteps(HttpServer &server)
+{
+    RawCaller idle;
+    RawCaller slow;
+    RawCaller half;
+    RawCaller fresh;
+    for (RawCaller *caller : {&idle, &slow, &half, &fresh}) {
+        co_await caller->connect(server);
+    }
+    co_await pauseFor(50ms);
+    co_await slow.send("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n");
+    co_await half.send("GET /ok HTTP/1.1\r\nHo");
+    co_await pauseFor(50ms);
+    co_await fresh.send(CompleteRequest);
+    cr_assert_eq(server.unfinishedRequests(), 3, "%zu requests", server.unfinishedRequests());
+    server.beginDrain();
+    server.closeIdleConnections();
+    const std::string none = co_await idle.receiveHeader();
+    cr_assert(none.empty());
+    const std::string freshHeader = co_await fresh.receiveHeader();
+    cr_assert(freshHeader.starts_with("HTTP/1.1 200"), "its request had arrived");
+    co_await half.send("st: a\r\n\r\n");
+    const std::string halfHeader = co_await half.receiveHeader();
+    cr_assert(halfHeader.starts_with("HTTP/1.1 200"));
+    const std::string slowHeader = co_await slow.receiveHeader();
+    cr_assert(slowHeader.starts_with("HTTP/1.1 200"));
+    co_await pauseFor(20ms);
+    cr_assert_eq(server.unfinishedRequests(), 0);
+}
+
 } // namespace
 
 Test(httpServer, aConnectionWithHalfAHeaderIsClosedAfterTheHeaderTimeout)
@@ -125,3 +158,12 @@
     runToEnd(context, anExceptionClosesOneConnectionSteps(server));
     cr_assert_eq(failures, 1);
 }
+
+// Guards against a shutdown that closes a connection on which a request has arrived.
+Test(httpServer, onlyConnectionsWithoutARequestAreClosedAsIdle)
+{
+    asio::io_context context{1};
+    HttpServer server(context.get_executor(), anyLoopbackPort(), respond);
+    server.start();
+    runToEnd(context, onlyIdleConnectionsAreClosedSteps(server));
+}
--- a/tests/libs/node/testjobintake.cpp
+++ b/tests/libs/node/testjobintake.cpp
@@ -55,6 +55,13 @@
     return job;
 }
 
+Wire::StepJob shortJob()
+{
+    Wire::StepJob job = servingJob();
+    job.steps[0].longRunning = false;
+    return job;
+}
+
 /// An instance that accepts jobs while another one owns the topic.
 struct Fixture
 {
@@ -103,11 +110,13 @@
         return result;
     }
 
-    asio::awaitable<void> submitInto(std::optional<SubmitResult> &result, std::string jobId)
+    asio::awaitable<void> submitInto(std::optional<SubmitResult> &result, std::string jobId, Wire::StepJob job = servingJob())
     {
-        result = co_await intake.submit(std::move(jobId), servingJob(), 3s);
+        result = co_await intake.submit(std::move(jobId), std::move(job), 3s);
     }
 
+    asio::awaitable<void> cancelInto(std::optional<CancelResult> &result, std::string jobId) { result = co_await intake.cancel(std::move(jobId), 3s); }
+
     bool isRecorded(const std::string &jobId)
     {
         context.run_for(60ms);
@@ -263,3 +272,58 @@
     fixture.context.run_for(4s);
     cr_assert(result && std::holds_alternative<JobAccepted>(*result));
 }
+
+// Guards against requests that a stopping instance has read and never answers: they wait for reads and appends longer than the process lives.
+Test(jobIntake, requestsWaitForNothingDuringAShutdown, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.publishRoom(JobDemand);
+    fixture.publishRoom(0);
+    fixture.follower.setTiming({800ms, 0ms}); // the next read is far off
+    fixture.context.run_for(100ms);
+    std::optional<SubmitResult> withoutRoom;
+    std::optional<CancelResult> unknown;
+    asio::co_spawn(fixture.context, fixture.submitInto(withoutRoom, "a"), asio::detached);
+    asio::co_spawn(fixture.context, fixture.cancelInto(unknown, "b"), asio::detached);
+    fixture.context.run_for(50ms);
+    cr_assert(!withoutRoom && !unknown);
+    fixture.intake.beginShutdown();
+    fixture.context.run_for(50ms);
+    cr_assert(withoutRoom && unknown, "a request waits for a read");
+    cr_expect(std::holds_alternative<JobUndetermined>(*withoutRoom), "an earlier attempt may have been recorded");
+    cr_expect(std::holds_alternative<JobUndetermined>(*unknown), "the cancellation is recorded, and the job may be");
+}
+
+Test(jobIntake, requestsAreRejectedAtOnceDuringAShutdown, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.publishRoom(JobDemand);
+    cr_assert(std::holds_alternative<JobAccepted>(fixture.submit("a")));
+    cr_assert(fixture.isRecorded("a"));
+    fixture.intake.beginShutdown();
+    cr_expect(std::holds_alternative<JobNotAccepted>(fixture.submit("b")));
+    cr_expect(std::holds_alternative<JobNotAccepted>(fixture.cancel("a")));
+    cr_expect(std::holds_alternative<JobAccepted>(fixture.submit("a")), "it was accepted before");
+    cr_expect_not(fixture.isRecorded("b"));
+}
+
+// Guards against a caller that is told that its job was not accepted while the append may still be executed.
+Test(jobIntake, anAppendThatIsUnderWayAtTheEndIsUndetermined, .timeout = 30)
+{
+    Fixture fixture;
+    fixture.publishRoom(JobDemand);
+    fixture.store.appendTime = 1s;
+    std::optional<SubmitResult> sent;
+    std::optional<SubmitResult> waiting;
+    asio::co_spawn(fixture.context, fixture.submitInto(sent, "a"), asio::detached);
+    fixture.context.run_for(50ms);
+    asio::co_spawn(fixture.context, fixture.submitInto(waiting, "b", shortJob()), asio::detached);
+    fixture.context.run_for(50ms);
+    fixture.intake.beginShutdown();
+    fixture.context.run_for(50ms);
+    cr_assert(waiting && std::holds_alternative<JobNotAccepted>(*waiting), "its append was not sent");
+    cr_assert(!sent, "its append may still get a response");
+    fixture.intake.abandonRequests();
+    fixture.context.run_for(50ms);
+    cr_assert(sent && std::holds_alternative<JobUndetermined>(*sent));
+}
--- a/tests/processes/testnode.cpp
+++ b/tests/processes/testnode.cpp
@@ -1,14 +1,18 @@
 #include <support/childprocess.h>
 #include <support/httpcall.h>
+#include <support/httpchannel.h>
 
 #include <boost/json.hpp>
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <sstream>
 #include <thread>
@@ -132,10 +136,11 @@
     std::string store;
     std::vector<std::string> workerAddresses;
 
+    static std::string callers(int index) { return address(index, 0); }
+
 private:
     // Each test process uses its own block of ports, below the range that the system assigns to outgoing connections.
     static std::string address(int index, int offset) { return "127.0.0.1:" + std::to_string(20000 + ::getpid() % 1200 * 10 + index * 3 + offset); }
-    static std::string callers(int index) { return address(index, 0); }
     std::string settingsFile(int index) const { return m_folder + "-" + std::to_string(index) + ".ini"; }
 
     void waitUntilReady() const
@@ -159,6 +164,62 @@
     }
 }
 
+constexpr const char *QueueHost = "queue.example";
+constexpr auto CallInterval = 50ms;
+constexpr int CallsAfterTheSignal = 90; // longer than the grace time
+constexpr auto ReadTime = 200ms; // after which the instance has read a request for sure
+// Larger than the workers, so that an instance reads the job topic to the end before it rejects the job.
+constexpr const char *LargeServingJob = R"({"spec":"","steps":[{"count":24,"cpu":8000,"memMb":100,"longRunning":true}]})";
+constexpr const char *SmallJob = R"({"spec":"ms=50","steps":[{"count":1,"cpu":100,"memMb":10,"estimateMs":50}]})";
+
+/// Sends a request.
+using RequestSender = std::function<ChannelCallResult(HttpChannel &channel, const std::string &jobId)>;
+
+ChannelCallResult submitLargeServingJob(HttpChannel &channel, const std::string &jobId)
+{
+    return channel.call("POST", "/batch/" + jobId, QueueHost, LargeServingJob);
+}
+
+/// Sends requests of several kinds, in turn.
+ChannelCallResult sendAnyRequest(HttpChannel &channel, const std::string &jobId)
+{
+    switch (jobId.back() % 4) {
+    case 0:
+        return channel.call("DELETE", "/batch/" + jobId, QueueHost);
+    case 1:
+        return submitLargeServingJob(channel, jobId);
+    case 2:
+        return channel.call("POST", "/batch/" + jobId, QueueHost, SmallJob);
+    default:
+        return channel.call("GET", "/batch/" + jobId, QueueHost);
+    }
+}
+
+/// Stops an instance while callers use connections that they have opened before, until it is gone. Returns the number of requests that it
+/// has read and not answered.
+int requestsLostAtAStop(NodeCluster &cluster, int instance, const RequestSender &sendRequest)
+{
+    std::vector<std::unique_ptr<HttpChannel>> channels;
+    for (int number = 0; number < CallsAfterTheSignal; ++number) {
+        channels.push_back(std::make_unique<HttpChannel>(NodeCluster::callers(instance)));
+    }
+    std::this_thread::sleep_for(200ms);
+    cluster.node(instance).sendSignal(SIGTERM);
+    std::vector<ChannelCallResult> results(channels.size());
+    std::vector<std::thread> callers;
+    for (int number = 0; number < CallsAfterTheSignal; ++number) {
+        callers.emplace_back([&channels, &results, &sendRequest, number] {
+            std::this_thread::sleep_for(number * CallInterval);
+            results[number] = sendRequest(*channels[number], "00000000000" + std::to_string(10000 + number));
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    cr_expect_eq(cluster.node(instance).waitForExit(2s), 0);
+    return static_cast<int>(std::ranges::count_if(results, [](const ChannelCallResult &result) { return result.status == 0 && result.time > ReadTime; }));
+}
+
 } // namespace
 
 Test(node, aSubmittedJobCompletes, .timeout = 60)
@@ -255,3 +316,22 @@
     cluster.node(0).sendSignal(SIGTERM);
     cr_assert_eq(cluster.node(0).waitForExit(6s), 0);
 }
+
+// Guards against requests that were read and never answered, because the process ends while it still reads requests from open connections.
+Test(node, aPlannedStopAnswersAllRequestsThatWereRead, .timeout = 90)
+{
+    NodeCluster cluster;
+    const int owner = cluster.waitForOwner();
+    cr_assert_geq(owner, 0);
+    cr_assert_eq(
+        cluster.call(0, "POST", "/batch/0000000000000001", R"({"spec":"lasts=1;ms=60000","steps":[{"count":3,"cpu":7000,"memMb":100,"longRunning":true}]})")
+            .status,
+        200);
+    std::this_thread::sleep_for(3s); // the room for serving tasks is published
+    const int lostByStandby = requestsLostAtAStop(cluster, (owner + 1) % 3, submitLargeServingJob);
+    cr_expect_eq(lostByStandby, 0, "a standby has left %d requests without a response", lostByStandby);
+    const int lostByOwner = requestsLostAtAStop(cluster, owner, submitLargeServingJob);
+    cr_expect_eq(lostByOwner, 0, "the owner has left %d requests without a response", lostByOwner);
+    const int lostOfSeveralKinds = requestsLostAtAStop(cluster, (owner + 2) % 3, sendAnyRequest);
+    cr_expect_eq(lostOfSeveralKinds, 0, "of several kinds, %d requests were left without a response", lostOfSeveralKinds);
+}
