Answer the requests that a scheduler has read before it stops

What callers saw: hyssopctl got no reply to a submission while the log executed its append for 0.9 s, because the scheduler stopped 0.5 s after SIGTERM whatever was open.

Change: RpcServer counts unfinished requests and closes connections without one; the scheduler stops when none is left, after 5 s at the latest, and logs how many it leaves.

--- a/src/libs/scheduler/schedulerdaemon.cpp
+++ b/src/libs/scheduler/schedulerdaemon.cpp
@@ -27,6 +27,9 @@
 // The daemon reports itself as not ready for this long before the RPC server stops, so that replies in flight reach
 // their callers.
 constexpr std::chrono::milliseconds DrainTime{500};
+// Longer than an append to the log takes that still succeeds.
+constexpr std::chrono::milliseconds FinishTime{5000};
+constexpr std::chrono::milliseconds FinishCheckInterval{10};
 
 struct SchedulerDaemonState : std::enable_shared_from_this<SchedulerDaemonState>
 {
@@ -143,6 +146,14 @@
     draining = true;
     asio::steady_timer timer(context, DrainTime);
     co_await timer.async_wait(asio::use_awaitable);
+    const auto deadline = std::chrono::steady_clock::now() + FinishTime;
+    do {
+        rpcServer.closeIdleConnections();
+        administration.closeIdleConnections();
+        timer.expires_after(FinishCheckInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    } while (rpcServer.unfinishedRequests() + administration.unfinishedRequests() > 0 && std::chrono::steady_clock::now() < deadline);
+    logMessage(LogLevel::Info, "scheduler", "stopped", {{"open_requests", rpcServer.unfinishedRequests()}});
     stop();
     context.stop();
 }
--- a/src/libs/wire/rpcserver.cpp
+++ b/src/libs/wire/rpcserver.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <list>
 #include <utility>
@@ -24,6 +25,23 @@
 constexpr std::size_t MaximumConnections = 1024;
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
+struct RpcConnection
+{
+    explicit RpcConnection(asio::ip::tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+
+    bool isIdle() const
+    {
+        boost::system::error_code ignored;
+        return isReading && stream.socket().available(ignored) == 0;
+    }
+
+    boost::beast::tcp_stream stream;
+    bool isReading = true; // waits for a request
+};
+
 struct RpcServerState
 {
     RpcServerState(const asio::any_io_executor &executor, const asio::ip::tcp::endpoint &endpoint, RpcServer::Handler messageHandler)
@@ -34,17 +52,20 @@
 
     asio::ip::tcp::acceptor acceptor;
     RpcServer::Handler handler;
-    std::list<boost::beast::tcp_stream> connections;
+    std::list<RpcConnection> connections;
     std::uint64_t malformedFrames = 0;
     bool stopped = false;
 };
 
 using RpcServerStatePtr = std::shared_ptr<RpcServerState>;
 
-static asio::awaitable<void> serveFrames(RpcServerStatePtr state, boost::beast::tcp_stream &stream)
+static asio::awaitable<void> serveFrames(RpcServerStatePtr state, RpcConnection &connection)
 {
+    boost::beast::tcp_stream &stream = connection.stream;
     while (!state->stopped) {
+        connection.isReading = true;
         auto frame = co_await readFrame(stream);
+        connection.isReading = false;
         if (const Error *error = errorOf(frame)) {
             if (error->code == ErrorCode::TooLarge) {
                 ++state->malformedFrames;
@@ -69,10 +90,10 @@
     }
 }
 
-static asio::awaitable<void> serveConnection(RpcServerStatePtr state, std::list<boost::beast::tcp_stream>::iterator connection)
+static asio::awaitable<void> serveConnection(RpcServerStatePtr state, std::list<RpcConnection>::iterator connection)
 {
     boost::system::error_code ignored;
-    connection->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     co_await serveFrames(state, *connection);
     state->connections.erase(connection);
 }
@@ -118,11 +139,26 @@
     m_state->stopped = true;
     boost::system::error_code ignored;
     m_state->acceptor.close(ignored);
-    for (boost::beast::tcp_stream &connection : m_state->connections) {
-        connection.socket().close(ignored);
+    for (Internal::RpcConnection &connection : m_state->connections) {
+        connection.stream.socket().close(ignored);
     }
 }
 
+void RpcServer::closeIdleConnections()
+{
+    for (Internal::RpcConnection &connection : m_state->connections) {
+        if (connection.isIdle()) {
+            connection.stream.cancel();
+        }
+    }
+}
+
+std::size_t RpcServer::unfinishedRequests() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_state->connections, [](const Internal::RpcConnection &connection) { return !connection.isIdle(); }));
+}
+
 asio::ip::tcp::endpoint RpcServer::localEndpoint() const
 {
     return m_state->acceptor.local_endpoint();
--- a/src/libs/wire/rpcserver.h
+++ b/src/libs/wire/rpcserver.h
@@ -29,6 +29,12 @@
     /// Starts accepting connections.
     void start();
 
+    /// Closes the connections without an open request. A request that is read before the connection is closed gets its reply.
+    void closeIdleConnections();
+
+    /// Number of requests that have arrived and have no reply yet.
+    std::size_t unfinishedRequests() const;
+
     /// Stops accepting and closes every connection.
     void stop();
 
--- a/tests/libs/wire/testrpc.cpp
+++ b/tests/libs/wire/testrpc.cpp
@@ -4,6 +4,7 @@
 #include <utils/endpoint.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -98,3 +99,40 @@
     server.start();
     runToEnd(context, checkMalformedFrames(server));
 }
+
+static asio::awaitable<void> callOnce(RpcClient &client, RpcServer &server, std::int64_t version, int &replies)
+{
+    auto reply = co_await client.call(formatEndpoint(server.localEndpoint()), targetsRequest(version), std::chrono::seconds(5));
+    replies += valueOf(reply) != nullptr ? 1 : 0;
+}
+
+static asio::awaitable<void> checkUnfinishedRequests(RpcServer &server)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    RpcClient client(executor);
+    RpcClient idle(executor);
+    int replies = 0;
+    co_await callOnce(idle, server, 1, replies);
+    asio::co_spawn(executor, callOnce(client, server, 300, replies), asio::detached);
+    asio::steady_timer timer(executor, std::chrono::milliseconds(50));
+    co_await timer.async_wait(asio::use_awaitable);
+    cr_assert_eq(server.unfinishedRequests(), 1);
+    while (server.unfinishedRequests() > 0) {
+        server.closeIdleConnections();
+        timer.expires_after(std::chrono::milliseconds(10));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    server.stop();
+    timer.expires_after(std::chrono::milliseconds(50));
+    co_await timer.async_wait(asio::use_awaitable);
+    cr_assert_eq(replies, 2, "the request that was being handled got no reply");
+}
+
+// Guards against a shutdown that closes a connection while its request is being handled.
+Test(rpc, requestsThatAreHandledGetTheirReplyBeforeAStop)
+{
+    asio::io_context context;
+    RpcServer server(context.get_executor(), AnyPort, replyAfterDelay);
+    server.start();
+    runToEnd(context, checkUnfinishedRequests(server));
+}
--- a/tests/processes/testfailures.cpp
+++ b/tests/processes/testfailures.cpp
@@ -481,3 +481,34 @@
     cluster.callLog("POST", "/faults", R"({"available": true})");
     cr_assert(waitFor(std::chrono::seconds(17), [&] { return appliedOffset(cluster, "gateway-puget-a-0") >= 2; }));
 }
+
+// Guards against an operator's request that a scheduler has read and never answers, because it stops while the log executes the append.
+Test(processes, aStoppingSchedulerAnswersTheRequestsThatItHasRead, .timeout = 90)
+{
+    Cluster::Layout layout;
+    layout.instancesPerDomain = 1; // so that no other scheduler answers in its place
+    Cluster cluster(layout);
+    startServing(cluster, "puget-a");
+    cluster.callLog("POST", "/faults", R"({"appendDelayMs": 900})");
+    ChildProcess submission = cluster.startHyssopctl("puget-a",
+                                                     {"job",
+                                                      "submit",
+                                                      "--domain",
+                                                      "puget-a",
+                                                      "--customer",
+                                                      "cascadia",
+                                                      "--team",
+                                                      "prints",
+                                                      "--task",
+                                                      "badge-print",
+                                                      "--cores",
+                                                      "0.5",
+                                                      "--memory",
+                                                      "100 MB",
+                                                      "run 100"});
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    ChildProcess &scheduler = cluster.process(cluster.schedulers("puget-a").front());
+    scheduler.sendSignal(SIGTERM);
+    cr_expect_eq(submission.waitForExit(std::chrono::seconds(10)), 0, "the submission got no reply");
+    cr_expect_eq(scheduler.waitForExit(std::chrono::seconds(10)), 0);
+}
