Do not tell a caller that a job is never run while an earlier attempt may be recorded

What callers saw: a submission that was sent again while the append of its first attempt was under way got 503 from an instance that was about to stop, or whose store did not respond. 503 says that the job never runs; the append may still succeed.

Cause: the immediate rejection looked at the table only.

Change: 504 if another attempt through this instance is unanswered, or was made shortly before without a known outcome.

Test: jobIntake/anAppendThatIsUnderWayAtTheEndIsUndetermined has a second attempt; without the change it fails.

--- a/src/libs/node/jobintake.cpp
+++ b/src/libs/node/jobintake.cpp
@@ -84,7 +84,7 @@
     }
     if (const char *reason = rejectionReason()) {
         recordImmediateRejection(jobId, "submission", reason);
-        co_return JobNotAccepted{};
+        co_return mayBeRecorded(jobId) ? SubmitResult(JobUndetermined{}) : SubmitResult(JobNotAccepted{});
     }
     const TimePoint begin = m_clock.now();
     if (const std::optional<SubmitResult> result = co_await checkServingRoom(jobId, job, timeout)) {
@@ -209,6 +209,11 @@
     co_return m_table.find(jobId) != nullptr ? CancelResult(JobAccepted{}) : CancelResult(JobNotFound{});
 }
 
+bool JobIntake::mayBeRecorded(const std::string &jobId) const
+{
+    return m_unanswered.contains(submissionKey(jobId)) || m_admission.isSubmitted(jobId, m_clock.now());
+}
+
 const char *JobIntake::rejectionReason() const
 {
     if (m_isShuttingDown) {
--- a/src/libs/node/jobintake.h
+++ b/src/libs/node/jobintake.h
@@ -91,6 +91,9 @@
 private:
     using PendingPtr = std::shared_ptr<Internal::PendingRecord>;
 
+    /// Returns true if another attempt to submit the job through this instance may have succeeded.
+    bool mayBeRecorded(const std::string &jobId) const;
+
     /// Returns why a request is rejected without a try, or a null pointer.
     const char *rejectionReason() const;
     void recordImmediateRejection(const std::string &jobId, const char *requestKind, const char *reason);
--- a/tests/libs/node/testjobintake.cpp
+++ b/tests/libs/node/testjobintake.cpp
@@ -323,6 +323,7 @@
     fixture.context.run_for(50ms);
     cr_assert(waiting && std::holds_alternative<JobNotAccepted>(*waiting), "its append was not sent");
     cr_assert(!sent, "its append may still get a response");
+    cr_expect(std::holds_alternative<JobUndetermined>(fixture.submit("a")), "the append of the first attempt is under way");
     fixture.intake.abandonRequests();
     fixture.context.run_for(50ms);
     cr_assert(sent && std::holds_alternative<JobUndetermined>(*sent));
