--- a/src/libs/dispatch/dispatchactions.h
+++ b/src/libs/dispatch/dispatchactions.h
@@ -29,9 +29,9 @@
 {
     TaskId step; // the task index is unused
     std::vector<std::string> workers;
-    std::int64_t number = 0;
+    std::int64_t number = 0; // of the request, in this process
     Duration serviceTime{0}; // that the service needs, as announced
-    std::chrono::milliseconds timeout{5000};
+    std::chrono::milliseconds timeout{0}; // until no response is expected any more
 };
 
 /// Asks the platform which worker processes exist.
--- a/src/libs/node/ownerlog.cpp
+++ b/src/libs/node/ownerlog.cpp
@@ -223,6 +223,35 @@
                 {"detail", rejection.detail}});
 }
 
+const char *adviceOutcome(const AdviceResult &result, std::size_t usableTickets)
+{
+    const auto *error = std::get_if<Error>(&result);
+    if (error != nullptr) {
+        return error->code == ErrorCode::Timeout ? "timeout" : "failed";
+    }
+    const bool allowsWorkers = !std::get<PlacementAdvice>(result).tickets.empty();
+    return allowsWorkers && usableTickets == 0 ? "unused" : "decided";
+}
+
+void logAdvice(const RequestAdvice &request, const AdviceResult &result, std::size_t usableTickets, Duration responseTime)
+{
+    const auto *advice = std::get_if<PlacementAdvice>(&result);
+    const auto *error = std::get_if<Error>(&result);
+    logMessage(LogLevel::Info,
+               "owner",
+               "advice request result",
+               {{"job_id", request.step.job},
+                {"step", request.step.step},
+                {"request", static_cast<long long>(request.number)},
+                {"outcome", adviceOutcome(result, usableTickets)},
+                {"workers", request.workers.size()},
+                {"allowed", advice != nullptr ? advice->tickets.size() : 0},
+                {"usable", usableTickets},
+                {"response_ms", std::chrono::duration_cast<std::chrono::milliseconds>(responseTime).count()},
+                {"service_ms", std::chrono::duration_cast<std::chrono::milliseconds>(request.serviceTime).count()},
+                {"error", error != nullptr ? error->message : std::string()}});
+}
+
 void logLiveWorkers(const LiveWorkersResult &result)
 {
     if (const auto *error = std::get_if<Error>(&result)) {
--- a/src/libs/node/ownerlog.h
+++ b/src/libs/node/ownerlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dispatch/dispatchactions.h>
+#include <ports/adviceservice.h>
 #include <ports/machinedirectory.h>
 #include <utils/clock.h>
 
@@ -33,6 +34,11 @@
 /// Logs the answer to a request for the live workers.
 void logLiveWorkers(const LiveWorkersResult &result);
 
+/// Returns the name of a result of a request for advice, of whose tickets so many can be used.
+const char *adviceOutcome(const AdviceResult &result, std::size_t usableTickets);
+
+void logAdvice(const RequestAdvice &request, const AdviceResult &result, std::size_t usableTickets, Duration responseTime);
+
 /// Logs the load of the owner of @p term.
 void logLoad(std::int64_t term, const DispatchSummary &load);
 
--- a/src/libs/node/topicowner.cpp
+++ b/src/libs/node/topicowner.cpp
@@ -58,16 +58,6 @@
     return std::uniform_int_distribution<std::int64_t>(1, maximum)(generator);
 }
 
-static const char *adviceOutcome(const AdviceResult &result, std::size_t usableTickets)
-{
-    const auto *error = std::get_if<Error>(&result);
-    if (error != nullptr) {
-        return error->code == ErrorCode::Timeout ? "timeout" : "failed";
-    }
-    const bool allowsWorkers = !std::get<PlacementAdvice>(result).tickets.empty();
-    return allowsWorkers && usableTickets == 0 ? "unused" : "decided";
-}
-
 static long long milliCores(double processorShare)
 {
     return std::llround(processorShare * 1000);
@@ -810,22 +800,9 @@
     const AdviceResult result = co_await m_ports.advice.requestAdvice(request.step, request.workers, request.timeout);
     const TimePoint now = m_clock.now();
     const std::size_t usableTickets = m_term ? m_dispatcher.adviceAnswered(request, result, sentAt, now) : 0;
-    const auto *advice = std::get_if<PlacementAdvice>(&result);
-    const auto *error = std::get_if<Error>(&result);
     m_metrics.observe("hyssop_advice_seconds", now - sentAt);
-    m_metrics.add("hyssop_advice_requests_total", {{"outcome", Internal::adviceOutcome(result, usableTickets)}});
-    logMessage(LogLevel::Info,
-               "owner",
-               "advice request result",
-               {{"job_id", request.step.job},
-                {"step", request.step.step},
-                {"request", static_cast<long long>(request.number)},
-                {"workers", request.workers.size()},
-                {"allowed", advice != nullptr ? advice->tickets.size() : 0},
-                {"usable", usableTickets},
-                {"response_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - sentAt).count()},
-                {"service_ms", std::chrono::duration_cast<std::chrono::milliseconds>(request.serviceTime).count()},
-                {"error", error != nullptr ? error->message : std::string()}});
+    m_metrics.add("hyssop_advice_requests_total", {{"outcome", adviceOutcome(result, usableTickets)}});
+    logAdvice(request, result, usableTickets, now - sentAt);
 }
 
 asio::awaitable<void> TopicOwner::listLiveWorkers()
