Soak: check that a planned stop answers what was read

Callers of the soak use their connections until a node is gone. A request whose connection ends more than 0.2 s after it was sent, on a node that stops as planned, is a violation now; the time in which the soak itself did not run is not counted. Cancellations of unknown jobs are added, which wait for the next read of the job topic.

--- a/tests/soak/soakcluster.cpp
+++ b/tests/soak/soakcluster.cpp
@@ -3,6 +3,7 @@
 #include <utils/endpoint.h>
 #include <utils/result.h>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <unistd.h>
@@ -55,11 +56,18 @@
 {
     Node &node = m_nodes[static_cast<std::size_t>(index)];
     node.process.reset();
+    node.isStopping = false;
     const std::string log = m_directory + "/" + node.name + "-" + std::to_string(node.startCount++) + ".log";
     node.process =
         std::make_unique<Testing::ChildProcess>("hyssop-node", std::vector<std::string>{"--config", node.settingsFile}, log, Testing::ChildOutput::LogFile);
 }
 
+void SoakCluster::stopNode(int index)
+{
+    m_nodes[static_cast<std::size_t>(index)].isStopping = true;
+    node(index).sendSignal(SIGTERM);
+}
+
 void SoakCluster::writeSettings(const Node &node, int index) const
 {
     const auto address = [&](int offset) { return "127.0.0.1:" + std::to_string(port(index * PortsPerNode + offset)); };
--- a/tests/soak/soakcluster.h
+++ b/tests/soak/soakcluster.h
@@ -23,6 +23,12 @@
     int workerCount() const { return static_cast<int>(m_workers.size()); }
 
     void startNode(int index);
+
+    /// Sends SIGTERM to a node, as before a planned restart.
+    void stopNode(int index);
+
+    /// Returns true if stopNode() was called and the node was not started again since.
+    bool isStopping(int index) const { return m_nodes[static_cast<std::size_t>(index)].isStopping; }
     Testing::ChildProcess &node(int index) { return *m_nodes[static_cast<std::size_t>(index)].process; }
     const std::string &callersAddress(int index) const { return m_nodes[static_cast<std::size_t>(index)].callers; }
     FaultProxy &storeLink(int index) { return *m_nodes[static_cast<std::size_t>(index)].storeLink; }
@@ -41,6 +47,7 @@
         std::unique_ptr<FaultProxy> storeLink;
         std::unique_ptr<Testing::ChildProcess> process;
         int startCount = 0;
+        bool isStopping = false;
     };
 
     struct Worker
--- a/tests/soak/soakload.cpp
+++ b/tests/soak/soakload.cpp
@@ -28,6 +28,10 @@
 constexpr int MaximumAttempts = 5;
 constexpr int MaximumInFlight = 60;
 constexpr int JobsPerCancellation = 8;
+constexpr int JobsPerUnknownCancellation = 3;
+constexpr std::chrono::milliseconds TickInterval{10};
+// After which a node that stops as planned has read a request, and owes a response.
+constexpr std::chrono::milliseconds ReadTime{200};
 
 asio::awaitable<void> pauseFor(std::chrono::milliseconds time)
 {
@@ -65,6 +69,17 @@
         std::array<char, 17> jobId{};
         std::snprintf(jobId.data(), jobId.size(), "%016x", static_cast<unsigned>(number));
         asio::co_spawn(m_executor, submit(jobId.data(), randomBody(), randomBelow(JobsPerCancellation) == 0), asio::detached);
+        if (number % JobsPerUnknownCancellation == 0) {
+            asio::co_spawn(m_executor, cancelUnknownJob("unknown" + std::to_string(number)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> SoakLoad::recordTicks()
+{
+    while (!m_stopped) {
+        m_tickAt = std::chrono::steady_clock::now();
+        co_await pauseFor(TickInterval);
     }
 }
 
@@ -102,6 +117,24 @@
     }
 }
 
+asio::awaitable<void> SoakLoad::cancelUnknownJob(std::string jobId)
+{
+    ++m_inFlight;
+    const unsigned status = co_await call(http::verb::delete_, jobId, {});
+    if (status == 200) {
+        violations.push_back("a job that nobody has submitted was cancelled: " + jobId);
+    }
+    --m_inFlight;
+}
+
+void SoakLoad::checkLostResponse(int node, const Error &error, TimePoint sentAt, const std::string &jobId)
+{
+    // The connection may have ended at any time since the last tick.
+    if (error.code == ErrorCode::Closed && m_cluster.isStopping(node) && m_tickAt - sentAt > ReadTime) {
+        violations.push_back("a planned stop of node " + std::to_string(node) + " left a request on job " + jobId + " without a response");
+    }
+}
+
 asio::awaitable<bool> SoakLoad::pollJobStates()
 {
     bool allEnded = m_inFlight == 0;
@@ -130,11 +163,14 @@
     request.set(http::field::host, "queue.example");
     request.set(http::field::content_type, "application/json");
     request.set("X-Hyssopferry-Request-Deadline", std::to_string(CallTimeout.count()));
-    auto outcome = co_await m_http.send(m_cluster.callersAddress(randomBelow(m_cluster.nodeCount())), std::move(request), CallTimeout);
-    const HttpResponse *response = valueOf(outcome);
-    if (response == nullptr) {
+    const int node = randomBelow(m_cluster.nodeCount());
+    const TimePoint sentAt = std::chrono::steady_clock::now();
+    auto outcome = co_await m_http.send(m_cluster.callersAddress(node), std::move(request), CallTimeout);
+    if (const Error *error = errorOf(outcome)) {
+        checkLostResponse(node, *error, sentAt, jobId);
         co_return 0;
     }
+    const HttpResponse *response = valueOf(outcome);
     if (responseBody != nullptr) {
         *responseBody = response->body();
     }
--- a/tests/soak/soakload.h
+++ b/tests/soak/soakload.h
@@ -36,6 +36,9 @@
     boost::asio::awaitable<void> run();
     void stop() { m_stopped = true; }
 
+    /// Records until stop() when this process was last able to receive responses.
+    boost::asio::awaitable<void> recordTicks();
+
     /// Queries the state of all accepted jobs and returns true if each has ended.
     boost::asio::awaitable<bool> pollJobStates();
 
@@ -45,6 +48,8 @@
 private:
     boost::asio::awaitable<void> submit(std::string jobId, std::string body, bool cancelAfterwards);
     boost::asio::awaitable<void> cancel(std::string jobId);
+    boost::asio::awaitable<void> cancelUnknownJob(std::string jobId);
+    void checkLostResponse(int node, const Error &error, TimePoint sentAt, const std::string &jobId);
     boost::asio::awaitable<unsigned>
     call(boost::beast::http::verb method, const std::string &jobId, const std::string &body, std::string *responseBody = nullptr);
     std::string randomBody();
@@ -55,6 +60,7 @@
     HttpClient m_http;
     std::mt19937 m_random;
     std::map<std::string, SoakJob> m_jobs;
+    TimePoint m_tickAt{};
     bool m_stopped = false;
     int m_inFlight = 0;
 };
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -72,10 +72,10 @@
         const Milliseconds time(300 + randomBelow(5000));
         switch (randomBelow(8)) {
         case 0:
-            spawn("kill node-" + std::to_string(node), restartNode(node, SIGKILL, time / 3));
+            spawn("kill node-" + std::to_string(node), restartNode(node, &FaultInjector::killNode, time / 3));
             break;
         case 1:
-            spawn("stop node-" + std::to_string(node), restartNode(node, SIGTERM, time / 3));
+            spawn("stop node-" + std::to_string(node), restartNode(node, &FaultInjector::stopNode, time / 3));
             break;
         case 2:
             spawn("freeze node-" + std::to_string(node), freezeNode(node, time));
@@ -103,12 +103,15 @@
         asio::co_spawn(m_executor, std::move(fault), [this](const std::exception_ptr &) { --m_activeFaults; });
     }
 
-    asio::awaitable<void> restartNode(int node, int signal, Milliseconds downTime)
+    void killNode(int node) { m_cluster.node(node).sendSignal(SIGKILL); }
+    void stopNode(int node) { m_cluster.stopNode(node); }
+
+    asio::awaitable<void> restartNode(int node, void (FaultInjector::*end)(int), Milliseconds downTime)
     {
         if (!m_busyNodes.insert(node).second) {
             co_return; // the node is already being restarted or frozen
         }
-        m_cluster.node(node).sendSignal(signal);
+        (this->*end)(node);
         while (m_cluster.node(node).running()) {
             co_await pauseFor(50ms);
         }
@@ -173,6 +176,7 @@
     const auto executor = co_await asio::this_coro::executor;
     asio::steady_timer timer(executor);
     asio::co_spawn(executor, load.run(), asio::detached);
+    asio::co_spawn(executor, load.recordTicks(), asio::detached);
     bool stopPolling = false;
     bool pollingEnded = false;
     asio::co_spawn(executor, pollJobStatesUntilStopped(load, stopPolling), [&](const std::exception_ptr &) { pollingEnded = true; });
