--- a/tests/libs/dispatch/testticketcache.cpp
+++ b/tests/libs/dispatch/testticketcache.cpp
@@ -23,6 +23,7 @@
 ask(TicketCache &cache, const TaskId &task, const std::vector<std::string> &workers, TimePoint now, const AdviceParameters &service = {})
 {
     std::vector<AdviceCandidate> candidates;
+    candidates.reserve(workers.size());
     for (const std::string &worker : workers) {
         candidates.push_back({worker, true});
     }
--- a/tests/processes/testnode.cpp
+++ b/tests/processes/testnode.cpp
@@ -200,6 +200,7 @@
 int requestsLostAtAStop(NodeCluster &cluster, int instance, const RequestSender &sendRequest)
 {
     std::vector<std::unique_ptr<HttpChannel>> channels;
+    channels.reserve(CallsAfterTheSignal);
     for (int number = 0; number < CallsAfterTheSignal; ++number) {
         channels.push_back(std::make_unique<HttpChannel>(NodeCluster::callers(instance)));
     }
@@ -207,6 +208,7 @@
     cluster.node(instance).sendSignal(SIGTERM);
     std::vector<ChannelCallResult> results(channels.size());
     std::vector<std::thread> callers;
+    callers.reserve(CallsAfterTheSignal);
     for (int number = 0; number < CallsAfterTheSignal; ++number) {
         callers.emplace_back([&channels, &results, &sendRequest, number] {
             std::this_thread::sleep_for(number * CallInterval);
